--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/coordination/src/drain.rs
@@ -0,0 +1,39 @@
+//! Phases of a planned stop.
+
+use std::time::{Duration, Instant};
+
+/// Times of a planned stop.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Time in which calls are still accepted, while the balancer notices.
+    pub grace: Duration,
+    /// Time after which the process exits whatever still runs.
+    pub bound: Duration,
+}
+
+/// Where a stop stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Not ready, but calls that come are still served.
+    Grace,
+    /// New calls are refused as not run; running ones finish.
+    Finish,
+    /// Exit.
+    Exit,
+}
+
+/// Phase at `now` of a stop ordered at `since` with `running` requests left.
+///
+/// The grace time is kept even with nothing running: the balancer may send one
+/// more request in the moment before it reads that the instance isn't ready,
+/// and a refused connection would cut that request off.
+pub fn phase(plan: Plan, since: Instant, running: usize, now: Instant) -> Phase {
+    let passed = now.saturating_duration_since(since);
+    if passed >= plan.bound {
+        return Phase::Exit;
+    }
+    if passed < plan.grace {
+        return Phase::Grace;
+    }
+    if running == 0 { Phase::Exit } else { Phase::Finish }
+}
--- /dev/null
+++ b/crates/coordination/src/lib.rs
@@ -0,0 +1,41 @@
+//! Decisions of a fleet that serves online and batch work.
+//!
+//! Every function here decides and nothing more: no I/O, no clock, no thread,
+//! no lock. The present time is an argument, and so is chance. That makes each
+//! rule testable without sleeping, and lets others embed it under their own
+//! transport and storage.
+//!
+//! What it is not: a consensus library. Agreement rests on conditional writes
+//! to a store that the embedder names ([`chain`], [`lease`]); what members tell
+//! each other ([`member`]) is a hint that may be lost.
+//!
+//! ```
+//! use coordination::chain::{Append, Step};
+//!
+//! // A create whose answer was lost is settled by reading back.
+//! let append = Append::new(7, "writer-a");
+//! assert_eq!(append.on_lost(), Step::ReadBack);
+//! assert_eq!(append.on_found(Some("writer-a")), Step::Committed);
+//! assert_eq!(append.on_found(Some("writer-b")), Step::Overtaken);
+//! ```
+
+pub mod admit;
+pub mod burn;
+pub mod chain;
+pub mod drain;
+pub mod eject;
+pub mod hash;
+pub mod lease;
+pub mod leaving;
+pub mod limit;
+pub mod load;
+pub mod member;
+pub mod queue;
+pub mod retry;
+pub mod rollout;
+pub mod route;
+
+/// Identifies a daemon process.
+pub type InstanceId = u64;
+/// Name of a target.
+pub type TargetId = String;
--- /dev/null
+++ b/crates/coordination/src/member.rs
@@ -0,0 +1,335 @@
+//! Which instances there are, with a bounded number of heartbeats for each.
+//!
+//! Members are ordered on a ring by their ids. Each sends heartbeats to the
+//! members 1, 2, 4, 8, … places on: about log₂ n of them, so that traffic grows
+//! with the logarithm of the fleet while news crosses it in as many steps. All
+//! of it is hints: a wrong view costs a detour or a lost race on a conditional
+//! write, never an outcome.
+
+use crate::InstanceId;
+use crate::leaving::Witness;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// How a member stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum State {
+    /// It answers.
+    Alive,
+    /// It missed heartbeats and may refute.
+    Suspect,
+    /// It is stopping.
+    Leaving,
+    /// It counts as gone.
+    Dead,
+}
+
+/// One member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Unique for each start of a process.
+    pub id: InstanceId,
+    /// Address for other members.
+    pub peer: SocketAddr,
+    /// Address for callers.
+    pub http: SocketAddr,
+    /// Data centre it stands in.
+    pub data_centre: String,
+    /// Raised by the member itself to refute a suspicion.
+    pub incarnation: u64,
+    /// How it stands.
+    pub state: State,
+    /// Configuration in force there.
+    pub generation: u64,
+}
+
+/// News that members pass on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// A member's state.
+    Member(Member),
+    /// A target leaves or came back.
+    Leaving {
+        /// The target.
+        target: String,
+        /// The source's stamp; higher wins.
+        since: u64,
+        /// Whether it leaves.
+        leaving: bool,
+        /// Whose word this is.
+        witness: Witness,
+    },
+    /// A job was cancelled.
+    Cancel(String),
+    /// A shard has a new job, with the time of its acceptance.
+    Work(u32, u64),
+}
+
+/// Times that rule the table.
+#[derive(Clone, Copy, Debug)]
+pub struct Policy {
+    /// Time between heartbeats.
+    pub ping: Duration,
+    /// Silence of a suspect until it counts as dead.
+    pub suspect: Duration,
+    /// How long a dead member is still tried now and then; a cut that heals
+    /// within it needs no help from the platform's list.
+    pub forget: Duration,
+}
+
+impl Default for Policy {
+    fn default() -> Policy {
+        Policy {
+            ping: Duration::from_millis(500),
+            suspect: Duration::from_secs(3),
+            forget: Duration::from_secs(7_200),
+        }
+    }
+}
+
+const MISSES: u32 = 2;
+const LOG: usize = 512;
+const PAGE: usize = 64;
+const REVIVE_EVERY: u64 = 8;
+
+#[derive(Clone, Debug)]
+struct Row {
+    member: Member,
+    misses: u32,
+    changed: Instant,
+}
+
+/// One instance's view of all members.
+#[derive(Clone, Debug)]
+pub struct Table {
+    me: Member,
+    policy: Policy,
+    rows: BTreeMap<InstanceId, Row>,
+    notes: VecDeque<(u64, Note)>,
+    head: u64,
+    sent: HashMap<InstanceId, u64>,
+    turn: u64,
+}
+
+impl Table {
+    /// A table that knows only its owner.
+    pub fn new(me: Member, policy: Policy) -> Table {
+        Table {
+            me,
+            policy,
+            rows: BTreeMap::new(),
+            notes: VecDeque::new(),
+            head: 0,
+            sent: HashMap::new(),
+            turn: 0,
+        }
+    }
+
+    /// The owner of the table.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// The owner has a new configuration in force.
+    pub fn set_generation(&mut self, generation: u64) {
+        if generation > self.me.generation {
+            self.me.generation = generation;
+            self.push(Note::Member(self.me.clone()));
+        }
+    }
+
+    /// The owner is stopping.
+    pub fn leave(&mut self) {
+        self.me.state = State::Leaving;
+        self.me.incarnation += 1;
+        self.push(Note::Member(self.me.clone()));
+    }
+
+    /// Members other than the owner, dead ones left out.
+    pub fn others(&self) -> impl Iterator<Item = &Member> {
+        self.rows.values().map(|row| &row.member).filter(|m| m.state != State::Dead)
+    }
+
+    /// Ids that may own work: the owner unless it leaves, and all that live.
+    ///
+    /// A suspect still counts: moving its work for one lost heartbeat costs
+    /// more than a short wait does.
+    pub fn workers(&self) -> impl Iterator<Item = &Member> {
+        let able = |m: &&Member| matches!(m.state, State::Alive | State::Suspect);
+        std::iter::once(&self.me).chain(self.others()).filter(able)
+    }
+
+    /// The member `id`, unless it counts as dead.
+    pub fn get(&self, id: InstanceId) -> Option<&Member> {
+        self.others().find(|m| m.id == id)
+    }
+
+    /// Whether `id` is known and counts as dead.
+    pub fn is_dead(&self, id: InstanceId) -> bool {
+        self.rows.get(&id).is_some_and(|row| row.member.state == State::Dead)
+    }
+
+    /// Whom this member sends heartbeats to.
+    pub fn fingers(&self) -> Vec<InstanceId> {
+        let ring: Vec<InstanceId> = self.others().map(|m| m.id).collect();
+        let start = ring.partition_point(|id| *id < self.me.id);
+        let mut fingers = Vec::new();
+        let mut distance = 1;
+        while distance <= ring.len() {
+            fingers.push(ring[(start + distance - 1) % ring.len()]);
+            distance *= 2;
+        }
+        fingers
+    }
+
+    /// Whom to ping at this tick: the next finger, and now and then a member
+    /// that counts as dead, so that a healed cut is found out.
+    pub fn tick(&mut self, now: Instant) -> Vec<Member> {
+        self.age(now);
+        self.turn += 1;
+        let fingers = self.fingers();
+        let mut due = Vec::new();
+        if !fingers.is_empty() {
+            due.push(fingers[(self.turn % fingers.len() as u64) as usize]);
+        }
+        if self.turn.is_multiple_of(REVIVE_EVERY) {
+            due.extend(self.some_dead());
+        }
+        due.iter().filter_map(|id| self.rows.get(id)).map(|row| row.member.clone()).collect()
+    }
+
+    fn some_dead(&self) -> Option<InstanceId> {
+        let is_dead = |row: &&Row| row.member.state == State::Dead;
+        let dead: Vec<InstanceId> =
+            self.rows.values().filter(is_dead).map(|r| r.member.id).collect();
+        let turn = (self.turn / REVIVE_EVERY) as usize;
+        if dead.is_empty() { None } else { Some(dead[turn % dead.len()]) }
+    }
+
+    /// Fingers that have not been sent the latest news.
+    pub fn behind(&self) -> Vec<Member> {
+        let is_behind = |id: &InstanceId| self.sent.get(id).copied().unwrap_or(0) < self.head;
+        let fingers = self.fingers();
+        let rows = fingers.iter().filter(|id| is_behind(id)).filter_map(|id| self.rows.get(id));
+        rows.map(|row| row.member.clone()).collect()
+    }
+
+    /// News for `to`, and the mark to confirm with [`Table::on_sent`].
+    pub fn news(&self, to: InstanceId) -> (u64, Vec<Note>) {
+        let from = self.sent.get(&to).copied().unwrap_or(0);
+        let fresh = self.notes.iter().filter(|(at, _)| *at > from).take(PAGE);
+        let page: Vec<(u64, Note)> = fresh.cloned().collect();
+        let mark = page.last().map_or(self.head, |(at, _)| *at);
+        (mark, page.into_iter().map(|(_, note)| note).collect())
+    }
+
+    /// `to` has the news up to `mark`.
+    pub fn on_sent(&mut self, to: InstanceId, mark: u64) {
+        let sent = self.sent.entry(to).or_insert(0);
+        *sent = mark.max(*sent);
+    }
+
+    /// `member` answered a heartbeat, or sent one.
+    pub fn on_heard(&mut self, member: Member, now: Instant) {
+        let id = member.id;
+        self.merge(member, now);
+        if let Some(row) = self.rows.get_mut(&id) {
+            row.misses = 0;
+        }
+    }
+
+    /// `id` did not answer a heartbeat.
+    pub fn on_missed(&mut self, id: InstanceId, now: Instant) {
+        let Some(row) = self.rows.get_mut(&id) else {
+            return;
+        };
+        row.misses += 1;
+        let is_first = row.misses >= MISSES && row.member.state == State::Alive;
+        if is_first {
+            row.member.state = State::Suspect;
+            row.changed = now;
+            let note = Note::Member(row.member.clone());
+            self.push(note);
+        }
+    }
+
+    /// Takes in a member's state from anyone; `true` when it was news.
+    pub fn merge(&mut self, member: Member, now: Instant) -> bool {
+        if member.id == self.me.id {
+            self.refute(&member);
+            return false;
+        }
+        let Some(row) = self.rows.get_mut(&member.id) else {
+            if member.state == State::Dead {
+                return false;
+            }
+            let note = Note::Member(member.clone());
+            self.rows.insert(member.id, Row { member, misses: 0, changed: now });
+            self.push(note);
+            return true;
+        };
+        let known = &row.member;
+        let newer = (member.incarnation, member.state) > (known.incarnation, known.state);
+        let further = member.generation > known.generation;
+        if !newer && !further {
+            return false;
+        }
+        let generation = member.generation.max(known.generation);
+        if newer {
+            row.changed = now;
+            row.member = member;
+        }
+        row.member.generation = generation;
+        let note = Note::Member(row.member.clone());
+        self.push(note);
+        true
+    }
+
+    /// Passes on a note of another kind; the caller has seen that it is news.
+    pub fn pass_on(&mut self, note: Note) {
+        self.push(note);
+    }
+
+    fn refute(&mut self, said: &Member) {
+        let wrong = matches!(said.state, State::Suspect | State::Dead);
+        if wrong && said.incarnation >= self.me.incarnation {
+            self.me.incarnation = said.incarnation + 1;
+            self.push(Note::Member(self.me.clone()));
+        }
+    }
+
+    fn age(&mut self, now: Instant) {
+        let policy = self.policy;
+        let mut dead = Vec::new();
+        for row in self.rows.values_mut() {
+            let silent = now.saturating_duration_since(row.changed);
+            let expired = row.member.state == State::Suspect && silent >= policy.suspect;
+            let gone = row.member.state == State::Leaving && row.misses >= MISSES;
+            if expired || gone {
+                row.member.state = State::Dead;
+                row.changed = now;
+                dead.push(row.member.clone());
+            }
+        }
+        self.rows.retain(|_, row| {
+            let silent = now.saturating_duration_since(row.changed);
+            row.member.state != State::Dead || silent < policy.forget
+        });
+        dead.into_iter().for_each(|member| self.push(Note::Member(member)));
+        let rows = &self.rows;
+        self.sent.retain(|id, _| rows.contains_key(id));
+    }
+
+    fn push(&mut self, note: Note) {
+        if let Note::Member(member) = &note {
+            let id = member.id;
+            self.notes.retain(|(_, old)| !matches!(old, Note::Member(m) if m.id == id));
+        }
+        self.head += 1;
+        self.notes.push_back((self.head, note));
+        if self.notes.len() > LOG {
+            self.notes.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/batch/run.rs
@@ -0,0 +1,360 @@
+//! The loop of the batch duty.
+
+use super::chunk::{Chunk, End, Waiting};
+use super::is_open;
+use super::item::{self, Run};
+use super::report::{self, Sent};
+use crate::fleet::{Node, View, lock};
+use crate::shared::Shared;
+use coordination::admit::{self, Batch, Room};
+use coordination::eject::Use;
+use protocol::config::Protocol;
+use protocol::{Error, ShardId, TargetId};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use transport::target::Client;
+
+const TICK: Duration = Duration::from_millis(20);
+const EVENTS: usize = 4096;
+/// Time between asks for work while there is none.
+const IDLE: Duration = Duration::from_millis(100);
+const FAILED: Duration = Duration::from_millis(500);
+/// Outcomes that may wait to be recorded before no new item starts.
+const MOST_UNRECORDED: usize = 2048;
+/// Chunks in hand at once.
+const MOST_CHUNKS: usize = 16;
+
+/// Number of a chunk in hand.
+type ChunkKey = u64;
+
+enum Event {
+    Ended { chunk: ChunkKey, index: u32, stream: u64, end: End },
+    Reported { chunk: ChunkKey, sent: Sent },
+    Claimed { shard: ShardId, found: Result<Option<Box<Chunk>>, Error> },
+}
+
+struct Stream {
+    chunk: ChunkKey,
+    target: TargetId,
+    repeatable: bool,
+    park: CancellationToken,
+}
+
+struct Duty {
+    shared: Arc<Shared>,
+    client: Client,
+    chunks: BTreeMap<ChunkKey, Chunk>,
+    streams: BTreeMap<u64, Stream>,
+    events: mpsc::Sender<Event>,
+    counter: u64,
+    claiming: bool,
+    ask_at: Instant,
+    sticky: Option<ShardId>,
+    turn: ShardId,
+}
+
+/// Runs batch work until `stop`.
+pub async fn run(shared: Arc<Shared>, client: Client, stop: CancellationToken) {
+    let (events, mut incoming) = mpsc::channel(EVENTS);
+    let now = Instant::now();
+    let mut duty = Duty {
+        client,
+        chunks: BTreeMap::new(),
+        streams: BTreeMap::new(),
+        events,
+        counter: 0,
+        claiming: false,
+        ask_at: now,
+        sticky: None,
+        turn: rand::random::<ShardId>() % shared.settings.shards,
+        shared,
+    };
+    let wake = duty.shared.batch.wake.clone();
+    loop {
+        tokio::select! {
+            event = incoming.recv() => event.into_iter().for_each(|e| duty.on_event(e)),
+            () = wake.notified() => {}
+            () = tokio::time::sleep(TICK) => {}
+            () = stop.cancelled() => return,
+        }
+        while let Ok(event) = incoming.try_recv() {
+            duty.on_event(event);
+        }
+        duty.step(Instant::now());
+    }
+}
+
+impl Duty {
+    fn step(&mut self, now: Instant) {
+        let view = self.shared.view();
+        self.drop_cancelled();
+        if !is_open(&self.shared) {
+            self.chunks.values_mut().for_each(|chunk| chunk.closing = true);
+        }
+        let mut free = HashMap::new();
+        for node in view.nodes.values() {
+            let starts = self.balance(&view, node, now);
+            *free.entry(node.target.service.clone()).or_insert(0) += starts;
+        }
+        self.send_reports(now);
+        self.ask(&free, now);
+        self.shared.batch.set_in_hand(self.chunks.len() + usize::from(self.claiming));
+    }
+
+    fn drop_cancelled(&mut self) {
+        if self.shared.settings.is_unguarded("cancel") {
+            return;
+        }
+        let batch = self.shared.batch.clone();
+        let is_over = |chunk: &Chunk| batch.is_cancelled(&chunk.work.job);
+        let over: Vec<ChunkKey> =
+            self.chunks.iter().filter(|(_, c)| is_over(c)).map(|(key, _)| *key).collect();
+        over.into_iter().for_each(|key| self.drop_chunk(key));
+    }
+
+    fn drop_chunk(&mut self, key: ChunkKey) {
+        self.chunks.remove(&key);
+        self.streams.values().filter(|s| s.chunk == key).for_each(|s| s.park.cancel());
+    }
+
+    /// Starts or stops streams on one target; returns how many more could start.
+    fn balance(&mut self, view: &View, node: &Arc<Node>, now: Instant) -> usize {
+        let name = &node.target.name;
+        let is_staying = |s: &&Stream| s.target == *name && !s.park.is_cancelled();
+        let count = self.streams.values().filter(is_staying).count() as u32;
+        let is_usable = !view.leaving.contains(name)
+            && runs_version(view, node)
+            && lock(&node.state).health.usage(now) == Use::Full;
+        let is_mine = self.shared.decider(node).is_some_and(|decider| decider.id == self.shared.id);
+        if !is_mine || !is_usable || !view.ready {
+            return 0;
+        }
+        let room = self.room(node, count, now);
+        match admit::batch(room) {
+            Batch::Hold => 0,
+            Batch::Stop(_) if self.shared.settings.is_unguarded("yield") => 0,
+            Batch::Stop(most) => {
+                self.park(name, most);
+                0
+            }
+            Batch::Start(most) => self.start(node, most as usize),
+        }
+    }
+
+    fn room(&self, node: &Node, batch: u32, now: Instant) -> Room {
+        let mut state = lock(&node.state);
+        // Its own requests and the peers' words are fresh; the report lags, and
+        // counts batch streams of whoever decided before.
+        let known = state.load.own() + state.pressure.sum(now);
+        let online = known.max(state.load.online(now));
+        state.pressure.note(online, now);
+        let peak = state.pressure.peak(now);
+        let reserve = self.shared.settings.reserve;
+        let unyielding = self.shared.settings.is_unguarded("yield");
+        let (online, peak) = if unyielding { (0, 0) } else { (online, peak) };
+        Room { slots: node.target.slots, reserve, online, peak, batch }
+    }
+
+    fn park(&mut self, target: &str, most: u32) {
+        let fitting = self.streams.values().rev().filter(|s| s.target == target && s.repeatable);
+        let running = fitting.filter(|s| !s.park.is_cancelled());
+        running.take(most as usize).for_each(|s| s.park.cancel());
+    }
+
+    fn start(&mut self, node: &Arc<Node>, most: usize) -> usize {
+        for started in 0..most {
+            let Some((key, waiting)) = self.next_item(&node.target.service) else {
+                return most - started;
+            };
+            self.spawn(node, key, waiting);
+        }
+        0
+    }
+
+    /// The next item of the earliest due chunk of a service.
+    fn next_item(&mut self, service: &str) -> Option<(ChunkKey, Waiting)> {
+        let unrecorded: usize = self.chunks.values().map(Chunk::unrecorded).sum();
+        if unrecorded >= MOST_UNRECORDED {
+            return None;
+        }
+        let due = |chunk: &Chunk| if chunk.work.due == 0 { u64::MAX } else { chunk.work.due };
+        let fits = |c: &Chunk| c.work.service == service && !c.waiting.is_empty() && !c.closing;
+        let fitting = self.chunks.iter_mut().filter(|(_, chunk)| fits(chunk));
+        let (key, chunk) = fitting.min_by_key(|(key, chunk)| (due(chunk), **key))?;
+        chunk.take().map(|waiting| (*key, waiting))
+    }
+
+    fn spawn(&mut self, node: &Arc<Node>, chunk: ChunkKey, waiting: Waiting) {
+        self.counter += 1;
+        let stream = self.counter;
+        let park = CancellationToken::new();
+        let Some(held) = self.chunks.get(&chunk) else {
+            return;
+        };
+        let work = &held.work;
+        let run = Run {
+            client: self.client.clone(),
+            to: node.target.address,
+            service: work.service.clone(),
+            key: format!("{}/{}/{}", work.job, work.chunk, waiting.index),
+            attempt: rand::random(),
+            as_online: self.shared.settings.is_unguarded("priority"),
+            park: park.clone(),
+        };
+        let index = waiting.index;
+        let repeatable = waiting.item.repeatable;
+        let target = node.target.name.clone();
+        self.streams.insert(stream, Stream { chunk, target, repeatable, park });
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            let end = item::run(run, waiting).await;
+            drop(events.send(Event::Ended { chunk, index, stream, end }).await);
+        });
+    }
+
+    fn on_event(&mut self, event: Event) {
+        match event {
+            Event::Ended { chunk, index, stream, end } => self.on_ended(chunk, index, stream, end),
+            Event::Reported { chunk, sent } => self.on_reported(chunk, sent),
+            Event::Claimed { shard, found } => self.on_claimed(shard, found),
+        }
+    }
+
+    fn on_ended(&mut self, chunk: ChunkKey, index: u32, stream: u64, end: End) {
+        let target = self.streams.remove(&stream).map(|s| s.target);
+        if let Some(node) = target.and_then(|name| self.shared.view().nodes.get(&name).cloned()) {
+            let mut state = lock(&node.state);
+            match &end {
+                End::Whole(_) => state.health.on_success(),
+                End::NotTaken => state.health.on_failure(Instant::now()),
+                // One prompt that can't be answered says nothing of its target.
+                End::Parked(_) | End::Failed(_) => {}
+            }
+        }
+        let name = match &end {
+            End::Whole(_) => "batch.completed",
+            End::Parked(_) => "batch.parked",
+            End::Failed(_) => "batch.failed",
+            End::NotTaken => "batch.not_taken",
+        };
+        self.shared.telemetry.count(name);
+        if let Some(held) = self.chunks.get_mut(&chunk) {
+            held.on_end(index, end, self.shared.settings.attempts);
+        }
+    }
+
+    fn send_reports(&mut self, now: Instant) {
+        let every = self.shared.settings.report;
+        for (key, chunk) in &mut self.chunks {
+            if chunk.sending || !chunk.is_due(every, now) {
+                continue;
+            }
+            chunk.sending = true;
+            let report = chunk.make_report();
+            let work = chunk.work.clone();
+            let (shared, events, key) = (self.shared.clone(), self.events.clone(), *key);
+            tokio::spawn(async move {
+                let sent = report::send(&shared, &work, report).await;
+                if sent == Sent::Failed {
+                    tokio::time::sleep(FAILED.mul_f64(0.5 + rand::random::<f64>())).await;
+                }
+                drop(events.send(Event::Reported { chunk: key, sent }).await);
+            });
+        }
+    }
+
+    fn on_reported(&mut self, key: ChunkKey, sent: Sent) {
+        let Some(chunk) = self.chunks.get_mut(&key) else {
+            return;
+        };
+        chunk.sending = false;
+        match sent {
+            Sent::Recorded => {
+                if chunk.on_recorded(Instant::now()) {
+                    self.drop_chunk(key);
+                }
+            }
+            Sent::Stopped => {
+                slog::info!(self.shared.log, "chunk is no longer ours"; "job" => &chunk.work.job,
+                    "chunk" => chunk.work.chunk, "attempt" => chunk.work.attempt);
+                self.shared.telemetry.count("batch.fenced");
+                self.drop_chunk(key);
+            }
+            Sent::Failed => {}
+        }
+    }
+
+    /// Asks one shard for a chunk when there is room and little in hand.
+    fn ask(&mut self, free: &HashMap<String, usize>, now: Instant) {
+        let has_room = self.chunks.len() < MOST_CHUNKS && is_open(&self.shared);
+        let hinted = self.shared.batch.clone();
+        if self.claiming || !has_room {
+            return;
+        }
+        let services: Vec<String> =
+            free.keys().filter(|s| self.is_short(s, free)).cloned().collect();
+        if services.is_empty() {
+            return;
+        }
+        let shard = match hinted.take_work() {
+            Some(shard) => shard,
+            None if now < self.ask_at => return,
+            None => self.sticky.unwrap_or_else(|| self.next_shard()),
+        };
+        self.claiming = true;
+        let (shared, events) = (self.shared.clone(), self.events.clone());
+        tokio::spawn(async move {
+            let found = report::claim(&shared, shard, services).await;
+            let found = found.map(|chunk| chunk.map(Box::new));
+            drop(events.send(Event::Claimed { shard, found }).await);
+        });
+    }
+
+    /// A service is short of items when fewer wait than run there: the next
+    /// chunk is fetched while the last one still fills the targets.
+    fn is_short(&self, service: &String, free: &HashMap<String, usize>) -> bool {
+        let of_it = self.chunks.values().filter(|c| c.work.service == *service);
+        let (ready, running) = of_it.fold((0, 0), |(r, n), c| (r + c.ready(), n + c.running()));
+        let room = free.get(service).copied().unwrap_or(0);
+        (room > 0 || running > 0) && ready < running.max(1)
+    }
+
+    fn next_shard(&mut self) -> ShardId {
+        self.turn = (self.turn + 1) % self.shared.settings.shards;
+        self.turn
+    }
+
+    fn on_claimed(&mut self, shard: ShardId, found: Result<Option<Box<Chunk>>, Error>) {
+        self.claiming = false;
+        let now = Instant::now();
+        match found {
+            Ok(Some(chunk)) => {
+                self.counter += 1;
+                self.chunks.insert(self.counter, *chunk);
+                self.sticky = Some(shard);
+            }
+            Ok(None) => {
+                self.sticky = None;
+                self.ask_at = now + IDLE.mul_f64(0.5 + rand::random::<f64>());
+            }
+            Err(error) => {
+                slog::debug!(self.shared.log, "no chunk"; "reason" => error.to_string());
+                self.sticky = None;
+                self.ask_at = now + FAILED.mul_f64(0.5 + rand::random::<f64>());
+            }
+        }
+    }
+}
+
+/// Whether a target runs the version in force. Online requests are also served
+/// by the one before while a rollout lasts; batch items can wait for it.
+fn runs_version(view: &View, node: &Node) -> bool {
+    let Some(service) = view.document.services.get(&node.target.service) else {
+        return false;
+    };
+    let is_chat = service.protocol == Protocol::Chat;
+    is_chat && node.version().is_some_and(|version| version == service.version)
+}
--- /dev/null
+++ b/crates/daemon/src/control.rs
@@ -0,0 +1,359 @@
+//! The control duty: configuration, leaving targets, load reports.
+
+use crate::clock;
+use crate::fleet::{Node, lock};
+use crate::peers;
+use crate::shared::Shared;
+use coordination::chain::{Append, Offer, Step};
+use coordination::leaving::{Witness, Word};
+use coordination::member::State;
+use protocol::config::{Change, Document, Entry};
+use protocol::{Error, Generation, Kind};
+use state::object;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
+use transport::store::{Condition, Fault, Store};
+use transport::target::{Client, Report};
+
+/// How long a watch is held.
+const WATCH: Duration = Duration::from_secs(20);
+/// Time between looks of an instance that isn't a watcher.
+const REST: Duration = Duration::from_secs(1);
+/// Longest wait for a load report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Generations between snapshots of the configuration.
+const SNAPSHOT_EVERY: Generation = 64;
+/// Age after which a target's report may take back its own word, in milliseconds.
+const LEAVE_HOLD_MS: u64 = 2000;
+/// Tries to settle a write whose answer was lost.
+const SETTLE_TRIES: u32 = 4;
+
+/// Brings the configuration up to date from the platform: every entry after the
+/// one in force, or the snapshot first when nothing is in force.
+///
+/// # Errors
+///
+/// How the platform failed.
+pub async fn read_platform(shared: &Shared) -> Result<(), Fault> {
+    if lock(&shared.chain).generation() == 0
+        && let Some(found) = shared.store.get(SNAPSHOT).await?
+        && let Ok(document) = serde_json::from_slice::<Document>(&found.value)
+    {
+        let generation = document.generation;
+        if lock(&shared.chain).adopt(document) {
+            shared.on_generation(generation);
+        }
+    }
+    loop {
+        let next = lock(&shared.chain).generation() + 1;
+        let Some(found) = shared.store.get(&object::config(next)).await? else {
+            return Ok(());
+        };
+        let entry: Entry =
+            serde_json::from_slice(&found.value).map_err(|e| Fault::Lost(e.to_string()))?;
+        if shared.offer(entry) == Offer::Gap {
+            return Ok(());
+        }
+    }
+}
+
+/// Object that holds the whole document at some generation.
+const SNAPSHOT: &str = "config/snapshot";
+
+/// Test only: what a reader without the generation rule would do.
+async fn read_unguarded(shared: &Shared) -> Result<(), Fault> {
+    let keys = shared.store.list(object::CONFIG, "", 10_000).await?;
+    let mut entries = Vec::new();
+    for key in keys {
+        if let Some(found) = shared.store.get(&key).await?
+            && let Ok(entry) = serde_json::from_slice::<Entry>(&found.value)
+        {
+            entries.push(entry);
+        }
+    }
+    lock(&shared.chain).offer_unguarded(&entries);
+    shared.refresh();
+    Ok(())
+}
+
+/// Puts back entries that the platform has lost, as a restored replica would:
+/// whoever has a generation in force knows the entry that brought it.
+async fn heal(shared: &Shared) -> Result<(), Fault> {
+    let generation = lock(&shared.chain).generation();
+    if generation == 0 || shared.store.get(&object::config(generation)).await?.is_some() {
+        return Ok(());
+    }
+    let entries: Vec<Entry> = lock(&shared.chain).history().cloned().collect();
+    for entry in entries {
+        let bytes = serde_json::to_vec(&entry).unwrap_or_default().into();
+        match shared.store.put(&object::config(entry.generation), bytes, Condition::Absent).await {
+            Ok(_) => slog::warn!(shared.log, "configuration entry put back";
+                "generation" => entry.generation),
+            Err(Fault::Conflict) => {}
+            Err(fault) => return Err(fault),
+        }
+    }
+    Ok(())
+}
+
+/// Accepts a change on the condition that `revision` is still in force.
+///
+/// # Errors
+///
+/// `InvalidConfig`, `StaleRevision`, `PlatformAway` or `Undetermined`.
+pub async fn apply(
+    shared: &Shared,
+    revision: Generation,
+    author: String,
+    change: Change,
+) -> Result<Generation, Error> {
+    let (document, generation) = {
+        let chain = lock(&shared.chain);
+        (chain.document().changed(&change), chain.generation())
+    };
+    if revision != generation {
+        return Err(stale(revision, generation));
+    }
+    document.map_err(|fault| Error::new(Kind::InvalidConfig, fault.to_string()))?;
+    // A platform that was restored from a copy may lack entries that are in
+    // force; they must be back before another change takes their place.
+    heal(shared).await.map_err(away)?;
+    let token = format!("{:016x}-{:016x}", shared.id, rand::random::<u64>());
+    let entry = Entry { generation: generation + 1, token, author, at: clock::millis(), change };
+    settle(shared, entry).await
+}
+
+async fn settle(shared: &Shared, entry: Entry) -> Result<Generation, Error> {
+    let append = Append::new(entry.generation, entry.token.clone());
+    let key = object::config(entry.generation);
+    let bytes = bytes::Bytes::from(serde_json::to_vec(&entry).unwrap_or_default());
+    let mut step = Step::CreateAgain;
+    let mut uncertain = false;
+    for _ in 0..SETTLE_TRIES {
+        if step == Step::CreateAgain {
+            step = match shared.store.put(&key, bytes.clone(), Condition::Absent).await {
+                Ok(_) => append.on_created(),
+                Err(Fault::Conflict) => append.on_taken(),
+                Err(fault @ Fault::Away(_)) if !uncertain => return Err(away(fault)),
+                Err(_) => append.on_lost(),
+            };
+            uncertain = true;
+        }
+        if step == Step::ReadBack {
+            step = match shared.store.get(&key).await {
+                Err(_) => Step::ReadBack,
+                Ok(None) => append.on_found(None),
+                Ok(Some(found)) => {
+                    let found = serde_json::from_slice::<Entry>(&found.value);
+                    append.on_found(Some(&found.map(|e| e.token).unwrap_or_default()))
+                }
+            };
+        }
+        match step {
+            Step::Committed => {
+                shared.offer(entry.clone());
+                snapshot(shared).await;
+                return Ok(entry.generation);
+            }
+            Step::Overtaken => {
+                let revision = entry.generation - 1;
+                return Err(stale(revision, entry.generation));
+            }
+            Step::ReadBack | Step::CreateAgain => {}
+        }
+    }
+    Err(Error::new(Kind::Undetermined, "the platform gave no answer; read the configuration"))
+}
+
+fn stale(revision: Generation, in_force: Generation) -> Error {
+    let text = format!("revision {revision} is not in force, {in_force} is");
+    Error::new(Kind::StaleRevision, text)
+}
+
+fn away(fault: Fault) -> Error {
+    Error::new(Kind::PlatformAway, fault.to_string())
+}
+
+/// Writes the whole document now and then, so that a new instance needn't read
+/// every change since the beginning. Losing this write costs only time.
+async fn snapshot(shared: &Shared) {
+    let document = lock(&shared.chain).document().clone();
+    if document.generation.is_multiple_of(SNAPSHOT_EVERY) {
+        let bytes = serde_json::to_vec(&document).unwrap_or_default().into();
+        drop(shared.store.put(SNAPSHOT, bytes, Condition::Any).await);
+    }
+}
+
+/// Learns the configuration in force before anything is served: from the
+/// platform, or from a peer while the platform is away.
+async fn configure(shared: &Shared, stop: &CancellationToken) {
+    while !stop.is_cancelled() {
+        let from_platform = read_platform(shared).await.is_ok();
+        let from_peers = ask_peers(shared).await;
+        if from_platform || from_peers {
+            shared.configured.store(true, Ordering::Relaxed);
+            shared.refresh();
+            let generation = lock(&shared.chain).generation();
+            slog::info!(shared.log, "ready"; "generation" => generation,
+                "platform" => from_platform, "peers" => from_peers);
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+}
+
+/// Takes in the configuration of every member that is further; `true` when at
+/// least one that has a configuration answered.
+async fn ask_peers(shared: &Shared) -> bool {
+    let known: HashSet<_> = lock(&shared.table).others().map(|m| m.peer).collect();
+    let seeds = shared.settings.seeds.iter().copied();
+    let all: HashSet<_> = known.into_iter().chain(seeds).collect();
+    let mut answered = false;
+    for address in all {
+        let after = lock(&shared.chain).generation();
+        if let Ok(found) = shared.peers.entries(address, after).await {
+            answered |= found.head > 0;
+            peers::absorb(shared, &found);
+        }
+    }
+    answered
+}
+
+/// Keeps the configuration up to date until `stop`.
+async fn follow(shared: Arc<Shared>, stop: CancellationToken) {
+    configure(&shared, &stop).await;
+    let mut revision = 0;
+    let mut polled: Option<Instant> = None;
+    while !stop.is_cancelled() {
+        if shared.settings.is_unguarded("revert") {
+            drop(read_unguarded(&shared).await);
+            tokio::time::sleep(shared.settings.platform_poll).await;
+            continue;
+        }
+        if !shared.is_watcher() {
+            tokio::time::sleep(REST).await;
+            continue;
+        }
+        let poll = shared.settings.platform_poll;
+        // A watch may be silent and dead, so the head is read as well.
+        if polled.is_none_or(|at| at.elapsed() >= poll) {
+            polled = Some(Instant::now());
+            let read = read_platform(&shared).await;
+            let healed = heal(&shared).await;
+            if read.is_err() || healed.is_err() {
+                tokio::time::sleep(poll.mul_f64(0.5 + rand::random::<f64>())).await;
+                continue;
+            }
+        }
+        let wait = WATCH.min(poll);
+        tokio::select! {
+            changes = shared.store.watch(object::CONFIG, revision, wait) => match changes {
+                Ok(changes) => {
+                    revision = changes.revision;
+                    if !changes.keys.is_empty() {
+                        drop(read_platform(&shared).await);
+                    }
+                }
+                Err(_) => tokio::time::sleep(poll.mul_f64(rand::random())).await,
+            },
+            () = stop.cancelled() => return,
+        }
+    }
+}
+
+/// Reads the platform's list of leaving targets until `stop`.
+async fn follow_list(shared: Arc<Shared>, stop: CancellationToken) {
+    while !stop.is_cancelled() {
+        let wait = shared.settings.platform_poll.mul_f64(0.75 + rand::random::<f64>() / 2.0);
+        tokio::select! {
+            () = tokio::time::sleep(wait) => {}
+            () = stop.cancelled() => return,
+        }
+        if !shared.is_watcher() {
+            continue;
+        }
+        let Ok(listed) = shared.store.instances().await else {
+            continue;
+        };
+        let targets = listed.into_iter().filter(|one| !one.daemon);
+        for one in targets {
+            // The stamp is the list's own, so that a stale copy of the list,
+            // which shows an older state, takes nothing back.
+            let word = Word { leaving: one.leaving, stamp: one.since };
+            shared.tell_leaving(&one.name, Witness::Platform, word);
+        }
+    }
+}
+
+/// Asks the targets that this instance uses how they are, until `stop`.
+async fn follow_targets(shared: Arc<Shared>, client: Client, stop: CancellationToken) {
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(shared.settings.target_poll) => {}
+            () = stop.cancelled() => return,
+        }
+        let view = shared.view();
+        let mut asked: Vec<Arc<Node>> =
+            view.services.values().flat_map(|bound| bound.nodes.iter().cloned()).collect();
+        let decided = view
+            .nodes
+            .values()
+            .filter(|node| shared.decider(node).is_some_and(|decider| decider.id == shared.id));
+        asked.extend(decided.cloned());
+        asked.sort_by_key(|node| node.id);
+        asked.dedup_by_key(|node| node.id);
+        let asks = asked.iter().map(|node| ask(&shared, &client, node));
+        futures_util::future::join_all(asks).await;
+    }
+}
+
+async fn ask(shared: &Shared, client: &Client, node: &Node) {
+    let sent = Instant::now();
+    match client.report(node.target.address, REPORT_TIMEOUT).await {
+        Ok(report) => on_report(shared, node, report, sent),
+        Err(fault) => {
+            if fault.failure == coordination::retry::Failure::NotSent {
+                lock(&node.state).health.on_failure(Instant::now());
+            }
+        }
+    }
+}
+
+fn on_report(shared: &Shared, node: &Node, report: Report, at: Instant) {
+    let name = &node.target.name;
+    let now = clock::millis();
+    let word = lock(&shared.board).word(name, Witness::Target);
+    let said = word.is_some_and(|word| word.leaving);
+    // A report lags, so it takes back a leave only when that is old enough.
+    let is_settled = word.is_none_or(|word| word.stamp + LEAVE_HOLD_MS < now);
+    if report.leaving != said && (report.leaving || is_settled) {
+        let word = Word { leaving: report.leaving, stamp: now };
+        shared.tell_leaving(name, Witness::Target, word);
+    }
+    node.on_report(report, at);
+}
+
+/// Runs the duty until `stop`.
+pub async fn run(shared: Arc<Shared>, client: Client, stop: CancellationToken) {
+    tokio::join!(
+        follow(shared.clone(), stop.clone()),
+        follow_list(shared.clone(), stop.clone()),
+        follow_targets(shared.clone(), client.clone(), stop.clone()),
+        crate::orders::run(shared.clone(), client, stop.clone()),
+        crate::late::run(shared.clone(), stop.clone()),
+        crate::telemetry::run(shared, stop),
+    );
+}
+
+/// How a member stands, as status pages print it.
+pub fn state_name(state: State) -> &'static str {
+    match state {
+        State::Alive => "alive",
+        State::Suspect => "suspect",
+        State::Leaving => "leaving",
+        State::Dead => "dead",
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/answer.rs
@@ -0,0 +1,257 @@
+//! Gets one whole answer from the targets: picks, waits, tries again, resumes.
+
+use super::call::{Class, Terms};
+use crate::clock;
+use crate::fleet::{self, Bound, Hold, Wanted};
+use crate::shared::Shared;
+use coordination::leaving::{Witness, Word};
+use coordination::queue::{self, Queue, Verdict};
+use coordination::retry::{self, Budget, Failure};
+use protocol::chat::{Request, Resume};
+use protocol::{Error, Kind, TargetId};
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use transport::target::{Client, Fault, Meta, Piece, Stream};
+
+/// Most tries of one request.
+const MOST_TRIES: u32 = 4;
+
+static BUDGET: Mutex<Option<Budget>> = Mutex::new(None);
+
+/// An answer under way.
+pub struct Answer {
+    shared: Arc<Shared>,
+    client: Client,
+    terms: Terms,
+    wanted: Wanted,
+    service: String,
+    request: Request,
+    stream: Option<(Hold, Stream)>,
+    tried: Vec<TargetId>,
+    tries: u32,
+    sent: bool,
+    text: String,
+    tokens: u32,
+    target: TargetId,
+}
+
+impl Answer {
+    /// An answer to `request`; nothing is sent yet.
+    pub fn new(
+        shared: Arc<Shared>,
+        client: Client,
+        terms: Terms,
+        wanted: Wanted,
+        service: String,
+        request: Request,
+    ) -> Answer {
+        Answer {
+            shared,
+            client,
+            terms,
+            wanted,
+            service,
+            request,
+            stream: None,
+            tried: Vec::new(),
+            tries: 0,
+            sent: false,
+            text: String::new(),
+            tokens: 0,
+            target: TargetId::new(),
+        }
+    }
+
+    /// Whether anything may have reached a target.
+    pub fn was_sent(&self) -> bool {
+        self.sent
+    }
+
+    /// Text so far.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Tokens so far.
+    pub fn tokens(&self) -> u32 {
+        self.tokens
+    }
+
+    /// The target that answers, or answered last.
+    pub fn target(&self) -> &str {
+        &self.target
+    }
+
+    /// The next piece of the answer, from whichever target gives it.
+    ///
+    /// # Errors
+    ///
+    /// Why there will be no whole answer.
+    pub async fn next(&mut self) -> Result<Piece, Error> {
+        loop {
+            if self.stream.is_none() {
+                self.open().await?;
+            }
+            let Some((hold, stream)) = &mut self.stream else {
+                continue;
+            };
+            let left = self.terms.left(Instant::now());
+            let piece = tokio::time::timeout(left, stream.next()).await;
+            match piece {
+                Err(_) => return Err(Error::new(Kind::TimedOut, "the answer took too long")),
+                Ok(Ok(Piece::Token(text))) => {
+                    self.text.push_str(&text);
+                    self.tokens += 1;
+                    return Ok(Piece::Token(text));
+                }
+                Ok(Ok(end)) => {
+                    hold.on_success();
+                    self.stream = None;
+                    return Ok(end);
+                }
+                Ok(Err(fault)) => {
+                    if self.shared.settings.is_unguarded("whole") {
+                        return Ok(Piece::End("stop".into()));
+                    }
+                    let (hold, _) = (self.stream.take().map(|(hold, _)| hold), ());
+                    self.on_fault(hold, &fault)?;
+                }
+            }
+        }
+    }
+
+    async fn open(&mut self) -> Result<(), Error> {
+        let hold = self.hold().await?;
+        let now = Instant::now();
+        let left = self.terms.left(now);
+        let meta = Meta {
+            attempt: rand::random(),
+            key: self.terms.key.as_ref().map_or(String::new(), |key| key.scoped.clone()),
+            priority: u8::from(self.terms.class == Class::Batch),
+            left,
+        };
+        self.request.stream = true;
+        self.request.resume =
+            (self.tokens > 0).then(|| Resume { text: self.text.clone(), tokens: self.tokens });
+        self.tries += 1;
+        if self.tries == 1 {
+            with_budget(Budget::on_first);
+        }
+        self.target.clone_from(&hold.node.target.name);
+        let address = hold.node.target.address;
+        match self.client.chat(address, &self.request, &meta).await {
+            Ok(stream) => {
+                self.sent = true;
+                self.stream = Some((hold, stream));
+                Ok(())
+            }
+            Err(fault) => self.on_fault(Some(hold), &fault),
+        }
+    }
+
+    /// Waits for a free target, within the rules of the queue.
+    async fn hold(&mut self) -> Result<Hold, Error> {
+        let mut waited = false;
+        loop {
+            let view = self.shared.view();
+            let bound = view.services.get(&self.service);
+            let bound = bound.ok_or_else(|| unknown(&self.service))?;
+            let now = Instant::now();
+            let here = &self.shared.settings.data_centre;
+            if let Some(hold) = fleet::pick(bound, &self.wanted, &self.tried, here, now) {
+                return Ok(hold);
+            }
+            if !self.tried.is_empty() {
+                // Every other target is busy or out of use: the ones that failed
+                // are better than none.
+                self.tried.clear();
+                continue;
+            }
+            if bound.nodes.is_empty() {
+                let text = format!("service `{}` has no target now", self.service);
+                return Err(Error::new(Kind::NoTarget, text));
+            }
+            if waited {
+                return Err(self.full(bound, Duration::from_secs(1)));
+            }
+            waited = self.wait(bound, now).await?;
+        }
+    }
+
+    /// Waits in the service's queue; `true` when the wait is used up.
+    async fn wait(&self, bound: &Bound, now: Instant) -> Result<bool, Error> {
+        let counts = &bound.counts;
+        let queue = Queue {
+            waiting: counts.waiting.load(Ordering::Relaxed),
+            most: bound.service.queue,
+            running: counts.running.load(Ordering::Relaxed),
+            mean: Duration::from_micros(counts.mean.load(Ordering::Relaxed)),
+        };
+        let limit = match queue::verdict(queue, self.terms.left(now)) {
+            Verdict::Refuse(after) => return Err(self.full(bound, after)),
+            Verdict::Wait(limit) => limit,
+        };
+        counts.waiting.fetch_add(1, Ordering::Relaxed);
+        let freed = tokio::time::timeout(limit, counts.freed.notified()).await;
+        counts.waiting.fetch_sub(1, Ordering::Relaxed);
+        Ok(freed.is_err())
+    }
+
+    fn full(&self, bound: &Bound, after: Duration) -> Error {
+        if self.sent {
+            // A try was sent before; "not run" would be a lie.
+            return Error::new(Kind::TargetFailed, "no other target is free").after(after);
+        }
+        if self.terms.left(Instant::now()).is_zero() {
+            return Error::new(Kind::DeadlinePassed, "no target was free in time");
+        }
+        let text = format!("every target of `{}` is busy", bound.service.name);
+        Error::new(Kind::Overloaded, text).after(after)
+    }
+
+    /// Decides what follows a failed try: another one, or the final answer.
+    fn on_fault(&mut self, hold: Option<Hold>, fault: &Fault) -> Result<(), Error> {
+        let now = Instant::now();
+        if let Some(hold) = hold {
+            hold.on_failure(now);
+            self.tried.push(hold.node.target.name.clone());
+            if fault.leaving {
+                let word = Word { leaving: true, stamp: clock::millis() };
+                self.shared.tell_leaving(&hold.node.target.name, Witness::Target, word);
+            }
+        }
+        let ran = fault.failure == Failure::Unknown;
+        self.sent |= ran;
+        let unguarded = self.shared.settings.is_unguarded("retry");
+        let may = retry::may_retry(self.terms.repeatable || unguarded, fault.failure);
+        let in_time = !self.terms.left(now).is_zero();
+        if may && in_time && self.tries < MOST_TRIES && with_budget(Budget::take) {
+            slog::debug!(self.shared.log, "another try"; "service" => &self.service,
+                "reason" => &fault.message, "tokens" => self.tokens);
+            return Ok(());
+        }
+        Err(self.final_error(fault))
+    }
+
+    fn final_error(&self, fault: &Fault) -> Error {
+        let kind = match fault.failure {
+            _ if self.tokens > 0 => Kind::Truncated,
+            _ if self.sent && self.shared.settings.is_unguarded("refusal") => Kind::NoTarget,
+            _ if self.sent => Kind::TargetFailed,
+            Failure::Refused => Kind::Overloaded,
+            Failure::NotSent | Failure::Unknown => Kind::NoTarget,
+        };
+        Error::new(kind, fault.message.clone())
+    }
+}
+
+fn unknown(service: &str) -> Error {
+    Error::new(Kind::UnknownService, format!("no service `{service}`"))
+}
+
+fn with_budget<R>(act: impl FnOnce(&mut Budget) -> R) -> R {
+    let mut budget = fleet::lock(&BUDGET);
+    act(budget.get_or_insert_default())
+}
--- /dev/null
+++ b/crates/daemon/src/front/jobs.rs
@@ -0,0 +1,311 @@
+//! Batch jobs: acceptance, status, results, cancel.
+
+use super::Front;
+use crate::clock;
+use crate::late::is_passing;
+use crate::shared::Shared;
+use bytes::Bytes;
+use coordination::member::Note;
+use protocol::config::Protocol;
+use protocol::job::{Header, Item, Line, Outcome, Page, Phase, Status};
+use protocol::{Error, JobId, Kind, header};
+use state::command::{Command, Place, Reply};
+use state::object;
+use state::part::{Chunk, Part, Progress};
+use state::record::Spec;
+use std::sync::Arc;
+use transport::http::{self, BodyStream, Head, Lines, Response};
+use transport::store::{Condition, Store};
+use xxhash_rust::xxh3::{Xxh3Default, xxh3_128};
+
+/// Most items of a job.
+const MOST_ITEMS: u64 = 300_000;
+/// Most bytes of one line of a job's body.
+const LONGEST_LINE: usize = 256 * 1024;
+/// Tries of one chunk's write.
+const WRITE_TRIES: u32 = 3;
+/// Items in a page when the caller doesn't say, and at most.
+const PAGE: u64 = 1000;
+
+/// Accepts a job: chunks first, the record that names them last, so that a job
+/// of which only a part came was never accepted.
+///
+/// # Errors
+///
+/// The refusal; the job is then not accepted, unless it says `undetermined`.
+pub async fn submit<B: BodyStream>(front: &Front, head: &Head, body: B) -> Result<Response, Error> {
+    let shared = &front.shared;
+    let key = head.header(header::KEY);
+    if key.is_empty() {
+        let text = format!("header `{}`: a job needs a key", header::KEY);
+        return Err(Error::new(Kind::Malformed, text));
+    }
+    let scoped = format!("{}/{key}", head.header(header::CALLER));
+    let job = format!("job-{:032x}", xxh3_128(scoped.as_bytes()));
+    let known = shared.shards.submit(shared, Command::Status { job: job.clone() }).await;
+    if let Err(error) = &known
+        && error.kind != Kind::NotFound
+    {
+        return Err(error.clone());
+    }
+    let lines = Lines::new(body, LONGEST_LINE, shared.settings.body_timeout);
+    let mut upload = Upload::new(shared.clone(), job.clone(), known.is_ok());
+    let spec = match upload.read(lines).await {
+        Ok(spec) => spec,
+        Err(error) => {
+            upload.sweep();
+            return Err(error);
+        }
+    };
+    match shared.shards.submit(shared, Command::Accept(spec.clone())).await {
+        Ok(Reply::Status(status)) => {
+            upload.sweep();
+            Ok(http::json(200, &status))
+        }
+        Ok(_) => {
+            slog::info!(shared.log, "job accepted"; "job" => &job, "items" => spec.items);
+            Ok(http::json(201, &accepted(&spec)))
+        }
+        Err(error) => {
+            if error.kind != Kind::Undetermined {
+                upload.sweep();
+            }
+            Err(error)
+        }
+    }
+}
+
+fn accepted(spec: &Spec) -> Status {
+    Status {
+        job: spec.job.clone(),
+        service: spec.service.clone(),
+        phase: Phase::Running,
+        items: spec.items,
+        done: 0,
+        failed: 0,
+        due: spec.due,
+        claims: 0,
+    }
+}
+
+/// A job's body on its way into chunk objects.
+struct Upload {
+    shared: Arc<Shared>,
+    job: JobId,
+    name: String,
+    known: bool,
+    digest: Xxh3Default,
+    chunk: Chunk,
+    bytes: usize,
+    items: u64,
+    starts: Vec<u64>,
+}
+
+impl Upload {
+    /// For a job that is `known` nothing is written; its digest is enough.
+    fn new(shared: Arc<Shared>, job: JobId, known: bool) -> Upload {
+        Upload {
+            shared,
+            job,
+            known,
+            name: format!("{:013}-{:016x}", clock::millis(), rand::random::<u64>()),
+            digest: Xxh3Default::new(),
+            chunk: Chunk::default(),
+            bytes: 0,
+            items: 0,
+            starts: Vec::new(),
+        }
+    }
+
+    async fn read<B: BodyStream>(&mut self, mut lines: Lines<B>) -> Result<Spec, Error> {
+        let first = lines.next().await?;
+        let first = first.ok_or_else(|| Error::new(Kind::Malformed, "the body is empty"))?;
+        let header: Header = parse(&first, 1)?;
+        self.check_service(&header.service)?;
+        self.digest.update(&first);
+        while let Some(line) = lines.next().await? {
+            let item: Item = parse(&line, self.items + 2)?;
+            self.add(item, &line).await?;
+        }
+        self.flush().await?;
+        if self.items == 0 {
+            return Err(Error::new(Kind::Malformed, "the job has no items"));
+        }
+        Ok(Spec {
+            job: self.job.clone(),
+            digest: self.digest.digest(),
+            upload: self.name.clone(),
+            service: header.service,
+            due: header.due,
+            items: self.items,
+            starts: self.starts.clone(),
+            at: clock::millis(),
+        })
+    }
+
+    fn check_service(&self, name: &str) -> Result<(), Error> {
+        let view = self.shared.view();
+        let service = view.document.services.get(name);
+        if service.is_some_and(|service| service.protocol == Protocol::Chat) {
+            return Ok(());
+        }
+        Err(Error::new(Kind::UnknownService, format!("no service `{name}`")))
+    }
+
+    async fn add(&mut self, item: Item, line: &[u8]) -> Result<(), Error> {
+        if self.items >= MOST_ITEMS {
+            let text = format!("a job has at most {MOST_ITEMS} items");
+            return Err(Error::new(Kind::TooLarge, text));
+        }
+        self.digest.update(b"\n");
+        self.digest.update(line);
+        let over = self.bytes + line.len() > object::MAX_BYTES / 2;
+        if over || self.chunk.items.len() >= self.shared.settings.chunk_items {
+            self.flush().await?;
+        }
+        if self.chunk.items.is_empty() {
+            self.starts.push(self.items);
+        }
+        self.chunk.items.push(item);
+        self.bytes += line.len();
+        self.items += 1;
+        Ok(())
+    }
+
+    async fn flush(&mut self) -> Result<(), Error> {
+        let chunk = std::mem::take(&mut self.chunk);
+        self.bytes = 0;
+        if chunk.items.is_empty() || self.known {
+            return Ok(());
+        }
+        let number = self.starts.len() as u32 - 1;
+        let key = object::chunk(&self.job, &self.name, number);
+        let bytes = Bytes::from(serde_json::to_vec(&chunk).unwrap_or_default());
+        let mut last = None;
+        for _ in 0..WRITE_TRIES {
+            match self.shared.store.put(&key, bytes.clone(), Condition::Any).await {
+                Ok(_) => return Ok(()),
+                Err(fault) => last = Some(fault.to_string()),
+            }
+        }
+        let text = format!("the job is not accepted: {}", last.unwrap_or_default());
+        Err(Error::new(Kind::PlatformAway, text))
+    }
+
+    /// Deletes what was written for a job that isn't accepted by this upload.
+    fn sweep(&self) {
+        if self.known {
+            return;
+        }
+        let (shared, job, name) = (self.shared.clone(), self.job.clone(), self.name.clone());
+        let chunks = self.starts.len() as u32;
+        tokio::spawn(async move {
+            for number in 0..chunks {
+                drop(shared.store.delete(&object::chunk(&job, &name, number)).await);
+            }
+        });
+    }
+}
+
+fn parse<T: serde::de::DeserializeOwned>(line: &[u8], number: u64) -> Result<T, Error> {
+    serde_json::from_slice(line)
+        .map_err(|error| Error::new(Kind::Malformed, format!("line {number}: {error}")))
+}
+
+/// Where a job stands.
+///
+/// # Errors
+///
+/// `NotFound`, or why the log can't be read.
+pub async fn status(front: &Front, job: &str) -> Result<Response, Error> {
+    let command = Command::Status { job: job.into() };
+    match front.shared.shards.submit(&front.shared, command).await? {
+        Reply::Status(status) => Ok(http::json(200, &status)),
+        _ => Err(Error::new(Kind::Internal, "the log gave an answer that doesn't fit")),
+    }
+}
+
+/// Stops a job: here and at the peers at once, in the log as soon as it can be
+/// reached.
+///
+/// # Errors
+///
+/// `NotFound`; `NotRecorded` while the platform is away.
+pub async fn cancel(front: &Front, job: &str) -> Result<Response, Error> {
+    let shared = &front.shared;
+    let command = Command::Cancel { job: job.into() };
+    match shared.shards.submit(shared, command.clone()).await {
+        Ok(Reply::Status(status)) => {
+            if status.phase == Phase::Cancelled {
+                shared.tell(Note::Cancel(job.into()));
+            }
+            Ok(http::json(200, &status))
+        }
+        Ok(_) => Err(Error::new(Kind::Internal, "the log gave an answer that doesn't fit")),
+        Err(error) if is_passing(error.kind) => {
+            shared.tell(Note::Cancel(job.into()));
+            shared.late.push(command);
+            let text = "the job is stopped, but its cancel isn't recorded yet";
+            Err(Error { kind: Kind::NotRecorded, message: text.into(), ..error })
+        }
+        Err(error) => Err(error),
+    }
+}
+
+/// A page of results.
+///
+/// # Errors
+///
+/// `NotFound`, `Malformed`, or why the platform can't be read.
+pub async fn results(front: &Front, head: &Head, job: &str) -> Result<Response, Error> {
+    let shared = &front.shared;
+    let from = number(head, "from")?.unwrap_or(0);
+    let most = number(head, "limit")?.unwrap_or(PAGE).clamp(1, PAGE);
+    let command = Command::Results { job: job.into(), from, most };
+    let reply = shared.shards.submit(shared, command).await?;
+    let Reply::Results { status, mut places, archived } = reply else {
+        return Err(Error::new(Kind::Internal, "the log gave an answer that doesn't fit"));
+    };
+    if archived {
+        let index: Vec<Place> = read(shared, &object::index(&status.job)).await?;
+        places = index.into_iter().filter(|p| p.start < from + most && p.end > from).collect();
+    }
+    let mut lines = Vec::new();
+    for place in &places {
+        lines.extend(lines_of(shared, &status, place).await?);
+    }
+    let until = from.saturating_add(most);
+    lines.retain(|line| line.item >= from && line.item < until);
+    let next = Some(until).filter(|next| *next < status.items);
+    Ok(http::json(200, &Page { results: lines, next }))
+}
+
+async fn lines_of(shared: &Shared, status: &Status, place: &Place) -> Result<Vec<Line>, Error> {
+    let mut progress = Progress::default();
+    for part in &place.parts {
+        let key = object::part(&status.job, place.chunk, part.attempt, part.part);
+        progress.apply(read::<Part>(shared, &key).await?);
+    }
+    let items = place.start..place.end;
+    let outcome = |item: u64| {
+        let found = progress.outcomes.get(&((item - place.start) as u32)).cloned();
+        let ended = status.phase == Phase::Cancelled;
+        found.or(ended.then_some(Outcome::Cancelled)).map(|outcome| Line { item, outcome })
+    };
+    Ok(items.filter_map(outcome).collect())
+}
+
+async fn read<T: serde::de::DeserializeOwned>(shared: &Shared, key: &str) -> Result<T, Error> {
+    let away = |text: String| Error::new(Kind::PlatformAway, format!("`{key}`: {text}"));
+    let found = shared.store.get(key).await.map_err(|fault| away(fault.to_string()))?;
+    let found = found.ok_or_else(|| away("missing".into()))?;
+    serde_json::from_slice(&found.value).map_err(|error| away(error.to_string()))
+}
+
+fn number(head: &Head, name: &str) -> Result<Option<u64>, Error> {
+    let parse = |text: &str| {
+        text.parse()
+            .map_err(|_| Error::new(Kind::Malformed, format!("`{name}`: expected a number")))
+    };
+    head.value(name).map(parse).transpose()
+}
--- /dev/null
+++ b/crates/daemon/src/front/keyed.rs
@@ -0,0 +1,115 @@
+//! Keyed requests: what is asked of the log before a run and told to it after.
+
+use super::call::{Key, Terms};
+use crate::clock;
+use crate::late::is_passing;
+use crate::shared::Shared;
+use protocol::{Error, Kind, Millis};
+use state::command::{Command, Reply};
+use state::object;
+use state::record::{Entry, Kept, Record};
+use std::time::Instant;
+use transport::store::Store;
+
+/// Margin after the caller's deadline in which an answer may still be recorded.
+const CLAIM_MARGIN_MS: Millis = 2000;
+
+/// Whether to run a request.
+pub enum Begun {
+    /// Run it.
+    Run,
+    /// It has this outcome.
+    Kept(Kept),
+}
+
+/// Whether an outcome is in the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Recorded {
+    /// It is.
+    Now,
+    /// It will be; the platform is away.
+    Later,
+    /// Another one was recorded first, and counts.
+    Earlier(Box<Kept>),
+}
+
+/// Asks the log whether a keyed request may run.
+///
+/// A repeatable one runs also while the log can't be reached; one that may run
+/// once needs its claim to be durable before anything is sent.
+///
+/// # Errors
+///
+/// The refusal, which is true: nothing was sent for this call.
+pub async fn begin(shared: &Shared, terms: &Terms, key: &Key) -> Result<Begun, Error> {
+    let left = terms.left(Instant::now()).as_millis() as Millis;
+    let command = Command::Begin {
+        key: key.scoped.clone(),
+        digest: key.digest,
+        repeatable: terms.repeatable,
+        attempt: terms.id,
+        deadline: clock::millis() + left + CLAIM_MARGIN_MS,
+        issued: key.issued,
+    };
+    match shared.shards.submit(shared, command).await {
+        Ok(Reply::Go) => Ok(Begun::Run),
+        Ok(Reply::Kept { position }) => kept(shared, key, position).await.map(Begun::Kept),
+        Ok(_) => Err(Error::new(Kind::Internal, "the log gave an answer that doesn't fit")),
+        Err(error) if is_passing(error.kind) && terms.repeatable => Ok(Begun::Run),
+        Err(error) if error.kind == Kind::Undetermined => {
+            // The claim may be durable; nothing will be sent under it, so it is
+            // given back, and the caller is told the truth: it was not run.
+            release(shared, terms, key);
+            let text = "the claim could not be recorded";
+            let error = Error { kind: Kind::PlatformAway, message: text.into(), ..error };
+            Err(error)
+        }
+        Err(error) => Err(error),
+    }
+}
+
+/// Gives back the claim of a request that was never sent.
+pub fn release(shared: &Shared, terms: &Terms, key: &Key) {
+    let command = Command::Release { key: key.scoped.clone(), attempt: terms.id };
+    shared.late.push(command);
+}
+
+/// Records an outcome.
+///
+/// # Errors
+///
+/// `KeyConflict` when the key was used for another request meanwhile.
+pub async fn finish(shared: &Shared, key: &Key, outcome: Kept) -> Result<Recorded, Error> {
+    let command = Command::Finish {
+        key: key.scoped.clone(),
+        digest: key.digest,
+        issued: key.issued,
+        outcome,
+    };
+    match shared.shards.submit(shared, command.clone()).await {
+        Ok(Reply::Earlier { position }) => match kept(shared, key, position).await {
+            Ok(earlier) => Ok(Recorded::Earlier(Box::new(earlier))),
+            Err(_) => Ok(Recorded::Now),
+        },
+        Ok(_) => Ok(Recorded::Now),
+        Err(error) if is_passing(error.kind) => {
+            shared.late.push(command);
+            Ok(Recorded::Later)
+        }
+        Err(error) => Err(error),
+    }
+}
+
+/// Reads a kept outcome from the entry that holds it.
+async fn kept(shared: &Shared, key: &Key, position: u64) -> Result<Kept, Error> {
+    let name = object::entry(shared.shards.shard_of(&key.scoped), position);
+    let away = |text: String| Error::new(Kind::PlatformAway, text);
+    let found = shared.store.get(&name).await.map_err(|fault| away(fault.to_string()))?;
+    let found = found.ok_or_else(|| away(format!("`{name}` is missing")))?;
+    let entry = Entry::decode(&found.value).map_err(|error| away(error.to_string()))?;
+    let of_key = entry.records.into_iter().find_map(|record| match record {
+        Record::Finished { key: of, outcome, .. } if of == key.scoped => Some(outcome),
+        _ => None,
+    });
+    of_key.ok_or_else(|| away(format!("`{name}` holds no outcome of the key")))
+}
--- /dev/null
+++ b/crates/daemon/src/late.rs
@@ -0,0 +1,89 @@
+//! Commands that must still reach the log: outcomes that were given while the
+//! platform was away, and claims of requests that were never sent.
+
+use crate::fleet::lock;
+use crate::shared::Shared;
+use protocol::Kind;
+use state::command::Command;
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+
+/// Most commands kept; beyond that an outcome is not recorded, and its caller
+/// has been told so.
+const MOST: usize = 10_000;
+const IDLE: Duration = Duration::from_millis(200);
+const BACKOFF_BASE: Duration = Duration::from_millis(200);
+const BACKOFF_CAP: Duration = Duration::from_secs(5);
+
+/// The queue.
+#[derive(Debug, Default)]
+pub struct Late(Mutex<VecDeque<Command>>);
+
+impl Late {
+    /// Keeps a command; `false` when there is no more room.
+    pub fn push(&self, command: Command) -> bool {
+        let mut queue = lock(&self.0);
+        if queue.len() >= MOST {
+            return false;
+        }
+        queue.push_back(command);
+        true
+    }
+
+    /// How many wait.
+    pub fn len(&self) -> usize {
+        lock(&self.0).len()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn front(&self) -> Option<Command> {
+        lock(&self.0).front().cloned()
+    }
+
+    fn pop(&self) {
+        lock(&self.0).pop_front();
+    }
+}
+
+/// Brings waiting commands to the log until `stop`, slower while it fails. The
+/// jitter keeps many instances from returning to the platform at one moment.
+pub async fn run(shared: Arc<Shared>, stop: CancellationToken) {
+    let mut failures = 0;
+    while !stop.is_cancelled() {
+        let Some(command) = shared.late.front() else {
+            tokio::time::sleep(IDLE).await;
+            continue;
+        };
+        match shared.shards.submit(&shared, command).await {
+            Err(error) if is_passing(error.kind) => {
+                failures += 1;
+                let chance = rand::random::<f64>();
+                let wait =
+                    coordination::retry::backoff(failures, BACKOFF_BASE, BACKOFF_CAP, chance);
+                tokio::time::sleep(wait).await;
+            }
+            _ => {
+                failures = 0;
+                shared.late.pop();
+            }
+        }
+    }
+}
+
+/// Whether an error says only that the log can't be reached now.
+pub fn is_passing(kind: Kind) -> bool {
+    matches!(
+        kind,
+        Kind::PlatformAway
+            | Kind::Undetermined
+            | Kind::Overloaded
+            | Kind::Draining
+            | Kind::NotReady
+    )
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,54 @@
+//! The daemon's process: settings, signals, and nothing else.
+
+use anyhow::Context;
+use bpaf::{OptionParser, Parser, construct, long};
+use protocol::settings::Settings;
+use std::path::PathBuf;
+use tokio::signal::unix::{SignalKind, signal};
+
+struct Options {
+    check: bool,
+    settings: PathBuf,
+}
+
+fn options() -> OptionParser<Options> {
+    let check = long("check").help("Check the settings, start nothing").switch();
+    let settings = long("settings")
+        .short('s')
+        .help("INI file with the settings of this instance")
+        .argument::<PathBuf>("FILE");
+    construct!(Options { check, settings })
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("Serves online and batch inference on one fleet")
+        .footer("Example: gatespoold --settings etc/isb-a-1.ini")
+}
+
+fn main() -> anyhow::Result<()> {
+    let options = options().run();
+    let settings = Settings::read(&options.settings)?;
+    if options.check {
+        println!("{}: the settings are valid", options.settings.display());
+        return Ok(());
+    }
+    let log = daemon::logging::json(&settings.log_level, &settings.data_centre);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let mut signals = {
+        let _inside = runtime.enter();
+        let terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
+        let interrupt = signal(SignalKind::interrupt()).context("SIGINT")?;
+        (terminate, interrupt)
+    };
+    let daemon = daemon::start(settings, log)?;
+    // One line for whoever started the process and gave port 0.
+    println!("front {} peers {}", daemon.front, daemon.peer);
+    runtime.block_on(async {
+        tokio::select! {
+            _ = signals.0.recv() => {}
+            _ = signals.1.recv() => {}
+        }
+    });
+    daemon.stop();
+    daemon.join();
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,404 @@
+//! The peers duty: heartbeats, news, commands to owners, online load at targets.
+
+use crate::fleet::lock;
+use crate::shared::Shared;
+use coordination::chain::Offer;
+use coordination::member::{Member, Note, State};
+use protocol::config::{Document, Entry};
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio_util::sync::CancellationToken;
+use transport::cut::Cut;
+use transport::peer::{Entries, Fault, Handler, Pool};
+use transport::ring::{self, Answer, Drain, Ring};
+use transport::store::Store;
+
+const CAPACITY: usize = 4096;
+/// Longest wait for a heartbeat's answer.
+const PING_TIMEOUT: Duration = Duration::from_millis(1000);
+/// News that comes in within this time leaves together.
+const GATHER: Duration = Duration::from_millis(5);
+/// Time between looks at the seeds.
+const SEED_EVERY: Duration = Duration::from_secs(5);
+/// The same while no other member is known.
+const SEED_ALONE: Duration = Duration::from_millis(500);
+/// Time between exchanges of whole member lists.
+const EXCHANGE_EVERY: Duration = Duration::from_secs(60);
+/// Online load that hasn't changed is told again after this, before it goes stale.
+const RETELL: Duration = Duration::from_millis(700);
+/// Entries in one answer.
+const ENTRIES: usize = 64;
+
+/// A call of another duty.
+pub enum Call {
+    /// A command to the owner of a shard.
+    Command {
+        /// The owner.
+        to: SocketAddr,
+        /// The shard.
+        shard: u32,
+        /// The command, encoded.
+        body: Vec<u8>,
+        /// Longest wait.
+        limit: Duration,
+        /// Where the answer goes.
+        answer: Answer<Result<Vec<u8>, Fault>>,
+    },
+    /// Configuration entries of a member.
+    Entries {
+        /// The member.
+        to: SocketAddr,
+        /// The generation in force here.
+        after: u64,
+        /// Where the answer goes.
+        answer: Answer<Result<Entries, Fault>>,
+    },
+}
+
+/// The peers as other duties see them.
+#[derive(Clone)]
+pub struct Handle(Ring<Call>);
+
+/// A handle and the duty's own end.
+pub fn duty() -> (Handle, Drain<Call>) {
+    let (ring, drain) = ring::ring("peers", CAPACITY);
+    (Handle(ring), drain)
+}
+
+impl Handle {
+    /// Sends a command to the owner of a shard.
+    ///
+    /// # Errors
+    ///
+    /// Whether it left.
+    pub async fn command(
+        &self,
+        to: SocketAddr,
+        shard: u32,
+        body: Vec<u8>,
+        limit: Duration,
+    ) -> Result<Vec<u8>, Fault> {
+        let call = |answer| Call::Command { to, shard, body, limit, answer };
+        match self.0.call(limit + GATHER, call).await {
+            Ok(result) => result,
+            Err(error) if error.kind == protocol::Kind::Undetermined => {
+                Err(Fault::Lost(error.message))
+            }
+            Err(error) => Err(Fault::NotSent(error.message)),
+        }
+    }
+
+    /// Asks a member for configuration entries.
+    ///
+    /// # Errors
+    ///
+    /// How the call failed.
+    pub async fn entries(&self, to: SocketAddr, after: u64) -> Result<Entries, Fault> {
+        let call = |answer| Call::Entries { to, after, answer };
+        match self.0.call(PING_TIMEOUT * 2, call).await {
+            Ok(result) => result,
+            Err(error) => Err(Fault::NotSent(error.message)),
+        }
+    }
+}
+
+#[derive(Clone)]
+struct Local {
+    shared: Arc<Shared>,
+    pool: Pool,
+}
+
+impl Handler for Local {
+    async fn ping(&self, from: Member, notes: Vec<Note>) -> (Member, Vec<Note>) {
+        self.hear(from, &notes);
+        // News travels with the one who pings: an answer that is lost would
+        // otherwise count as told.
+        (lock(&self.shared.table).me().clone(), Vec::new())
+    }
+
+    async fn command(&self, shard: u32, body: Vec<u8>) -> Vec<u8> {
+        let answer = match serde_json::from_slice(&body) {
+            Ok(command) => self.shared.shards.local(shard, command).await,
+            Err(error) => Err(protocol::Error::new(protocol::Kind::Malformed, error.to_string())),
+        };
+        serde_json::to_vec(&answer).unwrap_or_default()
+    }
+
+    async fn entries(&self, after: u64) -> Entries {
+        entries_after(&self.shared, after)
+    }
+
+    async fn pressure(&self, from: u64, target: String, online: u32) {
+        let view = self.shared.view();
+        if let Some(node) = view.nodes.get(&target) {
+            lock(&node.state).pressure.on_word(from, online, Instant::now());
+            self.shared.batch.wake();
+        }
+    }
+
+    async fn members(&self) -> Vec<Member> {
+        let table = lock(&self.shared.table);
+        std::iter::once(table.me().clone()).chain(table.others().cloned()).collect()
+    }
+}
+
+fn entries_after(shared: &Shared, after: u64) -> Entries {
+    let chain = lock(&shared.chain);
+    let found = chain.since(after, ENTRIES);
+    let is_next = found.first().is_some_and(|entry| entry.generation == after + 1);
+    let behind = chain.generation() > after;
+    let entries = found.iter().map(|entry| serde_json::to_vec(entry).unwrap_or_default());
+    let document = serde_json::to_vec(chain.document()).unwrap_or_default();
+    let needs_document = behind && !is_next;
+    Entries {
+        head: chain.generation(),
+        entries: if needs_document { Vec::new() } else { entries.collect() },
+        document: if needs_document { document } else { Vec::new() },
+    }
+}
+
+/// Takes in what a member sent of its configuration.
+pub fn absorb(shared: &Shared, found: &Entries) {
+    if !found.document.is_empty()
+        && let Ok(document) = serde_json::from_slice::<Document>(&found.document)
+    {
+        let generation = document.generation;
+        if lock(&shared.chain).adopt(document) {
+            shared.on_generation(generation);
+        }
+    }
+    for bytes in &found.entries {
+        let Ok(entry) = serde_json::from_slice::<Entry>(bytes) else {
+            return;
+        };
+        if shared.offer(entry) == Offer::Gap {
+            return;
+        }
+    }
+}
+
+impl Local {
+    fn hear(&self, from: Member, notes: &[Note]) {
+        let further = from.generation > lock(&self.shared.chain).generation();
+        let address = from.peer;
+        lock(&self.shared.table).on_heard(from, Instant::now());
+        for note in notes {
+            let is_news = self.shared.on_note(note);
+            if is_news && !matches!(note, Note::Member(_)) {
+                lock(&self.shared.table).pass_on(note.clone());
+            }
+        }
+        let is_behind = !lock(&self.shared.table).behind().is_empty();
+        if is_behind {
+            self.shared.news.notify_one();
+        }
+        if further {
+            spawn_local(self.clone().fetch(address));
+        }
+    }
+
+    async fn fetch(self, from: SocketAddr) {
+        loop {
+            let after = lock(&self.shared.chain).generation();
+            let Ok(found) = self.pool.entries(from, after).await else {
+                return;
+            };
+            absorb(&self.shared, &found);
+            let now = lock(&self.shared.chain).generation();
+            if now == after || now >= found.head {
+                return;
+            }
+        }
+    }
+
+    async fn ping(self, to: Member) {
+        let (me, mark, mut news) = {
+            let table = lock(&self.shared.table);
+            let (mark, news) = table.news(to.id);
+            (table.me().clone(), mark, news)
+        };
+        if matches!(to.state, State::Suspect | State::Dead) {
+            // Told to its face, so that it can refute.
+            news.push(Note::Member(to.clone()));
+        }
+        match self.pool.ping(to.peer, &me, &news).await {
+            Ok((member, notes)) => {
+                lock(&self.shared.table).on_sent(to.id, mark);
+                self.hear(member, &notes);
+            }
+            Err(_) => lock(&self.shared.table).on_missed(to.id, Instant::now()),
+        }
+    }
+
+    async fn meet(self, address: SocketAddr) {
+        let me = lock(&self.shared.table).me().clone();
+        if address == me.peer {
+            return;
+        }
+        let Ok((member, _)) = self.pool.ping(address, &me, &[]).await else {
+            return;
+        };
+        self.hear(member, &[]);
+        self.exchange(address).await;
+    }
+
+    async fn exchange(&self, address: SocketAddr) {
+        let Ok(members) = self.pool.members(address).await else {
+            return;
+        };
+        let mut table = lock(&self.shared.table);
+        for member in members {
+            table.merge(member, Instant::now());
+        }
+    }
+
+    async fn gossip(self, stop: CancellationToken) {
+        let mut ticks = tokio::time::interval(self.shared.settings.ping);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {}
+                () = stop.cancelled() => return,
+            }
+            let due = lock(&self.shared.table).tick(Instant::now());
+            due.into_iter().for_each(|member| drop(spawn_local(self.clone().ping(member))));
+        }
+    }
+
+    /// Sends news as soon as there is some, rather than at the next heartbeat.
+    async fn flood(self, stop: CancellationToken) {
+        loop {
+            tokio::select! {
+                () = self.shared.news.notified() => {}
+                () = tokio::time::sleep(RETELL) => {}
+                () = stop.cancelled() => return,
+            }
+            tokio::time::sleep(GATHER).await;
+            let behind = lock(&self.shared.table).behind();
+            let pings = behind.into_iter().map(|member| self.clone().ping(member));
+            spawn_local(futures_util::future::join_all(pings));
+        }
+    }
+
+    /// Tells the deciders of targets how many online requests this instance has
+    /// there, within milliseconds of a change.
+    async fn press(self, stop: CancellationToken) {
+        let mut told = Instant::now();
+        loop {
+            tokio::select! {
+                () = tokio::time::sleep(GATHER) => {}
+                () = stop.cancelled() => return,
+            }
+            let again = told.elapsed() >= RETELL;
+            if again {
+                told = Instant::now();
+            }
+            for node in self.shared.view().nodes.values() {
+                let changed = node.untold.swap(false, Ordering::Relaxed);
+                let online = lock(&node.state).load.own();
+                let is_due = changed || (again && online > 0);
+                if !is_due {
+                    continue;
+                }
+                match self.shared.decider(node) {
+                    Some(decider) if decider.id == self.shared.id => self.shared.batch.wake(),
+                    Some(decider) => {
+                        let local = self.clone();
+                        let target = node.target.name.clone();
+                        spawn_local(async move {
+                            let me = local.shared.id;
+                            // A word that is lost is followed by another.
+                            drop(local.pool.pressure(decider.peer, me, &target, online).await);
+                        });
+                    }
+                    None => {}
+                }
+            }
+        }
+    }
+
+    /// Meets members by the settings and by the platform's list.
+    async fn seek(self, stop: CancellationToken) {
+        let mut exchanged = Instant::now();
+        loop {
+            let fingers = lock(&self.shared.table).fingers();
+            let known: HashSet<SocketAddr> =
+                lock(&self.shared.table).others().map(|m| m.peer).collect();
+            let seeds = self.shared.settings.seeds.iter().filter(|seed| !known.contains(seed));
+            let mut met: Vec<SocketAddr> = seeds.copied().collect();
+            if fingers.is_empty()
+                && let Ok(listed) = self.shared.store.instances().await
+            {
+                let daemons = listed.into_iter().filter(|one| one.daemon && !one.leaving);
+                met.extend(daemons.map(|one| one.address).filter(|a| !known.contains(a)));
+            }
+            let meetings = met.into_iter().map(|address| self.clone().meet(address));
+            futures_util::future::join_all(meetings).await;
+            if exchanged.elapsed() >= EXCHANGE_EVERY
+                && let Some(partner) = self.partner(&fingers)
+            {
+                exchanged = Instant::now();
+                self.exchange(partner).await;
+            }
+            let wait = if fingers.is_empty() { SEED_ALONE } else { SEED_EVERY };
+            tokio::select! {
+                () = tokio::time::sleep(wait) => {}
+                () = stop.cancelled() => return,
+            }
+        }
+    }
+
+    fn partner(&self, fingers: &[u64]) -> Option<SocketAddr> {
+        let chosen = fingers.get(rand::random_range(0..fingers.len().max(1)))?;
+        lock(&self.shared.table).get(*chosen).map(|member| member.peer)
+    }
+
+    async fn serve_calls(self, mut calls: Drain<Call>, stop: CancellationToken) {
+        loop {
+            let call = tokio::select! {
+                call = calls.recv() => call,
+                () = stop.cancelled() => None,
+            };
+            let Some(call) = call else {
+                return;
+            };
+            let pool = self.pool.clone();
+            spawn_local(async move {
+                match call {
+                    Call::Command { to, shard, body, limit, answer } => {
+                        drop(answer.send(pool.command(to, shard, &body, limit).await));
+                    }
+                    Call::Entries { to, after, answer } => {
+                        drop(answer.send(pool.entries(to, after).await));
+                    }
+                }
+            });
+        }
+    }
+}
+
+/// Runs the duty until `stop`. Must be called inside a `LocalSet`.
+pub async fn run(
+    shared: Arc<Shared>,
+    listener: TcpListener,
+    calls: Drain<Call>,
+    cut: Cut,
+    stop: CancellationToken,
+) {
+    let pool = Pool::new(PING_TIMEOUT, cut, shared.traffic.clone());
+    let local = Local { shared: shared.clone(), pool };
+    let serving =
+        transport::peer::serve(listener, local.clone(), shared.traffic.clone(), stop.clone());
+    tokio::join!(
+        serving,
+        local.clone().gossip(stop.clone()),
+        local.clone().flood(stop.clone()),
+        local.clone().press(stop.clone()),
+        local.clone().seek(stop.clone()),
+        local.serve_calls(calls, stop),
+    );
+}
--- /dev/null
+++ b/crates/daemon/src/shards.rs
@@ -0,0 +1,130 @@
+//! The log duty: one committer for each shard that this instance is asked for.
+//!
+//! Commands go to the shard's owner, which groups them into one append. If the
+//! owner can't be reached, this instance appends by itself: the conditional
+//! create keeps that safe, it only costs a conflict when both do so at once.
+
+use crate::fleet::lock;
+use crate::shared::Shared;
+use coordination::hash;
+use protocol::settings::Settings;
+use protocol::{Error, Kind, ShardId};
+use state::command::{Answer, Command, Reply};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+use transport::peer::Fault;
+use transport::ring::{self, Drain, Ring};
+
+mod commit;
+mod load;
+
+const CAPACITY: usize = 8192;
+const SHARD_CAPACITY: usize = 4096;
+
+/// A command on its way to a committer.
+pub struct Item {
+    /// Shard.
+    pub shard: ShardId,
+    /// Command.
+    pub command: Command,
+    /// Where the answer goes.
+    pub answer: ring::Answer<Answer>,
+}
+
+/// The log as other duties see it.
+#[derive(Clone)]
+pub struct Handle {
+    ring: Ring<Item>,
+    shards: u32,
+    limit: Duration,
+}
+
+/// A handle and the duty's own end.
+pub fn duty(settings: &Settings) -> (Handle, Drain<Item>) {
+    let (ring, drain) = ring::ring("log", CAPACITY);
+    // Two platform calls and a read-back fit into this.
+    let limit = settings.platform_timeout * 3 + settings.commit;
+    (Handle { ring, shards: settings.shards, limit }, drain)
+}
+
+impl Handle {
+    /// Shard of a key or job.
+    pub fn shard_of(&self, subject: &str) -> ShardId {
+        hash::shard(subject, self.shards)
+    }
+
+    /// Brings a command to the shard of its subject.
+    ///
+    /// # Errors
+    ///
+    /// What the owner answered, or `Undetermined` when its answer was lost.
+    pub async fn submit(&self, shared: &Shared, command: Command) -> Answer {
+        let shard = command.subject().map_or(0, |subject| self.shard_of(subject));
+        self.submit_to(shared, shard, command).await
+    }
+
+    /// Brings a command to a shard.
+    ///
+    /// # Errors
+    ///
+    /// As [`Handle::submit`].
+    pub async fn submit_to(&self, shared: &Shared, shard: ShardId, command: Command) -> Answer {
+        let owner = shared.owner(shard).filter(|owner| owner.id != shared.id);
+        let Some(owner) = owner else {
+            return self.local(shard, command).await;
+        };
+        let body = serde_json::to_vec(&command).unwrap_or_default();
+        match shared.peers.command(owner.peer, shard, body, self.limit).await {
+            Ok(bytes) => serde_json::from_slice(&bytes).unwrap_or_else(|error| {
+                Err(Error::new(Kind::Undetermined, format!("answer of the owner: {error}")))
+            }),
+            Err(Fault::NotSent(_)) => self.local(shard, command).await,
+            Err(Fault::Lost(_)) if matches!(command, Command::Claim { .. }) => Ok(Reply::NoWork),
+            // Every other command may be given twice: a second one finds what
+            // the first has done and answers by it.
+            Err(Fault::Lost(_)) => self.local(shard, command).await,
+        }
+    }
+
+    /// Gives a command to this instance's own committer.
+    ///
+    /// # Errors
+    ///
+    /// What it answered, or `Undetermined` when it took too long.
+    pub async fn local(&self, shard: ShardId, command: Command) -> Answer {
+        let make = |answer| Item { shard, command, answer };
+        self.ring.call(self.limit, make).await.unwrap_or_else(Err)
+    }
+}
+
+/// Runs committers until `stop`, then lets those with work finish it.
+pub async fn run(shared: Arc<Shared>, mut items: Drain<Item>, stop: CancellationToken) {
+    let mut committers: HashMap<ShardId, Ring<Item>> = HashMap::new();
+    loop {
+        let item = tokio::select! {
+            item = items.recv() => item,
+            () = stop.cancelled() => None,
+        };
+        let Some(item) = item else {
+            return;
+        };
+        let shard = item.shard;
+        let ring = committers.entry(shard).or_insert_with(|| {
+            let (ring, drain) = ring::ring("shard", SHARD_CAPACITY);
+            let committer = commit::Committer::new(shared.clone(), shared.store.clone(), shard);
+            tokio::spawn(committer.run(drain, stop.clone()));
+            ring
+        });
+        if let Err(error) = ring.send_or_return(item) {
+            let (item, error) = *error;
+            drop(item.answer.send(Err(error)));
+        }
+    }
+}
+
+/// Whether `holder` is known to be gone.
+fn is_gone(shared: &Shared, holder: u64) -> bool {
+    lock(&shared.table).is_dead(holder)
+}
--- /dev/null
+++ b/crates/daemon/src/shards/commit.rs
@@ -0,0 +1,463 @@
+//! The committer of one shard: groups commands, appends, settles lost answers.
+
+use super::load::{self, Loaded};
+use super::{Item, is_gone};
+use crate::clock;
+use crate::shared::Shared;
+use bytes::Bytes;
+use coordination::chain::{Append, Step};
+use coordination::member::Note;
+use coordination::retry;
+use protocol::{Error, Kind, Millis, ShardId};
+use state::command::{Answer, Command, Reply};
+use state::object;
+use state::record::{Entry, Record};
+use state::shard::{Batch, Decision, Policy, Shard};
+use state::snapshot::{Body, Head, Segment, live_segments};
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
+use transport::ring::Drain;
+use transport::store::{Condition, Fault, Store};
+
+/// Most commands in one append.
+const MOST_COMMANDS: usize = 2048;
+/// How long a shard counts as up to date without looking at its tail.
+const FRESH: Duration = Duration::from_secs(1);
+/// Time between housekeeping rounds.
+const HOUSEKEEPING: Duration = Duration::from_millis(500);
+/// Tries to settle an append before its callers are told that it's open.
+const SETTLE_TRIES: u32 = 3;
+const BACKOFF_BASE: Duration = Duration::from_millis(100);
+const BACKOFF_CAP: Duration = Duration::from_secs(3);
+
+/// An append whose fate is open.
+struct Open {
+    append: Append,
+    entry: Entry,
+    tries: u32,
+    next: Instant,
+}
+
+/// How an append ended.
+enum End {
+    Committed,
+    Overtaken,
+    Refused(String),
+    Open,
+}
+
+struct Waiting {
+    item: Item,
+    records: Vec<Record>,
+    reply: Reply,
+}
+
+/// The committer.
+pub struct Committer<S> {
+    shared: Arc<Shared>,
+    store: S,
+    id: ShardId,
+    policy: Policy,
+    loaded: Option<Loaded>,
+    open: Option<Open>,
+    queue: VecDeque<Item>,
+    verified: Option<Instant>,
+    committed: Instant,
+    failures: u32,
+    sequence: u64,
+}
+
+impl<S: Store> Committer<S> {
+    /// A committer that has read nothing yet.
+    pub fn new(shared: Arc<Shared>, store: S, id: ShardId) -> Committer<S> {
+        let settings = &shared.settings;
+        let policy = Policy {
+            retention: settings.retention,
+            claim: settings.claim,
+            unfenced: settings.is_unguarded("fence"),
+            unclaimed: settings.is_unguarded("claim"),
+        };
+        let now = Instant::now();
+        Committer {
+            store,
+            id,
+            policy,
+            loaded: None,
+            open: None,
+            queue: VecDeque::new(),
+            verified: None,
+            committed: now.checked_sub(settings.commit).unwrap_or(now),
+            failures: 0,
+            sequence: 0,
+            shared,
+        }
+    }
+
+    /// Commits until `stop` and the queue is empty.
+    pub async fn run(mut self, mut items: Drain<Item>, stop: CancellationToken) {
+        let mut housekeeping = tokio::time::interval(HOUSEKEEPING);
+        loop {
+            tokio::select! {
+                item = items.recv() => match item {
+                    Some(item) => self.queue.push_back(item),
+                    None => return,
+                },
+                _ = housekeeping.tick() => self.housekeep().await,
+                () = stop.cancelled() => return,
+            }
+            self.pace().await;
+            self.collect(&mut items);
+            while !self.queue.is_empty() {
+                self.round().await;
+                self.collect(&mut items);
+            }
+        }
+    }
+
+    fn collect(&mut self, items: &mut Drain<Item>) {
+        while self.queue.len() < MOST_COMMANDS {
+            let Ok(item) = items.try_recv() else {
+                return;
+            };
+            self.queue.push_back(item);
+        }
+    }
+
+    /// Waits until the last commit is long enough ago; what arrives meanwhile
+    /// shares the next append.
+    async fn pace(&self) {
+        let wait = self.shared.settings.commit.saturating_sub(self.committed.elapsed());
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
+    }
+
+    /// Decides what waits and appends it. At the end the queue holds only what
+    /// must be decided again.
+    async fn round(&mut self) {
+        if let Err(error) = self.prepare().await {
+            self.refuse_all(&error);
+            return;
+        }
+        let now = clock::millis();
+        let (waiting, deferred) = self.decide(now);
+        self.queue = deferred;
+        if waiting.is_empty() {
+            return;
+        }
+        self.pace().await;
+        self.append(waiting).await;
+    }
+
+    /// Makes sure that the shard is read and not behind.
+    async fn prepare(&mut self) -> Result<(), Error> {
+        if let Some(open) = &self.open {
+            if Instant::now() < open.next {
+                return Err(away("an append of this shard is open", self.backoff()));
+            }
+            self.settle().await?;
+        }
+        let now = clock::millis();
+        match &mut self.loaded {
+            None => {
+                let read = load::load(&self.store, self.id, self.policy, now).await;
+                match read {
+                    Ok(loaded) => self.loaded = Some(loaded),
+                    Err(fault) => return Err(self.on_fault(&fault)),
+                }
+            }
+            Some(loaded) if self.verified.is_none_or(|at| at.elapsed() > FRESH) => {
+                let read = load::catch_up(&self.store, &mut loaded.shard, now).await;
+                if let Err(fault) = read {
+                    return Err(self.on_fault(&fault));
+                }
+            }
+            Some(_) => return Ok(()),
+        }
+        self.on_reached();
+        Ok(())
+    }
+
+    fn on_fault(&mut self, fault: &Fault) -> Error {
+        self.failures += 1;
+        let wait = self.backoff();
+        away(&fault.to_string(), wait)
+    }
+
+    fn on_reached(&mut self) {
+        if self.failures > 0
+            && let Some(loaded) = &mut self.loaded
+        {
+            // Holders couldn't report while the platform was away.
+            let now = clock::millis();
+            loaded.shard.on_restored(now);
+        }
+        self.failures = 0;
+        self.verified = Some(Instant::now());
+    }
+
+    fn backoff(&self) -> Duration {
+        let chance = rand::random::<f64>();
+        retry::backoff(self.failures.max(1), BACKOFF_BASE, BACKOFF_CAP, chance)
+    }
+
+    fn refuse_all(&mut self, error: &Error) {
+        for item in self.queue.drain(..) {
+            // A caller that no longer waits is no fault.
+            drop(item.answer.send(Err(error.clone())));
+        }
+    }
+
+    fn decide(&mut self, now: Millis) -> (Vec<Waiting>, VecDeque<Item>) {
+        let mut waiting = Vec::new();
+        let mut deferred = VecDeque::new();
+        let Some(loaded) = &mut self.loaded else {
+            return (waiting, deferred);
+        };
+        let mut batch = Batch::default();
+        let mut bytes = 0;
+        for item in self.queue.drain(..) {
+            if bytes > object::MAX_BYTES / 2 {
+                deferred.push_back(item);
+                continue;
+            }
+            note_life(&mut loaded.shard, &item.command, now);
+            match loaded.shard.decide(&mut batch, &item.command, now) {
+                Decision::Answer(answer) => {
+                    if matches!(answer, Ok(Reply::Go)) {
+                        loaded.shard.note_running(&item.command, now);
+                    }
+                    drop(item.answer.send(answer));
+                }
+                Decision::Defer => deferred.push_back(item),
+                Decision::Commit(records, reply) => {
+                    bytes += records.iter().map(size).sum::<usize>();
+                    waiting.push(Waiting { item, records, reply });
+                }
+            }
+        }
+        (waiting, deferred)
+    }
+
+    async fn append(&mut self, waiting: Vec<Waiting>) {
+        let Some(loaded) = &self.loaded else {
+            return;
+        };
+        self.sequence += 1;
+        let token = format!("{:016x}-{}-{}", self.shared.id, self.id, self.sequence);
+        let records = waiting.iter().flat_map(|w| w.records.iter().cloned()).collect();
+        let entry = Entry { token: token.clone(), at: clock::millis(), records };
+        let append = Append::new(loaded.shard.next(), token);
+        self.committed = Instant::now();
+        match self.drive(&append, &entry).await {
+            End::Committed => {
+                self.apply(entry);
+                answer_all(waiting, |w| Ok(w.reply.clone()));
+            }
+            End::Overtaken => {
+                // Someone else appended: read what they wrote and decide anew.
+                self.verified = None;
+                let back = waiting.into_iter().map(|w| w.item);
+                self.queue.extend(back);
+            }
+            End::Refused(text) => {
+                self.failures += 1;
+                let error = away(&text, self.backoff());
+                answer_all(waiting, |_| Err(error.clone()));
+            }
+            End::Open => {
+                self.failures += 1;
+                let wait = self.backoff();
+                let error =
+                    Error::new(Kind::Undetermined, "the platform gave no answer").after(wait);
+                self.open = Some(Open { append, entry, tries: 0, next: Instant::now() + wait });
+                answer_all(waiting, |_| Err(error.clone()));
+            }
+        }
+    }
+
+    fn apply(&mut self, entry: Entry) {
+        let Some(loaded) = &mut self.loaded else {
+            return;
+        };
+        let jobs = entry.records.iter().filter(|r| matches!(r, Record::Accepted(_))).count();
+        loaded.shard.apply(entry, clock::millis());
+        self.on_reached();
+        if jobs > 0 {
+            self.shared.tell(Note::Work(self.id, clock::millis()));
+        }
+    }
+
+    /// Takes an append as far as it goes now.
+    async fn drive(&self, append: &Append, entry: &Entry) -> End {
+        let key = object::entry(self.id, append.position());
+        let bytes = Bytes::from(entry.encode());
+        let mut step = Step::CreateAgain;
+        let mut uncertain = false;
+        for _ in 0..SETTLE_TRIES {
+            if step == Step::CreateAgain {
+                step = match self.store.put(&key, bytes.clone(), Condition::Absent).await {
+                    Ok(_) => append.on_created(),
+                    Err(Fault::Conflict) => append.on_taken(),
+                    Err(Fault::Away(text)) if !uncertain => return End::Refused(text),
+                    Err(_) => append.on_lost(),
+                };
+                uncertain = true;
+            }
+            if step == Step::ReadBack {
+                step = match self.store.get(&key).await {
+                    Err(_) => Step::ReadBack,
+                    Ok(None) => append.on_found(None),
+                    Ok(Some(found)) => {
+                        let token = Entry::decode(&found.value).map(|entry| entry.token);
+                        append.on_found(Some(&token.unwrap_or_default()))
+                    }
+                };
+            }
+            match step {
+                Step::Committed => return End::Committed,
+                Step::Overtaken => return End::Overtaken,
+                Step::ReadBack | Step::CreateAgain => {}
+            }
+        }
+        End::Open
+    }
+
+    /// Settles an append whose callers were told that its fate is open.
+    async fn settle(&mut self) -> Result<(), Error> {
+        let Some(mut open) = self.open.take() else {
+            return Ok(());
+        };
+        match self.drive(&open.append, &open.entry).await {
+            End::Committed => {
+                self.apply(open.entry);
+                Ok(())
+            }
+            End::Overtaken => {
+                self.verified = None;
+                Ok(())
+            }
+            End::Refused(_) | End::Open => {
+                self.failures += 1;
+                let wait = self.backoff();
+                open.tries += 1;
+                open.next = Instant::now() + wait;
+                self.open = Some(open);
+                Err(away("an append of this shard is open", wait))
+            }
+        }
+    }
+
+    async fn housekeep(&mut self) {
+        if self.open.is_some() {
+            // The failure is told to the callers that come; nobody waits here.
+            drop(self.prepare().await);
+        }
+        if self.open.is_some() {
+            return;
+        }
+        let Some(loaded) = &mut self.loaded else {
+            return;
+        };
+        let shared = self.shared.clone();
+        loaded.shard.reclaim(|holder| is_gone(&shared, holder));
+        loaded.shard.forget(clock::millis());
+        self.archive().await;
+        self.snapshot().await;
+    }
+
+    /// Writes the indexes of ended jobs, so that their chunks need no memory.
+    async fn archive(&mut self) {
+        let Some(loaded) = &self.loaded else {
+            return;
+        };
+        let Some(job) = loaded.shard.jobs().to_archive().next().cloned() else {
+            return;
+        };
+        let places = job.places(0, u64::MAX);
+        let bytes = serde_json::to_vec(&places).unwrap_or_default();
+        if bytes.len() > object::MAX_BYTES {
+            return;
+        }
+        let key = object::index(&job.spec.job);
+        if self.store.put(&key, Bytes::from(bytes), Condition::Any).await.is_ok() {
+            let (answer, _ignored) = tokio::sync::oneshot::channel();
+            let command = Command::Archive { job: job.spec.job };
+            self.queue.push_back(Item { shard: self.id, command, answer });
+        }
+    }
+
+    async fn snapshot(&mut self) {
+        let Some(loaded) = &self.loaded else {
+            return;
+        };
+        if loaded.shard.next() < loaded.snapshot + self.shared.settings.snapshot_entries {
+            return;
+        }
+        match self.write_snapshot(loaded).await {
+            Ok((head, version)) => {
+                if let Some(loaded) = &mut self.loaded {
+                    loaded.snapshot = head.next;
+                    loaded.segments = head.segments;
+                    loaded.head = Some(version);
+                }
+            }
+            // Another owner's snapshot is as good as ours; read it next time.
+            Err(Fault::Conflict) => self.loaded = None,
+            Err(_) => {}
+        }
+    }
+
+    async fn write_snapshot(&self, loaded: &Loaded) -> Result<(Head, u64), Fault> {
+        let shard = &loaded.shard;
+        let name = format!("{:012}-{:016x}", shard.next(), self.shared.id);
+        let mut segments = self.kept_segments(&loaded.segments);
+        let fresh = shard.keys().finished_since(loaded.snapshot);
+        if !fresh.is_empty() {
+            let newest = fresh.iter().map(|(_, f)| f.issued).max().unwrap_or(0);
+            let bytes = Bytes::from(serde_json::to_vec(&fresh).unwrap_or_default());
+            self.store.put(&object::segment(self.id, &name), bytes, Condition::Any).await?;
+            segments.push(Segment { name: name.clone(), newest });
+        }
+        let body = serde_json::to_vec(&Body::of(shard)).unwrap_or_default();
+        let parts: Vec<&[u8]> = body.chunks(object::MAX_BYTES).collect();
+        for (index, part) in parts.iter().enumerate() {
+            let key = object::snapshot_part(self.id, &name, index);
+            self.store.put(&key, Bytes::copy_from_slice(part), Condition::Any).await?;
+        }
+        let head = Head { next: shard.next(), name, parts: parts.len(), segments };
+        let bytes = Bytes::from(serde_json::to_vec(&head).unwrap_or_default());
+        let condition = loaded.head.map_or(Condition::Absent, Condition::Version);
+        let version = self.store.put(&object::snapshot_head(self.id), bytes, condition).await?;
+        Ok((head, version))
+    }
+
+    fn kept_segments(&self, segments: &[Segment]) -> Vec<Segment> {
+        let before = clock::millis().saturating_sub(self.policy.retention.as_millis() as Millis);
+        live_segments(segments, before)
+    }
+}
+
+/// A progress report shows that its holder lives, even when it brings no news.
+fn note_life(shard: &mut Shard, command: &Command, now: Millis) {
+    if let Command::Progress { job, chunk, .. } = command {
+        shard.on_heard(job, *chunk, now);
+    }
+}
+
+fn size(record: &Record) -> usize {
+    serde_json::to_vec(record).map_or(0, |bytes| bytes.len())
+}
+
+fn away(text: &str, wait: Duration) -> Error {
+    Error::new(Kind::PlatformAway, text).after(wait)
+}
+
+fn answer_all(waiting: Vec<Waiting>, answer: impl Fn(&Waiting) -> Answer) {
+    for one in waiting {
+        let reply = answer(&one);
+        drop(one.item.answer.send(reply));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/shards/load.rs
@@ -0,0 +1,105 @@
+//! Reads a shard from the platform: snapshot, segments, then the entries after.
+
+use protocol::{Millis, ShardId};
+use state::object;
+use state::record::Entry;
+use state::shard::{Policy, Shard};
+use state::snapshot::{Body, Head, Keyed, Segment};
+use transport::store::{Fault, Store, Version};
+
+/// Entries read at once while catching up.
+const WINDOW: u64 = 16;
+
+/// A shard as read, and what its next snapshot needs.
+pub struct Loaded {
+    /// The shard.
+    pub shard: Shard,
+    /// Version of the snapshot's head, to replace it conditionally.
+    pub head: Option<Version>,
+    /// First entry after the last snapshot.
+    pub snapshot: u64,
+    /// Segments of finished keys.
+    pub segments: Vec<Segment>,
+}
+
+/// Reads a whole shard.
+///
+/// # Errors
+///
+/// How the platform failed.
+pub async fn load<S: Store>(
+    store: &S,
+    id: ShardId,
+    policy: Policy,
+    now: Millis,
+) -> Result<Loaded, Fault> {
+    let mut loaded = match store.get(&object::snapshot_head(id)).await? {
+        None => Loaded { shard: Shard::new(id, policy), head: None, snapshot: 0, segments: vec![] },
+        Some(found) => {
+            let head: Head = decode(&found.value)?;
+            restore(store, id, policy, head, found.version, now).await?
+        }
+    };
+    catch_up(store, &mut loaded.shard, now).await?;
+    Ok(loaded)
+}
+
+async fn restore<S: Store>(
+    store: &S,
+    id: ShardId,
+    policy: Policy,
+    head: Head,
+    version: Version,
+    now: Millis,
+) -> Result<Loaded, Fault> {
+    let mut bytes = Vec::new();
+    for part in 0..head.parts {
+        bytes.extend_from_slice(&need(store, &object::snapshot_part(id, &head.name, part)).await?);
+    }
+    let body: Body = decode(&bytes)?;
+    let mut finished: Keyed = Vec::new();
+    for segment in &head.segments {
+        let keys: Keyed = decode(&need(store, &object::segment(id, &segment.name)).await?)?;
+        finished.extend(keys);
+    }
+    let shard = body.restore(id, policy, head.next, finished, now);
+    Ok(Loaded { shard, head: Some(version), snapshot: head.next, segments: head.segments })
+}
+
+/// Applies every entry after the shard's last; returns how many there were.
+///
+/// # Errors
+///
+/// How the platform failed; entries before that are applied.
+pub async fn catch_up<S: Store>(store: &S, shard: &mut Shard, now: Millis) -> Result<u64, Fault> {
+    let start = shard.next();
+    loop {
+        let first = shard.next();
+        let window = if first == start { 1 } else { WINDOW };
+        let keys: Vec<String> =
+            (first..first + window).map(|n| object::entry(shard.id(), n)).collect();
+        let reads = keys.iter().map(|key| store.get(key));
+        let found = futures_util::future::join_all(reads).await;
+        for object in found {
+            let Some(object) = object? else {
+                return Ok(shard.next() - start);
+            };
+            shard.apply(read(&object.value)?, now);
+        }
+    }
+}
+
+fn read(bytes: &[u8]) -> Result<Entry, Fault> {
+    Entry::decode(bytes).map_err(|error| Fault::Lost(error.to_string()))
+}
+
+async fn need<S: Store>(store: &S, key: &str) -> Result<bytes::Bytes, Fault> {
+    match store.get(key).await? {
+        Some(object) => Ok(object.value),
+        None => Err(Fault::Lost(format!("`{key}` is missing"))),
+    }
+}
+
+fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, Fault> {
+    serde_json::from_slice(bytes).map_err(|error| Fault::Lost(error.to_string()))
+}
--- /dev/null
+++ b/crates/daemon/src/shared.rs
@@ -0,0 +1,250 @@
+//! What the duties of one daemon share.
+
+use crate::batch;
+use crate::fleet::{Fleet, Node, Place, View, lock};
+use crate::late::Late;
+use crate::peers;
+use crate::shards;
+use crate::telemetry::Telemetry;
+use coordination::chain::Offer;
+use coordination::hash;
+use coordination::leaving::{Board, Witness, Word};
+use coordination::limit::Bucket;
+use coordination::member::{Member, Note, Table};
+use protocol::config::Entry;
+use protocol::settings::Settings;
+use protocol::{Generation, InstanceId, TargetId};
+use slog::Logger;
+use state::config::Chain;
+use std::collections::{HashMap, HashSet};
+use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::Instant;
+use tokio::sync::Notify;
+use transport::peer::Traffic;
+use transport::platform;
+
+/// Daemons of one data centre that watch the platform; the others hear it from
+/// them. Two, so that one may be replaced without a gap.
+const WATCHERS: usize = 2;
+
+/// Everything that more than one duty needs.
+pub struct Shared {
+    /// Settings.
+    pub settings: Settings,
+    /// This instance.
+    pub id: InstanceId,
+    /// Logger.
+    pub log: Logger,
+    /// Members.
+    pub table: Mutex<Table>,
+    /// Configuration.
+    pub chain: Mutex<Chain>,
+    /// Leaving targets.
+    pub board: Mutex<Board>,
+    /// Targets.
+    pub fleet: Fleet,
+    view: RwLock<Arc<View>>,
+    /// The platform.
+    pub store: platform::Handle,
+    /// The durable log.
+    pub shards: shards::Handle,
+    /// Other daemons.
+    pub peers: peers::Handle,
+    /// Batch work.
+    pub batch: batch::Handle,
+    /// Outcomes that are still to be recorded.
+    pub late: Late,
+    /// Metrics and service levels.
+    pub telemetry: Telemetry,
+    /// Bytes between daemons.
+    pub traffic: Arc<Traffic>,
+    /// Calls that are being answered.
+    pub running: AtomicUsize,
+    /// When a planned stop was ordered.
+    pub stopping: Mutex<Option<Instant>>,
+    /// Whether new calls are refused.
+    pub refusing: AtomicBool,
+    /// Whether the configuration in force is known.
+    pub configured: AtomicBool,
+    /// Limits of callers.
+    pub buckets: Mutex<HashMap<String, Bucket>>,
+    /// Wakes the peers duty: there is news, or online load to tell.
+    pub news: Notify,
+}
+
+impl Shared {
+    /// The snapshot that routing reads.
+    pub fn view(&self) -> Arc<View> {
+        self.view.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Makes a new snapshot after configuration or leaving targets changed.
+    pub fn refresh(&self) {
+        let document = lock(&self.chain).document().clone();
+        let leaving = self.leaving();
+        let place = Place {
+            me: self.id,
+            here: self.settings.data_centre.clone(),
+            subset: self.settings.subset,
+        };
+        let ready = self.configured.load(std::sync::atomic::Ordering::Relaxed);
+        // Built under the write lock, so that of two refreshes the later state
+        // is the one that stays.
+        let mut view = self.view.write().unwrap_or_else(PoisonError::into_inner);
+        *view = Arc::new(self.fleet.view(document, leaving, &place, ready));
+    }
+
+    fn leaving(&self) -> HashSet<TargetId> {
+        if self.settings.is_unguarded("leaving") {
+            return HashSet::new();
+        }
+        let mut leaving: HashSet<TargetId> = lock(&self.board).all().into_iter().collect();
+        let chain = lock(&self.chain);
+        let ordered = chain.document().targets.values().filter(|target| target.leaving);
+        leaving.extend(ordered.map(|target| target.name.clone()));
+        leaving
+    }
+
+    /// A witness says that a target leaves or came back.
+    pub fn say_leaving(&self, target: &str, witness: Witness, word: Word) -> bool {
+        let changed = lock(&self.board).say(target, witness, word);
+        if changed {
+            slog::info!(self.log, "target leaving changed"; "target" => target,
+                "leaving" => word.leaving, "witness" => format!("{witness:?}"));
+            self.refresh();
+            self.batch.wake();
+        }
+        changed
+    }
+
+    /// The same, and the peers are told.
+    pub fn tell_leaving(&self, target: &str, witness: Witness, word: Word) {
+        if self.say_leaving(target, witness, word) {
+            let Word { leaving, stamp } = word;
+            let note = Note::Leaving { target: target.into(), since: stamp, leaving, witness };
+            lock(&self.table).pass_on(note);
+            self.news.notify_one();
+        }
+    }
+
+    /// Tells the peers.
+    pub fn tell(&self, note: Note) {
+        self.on_note(&note);
+        lock(&self.table).pass_on(note);
+        self.news.notify_one();
+    }
+
+    /// Acts on a note; `true` when it was news here.
+    pub fn on_note(&self, note: &Note) -> bool {
+        match note {
+            Note::Member(member) => lock(&self.table).merge(member.clone(), Instant::now()),
+            Note::Leaving { target, since, leaving, witness } => {
+                let word = Word { leaving: *leaving, stamp: *since };
+                self.say_leaving(target, *witness, word)
+            }
+            Note::Cancel(job) => self.batch.on_cancelled(job),
+            Note::Work(shard, at) => self.batch.on_work(*shard, *at),
+        }
+    }
+
+    /// Takes in a configuration entry from anywhere.
+    pub fn offer(&self, entry: Entry) -> Offer {
+        let generation = entry.generation;
+        let offer = lock(&self.chain).offer(entry);
+        if offer == Offer::Apply {
+            slog::info!(self.log, "configuration in force"; "generation" => generation);
+            self.on_generation(generation);
+        }
+        offer
+    }
+
+    /// The configuration in force changed.
+    pub fn on_generation(&self, generation: Generation) {
+        self.refresh();
+        lock(&self.table).set_generation(generation);
+        self.news.notify_one();
+        self.batch.wake();
+    }
+
+    /// The member that owns `shard` in this instance's view.
+    pub fn owner(&self, shard: u32) -> Option<Member> {
+        let table = lock(&self.table);
+        let chosen = hash::owner(&shard.to_le_bytes(), table.workers().map(|m| m.id))?;
+        table.workers().find(|m| m.id == chosen).cloned()
+    }
+
+    /// The member that decides on batch and orders for `node`: one of those in
+    /// the target's data centre, or of all when it has none.
+    pub fn decider(&self, node: &Node) -> Option<Member> {
+        let table = lock(&self.table);
+        let here = |m: &&Member| m.data_centre == node.target.data_centre;
+        let key = node.id.to_le_bytes();
+        let chosen = hash::owner(&key, table.workers().filter(here).map(|m| m.id))
+            .or_else(|| hash::owner(&key, table.workers().map(|m| m.id)))?;
+        table.workers().find(|m| m.id == chosen).cloned()
+    }
+
+    /// Whether this instance watches the platform for its data centre.
+    pub fn is_watcher(&self) -> bool {
+        let table = lock(&self.table);
+        let here = |m: &&Member| m.data_centre == self.settings.data_centre;
+        let mut ranked: Vec<u64> = table.workers().filter(here).map(|m| m.id).collect();
+        ranked.sort_by_key(|id| std::cmp::Reverse(hash::weight(b"watch", *id)));
+        ranked.iter().take(WATCHERS).any(|id| *id == self.id)
+    }
+}
+
+/// Parts of [`Shared`] that the duties hand in.
+pub struct Parts {
+    /// Settings.
+    pub settings: Settings,
+    /// Logger.
+    pub log: Logger,
+    /// The owner of the member table.
+    pub me: Member,
+    /// The platform.
+    pub store: platform::Handle,
+    /// The durable log.
+    pub shards: shards::Handle,
+    /// Other daemons.
+    pub peers: peers::Handle,
+    /// Batch work.
+    pub batch: batch::Handle,
+    /// Metrics and service levels.
+    pub telemetry: Telemetry,
+}
+
+impl Parts {
+    /// Joins the parts.
+    pub fn join(self) -> Shared {
+        let policy = coordination::member::Policy {
+            ping: self.settings.ping,
+            suspect: self.settings.suspect,
+            ..Default::default()
+        };
+        Shared {
+            id: self.me.id,
+            table: Mutex::new(Table::new(self.me, policy)),
+            settings: self.settings,
+            log: self.log,
+            store: self.store,
+            shards: self.shards,
+            peers: self.peers,
+            batch: self.batch,
+            telemetry: self.telemetry,
+            chain: Mutex::default(),
+            board: Mutex::default(),
+            fleet: Fleet::default(),
+            view: RwLock::default(),
+            late: Late::default(),
+            traffic: Arc::default(),
+            running: AtomicUsize::new(0),
+            stopping: Mutex::new(None),
+            refusing: AtomicBool::new(false),
+            configured: AtomicBool::new(false),
+            buckets: Mutex::default(),
+            news: Notify::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/start.rs
@@ -0,0 +1,216 @@
+//! Brings the duties of one daemon up, and takes them down again.
+
+use crate::batch;
+use crate::clock;
+use crate::control;
+use crate::fleet::lock;
+use crate::front::Front;
+use crate::peers;
+use crate::shards;
+use crate::shared::{Parts, Shared};
+use crate::telemetry::Telemetry;
+use coordination::drain::{self, Phase, Plan};
+use coordination::member::{Member, State};
+use protocol::settings::Settings;
+use slog::Logger;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+use tokio_util::sync::CancellationToken;
+use transport::cut::Cut;
+use transport::http;
+use transport::platform;
+use transport::target::Client;
+
+const STOP_LOOK: Duration = Duration::from_millis(20);
+
+/// A daemon that runs.
+pub struct Daemon {
+    /// Where callers are served.
+    pub front: SocketAddr,
+    /// Where other daemons are served.
+    pub peer: SocketAddr,
+    shared: Arc<Shared>,
+    tokens: Tokens,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// Tokens passed down to the duties. The front ends first, since the others
+/// serve what it still runs.
+#[derive(Clone, Default)]
+struct Tokens {
+    front: CancellationToken,
+    rest: CancellationToken,
+}
+
+/// Starts a daemon: binds its addresses, then starts a thread for each duty.
+///
+/// # Errors
+///
+/// When an address can't be bound or a thread can't be started.
+pub fn start(settings: Settings, log: Logger) -> anyhow::Result<Daemon> {
+    let front_runtime = Builder::new_multi_thread()
+        .worker_threads(settings.front_threads)
+        .thread_name("front")
+        .enable_all()
+        .build()?;
+    let peer_runtime = single()?;
+    let front = bind(&front_runtime, settings.front)?;
+    let peer = bind(&peer_runtime, settings.peer)?;
+    let me = member(&settings, front.1, peer.1);
+    let cut = Cut::new(settings.cut.clone());
+    let (store, platform) = platform::duty(platform::Config {
+        address: settings.platform,
+        timeout: settings.platform_timeout,
+        rate: settings.platform_rate,
+        cut: cut.clone(),
+    });
+    let (shards, items) = shards::duty(&settings);
+    let (peers, calls) = peers::duty();
+    let batch = batch::Handle::default();
+    let telemetry = Telemetry::new(settings.metrics)?;
+    let shared =
+        Arc::new(Parts { settings, log, me, store, shards, peers, batch, telemetry }.join());
+    let tokens = Tokens::default();
+    let mut duties = Duties { tokens: tokens.clone(), threads: Vec::new() };
+    duties.spawn("platform", single()?, platform.run(tokens.rest.clone()))?;
+    duties.spawn("log", single()?, shards::run(shared.clone(), items, tokens.rest.clone()))?;
+    let client = || Client::new(shared.settings.connect, shared.settings.idle, cut.clone());
+    duties.spawn("batch", single()?, batch::run(shared.clone(), client(), tokens.rest.clone()))?;
+    let control = control::run(shared.clone(), client(), tokens.rest.clone());
+    duties.spawn("control", single()?, control)?;
+    let stop = tokens.rest.clone();
+    let (of_peers, cut_of_peers) = (shared.clone(), cut.clone());
+    duties.spawn_local("peers", peer_runtime, move || {
+        peers::run(of_peers, peer.0, calls, cut_of_peers, stop)
+    })?;
+    let service = Front { shared: shared.clone(), client: client() };
+    duties.spawn("front", front_runtime, http::serve(front.0, service, tokens.front.clone()))?;
+    slog::info!(shared.log, "started"; "front" => front.1.to_string(),
+        "peers" => peer.1.to_string(), "id" => format!("{:016x}", shared.id));
+    Ok(Daemon { front: front.1, peer: peer.1, shared, tokens, threads: duties.threads })
+}
+
+fn single() -> std::io::Result<Runtime> {
+    Builder::new_current_thread().enable_all().build()
+}
+
+fn bind(runtime: &Runtime, address: SocketAddr) -> anyhow::Result<(TcpListener, SocketAddr)> {
+    let _inside = runtime.enter();
+    let listener = http::listen(address)
+        .map_err(|error| anyhow::anyhow!("can't listen on {address}: {error}"))?;
+    let bound = listener.local_addr()?;
+    Ok((listener, bound))
+}
+
+fn member(settings: &Settings, front: SocketAddr, peer: SocketAddr) -> Member {
+    Member {
+        id: rand::random::<u64>() | 1,
+        peer,
+        http: front,
+        data_centre: settings.data_centre.clone(),
+        incarnation: clock::millis(),
+        state: State::Alive,
+        generation: 0,
+    }
+}
+
+struct Duties {
+    tokens: Tokens,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Duties {
+    fn spawn(
+        &mut self,
+        name: &str,
+        runtime: Runtime,
+        duty: impl Future<Output = ()> + Send + 'static,
+    ) -> std::io::Result<()> {
+        let thread = std::thread::Builder::new().name(name.into());
+        self.threads.push(thread.spawn(move || {
+            runtime.block_on(duty);
+            runtime.shutdown_background();
+        })?);
+        Ok(())
+    }
+
+    fn spawn_local<F: Future<Output = ()> + 'static>(
+        &mut self,
+        name: &str,
+        runtime: Runtime,
+        duty: impl FnOnce() -> F + Send + 'static,
+    ) -> std::io::Result<()> {
+        let stop = self.tokens.rest.clone();
+        let thread = std::thread::Builder::new().name(name.into());
+        self.threads.push(thread.spawn(move || {
+            let local = tokio::task::LocalSet::new();
+            local.block_on(&runtime, async move {
+                tokio::select! {
+                    () = duty() => {}
+                    () = stop.cancelled() => {}
+                }
+            });
+        })?);
+        Ok(())
+    }
+}
+
+impl Daemon {
+    /// What the duties share, for embedding.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Orders a planned stop; [`Daemon::join`] returns when it is done.
+    pub fn stop(&self) {
+        let mut stopping = lock(&self.shared.stopping);
+        if stopping.is_none() {
+            *stopping = Some(Instant::now());
+            slog::info!(self.shared.log, "stop ordered");
+        }
+        drop(stopping);
+        lock(&self.shared.table).leave();
+        self.shared.news.notify_one();
+        self.shared.batch.wake();
+    }
+
+    /// Waits for a planned stop and goes through its phases.
+    pub fn join(self) {
+        let settings = &self.shared.settings;
+        let plan = Plan { grace: settings.stop_grace, bound: settings.stop_bound };
+        loop {
+            std::thread::sleep(STOP_LOOK);
+            let Some(since) = *lock(&self.shared.stopping) else {
+                continue;
+            };
+            let running = self.shared.running.load(Ordering::Relaxed)
+                + self.shared.batch.in_hand()
+                + self.shared.late.len();
+            let unguarded = settings.is_unguarded("drain");
+            match drain::phase(plan, since, running, Instant::now()) {
+                Phase::Exit => break,
+                _ if unguarded => break,
+                Phase::Grace => {}
+                Phase::Finish => self.shared.refusing.store(true, Ordering::Relaxed),
+            }
+        }
+        slog::info!(self.shared.log, "stopped";
+            "unrecorded" => self.shared.late.len());
+        self.tokens.front.cancel();
+        self.tokens.rest.cancel();
+    }
+
+    /// Ends every duty now, as a kill would; for embedding in tests.
+    pub fn kill(self) {
+        self.tokens.front.cancel();
+        self.tokens.rest.cancel();
+        for thread in self.threads {
+            drop(thread);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/telemetry.rs
@@ -0,0 +1,149 @@
+//! Metrics over UDP and the counts behind the burn report.
+
+use crate::fleet::lock;
+use crate::shared::Shared;
+use cadence::prelude::*;
+use cadence::{NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink};
+use coordination::burn::{Count, Series, WINDOWS};
+use protocol::config::Document;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
+
+const PREFIX: &str = "gatespool";
+const EVERY: Duration = Duration::from_secs(1);
+
+/// One line of the burn report.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Burn {
+    /// Service.
+    pub service: String,
+    /// Class.
+    pub class: String,
+    /// Limit for the first token.
+    pub first_token_ms: u64,
+    /// Share that must be good.
+    pub share: f64,
+    /// Counts for each window, in seconds.
+    pub windows: Vec<Window>,
+}
+
+/// Counts of one window.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Window {
+    /// Length in seconds.
+    pub seconds: u64,
+    /// Good and all requests.
+    #[serde(flatten)]
+    pub count: Count,
+    /// How fast the error budget burns.
+    pub burn: f64,
+}
+
+/// Metrics and service levels of one daemon.
+pub struct Telemetry {
+    client: StatsdClient,
+    series: Mutex<HashMap<(String, String), Series>>,
+}
+
+impl Telemetry {
+    /// Metrics go to `address`, or nowhere.
+    ///
+    /// # Errors
+    ///
+    /// When no socket can be had.
+    pub fn new(address: Option<SocketAddr>) -> anyhow::Result<Telemetry> {
+        let client = match address {
+            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+            Some(address) => {
+                let socket = UdpSocket::bind(SocketAddr::from(([0, 0, 0, 0], 0)))?;
+                socket.set_nonblocking(true)?;
+                let sink = UdpMetricSink::from(address, socket)?;
+                StatsdClient::from_sink(PREFIX, QueuingMetricSink::from(sink))
+            }
+        };
+        Ok(Telemetry { client, series: Mutex::default() })
+    }
+
+    /// Counts one. A metric that can't be sent is no fault of the work.
+    pub fn count(&self, name: &str) {
+        drop(self.client.incr(name));
+    }
+
+    /// Records a time.
+    pub fn time(&self, name: &str, time: Duration) {
+        drop(self.client.time(name, time));
+    }
+
+    /// Counts a request against its service level; `first` is the time to the
+    /// first token, `None` when the request failed.
+    pub fn on_request(
+        &self,
+        document: &Document,
+        service: &str,
+        class: &str,
+        first: Option<Duration>,
+        now: Instant,
+    ) {
+        let Some(found) = document.services.get(service) else {
+            return;
+        };
+        for level in found.levels.iter().filter(|level| level.class == class) {
+            let limit = Duration::from_millis(level.first_token_ms);
+            let good = first.is_some_and(|first| first <= limit);
+            let key = (service.to_owned(), class.to_owned());
+            lock(&self.series).entry(key).or_default().note(good, now);
+        }
+    }
+
+    /// The burn report of this instance.
+    pub fn burn(&self, document: &Document, now: Instant) -> Vec<Burn> {
+        let series = lock(&self.series);
+        let mut lines = Vec::new();
+        for service in document.services.values() {
+            for level in &service.levels {
+                let key = (service.name.clone(), level.class.clone());
+                let window = |length: &Duration| {
+                    let found = series.get(&key);
+                    let count = found.map_or(Count::default(), |s| s.within(*length, now));
+                    Window { seconds: length.as_secs(), count, burn: count.burn(level.share) }
+                };
+                lines.push(Burn {
+                    service: service.name.clone(),
+                    class: level.class.clone(),
+                    first_token_ms: level.first_token_ms,
+                    share: level.share,
+                    windows: WINDOWS.iter().map(window).collect(),
+                });
+            }
+        }
+        lines
+    }
+
+    fn gauge(&self, name: &str, value: u64) {
+        drop(self.client.gauge(name, value));
+    }
+}
+
+/// Sends gauges until `stop`.
+pub async fn run(shared: Arc<Shared>, stop: CancellationToken) {
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(EVERY) => {}
+            () = stop.cancelled() => return,
+        }
+        let telemetry = &shared.telemetry;
+        let counts = shared.store.counts();
+        telemetry.gauge("platform.calls", counts.calls.load(Ordering::Relaxed));
+        telemetry.gauge("platform.failed", counts.failed.load(Ordering::Relaxed));
+        telemetry.gauge("peers.sent", shared.traffic.sent.load(Ordering::Relaxed));
+        telemetry.gauge("peers.received", shared.traffic.received.load(Ordering::Relaxed));
+        telemetry.gauge("front.running", shared.running.load(Ordering::Relaxed) as u64);
+        telemetry.gauge("late.waiting", shared.late.len() as u64);
+        telemetry.gauge("config.generation", lock(&shared.chain).generation());
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/util/client.rs
@@ -0,0 +1,144 @@
+//! A small blocking HTTP client.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Request};
+use hyper_util::client::legacy::{Client, connect::HttpConnector};
+use hyper_util::rt::TokioExecutor;
+use protocol::chat::{Chunk, DONE};
+use protocol::kind::Kind;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::LazyLock;
+use std::time::Duration;
+use tokio::runtime::Runtime;
+
+static RUNTIME: LazyLock<Runtime> = LazyLock::new(|| Runtime::new().expect("a runtime"));
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// An answer.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// Status; 0 when the connection failed.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Whether the body came to its end.
+    pub whole: bool,
+}
+
+impl Reply {
+    /// The body as JSON.
+    #[track_caller]
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_else(|_| panic!("no JSON: {self:?}"))
+    }
+
+    /// Kind of the error answer, if it is one.
+    pub fn kind(&self) -> Option<Kind> {
+        let body: protocol::error::Body = serde_json::from_slice(&self.body).ok()?;
+        Some(body.error.kind)
+    }
+
+    /// A header as text.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default()
+    }
+
+    /// Text of an unstreamed completion.
+    #[track_caller]
+    pub fn text(&self) -> String {
+        self.json()["choices"][0]["message"]["content"].as_str().expect("a text").to_owned()
+    }
+
+    /// Text of a streamed completion, and whether it was closed as whole.
+    pub fn streamed(&self) -> (String, bool) {
+        let body = String::from_utf8_lossy(&self.body);
+        let mut text = String::new();
+        let mut done = false;
+        for data in body.lines().filter_map(|line| line.strip_prefix("data: ")) {
+            done |= data == DONE;
+            if let Ok(chunk) = serde_json::from_str::<Chunk>(data) {
+                let content = chunk.choices.into_iter().next().and_then(|c| c.delta.content);
+                text.push_str(&content.unwrap_or_default());
+            }
+        }
+        (text, done)
+    }
+}
+
+/// Makes one call.
+pub fn call(
+    method: &str,
+    to: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> Reply {
+    let mut builder = Request::builder().method(method).uri(format!("http://{to}{path}"));
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    let request = builder.body(Full::new(body.into())).expect("a request");
+    RUNTIME.block_on(async move {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new()).build(connector);
+        match tokio::time::timeout(LIMIT, exchange(&client, request)).await {
+            Ok(Some(reply)) => reply,
+            _ => Reply { status: 0, headers: HeaderMap::new(), body: Bytes::new(), whole: false },
+        }
+    })
+}
+
+async fn exchange(
+    client: &Client<HttpConnector, Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+) -> Option<Reply> {
+    let response = client.request(request).await.ok()?;
+    let status = response.status().as_u16();
+    let headers = response.headers().clone();
+    let mut body = response.into_body();
+    let mut bytes = Vec::new();
+    let mut whole = true;
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => bytes.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new())),
+            Err(_) => {
+                whole = false;
+                break;
+            }
+        }
+    }
+    Some(Reply { status, headers, body: bytes.into(), whole })
+}
+
+/// Reads.
+pub fn get(to: SocketAddr, path: &str) -> Reply {
+    call("GET", to, path, &[], Bytes::new())
+}
+
+/// Sends JSON.
+pub fn post(to: SocketAddr, path: &str, headers: &[(&str, &str)], body: &Value) -> Reply {
+    call("POST", to, path, headers, serde_json::to_vec(body).expect("JSON"))
+}
+
+/// Asks for a chat completion.
+pub fn chat(to: SocketAddr, prompt: &str, headers: &[(&str, &str)], extra: Value) -> Reply {
+    let mut body = serde_json::json!({
+        "model": "pustak-llm",
+        "messages": [{ "role": "user", "content": prompt }],
+    });
+    if let (Value::Object(into), Value::Object(extra)) = (&mut body, extra) {
+        into.extend(extra);
+    }
+    post(to, "/v1/chat/completions", headers, &body)
+}
+
+/// Unix milliseconds.
+pub fn millis() -> u64 {
+    let passed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    passed.expect("a clock").as_millis() as u64
+}
--- /dev/null
+++ b/crates/daemon/tests/util/cluster.rs
@@ -0,0 +1,302 @@
+//! Stand-ins and daemons of one test.
+
+use super::client::{self, Reply};
+use super::daemon::Daemon;
+use super::wait_until;
+use serde_json::{Value, json};
+use standin::engine::{Config, Engine};
+use standin::plain::Plain;
+use standin::platform::{Control, Platform};
+use standin::serve::{self, Running};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// Data centres in turn.
+pub const CENTRES: [&str; 3] = ["kirtipur-hall", "patan-hall", "bhaktapur-hall"];
+
+/// What a test starts.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Daemons.
+    pub daemons: usize,
+    /// Engines.
+    pub engines: usize,
+    /// How an engine behaves.
+    pub engine: Config,
+    /// Lines of settings, as `section.key = value`.
+    pub settings: Vec<String>,
+    /// Guards switched off, to see the test fail.
+    pub unguarded: &'static str,
+    /// Data centres used; all three by default.
+    pub centres: usize,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan {
+            daemons: 3,
+            engines: 3,
+            engine: Config::default(),
+            settings: Vec::new(),
+            unguarded: "",
+            centres: 3,
+        }
+    }
+}
+
+/// Everything of one test.
+pub struct Cluster {
+    /// The platform.
+    pub platform: Platform,
+    /// Its address.
+    pub platform_at: SocketAddr,
+    /// The engines.
+    pub engines: Vec<Engine>,
+    /// Their addresses.
+    pub engines_at: Vec<SocketAddr>,
+    /// The plain service.
+    pub plain: Plain,
+    /// The daemons.
+    pub daemons: Vec<Daemon>,
+    /// The plan.
+    pub plan: Plan,
+    /// Folder of this test's files.
+    pub folder: PathBuf,
+    started: usize,
+    running: Vec<Running>,
+}
+
+static FOLDERS: AtomicU32 = AtomicU32::new(0);
+
+/// Settings of the tests: short times, so that lapses needn't be waited for long.
+const SETTINGS: &[&str] = &[
+    "peers.ping_ms = 100",
+    "peers.suspect_ms = 600",
+    "platform.timeout_ms = 500",
+    "platform.calls_per_second = 5000",
+    "platform.poll_ms = 300",
+    "log.shards = 4",
+    "log.commit_ms = 10",
+    "batch.claim_ms = 2000",
+    "batch.report_ms = 200",
+    "batch.chunk_items = 16",
+    "targets.poll_ms = 100",
+    "targets.idle_ms = 2000",
+    "orders.lease_ms = 1500",
+    "orders.lifetime_ms = 300",
+    "stop.grace_ms = 300",
+    "stop.bound_ms = 15000",
+    "log_lines.level = debug",
+];
+
+impl Cluster {
+    /// Starts the plan and applies a configuration for it.
+    #[track_caller]
+    pub fn start(plan: Plan) -> Cluster {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
+        let name = format!("{}-{number}", std::process::id());
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let platform = Platform::default();
+        let plain = Plain::default();
+        let mut running = vec![
+            serve::start(any, platform.clone()).expect("the platform"),
+            serve::start(any, plain.clone()).expect("the plain service"),
+        ];
+        let engines: Vec<Engine> =
+            (0..plan.engines).map(|_| Engine::new(plan.engine.clone())).collect();
+        let started = engines.iter().map(|e| serve::start(any, e.clone()).expect("an engine"));
+        running.extend(started);
+        let engines_at = running[2..].iter().map(|r| r.address).collect();
+        let platform_at = running[0].address;
+        let mut cluster = Cluster {
+            platform,
+            platform_at,
+            engines,
+            engines_at,
+            plain,
+            daemons: Vec::new(),
+            plan,
+            folder,
+            started: 0,
+            running,
+        };
+        for _ in 0..cluster.plan.daemons {
+            let daemon = cluster.new_daemon();
+            cluster.daemons.push(daemon);
+        }
+        cluster.daemons.iter().for_each(Daemon::wait_ready);
+        cluster.wait_members();
+        let change = cluster.change();
+        let reply = cluster.apply(0, 0, &change);
+        assert_eq!(reply.status, 200, "the configuration is accepted: {reply:?}");
+        cluster.wait_generation(1);
+        cluster
+    }
+
+    /// Starts one more daemon, in the next data centre.
+    #[track_caller]
+    pub fn new_daemon(&mut self) -> Daemon {
+        let centre = CENTRES[self.started % self.plan.centres];
+        self.new_daemon_in(centre, "")
+    }
+
+    /// Starts one more daemon in `centre`, with more lines of settings.
+    #[track_caller]
+    pub fn new_daemon_in(&mut self, centre: &str, more: &str) -> Daemon {
+        let seeds: Vec<String> = self.daemons.iter().map(|d| d.peer.to_string()).collect();
+        let mut lines: Vec<String> = SETTINGS.iter().map(ToString::to_string).collect();
+        lines.push(format!("instance.data_centre = {centre}"));
+        lines.push(format!("platform.address = {}", self.platform_at));
+        lines.push(format!("peers.seeds = {}", seeds.join(", ")));
+        lines.push(String::from("front.listen = 127.0.0.1:0"));
+        lines.push(String::from("peers.listen = 127.0.0.1:0"));
+        if !self.plan.unguarded.is_empty() {
+            lines.push(format!("faults.unguarded = {}", self.plan.unguarded));
+        }
+        lines.extend(self.plan.settings.iter().cloned());
+        lines.extend(more.lines().map(str::to_owned));
+        self.started += 1;
+        let name = format!("daemon-{}", self.started);
+        Daemon::start(&self.folder, &name, &ini(&lines))
+    }
+
+    /// The change that configures this cluster.
+    pub fn change(&self) -> Value {
+        let target = |number: usize, at: &SocketAddr| {
+            json!({
+                "object": "target", "name": format!("t{number}"), "address": at.to_string(),
+                "data_centre": CENTRES[number % self.plan.centres], "service": "pustak-llm",
+                "slots": self.plan.engine.slots, "checks_fence": self.plan.engine.checks_fence,
+            })
+        };
+        let mut put = vec![
+            json!({ "object": "version", "name": "v1", "weights": "w/v1" }),
+            json!({ "object": "version", "name": "v2", "weights": "w/v2" }),
+            json!({
+                "object": "service", "name": "pustak-llm", "protocol": "chat", "version": "v1",
+                "levels": [{ "class": "online", "first_token_ms": 760, "share": 0.95 }],
+            }),
+            json!({
+                "object": "service", "name": "offers", "protocol": "plain", "prefix": "/offers",
+                "repeatable": ["GET"],
+            }),
+            json!({
+                "object": "target", "name": "p0", "address": self.running[1].address.to_string(),
+                "data_centre": CENTRES[0], "service": "offers", "slots": 64,
+            }),
+        ];
+        put.extend(self.engines_at.iter().enumerate().map(|(n, at)| target(n, at)));
+        json!({ "put": put })
+    }
+
+    /// Offers a change through one daemon.
+    pub fn apply(&self, daemon: usize, revision: u64, change: &Value) -> Reply {
+        let offer = json!({ "revision": revision, "author": "test", "change": change });
+        client::post(self.daemons[daemon].front, "/v1/config", &[], &offer)
+    }
+
+    /// Waits until every daemon knows every other.
+    #[track_caller]
+    pub fn wait_members(&self) {
+        let all = self.daemons.len();
+        wait_until("all members meet", || self.daemons.iter().all(|d| d.alive() == all));
+    }
+
+    /// Waits until a generation is in force on every daemon.
+    #[track_caller]
+    pub fn wait_generation(&self, generation: u64) {
+        wait_until("the generation is in force", || {
+            self.daemons.iter().all(|d| d.generation() >= generation)
+        });
+    }
+
+    /// Sets faults of the platform.
+    pub fn platform_fault(&self, control: Control) {
+        self.platform.control(control);
+    }
+
+    /// The platform goes down or comes back.
+    pub fn platform_down(&self, down: bool) {
+        self.platform.control(Control { down: Some(down), ..Control::default() });
+    }
+
+    /// Every run on every engine.
+    pub fn runs(&self) -> Vec<standin::engine::Run> {
+        self.engines.iter().flat_map(Engine::runs).collect()
+    }
+
+    /// Submits a job.
+    pub fn submit(&self, daemon: usize, key: &str, items: &[Value]) -> Reply {
+        self.submit_due(daemon, key, items, 0)
+    }
+
+    /// Submits a job with a due time.
+    pub fn submit_due(&self, daemon: usize, key: &str, items: &[Value], due: u64) -> Reply {
+        let mut lines = vec![json!({ "service": "pustak-llm", "due": due }).to_string()];
+        lines.extend(items.iter().map(Value::to_string));
+        let headers = [("idempotency-key", key)];
+        let front = self.daemons[daemon].front;
+        client::call("POST", front, "/v1/jobs", &headers, lines.join("\n"))
+    }
+
+    /// Where a job stands, asked through one daemon.
+    pub fn status(&self, daemon: usize, job: &str) -> Value {
+        let reply = self.daemons[daemon].get(&format!("/v1/jobs/{job}"));
+        if reply.status == 200 { reply.json() } else { Value::Null }
+    }
+
+    /// Waits for the end of a job.
+    #[track_caller]
+    pub fn wait_job(&self, daemon: usize, job: &str, phase: &str) -> Value {
+        super::wait_for(&format!("job is {phase}"), || {
+            Some(self.status(daemon, job)).filter(|status| status["phase"] == phase)
+        })
+    }
+
+    /// All results of a job, read through one daemon.
+    #[track_caller]
+    pub fn results(&self, daemon: usize, job: &str) -> Vec<Value> {
+        let mut all = Vec::new();
+        let mut from = 0;
+        loop {
+            let path = format!("/v1/jobs/{job}/results?from={from}&limit=500");
+            let page = super::wait_for("a page of results", || {
+                let reply = self.daemons[daemon].get(&path);
+                (reply.status == 200).then(|| reply.json())
+            });
+            all.extend(page["results"].as_array().cloned().unwrap_or_default());
+            match page["next"].as_u64() {
+                Some(next) => from = next,
+                None => return all,
+            }
+        }
+    }
+}
+
+fn ini(lines: &[String]) -> String {
+    let mut sections: Vec<(String, Vec<String>)> = Vec::new();
+    for line in lines {
+        let (name, value) = line.split_once('=').expect("section.key = value");
+        let (section, key) = name.trim().split_once('.').expect("section.key");
+        let line = format!("{key} = {}", value.trim());
+        let at = sections.iter().position(|(known, _)| known == section);
+        match at {
+            Some(at) => {
+                let same_key = |old: &String| old.starts_with(&format!("{key} ="));
+                sections[at].1.retain(|old| !same_key(old));
+                sections[at].1.push(line);
+            }
+            None => sections.push((section.to_owned(), vec![line])),
+        }
+    }
+    let text = sections.iter().map(|(s, lines)| format!("[{s}]\n{}\n", lines.join("\n")));
+    text.collect()
+}
+
+/// Items of a job: `count` prompts that start with `prompt`.
+pub fn items(prompt: &str, count: usize) -> Vec<Value> {
+    (0..count).map(|i| json!({ "prompt": format!("{prompt} {i}") })).collect()
+}
--- /dev/null
+++ b/crates/protocol/src/settings.rs
@@ -0,0 +1,371 @@
+//! Settings of a daemon, read from an INI file and checked as a whole.
+//!
+//! Every key is known: a misspelt key is an error, because a setting that is
+//! silently ignored is found out on the worst day.
+
+use crate::DataCentreId;
+use ini::Ini;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::str::FromStr;
+use std::time::Duration;
+
+/// What is wrong with a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// File at fault.
+    pub file: String,
+    /// Section at fault.
+    pub section: String,
+    /// Key at fault.
+    pub key: String,
+    /// What was expected.
+    pub expected: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Fault { file, section, key, expected } = self;
+        write!(f, "{file}: section [{section}], key `{key}`: expected {expected}")
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// Settings of one daemon.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// `[instance] data_centre`: where this daemon stands.
+    pub data_centre: DataCentreId,
+    /// `[instance] data`: folder of the small disk, if there is one.
+    pub data: Option<PathBuf>,
+    /// `[front] listen`: address for callers and operators.
+    pub front: SocketAddr,
+    /// `[front] body_limit`: most bytes of an online request.
+    pub body_limit: usize,
+    /// `[front] body_timeout_ms`: how long a caller may take to send a body.
+    pub body_timeout: Duration,
+    /// `[front] threads`: threads that serve callers.
+    pub front_threads: usize,
+    /// `[front] admin`: whether operators' calls are served here.
+    pub admin: bool,
+    /// `[peers] listen`: address for other daemons.
+    pub peer: SocketAddr,
+    /// `[peers] seeds`: daemons to ask first.
+    pub seeds: Vec<SocketAddr>,
+    /// `[peers] ping_ms`: time between heartbeats.
+    pub ping: Duration,
+    /// `[peers] suspect_ms`: silence after which a daemon counts as dead.
+    pub suspect: Duration,
+    /// `[platform] address`: the object API.
+    pub platform: SocketAddr,
+    /// `[platform] timeout_ms`: longest wait for one call.
+    pub platform_timeout: Duration,
+    /// `[platform] calls_per_second`: most calls of this daemon.
+    pub platform_rate: f64,
+    /// `[platform] poll_ms`: time between reads of the configuration head.
+    pub platform_poll: Duration,
+    /// `[log] shards`: shards of the durable log; the same on every daemon.
+    pub shards: u32,
+    /// `[log] commit_ms`: shortest time between two commits of a shard.
+    pub commit: Duration,
+    /// `[log] retention_s`: how long outcomes stay readable.
+    pub retention: Duration,
+    /// `[log] snapshot_entries`: entries between snapshots of a shard.
+    pub snapshot_entries: u64,
+    /// `[batch] chunk_items`: most items of a chunk.
+    pub chunk_items: usize,
+    /// `[batch] claim_ms`: silence after which a chunk goes out again.
+    pub claim: Duration,
+    /// `[batch] report_ms`: time between progress reports of a chunk.
+    pub report: Duration,
+    /// `[batch] attempts`: tries of an item before it fails for good.
+    pub attempts: u32,
+    /// `[batch] reserve`: slots of a target that batch leaves free.
+    pub reserve: u32,
+    /// `[batch] enabled`: whether this daemon runs batch items.
+    pub batch: bool,
+    /// `[targets] subset`: most targets that one daemon polls.
+    pub subset: usize,
+    /// `[targets] poll_ms`: time between load reports asked of a target.
+    pub target_poll: Duration,
+    /// `[targets] connect_ms`: longest wait for a connection to a target.
+    pub connect: Duration,
+    /// `[targets] idle_ms`: silence of a stream after which it counts as cut.
+    pub idle: Duration,
+    /// `[orders] lease_ms`: how long a controller holds a target.
+    pub lease: Duration,
+    /// `[orders] lifetime_ms`: how long an order may be on its way.
+    pub order_lifetime: Duration,
+    /// `[stop] grace_ms`: time from SIGTERM until no call is accepted.
+    pub stop_grace: Duration,
+    /// `[stop] bound_ms`: time from SIGTERM until exit at the latest.
+    pub stop_bound: Duration,
+    /// `[metrics] address`: where metrics go over UDP.
+    pub metrics: Option<SocketAddr>,
+    /// `[log_lines] level`: `debug`, `info`, `warning` or `error`.
+    pub log_level: String,
+    /// `[faults] cut`: addresses this daemon treats as unreachable (tests).
+    pub cut: Option<PathBuf>,
+    /// `[faults] unguarded`: guards switched off (tests).
+    pub unguarded: Vec<String>,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Settings {
+            data_centre: String::from("local"),
+            data: None,
+            front: any,
+            body_limit: 1 << 20,
+            body_timeout: Duration::from_secs(10),
+            front_threads: 2,
+            admin: true,
+            peer: any,
+            seeds: Vec::new(),
+            ping: Duration::from_millis(500),
+            suspect: Duration::from_secs(3),
+            platform: SocketAddr::from(([127, 0, 0, 1], 7700)),
+            platform_timeout: Duration::from_secs(2),
+            platform_rate: 100.0,
+            platform_poll: Duration::from_secs(2),
+            shards: 8,
+            commit: Duration::from_millis(50),
+            retention: Duration::from_secs(86_400),
+            snapshot_entries: 256,
+            chunk_items: 256,
+            claim: Duration::from_secs(15),
+            report: Duration::from_secs(2),
+            attempts: 3,
+            reserve: 1,
+            batch: true,
+            subset: 64,
+            target_poll: Duration::from_millis(500),
+            connect: Duration::from_millis(500),
+            idle: Duration::from_secs(5),
+            lease: Duration::from_secs(6),
+            order_lifetime: Duration::from_secs(2),
+            stop_grace: Duration::from_secs(2),
+            stop_bound: Duration::from_secs(30),
+            metrics: None,
+            log_level: String::from("info"),
+            cut: None,
+            unguarded: Vec::new(),
+        }
+    }
+}
+
+impl Settings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// The file, section and key at fault, and what was expected there.
+    pub fn read(path: &Path) -> Result<Settings, Fault> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| Fault {
+            file: file.clone(),
+            section: String::new(),
+            key: String::new(),
+            expected: format!("a readable file ({e})"),
+        })?;
+        Settings::parse(&file, &text)
+    }
+
+    /// Checks the text of a file; `file` is its name in faults.
+    ///
+    /// # Errors
+    ///
+    /// As [`Settings::read`].
+    pub fn parse(file: &str, text: &str) -> Result<Settings, Fault> {
+        let mut source = Source::new(file, text)?;
+        let mut settings = Settings::default();
+        settings.fill_addresses(&mut source)?;
+        settings.fill_log(&mut source)?;
+        settings.fill_work(&mut source)?;
+        source.finish()?;
+        settings.check(file)?;
+        Ok(settings)
+    }
+
+    fn fill_addresses(&mut self, s: &mut Source) -> Result<(), Fault> {
+        s.text("instance", "data_centre", &mut self.data_centre);
+        s.option("instance", "data", "a path", &mut self.data)?;
+        s.value("front", "listen", "an IP number and port", &mut self.front)?;
+        s.value("front", "body_limit", "a number of bytes", &mut self.body_limit)?;
+        s.millis("front", "body_timeout_ms", &mut self.body_timeout)?;
+        s.value("front", "threads", "a number of threads", &mut self.front_threads)?;
+        s.value("front", "admin", "true or false", &mut self.admin)?;
+        s.value("peers", "listen", "an IP number and port", &mut self.peer)?;
+        s.list("peers", "seeds", "IP numbers and ports, with commas", &mut self.seeds)?;
+        s.millis("peers", "ping_ms", &mut self.ping)?;
+        s.millis("peers", "suspect_ms", &mut self.suspect)?;
+        s.value("platform", "address", "an IP number and port", &mut self.platform)?;
+        s.millis("platform", "timeout_ms", &mut self.platform_timeout)?;
+        s.value("platform", "calls_per_second", "a number", &mut self.platform_rate)?;
+        s.millis("platform", "poll_ms", &mut self.platform_poll)?;
+        s.option("metrics", "address", "an IP number and port", &mut self.metrics)?;
+        s.text("log_lines", "level", &mut self.log_level);
+        s.option("faults", "cut", "a path", &mut self.cut)?;
+        s.list("faults", "unguarded", "names with commas", &mut self.unguarded)
+    }
+
+    fn fill_log(&mut self, s: &mut Source) -> Result<(), Fault> {
+        s.value("log", "shards", "a number of shards", &mut self.shards)?;
+        s.millis("log", "commit_ms", &mut self.commit)?;
+        let mut retention = self.retention.as_secs();
+        s.value("log", "retention_s", "a number of seconds", &mut retention)?;
+        self.retention = Duration::from_secs(retention);
+        s.value("log", "snapshot_entries", "a number of entries", &mut self.snapshot_entries)
+    }
+
+    fn fill_work(&mut self, s: &mut Source) -> Result<(), Fault> {
+        s.value("batch", "chunk_items", "a number of items", &mut self.chunk_items)?;
+        s.millis("batch", "claim_ms", &mut self.claim)?;
+        s.millis("batch", "report_ms", &mut self.report)?;
+        s.value("batch", "attempts", "a number of tries", &mut self.attempts)?;
+        s.value("batch", "reserve", "a number of slots", &mut self.reserve)?;
+        s.value("batch", "enabled", "true or false", &mut self.batch)?;
+        s.value("targets", "subset", "a number of targets", &mut self.subset)?;
+        s.millis("targets", "poll_ms", &mut self.target_poll)?;
+        s.millis("targets", "connect_ms", &mut self.connect)?;
+        s.millis("targets", "idle_ms", &mut self.idle)?;
+        s.millis("orders", "lease_ms", &mut self.lease)?;
+        s.millis("orders", "lifetime_ms", &mut self.order_lifetime)?;
+        s.millis("stop", "grace_ms", &mut self.stop_grace)?;
+        s.millis("stop", "bound_ms", &mut self.stop_bound)
+    }
+
+    fn check(&self, file: &str) -> Result<(), Fault> {
+        let rules = [
+            (self.shards >= 1, "log", "shards", "at least 1"),
+            (self.chunk_items >= 1, "batch", "chunk_items", "at least 1"),
+            (self.attempts >= 1, "batch", "attempts", "at least 1"),
+            (self.front_threads >= 1, "front", "threads", "at least 1"),
+            (self.platform_rate > 0.0, "platform", "calls_per_second", "above 0"),
+            (self.claim > self.report * 2, "batch", "claim_ms", "over twice report_ms"),
+            (self.lease > self.order_lifetime, "orders", "lease_ms", "over lifetime_ms"),
+            (self.stop_bound > self.stop_grace, "stop", "bound_ms", "over grace_ms"),
+            (self.suspect > self.ping, "peers", "suspect_ms", "over ping_ms"),
+        ];
+        match rules.iter().find(|(met, ..)| !met) {
+            None => Ok(()),
+            Some((_, section, key, expected)) => Err(Fault {
+                file: file.into(),
+                section: (*section).into(),
+                key: (*key).into(),
+                expected: (*expected).into(),
+            }),
+        }
+    }
+
+    /// Whether a guard is switched off by a test.
+    pub fn is_unguarded(&self, guard: &str) -> bool {
+        self.unguarded.iter().any(|name| name == guard)
+    }
+}
+
+/// Keys not yet read; what is left at the end is unknown.
+struct Source {
+    file: String,
+    left: BTreeMap<(String, String), String>,
+}
+
+impl Source {
+    fn new(file: &str, text: &str) -> Result<Source, Fault> {
+        let ini = Ini::load_from_str(text).map_err(|e| Fault {
+            file: file.into(),
+            section: String::new(),
+            key: format!("line {}", e.line),
+            expected: format!("INI ({})", e.msg),
+        })?;
+        let mut left = BTreeMap::new();
+        for (section, properties) in &ini {
+            for (key, value) in properties.iter() {
+                let section = section.unwrap_or_default().to_owned();
+                left.insert((section, key.to_owned()), value.to_owned());
+            }
+        }
+        Ok(Source { file: file.into(), left })
+    }
+
+    fn take(&mut self, section: &str, key: &str) -> Option<String> {
+        self.left.remove(&(section.to_owned(), key.to_owned()))
+    }
+
+    fn fault(&self, section: &str, key: &str, expected: &str) -> Fault {
+        Fault {
+            file: self.file.clone(),
+            section: section.into(),
+            key: key.into(),
+            expected: expected.into(),
+        }
+    }
+
+    fn text(&mut self, section: &str, key: &str, into: &mut String) {
+        if let Some(value) = self.take(section, key) {
+            *into = value;
+        }
+    }
+
+    fn value<T: FromStr>(
+        &mut self,
+        section: &str,
+        key: &str,
+        expected: &str,
+        into: &mut T,
+    ) -> Result<(), Fault> {
+        let Some(value) = self.take(section, key) else {
+            return Ok(());
+        };
+        *into = value.trim().parse().map_err(|_| self.fault(section, key, expected))?;
+        Ok(())
+    }
+
+    fn option<T: FromStr>(
+        &mut self,
+        section: &str,
+        key: &str,
+        expected: &str,
+        into: &mut Option<T>,
+    ) -> Result<(), Fault> {
+        let Some(value) = self.take(section, key) else {
+            return Ok(());
+        };
+        *into = Some(value.trim().parse().map_err(|_| self.fault(section, key, expected))?);
+        Ok(())
+    }
+
+    fn list<T: FromStr>(
+        &mut self,
+        section: &str,
+        key: &str,
+        expected: &str,
+        into: &mut Vec<T>,
+    ) -> Result<(), Fault> {
+        let Some(value) = self.take(section, key) else {
+            return Ok(());
+        };
+        let parts = value.split(',').map(str::trim).filter(|part| !part.is_empty());
+        let parsed: Result<Vec<T>, _> = parts.map(str::parse).collect();
+        *into = parsed.map_err(|_| self.fault(section, key, expected))?;
+        Ok(())
+    }
+
+    fn millis(&mut self, section: &str, key: &str, into: &mut Duration) -> Result<(), Fault> {
+        let mut millis = into.as_millis() as u64;
+        self.value(section, key, "a number of milliseconds", &mut millis)?;
+        *into = Duration::from_millis(millis);
+        Ok(())
+    }
+
+    fn finish(self) -> Result<(), Fault> {
+        match self.left.keys().next() {
+            None => Ok(()),
+            Some((section, key)) => Err(self.fault(section, key, "a key that is known here")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/plain.rs
@@ -0,0 +1,89 @@
+//! Stand-in of a plain service that stands beside the engines.
+
+use hyper::Method;
+use protocol::{Error, Kind, header};
+use serde::{Deserialize, Serialize};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use transport::http::{self, BodyStream, Head, Response, Service};
+use transport::target::Report;
+
+const BODY_LIMIT: usize = 1 << 20;
+const BODY_WAIT: Duration = Duration::from_secs(10);
+
+/// One call that reached the service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Call {
+    /// Method.
+    pub method: String,
+    /// Path.
+    pub path: String,
+    /// Key.
+    pub key: String,
+    /// Body.
+    pub body: String,
+}
+
+#[derive(Default)]
+struct State {
+    calls: Vec<Call>,
+    lose: u32,
+    delay: Duration,
+}
+
+/// A plain service: it answers with what it was sent and how often it was called.
+#[derive(Clone, Default)]
+pub struct Plain {
+    state: Arc<Mutex<State>>,
+}
+
+impl Plain {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Every call that was taken in.
+    pub fn calls(&self) -> Vec<Call> {
+        self.lock().calls.clone()
+    }
+
+    /// The next `calls` answers are lost after the call took effect.
+    pub fn lose(&self, calls: u32) {
+        self.lock().lose = calls;
+    }
+
+    /// Each call takes this long.
+    pub fn delay(&self, delay: Duration) {
+        self.lock().delay = delay;
+    }
+}
+
+impl Service for Plain {
+    async fn call<B: BodyStream>(&self, head: Head, mut body: B) -> Response {
+        if head.method == Method::GET && head.path == "/load" {
+            return http::json(200, &Report::default());
+        }
+        if head.method == Method::GET && head.path == "/record" {
+            return http::json(200, &self.calls());
+        }
+        let bytes = http::read(&mut body, BODY_LIMIT, BODY_WAIT).await.unwrap_or_default();
+        let (count, lost, delay) = {
+            let mut state = self.lock();
+            state.calls.push(Call {
+                method: head.method.to_string(),
+                path: head.path.clone(),
+                key: head.header(header::KEY).into(),
+                body: String::from_utf8_lossy(&bytes).into_owned(),
+            });
+            let lost = state.lose > 0;
+            state.lose = state.lose.saturating_sub(1);
+            (state.calls.len(), lost, state.delay)
+        };
+        tokio::time::sleep(delay).await;
+        if lost {
+            return http::error(&Error::new(Kind::Internal, "the answer is lost"));
+        }
+        let body = String::from_utf8_lossy(&bytes).into_owned();
+        http::json(200, &serde_json::json!({ "call": count, "path": head.path, "body": body }))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/text.rs
@@ -0,0 +1,29 @@
+//! The text that a stand-in engine generates: a function of prompt and place,
+//! so that any engine continues any other's answer and a judge can compare.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+const SYLLABLES: [&str; 16] = [
+    "ba", "de", "fi", "go", "hu", "ka", "le", "mi", "no", "pu", "ra", "se", "ti", "vo", "wu", "ya",
+];
+const SHORTEST: u32 = 8;
+const SPREAD: u64 = 8;
+
+/// Token `place` of the answer to `prompt`.
+pub fn token(prompt: &str, place: u32) -> String {
+    let hash = xxh3_64_with_seed(prompt.as_bytes(), u64::from(place));
+    let first = SYLLABLES[(hash % 16) as usize];
+    let second = SYLLABLES[(hash / 16 % 16) as usize];
+    format!("{first}{second} ")
+}
+
+/// How many tokens the answer to `prompt` has when nothing limits it.
+pub fn length(prompt: &str) -> u32 {
+    SHORTEST + (xxh3_64_with_seed(prompt.as_bytes(), u64::MAX) % SPREAD) as u32
+}
+
+/// The whole answer to `prompt` with at most `most` tokens.
+pub fn whole(prompt: &str, most: Option<u32>) -> String {
+    let tokens = most.unwrap_or_else(|| length(prompt));
+    (0..tokens).map(|place| token(prompt, place)).collect()
+}
--- /dev/null
+++ b/crates/state/src/shard.rs
@@ -0,0 +1,425 @@
+//! One shard: decides commands, folds records.
+
+use crate::command::{Answer, Command, Reply};
+use crate::jobs::{ChunkId, Job, Jobs};
+use crate::keys::{Claim, Finished, Keys};
+use crate::record::{After, Entry, Kept, Record, Spec};
+use protocol::job::Phase;
+use protocol::{Error, Kind, Millis, ShardId};
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::time::Duration;
+
+/// Times that rule a shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Policy {
+    /// How long outcomes stay readable.
+    pub retention: Duration,
+    /// Silence of a chunk's holder after which the chunk goes out again.
+    pub claim: Duration,
+    /// Test only: hand-outs don't fence the earlier ones.
+    pub unfenced: bool,
+    /// Test only: claims of requests that may run once are not looked at.
+    pub unclaimed: bool,
+}
+
+impl Default for Policy {
+    fn default() -> Policy {
+        Policy {
+            retention: Duration::from_secs(86_400),
+            claim: Duration::from_secs(15),
+            unfenced: false,
+            unclaimed: false,
+        }
+    }
+}
+
+/// What one entry under construction already touches.
+///
+/// Commands are decided against what is durable. Two commands on the same key
+/// or chunk can't share an entry, or the second would be decided on a state
+/// that doesn't know the first.
+#[derive(Clone, Debug, Default)]
+pub struct Batch {
+    subjects: HashSet<String>,
+    chunks: BTreeSet<ChunkId>,
+    cancelled: HashSet<String>,
+}
+
+/// What becomes of a command.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// It is answered from what is durable.
+    Answer(Answer),
+    /// These records must be durable first; then this is the answer.
+    Commit(Vec<Record>, Reply),
+    /// It must wait for the entry under construction.
+    Defer,
+}
+
+/// State of one shard.
+#[derive(Clone, Debug)]
+pub struct Shard {
+    id: ShardId,
+    policy: Policy,
+    next: u64,
+    keys: Keys,
+    jobs: Jobs,
+    /// Repeatable requests that run now: not durable, spares double work only.
+    running: HashMap<String, (u64, u64, Millis)>,
+    dropped: u64,
+}
+
+impl Shard {
+    /// An empty shard.
+    pub fn new(id: ShardId, policy: Policy) -> Shard {
+        Shard::restore(id, policy, 0, Keys::default(), Jobs::default())
+    }
+
+    /// A shard as a snapshot gives it, with `next` the first entry not folded.
+    pub fn restore(id: ShardId, policy: Policy, next: u64, keys: Keys, jobs: Jobs) -> Shard {
+        Shard { id, policy, next, keys, jobs, running: HashMap::new(), dropped: 0 }
+    }
+
+    /// Its number.
+    pub fn id(&self) -> ShardId {
+        self.id
+    }
+
+    /// Position of the next entry.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Its keys.
+    pub fn keys(&self) -> &Keys {
+        &self.keys
+    }
+
+    /// Its jobs.
+    pub fn jobs(&self) -> &Jobs {
+        &self.jobs
+    }
+
+    /// Outcomes that came after the first one and were dropped.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    /// Decides `command` against what is durable.
+    pub fn decide(&self, batch: &mut Batch, command: &Command, now: Millis) -> Decision {
+        match command {
+            Command::Begin { .. } => self.begin(batch, command, now),
+            Command::Finish { key, digest, issued, outcome } => {
+                self.finish(batch, key, (*digest, *issued), outcome)
+            }
+            Command::Release { key, attempt } => self.release(batch, key, *attempt),
+            Command::Accept(spec) => self.accept(batch, spec),
+            Command::Claim { holder, services } => self.claim(batch, *holder, services, now),
+            Command::Progress { .. } => self.progress(batch, command),
+            Command::Cancel { job } => self.cancel(batch, job),
+            Command::Status { job } => Decision::Answer(self.status(job)),
+            Command::Results { job, from, most } => {
+                Decision::Answer(self.results(job, *from, *most))
+            }
+            Command::Archive { job } => self.archive(job),
+        }
+    }
+
+    fn begin(&self, batch: &mut Batch, command: &Command, now: Millis) -> Decision {
+        let Command::Begin { key, digest, repeatable, attempt, deadline, issued } = command else {
+            return Decision::Defer;
+        };
+        if let Some(refusal) = self.refuse_key(key, *digest, *attempt, *issued, now) {
+            return Decision::Answer(refusal);
+        }
+        if *repeatable {
+            return Decision::Answer(Ok(Reply::Go));
+        }
+        if !batch.subjects.insert(key.clone()) {
+            return Decision::Defer;
+        }
+        let record = Record::Claimed {
+            key: key.clone(),
+            digest: *digest,
+            attempt: *attempt,
+            deadline: *deadline,
+            issued: *issued,
+        };
+        Decision::Commit(vec![record], Reply::Go)
+    }
+
+    fn refuse_key(
+        &self,
+        key: &str,
+        digest: u64,
+        attempt: u64,
+        issued: Millis,
+        now: Millis,
+    ) -> Option<Answer> {
+        if issued + self.policy.retention.as_millis() as Millis <= now {
+            return Some(refuse(
+                Kind::KeyExpired,
+                "the key was issued before the retention window",
+            ));
+        }
+        if let Some(finished) = self.keys.finished(key) {
+            let same = finished.digest == digest;
+            let kept = Reply::Kept { position: finished.position };
+            return Some(if same { Ok(kept) } else { conflict() });
+        }
+        if let Some(claim) = self.keys.claim(key)
+            && !self.policy.unclaimed
+        {
+            return Some(refuse_claimed(claim, digest, attempt, now));
+        }
+        let (other, running, deadline) = self.running.get(key).copied()?;
+        if other == attempt || deadline <= now {
+            return None;
+        }
+        Some(if running == digest { in_progress(deadline, now) } else { conflict() })
+    }
+
+    /// Notes that a repeatable request runs, so that a resend waits for it.
+    pub fn note_running(&mut self, command: &Command, now: Millis) {
+        if let Command::Begin { key, digest, repeatable: true, attempt, deadline, .. } = command {
+            if self.running.len() > RUNNING_SWEEP {
+                self.running.retain(|_, (_, _, until)| *until > now);
+            }
+            self.running.insert(key.clone(), (*attempt, *digest, *deadline));
+        }
+    }
+
+    fn finish(
+        &self,
+        batch: &mut Batch,
+        key: &str,
+        (digest, issued): (u64, Millis),
+        outcome: &Kept,
+    ) -> Decision {
+        if let Some(finished) = self.keys.finished(key) {
+            let earlier = Reply::Earlier { position: finished.position };
+            return Decision::Answer(if finished.digest == digest {
+                Ok(earlier)
+            } else {
+                conflict()
+            });
+        }
+        if !batch.subjects.insert(key.to_owned()) {
+            return Decision::Defer;
+        }
+        let key = key.to_owned();
+        let record = Record::Finished { key, digest, issued, outcome: outcome.clone() };
+        Decision::Commit(vec![record], Reply::Recorded)
+    }
+
+    fn release(&self, batch: &mut Batch, key: &str, attempt: u64) -> Decision {
+        if self.keys.claim(key).is_none_or(|claim| claim.attempt != attempt) {
+            return Decision::Answer(Ok(Reply::Recorded));
+        }
+        if !batch.subjects.insert(key.to_owned()) {
+            return Decision::Defer;
+        }
+        Decision::Commit(vec![Record::Released { key: key.into(), attempt }], Reply::Recorded)
+    }
+
+    fn accept(&self, batch: &mut Batch, spec: &Spec) -> Decision {
+        if let Some(job) = self.jobs.get(&spec.job) {
+            let same = job.spec.digest == spec.digest;
+            return Decision::Answer(if same {
+                Ok(Reply::Status(job.status()))
+            } else {
+                conflict()
+            });
+        }
+        if !batch.subjects.insert(spec.job.clone()) {
+            return Decision::Defer;
+        }
+        Decision::Commit(vec![Record::Accepted(spec.clone())], Reply::Recorded)
+    }
+
+    fn claim(&self, batch: &mut Batch, holder: u64, services: &[String], now: Millis) -> Decision {
+        let silent = now.saturating_sub(self.policy.claim.as_millis() as Millis);
+        let Some(work) = self.jobs.next(services, &batch.chunks, silent) else {
+            return Decision::Answer(Ok(Reply::NoWork));
+        };
+        if batch.cancelled.contains(&work.job) {
+            return Decision::Defer;
+        }
+        batch.chunks.insert((work.job.clone(), work.chunk));
+        let (job, chunk, attempt) = (work.job.clone(), work.chunk, work.attempt);
+        Decision::Commit(vec![Record::Handed { job, chunk, attempt, holder }], Reply::Work(work))
+    }
+
+    fn progress(&self, batch: &mut Batch, command: &Command) -> Decision {
+        let Command::Progress { job, chunk, attempt, part, done, failed, after } = command else {
+            return Decision::Defer;
+        };
+        let id = (job.clone(), *chunk);
+        if batch.cancelled.contains(job) || batch.chunks.contains(&id) {
+            return Decision::Defer;
+        }
+        let Some(found) = self.jobs.get(job).filter(|found| self.is_held(found, *chunk, *attempt))
+        else {
+            return Decision::Answer(Ok(Reply::Stop));
+        };
+        let known = found.chunks[*chunk as usize].parts.iter().any(|known| Some(*known) == *part);
+        if known || (part.is_none() && *after == After::Continue) {
+            return Decision::Answer(Ok(Reply::Continue));
+        }
+        batch.chunks.insert(id);
+        let record = Record::Progressed {
+            job: job.clone(),
+            chunk: *chunk,
+            attempt: *attempt,
+            part: *part,
+            done: *done,
+            failed: *failed,
+            after: *after,
+        };
+        Decision::Commit(vec![record], Reply::Continue)
+    }
+
+    fn is_held(&self, job: &Job, chunk: u32, attempt: u32) -> bool {
+        let Some(chunk) = job.chunks.get(chunk as usize) else {
+            return false;
+        };
+        let is_current = chunk.attempt == attempt && chunk.holder.is_some();
+        job.phase == Phase::Running && !chunk.done && (is_current || self.policy.unfenced)
+    }
+
+    fn cancel(&self, batch: &mut Batch, job: &str) -> Decision {
+        let Some(found) = self.jobs.get(job) else {
+            return Decision::Answer(unknown_job(job));
+        };
+        if found.phase != Phase::Running {
+            return Decision::Answer(Ok(Reply::Status(found.status())));
+        }
+        let touched = batch.chunks.iter().any(|(id, _)| id == job);
+        if touched || !batch.cancelled.insert(job.to_owned()) {
+            return Decision::Defer;
+        }
+        let mut status = found.status();
+        status.phase = Phase::Cancelled;
+        Decision::Commit(vec![Record::Cancelled { job: job.into() }], Reply::Status(status))
+    }
+
+    fn status(&self, job: &str) -> Answer {
+        match self.jobs.get(job) {
+            Some(found) => Ok(Reply::Status(found.status())),
+            None => unknown_job(job),
+        }
+    }
+
+    fn results(&self, job: &str, from: u64, most: u64) -> Answer {
+        let Some(found) = self.jobs.get(job) else {
+            return unknown_job(job);
+        };
+        let (status, archived) = (found.status(), found.archived);
+        Ok(Reply::Results { status, places: found.places(from, most), archived })
+    }
+
+    fn archive(&self, job: &str) -> Decision {
+        let is_due = self.jobs.get(job).is_some_and(|j| !j.archived && j.phase != Phase::Running);
+        if !is_due {
+            return Decision::Answer(Ok(Reply::Recorded));
+        }
+        Decision::Commit(vec![Record::Archived { job: job.into() }], Reply::Recorded)
+    }
+
+    /// Folds the entry at [`Shard::next`]. `now` is the reader's clock: holders
+    /// found in it get a whole claim time from then.
+    pub fn apply(&mut self, entry: Entry, now: Millis) {
+        let position = self.next;
+        for record in entry.records {
+            self.fold(record, position, now);
+        }
+        self.next += 1;
+    }
+
+    fn fold(&mut self, record: Record, position: u64, now: Millis) {
+        match record {
+            Record::Claimed { key, digest, attempt, deadline, issued } => {
+                self.keys.on_claimed(key, Claim { digest, attempt, deadline, issued });
+            }
+            Record::Released { key, attempt } => self.keys.on_released(&key, attempt),
+            Record::Finished { key, digest, issued, .. } => {
+                self.running.remove(&key);
+                let is_first = self.keys.on_finished(&key, Finished { digest, position, issued });
+                self.dropped += u64::from(!is_first);
+            }
+            Record::Accepted(spec) => self.jobs.on_accepted(spec, now),
+            Record::Handed { job, chunk, attempt, holder } => {
+                self.jobs.on_handed(&job, chunk, attempt, holder, now);
+            }
+            Record::Progressed { job, chunk, part, done, failed, after, .. } => {
+                self.jobs.on_progressed(&(job, chunk), part, (done, failed), after, now);
+            }
+            Record::Cancelled { job } => self.jobs.on_cancelled(&job),
+            Record::Archived { job } => self.jobs.on_archived(&job),
+        }
+    }
+
+    /// A chunk's holder gave a sign of life.
+    pub fn on_heard(&mut self, job: &str, chunk: u32, now: Millis) {
+        self.jobs.on_heard(job, chunk, now);
+    }
+
+    /// Chunks of holders that are known to be gone may go out at once.
+    pub fn reclaim(&mut self, is_gone: impl Fn(u64) -> bool) {
+        self.jobs.reclaim(is_gone);
+    }
+
+    /// The platform is reached again after a time in which no holder could report.
+    pub fn on_restored(&mut self, now: Millis) {
+        self.jobs.on_restored(now);
+    }
+
+    /// A request that was begun is over without an outcome to keep.
+    pub fn on_over(&mut self, key: &str, attempt: u64) {
+        if self.running.get(key).is_some_and(|(running, ..)| *running == attempt) {
+            self.running.remove(key);
+        }
+    }
+
+    /// Forgets what is older than the retention window.
+    pub fn forget(&mut self, now: Millis) {
+        let before = now.saturating_sub(self.policy.retention.as_millis() as Millis);
+        self.keys.forget(before);
+        self.jobs.forget(before);
+    }
+}
+
+const RUNNING_SWEEP: usize = 4096;
+
+fn refuse(kind: Kind, message: &str) -> Answer {
+    Err(Error::new(kind, message))
+}
+
+fn conflict() -> Answer {
+    refuse(Kind::KeyConflict, "the key was used for another request")
+}
+
+fn unknown_job(job: &str) -> Answer {
+    Err(Error::new(Kind::NotFound, format!("no job `{job}`")))
+}
+
+fn in_progress(deadline: Millis, now: Millis) -> Answer {
+    let left = Duration::from_millis(deadline.saturating_sub(now));
+    let wait = left.min(Duration::from_secs(1));
+    Err(Error::new(Kind::InProgress, "a request with this key is running").after(wait))
+}
+
+/// A claim without an outcome: while its answer is awaited, come back; after
+/// that nobody knows whether it ran, and nobody may find out by running it.
+fn refuse_claimed(claim: &Claim, digest: u64, attempt: u64, now: Millis) -> Answer {
+    if claim.digest != digest {
+        return conflict();
+    }
+    if claim.attempt == attempt {
+        return Ok(Reply::Go);
+    }
+    if now < claim.deadline {
+        return in_progress(claim.deadline, now);
+    }
+    refuse(Kind::MayHaveRun, "the request was claimed and its outcome is unknown")
+}
