Add the command line, replay, two traces and the embedded trial

Found by the first replay of the book night: an offer (at most once) whose stream was cut was answered `target_failed`, come back in 1 s; every resend was then told `in_progress` until the claim's deadline, 32 s later. Ruled out: the claim's release (it was right not to come, the offer had been sent). The cause was that a failure after the send left no outcome. Now it is recorded as `may_have_run`, final, and each resend is told so at once.

Found beside it: a claim whose caller had given up could still be appended and block its key; commands nobody waits for are dropped before they are decided, and a release is recorded even when its claim hasn't landed yet.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,59 @@
-//! placeholder
+//! The command line of gatespool, for operators and applications.
+//!
+//! The binary is a thin shell over [`run`]. Every flag is defined once, in
+//! [`options`]; each command is a module that calls the daemons' published
+//! contract and prints a table or JSON. Nothing here knows how a daemon works
+//! inside.
+//!
+//! ```no_run
+//! let options = cli::options::parser().run();
+//! std::process::exit(cli::run(options).code());
+//! ```
+
+pub mod client;
+pub mod exit;
+pub mod fleet;
+pub mod job;
+pub mod options;
+pub mod print;
+pub mod replay;
+pub mod request;
+pub mod settings;
+
+use exit::Exit;
+use options::{Command, Options};
+
+/// Runs one command and says how it ended.
+pub fn run(options: Options) -> Exit {
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => return Exit::failed(&error.into()),
+    };
+    match runtime.block_on(dispatch(options)) {
+        Ok(exit) => exit,
+        Err(error) => Exit::failed(&error),
+    }
+}
+
+async fn dispatch(options: Options) -> anyhow::Result<Exit> {
+    let Options { address, json, command } = options;
+    let context = print::Context { client: client::Client::new(address), json };
+    match command {
+        Command::Request(args) => request::run(&context, args).await,
+        Command::JobSubmit(args) => job::submit(&context, args).await,
+        Command::JobStatus(args) => job::status(&context, &args).await,
+        Command::JobResults(args) => job::results(&context, &args).await,
+        Command::JobCancel(args) => job::cancel(&context, &args).await,
+        Command::ConfigGet => fleet::config(&context).await,
+        Command::ConfigApply(args) => fleet::apply(&context, args).await,
+        Command::ConfigHistory => fleet::history(&context).await,
+        Command::Targets => fleet::targets(&context).await,
+        Command::Leave(args) => fleet::leave(&context, &args).await,
+        Command::Instances => fleet::instances(&context).await,
+        Command::Burn => fleet::burn(&context).await,
+        Command::CheckSettings(args) => Ok(settings::check(&args)),
+        Command::Replay(args) => replay::run(&context, args).await,
+    }
+}
--- /dev/null
+++ b/crates/daemon/examples/trial.rs
@@ -0,0 +1,130 @@
+//! The main job on embedded stand-ins: a platform, engines and three daemons on
+//! loopback, a recorded trace replayed against them, and its printed outcome.
+//!
+//! ```text
+//! cargo run --release -p gatespoold --example trial [TRACE ...]
+//! ```
+
+use anyhow::Context as _;
+use cli::options::{Control, Replay};
+use cli::print::Context;
+use protocol::settings::Settings;
+use standin::engine::{Config, Engine};
+use standin::platform::Platform;
+use standin::serve::{self, Running};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+const ENGINES: usize = 6;
+const CENTRES: [&str; 3] = ["first", "second", "third"];
+const PATIENCE_SECONDS: u64 = 30;
+
+fn main() -> anyhow::Result<()> {
+    let mut traces: Vec<PathBuf> = std::env::args().skip(1).map(PathBuf::from).collect();
+    if traces.is_empty() {
+        let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../traces");
+        traces = vec![folder.join("book-night.jsonl"), folder.join("match.jsonl")];
+    }
+    let mut all_hold = true;
+    for trace in traces {
+        all_hold &= trial(trace)?;
+    }
+    anyhow::ensure!(all_hold, "a stated outcome doesn't hold");
+    Ok(())
+}
+
+fn trial(trace: PathBuf) -> anyhow::Result<bool> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let platform = serve::start(any, Platform::default())?;
+    let engines: Vec<Running> = (0..ENGINES)
+        .map(|_| serve::start(any, Engine::new(Config::default())))
+        .collect::<Result<_, _>>()?;
+    let mut daemons: Vec<daemon::Daemon> = Vec::new();
+    for centre in CENTRES {
+        let settings = Settings {
+            data_centre: centre.into(),
+            platform: platform.address,
+            platform_rate: 1000.0,
+            seeds: daemons.iter().map(|daemon| daemon.peer).collect(),
+            stop_grace: Duration::from_millis(200),
+            ..Settings::default()
+        };
+        daemons.push(daemon::start(settings, daemon::logging::discard())?);
+    }
+    let runtime = tokio::runtime::Runtime::new()?;
+    let fronts: Vec<SocketAddr> = daemons.iter().map(|daemon| daemon.front).collect();
+    let context = Context { client: cli::client::Client::new(fronts[0]), json: false };
+    runtime.block_on(configure(&context, &fronts, &engines))?;
+    let name = trace.file_name().unwrap_or_default().to_string_lossy().into_owned();
+    let text = std::fs::read_to_string(&trace).with_context(|| trace.display().to_string())?;
+    let events = cli::replay::parse(&text).with_context(|| name.clone())?;
+    let args = replay_args(trace, &fronts, &platform, &engines);
+    let report = runtime.block_on(cli::replay::play(&context, &args, events))?;
+    println!("== {name}: {} daemons, {ENGINES} engines", daemons.len());
+    print!("{}", report.text());
+    daemons.iter().for_each(daemon::Daemon::stop);
+    daemons.into_iter().for_each(daemon::Daemon::join);
+    Ok(report.holds())
+}
+
+fn replay_args(
+    file: PathBuf,
+    fronts: &[SocketAddr],
+    platform: &Running,
+    engines: &[Running],
+) -> Replay {
+    let control = |name: String, address| Control { name, address };
+    let mut controls = vec![control("platform".into(), platform.address)];
+    let numbered = engines.iter().enumerate();
+    controls.extend(numbered.map(|(n, engine)| control(format!("engine-{n}"), engine.address)));
+    Replay { more: fronts[1..].to_vec(), controls, speed: 1.0, patience: PATIENCE_SECONDS, file }
+}
+
+/// Gives both services the same engines' kind: half of them each would leave a
+/// trace with one service only half the fleet, so each service gets all.
+async fn configure(
+    context: &Context,
+    fronts: &[SocketAddr],
+    engines: &[Running],
+) -> anyhow::Result<()> {
+    let mut put = vec![serde_json::json!({ "object": "version", "name": "v1", "weights": "w/v1" })];
+    for service in ["pustak-llm", "scoreline-llm"] {
+        put.push(serde_json::json!({
+            "object": "service", "name": service, "protocol": "chat", "version": "v1",
+            "levels": [{ "class": "online", "first_token_ms": 760, "share": 0.95 }],
+        }));
+        put.extend(engines.iter().enumerate().map(|(n, engine)| {
+            serde_json::json!({
+                "object": "target", "name": format!("{service}-{n}"),
+                "address": engine.address.to_string(), "data_centre": CENTRES[n % 3],
+                "service": service, "slots": 8, "checks_fence": true,
+            })
+        }));
+    }
+    let offer = serde_json::json!({ "revision": 0, "change": { "put": put } });
+    for front in fronts {
+        wait_ready(&context.client.at(*front)).await;
+    }
+    context.client.post("/v1/config", &vec![], &offer).await?.check()?;
+    for front in fronts {
+        wait_generation(&context.client.at(*front)).await;
+    }
+    Ok(())
+}
+
+async fn wait_ready(client: &cli::client::Client) {
+    while client.get::<String>("/ready").await.is_err() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn wait_generation(client: &cli::client::Client) {
+    loop {
+        let status = client.get::<serde_json::Value>("/v1/status").await;
+        if status.is_ok_and(|status| status["generation"] == 1) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/crates/daemon/src/front/chat.rs
+++ b/crates/daemon/src/front/chat.rs
@@ -116,10 +116,10 @@
     async fn first(&mut self) -> Result<Piece, Error> {
         let first = self.answer.next().await;
         self.note(first.is_ok());
-        if first.is_err() {
-            self.give_back();
+        match first {
+            Ok(piece) => Ok(piece),
+            Err(error) => Err(self.settle(error).await),
         }
-        first
     }
 
     fn note(&self, is_good: bool) {
@@ -132,13 +132,19 @@
         shared.telemetry.time("front.first_token", took);
     }
 
-    /// Nothing was sent under the claim: the key is free again.
-    fn give_back(&self) {
-        if self.answer.was_sent() || self.terms.repeatable {
-            return;
-        }
-        if let Some(key) = &self.terms.key {
-            keyed::release(&self.front.shared, &self.terms, key);
+    /// What a failure means for the claim of a request that may run once: given
+    /// back when nothing was sent, the final outcome otherwise.
+    async fn settle(&self, error: Error) -> Error {
+        let guarded = !self.front.shared.settings.is_unguarded("refusal");
+        match &self.terms.key {
+            Some(key) if !self.terms.repeatable && guarded => {
+                if self.answer.was_sent() {
+                    return keyed::give_up(&self.front.shared, key, &error).await;
+                }
+                keyed::release(&self.front.shared, &self.terms, key);
+                error
+            }
+            _ => error,
         }
     }
 
@@ -148,7 +154,10 @@
             if let Piece::End(finish) = piece {
                 break finish;
             }
-            piece = self.answer.next().await?;
+            piece = match self.answer.next().await {
+                Ok(piece) => piece,
+                Err(error) => return Err(self.settle(error).await),
+            };
         };
         let outcome = self.outcome(finish);
         let recorded = self.record(&outcome).await?;
@@ -202,7 +211,7 @@
             }
             piece = match self.answer.next().await {
                 Ok(piece) => piece,
-                Err(error) => return events.fail(&error).await,
+                Err(error) => return events.fail(&self.settle(error).await).await,
             };
         };
         let outcome = self.outcome(finish.clone());
--- a/crates/daemon/src/front/keyed.rs
+++ b/crates/daemon/src/front/keyed.rs
@@ -70,7 +70,8 @@
 
 /// Gives back the claim of a request that was never sent.
 pub fn release(shared: &Shared, terms: &Terms, key: &Key) {
-    let command = Command::Release { key: key.scoped.clone(), attempt: terms.id };
+    let (attempt, issued) = (terms.id, key.issued);
+    let command = Command::Release { key: key.scoped.clone(), attempt, issued };
     shared.late.push(command);
 }
 
@@ -100,6 +101,17 @@
     }
 }
 
+/// A request that may run once was sent and there is no whole answer: that is
+/// its outcome. Recorded, every resend is told so at once, rather than being
+/// asked to come back until the claim's deadline.
+pub async fn give_up(shared: &Shared, key: &Key, error: &Error) -> Error {
+    let error = Error::new(Kind::MayHaveRun, error.message.clone());
+    match finish(shared, key, Kept::Failed(error.clone())).await {
+        Ok(_) => error,
+        Err(conflict) => conflict,
+    }
+}
+
 /// Reads a kept outcome from the entry that holds it.
 async fn kept(shared: &Shared, key: &Key, position: u64) -> Result<Kept, Error> {
     let name = object::entry(shared.shards.shard_of(&key.scoped), position);
--- a/crates/daemon/src/front/plain.rs
+++ b/crates/daemon/src/front/plain.rs
@@ -62,9 +62,13 @@
     let (status, kind, body) = match exchange(&front, &head, &service, &terms, body).await {
         Ok(answer) => answer,
         Err((error, was_sent)) => {
-            if !was_sent && !terms.repeatable {
-                keyed::release(&front.shared, &terms, &key);
+            if terms.repeatable {
+                return Err(error);
             }
+            if was_sent {
+                return Err(keyed::give_up(&front.shared, &key, &error).await);
+            }
+            keyed::release(&front.shared, &terms, &key);
             return Err(error);
         }
     };
--- a/crates/daemon/src/shards/commit.rs
+++ b/crates/daemon/src/shards/commit.rs
@@ -67,6 +67,7 @@
     committed: Instant,
     failures: u32,
     sequence: u64,
+    archiving: Option<tokio::sync::oneshot::Receiver<Answer>>,
 }
 
 impl<S: Store> Committer<S> {
@@ -91,6 +92,7 @@
             committed: now.checked_sub(settings.commit).unwrap_or(now),
             failures: 0,
             sequence: 0,
+            archiving: None,
             shared,
         }
     }
@@ -219,6 +221,11 @@
         let mut batch = Batch::default();
         let mut bytes = 0;
         for item in self.queue.drain(..) {
+            // Whoever gave up on an answer acts as if nothing was decided; a
+            // claim that nobody waits for would only block its key.
+            if item.answer.is_closed() {
+                continue;
+            }
             if bytes > object::MAX_BYTES / 2 {
                 deferred.push_back(item);
                 continue;
@@ -383,9 +390,11 @@
         }
         let key = object::index(&job.spec.job);
         if self.store.put(&key, Bytes::from(bytes), Condition::Any).await.is_ok() {
-            let (answer, _ignored) = tokio::sync::oneshot::channel();
+            let (answer, ignored) = tokio::sync::oneshot::channel();
             let command = Command::Archive { job: job.spec.job };
             self.queue.push_back(Item { shard: self.id, command, answer });
+            // Held open, or the command would count as given up.
+            self.archiving = Some(ignored);
         }
     }
 
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -72,6 +72,9 @@
     /// This many streams break off after two tokens.
     #[serde(default)]
     pub cut: Option<u32>,
+    /// Only streams whose prompt starts so break off.
+    #[serde(default)]
+    pub cut_prefix: Option<String>,
     /// Every request fails.
     #[serde(default)]
     pub failing: Option<bool>,
@@ -151,6 +154,7 @@
         known.slow = control.slow.or(known.slow);
         known.frozen = control.frozen.or(known.frozen);
         known.cut = control.cut.or(known.cut);
+        known.cut_prefix = control.cut_prefix.or(known.cut_prefix.take());
         known.failing = control.failing.or(known.failing);
         known.token_ms = control.token_ms.or(known.token_ms);
     }
@@ -339,7 +343,7 @@
                 let (token, ..) = self.pace();
                 self.sleep(token).await;
             }
-            if place == from + 2 && self.take_cut() {
+            if place == from + 2 && self.take_cut(prompt) {
                 drop(pieces.send(Err(String::from("cut"))).await);
                 return;
             }
@@ -357,11 +361,15 @@
         drop(pieces.send(Ok(done)).await);
     }
 
-    fn take_cut(&self) -> bool {
+    fn take_cut(&self, prompt: &str) -> bool {
         let mut state = self.lock();
+        let prefix = state.control.cut_prefix.as_deref().unwrap_or_default();
         let left = state.control.cut.unwrap_or(0);
-        state.control.cut = Some(left.saturating_sub(1));
-        left > 0
+        let is_cut = left > 0 && prompt.starts_with(prefix);
+        if is_cut {
+            state.control.cut = Some(left - 1);
+        }
+        is_cut
     }
 
     async fn order<B: BodyStream>(&self, head: Head, mut body: B) -> Response {
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -41,6 +41,8 @@
         key: String,
         /// Its attempt.
         attempt: u64,
+        /// When the key was issued.
+        issued: Millis,
     },
     /// A job whose chunks are written.
     Accept(Spec),
--- a/crates/state/src/keys.rs
+++ b/crates/state/src/keys.rs
@@ -38,6 +38,10 @@
 pub struct Keys {
     claims: HashMap<String, Claim>,
     finished: HashMap<u64, Finished>,
+    /// Attempts that were given back, with the issue time of their key. A claim
+    /// whose append was still under way when it was given back may land after
+    /// that, and must not count then.
+    released: HashMap<u64, Millis>,
 }
 
 impl Keys {
@@ -51,13 +55,21 @@
         self.finished.get(&hash::of(key.as_bytes())).copied()
     }
 
+    /// Whether an attempt was given back.
+    pub fn is_released(&self, attempt: u64) -> bool {
+        self.released.contains_key(&attempt)
+    }
+
     /// Folds a claim; the first one counts.
     pub fn on_claimed(&mut self, key: String, claim: Claim) {
-        self.claims.entry(key).or_insert(claim);
+        if !self.is_released(claim.attempt) {
+            self.claims.entry(key).or_insert(claim);
+        }
     }
 
     /// Folds a release of an attempt that was never sent.
-    pub fn on_released(&mut self, key: &str, attempt: u64) {
+    pub fn on_released(&mut self, key: &str, attempt: u64, issued: Millis) {
+        self.released.insert(attempt, issued);
         if self.claims.get(key).is_some_and(|claim| claim.attempt == attempt) {
             self.claims.remove(key);
         }
@@ -76,6 +88,7 @@
     pub fn forget(&mut self, before: Millis) {
         self.finished.retain(|_, finished| finished.issued >= before);
         self.claims.retain(|_, claim| claim.issued >= before);
+        self.released.retain(|_, issued| *issued >= before);
     }
 
     /// Keys with an outcome.
@@ -101,8 +114,17 @@
         &self.claims
     }
 
+    /// Attempts that were given back, for a snapshot.
+    pub fn released(&self) -> &HashMap<u64, Millis> {
+        &self.released
+    }
+
     /// Keys as a snapshot and its segments give them.
-    pub fn restore(claims: HashMap<String, Claim>, finished: Vec<(u64, Finished)>) -> Keys {
-        Keys { claims, finished: finished.into_iter().collect() }
+    pub fn restore(
+        claims: HashMap<String, Claim>,
+        released: HashMap<u64, Millis>,
+        finished: Vec<(u64, Finished)>,
+    ) -> Keys {
+        Keys { claims, released, finished: finished.into_iter().collect() }
     }
 }
--- a/crates/state/src/record.rs
+++ b/crates/state/src/record.rs
@@ -95,6 +95,8 @@
         key: String,
         /// The attempt.
         attempt: u64,
+        /// When the key was issued.
+        issued: Millis,
     },
     /// A request's outcome; the first one counts.
     Finished {
--- a/crates/state/src/shard.rs
+++ b/crates/state/src/shard.rs
@@ -112,7 +112,9 @@
             Command::Finish { key, digest, issued, outcome } => {
                 self.finish(batch, key, (*digest, *issued), outcome)
             }
-            Command::Release { key, attempt } => self.release(batch, key, *attempt),
+            Command::Release { key, attempt, issued } => {
+                self.release(batch, key, *attempt, *issued)
+            }
             Command::Accept(spec) => self.accept(batch, spec),
             Command::Claim { holder, services } => self.claim(batch, *holder, services, now),
             Command::Progress { .. } => self.progress(batch, command),
@@ -129,6 +131,9 @@
         let Command::Begin { key, digest, repeatable, attempt, deadline, issued } = command else {
             return Decision::Defer;
         };
+        if self.keys.is_released(*attempt) {
+            return Decision::Answer(refuse(Kind::PlatformAway, "the attempt was given back"));
+        }
         if let Some(refusal) = self.refuse_key(key, *digest, *attempt, *issued, now) {
             return Decision::Answer(refusal);
         }
@@ -212,14 +217,16 @@
         Decision::Commit(vec![record], Reply::Recorded)
     }
 
-    fn release(&self, batch: &mut Batch, key: &str, attempt: u64) -> Decision {
-        if self.keys.claim(key).is_none_or(|claim| claim.attempt != attempt) {
+    fn release(&self, batch: &mut Batch, key: &str, attempt: u64, issued: Millis) -> Decision {
+        if self.keys.is_released(attempt) {
             return Decision::Answer(Ok(Reply::Recorded));
         }
         if !batch.subjects.insert(key.to_owned()) {
             return Decision::Defer;
         }
-        Decision::Commit(vec![Record::Released { key: key.into(), attempt }], Reply::Recorded)
+        // Recorded also when there is no claim: its append may still land.
+        let record = Record::Released { key: key.into(), attempt, issued };
+        Decision::Commit(vec![record], Reply::Recorded)
     }
 
     fn accept(&self, batch: &mut Batch, spec: &Spec) -> Decision {
@@ -341,7 +348,9 @@
             Record::Claimed { key, digest, attempt, deadline, issued } => {
                 self.keys.on_claimed(key, Claim { digest, attempt, deadline, issued });
             }
-            Record::Released { key, attempt } => self.keys.on_released(&key, attempt),
+            Record::Released { key, attempt, issued } => {
+                self.keys.on_released(&key, attempt, issued);
+            }
             Record::Finished { key, digest, issued, .. } => {
                 self.running.remove(&key);
                 let is_first = self.keys.on_finished(&key, Finished { digest, position, issued });
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -39,6 +39,8 @@
 pub struct Body {
     /// Claims without an outcome.
     pub claims: HashMap<String, Claim>,
+    /// Attempts that were given back.
+    pub released: HashMap<u64, Millis>,
     /// Jobs.
     pub jobs: Vec<Job>,
 }
@@ -49,7 +51,11 @@
 impl Body {
     /// What a snapshot of `shard` holds besides finished keys.
     pub fn of(shard: &Shard) -> Body {
-        Body { claims: shard.keys().claims().clone(), jobs: shard.jobs().all().cloned().collect() }
+        Body {
+            claims: shard.keys().claims().clone(),
+            released: shard.keys().released().clone(),
+            jobs: shard.jobs().all().cloned().collect(),
+        }
     }
 
     /// The shard again.
@@ -61,7 +67,7 @@
         finished: Keyed,
         now: Millis,
     ) -> Shard {
-        let keys = Keys::restore(self.claims, finished);
+        let keys = Keys::restore(self.claims, self.released, finished);
         Shard::restore(id, policy, next, keys, Jobs::restore(self.jobs, now))
     }
 }
