--- a/crates/coordination/src/member.rs
+++ b/crates/coordination/src/member.rs
@@ -110,6 +110,7 @@
     head: u64,
     sent: HashMap<InstanceId, u64>,
     turn: u64,
+    version: u64,
 }
 
 impl Table {
@@ -123,6 +124,7 @@
             head: 0,
             sent: HashMap::new(),
             turn: 0,
+            version: 0,
         }
     }
 
@@ -142,6 +144,7 @@
     /// The owner is stopping.
     pub fn leave(&mut self) {
         self.me.state = State::Leaving;
+        self.version += 1;
         self.me.incarnation += 1;
         self.push(Note::Member(self.me.clone()));
     }
@@ -160,6 +163,11 @@
         std::iter::once(&self.me).chain(self.others()).filter(able)
     }
 
+    /// Changes whenever [`Table::workers`] may have changed.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// The member `id`, unless it counts as dead.
     pub fn get(&self, id: InstanceId) -> Option<&Member> {
         self.others().find(|m| m.id == id)
@@ -266,6 +274,7 @@
             }
             let note = Note::Member(member.clone());
             self.rows.insert(member.id, Row { member, misses: 0, changed: now });
+            self.version += 1;
             self.push(note);
             return true;
         };
@@ -279,6 +288,7 @@
         if newer {
             row.changed = now;
             row.member = member;
+            self.version += 1;
         }
         row.member.generation = generation;
         let note = Note::Member(row.member.clone());
@@ -316,6 +326,7 @@
             let silent = now.saturating_duration_since(row.changed);
             row.member.state != State::Dead || silent < policy.forget
         });
+        self.version += dead.len() as u64;
         dead.into_iter().for_each(|member| self.push(Note::Member(member)));
         let rows = &self.rows;
         self.sent.retain(|id, _| rows.contains_key(id));
--- /dev/null
+++ b/crates/coordination/tests/member.rs
@@ -0,0 +1,219 @@
+//! Membership in a fleet of tables that talk only through each other: it
+//! converges, stays bounded, and survives cuts of hours. Time is an argument.
+
+use coordination::member::{Member, Note, Policy, State, Table};
+use rstest::rstest;
+use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+struct Fleet {
+    tables: BTreeMap<u64, Table>,
+    /// Sides of a cut; members of different sides can't reach each other.
+    side: BTreeMap<u64, u8>,
+    gone: HashSet<u64>,
+    now: Instant,
+    pings: u64,
+    notes: u64,
+}
+
+fn member(id: u64) -> Member {
+    let port = u16::try_from(1000 + id % 50_000).expect("a port");
+    let address = SocketAddr::from(([10, 0, 0, 1], port));
+    Member {
+        id,
+        peer: address,
+        http: address,
+        data_centre: format!("dc{}", id % 4),
+        incarnation: 1,
+        state: State::Alive,
+        generation: 1,
+    }
+}
+
+impl Fleet {
+    fn new(size: u64) -> Fleet {
+        let now = Instant::now();
+        // Ids as random as in the daemons, but the same on every run.
+        let ids = (1..=size).map(|n| n.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 16);
+        let tables: BTreeMap<u64, Table> =
+            ids.map(|id| (id, Table::new(member(id), Policy::default()))).collect();
+        let side = tables.keys().map(|id| (*id, 0)).collect();
+        let mut fleet = Fleet { tables, side, gone: HashSet::new(), now, pings: 0, notes: 0 };
+        let seed = *fleet.tables.keys().next().expect("a member");
+        for id in fleet.tables.keys().copied().collect::<Vec<_>>() {
+            fleet.ping(id, seed);
+        }
+        fleet
+    }
+
+    fn reaches(&self, from: u64, to: u64) -> bool {
+        !self.gone.contains(&to) && self.side[&from] == self.side[&to]
+    }
+
+    fn ping(&mut self, from: u64, to: u64) {
+        if from == to {
+            return;
+        }
+        self.pings += 1;
+        let now = self.now;
+        if !self.reaches(from, to) {
+            self.tables.get_mut(&from).expect("a table").on_missed(to, now);
+            return;
+        }
+        let (me, mark, mut news, known) = {
+            let table = &self.tables[&from];
+            let (mark, news) = table.news(to);
+            let known = table.others().find(|m| m.id == to).cloned();
+            (table.me().clone(), mark, news, known)
+        };
+        match known {
+            Some(m) if m.state == State::Suspect => news.push(Note::Member(m)),
+            None if self.tables[&from].is_dead(to) => {
+                news.push(Note::Member(Member {
+                    state: State::Dead,
+                    ..self.tables[&to].me().clone()
+                }));
+            }
+            _ => {}
+        }
+        self.notes += news.len() as u64;
+        let other = self.tables.get_mut(&to).expect("a table");
+        other.on_heard(me, now);
+        for note in news {
+            if let Note::Member(member) = note {
+                other.merge(member, now);
+            }
+        }
+        let answer = other.me().clone();
+        let table = self.tables.get_mut(&from).expect("a table");
+        table.on_sent(to, mark);
+        table.on_heard(answer, now);
+    }
+
+    /// One heartbeat of every member, with news sent on as it comes.
+    fn round(&mut self) {
+        self.now += Policy::default().ping;
+        let ids: Vec<u64> =
+            self.tables.keys().copied().filter(|id| !self.gone.contains(id)).collect();
+        for id in &ids {
+            let due = self.tables.get_mut(id).expect("a table").tick(self.now);
+            due.iter().for_each(|to| self.ping(*id, to.id));
+        }
+        for id in ids {
+            let behind: Vec<u64> = self.tables[&id].behind().iter().map(|m| m.id).collect();
+            behind.into_iter().for_each(|to| self.ping(id, to));
+        }
+    }
+
+    fn rounds_until(&mut self, most: u32, holds: impl Fn(&Fleet) -> bool) -> u32 {
+        for round in 0..most {
+            if holds(self) {
+                return round;
+            }
+            self.round();
+        }
+        panic!("not within {most} rounds");
+    }
+
+    fn all_know(&self, alive: usize) -> bool {
+        let live = self.tables.iter().filter(|(id, _)| !self.gone.contains(id));
+        live.into_iter().all(|(_, table)| table.workers().count() == alive)
+    }
+}
+
+#[rstest]
+#[case(3)]
+#[case(48)]
+#[case(400)]
+fn a_fleet_meets_through_one_seed(#[case] size: u64) {
+    let mut fleet = Fleet::new(size);
+    let rounds = fleet.rounds_until(60, |fleet| fleet.all_know(size as usize));
+    assert!(rounds < 40, "{rounds} rounds");
+}
+
+#[rstest]
+#[case(48, 6)]
+#[case(400, 9)]
+fn heartbeats_of_a_quiet_fleet_are_bounded(#[case] size: u64, #[case] fingers: usize) {
+    let mut fleet = Fleet::new(size);
+    fleet.rounds_until(60, |fleet| fleet.all_know(size as usize));
+    (0..40).for_each(|_| fleet.round());
+    let before = (fleet.pings, fleet.notes);
+    (0..20).for_each(|_| fleet.round());
+    // One heartbeat a tick, whatever the size, and no news to carry.
+    assert_eq!(fleet.pings - before.0, 20 * size);
+    assert_eq!(fleet.notes - before.1, 0);
+    assert!(fleet.tables.values().all(|table| table.fingers().len() <= fingers));
+}
+
+#[test]
+fn a_dead_member_is_found_out_by_all() {
+    let mut fleet = Fleet::new(48);
+    fleet.rounds_until(60, |fleet| fleet.all_know(48));
+    let victim = *fleet.tables.keys().nth(17).expect("a member");
+    fleet.gone.insert(victim);
+    let rounds = fleet.rounds_until(40, |fleet| fleet.all_know(47));
+    // Each finger comes round every 6 ticks; two misses, then 3 s of suspicion.
+    assert!(rounds <= 22, "{rounds} rounds");
+}
+
+#[test]
+fn a_change_of_configuration_crosses_the_fleet_in_few_rounds() {
+    let mut fleet = Fleet::new(400);
+    fleet.rounds_until(60, |fleet| fleet.all_know(400));
+    (0..30).for_each(|_| fleet.round());
+    let first = *fleet.tables.keys().next().expect("a member");
+    fleet.tables.get_mut(&first).expect("a table").set_generation(2);
+    let knows = |fleet: &Fleet| {
+        let heard = |table: &Table| table.others().any(|m| m.generation == 2);
+        fleet.tables.iter().all(|(id, table)| *id == first || heard(table))
+    };
+    let rounds = fleet.rounds_until(10, knows);
+    assert!(rounds <= 2, "{rounds} rounds");
+}
+
+/// Two regions lose each other for `hours`, then meet again by themselves.
+#[rstest]
+#[case(1)]
+#[case(5)]
+fn regions_that_lose_each_other_for_hours_join_again(#[case] hours: u64) {
+    let mut fleet = Fleet::new(16);
+    fleet.rounds_until(60, |fleet| fleet.all_know(16));
+    for (n, side) in fleet.side.values_mut().enumerate() {
+        *side = (n % 2) as u8;
+    }
+    fleet.rounds_until(60, |fleet| fleet.all_know(8));
+    // Nothing happens in the hours but their passing.
+    fleet.now += Duration::from_secs(hours * 3600 - 1);
+    (0..20).for_each(|_| fleet.round());
+    fleet.side.values_mut().for_each(|side| *side = 0);
+    if hours < 2 {
+        fleet.rounds_until(200, |fleet| fleet.all_know(16));
+        return;
+    }
+    // Beyond the time that dead members are remembered, the seeds of the
+    // settings bring the sides together, as at a start.
+    let ids: Vec<u64> = fleet.tables.keys().copied().collect();
+    fleet.ping(ids[0], ids[1]);
+    fleet.ping(ids[1], ids[0]);
+    fleet.rounds_until(200, |fleet| fleet.all_know(16));
+}
+
+#[test]
+fn a_member_that_leaves_owns_nothing_and_is_no_suspect() {
+    let mut fleet = Fleet::new(6);
+    fleet.rounds_until(60, |fleet| fleet.all_know(6));
+    let first = *fleet.tables.keys().next().expect("a member");
+    fleet.tables.get_mut(&first).expect("a table").leave();
+    fleet.rounds_until(10, |fleet| {
+        let rest = fleet.tables.iter().filter(|(id, _)| **id != first);
+        rest.into_iter().all(|(_, table)| table.workers().count() == 5)
+    });
+    assert!(
+        fleet
+            .tables
+            .values()
+            .all(|table| table.get(first).is_none_or(|m| m.state == State::Leaving))
+    );
+}
--- /dev/null
+++ b/crates/daemon/benches/measure/front.rs
@@ -0,0 +1,168 @@
+//! The front: what a daemon adds, faults of targets, load beyond saturation.
+
+use crate::fleet::production;
+use crate::load::{self, Load, Outcome};
+use crate::util::client::chat;
+use crate::util::cluster::{Cluster, Plan};
+use serde_json::json;
+use standin::engine::{Config, Control};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+fn start(daemons: usize, engines: usize, engine: Config) -> Cluster {
+    Cluster::start(Plan { daemons, engines, engine, settings: production(), ..Plan::default() })
+}
+
+fn fronts(cluster: &Cluster) -> Vec<SocketAddr> {
+    cluster.daemons.iter().map(|daemon| daemon.front).collect()
+}
+
+fn row(name: &str, outcome: &Outcome) {
+    println!(
+        "{:>22} {:>7} {:>8} {:>7} {:>8.1} /{:>7.1} /{:>7.1} {:>8.1}",
+        name,
+        outcome.whole,
+        outcome.refused,
+        outcome.failed,
+        load::at(&outcome.first, 0.5),
+        load::at(&outcome.first, 0.99),
+        load::at(&outcome.first, 0.999),
+        load::at(&outcome.gap, 0.99),
+    );
+}
+
+fn head() {
+    println!(
+        "{:>22} {:>7} {:>8} {:>7} {:>26} {:>8}",
+        "", "whole", "refused", "failed", "first ms p50/p99/p99.9", "gap p99"
+    );
+}
+
+/// One of six targets fails in the middle of a run.
+pub fn faults() {
+    head();
+    let cases: [(&str, Option<Control>); 5] = [
+        ("none", None),
+        ("cuts every stream", Some(Control { cut: Some(100_000), ..Control::default() })),
+        ("fails", Some(Control { failing: Some(true), ..Control::default() })),
+        ("frozen", Some(Control { frozen: Some(true), ..Control::default() })),
+        ("slowed 10x", Some(Control { slow: Some(10.0), ..Control::default() })),
+    ];
+    for (name, control) in cases {
+        let token = Duration::from_millis(10);
+        let cluster = start(3, 6, Config { token, ..Config::default() });
+        let engine = cluster.engines[0].clone();
+        let fault = std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_secs(3));
+            control.into_iter().for_each(|control| engine.control(control));
+        });
+        let to = fronts(&cluster);
+        let length = Duration::from_secs(9);
+        let outcome = load::send(Load {
+            to,
+            rate: 60.0,
+            length,
+            tokens: 20,
+            keyed: false,
+            burst: None,
+            name: "online",
+        });
+        fault.join().expect("the fault is set");
+        row(name, &outcome);
+    }
+}
+
+/// Latency that one daemon adds, requests a second for each core, and memory for
+/// each open stream.
+pub fn overhead() {
+    let engine = Config {
+        slots: 4000,
+        prefill: Duration::from_millis(5),
+        token: Duration::from_millis(1),
+        ..Config::default()
+    };
+    let cluster = start(1, 1, engine);
+    let rate = 100.0;
+    let length = Duration::from_secs(5);
+    let one = |to: SocketAddr| {
+        load::send(Load {
+            to: vec![to],
+            rate,
+            length,
+            tokens: 5,
+            keyed: false,
+            burst: None,
+            name: "x",
+        })
+    };
+    head();
+    row("direct", &one(cluster.engines_at[0]));
+    row("through one daemon", &one(cluster.daemons[0].front));
+    for rate in [500.0, 1000.0, 2000.0] {
+        let (ticks, _) = cluster.daemons[0].usage();
+        let began = Instant::now();
+        let to = vec![cluster.daemons[0].front];
+        let length = Duration::from_secs(5);
+        let outcome =
+            load::send(Load { to, rate, length, tokens: 5, keyed: false, burst: None, name: "y" });
+        let (after, _) = cluster.daemons[0].usage();
+        let cores = (after - ticks) as f64 / 100.0 / began.elapsed().as_secs_f64();
+        let served = outcome.whole as f64 / began.elapsed().as_secs_f64();
+        row(&format!("{rate:.0}/s offered"), &outcome);
+        println!("{:>22} {:.2} cores, {:.0} requests/s a core", "", cores, served / cores);
+    }
+    streams(&cluster);
+}
+
+fn streams(cluster: &Cluster) {
+    const STREAMS: usize = 1000;
+    cluster.engines[0].control(Control { token_ms: Some(400), ..Control::default() });
+    let (_, before) = cluster.daemons[0].usage();
+    let front = cluster.daemons[0].front;
+    std::thread::scope(|scope| {
+        let load = scope.spawn(move || {
+            load::send(Load {
+                to: vec![front],
+                rate: 500.0,
+                length: Duration::from_secs(2),
+                tokens: 12,
+                keyed: false,
+                burst: None,
+                name: "open",
+            })
+        });
+        std::thread::sleep(Duration::from_millis(3000));
+        let (_, during) = cluster.daemons[0].usage();
+        let open = cluster.engines[0].running()[0];
+        let each = (during - before) as f64 / f64::from(open.max(1));
+        println!("{:>22} {open} of {STREAMS} open, {each:.1} KiB a stream", "");
+        load.join().expect("the load ends");
+    });
+}
+
+/// Goodput at offered loads of half to three times what the targets can do.
+pub fn saturation() {
+    let token = Duration::from_millis(10);
+    let engine =
+        Config { slots: 8, token, prefill: Duration::from_millis(10), ..Config::default() };
+    // A request holds a slot for 10 ms and 19 gaps of 10 ms.
+    let capacity = 3.0 * 8.0 / 0.2;
+    head();
+    for times in [0.5, 0.8, 1.0, 1.5, 2.0, 3.0] {
+        let cluster = start(3, 3, engine.clone());
+        chat(cluster.daemons[0].front, "warm", &[], json!({}));
+        let length = Duration::from_secs(8);
+        let outcome = load::send(Load {
+            to: fronts(&cluster),
+            rate: capacity * times,
+            length,
+            tokens: 20,
+            keyed: false,
+            burst: None,
+            name: "online",
+        });
+        row(&format!("{times:.1} times capacity"), &outcome);
+        let goodput = outcome.whole as f64 / length.as_secs_f64();
+        println!("{:>22} {:.1} whole/s of {capacity:.0}", "", goodput);
+    }
+}
--- /dev/null
+++ b/crates/daemon/benches/measure/log.rs
@@ -0,0 +1,194 @@
+//! The durable log: writes against daemons and load, grouped and not, durable
+//! before the answer and not, takeover, and items.
+
+use crate::fleet::production;
+use crate::load::{self, Load};
+use crate::util::client::chat;
+use crate::util::cluster::{Cluster, Plan, items};
+use crate::util::wait_until;
+use serde_json::json;
+use standin::engine::Config;
+use standin::platform::Counts;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const LENGTH: Duration = Duration::from_secs(6);
+const RATES: [f64; 2] = [150.0, 450.0];
+
+fn engine() -> Config {
+    let token = Duration::from_millis(1);
+    Config { slots: 64, prefill: Duration::from_millis(1), token, ..Config::default() }
+}
+
+fn start(daemons: usize, unguarded: &str) -> Cluster {
+    let unguarded = unguarded.into();
+    let plan =
+        Plan { daemons, engine: engine(), settings: production(), unguarded, ..Plan::default() };
+    Cluster::start(plan)
+}
+
+fn fronts(cluster: &Cluster) -> Vec<SocketAddr> {
+    cluster.daemons.iter().map(|daemon| daemon.front).collect()
+}
+
+fn keyed(cluster: &Cluster, rate: f64, keyed: bool) -> (load::Outcome, Counts, Counts) {
+    let before = cluster.platform.counts();
+    let to = fronts(cluster);
+    let name = if keyed { "keyed" } else { "plain" };
+    let load = Load { to, rate, length: LENGTH, tokens: 3, keyed, burst: None, name };
+    let outcome = load::send(load);
+    (outcome, before, cluster.platform.counts())
+}
+
+/// Writes of the platform against daemons and load.
+pub fn run() {
+    println!(
+        "{:>7} {:>8} {:>7} {:>10} {:>12} {:>10} {:>20}",
+        "daemons", "req/s", "whole", "writes/s", "per 1000 req", "conflicts", "whole ms p50/p99"
+    );
+    for rate in RATES {
+        for daemons in [3, 6, 12, 24] {
+            let cluster = start(daemons, "");
+            let (outcome, before, after) = keyed(&cluster, rate, true);
+            let writes = after.writes - before.writes;
+            println!(
+                "{:>7} {:>8.0} {:>7} {:>10.1} {:>12.1} {:>10} {:>11.1} / {:>6.1}",
+                daemons,
+                rate,
+                outcome.whole,
+                writes as f64 / LENGTH.as_secs_f64(),
+                writes as f64 * 1000.0 / outcome.whole.max(1) as f64,
+                after.conflicts - before.conflicts,
+                load::at(&outcome.whole_time, 0.5),
+                load::at(&outcome.whole_time, 0.99),
+            );
+        }
+    }
+}
+
+/// Grouped commits against one object for each record, and an answer that waits
+/// for its record against one that doesn't.
+pub fn modes() {
+    println!(
+        "{:>28} {:>7} {:>12} {:>20} {:>14}",
+        "mode", "whole", "per 1000 req", "whole ms p50/p99", "lost at a kill"
+    );
+    for (mode, unguarded, with_key) in [
+        ("no key", "", false),
+        ("grouped, durable first", "", true),
+        ("one object a record", "group", true),
+        ("grouped, answered first", "durable", true),
+    ] {
+        let mut cluster = start(3, unguarded);
+        let (outcome, before, after) = keyed(&cluster, RATES[1], with_key);
+        let writes = after.writes - before.writes;
+        let lost = if with_key { lost_at_kill(&mut cluster) } else { 0 };
+        println!(
+            "{:>28} {:>7} {:>12.1} {:>11.1} / {:>6.1} {:>14}",
+            mode,
+            outcome.whole,
+            writes as f64 * 1000.0 / outcome.whole.max(1) as f64,
+            load::at(&outcome.whole_time, 0.5),
+            load::at(&outcome.whole_time, 0.99),
+            lost
+        );
+    }
+}
+
+/// Answers acknowledged by an instance just before its kill that no other one
+/// knows of.
+fn lost_at_kill(cluster: &mut Cluster) -> usize {
+    const CALLS: usize = 60;
+    let front = cluster.daemons[0].front;
+    let keys: Vec<String> = (0..CALLS).map(|n| format!("last {n}")).collect();
+    std::thread::scope(|scope| {
+        for key in &keys {
+            scope.spawn(move || {
+                let headers = [("idempotency-key", key.as_str())];
+                chat(front, key, &headers, json!({ "max_tokens": 3 }))
+            });
+        }
+    });
+    cluster.daemons[0].kill();
+    let other = cluster.daemons[1].front;
+    let is_lost = |key: &&String| {
+        let headers = [("idempotency-key", key.as_str())];
+        let reply = chat(other, key, &headers, json!({ "max_tokens": 3 }));
+        reply.header("gatespool-replayed") != "true"
+    };
+    keys.iter().filter(is_lost).count()
+}
+
+/// Time from the kill of a shard's owner until the shard takes commands again.
+pub fn takeover() {
+    const ROUNDS: usize = 5;
+    let mut settings = production();
+    settings.push(String::from("log.shards = 1"));
+    println!("{:>6} {:>22}", "round", "ms until recorded");
+    for round in 0..ROUNDS {
+        let plan = Plan { engine: engine(), settings: settings.clone(), ..Plan::default() };
+        let mut cluster = Cluster::start(plan);
+        for n in 0..200 {
+            let key = format!("k{n}");
+            chat(cluster.daemons[n % 3].front, &key, &[("idempotency-key", &key)], json!({}));
+        }
+        // The owner is found by who made the platform calls of the commits.
+        let calls = |d: usize| {
+            let status = cluster.daemons[d].get("/v1/status").json();
+            status["platform_calls"].as_u64().unwrap_or(0)
+        };
+        let owner = (0..3).max_by_key(|d| calls(*d)).expect("a daemon");
+        cluster.daemons[owner].kill();
+        let began = Instant::now();
+        let other = cluster.daemons[(owner + 1) % 3].front;
+        wait_until("a command is recorded", || {
+            let reply = chat(other, "next", &[("idempotency-key", "next")], json!({}));
+            reply.header("gatespool-recorded") == "now"
+        });
+        println!("{:>6} {:>22.0}", round, began.elapsed().as_secs_f64() * 1000.0);
+    }
+}
+
+/// Platform writes for each thousand items, and work repeated after a kill.
+pub fn jobs() {
+    println!(
+        "{:>7} {:>8} {:>9} {:>10} {:>16} {:>18} {:>10}",
+        "items", "seconds", "items/s", "writes", "per 1000 items", "bytes an item", "repeated"
+    );
+    for kill in [false, true] {
+        const ITEMS: usize = 20_000;
+        let mut cluster = start(3, "");
+        let before = cluster.platform.counts();
+        let began = Instant::now();
+        let list: Vec<_> = items("describe", ITEMS)
+            .into_iter()
+            .map(|mut item| {
+                item["max_tokens"] = json!(4);
+                item
+            })
+            .collect();
+        let accepted = cluster.submit(0, "night", &list);
+        let job = accepted.json()["job"].as_str().expect("its id").to_owned();
+        if kill {
+            wait_until("half is done", || {
+                cluster.status(0, &job)["done"].as_u64().unwrap_or(0) > ITEMS as u64 / 2
+            });
+            cluster.daemons[2].kill();
+        }
+        cluster.wait_job(0, &job, "finished");
+        let seconds = began.elapsed().as_secs_f64();
+        let after = cluster.platform.counts();
+        let writes = after.writes - before.writes;
+        let whole = cluster.runs().iter().filter(|run| run.whole).count();
+        println!(
+            "{:>7} {:>8.1} {:>9.0} {:>10} {:>16.1} {:>18.0} {:>10}",
+            ITEMS,
+            seconds,
+            ITEMS as f64 / seconds,
+            writes,
+            writes as f64 * 1000.0 / ITEMS as f64,
+            (after.bytes - before.bytes) as f64 / ITEMS as f64,
+            whole - ITEMS
+        );
+    }
+}
--- a/crates/daemon/src/batch/run.rs
+++ b/crates/daemon/src/batch/run.rs
@@ -17,10 +17,16 @@
 use tokio_util::sync::CancellationToken;
 use transport::target::Client;
 
+/// Time between looks while there is batch work.
 const TICK: Duration = Duration::from_millis(20);
+/// The same while there is none; news wakes the duty at once.
+const REST: Duration = Duration::from_millis(250);
 const EVENTS: usize = 4096;
-/// Time between asks for work while there is none.
-const IDLE: Duration = Duration::from_millis(100);
+/// Time between asks for work while another shard may have some.
+const SEEK: Duration = Duration::from_millis(50);
+/// The same when no shard has any. New work is told by its owner, so these asks
+/// only find what the news missed.
+const IDLE: Duration = Duration::from_millis(1500);
 const FAILED: Duration = Duration::from_millis(500);
 /// Outcomes that may wait to be recorded before no new item starts.
 const MOST_UNRECORDED: usize = 2048;
@@ -56,6 +62,8 @@
     ask_at: Instant,
     sticky: Option<ShardId>,
     turn: ShardId,
+    /// Asks in a row that found nothing.
+    dry: ShardId,
 }
 
 /// Runs batch work until `stop`.
@@ -72,6 +80,7 @@
         ask_at: now,
         sticky: None,
         turn: rand::random::<ShardId>() % shared.settings.shards,
+        dry: 0,
         shared,
     };
     let wake = duty.shared.batch.wake.clone();
@@ -79,7 +88,7 @@
         tokio::select! {
             event = incoming.recv() => event.into_iter().for_each(|e| duty.on_event(e)),
             () = wake.notified() => {}
-            () = tokio::time::sleep(TICK) => {}
+            () = tokio::time::sleep(duty.tick()) => {}
             () = stop.cancelled() => return,
         }
         while let Ok(event) = incoming.try_recv() {
@@ -90,6 +99,10 @@
 }
 
 impl Duty {
+    fn tick(&self) -> Duration {
+        if self.chunks.is_empty() && self.streams.is_empty() { REST } else { TICK }
+    }
+
     fn step(&mut self, now: Instant) {
         let view = self.shared.view();
         self.drop_cancelled();
@@ -97,7 +110,7 @@
             self.chunks.values_mut().for_each(|chunk| chunk.closing = true);
         }
         let mut free = HashMap::new();
-        for node in view.nodes.values() {
+        for node in self.shared.charge().iter() {
             if let Some(starts) = self.balance(&view, node, now) {
                 *free.entry(node.target.service.clone()).or_insert(0) += starts;
             }
@@ -149,8 +162,7 @@
         let is_usable = !view.leaving.contains(name)
             && runs_version(view, node)
             && lock(&node.state).health.usage(now) == Use::Full;
-        let is_mine = self.shared.decider(node).is_some_and(|decider| decider.id == self.shared.id);
-        if !is_mine || !is_usable || !view.ready {
+        if !is_usable || !view.ready {
             return None;
         }
         let room = self.room(node, count, now);
@@ -326,7 +338,10 @@
             return;
         }
         let shard = match hinted.take_work() {
-            Some(shard) => shard,
+            Some(shard) => {
+                self.dry = 0;
+                shard
+            }
             None if now < self.ask_at => return,
             None => self.sticky.unwrap_or_else(|| self.next_shard()),
         };
@@ -361,10 +376,13 @@
                 self.counter += 1;
                 self.chunks.insert(self.counter, *chunk);
                 self.sticky = Some(shard);
+                self.dry = 0;
             }
             Ok(None) => {
                 self.sticky = None;
-                self.ask_at = now + IDLE.mul_f64(0.5 + rand::random::<f64>());
+                self.dry = self.dry.saturating_add(1);
+                let wait = if self.dry < self.shared.settings.shards { SEEK } else { IDLE };
+                self.ask_at = now + wait.mul_f64(0.5 + rand::random::<f64>());
             }
             Err(error) => {
                 slog::debug!(self.shared.log, "no chunk"; "reason" => error.to_string());
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -298,11 +298,7 @@
         let view = shared.view();
         let mut asked: Vec<Arc<Node>> =
             view.services.values().flat_map(|bound| bound.nodes.iter().cloned()).collect();
-        let decided = view
-            .nodes
-            .values()
-            .filter(|node| shared.decider(node).is_some_and(|decider| decider.id == shared.id));
-        asked.extend(decided.cloned());
+        asked.extend(shared.charge().iter().cloned());
         asked.sort_by_key(|node| node.id);
         asked.dedup_by_key(|node| node.id);
         let asks = asked.iter().map(|node| ask(&shared, &client, node));
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -9,7 +9,7 @@
 use protocol::config::{Document, Protocol, Service, Target};
 use protocol::{DataCentreId, ServiceId, TargetId};
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -20,6 +20,23 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Targets whose online load changed since the peers were told.
+#[derive(Debug, Default)]
+pub struct Untold {
+    nodes: Mutex<Vec<Arc<Node>>>,
+    /// Signals that there is one.
+    pub signal: Notify,
+}
+
+impl Untold {
+    /// Takes all of them; a change from now on lists its target again.
+    pub fn take(&self) -> Vec<Arc<Node>> {
+        let nodes = std::mem::take(&mut *lock(&self.nodes));
+        nodes.iter().for_each(|node| node.untold.store(false, Ordering::Relaxed));
+        nodes
+    }
+}
+
 /// What changes about a target from moment to moment.
 #[derive(Debug)]
 pub struct State {
@@ -44,12 +61,13 @@
     pub id: u64,
     /// What changes.
     pub state: Mutex<State>,
-    /// Set when its online load changed and the peers haven't been told.
-    pub untold: std::sync::atomic::AtomicBool,
+    /// Whether it waits in the list of targets whose load is to be told.
+    untold: AtomicBool,
+    told: Arc<Untold>,
 }
 
 impl Node {
-    fn new(target: Target) -> Node {
+    fn new(target: Target, told: Arc<Untold>) -> Node {
         let state = State {
             load: Load::default(),
             concurrency: Concurrency::new(target.slots),
@@ -58,7 +76,7 @@
             report: None,
         };
         let id = hash::of(target.name.as_bytes());
-        Node { target, id, state: Mutex::new(state), untold: Default::default() }
+        Node { target, id, state: Mutex::new(state), untold: AtomicBool::new(false), told }
     }
 
     /// Takes in a report.
@@ -68,6 +86,14 @@
         state.report = Some(report);
     }
 
+    /// Its online load changed: the instance that decides on batch there must hear.
+    fn on_load(self: &Arc<Node>) {
+        if !self.untold.swap(true, Ordering::Relaxed) {
+            lock(&self.told.nodes).push(self.clone());
+            self.told.signal.notify_one();
+        }
+    }
+
     /// Model version that it last reported; `None` before the first report.
     pub fn version(&self) -> Option<String> {
         lock(&self.state).report.as_ref().map(|report| report.version.clone())
@@ -158,6 +184,8 @@
 pub struct Fleet {
     nodes: Mutex<HashMap<TargetId, Arc<Node>>>,
     counts: Mutex<HashMap<ServiceId, Arc<Counts>>>,
+    /// Targets whose load is to be told.
+    pub untold: Arc<Untold>,
 }
 
 /// What a snapshot is made for.
@@ -206,7 +234,7 @@
             let node = known.get(&target.name);
             let is_same = node.is_some_and(|node| node.target == *target);
             if !is_same {
-                let fresh = Node::new(target.clone());
+                let fresh = Node::new(target.clone(), self.untold.clone());
                 if let Some(node) = node {
                     lock(&fresh.state).report.clone_from(&lock(&node.state).report);
                 }
@@ -294,7 +322,7 @@
 impl Drop for Hold {
     fn drop(&mut self) {
         lock(&self.node.state).load.on_end();
-        self.node.untold.store(true, Ordering::Relaxed);
+        self.node.on_load();
         self.counts.on_end(self.since.elapsed());
     }
 }
@@ -320,7 +348,7 @@
         let online = state.load.online(now);
         state.pressure.note(online, now);
     }
-    node.untold.store(true, Ordering::Relaxed);
+    node.on_load();
     bound.counts.running.fetch_add(1, Ordering::Relaxed);
     Some(Hold { node, counts: bound.counts.clone(), since: now })
 }
--- a/crates/daemon/src/front/keyed.rs
+++ b/crates/daemon/src/front/keyed.rs
@@ -87,6 +87,11 @@
         issued: key.issued,
         outcome,
     };
+    if shared.settings.is_unguarded("durable") {
+        // Measurement only: the answer doesn't wait for its record.
+        shared.late.push(command);
+        return Ok(Recorded::Now);
+    }
     match shared.shards.submit(shared, command.clone()).await {
         Ok(Reply::Earlier { position }) => match kept(shared, key, position).await {
             Ok(earlier) => Ok(Recorded::Earlier(Box::new(earlier))),
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -57,19 +57,21 @@
         if !view.ready {
             continue;
         }
-        for node in view.nodes.values() {
-            let is_mine = shared.decider(node).is_some_and(|decider| decider.id == shared.id);
-            let name = &node.target.name;
-            if !is_mine {
-                if let Some(mut lost) = controllers.remove(name) {
-                    lost.finish(&shared, node).await;
-                }
-                continue;
-            }
+        let charge = shared.charge();
+        for node in charge.iter() {
             let fresh = || Controller::new(&shared, node);
-            let controller = controllers.entry(name.clone()).or_insert_with(fresh);
+            let controller = controllers.entry(node.target.name.clone()).or_insert_with(fresh);
             controller.step(&shared, &client, &view, node).await;
         }
+        let is_mine = |name: &String| charge.iter().any(|node| node.target.name == *name);
+        let lost: Vec<String> = controllers.keys().filter(|name| !is_mine(name)).cloned().collect();
+        for name in lost {
+            if let (Some(mut controller), Some(node)) =
+                (controllers.remove(&name), view.nodes.get(&name))
+            {
+                controller.finish(&shared, node).await;
+            }
+        }
     }
 }
 
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -1,6 +1,6 @@
 //! The peers duty: heartbeats, news, commands to owners, online load at targets.
 
-use crate::fleet::lock;
+use crate::fleet::{Node, lock};
 use crate::shared::Shared;
 use coordination::chain::Offer;
 use coordination::member::{Member, Note, State};
@@ -8,7 +8,6 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
@@ -287,37 +286,40 @@
     /// Tells the deciders of targets how many online requests this instance has
     /// there, within milliseconds of a change.
     async fn press(self, stop: CancellationToken) {
-        let mut told = Instant::now();
+        let untold = self.shared.fleet.untold.clone();
         loop {
-            tokio::select! {
-                () = tokio::time::sleep(GATHER) => {}
+            let changed = tokio::select! {
+                () = untold.signal.notified() => true,
+                () = tokio::time::sleep(RETELL) => false,
                 () = stop.cancelled() => return,
+            };
+            if changed {
+                tokio::time::sleep(GATHER).await;
+                untold.take().iter().for_each(|node| self.tell_load(node));
+                continue;
             }
-            let again = told.elapsed() >= RETELL;
-            if again {
-                told = Instant::now();
-            }
-            for node in self.shared.view().nodes.values() {
-                let changed = node.untold.swap(false, Ordering::Relaxed);
-                let online = lock(&node.state).load.own();
-                let is_due = changed || (again && online > 0);
-                if !is_due {
-                    continue;
-                }
-                match self.shared.decider(node) {
-                    Some(decider) if decider.id == self.shared.id => self.shared.batch.wake(),
-                    Some(decider) => {
-                        let local = self.clone();
-                        let target = node.target.name.clone();
-                        spawn_local(async move {
-                            let me = local.shared.id;
-                            // A word that is lost is followed by another.
-                            drop(local.pool.pressure(decider.peer, me, &target, online).await);
-                        });
-                    }
-                    None => {}
-                }
+            // Nothing changed for a while: what still runs is told again, before
+            // the words of it go stale.
+            let view = self.shared.view();
+            let busy = view.nodes.values().filter(|node| lock(&node.state).load.own() > 0);
+            busy.for_each(|node| self.tell_load(node));
+        }
+    }
+
+    fn tell_load(&self, node: &Node) {
+        let online = lock(&node.state).load.own();
+        match self.shared.decider(node) {
+            Some(decider) if decider.id == self.shared.id => self.shared.batch.wake(),
+            Some(decider) => {
+                let local = self.clone();
+                let target = node.target.name.clone();
+                spawn_local(async move {
+                    let me = local.shared.id;
+                    // A word that is lost is followed by another.
+                    drop(local.pool.pressure(decider.peer, me, &target, online).await);
+                });
             }
+            None => {}
         }
     }
 
--- a/crates/daemon/src/shards/commit.rs
+++ b/crates/daemon/src/shards/commit.rs
@@ -11,7 +11,7 @@
 use protocol::{Error, Kind, Millis, ShardId};
 use state::command::{Answer, Command, Reply};
 use state::object;
-use state::record::{Entry, Record};
+use state::record::{After, Entry, Record};
 use state::shard::{Batch, Decision, Policy, Shard};
 use state::snapshot::{Body, Head, Segment, live_segments};
 use std::collections::VecDeque;
@@ -226,7 +226,8 @@
             if item.answer.is_closed() {
                 continue;
             }
-            if bytes > object::MAX_BYTES / 2 {
+            let ungrouped = self.shared.settings.is_unguarded("group") && !waiting.is_empty();
+            if bytes > object::MAX_BYTES / 2 || ungrouped {
                 deferred.push_back(item);
                 continue;
             }
@@ -289,10 +290,10 @@
         let Some(loaded) = &mut self.loaded else {
             return;
         };
-        let jobs = entry.records.iter().filter(|r| matches!(r, Record::Accepted(_))).count();
+        let has_work = entry.records.iter().any(brings_work);
         loaded.shard.apply(entry, clock::millis());
         self.on_reached();
-        if jobs > 0 {
+        if has_work {
             self.shared.tell(Note::Work(self.id, clock::millis()));
         }
     }
@@ -369,7 +370,10 @@
             return;
         };
         let shared = self.shared.clone();
-        loaded.shard.reclaim(|holder| is_gone(&shared, holder));
+        let reclaimed = loaded.shard.reclaim(|holder| is_gone(&shared, holder));
+        if reclaimed {
+            shared.tell(Note::Work(self.id, clock::millis()));
+        }
         loaded.shard.forget(clock::millis());
         self.archive().await;
         self.snapshot().await;
@@ -456,6 +460,12 @@
     }
 }
 
+/// Whether a record leaves a chunk for somebody to run.
+fn brings_work(record: &Record) -> bool {
+    let is_given_back = matches!(record, Record::Progressed { after: After::GiveBack, .. });
+    is_given_back || matches!(record, Record::Accepted(_))
+}
+
 fn size(record: &Record) -> usize {
     serde_json::to_vec(record).map_or(0, |bytes| bytes.len())
 }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -28,6 +28,14 @@
 /// them. Two, so that one may be replaced without a gap.
 const WATCHERS: usize = 2;
 
+/// Targets in this instance's charge, as of one view and one set of members.
+#[derive(Default)]
+struct Charge {
+    view: Arc<View>,
+    version: u64,
+    nodes: Arc<Vec<Arc<Node>>>,
+}
+
 /// Everything that more than one duty needs.
 pub struct Shared {
     /// Settings.
@@ -45,6 +53,7 @@
     /// Targets.
     pub fleet: Fleet,
     view: RwLock<Arc<View>>,
+    charge: Mutex<Charge>,
     /// The platform.
     pub store: platform::Handle,
     /// The durable log.
@@ -185,6 +194,20 @@
         table.workers().find(|m| m.id == chosen).cloned()
     }
 
+    /// The targets that this instance decides for. Ranking every target against
+    /// every member is done only when one of them changed, not at each tick.
+    pub fn charge(&self) -> Arc<Vec<Arc<Node>>> {
+        let view = self.view();
+        let version = lock(&self.table).version();
+        let mut charge = lock(&self.charge);
+        if !Arc::ptr_eq(&charge.view, &view) || charge.version != version {
+            let is_mine = |node: &&Arc<Node>| self.decider(node).is_some_and(|d| d.id == self.id);
+            let nodes = view.nodes.values().filter(is_mine).cloned().collect();
+            *charge = Charge { view, version, nodes: Arc::new(nodes) };
+        }
+        charge.nodes.clone()
+    }
+
     /// Whether this instance watches the platform for its data centre.
     pub fn is_watcher(&self) -> bool {
         let table = lock(&self.table);
@@ -237,6 +260,7 @@
             board: Mutex::default(),
             fleet: Fleet::default(),
             view: RwLock::default(),
+            charge: Mutex::default(),
             late: Late::default(),
             traffic: Arc::default(),
             running: AtomicUsize::new(0),
--- a/crates/state/src/jobs.rs
+++ b/crates/state/src/jobs.rs
@@ -192,14 +192,16 @@
     }
 
     /// Chunks of holders that are known to be gone may go out at once.
-    pub fn reclaim(&mut self, is_gone: impl Fn(InstanceId) -> bool) {
+    /// Returns whether there were any that hadn't been found before.
+    pub fn reclaim(&mut self, is_gone: impl Fn(InstanceId) -> bool) -> bool {
         let jobs = &self.jobs;
         let holder = |(job, chunk): &ChunkId| {
             let chunk = jobs.get(job).and_then(|j| j.chunks.get(*chunk as usize));
             chunk.and_then(|c| c.holder)
         };
         let gone = |id: &ChunkId| holder(id).is_some_and(&is_gone);
-        self.held.iter_mut().filter(|(id, _)| gone(id)).for_each(|(_, heard)| *heard = 0);
+        let found = self.held.iter_mut().filter(|(id, heard)| **heard > 0 && gone(id));
+        found.map(|(_, heard)| *heard = 0).count() > 0
     }
 
     /// Holders couldn't report until now: each gets a whole claim time again.
--- a/crates/state/src/shard.rs
+++ b/crates/state/src/shard.rs
@@ -374,8 +374,9 @@
     }
 
     /// Chunks of holders that are known to be gone may go out at once.
-    pub fn reclaim(&mut self, is_gone: impl Fn(u64) -> bool) {
-        self.jobs.reclaim(is_gone);
+    /// Returns whether there were any that hadn't been found before.
+    pub fn reclaim(&mut self, is_gone: impl Fn(u64) -> bool) -> bool {
+        self.jobs.reclaim(is_gone)
     }
 
     /// The platform is reached again after a time in which no holder could report.
