--- a/crates/coordination/src/eject.rs
+++ b/crates/coordination/src/eject.rs
@@ -48,6 +48,12 @@
         }
     }
 
+    /// The target answers nothing at all: out of use at once.
+    pub fn on_silence(&mut self, now: Instant) {
+        self.probation = PROBATION;
+        self.on_failure(now);
+    }
+
     /// A request failed through the target's fault.
     pub fn on_failure(&mut self, now: Instant) {
         self.failures += 1;
--- /dev/null
+++ b/crates/daemon/benches/slopes.rs
@@ -0,0 +1,271 @@
+//! Slopes of state and decisions, without a network: memory for each key, chunk
+//! and target, time for each record, choice and change.
+//!
+//! `cargo bench -p gatespoold --bench slopes`
+
+use coordination::member::{Member, Note, Policy as MemberPolicy, State, Table};
+use coordination::route::{self, Candidate, Policy as RoutePolicy};
+use daemon::fleet::{Fleet, Place};
+use protocol::chat::Outcome;
+use protocol::config::{Change, Document};
+use serde_json::json;
+use state::command::{Command, Reply};
+use state::part::PartRef;
+use state::record::{After, Entry, Kept, Record, Spec};
+use state::shard::{Batch, Decision, Policy, Shard};
+use state::snapshot::Body;
+use std::collections::HashSet;
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+/// Resident memory in bytes.
+fn resident() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|text| text.split_whitespace().next()?.parse::<f64>().ok());
+    kib.unwrap_or(0.0) * 1024.0
+}
+
+fn main() {
+    keys();
+    jobs();
+    configuration();
+    members();
+    choices();
+}
+
+fn kept() -> Kept {
+    Kept::Chat(Outcome { text: "a".repeat(1000), finish: "stop".into(), tokens: 200 })
+}
+
+/// Keyed requests: each decided, encoded in an entry of 50, and folded.
+fn keys() {
+    println!("{:>10} {:>16} {:>18} {:>16}", "keys", "bytes a key", "us decide+fold", "us encode");
+    for count in [50_000u64, 100_000, 200_000, 400_000] {
+        let before = resident();
+        let mut shard = Shard::new(0, Policy::default());
+        let (mut work, mut encode) = (0.0, 0.0);
+        for group in 0..count / 50 {
+            let began = Instant::now();
+            let mut batch = Batch::default();
+            let mut records = Vec::new();
+            for n in 0..50 {
+                let key = format!("caller/service/key-{group}-{n}");
+                let command = Command::Finish { key, digest: n, issued: 1_000, outcome: kept() };
+                if let Decision::Commit(more, _) = shard.decide(&mut batch, &command, 1_000) {
+                    records.extend(more);
+                }
+            }
+            work += began.elapsed().as_secs_f64();
+            let entry = Entry { token: "t".into(), at: 0, records };
+            let began = Instant::now();
+            black_box(entry.encode());
+            encode += began.elapsed().as_secs_f64();
+            let began = Instant::now();
+            shard.apply(entry, 1_000);
+            work += began.elapsed().as_secs_f64();
+        }
+        let each = 1e6 / count as f64;
+        let bytes = (resident() - before) / count as f64;
+        println!("{count:>10} {bytes:>16.0} {:>18.2} {:>16.2}", work * each, encode * each);
+    }
+}
+
+fn spec(job: u64, chunks: u64) -> Spec {
+    Spec {
+        job: format!("job-{job:032x}"),
+        digest: job,
+        upload: "0000000000000-0000000000000000".into(),
+        service: "pustak-llm".into(),
+        due: job,
+        items: chunks * 256,
+        starts: (0..chunks).map(|chunk| chunk * 256).collect(),
+        at: job,
+    }
+}
+
+/// Jobs of 57 chunks, half of them done: as many chunks as a mean job has at the
+/// full size.
+fn jobs() {
+    const CHUNKS: u64 = 57;
+    println!(
+        "{:>10} {:>16} {:>18} {:>16} {:>16}",
+        "jobs", "bytes a chunk", "us claim+report", "bytes archived", "ms snapshot"
+    );
+    for count in [250u64, 500, 1000, 2000] {
+        let before = resident();
+        let mut shard = Shard::new(0, Policy::default());
+        for job in 0..count {
+            let records = vec![Record::Accepted(spec(job, CHUNKS))];
+            shard.apply(Entry { token: "t".into(), at: 0, records }, 1_000);
+        }
+        let began = Instant::now();
+        let services = vec![String::from("pustak-llm")];
+        let mut reports = 0;
+        for _ in 0..count * CHUNKS / 2 {
+            let command = Command::Claim { holder: 7, services: services.clone() };
+            let Decision::Commit(records, Reply::Work(work)) =
+                shard.decide(&mut Batch::default(), &command, 1_000)
+            else {
+                break;
+            };
+            shard.apply(Entry { token: "t".into(), at: 0, records }, 1_000);
+            let part = Some(PartRef { attempt: 1, part: 0 });
+            let record = Record::Progressed {
+                job: work.job,
+                chunk: work.chunk,
+                attempt: 1,
+                part,
+                done: 256,
+                failed: 0,
+                after: After::Done,
+            };
+            shard.apply(Entry { token: "t".into(), at: 0, records: vec![record] }, 1_000);
+            reports += 1;
+        }
+        let each = began.elapsed().as_secs_f64() * 1e6 / f64::from(reports);
+        let running = (resident() - before) / (count * CHUNKS) as f64;
+        let began = Instant::now();
+        black_box(serde_json::to_vec(&Body::of(&shard)).unwrap_or_default());
+        let snapshot = began.elapsed().as_secs_f64() * 1e3;
+        let archived = archived(count);
+        println!("{count:>10} {running:>16.0} {each:>18.2} {archived:>16.0} {snapshot:>16.1}");
+    }
+}
+
+fn archived(count: u64) -> f64 {
+    let before = resident();
+    let mut shard = Shard::new(0, Policy::default());
+    for job in 0..count * 10 {
+        let id = format!("job-{job:032x}");
+        let records = vec![
+            Record::Accepted(spec(job, 1)),
+            Record::Cancelled { job: id.clone() },
+            Record::Archived { job: id },
+        ];
+        shard.apply(Entry { token: "t".into(), at: 0, records }, 1_000);
+    }
+    let bytes = (resident() - before) / (count * 10) as f64;
+    black_box(shard.next());
+    bytes
+}
+
+fn change(targets: usize) -> Change {
+    let mut put = vec![json!({ "object": "version", "name": "v1", "weights": "w" })];
+    let services = (0..35).map(|n| format!("service-{n}"));
+    put.extend(services.map(
+        |name| json!({ "object": "service", "name": name, "protocol": "chat", "version": "v1" }),
+    ));
+    put.extend((0..targets).map(|n| {
+        json!({
+            "object": "target", "name": format!("target-{n:05}"), "address": "10.1.2.3:8000",
+            "data_centre": format!("dc{}", n % 4), "service": format!("service-{}", n % 35), "slots": 8,
+        })
+    }));
+    serde_json::from_value(json!({ "put": put })).expect("a change")
+}
+
+/// A configuration of so many targets: its memory, and what one change costs.
+fn configuration() {
+    println!(
+        "{:>10} {:>16} {:>18} {:>16} {:>16}",
+        "targets", "bytes a target", "ms a change", "ms a view", "KiB encoded"
+    );
+    for targets in [375usize, 750, 1500, 3000] {
+        let before = resident();
+        let document = Document::default().changed(&change(targets)).expect("valid");
+        let fleet = Fleet::default();
+        let place = Place { me: 7, here: "dc1".into(), subset: 64 };
+        let view = fleet.view(document.clone(), HashSet::new(), &place, true);
+        let bytes = (resident() - before) / targets as f64;
+        let one: Change = serde_json::from_value(json!({ "put": [
+            { "object": "limit", "caller": "x", "rate": 1.0, "burst": 1.0 }
+        ] }))
+        .expect("a change");
+        let began = Instant::now();
+        (0..20).for_each(|_| drop(black_box(document.changed(&one))));
+        let changed = began.elapsed().as_secs_f64() * 50.0;
+        let began = Instant::now();
+        for _ in 0..20 {
+            drop(black_box(fleet.view(document.clone(), HashSet::new(), &place, true)));
+        }
+        let viewed = began.elapsed().as_secs_f64() * 50.0;
+        let encoded = serde_json::to_vec(&document).map_or(0, |b| b.len()) / 1024;
+        println!("{targets:>10} {bytes:>16.0} {changed:>18.2} {viewed:>16.2} {encoded:>16}");
+        drop(view);
+    }
+}
+
+fn member(id: u64) -> Member {
+    let address = SocketAddr::from(([10, 0, 0, 1], 7801));
+    Member {
+        id,
+        peer: address,
+        http: address,
+        data_centre: format!("dc{}", id % 4),
+        incarnation: 1,
+        state: State::Alive,
+        generation: 1,
+    }
+}
+
+/// A table of so many members: memory, a tick, one piece of news, and ranking
+/// every target of the full size against every member.
+fn members() {
+    println!(
+        "{:>10} {:>16} {:>12} {:>12} {:>20}",
+        "members", "bytes a member", "us a tick", "us a note", "ms to rank 3,000"
+    );
+    for count in [50u64, 100, 200, 400] {
+        let before = resident();
+        let now = Instant::now();
+        let mut table = Table::new(member(u64::MAX / 2), MemberPolicy::default());
+        let ids = (1..=count).map(|n| n.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        for id in ids {
+            table.merge(member(id), now);
+        }
+        let bytes = (resident() - before) / count as f64;
+        let began = Instant::now();
+        (0..1000).for_each(|_| drop(black_box(table.tick(now))));
+        let tick = began.elapsed().as_secs_f64() * 1e3;
+        let began = Instant::now();
+        for n in 0..1000u64 {
+            table.pass_on(Note::Cancel(format!("job-{n}")));
+            for to in table.behind() {
+                let (mark, news) = table.news(to.id);
+                black_box(news);
+                table.on_sent(to.id, mark);
+            }
+        }
+        let note = began.elapsed().as_secs_f64() * 1e3;
+        let began = Instant::now();
+        for target in 0..3000u64 {
+            let ids = table.workers().map(|m| m.id);
+            black_box(coordination::hash::owner(&target.to_le_bytes(), ids));
+        }
+        let rank = began.elapsed().as_secs_f64() * 1e3;
+        println!("{count:>10} {bytes:>16.0} {tick:>12.2} {note:>12.2} {rank:>20.2}");
+    }
+}
+
+/// One choice among so many targets.
+fn choices() {
+    println!("{:>10} {:>16}", "targets", "us a choice");
+    for targets in [8u64, 16, 32, 64] {
+        let all: Vec<Candidate> = (0..targets)
+            .map(|id| Candidate {
+                id,
+                local: id % 4 == 0,
+                online: (id % 7) as u32,
+                slots: 8,
+                free: 8,
+            })
+            .collect();
+        let began = Instant::now();
+        for n in 0..100_000u64 {
+            black_box(route::pick(n, &all, RoutePolicy::default(), [n, n + 1]));
+        }
+        println!("{targets:>10} {:>16.3}", began.elapsed().as_secs_f64() * 10.0);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/append.rs
@@ -0,0 +1,60 @@
+//! Drives one append to a chain on the platform, as far as it goes now.
+//!
+//! The rules are `coordination::chain`'s; this only makes the calls that they ask
+//! for. Shards and the configuration share it.
+
+use bytes::Bytes;
+use coordination::chain::{Append, Step};
+use transport::store::{Condition, Fault, Store};
+
+/// How an append ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The entry is in the chain.
+    Committed,
+    /// Another entry stands there.
+    Overtaken,
+    /// It was never taken in, for this reason.
+    Refused(String),
+    /// Nobody can tell yet.
+    Open,
+}
+
+/// Creates `value` at `key` and settles lost answers, in at most `tries` rounds.
+/// `token` reads the writer's token of an entry that was found there.
+pub async fn drive<S: Store>(
+    store: &S,
+    append: &Append,
+    key: &str,
+    value: Bytes,
+    tries: u32,
+    token: impl Fn(&[u8]) -> String,
+) -> End {
+    let mut step = Step::CreateAgain;
+    let mut uncertain = false;
+    for _ in 0..tries {
+        if step == Step::CreateAgain {
+            step = match store.put(key, value.clone(), Condition::Absent).await {
+                Ok(_) => append.on_created(),
+                Err(Fault::Conflict) => append.on_taken(),
+                // Only a first create that was refused has surely had no effect.
+                Err(Fault::Away(text)) if !uncertain => return End::Refused(text),
+                Err(_) => append.on_lost(),
+            };
+            uncertain = true;
+        }
+        if step == Step::ReadBack {
+            step = match store.get(key).await {
+                Err(_) => Step::ReadBack,
+                Ok(None) => append.on_found(None),
+                Ok(Some(found)) => append.on_found(Some(&token(&found.value))),
+            };
+        }
+        match step {
+            Step::Committed => return End::Committed,
+            Step::Overtaken => return End::Overtaken,
+            Step::ReadBack | Step::CreateAgain => {}
+        }
+    }
+    End::Open
+}
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -1,12 +1,14 @@
 //! The control duty: configuration, leaving targets, load reports.
 
+use crate::append::{self, End};
 use crate::clock;
 use crate::fleet::{Node, lock};
 use crate::peers;
 use crate::shared::Shared;
-use coordination::chain::{Append, Offer, Step};
+use coordination::chain::{Append, Offer};
 use coordination::leaving::{Witness, Word};
 use coordination::member::State;
+use coordination::retry::Failure;
 use protocol::config::{Change, Document, Entry};
 use protocol::{Error, Generation, Kind};
 use state::object;
@@ -28,6 +30,8 @@
 const SNAPSHOT_EVERY: Generation = 64;
 /// Age after which a target's report may take back its own word, in milliseconds.
 const LEAVE_HOLD_MS: u64 = 2000;
+/// Time between looks while the settings don't fit the log.
+const MISMATCH_REST: Duration = Duration::from_secs(2);
 /// Tries to settle a write whose answer was lost.
 const SETTLE_TRIES: u32 = 4;
 
@@ -129,43 +133,24 @@
 async fn settle(shared: &Shared, entry: Entry) -> Result<Generation, Error> {
     let append = Append::new(entry.generation, entry.token.clone());
     let key = object::config(entry.generation);
-    let bytes = bytes::Bytes::from(serde_json::to_vec(&entry).unwrap_or_default());
-    let mut step = Step::CreateAgain;
-    let mut uncertain = false;
-    for _ in 0..SETTLE_TRIES {
-        if step == Step::CreateAgain {
-            step = match shared.store.put(&key, bytes.clone(), Condition::Absent).await {
-                Ok(_) => append.on_created(),
-                Err(Fault::Conflict) => append.on_taken(),
-                Err(fault @ Fault::Away(_)) if !uncertain => return Err(away(fault)),
-                Err(_) => append.on_lost(),
-            };
-            uncertain = true;
+    let value = bytes::Bytes::from(serde_json::to_vec(&entry).unwrap_or_default());
+    let token = |bytes: &[u8]| {
+        serde_json::from_slice::<Entry>(bytes).map(|entry| entry.token).unwrap_or_default()
+    };
+    match append::drive(&shared.store, &append, &key, value, SETTLE_TRIES, token).await {
+        End::Committed => {
+            let generation = entry.generation;
+            shared.offer(entry);
+            snapshot(shared).await;
+            Ok(generation)
         }
-        if step == Step::ReadBack {
-            step = match shared.store.get(&key).await {
-                Err(_) => Step::ReadBack,
-                Ok(None) => append.on_found(None),
-                Ok(Some(found)) => {
-                    let found = serde_json::from_slice::<Entry>(&found.value);
-                    append.on_found(Some(&found.map(|e| e.token).unwrap_or_default()))
-                }
-            };
-        }
-        match step {
-            Step::Committed => {
-                shared.offer(entry.clone());
-                snapshot(shared).await;
-                return Ok(entry.generation);
-            }
-            Step::Overtaken => {
-                let revision = entry.generation - 1;
-                return Err(stale(revision, entry.generation));
-            }
-            Step::ReadBack | Step::CreateAgain => {}
+        End::Overtaken => Err(stale(entry.generation - 1, entry.generation)),
+        End::Refused(text) => Err(Error::new(Kind::PlatformAway, text)),
+        End::Open => {
+            let text = "the platform gave no answer; read the configuration";
+            Err(Error::new(Kind::Undetermined, text))
         }
     }
-    Err(Error::new(Kind::Undetermined, "the platform gave no answer; read the configuration"))
 }
 
 fn stale(revision: Generation, in_force: Generation) -> Error {
@@ -187,11 +172,39 @@
     }
 }
 
+/// Whether this instance has the same number of shards as the log was begun with.
+/// With another number it would look for keys where they are not, and run what
+/// has run. Whoever comes first writes the number down.
+async fn check_shards(shared: &Shared) -> Result<bool, Fault> {
+    let own = shared.settings.shards.to_string();
+    let known = match shared.store.get(object::SHARDS).await? {
+        Some(found) => found.value,
+        None => {
+            let value = bytes::Bytes::from(own.clone());
+            match shared.store.put(object::SHARDS, value.clone(), Condition::Absent).await {
+                Ok(_) => value,
+                Err(fault) => return Err(fault),
+            }
+        }
+    };
+    let is_same = known.as_ref() == own.as_bytes();
+    if !is_same {
+        slog::error!(shared.log, "log.shards differs from the log's own"; "settings" => own,
+            "log" => String::from_utf8_lossy(&known).into_owned());
+    }
+    Ok(is_same)
+}
+
 /// Learns the configuration in force before anything is served: from the
 /// platform, or from a peer while the platform is away.
 async fn configure(shared: &Shared, stop: &CancellationToken) {
     while !stop.is_cancelled() {
-        let from_platform = read_platform(shared).await.is_ok();
+        let shards = check_shards(shared).await;
+        if let Ok(false) = shards {
+            tokio::time::sleep(MISMATCH_REST).await;
+            continue;
+        }
+        let from_platform = shards.is_ok() && read_platform(shared).await.is_ok();
         let from_peers = ask_peers(shared).await;
         if from_platform || from_peers {
             shared.configured.store(true, Ordering::Relaxed);
@@ -310,11 +323,12 @@
     let sent = Instant::now();
     match client.report(node.target.address, REPORT_TIMEOUT).await {
         Ok(report) => on_report(shared, node, report, sent),
-        Err(fault) => {
-            if fault.failure == coordination::retry::Failure::NotSent {
-                lock(&node.state).health.on_failure(Instant::now());
-            }
+        Err(fault) if fault.failure == Failure::NotSent => {
+            lock(&node.state).health.on_failure(Instant::now());
         }
+        Err(fault) if fault.is_silence => node.on_silence(Instant::now()),
+        // It answers, if not with a report: a plain service need not have one.
+        Err(_) => {}
     }
 }
 
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use transport::target::Report;
 
 /// Locks a mutex; a panic elsewhere leaves plain data that is still usable.
@@ -20,6 +20,11 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Reports in a row without an answer after which a target counts as silent. One
+/// may be lost to a pause of its own; waiting for a third costs every request
+/// that was sent there another second.
+const MISSES: u32 = 2;
+
 /// Targets whose online load changed since the peers were told.
 #[derive(Debug, Default)]
 pub struct Untold {
@@ -61,6 +66,11 @@
     pub id: u64,
     /// What changes.
     pub state: Mutex<State>,
+    /// Whether it leaves its load reports unanswered; streams that wait for it
+    /// watch this.
+    silent: watch::Sender<bool>,
+    /// Reports in a row that it left unanswered.
+    missed: AtomicU32,
     /// Whether it waits in the list of targets whose load is to be told.
     untold: AtomicBool,
     told: Arc<Untold>,
@@ -76,11 +86,36 @@
             report: None,
         };
         let id = hash::of(target.name.as_bytes());
-        Node { target, id, state: Mutex::new(state), untold: AtomicBool::new(false), told }
+        Node {
+            target,
+            id,
+            state: Mutex::new(state),
+            silent: watch::Sender::new(false),
+            missed: AtomicU32::new(0),
+            untold: AtomicBool::new(false),
+            told,
+        }
+    }
+
+    /// A report wasn't answered in time.
+    pub fn on_silence(&self, now: Instant) {
+        if self.missed.fetch_add(1, Ordering::Relaxed) + 1 >= MISSES {
+            self.silent.send_replace(true);
+            lock(&self.state).health.on_silence(now);
+        }
+    }
+
+    /// Waits until the target counts as silent.
+    pub async fn falls_silent(&self) {
+        let mut silent = self.silent.subscribe();
+        // The sender lives as long as the target, so this can't fail here.
+        drop(silent.wait_for(|silent| *silent).await);
     }
 
     /// Takes in a report.
     pub fn on_report(&self, report: Report, now: Instant) {
+        self.missed.store(0, Ordering::Relaxed);
+        self.silent.send_replace(false);
         let mut state = lock(&self.state);
         state.load.on_report(LoadReport { online: report.online, batch: report.batch, at: now });
         state.report = Some(report);
--- a/crates/daemon/src/front/answer.rs
+++ b/crates/daemon/src/front/answer.rs
@@ -2,15 +2,14 @@
 
 use super::call::{Class, Terms};
 use crate::clock;
-use crate::fleet::{self, Bound, Hold, Wanted};
+use crate::fleet::{self, Bound, Hold, Wanted, lock};
 use crate::shared::Shared;
 use coordination::leaving::{Witness, Word};
 use coordination::queue::{self, Queue, Verdict};
-use coordination::retry::{self, Budget, Failure};
+use coordination::retry::{self, Failure};
 use protocol::chat::{Request, Resume};
 use protocol::{Error, Kind, TargetId};
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 use transport::target::{Client, Fault, Meta, Piece, Stream};
@@ -18,8 +17,6 @@
 /// Most tries of one request.
 const MOST_TRIES: u32 = 4;
 
-static BUDGET: Mutex<Option<Budget>> = Mutex::new(None);
-
 /// An answer under way.
 pub struct Answer {
     shared: Arc<Shared>,
@@ -98,8 +95,9 @@
                 continue;
             };
             let left = self.terms.left(Instant::now());
-            let piece = tokio::time::timeout(left, stream.next()).await;
-            match piece {
+            let repeatable = self.terms.repeatable;
+            let piece = tokio::time::timeout(left, unless_silent(hold, repeatable, stream.next()));
+            match piece.await {
                 Err(_) => return Err(Error::new(Kind::TimedOut, "the answer took too long")),
                 Ok(Ok(Piece::Token(text))) => {
                     self.text.push_str(&text);
@@ -115,7 +113,7 @@
                     if self.shared.settings.is_unguarded("whole") {
                         return Ok(Piece::End("stop".into()));
                     }
-                    let (hold, _) = (self.stream.take().map(|(hold, _)| hold), ());
+                    let hold = self.stream.take().map(|(hold, _)| hold);
                     self.on_fault(hold, &fault)?;
                 }
             }
@@ -137,11 +135,12 @@
             (self.tokens > 0).then(|| Resume { text: self.text.clone(), tokens: self.tokens });
         self.tries += 1;
         if self.tries == 1 {
-            with_budget(Budget::on_first);
+            lock(&self.shared.budget).on_first();
         }
         self.target.clone_from(&hold.node.target.name);
         let address = hold.node.target.address;
-        match self.client.chat(address, &self.request, &meta).await {
+        let chat = self.client.chat(address, &self.request, &meta);
+        match unless_silent(&hold, self.terms.repeatable, chat).await {
             Ok(stream) => {
                 self.sent = true;
                 self.stream = Some((hold, stream));
@@ -227,9 +226,10 @@
         let unguarded = self.shared.settings.is_unguarded("retry");
         let may = retry::may_retry(self.terms.repeatable || unguarded, fault.failure);
         let in_time = !self.terms.left(now).is_zero();
-        if may && in_time && self.tries < MOST_TRIES && with_budget(Budget::take) {
-            slog::debug!(self.shared.log, "another try"; "service" => &self.service,
-                "reason" => &fault.message, "tokens" => self.tokens);
+        if may && in_time && self.tries < MOST_TRIES && lock(&self.shared.budget).take() {
+            let key = self.terms.key.as_ref().map_or("", |key| key.scoped.as_str());
+            slog::info!(self.shared.log, "another try"; "service" => &self.service, "key" => key,
+                "target" => &self.target, "reason" => &fault.message, "tokens" => self.tokens);
             return Ok(());
         }
         Err(self.final_error(fault))
@@ -251,7 +251,21 @@
     Error::new(Kind::UnknownService, format!("no service `{service}`"))
 }
 
-fn with_budget<R>(act: impl FnOnce(&mut Budget) -> R) -> R {
-    let mut budget = fleet::lock(&BUDGET);
-    act(budget.get_or_insert_default())
+/// Waits for a target, but no longer than until it falls silent: then another one
+/// can go on with a request that may be repeated. One that may run once waits for
+/// its own target to the end.
+async fn unless_silent<T>(
+    hold: &Hold,
+    repeatable: bool,
+    answer: impl Future<Output = Result<T, Fault>>,
+) -> Result<T, Fault> {
+    if !repeatable {
+        return answer.await;
+    }
+    tokio::select! {
+        answer = answer => answer,
+        () = hold.node.falls_silent() => {
+            Err(Fault::new(Failure::Unknown, "the target answers nothing"))
+        }
+    }
 }
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -53,6 +53,7 @@
         let method = head.method.clone();
         let path = head.path.clone();
         let segments: Vec<&str> = path.split('/').filter(|part| !part.is_empty()).collect();
+        let key = head.header(protocol::header::KEY).to_owned();
         let result = match (&method, segments.as_slice()) {
             (&Method::GET, ["live"]) => Ok(http::json(200, &"live")),
             (&Method::GET, ["ready"]) => self.ready(),
@@ -75,7 +76,7 @@
             }
             _ => Err(Error::new(Kind::UnknownPath, format!("{method} {path}"))),
         };
-        result.unwrap_or_else(|error| self.refuse(&path, &error))
+        result.unwrap_or_else(|error| self.refuse(&path, &key, &error))
     }
 }
 
@@ -141,11 +142,11 @@
         Ok(http::json(200, &"ready"))
     }
 
-    fn refuse(&self, path: &str, error: &Error) -> Response {
+    fn refuse(&self, path: &str, key: &str, error: &Error) -> Response {
         let telemetry = &self.shared.telemetry;
         telemetry.count(&format!("refused.{}", error.kind.name()));
-        slog::debug!(self.shared.log, "refused"; "path" => path, "kind" => error.kind.name(),
-            "reason" => &error.message);
+        slog::info!(self.shared.log, "refused"; "path" => path, "key" => key,
+            "kind" => error.kind.name(), "reason" => &error.message);
         http::error(error)
     }
 }
--- a/crates/daemon/src/front/plain.rs
+++ b/crates/daemon/src/front/plain.rs
@@ -128,11 +128,9 @@
         };
         let fault = match front.client.plain(hold.node.target.address, plain.clone(), &meta).await {
             // A server's failure after it took in the call: it may have run.
-            Ok((status, ..)) if status.is_server_error() => Fault {
-                failure: Failure::Unknown,
-                leaving: false,
-                message: format!("the target answered {status}"),
-            },
+            Ok((status, ..)) if status.is_server_error() => {
+                Fault::new(Failure::Unknown, format!("the target answered {status}"))
+            }
             Ok(answer) => {
                 hold.on_success();
                 return Ok(answer);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 //! # }
 //! ```
 
+pub mod append;
 pub mod batch;
 pub mod clock;
 pub mod control;
--- a/crates/daemon/src/shards.rs
+++ b/crates/daemon/src/shards.rs
@@ -19,6 +19,7 @@
 
 mod commit;
 mod load;
+mod sweep;
 
 const CAPACITY: usize = 8192;
 const SHARD_CAPACITY: usize = 4096;
--- a/crates/daemon/src/shards/commit.rs
+++ b/crates/daemon/src/shards/commit.rs
@@ -1,11 +1,12 @@
 //! The committer of one shard: groups commands, appends, settles lost answers.
 
 use super::load::{self, Loaded};
-use super::{Item, is_gone};
+use super::{Item, is_gone, sweep};
+use crate::append::{self, End};
 use crate::clock;
 use crate::shared::Shared;
 use bytes::Bytes;
-use coordination::chain::{Append, Step};
+use coordination::chain::Append;
 use coordination::retry;
 use protocol::{Error, Kind, Millis, ShardId};
 use state::command::{Answer, Command, Reply};
@@ -26,6 +27,8 @@
 const FRESH: Duration = Duration::from_secs(1);
 /// Time between housekeeping rounds.
 const HOUSEKEEPING: Duration = Duration::from_millis(500);
+/// Time between rounds of deletion.
+const SWEEP_EVERY: Duration = Duration::from_secs(2);
 /// Tries to settle an append before its callers are told that it's open.
 const SETTLE_TRIES: u32 = 3;
 const BACKOFF_BASE: Duration = Duration::from_millis(100);
@@ -39,14 +42,6 @@
     next: Instant,
 }
 
-/// How an append ended.
-enum End {
-    Committed,
-    Overtaken,
-    Refused(String),
-    Open,
-}
-
 struct Waiting {
     item: Item,
     records: Vec<Record>,
@@ -66,6 +61,7 @@
     committed: Instant,
     failures: u32,
     sequence: u64,
+    swept: Instant,
     archiving: Option<tokio::sync::oneshot::Receiver<Answer>>,
 }
 
@@ -91,6 +87,7 @@
             committed: now.checked_sub(settings.commit).unwrap_or(now),
             failures: 0,
             sequence: 0,
+            swept: now,
             archiving: None,
             shared,
         }
@@ -300,36 +297,9 @@
     /// Takes an append as far as it goes now.
     async fn drive(&self, append: &Append, entry: &Entry) -> End {
         let key = object::entry(self.id, append.position());
-        let bytes = Bytes::from(entry.encode());
-        let mut step = Step::CreateAgain;
-        let mut uncertain = false;
-        for _ in 0..SETTLE_TRIES {
-            if step == Step::CreateAgain {
-                step = match self.store.put(&key, bytes.clone(), Condition::Absent).await {
-                    Ok(_) => append.on_created(),
-                    Err(Fault::Conflict) => append.on_taken(),
-                    Err(Fault::Away(text)) if !uncertain => return End::Refused(text),
-                    Err(_) => append.on_lost(),
-                };
-                uncertain = true;
-            }
-            if step == Step::ReadBack {
-                step = match self.store.get(&key).await {
-                    Err(_) => Step::ReadBack,
-                    Ok(None) => append.on_found(None),
-                    Ok(Some(found)) => {
-                        let token = Entry::decode(&found.value).map(|entry| entry.token);
-                        append.on_found(Some(&token.unwrap_or_default()))
-                    }
-                };
-            }
-            match step {
-                Step::Committed => return End::Committed,
-                Step::Overtaken => return End::Overtaken,
-                Step::ReadBack | Step::CreateAgain => {}
-            }
-        }
-        End::Open
+        let value = Bytes::from(entry.encode());
+        let token = |bytes: &[u8]| Entry::decode(bytes).map(|e| e.token).unwrap_or_default();
+        append::drive(&self.store, append, &key, value, SETTLE_TRIES, token).await
     }
 
     /// Settles an append whose callers were told that its fate is open.
@@ -373,9 +343,9 @@
         if reclaimed {
             shared.tell_work(self.id, clock::millis());
         }
-        loaded.shard.forget(clock::millis());
         self.archive().await;
         self.snapshot().await;
+        self.sweep().await;
     }
 
     /// Writes the indexes of ended jobs, so that their chunks need no memory.
@@ -405,15 +375,16 @@
         let Some(loaded) = &self.loaded else {
             return;
         };
-        if loaded.shard.next() < loaded.snapshot + self.shared.settings.snapshot_entries {
+        if loaded.shard.next() < loaded.head.next + self.shared.settings.snapshot_entries {
             return;
         }
         match self.write_snapshot(loaded).await {
             Ok((head, version)) => {
                 if let Some(loaded) = &mut self.loaded {
-                    loaded.snapshot = head.next;
-                    loaded.segments = head.segments;
-                    loaded.head = Some(version);
+                    let former = std::mem::replace(&mut loaded.head, head);
+                    loaded.version = Some(version);
+                    let kept = loaded.head.segments.clone();
+                    tokio::spawn(sweep::snapshot(self.store.clone(), self.id, former, kept));
                 }
             }
             // Another owner's snapshot is as good as ours; read it next time.
@@ -425,8 +396,8 @@
     async fn write_snapshot(&self, loaded: &Loaded) -> Result<(Head, u64), Fault> {
         let shard = &loaded.shard;
         let name = format!("{:012}-{:016x}", shard.next(), self.shared.id);
-        let mut segments = self.kept_segments(&loaded.segments);
-        let fresh = shard.keys().finished_since(loaded.snapshot);
+        let mut segments = live_segments(&loaded.head.segments, self.oldest());
+        let fresh = shard.keys().finished_since(loaded.head.next);
         if !fresh.is_empty() {
             let newest = fresh.iter().map(|(_, f)| f.issued).max().unwrap_or(0);
             let bytes = Bytes::from(serde_json::to_vec(&fresh).unwrap_or_default());
@@ -439,16 +410,35 @@
             let key = object::snapshot_part(self.id, &name, index);
             self.store.put(&key, Bytes::copy_from_slice(part), Condition::Any).await?;
         }
-        let head = Head { next: shard.next(), name, parts: parts.len(), segments };
+        let swept = loaded.head.swept;
+        let head = Head { next: shard.next(), name, parts: parts.len(), segments, swept };
         let bytes = Bytes::from(serde_json::to_vec(&head).unwrap_or_default());
-        let condition = loaded.head.map_or(Condition::Absent, Condition::Version);
+        let condition = loaded.version.map_or(Condition::Absent, Condition::Version);
         let version = self.store.put(&object::snapshot_head(self.id), bytes, condition).await?;
         Ok((head, version))
     }
 
-    fn kept_segments(&self, segments: &[Segment]) -> Vec<Segment> {
-        let before = clock::millis().saturating_sub(self.policy.retention.as_millis() as Millis);
-        live_segments(segments, before)
+    /// Issue time before which nothing is kept.
+    fn oldest(&self) -> Millis {
+        clock::millis().saturating_sub(self.policy.retention.as_millis() as Millis)
+    }
+
+    /// Deletes what is past the retention window: entries that a snapshot covers,
+    /// and the objects of forgotten jobs.
+    async fn sweep(&mut self) {
+        let oldest = self.oldest();
+        if self.swept.elapsed() < SWEEP_EVERY {
+            return;
+        }
+        self.swept = Instant::now();
+        let Some(loaded) = &mut self.loaded else {
+            return;
+        };
+        for job in loaded.shard.forget(clock::millis()) {
+            tokio::spawn(sweep::job(self.store.clone(), job));
+        }
+        loaded.head.swept =
+            sweep::entries(&self.store, self.id, loaded.head.swept..loaded.head.next, oldest).await;
     }
 }
 
--- a/crates/daemon/src/shards/load.rs
+++ b/crates/daemon/src/shards/load.rs
@@ -4,7 +4,7 @@
 use state::object;
 use state::record::Entry;
 use state::shard::{Policy, Shard};
-use state::snapshot::{Body, Head, Keyed, Segment};
+use state::snapshot::{Body, Head, Keyed};
 use transport::store::{Fault, Store, Version};
 
 /// Entries read at once while catching up.
@@ -14,12 +14,10 @@
 pub struct Loaded {
     /// The shard.
     pub shard: Shard,
-    /// Version of the snapshot's head, to replace it conditionally.
-    pub head: Option<Version>,
-    /// First entry after the last snapshot.
-    pub snapshot: u64,
-    /// Segments of finished keys.
-    pub segments: Vec<Segment>,
+    /// Head of the last snapshot; empty when there is none.
+    pub head: Head,
+    /// Version of the head's object, to replace it conditionally.
+    pub version: Option<Version>,
 }
 
 /// Reads a whole shard.
@@ -34,7 +32,7 @@
     now: Millis,
 ) -> Result<Loaded, Fault> {
     let mut loaded = match store.get(&object::snapshot_head(id)).await? {
-        None => Loaded { shard: Shard::new(id, policy), head: None, snapshot: 0, segments: vec![] },
+        None => Loaded { shard: Shard::new(id, policy), head: Head::default(), version: None },
         Some(found) => {
             let head: Head = decode(&found.value)?;
             restore(store, id, policy, head, found.version, now).await?
@@ -63,7 +61,7 @@
         finished.extend(keys);
     }
     let shard = body.restore(id, policy, head.next, finished, now);
-    Ok(Loaded { shard, head: Some(version), snapshot: head.next, segments: head.segments })
+    Ok(Loaded { shard, head, version: Some(version) })
 }
 
 /// Applies every entry after the shard's last; returns how many there were.
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -11,6 +11,7 @@
 use coordination::leaving::{Board, Witness, Word};
 use coordination::limit::Bucket;
 use coordination::member::{Member, Note, Table};
+use coordination::retry::Budget;
 use protocol::config::Entry;
 use protocol::settings::Settings;
 use protocol::{Generation, InstanceId, TargetId};
@@ -80,6 +81,8 @@
     pub refusing: AtomicBool,
     /// Whether the configuration in force is known.
     pub configured: AtomicBool,
+    /// Retries that may still be made.
+    pub budget: Mutex<Budget>,
     /// Limits of callers.
     pub buckets: Mutex<HashMap<String, Bucket>>,
     /// Wakes the peers duty: there is news, or online load to tell.
@@ -290,6 +293,7 @@
             stopping: Mutex::new(None),
             refusing: AtomicBool::new(false),
             configured: AtomicBool::new(false),
+            budget: Mutex::default(),
             buckets: Mutex::default(),
             news: Notify::new(),
         }
--- a/crates/daemon/tests/config_in_force.rs
+++ b/crates/daemon/tests/config_in_force.rs
@@ -119,6 +119,20 @@
     assert_eq!(fresh.generation(), 1);
 }
 
+/// Another number of shards would look for keys where they are not.
+#[test]
+fn an_instance_with_another_number_of_shards_serves_nothing() {
+    let mut cluster = Cluster::start(Plan::default());
+    let other = cluster.new_daemon_in("patan-hall", "log.shards = 5");
+    let log = cluster.folder.join("daemon-4.log");
+    wait_until("it says why", || {
+        let text = std::fs::read_to_string(&log).unwrap_or_default();
+        text.contains("log.shards differs")
+    });
+    assert_eq!(other.get("/ready").status, 503);
+    assert_eq!(chat(other.front, "x", &[], json!({})).json()["error"]["type"], "not_ready");
+}
+
 #[test]
 fn a_change_whose_answer_is_lost_is_accepted_once() {
     let cluster = Cluster::start(Plan::default());
--- a/crates/daemon/tests/exactly_once.rs
+++ b/crates/daemon/tests/exactly_once.rs
@@ -210,6 +210,40 @@
     assert_eq!(cluster.runs().len(), 30);
 }
 
+/// Past the retention window the platform is rid of it; what is inside is kept.
+#[test]
+fn what_is_past_retention_is_deleted() {
+    let settings = vec![
+        String::from("log.retention_s = 4"),
+        String::from("log.snapshot_entries = 4"),
+        String::from("log.shards = 1"),
+    ];
+    let mut cluster = Cluster::start(Plan { settings, ..Plan::default() });
+    let job = job_of(&cluster.submit(0, "night", &items("describe", 40)));
+    cluster.wait_job(0, &job, "finished");
+    let asked = |cluster: &Cluster, n: usize| {
+        let key = format!("answer-{n}");
+        chat(cluster.daemons[0].front, &key, &[("idempotency-key", &key)], json!({}))
+    };
+    let mut n = 0;
+    wait_until("the job's objects and the first entries are deleted", || {
+        n += 1;
+        assert_eq!(asked(&cluster, n).status, 200);
+        let gone = |prefix: &str| cluster.platform.keys(prefix).is_empty();
+        let first = cluster.platform.value("log/0000/e/000000000000");
+        gone("chunk/") && gone("result/") && gone("index/") && first.is_none()
+    });
+    let fresh = cluster.new_daemon();
+    fresh.wait_ready();
+    cluster.daemons.clear();
+    cluster.daemons.push(fresh);
+    let again = wait_for("the resend is answered", || {
+        let reply = asked(&cluster, n);
+        (reply.status == 200).then_some(reply)
+    });
+    assert_eq!(again.header("gatespool-replayed"), "true");
+}
+
 #[test]
 fn a_job_of_the_largest_size_stays_within_bounds() {
     let settings =
--- a/crates/daemon/tests/whole_answers.rs
+++ b/crates/daemon/tests/whole_answers.rs
@@ -99,6 +99,36 @@
     });
 }
 
+/// A target that answers nothing any more is found out by its load reports, long
+/// before its streams count as cut.
+#[test]
+fn requests_move_on_from_a_target_that_freezes() {
+    let engine = Config { token: Duration::from_millis(40), ..Config::default() };
+    let settings = vec![String::from("targets.idle_ms = 60000")];
+    let cluster = Cluster::start(Plan { engine, settings, ..Plan::default() });
+    std::thread::scope(|scope| {
+        let calls: Vec<_> = (0..12)
+            .map(|n| {
+                let front = cluster.daemons[n % 3].front;
+                let prompt = format!("moving {n}");
+                let headers = [("gatespool-deadline-ms", "20000")];
+                scope.spawn(move || {
+                    let reply = chat(front, &prompt, &headers, json!({ "stream": true }));
+                    (prompt, reply.streamed())
+                })
+            })
+            .collect();
+        wait_until("all run", || cluster.runs().len() == 12);
+        cluster.engines[0].control(Control { frozen: Some(true), ..Control::default() });
+        for call in calls {
+            let (prompt, got) = call.join().expect("an answer");
+            assert_eq!(got, (text::whole(&prompt, None), true));
+        }
+    });
+    let moved = cluster.runs().len() - 12;
+    assert!(moved > 0, "no stream ran on the frozen target");
+}
+
 #[test]
 fn a_resend_reads_what_the_first_caller_saw_end() {
     let cluster = Cluster::start(Plan::default());
--- a/crates/state/src/jobs.rs
+++ b/crates/state/src/jobs.rs
@@ -291,9 +291,13 @@
         }
     }
 
-    /// Forgets jobs accepted before `before` that have ended.
-    pub fn forget(&mut self, before: Millis) {
-        self.jobs.retain(|_, job| job.phase == Phase::Running || job.spec.at >= before);
+    /// Forgets jobs accepted before `before` that have ended, and gives them back
+    /// so that their objects can be deleted.
+    pub fn forget(&mut self, before: Millis) -> Vec<Job> {
+        let is_old = |job: &Job| job.archived && job.spec.at < before;
+        let old: Vec<JobId> =
+            self.jobs.values().filter(|job| is_old(job)).map(|job| job.spec.job.clone()).collect();
+        old.iter().filter_map(|id| self.jobs.remove(id)).collect()
     }
 
     fn end_if_done(&mut self, job: &str) {
--- a/crates/state/src/object.rs
+++ b/crates/state/src/object.rs
@@ -51,6 +51,9 @@
     format!("config/e/{generation:012}")
 }
 
+/// Number of shards that the log was begun with.
+pub const SHARDS: &str = "log/shards";
+
 /// Prefix of the accepted changes.
 pub const CONFIG: &str = "config/e/";
 
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -32,6 +32,9 @@
     pub parts: usize,
     /// Segments of finished keys.
     pub segments: Vec<Segment>,
+    /// Entries before this one are deleted.
+    #[serde(default)]
+    pub swept: u64,
 }
 
 /// Contents of the parts, once joined.
--- /dev/null
+++ b/crates/transport/src/peer/codec.rs
@@ -0,0 +1,124 @@
+//! Members and news as messages.
+
+use crate::peer_capnp::{leaving, member, note};
+use coordination::leaving::Witness;
+use coordination::member::{Member, Note, State};
+use std::net::SocketAddr;
+
+/// Writes a member.
+pub fn write_member(mut to: member::Builder<'_>, from: &Member) {
+    to.set_id(from.id);
+    to.set_peer(from.peer.to_string());
+    to.set_http(from.http.to_string());
+    to.set_data_centre(&from.data_centre);
+    to.set_incarnation(from.incarnation);
+    to.set_generation(from.generation);
+    to.set_state(match from.state {
+        State::Alive => member::State::Alive,
+        State::Suspect => member::State::Suspect,
+        State::Leaving => member::State::Leaving,
+        State::Dead => member::State::Dead,
+    });
+}
+
+/// Reads a member.
+///
+/// # Errors
+///
+/// What is wrong with the message.
+pub fn read_member(from: member::Reader<'_>) -> Result<Member, capnp::Error> {
+    let state = match from.get_state()? {
+        member::State::Alive => State::Alive,
+        member::State::Suspect => State::Suspect,
+        member::State::Leaving => State::Leaving,
+        member::State::Dead => State::Dead,
+    };
+    Ok(Member {
+        id: from.get_id(),
+        peer: read_address(from.get_peer()?)?,
+        http: read_address(from.get_http()?)?,
+        data_centre: from.get_data_centre()?.to_string()?,
+        incarnation: from.get_incarnation(),
+        generation: from.get_generation(),
+        state,
+    })
+}
+
+fn write_witness(witness: Witness) -> leaving::Witness {
+    match witness {
+        Witness::Target => leaving::Witness::Target,
+        Witness::Platform => leaving::Witness::Platform,
+        Witness::Operator => leaving::Witness::Operator,
+        Witness::Controller => leaving::Witness::Controller,
+    }
+}
+
+fn read_witness(witness: leaving::Witness) -> Witness {
+    match witness {
+        leaving::Witness::Target => Witness::Target,
+        leaving::Witness::Platform => Witness::Platform,
+        leaving::Witness::Operator => Witness::Operator,
+        leaving::Witness::Controller => Witness::Controller,
+    }
+}
+
+fn read_address(text: capnp::text::Reader<'_>) -> Result<SocketAddr, capnp::Error> {
+    let text = text.to_str()?;
+    text.parse().map_err(|_| capnp::Error::failed(format!("not an address: {text}")))
+}
+
+/// Writes news.
+pub fn write_notes(mut to: capnp::struct_list::Builder<'_, note::Owned>, from: &[Note]) {
+    for (index, note) in from.iter().enumerate() {
+        let mut slot = to.reborrow().get(index as u32);
+        match note {
+            Note::Member(member) => write_member(slot.init_member(), member),
+            Note::Leaving { target, since, leaving, witness } => {
+                let mut word = slot.init_leaving();
+                word.set_target(target);
+                word.set_since(*since);
+                word.set_leaving(*leaving);
+                word.set_witness(write_witness(*witness));
+            }
+            Note::Cancel(job) => slot.set_cancel(job),
+            Note::Generation(generation) => slot.set_generation(*generation),
+            Note::Work(shard, at) => {
+                let mut work = slot.init_work();
+                work.set_shard(*shard);
+                work.set_at(*at);
+            }
+        }
+    }
+}
+
+/// Reads news.
+///
+/// # Errors
+///
+/// What is wrong with the message.
+pub fn read_notes(
+    from: capnp::struct_list::Reader<'_, note::Owned>,
+) -> Result<Vec<Note>, capnp::Error> {
+    from.iter().map(read_note).collect()
+}
+
+fn read_note(note: note::Reader<'_>) -> Result<Note, capnp::Error> {
+    match note.which()? {
+        note::Which::Member(member) => Ok(Note::Member(read_member(member?)?)),
+        note::Which::Leaving(word) => {
+            let word = word?;
+            Ok(Note::Leaving {
+                target: word.get_target()?.to_string()?,
+                since: word.get_since(),
+                leaving: word.get_leaving(),
+                witness: read_witness(word.get_witness()?),
+            })
+        }
+        note::Which::Cancel(job) => Ok(Note::Cancel(job?.to_string()?)),
+        note::Which::Generation(generation) => Ok(Note::Generation(generation)),
+        note::Which::Work(work) => {
+            let work = work?;
+            Ok(Note::Work(work.get_shard(), work.get_at()))
+        }
+    }
+}
--- /dev/null
+++ b/crates/transport/src/peer/connection.rs
@@ -0,0 +1,81 @@
+//! A connection between two daemons, with its bytes counted.
+
+use capnp_rpc::{rpc_twoparty_capnp, twoparty};
+use futures_util::AsyncReadExt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::net::TcpStream;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+/// Bytes moved between daemons, for metrics.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    /// Bytes sent.
+    pub sent: AtomicU64,
+    /// Bytes received.
+    pub received: AtomicU64,
+}
+
+/// One end of a connection as capnp-rpc sees it.
+pub type Network = twoparty::VatNetwork<
+    futures_util::io::BufReader<futures_util::io::ReadHalf<tokio_util::compat::Compat<Counted>>>,
+>;
+
+/// Makes one end; `None` when the connection has closed already.
+pub fn network(stream: Counted, side: rpc_twoparty_capnp::Side) -> Option<Network> {
+    stream.stream.set_nodelay(true).ok()?;
+    let (read, write) = stream.compat().split();
+    let read = futures_util::io::BufReader::new(read);
+    let write = futures_util::io::BufWriter::new(write);
+    Some(twoparty::VatNetwork::new(read, write, side, capnp::message::ReaderOptions::new()))
+}
+
+/// A connection that counts its bytes.
+pub struct Counted {
+    /// The connection.
+    pub stream: TcpStream,
+    /// Where its bytes are counted.
+    pub traffic: Arc<Traffic>,
+}
+
+impl tokio::io::AsyncRead for Counted {
+    fn poll_read(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+        buffer: &mut tokio::io::ReadBuf<'_>,
+    ) -> std::task::Poll<std::io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = std::pin::Pin::new(&mut self.stream).poll_read(cx, buffer);
+        let read = buffer.filled().len() - before;
+        self.traffic.received.fetch_add(read as u64, Ordering::Relaxed);
+        polled
+    }
+}
+
+impl tokio::io::AsyncWrite for Counted {
+    fn poll_write(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+        bytes: &[u8],
+    ) -> std::task::Poll<std::io::Result<usize>> {
+        let polled = std::pin::Pin::new(&mut self.stream).poll_write(cx, bytes);
+        if let std::task::Poll::Ready(Ok(written)) = &polled {
+            self.traffic.sent.fetch_add(*written as u64, Ordering::Relaxed);
+        }
+        polled
+    }
+
+    fn poll_flush(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<std::io::Result<()>> {
+        std::pin::Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<std::io::Result<()>> {
+        std::pin::Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/transport/src/peer/pool.rs
@@ -0,0 +1,191 @@
+//! Connections to other daemons, kept for the few that are spoken to.
+
+use super::Entries;
+use super::codec::{read_member, read_notes, write_member, write_notes};
+use super::connection::{Counted, Traffic, network};
+use crate::cut::Cut;
+use crate::peer_capnp::peer;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp};
+use coordination::member::{Member, Note};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+
+/// Most connections kept to other daemons.
+const MOST_CONNECTIONS: usize = 64;
+
+/// Why a call to a peer failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// No connection; the call never left.
+    NotSent(String),
+    /// The call left and no answer came.
+    Lost(String),
+}
+
+/// Connections to other daemons. Lives inside a `LocalSet`.
+#[derive(Clone)]
+pub struct Pool {
+    connections: std::rc::Rc<RefCell<HashMap<SocketAddr, (peer::Client, Instant)>>>,
+    timeout: Duration,
+    cut: Cut,
+    traffic: Arc<Traffic>,
+}
+
+impl Pool {
+    /// An empty pool; calls wait for `timeout` at most.
+    pub fn new(timeout: Duration, cut: Cut, traffic: Arc<Traffic>) -> Pool {
+        Pool { connections: std::rc::Rc::default(), timeout, cut, traffic }
+    }
+
+    /// Sends a heartbeat with news.
+    ///
+    /// # Errors
+    ///
+    /// How the call failed.
+    pub async fn ping(
+        &self,
+        to: SocketAddr,
+        me: &Member,
+        notes: &[Note],
+    ) -> Result<(Member, Vec<Note>), Fault> {
+        let client = self.connect(to).await?;
+        let mut request = client.ping_request();
+        write_member(request.get().init_from(), me);
+        write_notes(request.get().init_notes(notes.len() as u32), notes);
+        self.finish(to, self.timeout, async {
+            let response = request.send().promise.await?;
+            let answer = response.get()?;
+            Ok((read_member(answer.get_self()?)?, read_notes(answer.get_notes()?)?))
+        })
+        .await
+    }
+
+    /// Sends a command to the owner of a shard.
+    ///
+    /// # Errors
+    ///
+    /// How the call failed.
+    pub async fn command(
+        &self,
+        to: SocketAddr,
+        shard: u32,
+        body: &[u8],
+        limit: Duration,
+    ) -> Result<Vec<u8>, Fault> {
+        let client = self.connect(to).await?;
+        let mut request = client.command_request();
+        request.get().set_shard(shard);
+        request.get().set_body(body);
+        self.finish(to, limit, async {
+            let response = request.send().promise.await?;
+            Ok(response.get()?.get_body()?.to_vec())
+        })
+        .await
+    }
+
+    /// Asks for configuration entries after a generation.
+    ///
+    /// # Errors
+    ///
+    /// How the call failed.
+    pub async fn entries(&self, to: SocketAddr, after: u64) -> Result<Entries, Fault> {
+        let client = self.connect(to).await?;
+        let mut request = client.entries_request();
+        request.get().set_after(after);
+        self.finish(to, self.timeout, async {
+            let response = request.send().promise.await?;
+            let answer = response.get()?;
+            let entries: Result<Vec<Vec<u8>>, capnp::Error> =
+                answer.get_entries()?.iter().map(|entry| Ok(entry?.to_vec())).collect();
+            let document = answer.get_document()?.to_vec();
+            Ok(Entries { head: answer.get_head(), entries: entries?, document })
+        })
+        .await
+    }
+
+    /// Tells how many online requests this daemon has at a target.
+    ///
+    /// # Errors
+    ///
+    /// How the call failed.
+    pub async fn pressure(
+        &self,
+        to: SocketAddr,
+        from: u64,
+        target: &str,
+        online: u32,
+    ) -> Result<(), Fault> {
+        let client = self.connect(to).await?;
+        let mut request = client.pressure_request();
+        request.get().set_from(from);
+        request.get().set_target(target);
+        request.get().set_online(online);
+        self.finish(to, self.timeout, async { request.send().promise.await.map(|_| ()) }).await
+    }
+
+    /// Asks for all members that a daemon knows.
+    ///
+    /// # Errors
+    ///
+    /// How the call failed.
+    pub async fn members(&self, to: SocketAddr) -> Result<Vec<Member>, Fault> {
+        let client = self.connect(to).await?;
+        let request = client.members_request();
+        self.finish(to, self.timeout, async {
+            let response = request.send().promise.await?;
+            response.get()?.get_members()?.iter().map(read_member).collect()
+        })
+        .await
+    }
+
+    async fn finish<T>(
+        &self,
+        to: SocketAddr,
+        limit: Duration,
+        call: impl Future<Output = Result<T, capnp::Error>>,
+    ) -> Result<T, Fault> {
+        let fault = match tokio::time::timeout(limit, call).await {
+            Ok(Ok(answer)) => return Ok(answer),
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => format!("no answer in {limit:?}"),
+        };
+        self.connections.borrow_mut().remove(&to);
+        Err(Fault::Lost(fault))
+    }
+
+    async fn connect(&self, to: SocketAddr) -> Result<peer::Client, Fault> {
+        if self.cut.is_cut(to, Instant::now()) {
+            self.connections.borrow_mut().remove(&to);
+            return Err(Fault::NotSent("cut off".into()));
+        }
+        if let Some((client, used)) = self.connections.borrow_mut().get_mut(&to) {
+            *used = Instant::now();
+            return Ok(client.clone());
+        }
+        let stream = tokio::time::timeout(self.timeout, TcpStream::connect(to)).await;
+        let stream = stream.map_err(|_| Fault::NotSent("no connection in time".into()))?;
+        let stream = stream.map_err(|error| Fault::NotSent(error.to_string()))?;
+        let counted = Counted { stream, traffic: self.traffic.clone() };
+        let network = network(counted, rpc_twoparty_capnp::Side::Client)
+            .ok_or_else(|| Fault::NotSent("the connection closed".into()))?;
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let client: peer::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+        tokio::task::spawn_local(system);
+        self.keep(to, client.clone());
+        Ok(client)
+    }
+
+    fn keep(&self, to: SocketAddr, client: peer::Client) {
+        let mut connections = self.connections.borrow_mut();
+        if connections.len() >= MOST_CONNECTIONS {
+            let oldest = connections.iter().min_by_key(|(_, (_, used))| *used).map(|(a, _)| *a);
+            oldest.map(|address| connections.remove(&address));
+        }
+        connections.insert(to, (client, Instant::now()));
+    }
+}
--- a/crates/transport/src/target.rs
+++ b/crates/transport/src/target.rs
@@ -25,13 +25,21 @@
     pub failure: Failure,
     /// Whether the target says that it is leaving.
     pub leaving: bool,
+    /// Whether no answer came in time, rather than a bad one.
+    pub is_silence: bool,
     /// The reason.
     pub message: String,
 }
 
 impl Fault {
-    fn new(failure: Failure, message: impl Into<String>) -> Fault {
-        Fault { failure, leaving: false, message: message.into() }
+    /// A fault for the reason `message`.
+    pub fn new(failure: Failure, message: impl Into<String>) -> Fault {
+        Fault { failure, leaving: false, is_silence: false, message: message.into() }
+    }
+
+    fn silence(limit: Duration) -> Fault {
+        let message = format!("no answer in {limit:?}");
+        Fault { is_silence: true, ..Fault::new(Failure::Unknown, message) }
     }
 }
 
@@ -172,7 +180,7 @@
         let builder = self.builder(to, Method::GET, "/load", &meta);
         let response = self.send(to, builder.body(Full::default()), limit).await?;
         let body = tokio::time::timeout(limit, response.into_body().collect()).await;
-        let body = body.map_err(|_| Fault::new(Failure::Unknown, "no report in time"))?;
+        let body = body.map_err(|_| Fault::silence(limit))?;
         let body = body.map_err(|error| Fault::new(Failure::Unknown, error.to_string()))?;
         serde_json::from_slice(&body.to_bytes())
             .map_err(|error| Fault::new(Failure::Unknown, error.to_string()))
@@ -230,7 +238,7 @@
                 Err(Fault::new(Failure::NotSent, error.to_string()))
             }
             Ok(Err(error)) => Err(Fault::new(Failure::Unknown, error.to_string())),
-            Err(_) => Err(Fault::new(Failure::Unknown, format!("no answer in {limit:?}"))),
+            Err(_) => Err(Fault::silence(limit)),
         }
     }
 }
@@ -266,7 +274,8 @@
     let refused = is_refusal(response) || status == StatusCode::CONFLICT;
     let failure = if refused { Failure::Refused } else { Failure::Unknown };
     let leaving = response.headers().contains_key(LEAVING);
-    Err(Fault { failure, leaving, message: format!("the target answered {status}") })
+    let message = format!("the target answered {status}");
+    Err(Fault { leaving, ..Fault::new(failure, message) })
 }
 
 /// A streamed answer.
