Let online past batch streams that can't or won't make way

Items that may run once can't be parked, and nothing bounded them: they now take at most half of a target's slots (test: online_first::items_that_may_run_once_leave_half_the_slots). Streams on a target that changed hands were unknown to its new decider: they now give way by the target's load report.

Failed try, reverted: parking streams at once when a target changes hands. planned_stop::batch_work_is_handed_on_with_nothing_repeated failed with it, since each join of a replacement moved targets, and items ran again.

Also: a caller that hung up before the first token left a claim without an outcome until its deadline; keyed requests now run to their end in a task of their own (test: at_most_once::an_offer_whose_caller_hangs_up). An upload whose caller hangs up deletes its chunks.

--- a/crates/daemon/benches/measure/front.rs
+++ b/crates/daemon/benches/measure/front.rs
@@ -166,3 +166,51 @@
         println!("{:>22} {:.1} whole/s of {capacity:.0}", "", goodput);
     }
 }
+
+/// Processor time of a daemon for each request and each token, and bytes between
+/// daemons for each request: slopes over load.
+pub fn slopes() {
+    let token = Duration::from_millis(10);
+    let engine =
+        Config { slots: 4000, prefill: Duration::from_millis(5), token, ..Config::default() };
+    let plan = Plan {
+        daemons: 3,
+        engines: 6,
+        engine,
+        settings: production(),
+        centres: 1,
+        ..Plan::default()
+    };
+    let cluster = Cluster::start(plan);
+    std::thread::sleep(Duration::from_secs(3));
+    println!(
+        "{:>8} {:>8} {:>16} {:>14} {:>14}",
+        "req/s", "tokens", "ms CPU a request", "% core", "B/s peers"
+    );
+    for (rate, tokens) in [(0.0, 0), (50.0, 5), (100.0, 5), (100.0, 55), (100.0, 105), (200.0, 55)]
+    {
+        let peers = |daemon: usize| {
+            let status = cluster.daemons[daemon].get("/v1/status").json();
+            let count = |name: &str| status[name].as_f64().unwrap_or(0.0);
+            count("peer_bytes_sent") + count("peer_bytes_received")
+        };
+        let (bytes, (ticks, _)) = (peers(0), cluster.daemons[0].usage());
+        let began = Instant::now();
+        let length = Duration::from_secs(6);
+        if rate > 0.0 {
+            let to = vec![cluster.daemons[0].front];
+            load::send(Load { to, rate, length, tokens, keyed: false, burst: None, name: "slope" });
+        } else {
+            std::thread::sleep(length);
+        }
+        let seconds = began.elapsed().as_secs_f64();
+        let (after, _) = cluster.daemons[0].usage();
+        let busy = (after - ticks) as f64 / 100.0;
+        let each = busy * 1000.0 / (rate * length.as_secs_f64()).max(1.0);
+        println!(
+            "{rate:>8.0} {tokens:>8} {each:>16.3} {:>14.2} {:>14.0}",
+            busy * 100.0 / seconds,
+            (peers(0) - bytes) / seconds
+        );
+    }
+}
--- a/crates/daemon/benches/measure/main.rs
+++ b/crates/daemon/benches/measure/main.rs
@@ -26,6 +26,7 @@
     ("faults", front::faults),
     ("overhead", front::overhead),
     ("saturation", front::saturation),
+    ("slopes", front::slopes),
 ];
 
 fn main() {
--- a/crates/daemon/src/batch/chunk.rs
+++ b/crates/daemon/src/batch/chunk.rs
@@ -134,12 +134,21 @@
         }
     }
 
+    /// Whether an item may start now; one that may run once only when `may_once`.
+    pub fn has_item(&self, may_once: bool) -> bool {
+        !self.closing && self.place(may_once).is_some()
+    }
+
+    fn place(&self, may_once: bool) -> Option<usize> {
+        self.waiting.iter().position(|waiting| may_once || waiting.item.repeatable)
+    }
+
     /// Takes the next item to run.
-    pub fn take(&mut self) -> Option<Waiting> {
+    pub fn take(&mut self, may_once: bool) -> Option<Waiting> {
         if self.closing {
             return None;
         }
-        let waiting = self.waiting.pop_front()?;
+        let waiting = self.waiting.remove(self.place(may_once)?)?;
         self.running.insert(waiting.index, waiting.clone());
         Some(waiting)
     }
--- a/crates/daemon/src/batch/run.rs
+++ b/crates/daemon/src/batch/run.rs
@@ -10,7 +10,7 @@
 use coordination::eject::Use;
 use protocol::config::Protocol;
 use protocol::{Error, ShardId, TargetId};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
@@ -109,8 +109,10 @@
         if !is_open(&self.shared) {
             self.chunks.values_mut().for_each(|chunk| chunk.closing = true);
         }
+        let charge = self.shared.charge();
+        self.yield_elsewhere(&view, &charge, now);
         let mut free = HashMap::new();
-        for node in self.shared.charge().iter() {
+        for node in charge.iter() {
             if let Some(starts) = self.balance(&view, node, now) {
                 *free.entry(node.target.service.clone()).or_insert(0) += starts;
             }
@@ -137,6 +139,26 @@
         self.streams.values().filter(|s| s.chunk == key).for_each(|s| s.park.cancel());
     }
 
+    /// Gives way on targets that are in another instance's charge by now: that one
+    /// hears of online requests there, but not of these streams. All that is known
+    /// here is the target's own late report. Stopping the streams at once was
+    /// tried; each planned replacement then ran items again.
+    fn yield_elsewhere(&self, view: &View, charge: &[Arc<Node>], now: Instant) {
+        let is_mine = |name: &TargetId| charge.iter().any(|node| node.target.name == *name);
+        let elsewhere: BTreeSet<&TargetId> =
+            self.streams.values().map(|s| &s.target).filter(|name| !is_mine(name)).collect();
+        for node in elsewhere.into_iter().filter_map(|name| view.nodes.get(name)) {
+            let (online, batch) = {
+                let state = lock(&node.state);
+                (state.load.online(now), state.load.batch(now))
+            };
+            let over = (online + batch).saturating_sub(node.target.slots);
+            if online > 0 && over > 0 {
+                self.park(&node.target.name, over);
+            }
+        }
+    }
+
     /// Gives back chunks of services for which this instance has had no target in
     /// its charge for a while. A chunk in the hands of a live holder never lapses,
     /// so one that can't be run here would wait for ever.
@@ -194,7 +216,7 @@
         Room { slots: node.target.slots, reserve, online, peak, batch }
     }
 
-    fn park(&mut self, target: &str, most: u32) {
+    fn park(&self, target: &str, most: u32) {
         let fitting = self.streams.values().rev().filter(|s| s.target == target && s.repeatable);
         let running = fitting.filter(|s| !s.park.is_cancelled());
         running.take(most as usize).for_each(|s| s.park.cancel());
@@ -202,7 +224,8 @@
 
     fn start(&mut self, node: &Arc<Node>, most: usize) -> usize {
         for started in 0..most {
-            let Some((key, waiting)) = self.next_item(&node.target.service) else {
+            let may_once = self.once_on(&node.target.name) < node.target.slots.div_ceil(2);
+            let Some((key, waiting)) = self.next_item(&node.target.service, may_once) else {
                 return most - started;
             };
             self.spawn(node, key, waiting);
@@ -210,17 +233,24 @@
         0
     }
 
-    /// The next item of the earliest due chunk of a service.
-    fn next_item(&mut self, service: &str) -> Option<(ChunkKey, Waiting)> {
+    /// Streams on a target that can't make way, since their items may run once.
+    fn once_on(&self, target: &str) -> u32 {
+        let fixed = |s: &&Stream| s.target == target && !s.repeatable;
+        self.streams.values().filter(fixed).count() as u32
+    }
+
+    /// The next item of the earliest due chunk of a service; items that may run
+    /// once only when `may_once`.
+    fn next_item(&mut self, service: &str, may_once: bool) -> Option<(ChunkKey, Waiting)> {
         let unrecorded: usize = self.chunks.values().map(Chunk::unrecorded).sum();
         if unrecorded >= MOST_UNRECORDED {
             return None;
         }
         let due = |chunk: &Chunk| if chunk.work.due == 0 { u64::MAX } else { chunk.work.due };
-        let fits = |c: &Chunk| c.work.service == service && !c.waiting.is_empty() && !c.closing;
+        let fits = |c: &Chunk| c.work.service == service && c.has_item(may_once);
         let fitting = self.chunks.iter_mut().filter(|(_, chunk)| fits(chunk));
         let (key, chunk) = fitting.min_by_key(|(key, chunk)| (due(chunk), **key))?;
-        chunk.take().map(|waiting| (*key, waiting))
+        chunk.take(may_once).map(|waiting| (*key, waiting))
     }
 
     fn spawn(&mut self, node: &Arc<Node>, chunk: ChunkKey, waiting: Waiting) {
--- a/crates/daemon/src/front/chat.rs
+++ b/crates/daemon/src/front/chat.rs
@@ -42,12 +42,33 @@
     let (service, wanted) = parse_model(&request);
     let deadline = check_service(front, &service, &wanted)?;
     let terms = Terms::read(head, &service, &body, deadline, arrived)?;
+    let is_keyed = terms.key.is_some();
+    let serving = serve(front.clone(), terms, service, wanted, request, arrived, running);
+    // A keyed request goes on when its caller hangs up, also before the first
+    // token: its claim is settled, and its outcome is there for the resend. One
+    // without a key ends with its caller.
+    if !is_keyed {
+        return serving.await;
+    }
+    let task = tokio::spawn(serving);
+    task.await.unwrap_or_else(|error| Err(Error::new(Kind::Internal, error.to_string())))
+}
+
+async fn serve(
+    front: Front,
+    terms: Terms,
+    service: String,
+    wanted: Wanted,
+    request: Request,
+    arrived: Instant,
+    running: Running,
+) -> Result<Response, Error> {
+    let stream = request.stream;
     if let Some(key) = &terms.key
         && let Begun::Kept(kept) = keyed::begin(&front.shared, &terms, key).await?
     {
-        return replay(&terms, &service, request.stream, kept);
+        return replay(&terms, &service, stream, kept);
     }
-    let stream = request.stream;
     let answer = Answer::new(
         front.shared.clone(),
         front.client.clone(),
@@ -56,20 +77,9 @@
         service.clone(),
         request,
     );
-    let mut exchange = Exchange { front: front.clone(), terms, service, answer, arrived, running };
+    let mut exchange = Exchange { front, terms, service, answer, arrived, running };
     let first = exchange.first().await?;
-    if stream {
-        return Ok(exchange.stream(first));
-    }
-    // A keyed request goes on when its caller hangs up, so that its outcome is
-    // there for the resend; one without a key ends with its caller.
-    if exchange.terms.key.is_some() {
-        let task = tokio::spawn(async move { exchange.whole(first).await });
-        return task
-            .await
-            .unwrap_or_else(|error| Err(Error::new(Kind::Internal, error.to_string())));
-    }
-    exchange.whole(first).await
+    if stream { Ok(exchange.stream(first)) } else { exchange.whole(first).await }
 }
 
 /// Splits `service@version+adapter`.
--- a/crates/daemon/src/front/jobs.rs
+++ b/crates/daemon/src/front/jobs.rs
@@ -50,26 +50,16 @@
     }
     let lines = Lines::new(body, LONGEST_LINE, shared.settings.body_timeout);
     let mut upload = Upload::new(shared.clone(), job.clone(), known.is_ok());
-    let spec = match upload.read(lines).await {
-        Ok(spec) => spec,
-        Err(error) => {
-            upload.sweep();
-            return Err(error);
-        }
-    };
+    let spec = upload.read(lines).await?;
     match shared.shards.submit(shared, Command::Accept(spec.clone())).await {
-        Ok(Reply::Status(status)) => {
-            upload.sweep();
-            Ok(http::json(200, &status))
-        }
+        Ok(Reply::Status(status)) => Ok(http::json(200, &status)),
         Ok(_) => {
+            upload.keep = true;
             slog::info!(shared.log, "job accepted"; "job" => &job, "items" => spec.items);
             Ok(http::json(201, &accepted(&spec)))
         }
         Err(error) => {
-            if error.kind != Kind::Undetermined {
-                upload.sweep();
-            }
+            upload.keep = error.kind == Kind::Undetermined;
             Err(error)
         }
     }
@@ -99,6 +89,8 @@
     bytes: usize,
     items: u64,
     starts: Vec<u64>,
+    /// Whether an accepted job names, or may name, what was written.
+    keep: bool,
 }
 
 impl Upload {
@@ -114,6 +106,7 @@
             bytes: 0,
             items: 0,
             starts: Vec::new(),
+            keep: false,
         }
     }
 
@@ -191,10 +184,13 @@
         let text = format!("the job is not accepted: {}", last.unwrap_or_default());
         Err(Error::new(Kind::PlatformAway, text))
     }
+}
 
-    /// Deletes what was written for a job that isn't accepted by this upload.
-    fn sweep(&self) {
-        if self.known {
+/// An upload that ends without an accepted job, also because its caller hung up,
+/// takes what it wrote with it.
+impl Drop for Upload {
+    fn drop(&mut self) {
+        if self.known || self.keep || self.starts.is_empty() {
             return;
         }
         let (shared, job, name) = (self.shared.clone(), self.job.clone(), self.name.clone());
--- a/crates/daemon/src/shards/commit.rs
+++ b/crates/daemon/src/shards/commit.rs
@@ -38,7 +38,6 @@
 struct Open {
     append: Append,
     entry: Entry,
-    tries: u32,
     next: Instant,
 }
 
@@ -276,7 +275,7 @@
                 let wait = self.backoff();
                 let error =
                     Error::new(Kind::Undetermined, "the platform gave no answer").after(wait);
-                self.open = Some(Open { append, entry, tries: 0, next: Instant::now() + wait });
+                self.open = Some(Open { append, entry, next: Instant::now() + wait });
                 answer_all(waiting, |_| Err(error.clone()));
             }
         }
@@ -319,7 +318,6 @@
             End::Refused(_) | End::Open => {
                 self.failures += 1;
                 let wait = self.backoff();
-                open.tries += 1;
                 open.next = Instant::now() + wait;
                 self.open = Some(open);
                 Err(away("an append of this shard is open", wait))
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -171,3 +171,30 @@
     assert_eq!(cluster.results(1, &job).len(), 200);
     assert_eq!(most_runs(&cluster), 1);
 }
+
+/// A caller that hangs up before the first token leaves no claim behind that
+/// nobody settles: the offer is made, once, and its outcome is there to read.
+#[test]
+fn an_offer_whose_caller_hangs_up_is_made_once_and_kept() {
+    let engine = Config { prefill: Duration::from_millis(400), ..Config::default() };
+    let cluster = Cluster::start(Plan { engine, ..Plan::default() });
+    let body = json!({
+        "model": "pustak-llm", "messages": [{ "role": "user", "content": "offer a" }],
+    })
+    .to_string();
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nidempotency-key: a\r\n\
+         gatespool-repeatable: false\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = std::net::TcpStream::connect(cluster.daemons[0].front).expect("connected");
+    std::io::Write::write_all(&mut stream, head.as_bytes()).expect("sent");
+    wait_until("the offer is being made", || cluster.runs().len() == 1);
+    drop(stream);
+    let kept = wait_for("the outcome is kept", || {
+        let reply = offer(&cluster, 1, "a");
+        (reply.status == 200).then_some(reply)
+    });
+    assert_eq!(kept.header("gatespool-replayed"), "true");
+    assert_eq!(most_runs(&cluster), 1);
+}
--- a/crates/daemon/tests/online_first.rs
+++ b/crates/daemon/tests/online_first.rs
@@ -109,3 +109,19 @@
     // A token on its way at the moment of the stop may be generated again.
     assert!(tokens < 60 * 60 + 200, "{tokens} tokens for {}", 60 * 60);
 }
+
+/// Items that may run once can't make way; they never take more than half of a
+/// target, so that online requests always find the other half.
+#[test]
+fn items_that_may_run_once_leave_half_the_slots() {
+    let engine = Config { slots: 4, token: Duration::from_millis(20), ..Config::default() };
+    let cluster = Cluster::start(Plan { engine, ..Plan::default() });
+    let list: Vec<_> = (0..60)
+        .map(|n| json!({ "prompt": format!("wire {n}"), "repeatable": false, "max_tokens": 3000 }))
+        .collect();
+    assert_eq!(cluster.submit(0, "wires", &list).status, 201);
+    let half = |engine: &Engine| engine.running()[1] == 2;
+    wait_until("half of each engine is taken", || cluster.engines.iter().all(half));
+    assert_eq!(burst(&cluster, "burst", 6, 10), 6);
+    assert!(cluster.engines.iter().all(|engine| engine.running()[1] <= 2));
+}
