Tell online load in rounded words; report percentiles; smaller modules

Change: beyond 4 requests at a target the count is told rounded up to a multiple of 4, so most changes need no word.

Found by reading: the clock that repeats words before they go stale started anew with every change, so on a busy instance it never rang; it has its own now.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -250,6 +250,8 @@
     class: String,
     first_token_ms: u64,
     share: f64,
+    /// The slowest instance's, since percentiles can't be added up.
+    first_ms: [f64; 3],
     windows: Vec<Window>,
 }
 
@@ -278,7 +280,17 @@
         }
     }
     let lines: Vec<Burn> = sum.into_values().collect();
-    let heads = ["SERVICE", "CLASS", "LIMIT", "SHARE", "WINDOW", "GOOD", "ALL", "BURN"];
+    let heads = [
+        "SERVICE",
+        "CLASS",
+        "LIMIT",
+        "SHARE",
+        "FIRST p50/p95/p99",
+        "WINDOW",
+        "GOOD",
+        "ALL",
+        "BURN",
+    ];
     context.show(&lines, &heads, || {
         lines.iter().flat_map(|line| line.windows.iter().map(move |w| burn_row(line, w))).collect()
     })?;
@@ -291,6 +303,9 @@
         sum.insert(key, line);
         return;
     };
+    for (known, more) in known.first_ms.iter_mut().zip(line.first_ms) {
+        *known = known.max(more);
+    }
     for (window, more) in known.windows.iter_mut().zip(&line.windows) {
         window.count = window.count.plus(more.count);
         window.burn = window.count.burn(known.share);
@@ -303,6 +318,7 @@
         line.class.clone(),
         format!("{} ms", line.first_token_ms),
         format!("{}", line.share),
+        format!("{} / {} / {} ms", line.first_ms[0], line.first_ms[1], line.first_ms[2]),
         format!("{} s", window.seconds),
         window.count.good.to_string(),
         window.count.all.to_string(),
--- a/crates/coordination/src/admit.rs
+++ b/crates/coordination/src/admit.rs
@@ -23,6 +23,21 @@
 /// How long a target counts as used by online requests after the last one.
 pub const QUIET_AFTER: Duration = Duration::from_secs(30);
 
+/// Counts up to this are told as they are.
+const EXACT: u32 = 4;
+/// Larger ones are rounded up to a multiple of this.
+const STEP: u32 = 4;
+
+/// The count of online requests that an instance tells of itself.
+///
+/// With a few requests each one matters and is told. With many at one target the
+/// count goes up and down all the time, and told exactly these words would be the
+/// largest part of all control traffic; rounded up, most changes need none, and
+/// batch leaves at most three slots more than it must.
+pub fn word(online: u32) -> u32 {
+    if online <= EXACT { online } else { online.next_multiple_of(STEP) }
+}
+
 /// Online requests that other instances have at one target.
 #[derive(Clone, Debug, Default)]
 pub struct Pressure {
--- a/crates/coordination/tests/decisions.rs
+++ b/crates/coordination/tests/decisions.rs
@@ -1,6 +1,6 @@
 //! The smaller decisions, each by itself.
 
-use coordination::admit::{Batch, Pressure, Room, batch};
+use coordination::admit::{Batch, Pressure, Room, batch, word};
 use coordination::burn::{Count, Series};
 use coordination::drain::{Phase, Plan, phase};
 use coordination::eject::{Health, Use};
@@ -96,6 +96,12 @@
     assert_eq!(pressure.sum(now + Duration::from_secs(5)), 0);
 }
 
+#[test]
+fn words_are_exact_for_few_requests_and_rare_for_many() {
+    let told: Vec<u32> = (0..=9).map(word).collect();
+    assert_eq!(told, [0, 1, 2, 3, 4, 8, 8, 8, 8, 12]);
+}
+
 #[test]
 fn a_late_report_is_corrected_by_what_was_sent_since() {
     let now = Instant::now();
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -71,6 +71,8 @@
     silent: watch::Sender<bool>,
     /// Reports in a row that it left unanswered.
     missed: AtomicU32,
+    /// The count of online requests that its decider was last told.
+    pub word: AtomicU32,
     /// Whether it waits in the list of targets whose load is to be told.
     untold: AtomicBool,
     told: Arc<Untold>,
@@ -92,6 +94,7 @@
             state: Mutex::new(state),
             silent: watch::Sender::new(false),
             missed: AtomicU32::new(0),
+            word: AtomicU32::new(0),
             untold: AtomicBool::new(false),
             told,
         }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -2,12 +2,14 @@
 
 use crate::fleet::{Node, lock};
 use crate::shared::Shared;
+use coordination::admit;
 use coordination::chain::Offer;
 use coordination::member::{Member, Note, State};
 use protocol::config::{Document, Entry};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
@@ -292,31 +294,35 @@
     /// there, within milliseconds of a change.
     async fn press(self, stop: CancellationToken) {
         let untold = self.shared.fleet.untold.clone();
+        // A clock of its own: while something changes at every moment, what doesn't
+        // change must still be told again before its words go stale.
+        let mut again = tokio::time::interval(RETELL);
         loop {
             let changed = tokio::select! {
                 () = untold.signal.notified() => true,
-                () = tokio::time::sleep(RETELL) => false,
+                _ = again.tick() => false,
                 () = stop.cancelled() => return,
             };
             if changed {
                 // Told at once; only what changes right after is gathered. A
                 // request that meets a target full of batch waits for this word.
-                untold.take().iter().for_each(|node| self.tell_load(node));
+                untold.take().iter().for_each(|node| self.tell_load(node, false));
                 tokio::time::sleep(GATHER).await;
                 continue;
             }
-            // Nothing changed for a while: what still runs is told again, before
-            // the words of it go stale.
             let view = self.shared.view();
             let busy = view.nodes.values().filter(|node| lock(&node.state).load.own() > 0);
-            busy.for_each(|node| self.tell_load(node));
+            busy.for_each(|node| self.tell_load(node, true));
         }
     }
 
-    fn tell_load(&self, node: &Node) {
-        let online = lock(&node.state).load.own();
+    /// Tells one target's decider; a word that it has heard only when `again`.
+    fn tell_load(&self, node: &Node, again: bool) {
+        let online = admit::word(lock(&node.state).load.own());
+        let is_new = node.word.swap(online, Ordering::Relaxed) != online;
         match self.shared.decider(node) {
             Some(decider) if decider.id == self.shared.id => self.shared.batch.wake(),
+            _ if !is_new && !again => {}
             Some(decider) => {
                 let local = self.clone();
                 let target = node.target.name.clone();
--- a/crates/daemon/src/shards/commit.rs
+++ b/crates/daemon/src/shards/commit.rs
@@ -1,7 +1,7 @@
 //! The committer of one shard: groups commands, appends, settles lost answers.
 
+use super::Item;
 use super::load::{self, Loaded};
-use super::{Item, is_gone, sweep};
 use crate::append::{self, End};
 use crate::clock;
 use crate::shared::Shared;
@@ -13,13 +13,14 @@
 use state::object;
 use state::record::{After, Entry, Record};
 use state::shard::{Batch, Decision, Policy, Shard};
-use state::snapshot::{Body, Head, Segment, live_segments};
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
 use transport::ring::Drain;
-use transport::store::{Condition, Fault, Store};
+use transport::store::{Fault, Store};
+
+mod housekeeping;
 
 /// Most commands in one append.
 const MOST_COMMANDS: usize = 2048;
@@ -27,8 +28,6 @@
 const FRESH: Duration = Duration::from_secs(1);
 /// Time between housekeeping rounds.
 const HOUSEKEEPING: Duration = Duration::from_millis(500);
-/// Time between rounds of deletion.
-const SWEEP_EVERY: Duration = Duration::from_secs(2);
 /// Tries to settle an append before its callers are told that it's open.
 const SETTLE_TRIES: u32 = 3;
 const BACKOFF_BASE: Duration = Duration::from_millis(100);
@@ -324,120 +323,6 @@
             }
         }
     }
-
-    async fn housekeep(&mut self) {
-        if self.open.is_some() {
-            // The failure is told to the callers that come; nobody waits here.
-            drop(self.prepare().await);
-        }
-        if self.open.is_some() {
-            return;
-        }
-        let Some(loaded) = &mut self.loaded else {
-            return;
-        };
-        let shared = self.shared.clone();
-        let reclaimed = loaded.shard.reclaim(|holder| is_gone(&shared, holder));
-        if reclaimed {
-            shared.tell_work(self.id, clock::millis());
-        }
-        self.archive().await;
-        self.snapshot().await;
-        self.sweep().await;
-    }
-
-    /// Writes the indexes of ended jobs, so that their chunks need no memory.
-    async fn archive(&mut self) {
-        let Some(loaded) = &self.loaded else {
-            return;
-        };
-        let Some(job) = loaded.shard.jobs().to_archive().next().cloned() else {
-            return;
-        };
-        let places = job.places(0, u64::MAX);
-        let bytes = serde_json::to_vec(&places).unwrap_or_default();
-        if bytes.len() > object::MAX_BYTES {
-            return;
-        }
-        let key = object::index(&job.spec.job);
-        if self.store.put(&key, Bytes::from(bytes), Condition::Any).await.is_ok() {
-            let (answer, ignored) = tokio::sync::oneshot::channel();
-            let command = Command::Archive { job: job.spec.job };
-            self.queue.push_back(Item { shard: self.id, command, answer });
-            // Held open, or the command would count as given up.
-            self.archiving = Some(ignored);
-        }
-    }
-
-    async fn snapshot(&mut self) {
-        let Some(loaded) = &self.loaded else {
-            return;
-        };
-        if loaded.shard.next() < loaded.head.next + self.shared.settings.snapshot_entries {
-            return;
-        }
-        match self.write_snapshot(loaded).await {
-            Ok((head, version)) => {
-                if let Some(loaded) = &mut self.loaded {
-                    let former = std::mem::replace(&mut loaded.head, head);
-                    loaded.version = Some(version);
-                    let kept = loaded.head.segments.clone();
-                    tokio::spawn(sweep::snapshot(self.store.clone(), self.id, former, kept));
-                }
-            }
-            // Another owner's snapshot is as good as ours; read it next time.
-            Err(Fault::Conflict) => self.loaded = None,
-            Err(_) => {}
-        }
-    }
-
-    async fn write_snapshot(&self, loaded: &Loaded) -> Result<(Head, u64), Fault> {
-        let shard = &loaded.shard;
-        let name = format!("{:012}-{:016x}", shard.next(), self.shared.id);
-        let mut segments = live_segments(&loaded.head.segments, self.oldest());
-        let fresh = shard.keys().finished_since(loaded.head.next);
-        if !fresh.is_empty() {
-            let newest = fresh.iter().map(|(_, f)| f.issued).max().unwrap_or(0);
-            let bytes = Bytes::from(serde_json::to_vec(&fresh).unwrap_or_default());
-            self.store.put(&object::segment(self.id, &name), bytes, Condition::Any).await?;
-            segments.push(Segment { name: name.clone(), newest });
-        }
-        let body = serde_json::to_vec(&Body::of(shard)).unwrap_or_default();
-        let parts: Vec<&[u8]> = body.chunks(object::MAX_BYTES).collect();
-        for (index, part) in parts.iter().enumerate() {
-            let key = object::snapshot_part(self.id, &name, index);
-            self.store.put(&key, Bytes::copy_from_slice(part), Condition::Any).await?;
-        }
-        let swept = loaded.head.swept;
-        let head = Head { next: shard.next(), name, parts: parts.len(), segments, swept };
-        let bytes = Bytes::from(serde_json::to_vec(&head).unwrap_or_default());
-        let condition = loaded.version.map_or(Condition::Absent, Condition::Version);
-        let version = self.store.put(&object::snapshot_head(self.id), bytes, condition).await?;
-        Ok((head, version))
-    }
-
-    /// Issue time before which nothing is kept.
-    fn oldest(&self) -> Millis {
-        clock::millis().saturating_sub(self.policy.retention.as_millis() as Millis)
-    }
-
-    /// Deletes what is past the retention window: entries that a snapshot covers,
-    /// and the objects of forgotten jobs.
-    async fn sweep(&mut self) {
-        let oldest = self.oldest();
-        if self.swept.elapsed() < SWEEP_EVERY {
-            return;
-        }
-        self.swept = Instant::now();
-        let Some(loaded) = &mut self.loaded else {
-            return;
-        };
-        for job in loaded.shard.forget(clock::millis()) {
-            tokio::spawn(sweep::job(self.store.clone(), job));
-        }
-        loaded.head.swept =
-            sweep::entries(&self.store, self.id, loaded.head.swept..loaded.head.next, oldest).await;
-    }
 }
 
 /// A progress report shows that its holder lives, even when it brings no news.
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -5,6 +5,7 @@
 use cadence::prelude::*;
 use cadence::{NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink};
 use coordination::burn::{Count, Series, WINDOWS};
+use hdrhistogram::Histogram;
 use protocol::config::Document;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -16,6 +17,10 @@
 
 const PREFIX: &str = "gatespool";
 const EVERY: Duration = Duration::from_secs(1);
+/// Longest first token that a histogram tells apart, in milliseconds.
+const LONGEST_MS: u64 = 600_000;
+/// Significant digits of a histogram; two keep it at a few kilobytes.
+const DIGITS: u8 = 2;
 
 /// One line of the burn report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -28,6 +33,8 @@
     pub first_token_ms: u64,
     /// Share that must be good.
     pub share: f64,
+    /// First token in ms since the start: p50, p95, p99.
+    pub first_ms: [f64; 3],
     /// Counts for each window, in seconds.
     pub windows: Vec<Window>,
 }
@@ -47,7 +54,34 @@
 /// Metrics and service levels of one daemon.
 pub struct Telemetry {
     client: StatsdClient,
-    series: Mutex<HashMap<(String, String), Series>>,
+    levels: Mutex<HashMap<(String, String), Level>>,
+}
+
+/// What is kept of one service and class.
+struct Level {
+    series: Series,
+    first: Histogram<u64>,
+}
+
+impl Default for Level {
+    fn default() -> Level {
+        let first = Histogram::new_with_max(LONGEST_MS, DIGITS);
+        // The bounds are constants that the library accepts.
+        Level { series: Series::default(), first: first.expect("sound bounds") }
+    }
+}
+
+impl Level {
+    fn note(&mut self, first: Option<Duration>, limit: Duration, now: Instant) {
+        self.series.note(first.is_some_and(|first| first <= limit), now);
+        if let Some(first) = first {
+            self.first.saturating_record(first.as_millis() as u64);
+        }
+    }
+
+    fn first_ms(&self) -> [f64; 3] {
+        [0.5, 0.95, 0.99].map(|q| self.first.value_at_quantile(q) as f64)
+    }
 }
 
 impl Telemetry {
@@ -66,7 +100,7 @@
                 StatsdClient::from_sink(PREFIX, QueuingMetricSink::from(sink))
             }
         };
-        Ok(Telemetry { client, series: Mutex::default() })
+        Ok(Telemetry { client, levels: Mutex::default() })
     }
 
     /// Counts one. A metric that can't be sent is no fault of the work.
@@ -94,22 +128,21 @@
         };
         for level in found.levels.iter().filter(|level| level.class == class) {
             let limit = Duration::from_millis(level.first_token_ms);
-            let good = first.is_some_and(|first| first <= limit);
             let key = (service.to_owned(), class.to_owned());
-            lock(&self.series).entry(key).or_default().note(good, now);
+            lock(&self.levels).entry(key).or_default().note(first, limit, now);
         }
     }
 
     /// The burn report of this instance.
     pub fn burn(&self, document: &Document, now: Instant) -> Vec<Burn> {
-        let series = lock(&self.series);
+        let levels = lock(&self.levels);
         let mut lines = Vec::new();
         for service in document.services.values() {
             for level in &service.levels {
                 let key = (service.name.clone(), level.class.clone());
                 let window = |length: &Duration| {
-                    let found = series.get(&key);
-                    let count = found.map_or(Count::default(), |s| s.within(*length, now));
+                    let found = levels.get(&key);
+                    let count = found.map_or(Count::default(), |l| l.series.within(*length, now));
                     Window { seconds: length.as_secs(), count, burn: count.burn(level.share) }
                 };
                 lines.push(Burn {
@@ -117,6 +150,7 @@
                     class: level.class.clone(),
                     first_token_ms: level.first_token_ms,
                     share: level.share,
+                    first_ms: levels.get(&key).map_or([0.0; 3], Level::first_ms),
                     windows: WINDOWS.iter().map(window).collect(),
                 });
             }
--- a/crates/daemon/tests/exactly_once.rs
+++ b/crates/daemon/tests/exactly_once.rs
@@ -210,6 +210,45 @@
     assert_eq!(cluster.runs().len(), 30);
 }
 
+/// The platform refuses writes over its rate in the middle of snapshots; what was
+/// only half written is never read, and the next owner finds everything.
+#[test]
+fn a_snapshot_that_breaks_off_loses_nothing() {
+    let settings = vec![String::from("log.snapshot_entries = 2"), String::from("log.shards = 1")];
+    let mut cluster = Cluster::start(Plan { settings, ..Plan::default() });
+    let ask = |cluster: &Cluster, daemon: usize, n: usize| {
+        let key = format!("answer-{n}");
+        chat(cluster.daemons[daemon].front, &key, &[("idempotency-key", &key)], json!({}))
+    };
+    let rate = |cluster: &Cluster, rate: f64| {
+        cluster.platform_fault(Control { writes_per_second: Some(rate), ..Control::default() });
+    };
+    rate(&cluster, 4.0);
+    for n in 0..24 {
+        assert_eq!(ask(&cluster, n % 3, n).status, 200);
+    }
+    wait_until("writes were refused", || cluster.platform.counts().limited > 10);
+    rate(&cluster, 1e6);
+    for n in 0..24 {
+        wait_until("the outcome is recorded", || {
+            ask(&cluster, 1, n).header("gatespool-replayed") == "true"
+        });
+    }
+    let fresh = cluster.new_daemon();
+    fresh.wait_ready();
+    cluster.daemons.clear();
+    cluster.daemons.push(fresh);
+    let runs = cluster.runs().len();
+    for n in 0..24 {
+        let again = wait_for("the resend is answered", || {
+            let reply = ask(&cluster, 0, n);
+            (reply.status == 200).then_some(reply)
+        });
+        assert_eq!(again.header("gatespool-replayed"), "true", "answer {n}");
+    }
+    assert_eq!(cluster.runs().len(), runs, "nothing runs again for the new owner");
+}
+
 /// Past the retention window the platform is rid of it; what is inside is kept.
 #[test]
 fn what_is_past_retention_is_deleted() {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -4,9 +4,8 @@
 use crate::text;
 use bytes::Bytes;
 use hyper::Method;
-use protocol::chat::{self, Chunk, ChunkChoice, DONE, Delta};
+use protocol::chat::{self, DONE};
 use protocol::{Error, Kind, header};
-use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -14,98 +13,18 @@
 use transport::http::{self, BodyStream, Head, Response, Service};
 use transport::target::{LEAVING, Order, Report};
 
+mod events;
+mod types;
+
+use events::{collect, event};
+pub use types::{Config, Control, Run};
+
 const BODY_LIMIT: usize = 1 << 20;
 const BODY_WAIT: Duration = Duration::from_secs(10);
 
 /// A prompt with this in it fails on every engine.
 pub const POISON: &str = "[poison]";
 
-/// How an engine behaves.
-#[derive(Clone, Debug)]
-pub struct Config {
-    /// Requests at once.
-    pub slots: u32,
-    /// Time until the first token when the prefix isn't cached.
-    pub prefill: Duration,
-    /// Time between tokens.
-    pub token: Duration,
-    /// Age of load reports.
-    pub lag: Duration,
-    /// Prefixes kept.
-    pub cache: usize,
-    /// Whether old fencing numbers are refused.
-    pub checks_fence: bool,
-    /// Time that an order takes.
-    pub load: Duration,
-    /// Model version at the start.
-    pub version: String,
-}
-
-impl Default for Config {
-    fn default() -> Config {
-        Config {
-            slots: 8,
-            prefill: Duration::from_millis(10),
-            token: Duration::from_millis(2),
-            lag: Duration::from_millis(200),
-            cache: 64,
-            checks_fence: true,
-            load: Duration::from_millis(50),
-            version: String::from("v1"),
-        }
-    }
-}
-
-/// Faults, set by the control call; fields left out stay as they are.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Control {
-    /// New work is refused with the word that the engine is leaving.
-    #[serde(default)]
-    pub leaving: Option<bool>,
-    /// Every answer takes this many times as long.
-    #[serde(default)]
-    pub slow: Option<f64>,
-    /// Nothing moves.
-    #[serde(default)]
-    pub frozen: Option<bool>,
-    /// This many streams break off after two tokens.
-    #[serde(default)]
-    pub cut: Option<u32>,
-    /// Only streams whose prompt starts so break off.
-    #[serde(default)]
-    pub cut_prefix: Option<String>,
-    /// Every request fails.
-    #[serde(default)]
-    pub failing: Option<bool>,
-    /// Time between tokens, in milliseconds.
-    #[serde(default)]
-    pub token_ms: Option<u64>,
-}
-
-/// One request that reached the engine.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Run {
-    /// When it arrived, on a counter of arrivals and starts here.
-    pub arrived: u64,
-    /// When it got a slot, on the same counter.
-    pub started: u64,
-    /// Time between the two, in microseconds; for measurements.
-    pub waited_us: u64,
-    /// Attempt id.
-    pub attempt: String,
-    /// Key.
-    pub key: String,
-    /// Prompt.
-    pub prompt: String,
-    /// 0 is online, 1 is batch.
-    pub priority: u8,
-    /// Tokens generated.
-    pub tokens: u32,
-    /// Whether the answer was given whole.
-    pub whole: bool,
-}
-
 struct Waiter {
     priority: u8,
     arrival: u64,
@@ -478,49 +397,6 @@
     }
 }
 
-fn event(model: &str, content: Option<String>, finish_reason: Option<&str>) -> Bytes {
-    let chunk = Chunk {
-        id: String::from("standin"),
-        object: String::from("chat.completion.chunk"),
-        created: 0,
-        model: model.into(),
-        choices: vec![ChunkChoice {
-            index: 0,
-            delta: Delta { role: None, content },
-            finish_reason: finish_reason.map(str::to_owned),
-        }],
-    };
-    let data = serde_json::to_string(&chunk).unwrap_or_default();
-    Bytes::from(format!("data: {data}\n\n"))
-}
-
-async fn collect(mut pieces: mpsc::Receiver<Result<Bytes, String>>) -> Response {
-    let mut parser = transport::sse::Parser::default();
-    while let Some(Ok(bytes)) = pieces.recv().await {
-        parser.push(&bytes);
-    }
-    let mut text = String::new();
-    while let Some(data) = parser.next_data() {
-        if let Ok(chunk) = serde_json::from_str::<Chunk>(&data) {
-            let content = chunk.choices.into_iter().next().and_then(|choice| choice.delta.content);
-            text.push_str(&content.unwrap_or_default());
-        }
-    }
-    let message = chat::Message { role: "assistant".into(), content: text };
-    let choice = chat::Choice { index: 0, message, finish_reason: "stop".into() };
-    http::json(
-        200,
-        &chat::Completion {
-            id: "standin".into(),
-            object: "chat.completion".into(),
-            created: 0,
-            model: String::new(),
-            choices: vec![choice],
-            usage: chat::Usage::default(),
-        },
-    )
-}
-
 impl Service for Engine {
     async fn call<B: BodyStream>(&self, head: Head, mut body: B) -> Response {
         match (&head.method, head.path.as_str()) {
