--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -31,9 +31,12 @@
 pub mod load;
 pub mod member;
 pub mod queue;
+pub mod registry;
 pub mod retry;
 pub mod rollout;
 pub mod route;
+pub mod slots;
+pub mod watch;
 
 /// Identifies a daemon process.
 pub type InstanceId = u64;
--- a/crates/coordination/src/member.rs
+++ b/crates/coordination/src/member.rs
@@ -294,6 +294,7 @@
             if member.state == State::Dead {
                 return false;
             }
+            self.replace(&member, now);
             let note = Note::Member(member.clone());
             self.rows.insert(member.id, Row { member, misses: 0, changed: now });
             self.version += 1;
@@ -316,6 +317,31 @@
         true
     }
 
+    /// `id` is known to be gone: its address answers under another id.
+    pub fn on_gone(&mut self, id: InstanceId, now: Instant) {
+        let Some(row) = self.rows.get_mut(&id) else {
+            return;
+        };
+        if row.member.state == State::Dead {
+            return;
+        }
+        row.member.state = State::Dead;
+        row.changed = now;
+        let note = Note::Member(row.member.clone());
+        self.version += 1;
+        self.push(note);
+    }
+
+    /// A process that starts at an address takes the place of an earlier one.
+    fn replace(&mut self, member: &Member, now: Instant) {
+        let is_earlier = |row: &&Row| {
+            row.member.peer == member.peer && row.member.incarnation < member.incarnation
+        };
+        let earlier = self.rows.values().filter(is_earlier).map(|row| row.member.id);
+        let earlier: Vec<InstanceId> = earlier.collect();
+        earlier.into_iter().for_each(|id| self.on_gone(id, now));
+    }
+
     /// Passes on a note of another kind; the caller has seen that it is news.
     pub fn pass_on(&mut self, note: Note) {
         self.push(note);
--- /dev/null
+++ b/crates/coordination/src/registry.rs
@@ -0,0 +1,198 @@
+//! The targets that exist, from what the platform's registry shows.
+//!
+//! Entries lapse while the platform is away, and come back within seconds of
+//! its return; an entry that is missing then means nothing yet. What several
+//! instances learn is merged by revision, so the order in which it arrives
+//! doesn't matter.
+
+use crate::TargetId;
+use protocol::routing::Target;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// How long entries may take to come back after the platform's return: the
+/// platform's word is two seconds, and a little more for the news to arrive.
+pub const RETURN_TIME: Duration = Duration::from_millis(2_300);
+/// Removals that are remembered, so that late news doesn't bring a target back.
+const MOST_REMOVED: usize = 4_096;
+
+#[derive(Clone, Debug)]
+struct Row {
+    target: Target,
+    /// Until when its absence from the registry means nothing; `None` while it
+    /// is there.
+    missing: Option<Instant>,
+}
+
+/// One change, as instances tell it to each other.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum Change {
+    /// The target stands so.
+    Present(Target),
+    /// The target is gone as of a revision.
+    Gone {
+        /// The target.
+        id: TargetId,
+        /// Revision of its removal.
+        revision: u64,
+    },
+}
+
+/// All targets known.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    rows: HashMap<TargetId, Row>,
+    removed: HashMap<TargetId, u64>,
+    revision: u64,
+    version: u64,
+}
+
+impl Registry {
+    /// Changes whenever a target does.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Highest revision that any change carried.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Targets that may be sent requests.
+    pub fn usable(&self) -> impl Iterator<Item = &Target> {
+        self.rows.values().map(|row| &row.target).filter(|target| !target.leaving)
+    }
+
+    /// A target that is known, leaving or not.
+    pub fn get(&self, id: &str) -> Option<&Target> {
+        self.rows.get(id).map(|row| &row.target)
+    }
+
+    /// Everything known, for an instance that has fallen behind.
+    pub fn all(&self) -> Vec<Change> {
+        let present = self.rows.values().map(|row| Change::Present(row.target.clone()));
+        let gone = self.removed.iter();
+        let gone = gone.map(|(id, revision)| Change::Gone { id: id.clone(), revision: *revision });
+        present.chain(gone).collect()
+    }
+
+    /// Takes in a change; `true` when it was news.
+    pub fn on_change(&mut self, change: Change) -> bool {
+        let is_news = match change {
+            Change::Present(target) => self.on_present(target),
+            Change::Gone { id, revision } => self.on_gone(&id, revision),
+        };
+        self.version += u64::from(is_news);
+        is_news
+    }
+
+    fn on_present(&mut self, target: Target) -> bool {
+        self.revision = self.revision.max(target.revision);
+        if self.removed.get(&target.id).is_some_and(|removed| *removed >= target.revision) {
+            return false;
+        }
+        match self.rows.get_mut(&target.id) {
+            Some(row) if row.target.revision > target.revision => false,
+            Some(row) if row.target == target && row.missing.is_none() => false,
+            _ => {
+                self.removed.remove(&target.id);
+                self.rows.insert(target.id.clone(), Row { target, missing: None });
+                true
+            }
+        }
+    }
+
+    fn on_gone(&mut self, id: &str, revision: u64) -> bool {
+        self.revision = self.revision.max(revision);
+        if self.rows.get(id).is_some_and(|row| row.target.revision > revision) {
+            return false;
+        }
+        if self.removed.len() >= MOST_REMOVED {
+            self.forget_oldest();
+        }
+        let known = self.removed.insert(id.to_owned(), revision);
+        self.rows.remove(id).is_some() || known.is_none()
+    }
+
+    fn forget_oldest(&mut self) {
+        let oldest = self.removed.iter().min_by_key(|(_, revision)| **revision);
+        if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+            self.removed.remove(&id);
+        }
+    }
+
+    /// Takes in the whole registry as of `revision`, read at `now`; `regained`
+    /// is when the platform was last found to be back. Gives what is news.
+    pub fn on_list(
+        &mut self,
+        list: Vec<Target>,
+        revision: u64,
+        regained: Option<Instant>,
+        now: Instant,
+    ) -> Vec<Change> {
+        let present: Vec<TargetId> = list.iter().map(|target| target.id.clone()).collect();
+        let mut news = Vec::new();
+        for target in list {
+            let change = Change::Present(target);
+            if self.on_change(change.clone()) {
+                news.push(change);
+            }
+        }
+        self.revision = self.revision.max(revision);
+        let absent = self.rows.keys().filter(|id| !present.contains(id)).cloned();
+        let absent: Vec<TargetId> = absent.collect();
+        for id in absent {
+            news.extend(self.on_absent(id, revision, regained, now));
+        }
+        news
+    }
+
+    /// A removal was seen at `now`. Within [`RETURN_TIME`] of the platform's
+    /// return it may be a lapse; then it only counts once it has lasted.
+    pub fn on_removed(
+        &mut self,
+        id: &str,
+        revision: u64,
+        regained: Option<Instant>,
+        now: Instant,
+    ) -> Option<Change> {
+        self.on_absent(id.to_owned(), revision, regained, now)
+    }
+
+    fn on_absent(
+        &mut self,
+        id: TargetId,
+        revision: u64,
+        regained: Option<Instant>,
+        now: Instant,
+    ) -> Option<Change> {
+        let settled = regained.map(|at| at + RETURN_TIME).filter(|settled| now < *settled);
+        let row = self.rows.get_mut(&id)?;
+        if row.target.revision > revision {
+            return None;
+        }
+        if let Some(settled) = settled {
+            row.missing.get_or_insert(settled);
+            return None;
+        }
+        let change = Change::Gone { id, revision };
+        self.on_change(change.clone()).then_some(change)
+    }
+
+    /// Removes what has been missing for too long; gives what is news.
+    pub fn on_time(&mut self, now: Instant) -> Vec<Change> {
+        let is_over = |row: &&Row| row.missing.is_some_and(|until| now >= until);
+        let over = self.rows.values().filter(is_over);
+        let over: Vec<Target> = over.map(|row| row.target.clone()).collect();
+        let mut news = Vec::new();
+        for target in over {
+            // It is gone as of its last known entry: an entry that came back in
+            // the meantime has a higher revision and stands.
+            let change = Change::Gone { id: target.id, revision: target.revision };
+            if self.on_change(change.clone()) {
+                news.push(change);
+            }
+        }
+        news
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/slots.rs
@@ -0,0 +1,607 @@
+//! One account of a data centre's slots, so that online never waits behind batch.
+//!
+//! Engines admit requests in the order in which they arrive and know no
+//! priorities, so whatever waits in an engine can't be helped any more. One
+//! instance of each data centre therefore keeps the account of its targets'
+//! slots: who wants to send asks for a lease on a slot first and gives it back
+//! afterwards. Online requests take a free slot, else one that batch holds (its
+//! lease is revoked and the item goes on elsewhere or later), else they wait
+//! here, in order of their deadlines, as long as that can still help them.
+//!
+//! The account is soft state. It is rebuilt from what the holders report when
+//! another instance takes it over, and a wrong account costs a detour or a wait,
+//! never a promise.
+//!
+//! It does no I/O: whoever runs it carries its verdicts to the holders.
+
+use crate::eject::{Health, Use};
+use crate::{InstanceId, TargetId};
+use protocol::routing::Target;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Identifies a lease; unique for each account.
+pub type LeaseId = u64;
+/// Identifies who waits for a lease.
+pub type WaiterId = u64;
+
+/// What a lease is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Purpose {
+    /// Somebody waits for the answer.
+    Online,
+    /// An item of a batch job; it can be stopped at any time.
+    Batch,
+}
+
+/// How an account works; the figures come from the measured rounds.
+#[derive(Clone, Copy, Debug)]
+pub struct Policy {
+    /// Slots of each target that batch leaves free.
+    pub reserve: u32,
+    /// Time in which a new account hands out nothing to batch, until holders
+    /// have reported what they hold. A few round trips.
+    pub settle: Duration,
+    /// A lease that its holder doesn't report is dropped when it is older than
+    /// this; younger ones may have crossed the report.
+    pub crossing: Duration,
+    /// Share of a request's patience that the expected wait may take.
+    pub hope: f64,
+    /// A target whose events come this many times slower than the median is
+    /// used last.
+    pub slow: f64,
+    /// Weight of the newest measurement in a running mean.
+    pub fresh: f64,
+}
+
+impl Default for Policy {
+    fn default() -> Policy {
+        Policy {
+            reserve: 0,
+            settle: Duration::from_millis(300),
+            crossing: Duration::from_secs(1),
+            hope: 0.8,
+            slow: 2.0,
+            fresh: 0.2,
+        }
+    }
+}
+
+/// A wish for a slot.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Who asks.
+    pub holder: InstanceId,
+    /// Service whose targets will do.
+    pub service: String,
+    /// What the slot is for.
+    pub purpose: Purpose,
+    /// Order among those that wait: the earliest goes first.
+    pub urgency: Instant,
+    /// Until when the slot is of full use; a wait beyond it isn't begun.
+    pub useful_until: Instant,
+    /// Until when the request can still be refused without harm.
+    pub refuse_by: Instant,
+    /// Targets that won't do.
+    pub avoid: Vec<TargetId>,
+    /// Whether it may wait.
+    pub may_wait: bool,
+}
+
+/// A lease on a slot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The lease.
+    pub lease: LeaseId,
+    /// The target.
+    pub target: TargetId,
+    /// Where the target is reached.
+    pub address: SocketAddr,
+}
+
+/// A lease that batch must give back at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Revocation {
+    /// The lease.
+    pub lease: LeaseId,
+    /// Who holds it.
+    pub holder: InstanceId,
+}
+
+/// The answer to a wish.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// A slot, and what has to be stopped for it.
+    Granted(Grant, Option<Revocation>),
+    /// It waits; an answer follows.
+    Waiting(WaiterId),
+    /// Nothing is free; a slot is expected after this long.
+    Full(Duration),
+    /// There is no target of that service here.
+    Unknown,
+}
+
+/// How a lease was used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// How it ended.
+    pub end: End,
+    /// Time to the first event, if one came.
+    pub first: Option<Duration>,
+    /// Mean time between events, if several came.
+    pub pace: Option<Duration>,
+}
+
+/// How the use of a lease ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum End {
+    /// The answer came to its end.
+    #[default]
+    Good,
+    /// It was not used, or stopped by its holder.
+    Unused,
+    /// The target turned the request away.
+    Refused,
+    /// The answer broke off or was no answer.
+    Broken,
+    /// The target can't be reached or says nothing.
+    Silent,
+}
+
+/// A lease as its holder reports it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The lease.
+    pub lease: LeaseId,
+    /// The target.
+    pub target: TargetId,
+    /// What it is for.
+    pub purpose: Purpose,
+}
+
+#[derive(Clone, Debug)]
+struct Lease {
+    target: TargetId,
+    holder: InstanceId,
+    purpose: Purpose,
+    granted: Instant,
+    urgency: Instant,
+    is_revoked: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    target: Target,
+    online: u32,
+    batch: u32,
+    health: Health,
+    /// Running mean of the time between events, in seconds; 0 while unknown.
+    pace: f64,
+    /// Whether somebody waits in vain for a first event there.
+    doubted: Option<Instant>,
+}
+
+#[derive(Clone, Debug)]
+struct Waiter {
+    ask: Ask,
+    since: Instant,
+}
+
+/// How long a doubt about a target keeps requests away from it.
+const DOUBT: Duration = Duration::from_millis(1_000);
+/// Hold time of an online lease that is assumed until one was measured.
+const FIRST_GUESS: Duration = Duration::from_millis(500);
+/// Shortest and longest time after which a refused caller is asked to come back.
+const COME_BACK: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(1_500)];
+
+/// The account.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    policy: Policy,
+    since: Instant,
+    rows: BTreeMap<TargetId, Row>,
+    leases: HashMap<LeaseId, Lease>,
+    waiters: BTreeMap<WaiterId, Waiter>,
+    next: u64,
+    /// Running mean of the time for which online leases are held, in seconds.
+    hold: f64,
+}
+
+impl Ledger {
+    /// An empty account; `seed` makes its lease ids differ from those of others.
+    pub fn new(policy: Policy, seed: u64, now: Instant) -> Ledger {
+        Ledger {
+            policy,
+            since: now,
+            rows: BTreeMap::new(),
+            leases: HashMap::new(),
+            waiters: BTreeMap::new(),
+            next: seed,
+            hold: FIRST_GUESS.as_secs_f64(),
+        }
+    }
+
+    /// Sets the targets of the account; those that are gone lose their leases.
+    pub fn set_targets<'a>(&mut self, targets: impl IntoIterator<Item = &'a Target>) {
+        let mut old = std::mem::take(&mut self.rows);
+        for target in targets {
+            let row = match old.remove(&target.id) {
+                Some(row) => Row { target: target.clone(), ..row },
+                None => Row {
+                    target: target.clone(),
+                    online: 0,
+                    batch: 0,
+                    health: Health::default(),
+                    pace: 0.0,
+                    doubted: None,
+                },
+            };
+            self.rows.insert(target.id.clone(), row);
+        }
+        let rows = &self.rows;
+        self.leases.retain(|_, lease| rows.contains_key(&lease.target));
+    }
+
+    /// Starts the time anew in which nothing goes to batch: targets were added
+    /// whose leases are not known yet.
+    pub fn settle(&mut self, now: Instant) {
+        self.since = now;
+    }
+
+    /// Instances that hold leases.
+    pub fn holders(&self) -> HashSet<InstanceId> {
+        self.leases.values().map(|lease| lease.holder).collect()
+    }
+
+    /// Whether the account has a target of the service that may be used.
+    pub fn has_service(&self, service: &str) -> bool {
+        self.rows.values().any(|row| row.target.service == service && !row.target.leaving)
+    }
+
+    /// Leases that are out, for metrics: online and batch.
+    pub fn in_use(&self) -> [u32; 2] {
+        let sum = |of: fn(&Row) -> u32| self.rows.values().map(of).sum();
+        [sum(|row| row.online), sum(|row| row.batch)]
+    }
+
+    /// Answers a wish.
+    pub fn on_ask(&mut self, ask: Ask, now: Instant) -> Verdict {
+        if !self.has_service(&ask.service) {
+            return Verdict::Unknown;
+        }
+        if !self.is_behind_others(&ask)
+            && let Some((grant, revocation)) = self.grant(&ask, now)
+        {
+            return Verdict::Granted(grant, revocation);
+        }
+        let wait = self.expected_wait(&ask);
+        let patience = ask.useful_until.saturating_duration_since(now);
+        let is_hopeless =
+            ask.purpose == Purpose::Online && wait > patience.mul_f64(self.policy.hope);
+        if !ask.may_wait || is_hopeless {
+            return Verdict::Full(wait.clamp(COME_BACK[0], COME_BACK[1]));
+        }
+        self.next += 1;
+        let id = self.next;
+        self.waiters.insert(id, Waiter { ask, since: now });
+        Verdict::Waiting(id)
+    }
+
+    /// Whether somebody waits who goes before this wish.
+    fn is_behind_others(&self, ask: &Ask) -> bool {
+        self.waiters.values().any(|waiter| is_before(&waiter.ask, ask))
+    }
+
+    /// How long a wish is expected to wait: slots come free one after the other
+    /// as online requests end.
+    fn expected_wait(&self, ask: &Ask) -> Duration {
+        let fits = |row: &&Row| row.target.service == ask.service && !row.target.leaving;
+        let slots: u32 = self.rows.values().filter(fits).map(|row| row.target.slots).sum();
+        let ahead = self.waiters.values().filter(|waiter| is_before(&waiter.ask, ask)).count();
+        Duration::from_secs_f64(self.hold * (ahead + 1) as f64 / f64::from(slots.max(1)))
+    }
+
+    fn grant(&mut self, ask: &Ask, now: Instant) -> Option<(Grant, Option<Revocation>)> {
+        let is_settling = now < self.since + self.policy.settle;
+        if ask.purpose == Purpose::Batch && is_settling {
+            return None;
+        }
+        let target = self.choose(ask, now)?;
+        let row = self.rows.get(&target)?;
+        let is_full = row.online + row.batch >= row.target.slots;
+        let address = row.target.address;
+        let revocation = if is_full { self.revoke_one(&target) } else { None };
+        self.next += 1;
+        let lease = self.next;
+        self.add(lease, ask, target.clone(), now);
+        Some((Grant { lease, target, address }, revocation))
+    }
+
+    /// The target for a wish: one with a free slot, the least loaded first; for
+    /// online, else one where batch can be stopped.
+    fn choose(&self, ask: &Ask, now: Instant) -> Option<TargetId> {
+        let median = self.median_pace();
+        let mut best: Option<((u32, u64), &TargetId)> = None;
+        for (id, row) in &self.rows {
+            let Some(rank) = self.rank(row, ask, median, now) else {
+                continue;
+            };
+            if best.as_ref().is_none_or(|(known, _)| rank < *known) {
+                best = Some((rank, id));
+            }
+        }
+        best.map(|(_, id)| id.clone())
+    }
+
+    /// How good a target is for a wish, lower is better; `None` if it can't be
+    /// used.
+    fn rank(&self, row: &Row, ask: &Ask, median: f64, now: Instant) -> Option<(u32, u64)> {
+        let target = &row.target;
+        if target.service != ask.service || target.leaving || ask.avoid.contains(&target.id) {
+            return None;
+        }
+        let used = row.online + row.batch;
+        let is_online = ask.purpose == Purpose::Online;
+        let reserve = if is_online { 0 } else { self.policy.reserve };
+        let has_free = used + reserve < target.slots;
+        let can_stop_batch = is_online && row.online < target.slots && row.batch > 0;
+        if !has_free && !can_stop_batch {
+            return None;
+        }
+        let trust = match row.health.usage(now) {
+            Use::Full => 0,
+            Use::Probation if used == 0 => 1,
+            Use::Probation | Use::Ejected => return None,
+        };
+        let is_doubted = row.doubted.is_some_and(|at| now < at + DOUBT);
+        let is_slow = median > 0.0 && row.pace > median * self.policy.slow;
+        let class = 4 * u32::from(is_doubted) + 2 * u32::from(!has_free) + u32::from(is_slow);
+        // Thousandths, so that whole numbers order the ranks.
+        let load = u64::from(used) * 1_000 / u64::from(target.slots.max(1));
+        Some((class + 8 * trust, load))
+    }
+
+    fn median_pace(&self) -> f64 {
+        let known = self.rows.values().map(|row| row.pace).filter(|pace| *pace > 0.0);
+        let mut known: Vec<f64> = known.collect();
+        known.sort_by(f64::total_cmp);
+        known.get(known.len() / 2).copied().unwrap_or(0.0)
+    }
+
+    fn add(&mut self, id: LeaseId, ask: &Ask, target: TargetId, now: Instant) {
+        if let Some(row) = self.rows.get_mut(&target) {
+            *count(row, ask.purpose) += 1;
+        }
+        let lease = Lease {
+            target,
+            holder: ask.holder,
+            purpose: ask.purpose,
+            granted: now,
+            urgency: ask.urgency,
+            is_revoked: false,
+        };
+        self.leases.insert(id, lease);
+    }
+
+    /// Takes the least urgent batch lease of a target back. It counts as given
+    /// back at once, since its holder stops without being asked twice.
+    fn revoke_one(&mut self, target: &str) -> Option<Revocation> {
+        let of_batch = self.leases.iter().filter(|(_, lease)| {
+            lease.target == target && lease.purpose == Purpose::Batch && !lease.is_revoked
+        });
+        let (id, _) = of_batch.max_by_key(|(id, lease)| (lease.urgency, **id))?;
+        let id = *id;
+        let lease = self.leases.get_mut(&id)?;
+        lease.is_revoked = true;
+        let holder = lease.holder;
+        if let Some(row) = self.rows.get_mut(target) {
+            row.batch = row.batch.saturating_sub(1);
+        }
+        Some(Revocation { lease: id, holder })
+    }
+
+    /// A lease was given back.
+    pub fn on_release(&mut self, id: LeaseId, report: Report, now: Instant) {
+        let Some(lease) = self.leases.remove(&id) else {
+            return;
+        };
+        let fresh = self.policy.fresh;
+        if lease.purpose == Purpose::Online && report.end == End::Good {
+            let held = now.saturating_duration_since(lease.granted).as_secs_f64();
+            self.hold += (held - self.hold) * fresh;
+        }
+        let Some(row) = self.rows.get_mut(&lease.target) else {
+            return;
+        };
+        if !lease.is_revoked {
+            let count = count(row, lease.purpose);
+            *count = count.saturating_sub(1);
+        }
+        note(row, report, fresh, now);
+    }
+
+    /// Somebody waits in vain for a first event at the target.
+    pub fn on_doubt(&mut self, target: &str, now: Instant) {
+        if let Some(row) = self.rows.get_mut(target) {
+            row.doubted = Some(now);
+        }
+    }
+
+    /// Slots for those that wait, as far as there are any.
+    pub fn next_grants(&mut self, now: Instant) -> Vec<(WaiterId, Grant, Option<Revocation>)> {
+        let mut order: Vec<WaiterId> = self.waiters.keys().copied().collect();
+        order.sort_by_key(|id| {
+            self.waiters.get(id).map(|waiter| (rank_of(&waiter.ask), waiter.ask.urgency))
+        });
+        let mut grants = Vec::new();
+        // Services whose first waiter found nothing: nobody behind goes before.
+        let mut full: HashSet<(String, bool)> = HashSet::new();
+        for id in order {
+            let Some(waiter) = self.waiters.get(&id) else {
+                continue;
+            };
+            let ask = waiter.ask.clone();
+            let is_batch = ask.purpose == Purpose::Batch;
+            let key = (ask.service.clone(), is_batch);
+            if full.contains(&key) || (is_batch && full.contains(&(ask.service.clone(), false))) {
+                continue;
+            }
+            match self.grant(&ask, now) {
+                Some((grant, revocation)) => {
+                    self.waiters.remove(&id);
+                    grants.push((id, grant, revocation));
+                }
+                None if ask.avoid.is_empty() => {
+                    full.insert(key);
+                }
+                None => {}
+            }
+        }
+        grants
+    }
+
+    /// Those that wait and are better refused now, while a refusal does no harm,
+    /// with the time after which to come back.
+    pub fn hopeless(&mut self, now: Instant) -> Vec<(WaiterId, Duration)> {
+        let mut refused = Vec::new();
+        for (id, waiter) in &self.waiters {
+            let ask = &waiter.ask;
+            if ask.purpose == Purpose::Batch || now < ask.refuse_by {
+                continue;
+            }
+            let wait = self.expected_wait(ask);
+            let is_vain = now + wait > ask.useful_until;
+            // Past that time a refusal helps nobody: it is served late instead.
+            let is_first_look = now.saturating_duration_since(ask.refuse_by) < LOOK;
+            if is_vain && is_first_look {
+                refused.push((*id, wait.clamp(COME_BACK[0], COME_BACK[1])));
+            }
+        }
+        for (id, _) in &refused {
+            self.waiters.remove(id);
+        }
+        refused
+    }
+
+    /// When [`Ledger::hopeless`] should be asked next; `None` if nobody waits.
+    pub fn next_look(&self, now: Instant) -> Option<Instant> {
+        let online = self.waiters.values().filter(|w| w.ask.purpose == Purpose::Online);
+        online.map(|w| w.ask.refuse_by).filter(|at| *at > now).min()
+    }
+
+    /// Who waited has gone.
+    pub fn on_waiter_gone(&mut self, id: WaiterId) {
+        self.waiters.remove(&id);
+    }
+
+    /// Since when a waiter waits.
+    pub fn waits_since(&self, id: WaiterId) -> Option<Instant> {
+        self.waiters.get(&id).map(|waiter| waiter.since)
+    }
+
+    /// An instance is gone; what it held is free.
+    pub fn on_holder_gone(&mut self, holder: InstanceId) {
+        let of_holder = |lease: &Lease| lease.holder == holder;
+        let held = self.leases.iter().filter(|(_, lease)| of_holder(lease));
+        let held: Vec<LeaseId> = held.map(|(id, _)| *id).collect();
+        for id in held {
+            self.drop_lease(id);
+        }
+        self.waiters.retain(|_, waiter| waiter.ask.holder != holder);
+    }
+
+    /// A holder reports all that it holds: the account is made to agree.
+    pub fn on_held(&mut self, holder: InstanceId, held: &[Held], now: Instant) {
+        let reported: HashSet<LeaseId> = held.iter().map(|held| held.lease).collect();
+        let is_lost = |(id, lease): &(&LeaseId, &Lease)| {
+            let is_old = now.saturating_duration_since(lease.granted) > self.policy.crossing;
+            lease.holder == holder && is_old && !reported.contains(*id)
+        };
+        let lost: Vec<LeaseId> = self.leases.iter().filter(is_lost).map(|(id, _)| *id).collect();
+        for id in lost {
+            self.drop_lease(id);
+        }
+        for held in held {
+            if self.leases.contains_key(&held.lease) || !self.rows.contains_key(&held.target) {
+                continue;
+            }
+            let ask = Ask {
+                holder,
+                service: String::new(),
+                purpose: held.purpose,
+                urgency: now,
+                useful_until: now,
+                refuse_by: now,
+                avoid: Vec::new(),
+                may_wait: false,
+            };
+            self.add(held.lease, &ask, held.target.clone(), now);
+        }
+    }
+
+    fn drop_lease(&mut self, id: LeaseId) {
+        let Some(lease) = self.leases.remove(&id) else {
+            return;
+        };
+        if lease.is_revoked {
+            return;
+        }
+        if let Some(row) = self.rows.get_mut(&lease.target) {
+            let count = count(row, lease.purpose);
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// Batch leases to take back because online holds more than the free slots:
+    /// what reports brought may exceed a target's slots.
+    pub fn overfull(&mut self) -> Vec<Revocation> {
+        let over = |row: &&Row| row.batch > 0 && row.online + row.batch > row.target.slots;
+        let over: Vec<TargetId> =
+            self.rows.values().filter(over).map(|row| row.target.id.clone()).collect();
+        over.iter().filter_map(|target| self.revoke_one(target)).collect()
+    }
+}
+
+/// Time between looks at those that wait.
+pub const LOOK: Duration = Duration::from_millis(25);
+
+fn rank_of(ask: &Ask) -> u8 {
+    match ask.purpose {
+        Purpose::Online => 0,
+        Purpose::Batch => 1,
+    }
+}
+
+fn is_before(waiting: &Ask, ask: &Ask) -> bool {
+    let same = waiting.service == ask.service;
+    same && (rank_of(waiting), waiting.urgency) < (rank_of(ask), ask.urgency)
+}
+
+fn count(row: &mut Row, purpose: Purpose) -> &mut u32 {
+    match purpose {
+        Purpose::Online => &mut row.online,
+        Purpose::Batch => &mut row.batch,
+    }
+}
+
+fn note(row: &mut Row, report: Report, fresh: f64, now: Instant) {
+    match report.end {
+        End::Good => {
+            row.health.on_success();
+            row.doubted = None;
+        }
+        End::Unused => {}
+        End::Refused => row.doubted = Some(now),
+        End::Broken => row.health.on_failure(now),
+        End::Silent => {
+            row.health.on_silence(now);
+            row.doubted = Some(now);
+        }
+    }
+    if let Some(pace) = report.pace {
+        let pace = pace.as_secs_f64();
+        row.pace = if row.pace == 0.0 { pace } else { row.pace + (pace - row.pace) * fresh };
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/account.rs
@@ -0,0 +1,593 @@
+//! Slots: asks for leases, and keeps the accounts that fall to this instance.
+
+use super::message::{Ask, Reply, Wish};
+use super::node::Node;
+use coordination::hash;
+use coordination::member::Member;
+use coordination::slots::{
+    self, End, Grant, Held, LOOK, LeaseId, Ledger, Policy, Purpose, Report, Revocation, Verdict,
+    WaiterId,
+};
+use protocol::{DataCentreId, InstanceId};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio_util::sync::CancellationToken;
+
+/// Longest wait for an account's immediate answer. Within a region a round trip
+/// takes about 2 ms; a keeper that needs more is slow or gone, and a decision
+/// without it is better than none.
+const ANSWER: Duration = Duration::from_millis(60);
+/// Time between reports of all that is held.
+const REPORT_EVERY: Duration = Duration::from_millis(1_000);
+/// Leases that an instance grants itself while no account answers carry this
+/// bit, so that they never collide with an account's own.
+const OWN: LeaseId = 1 << 63;
+
+/// What is asked of the accounts.
+#[derive(Clone, Debug)]
+pub struct Want {
+    /// Service.
+    pub service: String,
+    /// When the answer is due, for the order among those that wait.
+    pub due: Instant,
+    /// Until when a slot is of full use.
+    pub useful_until: Instant,
+    /// Until when a refusal does no harm.
+    pub refuse_by: Instant,
+    /// Until when the caller waits.
+    pub until: Instant,
+    /// Targets that won't do.
+    pub avoid: Vec<String>,
+}
+
+/// Why there is no lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// All slots are taken; one is expected after this long.
+    Full(Duration),
+    /// No target of the service is known.
+    NoTarget,
+}
+
+/// Where a lease is given back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Keeper {
+    Here,
+    At(SocketAddr),
+    /// Nobody: the instance granted it to itself.
+    Nobody,
+}
+
+struct Out {
+    held: Held,
+    keeper: Keeper,
+    stop: CancellationToken,
+}
+
+/// Leases that this instance holds, and the accounts that it keeps.
+pub struct Accounts {
+    ledger: RefCell<Ledger>,
+    kept: RefCell<BTreeSet<DataCentreId>>,
+    /// Versions of members and targets that the ledger was last set for.
+    seen: Cell<(u64, u64)>,
+    waiters: RefCell<HashMap<WaiterId, oneshot::Sender<Result<Grant, Duration>>>>,
+    is_looking: Cell<bool>,
+    out: RefCell<HashMap<LeaseId, Out>>,
+    next_own: Cell<LeaseId>,
+}
+
+impl Accounts {
+    /// No leases and no accounts.
+    pub fn new(id: InstanceId, now: Instant) -> Accounts {
+        // Ids differ between accounts: the upper half comes from the keeper.
+        let seed = (id << 32) & !OWN;
+        Accounts {
+            ledger: RefCell::new(Ledger::new(Policy::default(), seed, now)),
+            kept: RefCell::default(),
+            seen: Cell::new((u64::MAX, u64::MAX)),
+            waiters: RefCell::default(),
+            is_looking: Cell::new(false),
+            out: RefCell::default(),
+            next_own: Cell::new(seed | OWN),
+        }
+    }
+
+    /// Leases of the accounts kept here: online and batch.
+    pub fn in_use(&self) -> [u32; 2] {
+        self.ledger.borrow().in_use()
+    }
+
+    /// Leases that this instance holds.
+    pub fn held(&self) -> usize {
+        self.out.borrow().len()
+    }
+
+    /// Asks the holder of a lease here to stop.
+    pub fn on_revoked(&self, lease: LeaseId) {
+        if let Some(out) = self.out.borrow().get(&lease) {
+            out.stop.cancel();
+        }
+    }
+}
+
+/// A lease on a slot; gives itself back.
+pub struct Lease {
+    node: Rc<Node>,
+    /// The slot.
+    pub grant: Grant,
+    /// Cancelled when the lease must be given back at once.
+    pub stop: CancellationToken,
+    /// How it was used.
+    pub report: Report,
+    asked: Instant,
+}
+
+impl Lease {
+    /// How long ago it was granted.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.asked)
+    }
+
+    /// Notes how the use ended.
+    pub fn end(mut self, end: End) {
+        self.report.end = end;
+    }
+
+    /// Tells the account that a first event is overdue.
+    pub fn doubt(&self) {
+        let target = self.grant.target.clone();
+        let keeper = self.node.accounts.out.borrow().get(&self.grant.lease).map(|out| out.keeper);
+        match keeper {
+            Some(Keeper::Here) => {
+                self.node.accounts.ledger.borrow_mut().on_doubt(&target, Instant::now());
+            }
+            Some(Keeper::At(address)) => self.node.tell(address, Ask::Doubt(target)),
+            Some(Keeper::Nobody) | None => {}
+        }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        let Some(out) = self.node.accounts.out.borrow_mut().remove(&self.grant.lease) else {
+            return;
+        };
+        match out.keeper {
+            Keeper::Here => on_release(&self.node, self.grant.lease, self.report),
+            Keeper::At(address) => {
+                self.node.tell(address, Ask::Release(self.grant.lease, self.report));
+            }
+            Keeper::Nobody => {}
+        }
+    }
+}
+
+/// The member that keeps the account of a data centre: one of that data centre,
+/// or of all if none of its own is left.
+fn keeper(node: &Node, data_centre: &str) -> Option<Member> {
+    let members = node.members.borrow();
+    let choose = |own_only: bool| {
+        let fits = |m: &&Member| !own_only || m.data_centre == data_centre;
+        let ids = members.workers().filter(fits).map(|member| member.id);
+        hash::owner(data_centre.as_bytes(), ids)
+    };
+    let id = choose(true).or_else(|| choose(false))?;
+    members.workers().find(|member| member.id == id).cloned()
+}
+
+/// Data centres with targets of a service, the own one first; the order of the
+/// others differs between instances, so that they don't all turn to the same.
+fn data_centres(node: &Node, service: &str) -> Vec<DataCentreId> {
+    let registry = node.registry.borrow();
+    let of_service = registry.usable().filter(|target| target.service == service);
+    let names: BTreeSet<&DataCentreId> = of_service.map(|target| &target.data_centre).collect();
+    let mut names: Vec<DataCentreId> = names.into_iter().cloned().collect();
+    let id = node.id();
+    let own = node.data_centre();
+    names.sort_by_key(|name| (name != own, hash::weight(name.as_bytes(), id)));
+    names
+}
+
+/// Gets a lease for an online request.
+///
+/// # Errors
+///
+/// Why there is none.
+pub async fn acquire(node: &Rc<Node>, want: &Want) -> Result<Lease, Refusal> {
+    let data_centres = data_centres(node, &want.service);
+    if data_centres.is_empty() {
+        return Err(Refusal::NoTarget);
+    }
+    let mut shortest: Option<Duration> = None;
+    let mut is_answered = false;
+    // First whoever has a slot now; then a wait in the data centre's own queue.
+    let tries = data_centres.iter().map(|name| (name, false));
+    let wait = data_centres.first().map(|name| (name, true));
+    for (name, may_wait) in tries.chain(wait) {
+        if may_wait && !is_answered {
+            break;
+        }
+        match ask(node, name, want, may_wait).await {
+            Answer::Lease(lease) => return Ok(lease),
+            Answer::Full(after) => {
+                is_answered = true;
+                shortest = Some(shortest.map_or(after, |known| known.min(after)));
+            }
+            Answer::Silent => {}
+        }
+    }
+    if !is_answered && let Some(lease) = without_account(node, want) {
+        return Ok(lease);
+    }
+    Err(shortest.map_or(Refusal::NoTarget, Refusal::Full))
+}
+
+enum Answer {
+    Lease(Lease),
+    Full(Duration),
+    Silent,
+}
+
+async fn ask(node: &Rc<Node>, data_centre: &str, want: &Want, may_wait: bool) -> Answer {
+    let now = Instant::now();
+    let Some(keeper) = keeper(node, data_centre) else {
+        return Answer::Silent;
+    };
+    let left = want.until.saturating_duration_since(now);
+    let wait = if may_wait { left } else { Duration::ZERO };
+    if keeper.id == node.id() {
+        let ask = online_ask(node.id(), want, may_wait);
+        return match serve(node, data_centre, ask, wait).await {
+            Served::Grant(grant) => Answer::Lease(hold(node, grant, Purpose::Online, Keeper::Here)),
+            Served::Full(after) => Answer::Full(after),
+            Served::NotHere => Answer::Silent,
+        };
+    }
+    if node.is_shunned(keeper.peer, now) {
+        return Answer::Silent;
+    }
+    let wish = Wish {
+        from: node.id(),
+        data_centre: data_centre.to_owned(),
+        service: want.service.clone(),
+        purpose: Purpose::Online,
+        due_ms: span(want.due, now),
+        useful_ms: span(want.useful_until, now),
+        refuse_ms: span(want.refuse_by, now),
+        wait_ms: wait.as_millis() as u64,
+        most: 1,
+        avoid: want.avoid.clone(),
+    };
+    match node.ask(keeper.peer, &Ask::Slots(wish), wait + ANSWER).await {
+        Ok(Reply::Slots(grants)) => match grants.into_iter().next() {
+            Some(grant) => {
+                Answer::Lease(hold(node, grant, Purpose::Online, Keeper::At(keeper.peer)))
+            }
+            None => Answer::Full(LOOK),
+        },
+        Ok(Reply::Full(after)) => Answer::Full(Duration::from_millis(after)),
+        Ok(_) | Err(_) => Answer::Silent,
+    }
+}
+
+fn online_ask(from: InstanceId, want: &Want, may_wait: bool) -> slots::Ask {
+    slots::Ask {
+        holder: from,
+        service: want.service.clone(),
+        purpose: Purpose::Online,
+        urgency: want.due,
+        useful_until: want.useful_until,
+        refuse_by: want.refuse_by,
+        avoid: want.avoid.clone(),
+        may_wait,
+    }
+}
+
+fn span(to: Instant, now: Instant) -> u64 {
+    to.saturating_duration_since(now).as_millis() as u64
+}
+
+/// A slot chosen without any account: of the least loaded targets by what this
+/// instance sends them itself, one by lot.
+fn without_account(node: &Rc<Node>, want: &Want) -> Option<Lease> {
+    let registry = node.registry.borrow();
+    let out = node.accounts.out.borrow();
+    let own = |id: &str| out.values().filter(|out| out.held.target == id).count();
+    let fits = |target: &&protocol::routing::Target| {
+        target.service == want.service && !want.avoid.contains(&target.id)
+    };
+    let rank = |target: &&protocol::routing::Target| {
+        let is_far = target.data_centre != *node.data_centre();
+        (is_far, own(&target.id), rand::random::<u32>())
+    };
+    let target = registry.usable().filter(fits).min_by_key(rank)?;
+    let lease = node.accounts.next_own.get() + 1;
+    node.accounts.next_own.set(lease);
+    let grant = Grant { lease, target: target.id.clone(), address: target.address };
+    drop(out);
+    slog::info!(node.log, "slot without account"; "target" => &grant.target,
+        "service" => &want.service);
+    Some(hold(node, grant, Purpose::Online, Keeper::Nobody))
+}
+
+fn hold(node: &Rc<Node>, grant: Grant, purpose: Purpose, keeper: Keeper) -> Lease {
+    let stop = CancellationToken::new();
+    let held = Held { lease: grant.lease, target: grant.target.clone(), purpose };
+    let out = Out { held, keeper, stop: stop.clone() };
+    node.accounts.out.borrow_mut().insert(grant.lease, out);
+    // Whoever drops it without a word has not used it to the end.
+    let report = Report { end: End::Unused, ..Report::default() };
+    Lease { node: node.clone(), grant, stop, report, asked: Instant::now() }
+}
+
+/// Asks the account of a data centre for slots for batch, and waits for them.
+pub async fn acquire_batch(
+    node: &Rc<Node>,
+    data_centre: &str,
+    service: &str,
+    due: Duration,
+    most: usize,
+    wait: Duration,
+) -> Option<Vec<Lease>> {
+    let keeper = keeper(node, data_centre)?;
+    let now = Instant::now();
+    let wish = Wish {
+        from: node.id(),
+        data_centre: data_centre.to_owned(),
+        service: service.to_owned(),
+        purpose: Purpose::Batch,
+        due_ms: due.as_millis() as u64,
+        useful_ms: wait.as_millis() as u64,
+        refuse_ms: wait.as_millis() as u64,
+        wait_ms: wait.as_millis() as u64,
+        most,
+        avoid: Vec::new(),
+    };
+    let (reply, at) = if keeper.id == node.id() {
+        (on_wish(node, wish).await, Keeper::Here)
+    } else if node.is_shunned(keeper.peer, now) {
+        return None;
+    } else {
+        let reply = node.ask(keeper.peer, &Ask::Slots(wish), wait + ANSWER * 4).await.ok()?;
+        (reply, Keeper::At(keeper.peer))
+    };
+    let Reply::Slots(grants) = reply else {
+        return None;
+    };
+    let lease = |grant| hold(node, grant, Purpose::Batch, at);
+    Some(grants.into_iter().map(lease).collect())
+}
+
+/// Answers a wish of another instance, or of this one for batch.
+pub async fn on_wish(node: &Rc<Node>, wish: Wish) -> Reply {
+    let now = Instant::now();
+    let after = |millis: u64| now + Duration::from_millis(millis);
+    let ask = |may_wait| slots::Ask {
+        holder: wish.from,
+        service: wish.service.clone(),
+        purpose: wish.purpose,
+        urgency: after(wish.due_ms),
+        useful_until: after(wish.useful_ms),
+        refuse_by: after(wish.refuse_ms),
+        avoid: wish.avoid.clone(),
+        may_wait,
+    };
+    let wait = Duration::from_millis(wish.wait_ms);
+    let mut grants = Vec::new();
+    while grants.len() < wish.most {
+        // The first one may be waited for; more only if they are free now.
+        let may_wait = grants.is_empty() && !wait.is_zero();
+        match serve(node, &wish.data_centre, ask(may_wait), wait).await {
+            Served::Grant(grant) => grants.push(grant),
+            Served::NotHere => return Reply::NotHere,
+            Served::Full(after) if grants.is_empty() && wish.purpose == Purpose::Online => {
+                return Reply::Full(after.as_millis() as u64);
+            }
+            Served::Full(_) => break,
+        }
+    }
+    Reply::Slots(grants)
+}
+
+enum Served {
+    Grant(Grant),
+    Full(Duration),
+    NotHere,
+}
+
+/// A waiter that leaves the account's queue when whoever waits is dropped.
+struct Place {
+    node: Rc<Node>,
+    id: WaiterId,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let accounts = &self.node.accounts;
+        if accounts.waiters.borrow_mut().remove(&self.id).is_some() {
+            accounts.ledger.borrow_mut().on_waiter_gone(self.id);
+        }
+    }
+}
+
+async fn serve(node: &Rc<Node>, data_centre: &str, ask: slots::Ask, wait: Duration) -> Served {
+    refresh(node);
+    if !node.accounts.kept.borrow().contains(data_centre) {
+        return Served::NotHere;
+    }
+    let verdict = node.accounts.ledger.borrow_mut().on_ask(ask, Instant::now());
+    match verdict {
+        Verdict::Granted(grant, revocation) => {
+            revocation.into_iter().for_each(|revocation| revoke(node, revocation));
+            Served::Grant(grant)
+        }
+        Verdict::Full(after) => Served::Full(after),
+        Verdict::Unknown => Served::NotHere,
+        Verdict::Waiting(id) => {
+            let (sender, receiver) = oneshot::channel();
+            node.accounts.waiters.borrow_mut().insert(id, sender);
+            let place = Place { node: node.clone(), id };
+            look(node);
+            let answer = tokio::time::timeout(wait, receiver).await;
+            drop(place);
+            match answer {
+                Ok(Ok(Ok(grant))) => Served::Grant(grant),
+                Ok(Ok(Err(after))) => Served::Full(after),
+                Ok(Err(_)) | Err(_) => Served::Full(LOOK),
+            }
+        }
+    }
+}
+
+/// Sets the accounts for the members and targets known now.
+fn refresh(node: &Rc<Node>) {
+    let seen = (node.members.borrow().version(), node.registry.borrow().version());
+    let accounts = &node.accounts;
+    if accounts.seen.replace(seen) == seen {
+        return;
+    }
+    let registry = node.registry.borrow();
+    let names: BTreeSet<&DataCentreId> = registry.usable().map(|t| &t.data_centre).collect();
+    let is_mine = |name: &&&DataCentreId| keeper(node, name).is_some_and(|m| m.id == node.id());
+    let kept: BTreeSet<DataCentreId> = names.iter().filter(is_mine).map(|n| (*n).clone()).collect();
+    let mut ledger = accounts.ledger.borrow_mut();
+    let is_new = |name: &DataCentreId| !accounts.kept.borrow().contains(name);
+    if kept.iter().any(is_new) {
+        slog::info!(node.log, "keeps accounts"; "data_centres" => ?kept, "members" => seen.0);
+        ledger.settle(Instant::now());
+    }
+    ledger.set_targets(registry.usable().filter(|target| kept.contains(&target.data_centre)));
+    let members = node.members.borrow();
+    for holder in ledger.holders() {
+        if members.is_dead(holder) {
+            ledger.on_holder_gone(holder);
+        }
+    }
+    *accounts.kept.borrow_mut() = kept;
+}
+
+fn revoke(node: &Rc<Node>, revocation: Revocation) {
+    if revocation.holder == node.id() {
+        node.accounts.on_revoked(revocation.lease);
+        return;
+    }
+    let address = node.members.borrow().get(revocation.holder).map(|member| member.peer);
+    if let Some(address) = address {
+        node.tell(address, Ask::Revoke(revocation.lease));
+    }
+}
+
+/// A lease of an account kept here was given back.
+pub fn on_release(node: &Rc<Node>, lease: LeaseId, report: Report) {
+    node.accounts.ledger.borrow_mut().on_release(lease, report, Instant::now());
+    pump(node);
+}
+
+/// Somebody waits in vain for a first event at a target.
+pub fn on_doubt(node: &Rc<Node>, target: &str) {
+    node.accounts.ledger.borrow_mut().on_doubt(target, Instant::now());
+}
+
+/// A holder reports all that it holds.
+pub fn on_held(node: &Rc<Node>, holder: InstanceId, held: &[Held]) {
+    refresh(node);
+    let revocations = {
+        let mut ledger = node.accounts.ledger.borrow_mut();
+        ledger.on_held(holder, held, Instant::now());
+        ledger.overfull()
+    };
+    revocations.into_iter().for_each(|revocation| revoke(node, revocation));
+    pump(node);
+}
+
+/// Hands free slots to those that wait.
+pub fn pump(node: &Rc<Node>) {
+    refresh(node);
+    loop {
+        let grants = node.accounts.ledger.borrow_mut().next_grants(Instant::now());
+        if grants.is_empty() {
+            return;
+        }
+        for (waiter, grant, revocation) in grants {
+            revocation.into_iter().for_each(|revocation| revoke(node, revocation));
+            let sender = node.accounts.waiters.borrow_mut().remove(&waiter);
+            let lease = grant.lease;
+            let is_taken = sender.is_some_and(|sender| sender.send(Ok(grant)).is_ok());
+            if !is_taken {
+                let unused = Report { end: End::Unused, ..Report::default() };
+                node.accounts.ledger.borrow_mut().on_release(lease, unused, Instant::now());
+            }
+        }
+    }
+}
+
+/// Looks after those that wait until nobody does.
+fn look(node: &Rc<Node>) {
+    if node.accounts.is_looking.replace(true) {
+        return;
+    }
+    let node = node.clone();
+    spawn_local(async move {
+        while !node.accounts.waiters.borrow().is_empty() {
+            tokio::time::sleep(LOOK).await;
+            let refused = node.accounts.ledger.borrow_mut().hopeless(Instant::now());
+            for (waiter, after) in refused {
+                if let Some(sender) = node.accounts.waiters.borrow_mut().remove(&waiter) {
+                    // Whoever waited may have gone in this moment.
+                    let _gone = sender.send(Err(after));
+                }
+            }
+            pump(&node);
+        }
+        node.accounts.is_looking.set(false);
+    });
+}
+
+/// Reports all that is held to the accounts, now and then.
+pub async fn report(node: Rc<Node>, stop: CancellationToken) {
+    let mut told: HashMap<DataCentreId, InstanceId> = HashMap::new();
+    let mut last = Instant::now();
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(REPORT_EVERY / 4) => {}
+            () = stop.cancelled() => return,
+        }
+        refresh(&node);
+        let is_due = last.elapsed() >= REPORT_EVERY;
+        if is_due {
+            last = Instant::now();
+        }
+        report_once(&node, &mut told, is_due);
+    }
+}
+
+fn report_once(node: &Rc<Node>, told: &mut HashMap<DataCentreId, InstanceId>, is_due: bool) {
+    let registry = node.registry.borrow();
+    let names: BTreeSet<DataCentreId> =
+        registry.usable().map(|target| target.data_centre.clone()).collect();
+    for name in names {
+        let Some(keeper) = keeper(node, &name) else {
+            continue;
+        };
+        let is_new = told.insert(name.clone(), keeper.id) != Some(keeper.id);
+        if !(is_due || is_new) {
+            continue;
+        }
+        let out = node.accounts.out.borrow();
+        let of_this = |held: &&Held| {
+            registry.get(&held.target).is_some_and(|target| target.data_centre == name)
+        };
+        let held: Vec<Held> = out.values().map(|out| &out.held).filter(of_this).cloned().collect();
+        drop(out);
+        if keeper.id == node.id() {
+            node.accounts.ledger.borrow_mut().on_held(keeper.id, &held, Instant::now());
+        } else {
+            node.tell(keeper.peer, Ask::Held(node.id(), held));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/feed.rs
@@ -0,0 +1,375 @@
+//! Configuration and targets: watched by a few instances, told to all others.
+//!
+//! In each data centre a few instances watch the platform and tell every other
+//! instance what changed; besides, each instance now and then compares how far
+//! it is with another, so that a message that was lost is made up for.
+
+use super::message::{Ask, Reply};
+use super::node::{Config, Node};
+use coordination::member::State;
+use coordination::registry::Change;
+use coordination::watch::{self, Candidate};
+use platform::store::{Fault, Object};
+use platform::{config, target};
+use protocol::InstanceId;
+use protocol::routing::{Target, Version};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::spawn_local;
+use tokio_util::sync::CancellationToken;
+
+/// Kind of the objects by which instances find each other when no seed answers.
+const INSTANCE_KIND: &str = "gatespool-instances";
+/// Instances of a data centre that watch the configuration.
+const CONFIG_SEATS: usize = 2;
+/// Instances of a data centre that watch the targets, whose changes are many.
+const TARGET_SEATS: usize = 1;
+/// Longest wait of one watch. A platform that has gone silent is noticed only
+/// when a watch is overdue, so this is a bargain between calls and notice.
+const WATCH: Duration = Duration::from_secs(6);
+/// Pause after a change, so that a series of changes costs few calls.
+const GATHER: Duration = Duration::from_millis(200);
+/// Time between looks whether this instance should watch.
+const LOOK: Duration = Duration::from_millis(100);
+/// How long a member that failed to reach the platform ranks behind others.
+const BLIND: Duration = Duration::from_secs(5);
+/// Time between comparisons with another instance.
+const SYNC_EVERY: Duration = Duration::from_millis(500);
+/// Longest wait for a comparison's reply.
+const SYNC_LIMIT: Duration = Duration::from_millis(500);
+/// Pauses between tries of a watcher that can't reach the platform.
+const PAUSE: [Duration; 2] = [Duration::from_millis(250), Duration::from_millis(1_500)];
+
+#[derive(Serialize, Deserialize)]
+struct Registered {
+    peer: SocketAddr,
+    data_centre: String,
+}
+
+/// What is watched.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Topic {
+    Config,
+    Targets,
+}
+
+impl Topic {
+    fn kind(self) -> &'static str {
+        match self {
+            Topic::Config => config::KIND,
+            Topic::Targets => target::KIND,
+        }
+    }
+
+    fn seats(self) -> usize {
+        match self {
+            Topic::Config => CONFIG_SEATS,
+            Topic::Targets => TARGET_SEATS,
+        }
+    }
+}
+
+/// Watches, compares and removes what lapsed, until `stop`.
+pub async fn run(node: Rc<Node>, stop: CancellationToken) {
+    for topic in [Topic::Config, Topic::Targets] {
+        spawn_local(watch_topic(node.clone(), topic, stop.clone()));
+    }
+    let mut since_sync = Instant::now();
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(LOOK) => {}
+            () = stop.cancelled() => return,
+        }
+        let lapsed = node.registry.borrow_mut().on_time(Instant::now());
+        if !lapsed.is_empty() {
+            on_changed(&node, &lapsed, "lapsed");
+            node.tell_all(&Ask::Targets(lapsed));
+        }
+        if since_sync.elapsed() >= SYNC_EVERY {
+            since_sync = Instant::now();
+            spawn_local(compare(node.clone()));
+        }
+    }
+}
+
+/// Compares with one other instance, drawn by lot.
+async fn compare(node: Rc<Node>) {
+    let others = node.others();
+    if others.is_empty() {
+        return;
+    }
+    let now = Instant::now();
+    let at = rand::random_range(0..others.len());
+    if node.is_shunned(others[at].peer, now) {
+        return;
+    }
+    let is_blind = node.store.is_doubtful();
+    let ask = Ask::Sync { from: node.id(), mark: node.mark(), is_blind };
+    let reply = node.ask(others[at].peer, &ask, SYNC_LIMIT).await;
+    if let Ok(Reply::News { config, targets, .. }) = reply {
+        if let Some((version, text)) = config {
+            on_config(&node, version, &text, "compared");
+        }
+        on_targets(&node, targets, "compared");
+    }
+}
+
+/// A member says whether it reaches the platform.
+pub fn on_blind(node: &Node, member: InstanceId, is_blind: bool) {
+    let mut blind = node.blind.borrow_mut();
+    if is_blind {
+        blind.insert(member, Instant::now() + BLIND);
+    } else {
+        blind.remove(&member);
+    }
+}
+
+/// Takes in a version of the configuration; an earlier one is passed over.
+pub fn on_config(node: &Rc<Node>, version: Version, text: &str, from: &str) {
+    let known = node.config().map_or(0, |config| config.table.version);
+    if version <= known {
+        return;
+    }
+    match config::decode(text.as_bytes()) {
+        Ok(table) => {
+            slog::info!(node.log, "configuration in force"; "version" => version,
+                "before" => known, "from" => from, "routes" => table.routes.len());
+            let config = Config { table, text: text.to_owned(), since: Instant::now() };
+            *node.config.borrow_mut() = Some(Rc::new(config));
+            node.board.wake();
+        }
+        Err(error) => {
+            slog::error!(node.log, "configuration not understood"; "version" => version,
+                "from" => from, "error" => %error);
+        }
+    }
+}
+
+/// Takes in changes of the registry.
+pub fn on_targets(node: &Rc<Node>, changes: Vec<Change>, from: &str) {
+    let news: Vec<Change> = {
+        let mut registry = node.registry.borrow_mut();
+        changes.into_iter().filter(|change| registry.on_change(change.clone())).collect()
+    };
+    on_changed(node, &news, from);
+}
+
+/// Logs changes that were taken in, and lets those that wait for slots know.
+fn on_changed(node: &Rc<Node>, news: &[Change], from: &str) {
+    if news.is_empty() {
+        return;
+    }
+    for change in news {
+        match change {
+            Change::Present(target) => slog::info!(node.log, "target";
+                "target" => &target.id, "service" => &target.service,
+                "address" => %target.address, "leaving" => target.leaving,
+                "revision" => target.revision, "from" => from),
+            Change::Gone { id, revision } => slog::info!(node.log, "target gone";
+                "target" => id, "revision" => revision, "from" => from),
+        }
+    }
+    let registry = node.registry.borrow();
+    let addresses: Vec<SocketAddr> = registry.usable().map(|target| target.address).collect();
+    drop(registry);
+    node.targets.retain(|address| addresses.contains(&address));
+    super::account::pump(node);
+    node.board.wake();
+}
+
+fn is_watcher(node: &Node, topic: Topic) -> bool {
+    let now = Instant::now();
+    let members = node.members.borrow();
+    let blind = node.blind.borrow();
+    let me = members.me().id;
+    let is_blind = |id: InstanceId| blind.get(&id).is_some_and(|until| now < *until);
+    let here = members.workers().filter(|member| {
+        member.data_centre == *node.data_centre() && member.state != State::Suspect
+    });
+    let candidates = here.map(|member| Candidate { id: member.id, is_blind: is_blind(member.id) });
+    watch::is_watcher(topic.kind(), me, candidates, topic.seats())
+}
+
+async fn watch_topic(node: Rc<Node>, topic: Topic, stop: CancellationToken) {
+    // The first look waits for members to find each other, so that a start
+    // doesn't have each of them watch.
+    let mut revision: Option<u64> = None;
+    let mut failures = 0_u32;
+    while !stop.is_cancelled() {
+        if node.is_stopping() || !is_watcher(&node, topic) {
+            revision = None;
+            tokio::time::sleep(LOOK).await;
+            continue;
+        }
+        if revision.is_none() {
+            register(&node, topic).await;
+        }
+        let result = tokio::select! {
+            result = step(&node, topic, revision) => result,
+            () = stop.cancelled() => return,
+        };
+        match result {
+            Ok(next) => {
+                failures = 0;
+                revision = Some(next);
+                set_blind(&node, false);
+            }
+            Err(Fault::HistoryGone) => {
+                slog::info!(node.log, "history gone"; "kind" => topic.kind(),
+                    "revision" => revision);
+                revision = None;
+            }
+            Err(fault) => {
+                failures += 1;
+                // One watch that is cut says nothing; the list that follows does.
+                if revision.take().is_none() {
+                    node.store.on_failure(&fault, Instant::now());
+                    set_blind(&node, true);
+                }
+                slog::info!(node.log, "watch broken"; "kind" => topic.kind(),
+                    "fault" => %fault, "failures" => failures);
+                let pause =
+                    coordination::retry::backoff(failures, PAUSE[0], PAUSE[1], rand::random());
+                tokio::time::sleep(pause).await;
+            }
+        }
+    }
+}
+
+fn set_blind(node: &Rc<Node>, is_blind: bool) {
+    let now = Instant::now();
+    let me = node.id();
+    let was = node.blind.borrow().get(&me).is_some_and(|until| now < *until);
+    on_blind(node, me, is_blind);
+    if was != is_blind {
+        let ask = Ask::Sync { from: me, mark: node.mark(), is_blind };
+        let here =
+            |member: &coordination::member::Member| member.data_centre == *node.data_centre();
+        for member in node.others().into_iter().filter(here) {
+            node.tell(member.peer, ask.clone());
+        }
+    }
+}
+
+/// One list or one watch; gives the revision to go on from.
+async fn step(node: &Rc<Node>, topic: Topic, revision: Option<u64>) -> Result<u64, Fault> {
+    let store = node.store.bare();
+    let Some(revision) = revision else {
+        let (objects, revision) = store.list_all(topic.kind()).await?;
+        node.store.on_answer(Instant::now());
+        on_list(node, topic, objects, revision);
+        return Ok(revision);
+    };
+    let changes = store.watch(topic.kind(), revision, WATCH).await?;
+    node.store.on_answer(Instant::now());
+    let is_quiet = changes.changes.is_empty();
+    match topic {
+        Topic::Config => {
+            let present = changes.changes.into_iter().filter(|change| !change.removed);
+            present.for_each(|change| on_config_object(node, &change.object));
+        }
+        Topic::Targets => {
+            let now = Instant::now();
+            let regained = node.store.regained();
+            let mut news = Vec::new();
+            for change in changes.changes {
+                if change.removed {
+                    let mut registry = node.registry.borrow_mut();
+                    let name = &change.object.name;
+                    news.extend(registry.on_removed(name, changes.revision, regained, now));
+                } else if let Some(target) = read_target(node, &change.object) {
+                    let change = Change::Present(target);
+                    if node.registry.borrow_mut().on_change(change.clone()) {
+                        news.push(change);
+                    }
+                }
+            }
+            pass_on(node, news);
+        }
+    }
+    if !is_quiet && topic == Topic::Targets {
+        tokio::time::sleep(GATHER).await;
+    }
+    Ok(changes.revision)
+}
+
+fn on_list(node: &Rc<Node>, topic: Topic, objects: Vec<Object>, revision: u64) {
+    match topic {
+        Topic::Config => objects.iter().for_each(|object| on_config_object(node, object)),
+        Topic::Targets => {
+            let targets: Vec<Target> =
+                objects.iter().filter_map(|object| read_target(node, object)).collect();
+            let regained = node.store.regained();
+            let now = Instant::now();
+            let news = node.registry.borrow_mut().on_list(targets, revision, regained, now);
+            pass_on(node, news);
+        }
+    }
+}
+
+fn pass_on(node: &Rc<Node>, news: Vec<Change>) {
+    on_changed(node, &news, "platform");
+    if !news.is_empty() {
+        node.tell_all(&Ask::Targets(news));
+    }
+}
+
+fn read_target(node: &Node, object: &Object) -> Option<Target> {
+    match target::decode(&object.name, object.revision, object.spec.get()) {
+        Ok(target) => Some(target),
+        Err(error) => {
+            slog::warn!(node.log, "entry of a target not understood";
+                "target" => &object.name, "error" => %error);
+            None
+        }
+    }
+}
+
+fn on_config_object(node: &Rc<Node>, object: &Object) {
+    if object.name != config::NAME {
+        return;
+    }
+    let text = object.spec.get();
+    let version = match config::decode(text.as_bytes()) {
+        Ok(table) => table.version,
+        Err(error) => {
+            slog::error!(node.log, "configuration not understood";
+                "revision" => object.revision, "error" => %error);
+            return;
+        }
+    };
+    let known = node.config().map_or(0, |config| config.table.version);
+    on_config(node, version, text, "platform");
+    if version > known {
+        node.tell_all(&Ask::Config(version, text.to_owned()));
+    }
+}
+
+/// Leaves this instance's address on the platform, for those that find no seed.
+async fn register(node: &Rc<Node>, topic: Topic) {
+    if topic != Topic::Config {
+        return;
+    }
+    let name = &node.settings.name;
+    let spec =
+        Registered { peer: node.as_holder().address, data_centre: node.data_centre().clone() };
+    match node.store.create(INSTANCE_KIND, name, &spec).await {
+        Ok(_) | Err(Fault::Conflict(_)) => {}
+        Err(fault) => slog::info!(node.log, "not registered"; "fault" => %fault),
+    }
+}
+
+/// Addresses that instances have left on the platform.
+pub async fn registered(node: &Rc<Node>) -> Vec<SocketAddr> {
+    let objects = match node.store.list_all(INSTANCE_KIND).await {
+        Ok(objects) => objects,
+        Err(fault) => {
+            slog::info!(node.log, "no instances from the platform"; "fault" => %fault);
+            return Vec::new();
+        }
+    };
+    let read = |object: &Object| serde_json::from_str::<Registered>(object.spec.get()).ok();
+    objects.iter().filter_map(read).map(|registered| registered.peer).collect()
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/front.rs
@@ -0,0 +1,168 @@
+//! Callers' requests: which route they take, and which call they are.
+
+use super::node::{Config, Node};
+use super::{jobs, online};
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use platform::{header, job};
+use protocol::routing::{Class, Route};
+use protocol::{Error, Kind};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use transport::listen::{self, Body, Broken, Handler};
+
+/// Head limit before a configuration tells one.
+const HEAD_LIMIT: usize = 64 << 10;
+/// Longest time in which a body must be in, when the caller tells none.
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// One call as it was read.
+pub struct Call {
+    /// Its id; the caller chose it.
+    pub id: String,
+    /// Method.
+    pub method: Method,
+    /// Path and query, as they came.
+    pub target: String,
+    /// Host, without a port.
+    pub host: String,
+    /// Headers that are passed on.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// When its head was read.
+    pub started: Instant,
+    /// Until when the caller waits, or the route lets it be held.
+    pub until: Instant,
+}
+
+impl Call {
+    /// Time left.
+    pub fn left(&self, now: Instant) -> Duration {
+        self.until.saturating_duration_since(now)
+    }
+}
+
+/// Serves callers.
+pub struct Front {
+    /// The instance.
+    pub node: Rc<Node>,
+}
+
+impl Handler for Front {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Result<Response<Body>, Broken> {
+        let started = Instant::now();
+        let node = &self.node;
+        let result = handle(node, request, started).await;
+        let mut response = match result {
+            Ok(response) => response,
+            Err(broken) => return Err(broken),
+        };
+        if node.is_stopping() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        node.measure.time("front.head", started.elapsed());
+        Ok(response)
+    }
+
+    fn head_limit(&self) -> usize {
+        let config = self.node.config();
+        config.map_or(HEAD_LIMIT, |config| config.table.limits.head_bytes)
+    }
+}
+
+async fn handle(
+    node: &Rc<Node>,
+    request: Request<Incoming>,
+    started: Instant,
+) -> Result<Response<Body>, Broken> {
+    let (parts, mut body) = request.into_parts();
+    let Some(config) = node.config() else {
+        let error = Error::new(Kind::NotReady, "no configuration yet");
+        return Ok(refusal(node, "", &error));
+    };
+    let host = host(&parts.headers).to_owned();
+    let path = parts.uri.path();
+    let id = header::text(&parts.headers, header::REQUEST_ID).to_owned();
+    let Some(route) = config.table.find(&host, path) else {
+        let query = parts.uri.query().unwrap_or_default();
+        let call = job::Call::read(parts.method.as_str(), path, query);
+        return match call {
+            Some(call) if config.table.routes.iter().any(|route| route.host == host) => {
+                Ok(jobs::call(node, call, &parts.headers).await)
+            }
+            _ => {
+                slog::info!(node.log, "no route"; "request" => &id, "host" => &host,
+                    "path" => path, "config" => config.table.version);
+                Ok(refusal(node, &id, &Error::new(Kind::UnknownPath, "no such route")))
+            }
+        };
+    };
+    let route = route.clone();
+    let wait = header::millis(&parts.headers, header::TIME_LEFT);
+    let until = started + wait.unwrap_or(route.timeout).min(route.timeout);
+    let limit = config.table.limits.body_bytes;
+    let body_time = wait.unwrap_or(BODY_TIME).min(BODY_TIME);
+    let body = match tokio::time::timeout(body_time, listen::read(&mut body, limit)).await {
+        Ok(read) => read?,
+        Err(_) => {
+            return Ok(refusal(node, &id, &Error::new(Kind::SlowCaller, "the body is late")));
+        }
+    };
+    let Some(body) = body else {
+        let error = Error::new(Kind::TooLarge, format!("the body is over {limit} bytes"));
+        return Ok(refusal(node, &id, &error));
+    };
+    let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
+    let headers = header::passed_on(&parts.headers);
+    let call = Call { id, method: parts.method, target, host, headers, body, started, until };
+    serve(node, &config, route, call).await
+}
+
+async fn serve(
+    node: &Rc<Node>,
+    config: &Config,
+    route: Route,
+    call: Call,
+) -> Result<Response<Body>, Broken> {
+    if route.class == Class::Batch {
+        return Ok(jobs::submit(node, &route, &call).await);
+    }
+    online::serve(node, config, Rc::new(route), Rc::new(call)).await
+}
+
+fn host(headers: &HeaderMap) -> &str {
+    let host = header::text(headers, "host");
+    host.split_once(':').map_or(host, |(name, _)| name)
+}
+
+/// The answer that the table of errors gives, for the request `id`.
+pub fn refusal(node: &Node, id: &str, error: &Error) -> Response<Body> {
+    let status = error.kind.row().status;
+    node.measure.count(&format!("refused.{status}"));
+    let mut response = text(status, &error.message);
+    if let Some(after) = error.retry_after {
+        let seconds = format!("{:.3}", after.as_secs_f64());
+        set(&mut response, header::COME_BACK, &seconds);
+    }
+    if !id.is_empty() {
+        set(&mut response, header::REQUEST_ID, id);
+    }
+    response
+}
+
+/// An answer of our own.
+pub fn text(status: u16, message: &str) -> Response<Body> {
+    let mut response = Response::new(Body::Whole(Bytes::from(format!("{message}\n"))));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
+    response
+}
+
+/// Sets a header; one that can't be sent is left out.
+pub fn set(response: &mut Response<Body>, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        response.headers_mut().insert(name, value);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/measure.rs
@@ -0,0 +1,160 @@
+//! Counters and latency histograms, served as text.
+//!
+//! They are written through `cadence`, as everywhere in the program; the sink
+//! sums them up instead of sending them, and whoever asks reads the sums.
+
+use super::node::Node;
+use bytes::Bytes;
+use cadence::prelude::*;
+use cadence::{MetricSink, StatsdClient};
+use hdrhistogram::Histogram;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use transport::listen::{Body, Broken, Handler};
+
+/// Longest time that a histogram tells apart, in milliseconds.
+const LONGEST_MS: u64 = 120_000;
+/// Significant digits of a histogram.
+const DIGITS: u8 = 2;
+/// Quantiles that are told.
+const QUANTILES: [f64; 3] = [0.5, 0.95, 0.99];
+/// Most names that are summed up; more would be a fault of the program.
+const MOST_NAMES: usize = 512;
+
+#[derive(Default)]
+struct Sums {
+    counters: BTreeMap<String, u64>,
+    times: BTreeMap<String, Histogram<u64>>,
+}
+
+#[derive(Clone, Default)]
+struct Sink(Arc<Mutex<Sums>>);
+
+impl MetricSink for Sink {
+    fn emit(&self, metric: &str) -> std::io::Result<usize> {
+        let Some((name, rest)) = metric.split_once(':') else {
+            return Ok(0);
+        };
+        let Some((value, kind)) = rest.split_once('|') else {
+            return Ok(0);
+        };
+        let value: u64 = value.parse().unwrap_or(0);
+        let mut sums = crate::fleet::lock(&self.0);
+        if sums.counters.len() + sums.times.len() >= MOST_NAMES {
+            return Ok(0);
+        }
+        match kind {
+            "ms" => {
+                if let Ok(empty) = Histogram::new_with_bounds(1, LONGEST_MS, DIGITS) {
+                    let times = sums.times.entry(name.to_owned()).or_insert(empty);
+                    times.saturating_record(value.max(1));
+                }
+            }
+            _ => *sums.counters.entry(name.to_owned()).or_default() += value,
+        }
+        Ok(metric.len())
+    }
+}
+
+/// The counters and histograms of one instance.
+pub struct Measure {
+    client: StatsdClient,
+    sink: Sink,
+}
+
+impl Default for Measure {
+    fn default() -> Measure {
+        let sink = Sink::default();
+        Measure { client: StatsdClient::from_sink("gatespool", sink.clone()), sink }
+    }
+}
+
+impl Measure {
+    /// Counts one event.
+    pub fn count(&self, name: &str) {
+        // The sink sums in memory: it has no fault to tell.
+        let _summed = self.client.count(name, 1_u64);
+    }
+
+    /// Records a time.
+    pub fn time(&self, name: &str, time: Duration) {
+        let _summed = self.client.time(name, time);
+    }
+
+    fn text(&self) -> String {
+        let sums = crate::fleet::lock(&self.sink.0);
+        let mut text = String::new();
+        for (name, value) in &sums.counters {
+            line(&mut text, name, "", *value);
+        }
+        for (name, times) in &sums.times {
+            line(&mut text, name, "_count", times.len());
+            for quantile in QUANTILES {
+                let suffix = format!("_ms{{quantile=\"{quantile}\"}}");
+                line(&mut text, name, &suffix, times.value_at_quantile(quantile));
+            }
+        }
+        text
+    }
+}
+
+fn line(text: &mut String, name: &str, suffix: &str, value: u64) {
+    let name = name.replace('.', "_");
+    // Writing to a string can't fail.
+    let _written = writeln!(text, "{name}{suffix} {value}");
+}
+
+/// Serves readiness and metrics.
+pub struct Probe {
+    /// The instance.
+    pub node: Rc<Node>,
+}
+
+impl Handler for Probe {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Result<Response<Body>, Broken> {
+        let node = &self.node;
+        let (status, text) = match request.uri().path() {
+            platform::READY if node.config().is_some() && !node.is_stopping() => {
+                (StatusCode::OK, String::from("ready\n"))
+            }
+            platform::READY => (StatusCode::SERVICE_UNAVAILABLE, String::from("not ready\n")),
+            "/metrics" => (StatusCode::OK, metrics(node)),
+            _ => (StatusCode::NOT_FOUND, String::new()),
+        };
+        let mut response = Response::new(Body::Whole(Bytes::from(text)));
+        *response.status_mut() = status;
+        Ok(response)
+    }
+
+    fn head_limit(&self) -> usize {
+        16 << 10
+    }
+}
+
+fn metrics(node: &Node) -> String {
+    let mut text = node.measure.text();
+    let counts = node.store.bare().counts();
+    let [online, batch] = node.accounts.in_use();
+    let gauges = [
+        ("gatespool.platform.reads", counts.reads.get()),
+        ("gatespool.platform.writes", counts.writes.get()),
+        ("gatespool.config.version", node.mark().config),
+        ("gatespool.targets.revision", node.mark().targets),
+        ("gatespool.targets.connections", node.targets.opened()),
+        ("gatespool.members", node.others().len() as u64 + 1),
+        ("gatespool.leases.held", node.accounts.held() as u64),
+        ("gatespool.account.online", u64::from(online)),
+        ("gatespool.account.batch", u64::from(batch)),
+        ("gatespool.jobs.held", node.board.held() as u64),
+        ("gatespool.running", node.running.get() as u64),
+    ];
+    for (name, value) in gauges {
+        line(&mut text, name, "", value);
+    }
+    text
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/message.rs
@@ -0,0 +1,173 @@
+//! What instances say to each other, and its codec.
+//!
+//! All of it is hints or requests; what must last is written to the platform.
+//! Times are spans, since instances share no clock.
+
+use coordination::registry::Change;
+use coordination::slots::{Grant, Held, LeaseId, Purpose, Report};
+use protocol::routing::Version;
+use protocol::{DataCentreId, InstanceId, ServiceId, TargetId};
+use serde::{Deserialize, Serialize};
+use state::progress::{Holder, ItemId, JobId, Outcome, Partial};
+use std::collections::HashMap;
+
+/// A wish for slots at the account of a data centre.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Wish {
+    /// Who asks.
+    pub from: InstanceId,
+    /// Data centre whose account is asked.
+    pub data_centre: DataCentreId,
+    /// Service.
+    pub service: ServiceId,
+    /// What the slots are for.
+    pub purpose: Purpose,
+    /// Milliseconds until the work is due; orders those that wait.
+    pub due_ms: u64,
+    /// Milliseconds for which a slot is of full use.
+    pub useful_ms: u64,
+    /// Milliseconds in which a refusal does no harm.
+    pub refuse_ms: u64,
+    /// Milliseconds that the asker waits for an answer; 0 for no wait.
+    pub wait_ms: u64,
+    /// Most slots.
+    pub most: usize,
+    /// Targets that won't do.
+    pub avoid: Vec<TargetId>,
+}
+
+/// How a job stands, as its holder tells the others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Standing {
+    /// The job.
+    pub job: JobId,
+    /// Who holds it.
+    pub holder: Holder,
+    /// Data centre of the holder.
+    pub data_centre: DataCentreId,
+    /// Route it belongs to.
+    pub route: String,
+    /// Tokens of its items without a result.
+    pub waiting_tokens: u64,
+    /// Whether nothing is left to run.
+    pub is_settled: bool,
+}
+
+/// How far an instance is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// Version of the configuration in force; 0 for none.
+    pub config: Version,
+    /// Highest revision of the registry of targets.
+    pub targets: u64,
+}
+
+/// A message.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Ask {
+    /// Slots.
+    Slots(Wish),
+    /// A lease is given back.
+    Release(LeaseId, Report),
+    /// Somebody waits in vain for a first event at a target.
+    Doubt(TargetId),
+    /// All leases that an instance holds at this account.
+    Held(InstanceId, Vec<Held>),
+    /// A batch lease must be given back at once.
+    Revoke(LeaseId),
+    /// How far the sender is; the reply brings what it lacks.
+    Sync {
+        /// Sender.
+        from: InstanceId,
+        /// How far it is.
+        mark: Mark,
+        /// Whether it has lately failed to reach the platform.
+        is_blind: bool,
+    },
+    /// A version of the configuration, in the platform's form.
+    Config(Version, String),
+    /// Changes of the registry of targets.
+    Targets(Vec<Change>),
+    /// How jobs stand.
+    Standings(Vec<Standing>),
+    /// All jobs that the receiver knows of.
+    Directory,
+    /// A submission that the sender can't put on the platform itself: host,
+    /// path, id and body.
+    Submit {
+        /// Host of the route.
+        host: String,
+        /// Path.
+        path: String,
+        /// Id of the job.
+        job: JobId,
+        /// The submission as it came.
+        body: String,
+    },
+    /// Results from a position on, held for a time if there is none.
+    Results(JobId, usize, u64),
+    /// Body of an item, in base64.
+    Body(JobId, ItemId),
+    /// The end of a job.
+    End(JobId),
+    /// The receiver should hold the job; with what stopped runs have made.
+    Adopt(JobId, HashMap<ItemId, Partial>),
+}
+
+/// A reply.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Reply {
+    /// Slots; none when the wait ran out.
+    Slots(Vec<Grant>),
+    /// No slot is free; one is expected after this many milliseconds.
+    Full(u64),
+    /// The receiver keeps no such account, or holds no such job.
+    NotHere,
+    /// Done.
+    Done,
+    /// What the asker lacked.
+    News {
+        /// How far the receiver is.
+        mark: Mark,
+        /// Its configuration, if it is later.
+        config: Option<(Version, String)>,
+        /// Its targets, if it knows later ones.
+        targets: Vec<Change>,
+    },
+    /// How jobs stand.
+    Standings(Vec<Standing>),
+    /// Total of the job's items, and results.
+    Results(usize, Vec<Outcome>),
+    /// Body of an item, in base64; `None` if the job has no such item.
+    Body(Option<String>),
+    /// The answer to a submission.
+    Submitted(Acceptance),
+    /// It can't be done now.
+    Away,
+}
+
+/// How a submission ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Acceptance {
+    /// It is kept.
+    Accepted,
+    /// It would exceed what may wait on the route.
+    Full,
+    /// Nothing was kept and nothing ever will be.
+    Refused,
+    /// Nobody can say whether it is kept.
+    Unknown,
+    /// It can't be understood.
+    Malformed,
+}
+
+/// Encodes a message.
+pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+    // Plain data with text keys: this can't fail.
+    serde_json::to_vec(message).unwrap_or_default()
+}
+
+/// Decodes a message; `None` for one of another version of the program.
+pub fn decode<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Option<T> {
+    serde_json::from_slice(bytes).ok()
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/mod.rs
@@ -0,0 +1,35 @@
+//! The gateway: serves an operator's routes on a platform that keeps the
+//! configuration, the registry of targets and the batch jobs.
+//!
+//! One thread runs it all on a `LocalSet`: what instances share is told by
+//! messages, what one instance knows lies in [`node::Node`] without locks. It
+//! carries out what `coordination` and `state` decide, and speaks to the
+//! platform through the `platform` package only.
+//!
+//! | module | job |
+//! | --- | --- |
+//! | [`front`] | callers' requests: which route, which call |
+//! | [`online`], [`relay`] | one request at a time; streams, resumed where they broke |
+//! | [`account`] | slots: asks for leases, and keeps the account of a data centre |
+//! | [`jobs`], [`holder`], [`takeover`] | batch jobs: calls, runs and results, lost holders |
+//! | [`feed`] | configuration and targets, watched by a few for all |
+//! | [`peers`], [`message`] | membership, and what instances say to each other |
+//! | [`store`] | the platform's store with a breaker in front |
+//! | [`measure`] | counters and histograms as text |
+
+pub mod account;
+pub mod feed;
+pub mod front;
+pub mod holder;
+pub mod jobs;
+pub mod measure;
+pub mod message;
+pub mod node;
+pub mod online;
+pub mod peers;
+pub mod relay;
+pub mod run;
+pub mod store;
+pub mod takeover;
+
+pub use run::run;
--- /dev/null
+++ b/crates/daemon/src/gateway/node.rs
@@ -0,0 +1,183 @@
+//! What one instance of the gateway knows.
+
+use super::account::Accounts;
+use super::holder::Board;
+use super::measure::Measure;
+use super::message::{Ask, Mark, Reply, decode, encode};
+use super::store::Guarded;
+use coordination::member::{Member, Policy, Table};
+use coordination::registry::Registry;
+use protocol::routing;
+use protocol::settings::Settings;
+use protocol::{DataCentreId, InstanceId};
+use slog::Logger;
+use state::progress::{Holder, Millis};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio_util::sync::CancellationToken;
+use transport::peer::{Fault, Pool as Peers};
+use transport::upstream;
+
+/// Longest wait for the reply to a message that is only told.
+const TELL: Duration = Duration::from_millis(800);
+/// How long a member that didn't reply is passed over where another will do.
+const SHUN: Duration = Duration::from_millis(400);
+
+/// The configuration in force, decoded and as it came.
+#[derive(Debug)]
+pub struct Config {
+    /// Decoded.
+    pub table: routing::Table,
+    /// In the platform's form, to be passed on.
+    pub text: String,
+    /// When it came into force here.
+    pub since: Instant,
+}
+
+/// One instance.
+pub struct Node {
+    /// Settings.
+    pub settings: Settings,
+    /// Log.
+    pub log: Logger,
+    /// Counters and histograms.
+    pub measure: Measure,
+    /// Members.
+    pub members: RefCell<Table>,
+    /// News for members is waiting.
+    pub news: Notify,
+    /// Configuration in force.
+    pub config: RefCell<Option<Rc<Config>>>,
+    /// Targets.
+    pub registry: RefCell<Registry>,
+    /// The platform's store.
+    pub store: Guarded,
+    /// Connections to targets.
+    pub targets: upstream::Pool,
+    /// Connections to other instances.
+    pub peers: Peers,
+    /// Slots: leases held, and the accounts kept here.
+    pub accounts: Accounts,
+    /// Batch jobs.
+    pub board: Board,
+    /// Members that lately failed to reach the platform.
+    pub blind: RefCell<HashMap<InstanceId, Instant>>,
+    /// Members that lately didn't reply.
+    shunned: RefCell<HashMap<SocketAddr, Instant>>,
+    /// Online requests in hand.
+    pub running: Cell<usize>,
+    /// Set once a stop was ordered.
+    pub stopping: CancellationToken,
+}
+
+impl Node {
+    /// An instance that knows nothing yet.
+    pub fn new(settings: Settings, log: Logger, me: Member, peers: Peers) -> Rc<Node> {
+        let policy = Policy { ping: settings.ping, suspect: settings.suspect, ..Policy::default() };
+        let now = Instant::now();
+        let connections =
+            upstream::Settings { connect: settings.connect, ..upstream::Settings::default() };
+        Rc::new(Node {
+            store: Guarded::new(settings.platform, settings.platform_timeout, log.clone()),
+            targets: upstream::Pool::new(connections),
+            accounts: Accounts::new(me.id, now),
+            members: RefCell::new(Table::new(me, policy)),
+            news: Notify::new(),
+            config: RefCell::default(),
+            registry: RefCell::default(),
+            board: Board::default(),
+            blind: RefCell::default(),
+            shunned: RefCell::default(),
+            measure: Measure::default(),
+            running: Cell::new(0),
+            stopping: CancellationToken::new(),
+            peers,
+            settings,
+            log,
+        })
+    }
+
+    /// Id of this start of the process.
+    pub fn id(&self) -> InstanceId {
+        self.members.borrow().me().id
+    }
+
+    /// This instance as the holder of a job.
+    pub fn as_holder(&self) -> Holder {
+        let members = self.members.borrow();
+        Holder { instance: members.me().id, address: members.me().peer }
+    }
+
+    /// Data centre of this instance.
+    pub fn data_centre(&self) -> &DataCentreId {
+        &self.settings.data_centre
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<Rc<Config>> {
+        self.config.borrow().clone()
+    }
+
+    /// Whether a stop was ordered.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.is_cancelled()
+    }
+
+    /// How far this instance is.
+    pub fn mark(&self) -> Mark {
+        let config = self.config.borrow().as_ref().map_or(0, |config| config.table.version);
+        Mark { config, targets: self.registry.borrow().revision() }
+    }
+
+    /// Members other than this one that are not known to be gone.
+    pub fn others(&self) -> Vec<Member> {
+        self.members.borrow().others().cloned().collect()
+    }
+
+    /// Whether `address` lately didn't reply.
+    pub fn is_shunned(&self, address: SocketAddr, now: Instant) -> bool {
+        self.shunned.borrow().get(&address).is_some_and(|until| now < *until)
+    }
+
+    /// Sends a message and waits for its reply.
+    ///
+    /// # Errors
+    ///
+    /// Whether the message left.
+    pub async fn ask(&self, to: SocketAddr, ask: &Ask, limit: Duration) -> Result<Reply, Fault> {
+        let result = self.peers.ask(to, &encode(ask), limit).await;
+        if result.is_err() {
+            self.shunned.borrow_mut().insert(to, Instant::now() + SHUN);
+        }
+        let bytes = result?;
+        decode(&bytes).ok_or_else(|| Fault::Lost(String::from("a reply of another version")))
+    }
+
+    /// Tells one member, without waiting.
+    pub fn tell(self: &Rc<Node>, to: SocketAddr, ask: Ask) {
+        let node = self.clone();
+        spawn_local(async move {
+            if let Err(fault) = node.ask(to, &ask, TELL).await {
+                // Hints may be lost: what they say is found out by other ways.
+                slog::debug!(node.log, "not told"; "to" => %to, "fault" => ?fault);
+            }
+        });
+    }
+
+    /// Tells all other members, without waiting.
+    pub fn tell_all(self: &Rc<Node>, ask: &Ask) {
+        for member in self.others() {
+            self.tell(member.peer, ask.clone());
+        }
+    }
+}
+
+/// The time of day in milliseconds, for what is kept on the platform.
+pub fn millis() -> Millis {
+    crate::clock::millis()
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/online.rs
@@ -0,0 +1,431 @@
+//! One online request: a slot, a target, an answer.
+
+use super::account::{self, Lease, Refusal, Want};
+use super::front::{Call, refusal, text};
+use super::node::{Config, Node};
+use super::relay;
+use bytes::Bytes;
+use coordination::hash;
+use coordination::slots::End;
+use http_body_util::Full;
+use hyper::http::response::Parts;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use platform::header;
+use protocol::routing::{Class, Route};
+use protocol::{Error, Kind};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use transport::listen::{Body, Broken};
+use transport::upstream::{Exchange, Failure};
+
+/// Share of the objective in which a refusal counts as quick.
+const QUICK: f64 = 0.2;
+/// Share of the objective that a target itself takes for a first event; the
+/// rest can be spent on waiting for a slot.
+const OWN_SHARE: f64 = 0.35;
+/// Share of the objective after which a first event is overdue and the account
+/// hears of it.
+const OVERDUE: f64 = 0.8;
+/// A first event that takes this many objectives is waited for no longer, if the
+/// request may go on elsewhere.
+const GIVE_UP: f64 = 1.6;
+/// Targets that couldn't be reached, after which a request is refused.
+const MOST_UNREACHED: u32 = 3;
+/// Longest answer that is read whole before it is passed on.
+const MOST_WHOLE: usize = 8 << 20;
+/// When to come back after a refusal that nothing more is known of.
+const COME_BACK: Duration = Duration::from_millis(300);
+
+/// One request on its way.
+pub struct Trip {
+    /// The instance.
+    pub node: Rc<Node>,
+    /// The request.
+    pub call: Rc<Call>,
+    /// Its route.
+    pub route: Rc<Route>,
+    /// Service that runs it.
+    pub service: String,
+    /// Version of the configuration that routed it.
+    pub version: u64,
+    /// Targets it was sent to.
+    pub sent: u32,
+    /// Whether a target may have run it, or has.
+    pub may_have_run: bool,
+    /// Targets that it shouldn't be sent to again.
+    pub avoid: Vec<String>,
+}
+
+/// An answer that has begun.
+pub struct Begun {
+    /// The answer.
+    pub exchange: Exchange,
+    /// The slot that it takes.
+    pub lease: Lease,
+}
+
+/// How a try without an answer ended.
+pub enum Failed {
+    /// No target ran the request: refuse it.
+    NotRun(Refusal),
+    /// A target may have run it.
+    MayHaveRun(String),
+    /// The time is over, and a target may have run it.
+    TimeOver,
+}
+
+/// Counts a request as in hand.
+pub struct InHand(Rc<Node>);
+
+impl InHand {
+    /// One more.
+    pub fn new(node: &Rc<Node>) -> InHand {
+        node.running.set(node.running.get() + 1);
+        InHand(node.clone())
+    }
+}
+
+impl Drop for InHand {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get().saturating_sub(1));
+    }
+}
+
+/// Serves a request.
+///
+/// # Errors
+///
+/// The connection must close without an answer.
+pub async fn serve(
+    node: &Rc<Node>,
+    config: &Config,
+    route: Rc<Route>,
+    call: Rc<Call>,
+) -> Result<Response<Body>, Broken> {
+    let in_hand = InHand::new(node);
+    let draw = hash::of(call.id.as_bytes());
+    let Some(service) = route.service(draw).cloned() else {
+        let error = Error::new(Kind::NoTarget, "the route has no service");
+        return Ok(refusal(node, &call.id, &error));
+    };
+    let version = config.table.version;
+    let mut trip = Trip {
+        node: node.clone(),
+        call,
+        route,
+        service,
+        version,
+        sent: 0,
+        may_have_run: false,
+        avoid: Vec::new(),
+    };
+    match trip.begin(None).await {
+        Ok(begun) => answer(trip, begun, in_hand).await,
+        Err(failed) => Ok(trip.fail(&failed)),
+    }
+}
+
+async fn answer(trip: Trip, begun: Begun, in_hand: InHand) -> Result<Response<Body>, Broken> {
+    if trip.route.class == Class::Stream && begun.exchange.head().status.is_success() {
+        return Ok(relay::stream(trip, begun, in_hand));
+    }
+    whole(trip, begun).await
+}
+
+/// Reads an answer whole before passing it on, so that one that breaks off can
+/// be had again or be told from a whole one.
+async fn whole(mut trip: Trip, begun: Begun) -> Result<Response<Body>, Broken> {
+    let mut begun = begun;
+    loop {
+        let head = copy(begun.exchange.head());
+        let until = tokio::time::Instant::from_std(trip.call.until);
+        let read = tokio::time::timeout_at(until, begun.exchange.whole(MOST_WHOLE)).await;
+        let fault = match read {
+            Ok(Ok(body)) => {
+                begun.lease.end(End::Good);
+                return Ok(respond(head, Body::Whole(body)));
+            }
+            Ok(Err(fault)) => fault,
+            Err(_) => return Ok(trip.fail(&Failed::TimeOver)),
+        };
+        trip.avoid.push(begun.lease.grant.target.clone());
+        trip.may_have_run = true;
+        begun.lease.end(End::Broken);
+        if !trip.may_send_again() {
+            return Ok(trip.fail(&Failed::MayHaveRun(fault)));
+        }
+        begun = match trip.begin(None).await {
+            Ok(begun) => begun,
+            Err(failed) => return Ok(trip.fail(&failed)),
+        };
+    }
+}
+
+fn copy(head: &Parts) -> Response<()> {
+    let mut response = Response::new(());
+    *response.status_mut() = head.status;
+    *response.headers_mut() = header::passed_on(&head.headers);
+    response
+}
+
+/// A target's answer with a body.
+pub fn respond(head: Response<()>, body: Body) -> Response<Body> {
+    head.map(|()| body)
+}
+
+/// A target's head, to be passed on.
+pub fn head_of(exchange: &Exchange) -> Response<()> {
+    copy(exchange.head())
+}
+
+impl Trip {
+    /// Whether the request may be sent to another target.
+    pub fn may_send_again(&self) -> bool {
+        self.route.is_repeatable() && self.sent < self.route.attempts
+    }
+
+    /// Gets the head of an answer; `after` is the last event known of a stream
+    /// that goes on.
+    ///
+    /// # Errors
+    ///
+    /// How the tries ended.
+    pub async fn begin(&mut self, after: Option<u64>) -> Result<Begun, Failed> {
+        let mut unreached = 0;
+        loop {
+            let lease = self.lease(after).await.map_err(|refusal| self.refused(refusal))?;
+            let target = lease.grant.target.clone();
+            let result = self.send(lease, after).await;
+            let again = match result {
+                Ok(begun) => return Ok(begun),
+                Err(again) => again,
+            };
+            slog::info!(self.node.log, "try failed"; "request" => &self.call.id,
+                "target" => &target, "how" => again.name(), "text" => again.text(),
+                "sent" => self.sent, "attempts" => self.route.attempts,
+                "age_ms" => self.call.started.elapsed().as_millis() as u64);
+            self.avoid.push(target);
+            match again {
+                Again::Unreached(_) => {
+                    unreached += 1;
+                    if unreached >= MOST_UNREACHED {
+                        return Err(self.refused(Refusal::Full(COME_BACK)));
+                    }
+                }
+                Again::NotRun => {
+                    if self.sent >= self.route.attempts {
+                        return Err(self.refused(Refusal::Full(COME_BACK)));
+                    }
+                }
+                Again::MayHaveRun(text) => {
+                    self.may_have_run = true;
+                    if !self.may_send_again() {
+                        return Err(Failed::MayHaveRun(text));
+                    }
+                }
+                Again::TimeOver => return Err(Failed::TimeOver),
+            }
+        }
+    }
+
+    /// A refusal says that the request has not run, so it is one only if that is
+    /// true.
+    fn refused(&self, refusal: Refusal) -> Failed {
+        if self.may_have_run {
+            return Failed::MayHaveRun(String::from("no slot for another try"));
+        }
+        Failed::NotRun(refusal)
+    }
+
+    async fn lease(&self, after: Option<u64>) -> Result<Lease, Refusal> {
+        let now = Instant::now();
+        let objective = self.route.objective;
+        // A stream that goes on has a reader who waits in the middle of it.
+        let useful = if after.is_some() {
+            now + self.route.gap
+        } else {
+            self.call.started + objective.mul_f64(1.0 - OWN_SHARE)
+        };
+        let want = Want {
+            service: self.service.clone(),
+            due: self.call.until.min(self.call.started + self.route.timeout),
+            useful_until: useful,
+            refuse_by: self.call.started + objective.mul_f64(QUICK),
+            until: self.call.until,
+            avoid: self.avoid.clone(),
+        };
+        account::acquire(&self.node, &want).await
+    }
+
+    async fn send(&mut self, lease: Lease, after: Option<u64>) -> Result<Begun, Again> {
+        let now = Instant::now();
+        let left = self.call.left(now);
+        if left.is_zero() {
+            return Err(Again::TimeOver);
+        }
+        let request = self.request(&lease, left, after).map_err(Again::Unreached)?;
+        let overdue = self.route.objective.mul_f64(OVERDUE);
+        let give_up = self.route.objective.mul_f64(GIVE_UP);
+        let sent = self.node.targets.send(lease.grant.address, request);
+        let mut sent = std::pin::pin!(sent);
+        let mut limit = left;
+        if self.route.is_repeatable() && self.sent + 1 < self.route.attempts {
+            limit = limit.min(give_up);
+        }
+        let first = tokio::time::timeout(overdue.min(limit), sent.as_mut()).await;
+        let result = match first {
+            Ok(result) => result,
+            Err(_) => {
+                lease.doubt();
+                let rest = limit.saturating_sub(now.elapsed());
+                match tokio::time::timeout(rest, sent).await {
+                    Ok(result) => result,
+                    Err(_) => {
+                        self.sent += 1;
+                        lease.end(End::Silent);
+                        let is_over = self.call.left(Instant::now()).is_zero();
+                        let text = String::from("no answer in time");
+                        return Err(if is_over {
+                            Again::TimeOver
+                        } else {
+                            Again::MayHaveRun(text)
+                        });
+                    }
+                }
+            }
+        };
+        match result {
+            Err(Failure::NotSent(text)) => {
+                lease.end(End::Silent);
+                Err(Again::Unreached(text))
+            }
+            Err(Failure::Lost(text)) => {
+                self.sent += 1;
+                lease.end(End::Broken);
+                Err(Again::MayHaveRun(text))
+            }
+            Ok(exchange) => {
+                self.sent += 1;
+                self.check(exchange, lease)
+            }
+        }
+    }
+
+    fn request(
+        &self,
+        lease: &Lease,
+        left: Duration,
+        after: Option<u64>,
+    ) -> Result<Request<Full<Bytes>>, String> {
+        let call = &self.call;
+        let left = left.as_millis().to_string();
+        let mut builder = Request::builder().method(call.method.clone()).uri(&call.target);
+        if let Some(headers) = builder.headers_mut() {
+            *headers = call.headers.clone();
+            headers.remove(header::TIME_LEFT);
+            headers.remove(header::TARGET);
+            headers.remove("content-length");
+            if after.is_some() {
+                headers.remove(header::LAST_EVENT);
+            }
+        }
+        builder = builder.header(header::TIME_LEFT, left);
+        builder = builder.header(header::TARGET, &lease.grant.target);
+        if let Some(after) = after {
+            builder = builder.header(header::LAST_EVENT, after.to_string());
+        }
+        builder.body(Full::new(call.body.clone())).map_err(|error| error.to_string())
+    }
+
+    /// Whether an answer is the one asked for, and can be passed on.
+    fn check(&self, exchange: Exchange, lease: Lease) -> Result<Begun, Again> {
+        let head = exchange.head();
+        if is_not_run(head) {
+            lease.end(End::Refused);
+            return Err(Again::NotRun);
+        }
+        if !is_own(&head.headers, &self.call.id) {
+            lease.end(End::Broken);
+            return Err(Again::MayHaveRun(String::from("an answer to another request")));
+        }
+        if head.status.is_server_error() && self.may_send_again() {
+            let status = head.status;
+            lease.end(End::Good);
+            return Err(Again::MayHaveRun(format!("the target answers {status}")));
+        }
+        Ok(Begun { exchange, lease })
+    }
+
+    /// The answer to a request that got none.
+    pub fn fail(&self, failed: &Failed) -> Response<Body> {
+        let call = &self.call;
+        let age = call.started.elapsed();
+        let (status, cause) = match failed {
+            Failed::NotRun(Refusal::Full(_)) => (503, "no slot"),
+            Failed::NotRun(Refusal::NoTarget) => (503, "no target"),
+            Failed::MayHaveRun(_) => (502, "no whole answer"),
+            Failed::TimeOver => (504, "time over"),
+        };
+        let is_repeatable = self.route.is_repeatable();
+        slog::info!(self.node.log, "request failed"; "request" => &call.id, "cause" => cause,
+            "status" => status, "route" => &self.route.name, "service" => &self.service,
+            "config" => self.version, "sent" => self.sent, "avoided" => ?self.avoid,
+            "age_ms" => age.as_millis() as u64, "repeatable" => is_repeatable);
+        match failed {
+            Failed::NotRun(refused) => {
+                let after = match refused {
+                    Refusal::Full(after) => *after,
+                    Refusal::NoTarget => COME_BACK,
+                };
+                let kind = match refused {
+                    Refusal::Full(_) => Kind::Overloaded,
+                    Refusal::NoTarget => Kind::NoTarget,
+                };
+                let mut error = Error::new(kind, cause);
+                error.retry_after = Some(after);
+                refusal(&self.node, &call.id, &error)
+            }
+            Failed::MayHaveRun(_) | Failed::TimeOver => {
+                self.node.measure.count(&format!("failed.{status}"));
+                text(status, cause)
+            }
+        }
+    }
+}
+
+/// Whether an answer says that the request was not run.
+pub fn is_not_run(head: &Parts) -> bool {
+    head.headers.contains_key(header::NOT_RUN) || head.status == StatusCode::MISDIRECTED_REQUEST
+}
+
+/// Whether an answer belongs to the request `id`.
+pub fn is_own(headers: &HeaderMap, id: &str) -> bool {
+    let echoed = header::text(headers, header::REQUEST_ID);
+    echoed.is_empty() || echoed == id
+}
+
+/// How a try ended that may be followed by another.
+enum Again {
+    Unreached(String),
+    NotRun,
+    MayHaveRun(String),
+    TimeOver,
+}
+
+impl Again {
+    fn name(&self) -> &'static str {
+        match self {
+            Again::Unreached(_) => "not sent",
+            Again::NotRun => "not run",
+            Again::MayHaveRun(_) => "may have run",
+            Again::TimeOver => "time over",
+        }
+    }
+
+    fn text(&self) -> &str {
+        match self {
+            Again::Unreached(text) | Again::MayHaveRun(text) => text,
+            Again::NotRun | Again::TimeOver => "",
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/peers.rs
@@ -0,0 +1,259 @@
+//! Membership, and answers to what other instances say.
+
+use super::message::{Ask, Mark, Reply, decode, encode};
+use super::node::Node;
+use super::{account, feed, holder, jobs, takeover};
+use coordination::member::{Member, Note};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::spawn_local;
+use tokio_util::sync::CancellationToken;
+use transport::peer::{Entries, Fault, Handler};
+
+/// Longest wait for the answer to a heartbeat. A machine that runs five times
+/// slower still answers within it.
+pub const PING_TIMEOUT: Duration = Duration::from_millis(400);
+/// Pause before a heartbeat that failed is sent again.
+const AGAIN: Duration = Duration::from_millis(80);
+/// News that comes in within this time leaves together.
+const GATHER: Duration = Duration::from_millis(5);
+/// Time between looks at the seeds while no other member is known.
+const SEED_ALONE: Duration = Duration::from_millis(300);
+
+/// Answers other instances.
+#[derive(Clone)]
+pub struct Answers {
+    /// The instance.
+    pub node: Rc<Node>,
+}
+
+impl Handler for Answers {
+    async fn ping(&self, from: Member, notes: Vec<Note>) -> (Member, Vec<Note>) {
+        hear(&self.node, from, &notes);
+        (self.node.members.borrow().me().clone(), Vec::new())
+    }
+
+    async fn command(&self, _shard: u32, _body: Vec<u8>) -> Vec<u8> {
+        Vec::new() // Shards belong to the product's own interface.
+    }
+
+    async fn entries(&self, _after: u64) -> Entries {
+        Entries::default() // So do generations.
+    }
+
+    async fn pressure(&self, _from: u64, _target: String, _online: u32) {}
+
+    async fn ask(&self, body: Vec<u8>) -> Vec<u8> {
+        let reply = match decode::<Ask>(&body) {
+            Some(ask) => answer(&self.node, ask).await,
+            None => Reply::Away,
+        };
+        encode(&reply)
+    }
+
+    async fn members(&self) -> Vec<Member> {
+        let members = self.node.members.borrow();
+        members.workers().cloned().collect()
+    }
+}
+
+async fn answer(node: &Rc<Node>, ask: Ask) -> Reply {
+    match ask {
+        Ask::Slots(wish) => account::on_wish(node, wish).await,
+        Ask::Release(lease, report) => {
+            account::on_release(node, lease, report);
+            Reply::Done
+        }
+        Ask::Doubt(target) => {
+            account::on_doubt(node, &target);
+            Reply::Done
+        }
+        Ask::Held(from, held) => {
+            account::on_held(node, from, &held);
+            Reply::Done
+        }
+        Ask::Revoke(lease) => {
+            node.accounts.on_revoked(lease);
+            Reply::Done
+        }
+        Ask::Sync { from, mark, is_blind } => sync(node, from, mark, is_blind),
+        Ask::Config(version, text) => {
+            feed::on_config(node, version, &text, "peer");
+            Reply::Done
+        }
+        Ask::Targets(changes) => {
+            feed::on_targets(node, changes, "peer");
+            Reply::Done
+        }
+        Ask::Standings(standings) => {
+            standings.into_iter().for_each(|standing| node.board.on_standing(standing));
+            Reply::Done
+        }
+        Ask::Directory => Reply::Standings(holder::directory(node)),
+        Ask::Submit { host, path, job, body } => {
+            Reply::Submitted(jobs::on_submit(node, &host, &path, &job, body.as_bytes()).await)
+        }
+        Ask::Results(job, from, wait) => {
+            jobs::on_results(node, &job, from, Duration::from_millis(wait)).await
+        }
+        Ask::Body(job, item) => jobs::on_body(node, &job, &item),
+        Ask::End(job) => jobs::on_end(node, &job).await,
+        Ask::Adopt(job, partials) => {
+            let node = node.clone();
+            // The asker doesn't wait: it may be about to stop.
+            spawn_local(async move { takeover::adopt(&node, &job, partials).await });
+            Reply::Done
+        }
+    }
+}
+
+fn sync(node: &Rc<Node>, from: u64, mark: Mark, is_blind: bool) -> Reply {
+    feed::on_blind(node, from, is_blind);
+    let mine = node.mark();
+    let config = node.config().filter(|config| config.table.version > mark.config);
+    let is_later = mine.targets > mark.targets;
+    let targets = if is_later { node.registry.borrow().all() } else { Vec::new() };
+    let config = config.map(|config| (config.table.version, config.text.clone()));
+    Reply::News { mark: mine, config, targets }
+}
+
+fn hear(node: &Rc<Node>, from: Member, notes: &[Note]) {
+    let now = Instant::now();
+    let before = node.members.borrow().version();
+    {
+        let mut members = node.members.borrow_mut();
+        members.on_heard(from, now);
+        for note in notes {
+            if let Note::Member(member) = note {
+                members.merge(member.clone(), now);
+            }
+        }
+    }
+    on_members(node, before);
+}
+
+/// Whoever changes the members calls this with the version before.
+fn on_members(node: &Rc<Node>, before: u64) {
+    node.news.notify_one();
+    if node.members.borrow().version() == before {
+        return;
+    }
+    let members = node.members.borrow();
+    let states: Vec<String> =
+        members.others().map(|member| format!("{:x} {:?}", member.id, member.state)).collect();
+    slog::info!(node.log, "members"; "version" => members.version(), "others" => ?states);
+    drop(members);
+    account::pump(node);
+}
+
+/// Sends heartbeats and news until `stop`.
+pub async fn run(node: Rc<Node>, stop: CancellationToken) {
+    spawn_local(until(join(node.clone()), stop.clone()));
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(node.settings.ping) => {}
+            () = node.news.notified() => {
+                tokio::time::sleep(GATHER).await;
+                let behind = node.members.borrow().behind();
+                behind.into_iter().for_each(|member| ping(&node, member));
+                continue;
+            }
+            () = stop.cancelled() => return,
+        }
+        let before = node.members.borrow().version();
+        let due = node.members.borrow_mut().tick(Instant::now());
+        on_members(&node, before);
+        due.into_iter().for_each(|member| ping(&node, member));
+    }
+}
+
+async fn until(duty: impl Future<Output = ()>, stop: CancellationToken) {
+    tokio::select! {
+        () = duty => {}
+        () = stop.cancelled() => {}
+    }
+}
+
+fn ping(node: &Rc<Node>, to: Member) {
+    let node = node.clone();
+    spawn_local(async move {
+        if !ping_once(&node, &to).await {
+            tokio::time::sleep(AGAIN).await;
+            ping_once(&node, &to).await;
+        }
+    });
+}
+
+/// `true` when the member answered, or another stands in its place.
+async fn ping_once(node: &Rc<Node>, to: &Member) -> bool {
+    let (me, (mark, notes)) = {
+        let members = node.members.borrow();
+        (members.me().clone(), members.news(to.id))
+    };
+    let result = node.peers.ping(to.peer, &me, &notes).await;
+    let now = Instant::now();
+    let before = node.members.borrow().version();
+    let is_answered = match result {
+        Ok((from, _)) => {
+            let mut members = node.members.borrow_mut();
+            if from.id == to.id {
+                members.on_sent(to.id, mark);
+            } else {
+                members.on_gone(to.id, now);
+            }
+            members.on_heard(from, now);
+            true
+        }
+        Err(fault) => {
+            slog::debug!(node.log, "heartbeat missed"; "to" => %to.peer, "fault" => ?fault);
+            node.members.borrow_mut().on_missed(to.id, now);
+            false
+        }
+    };
+    on_members(node, before);
+    is_answered
+}
+
+/// Finds the first other members: by the seeds, or by what instances that watch
+/// have left on the platform.
+async fn join(node: Rc<Node>) {
+    let mut tries = 0_u32;
+    loop {
+        let seeds = node.settings.seeds.clone();
+        let own = node.as_holder().address;
+        for seed in seeds.into_iter().filter(|seed| *seed != own) {
+            ask_members(&node, seed).await;
+        }
+        tries += 1;
+        if node.members.borrow().others().next().is_none() && tries.is_multiple_of(8) {
+            for address in feed::registered(&node).await {
+                if address != own {
+                    ask_members(&node, address).await;
+                }
+            }
+        }
+        if node.members.borrow().others().next().is_some() {
+            break;
+        }
+        tokio::time::sleep(SEED_ALONE).await;
+    }
+    holder::learn(&node).await;
+}
+
+async fn ask_members(node: &Rc<Node>, address: SocketAddr) {
+    let before = node.members.borrow().version();
+    match node.peers.members(address).await {
+        Ok(found) => {
+            let now = Instant::now();
+            let mut members = node.members.borrow_mut();
+            for member in found {
+                members.merge(member, now);
+            }
+        }
+        Err(Fault::NotSent(fault) | Fault::Lost(fault)) => {
+            slog::debug!(node.log, "seed silent"; "seed" => %address, "fault" => fault);
+        }
+    }
+    on_members(node, before);
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/relay.rs
@@ -0,0 +1,248 @@
+//! Streams: events are passed on as they come, and a stream that may be resumed
+//! goes on at another target where it broke.
+
+use super::account::Lease;
+use super::front::Call;
+use super::node::Node;
+use super::online::{Begun, Failed, InHand, Trip, head_of, respond};
+use bytes::{Bytes, BytesMut};
+use coordination::slots::End;
+use hyper::Response;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use transport::event::Splitter;
+use transport::listen::{self, Body, Broken, Sender};
+use transport::upstream::Exchange;
+
+/// A stream is taken for silent after this many of its longest good pauses, if
+/// it can go on elsewhere.
+const SILENT_GAPS: u32 = 3;
+
+/// What is known of a stream's events so far.
+#[derive(Debug, Default)]
+struct Tally {
+    began: Option<Instant>,
+    first: Option<Duration>,
+    last: Option<Instant>,
+    pieces: u32,
+    slowest: Duration,
+}
+
+impl Tally {
+    fn on_piece(&mut self, now: Instant) {
+        let began = *self.began.get_or_insert(now);
+        self.first.get_or_insert(now.saturating_duration_since(began));
+        if let Some(last) = self.last {
+            self.slowest = self.slowest.max(now.saturating_duration_since(last));
+        }
+        self.last = Some(now);
+        self.pieces += 1;
+    }
+
+    fn pace(&self) -> Option<Duration> {
+        let began = self.began? + self.first?;
+        let spaces = self.pieces.checked_sub(1).filter(|spaces| *spaces > 0)?;
+        Some(self.last?.saturating_duration_since(began) / spaces)
+    }
+}
+
+/// The answer to a stream's request; its events follow from a task of their own.
+pub fn stream(trip: Trip, begun: Begun, in_hand: InHand) -> Response<Body> {
+    let head = head_of(&begun.exchange);
+    let (sender, body) = listen::stream();
+    tokio::task::spawn_local(async move {
+        let mut stream = Stream { trip, last_event: None, sender, tally: Tally::default() };
+        stream.run(begun).await;
+        drop(in_hand);
+    });
+    respond(head, body)
+}
+
+struct Stream {
+    trip: Trip,
+    last_event: Option<u64>,
+    sender: Sender,
+    tally: Tally,
+}
+
+/// Why a stream no longer comes from a target.
+enum Stop {
+    /// It came to its end.
+    Ended,
+    /// The caller has gone.
+    Gone,
+    /// The time is over.
+    TimeOver,
+    /// It broke off.
+    Broken(String),
+    /// Nothing came for too long.
+    Silent,
+}
+
+impl Stream {
+    async fn run(&mut self, begun: Begun) {
+        let mut begun = begun;
+        loop {
+            let target = begun.lease.grant.target.clone();
+            let stop = self.pass(begun).await;
+            let fault = match stop {
+                Stop::Ended => return self.log("stream ended", &target, ""),
+                Stop::Gone => return self.log("caller gone", &target, ""),
+                Stop::TimeOver => return self.abort(&target, "time over").await,
+                Stop::Broken(fault) => fault,
+                Stop::Silent => String::from("silent"),
+            };
+            self.trip.avoid.push(target.clone());
+            if !self.trip.may_send_again() {
+                return self.abort(&target, &fault).await;
+            }
+            slog::info!(self.trip.node.log, "stream resumes"; "request" => &self.call().id,
+                "target" => &target, "fault" => &fault, "after" => self.last_event,
+                "sent" => self.trip.sent);
+            let next = tokio::select! {
+                next = self.trip.begin(self.last_event) => next,
+                () = self.sender.closed() => return self.log("caller gone", &target, ""),
+            };
+            begun = match next {
+                Ok(begun) if begun.exchange.head().status.is_success() => begun,
+                Ok(begun) => {
+                    let status = begun.exchange.head().status;
+                    begun.lease.end(End::Good);
+                    return self.abort(&target, &format!("the next target answers {status}")).await;
+                }
+                Err(Failed::NotRun(_)) => return self.abort(&target, "no slot to go on").await,
+                Err(Failed::MayHaveRun(fault)) => return self.abort(&target, &fault).await,
+                Err(Failed::TimeOver) => return self.abort(&target, "time over").await,
+            };
+        }
+    }
+
+    /// Passes on what one target sends.
+    async fn pass(&mut self, begun: Begun) -> Stop {
+        let Begun { mut exchange, mut lease } = begun;
+        let mut splitter = Splitter::default();
+        self.tally = Tally { began: Some(Instant::now()), ..Tally::default() };
+        let stop = self.pass_all(&mut exchange, &lease, &mut splitter).await;
+        // Closes the connection, unless the answer came to its end.
+        drop(exchange);
+        lease.report.first = self.tally.first;
+        lease.report.pace = self.tally.pace();
+        lease.end(match stop {
+            Stop::Ended => End::Good,
+            Stop::Gone | Stop::TimeOver => End::Unused,
+            Stop::Broken(_) => End::Broken,
+            Stop::Silent => End::Silent,
+        });
+        stop
+    }
+
+    async fn pass_all(
+        &mut self,
+        exchange: &mut Exchange,
+        lease: &Lease,
+        splitter: &mut Splitter,
+    ) -> Stop {
+        let is_resumable = self.trip.route.resumable;
+        let until = tokio::time::Instant::from_std(self.call().until);
+        let mut is_doubted = false;
+        loop {
+            let quiet = self.longest_quiet();
+            let piece = tokio::select! {
+                piece = exchange.next() => piece,
+                () = self.sender.closed() => return Stop::Gone,
+                () = tokio::time::sleep_until(until) => return Stop::TimeOver,
+                () = tokio::time::sleep(quiet), if !is_doubted => {
+                    lease.doubt();
+                    is_doubted = true;
+                    if self.trip.may_send_again() {
+                        return Stop::Silent;
+                    }
+                    continue;
+                }
+            };
+            let bytes = match piece {
+                Ok(Some(bytes)) => bytes,
+                Ok(None) if is_resumable && !splitter.is_empty() => {
+                    return Stop::Broken(String::from("ended within an event"));
+                }
+                Ok(None) => return Stop::Ended,
+                Err(fault) => return Stop::Broken(fault),
+            };
+            is_doubted = false;
+            let bytes = if is_resumable {
+                match self.whole_events(splitter, &bytes) {
+                    Ok(bytes) => bytes,
+                    Err(fault) => return Stop::Broken(fault),
+                }
+            } else {
+                bytes
+            };
+            if bytes.is_empty() {
+                continue;
+            }
+            self.tally.on_piece(Instant::now());
+            if self.sender.send(Ok(bytes)).await.is_err() {
+                return Stop::Gone;
+            }
+        }
+    }
+
+    /// The whole events in what has come; one that an earlier target has sent
+    /// already is left out.
+    fn whole_events(&mut self, splitter: &mut Splitter, bytes: &[u8]) -> Result<Bytes, String> {
+        if !splitter.push(bytes) {
+            return Err(String::from("an event is too long"));
+        }
+        let mut whole = BytesMut::new();
+        while let Some(event) = splitter.next_event() {
+            if let (Some(id), Some(last)) = (event.id, self.last_event)
+                && id <= last
+            {
+                continue;
+            }
+            if event.id.is_some() {
+                self.last_event = event.id;
+            }
+            whole.extend_from_slice(&event.raw);
+        }
+        Ok(whole.freeze())
+    }
+
+    fn longest_quiet(&self) -> Duration {
+        let route = &self.trip.route;
+        if self.tally.pieces == 0 { route.objective } else { route.gap * SILENT_GAPS }
+    }
+
+    fn call(&self) -> &Rc<Call> {
+        &self.trip.call
+    }
+
+    fn node(&self) -> &Rc<Node> {
+        &self.trip.node
+    }
+
+    /// Breaks the answer off: it must not look complete.
+    async fn abort(&self, target: &str, fault: &str) {
+        self.node().measure.count("stream.broken");
+        self.log("stream broken", target, fault);
+        // The caller may have gone.
+        let _gone = self.sender.send(Err(Broken)).await;
+    }
+
+    fn log(&self, what: &'static str, target: &str, fault: &str) {
+        let call = self.call();
+        let node = self.node();
+        let age = call.started.elapsed();
+        node.measure.time("stream.whole", age);
+        if let (Some(began), Some(first)) = (self.tally.began, self.tally.first) {
+            let first = began.saturating_duration_since(call.started) + first;
+            node.measure.time("stream.first", first);
+        }
+        slog::info!(node.log, "{}", what; "request" => &call.id, "target" => target,
+            "route" => &self.trip.route.name, "config" => self.trip.version,
+            "fault" => fault, "pieces" => self.tally.pieces, "sent" => self.trip.sent,
+            "first_ms" => self.tally.first.map(|first| first.as_millis() as u64),
+            "slowest_ms" => self.tally.slowest.as_millis() as u64,
+            "age_ms" => age.as_millis() as u64);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/run.rs
@@ -0,0 +1,125 @@
+//! Brings a gateway up, and takes it down again.
+
+use super::front::Front;
+use super::measure::Probe;
+use super::node::Node;
+use super::peers::{Answers, PING_TIMEOUT};
+use super::{account, feed, holder, peers, takeover};
+use anyhow::Context;
+use coordination::drain::{self, Phase, Plan};
+use coordination::member::{Member, State};
+use protocol::settings::Settings;
+use slog::Logger;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio_util::sync::CancellationToken;
+use transport::cut::Cut;
+use transport::peer::{Pool, Traffic, serve};
+use transport::{http, listen};
+
+/// Time between looks whether a stop is done.
+const STOP_LOOK: Duration = Duration::from_millis(20);
+/// How much earlier than its bound the process ends, so that it isn't killed
+/// in the middle of its last words.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+
+/// Runs a gateway until a signal stops it.
+///
+/// # Errors
+///
+/// When an address can't be bound or a signal can't be handled.
+pub fn run(settings: Settings, log: Logger) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, serve_all(settings, log))
+}
+
+fn member(settings: &Settings, front: SocketAddr, peer: SocketAddr) -> Member {
+    Member {
+        id: rand::random::<u64>() | 1,
+        peer,
+        http: front,
+        data_centre: settings.data_centre.clone(),
+        incarnation: crate::clock::millis(),
+        state: State::Alive,
+        generation: 0,
+    }
+}
+
+fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    http::listen(address).with_context(|| format!("can't listen on {address}"))
+}
+
+async fn serve_all(settings: Settings, log: Logger) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
+    let mut reload = signal(SignalKind::hangup()).context("SIGHUP")?;
+    let front = bind(settings.front)?;
+    let ready = settings.ready.map(bind).transpose()?;
+    let metrics = settings.metrics_listen.map(bind).transpose()?;
+    let peer = bind(settings.peer)?;
+    let me = member(&settings, front.local_addr()?, peer.local_addr()?);
+    let cut = Cut::new(settings.cut.clone());
+    let traffic = Arc::new(Traffic::default());
+    let pool = Pool::new(PING_TIMEOUT, cut, traffic.clone());
+    let node = Node::new(settings, log, me, pool);
+    slog::info!(node.log, "started"; "id" => format!("{:x}", node.id()),
+        "front" => front.local_addr()?.to_string(), "peers" => peer.local_addr()?.to_string(),
+        "platform" => %node.settings.platform);
+    let stop = CancellationToken::new();
+    let front_stop = CancellationToken::new();
+    spawn_local(serve(peer, Answers { node: node.clone() }, traffic, stop.clone()));
+    spawn_local(peers::run(node.clone(), stop.clone()));
+    spawn_local(feed::run(node.clone(), stop.clone()));
+    spawn_local(account::report(node.clone(), stop.clone()));
+    spawn_local(holder::run(node.clone(), stop.clone()));
+    spawn_local(takeover::run(node.clone(), stop.clone()));
+    for probe in ready.into_iter().chain(metrics) {
+        let handler = Rc::new(Probe { node: node.clone() });
+        spawn_local(listen::serve(probe, handler, stop.clone()));
+    }
+    let handler = Rc::new(Front { node: node.clone() });
+    spawn_local(listen::serve(front, handler, front_stop.clone()));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = reload.recv() => slog::info!(node.log, "reload"; "changed" => "nothing"),
+        }
+    }
+    drain(&node, &front_stop).await;
+    slog::info!(node.log, "stopped"; "running" => node.running.get());
+    stop.cancel();
+    Ok(())
+}
+
+/// A planned stop: not ready any more, jobs handed over, answers brought to
+/// their end.
+async fn drain(node: &Rc<Node>, front: &CancellationToken) {
+    let since = Instant::now();
+    slog::info!(node.log, "stop ordered"; "running" => node.running.get(),
+        "jobs" => node.board.held());
+    node.stopping.cancel();
+    node.members.borrow_mut().leave();
+    node.news.notify_one();
+    let bound = node.settings.stop_bound.saturating_sub(STOP_MARGIN);
+    let plan = Plan { grace: node.settings.stop_grace, bound };
+    let over = spawn_local({
+        let node = node.clone();
+        async move { holder::hand_over(&node).await }
+    });
+    loop {
+        tokio::time::sleep(STOP_LOOK).await;
+        let left = node.running.get() + usize::from(!over.is_finished());
+        match drain::phase(plan, since, left, Instant::now()) {
+            Phase::Exit => break,
+            Phase::Grace => {}
+            Phase::Finish => front.cancel(),
+        }
+    }
+    front.cancel();
+    tokio::time::sleep(STOP_LOOK).await;
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,12 +22,14 @@
 pub mod control;
 pub mod fleet;
 pub mod front;
+pub mod gateway;
 pub mod late;
 pub mod logging;
 pub mod orders;
 pub mod peers;
 pub mod shards;
 pub mod shared;
+pub mod standby;
 pub mod start;
 pub mod telemetry;
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Context;
 use bpaf::{OptionParser, Parser, construct, long};
-use protocol::settings::Settings;
+use protocol::settings::{Duty, Settings};
 use std::path::PathBuf;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -32,6 +32,11 @@
         return Ok(());
     }
     let log = daemon::logging::json(&settings.log_level, &settings.data_centre);
+    match settings.duty {
+        Duty::Own => {}
+        Duty::Gateway => return daemon::gateway::run(settings, log),
+        Duty::Standby => return daemon::standby::run(&log),
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let mut signals = {
         let _inside = runtime.enter();
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -142,6 +142,10 @@
         }
     }
 
+    async fn ask(&self, _body: Vec<u8>) -> Vec<u8> {
+        Vec::new() // The gateway's messages mean nothing here.
+    }
+
     async fn members(&self) -> Vec<Member> {
         let table = lock(&self.shared.table);
         std::iter::once(table.me().clone()).chain(table.others().cloned()).collect()
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod header;
 pub mod job;
 pub mod kind;
+pub mod routing;
 pub mod settings;
 pub mod trace;
 
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -34,15 +34,48 @@
 
 impl std::error::Error for Fault {}
 
+/// What a process does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Duty {
+    /// Serves the product's own interface.
+    #[default]
+    Own,
+    /// Serves the operator's routes on a platform that keeps configuration,
+    /// targets and jobs.
+    Gateway,
+    /// Keeps a machine that nothing has to run on: does nothing until it is
+    /// stopped.
+    Standby,
+}
+
+impl FromStr for Duty {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Duty, ()> {
+        match text {
+            "own" => Ok(Duty::Own),
+            "gateway" => Ok(Duty::Gateway),
+            "standby" => Ok(Duty::Standby),
+            _ => Err(()),
+        }
+    }
+}
+
 /// Settings of one daemon.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
+    /// `[instance] name`: its name, for logs and registration.
+    pub name: String,
+    /// `[instance] duty`: `own`, `gateway` or `standby`.
+    pub duty: Duty,
     /// `[instance] data_centre`: where this daemon stands.
     pub data_centre: DataCentreId,
     /// `[instance] data`: folder of the small disk, if there is one.
     pub data: Option<PathBuf>,
     /// `[front] listen`: address for callers and operators.
     pub front: SocketAddr,
+    /// `[front] ready`: address of the readiness check, if it has its own.
+    pub ready: Option<SocketAddr>,
     /// `[front] body_limit`: most bytes of an online request.
     pub body_limit: usize,
     /// `[front] body_timeout_ms`: how long a caller may take to send a body.
@@ -103,6 +136,8 @@
     pub stop_grace: Duration,
     /// `[stop] bound_ms`: time from SIGTERM until exit at the latest.
     pub stop_bound: Duration,
+    /// `[metrics] listen`: where metrics are served as text over HTTP.
+    pub metrics_listen: Option<SocketAddr>,
     /// `[metrics] address`: where metrics go over UDP.
     pub metrics: Option<SocketAddr>,
     /// `[log_lines] level`: `debug`, `info`, `warning` or `error`.
@@ -117,9 +152,12 @@
     fn default() -> Settings {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         Settings {
+            name: String::from("local"),
+            duty: Duty::default(),
             data_centre: String::from("local"),
             data: None,
             front: any,
+            ready: None,
             body_limit: 1 << 20,
             body_timeout: Duration::from_secs(10),
             front_threads: 2,
@@ -150,6 +188,7 @@
             order_lifetime: Duration::from_secs(2),
             stop_grace: Duration::from_secs(2),
             stop_bound: Duration::from_secs(30),
+            metrics_listen: None,
             metrics: None,
             log_level: String::from("info"),
             cut: None,
@@ -192,9 +231,12 @@
     }
 
     fn fill_addresses(&mut self, s: &mut Source) -> Result<(), Fault> {
+        s.text("instance", "name", &mut self.name);
+        s.value("instance", "duty", "own, gateway or standby", &mut self.duty)?;
         s.text("instance", "data_centre", &mut self.data_centre);
         s.option("instance", "data", "a path", &mut self.data)?;
         s.value("front", "listen", "an IP number and port", &mut self.front)?;
+        s.option("front", "ready", "an IP number and port", &mut self.ready)?;
         s.value("front", "body_limit", "a number of bytes", &mut self.body_limit)?;
         s.millis("front", "body_timeout_ms", &mut self.body_timeout)?;
         s.value("front", "threads", "a number of threads", &mut self.front_threads)?;
@@ -207,6 +249,7 @@
         s.millis("platform", "timeout_ms", &mut self.platform_timeout)?;
         s.value("platform", "calls_per_second", "a number", &mut self.platform_rate)?;
         s.millis("platform", "poll_ms", &mut self.platform_poll)?;
+        s.option("metrics", "listen", "an IP number and port", &mut self.metrics_listen)?;
         s.option("metrics", "address", "an IP number and port", &mut self.metrics)?;
         s.text("log_lines", "level", &mut self.log_level);
         s.option("faults", "cut", "a path", &mut self.cut)?;
@@ -216,9 +259,7 @@
     fn fill_log(&mut self, s: &mut Source) -> Result<(), Fault> {
         s.value("log", "shards", "a number of shards", &mut self.shards)?;
         s.millis("log", "commit_ms", &mut self.commit)?;
-        let mut retention = self.retention.as_secs();
-        s.value("log", "retention_s", "a number of seconds", &mut retention)?;
-        self.retention = Duration::from_secs(retention);
+        s.seconds("log", "retention_s", &mut self.retention)?;
         s.value("log", "snapshot_entries", "a number of entries", &mut self.snapshot_entries)
     }
 
@@ -236,7 +277,8 @@
         s.millis("orders", "lease_ms", &mut self.lease)?;
         s.millis("orders", "lifetime_ms", &mut self.order_lifetime)?;
         s.millis("stop", "grace_ms", &mut self.stop_grace)?;
-        s.millis("stop", "bound_ms", &mut self.stop_bound)
+        s.millis("stop", "bound_ms", &mut self.stop_bound)?;
+        s.seconds("stop", "bound_s", &mut self.stop_bound)
     }
 
     fn check(&self, file: &str) -> Result<(), Fault> {
@@ -362,6 +404,15 @@
         Ok(())
     }
 
+    fn seconds(&mut self, section: &str, key: &str, into: &mut Duration) -> Result<(), Fault> {
+        let mut seconds = into.as_secs_f64();
+        let expected = "a number of seconds";
+        self.value(section, key, expected, &mut seconds)?;
+        *into =
+            Duration::try_from_secs_f64(seconds).map_err(|_| self.fault(section, key, expected))?;
+        Ok(())
+    }
+
     fn finish(self) -> Result<(), Fault> {
         match self.left.keys().next() {
             None => Ok(()),
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod keys;
 pub mod object;
 pub mod part;
+pub mod progress;
 pub mod record;
 pub mod shard;
 pub mod snapshot;
--- /dev/null
+++ b/crates/state/src/progress.rs
@@ -0,0 +1,400 @@
+//! The life of one batch job, from its acceptance to its last result.
+//!
+//! A [`Job`] never changes once it is accepted. What happens to it is its
+//! [`Progress`]: who holds it, which results are listed, how often items failed,
+//! whether it was ended. Both lie on the platform, in one object for each job,
+//! and each change of the progress is a write on the condition that nobody else
+//! has written since. A [`Sheet`] is the holder's copy: the progress that is
+//! durable, what came after it, and what runs.
+//!
+//! Nothing here reads or writes; the present time is an argument.
+//!
+//! ```
+//! use state::progress::{Job, Outcome, Progress, Sheet};
+//!
+//! let job = Job::example("7c41", &["a", "b"]);
+//! let mut sheet = Sheet::new(job, Progress::default(), 3);
+//! assert_eq!(sheet.start_next(0).map(|item| item.id.clone()), Some("a".into()));
+//! sheet.on_done("a", Outcome { item: "a".into(), is_complete: true, text: "x".into() });
+//! assert!(sheet.listed().is_empty(), "listed only once it is durable");
+//! let draft = sheet.draft().unwrap();
+//! sheet.on_durable(&draft);
+//! assert_eq!(sheet.listed().len(), 1);
+//! ```
+
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Identifies a job; its submitter chose it.
+pub type JobId = String;
+/// Identifies an item within all jobs; its submitter chose it.
+pub type ItemId = String;
+/// Milliseconds since the Unix epoch.
+pub type Millis = u64;
+
+/// One item of a job, as it was submitted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// Its id.
+    pub id: ItemId,
+    /// Path of its request.
+    pub path: String,
+    /// Headers of its request.
+    pub headers: Vec<(String, String)>,
+    /// Body of its request, in base64.
+    pub body: String,
+    /// Tokens of its prompt and most tokens out, together.
+    pub tokens: u64,
+}
+
+/// The result of an item.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Outcome {
+    /// The item.
+    pub item: ItemId,
+    /// Whether it was done; otherwise it failed for good.
+    pub is_complete: bool,
+    /// The data of all its events, in order.
+    pub text: String,
+}
+
+/// The instance that runs a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// Its id, unique for each start of a process.
+    pub instance: u64,
+    /// Its address for other instances.
+    pub address: SocketAddr,
+}
+
+/// A job as it was accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Job {
+    /// Its id.
+    pub id: JobId,
+    /// Host of its route and its items.
+    pub host: String,
+    /// Path it was submitted to; with the host, this leads to its route.
+    pub path: String,
+    /// When it was accepted.
+    pub accepted: Millis,
+    /// When its results are due.
+    pub due: Millis,
+    /// When what isn't done may be given up.
+    pub give_up: Millis,
+    /// The instance that accepted it, and runs it until another takes it over.
+    pub acceptor: Holder,
+    /// Its items.
+    pub items: Vec<Item>,
+}
+
+impl Job {
+    /// A small job for examples and tests.
+    pub fn example(id: &str, items: &[&str]) -> Job {
+        let item = |id: &&str| Item {
+            id: (*id).to_owned(),
+            path: format!("/batch/{id}"),
+            headers: Vec::new(),
+            body: String::new(),
+            tokens: 10,
+        };
+        Job {
+            id: id.to_owned(),
+            host: String::from("a.example"),
+            path: String::from("/batch/job"),
+            accepted: 0,
+            due: 18_000,
+            give_up: 60_000,
+            acceptor: Holder { instance: 1, address: SocketAddr::from(([127, 0, 0, 1], 1)) },
+            items: items.iter().map(item).collect(),
+        }
+    }
+
+    /// Tokens of all its items.
+    pub fn tokens(&self) -> u64 {
+        self.items.iter().map(|item| item.tokens).sum()
+    }
+}
+
+/// How often an item failed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Failures {
+    /// Runs that ended in a failure of the target.
+    pub runs: u32,
+    /// Whether a target said that the item can never be done.
+    pub is_impossible: bool,
+}
+
+/// What has happened to a job.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// Who holds it; `None` while its acceptor does.
+    pub holder: Option<Holder>,
+    /// Results in the order in which they are listed; it only grows.
+    pub outcomes: Vec<Outcome>,
+    /// Items that failed and may be tried again.
+    pub failures: BTreeMap<ItemId, Failures>,
+    /// Whether its submitter ended it.
+    pub ended: bool,
+}
+
+/// What is known of an item that was stopped before its end.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Partial {
+    /// Id of its last event; `None` before the first.
+    pub last_event: Option<u64>,
+    /// The data of its events so far, in order.
+    pub texts: Vec<String>,
+}
+
+/// How a run of an item failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The target ran it and failed.
+    Failed,
+    /// The target says that it can never be done.
+    Impossible,
+}
+
+/// The holder's copy of a job.
+#[derive(Clone, Debug)]
+pub struct Sheet {
+    job: Arc<Job>,
+    durable: Progress,
+    /// Results that are not durable yet.
+    fresh: Vec<Outcome>,
+    failures: BTreeMap<ItemId, Failures>,
+    ended: bool,
+    running: HashSet<ItemId>,
+    partials: HashMap<ItemId, Partial>,
+    done: HashSet<ItemId>,
+    attempts: u32,
+}
+
+impl Sheet {
+    /// A copy of what is durable; `attempts` failed runs make an item fail for
+    /// good.
+    pub fn new(job: Job, durable: Progress, attempts: u32) -> Sheet {
+        let done = durable.outcomes.iter().map(|outcome| outcome.item.clone()).collect();
+        Sheet {
+            job: Arc::new(job),
+            fresh: Vec::new(),
+            failures: durable.failures.clone(),
+            ended: durable.ended,
+            running: HashSet::new(),
+            partials: HashMap::new(),
+            done,
+            attempts: attempts.max(1),
+            durable,
+        }
+    }
+
+    /// The job.
+    pub fn job(&self) -> &Arc<Job> {
+        &self.job
+    }
+
+    /// Results that are durable, in the order of their positions.
+    pub fn listed(&self) -> &[Outcome] {
+        &self.durable.outcomes
+    }
+
+    /// Whether its submitter ended it.
+    pub fn is_ended(&self) -> bool {
+        self.ended
+    }
+
+    /// Whether its end is durable.
+    pub fn is_end_durable(&self) -> bool {
+        self.durable.ended
+    }
+
+    /// Whether every item has a result, durable or not.
+    pub fn is_done(&self) -> bool {
+        self.done.len() >= self.job.items.len()
+    }
+
+    /// Whether nothing is left to run or to write.
+    pub fn is_settled(&self) -> bool {
+        let nothing_left = self.is_done() || self.ended;
+        nothing_left && self.running.is_empty() && self.draft().is_none()
+    }
+
+    /// Results that are not durable yet.
+    pub fn fresh(&self) -> usize {
+        self.fresh.len()
+    }
+
+    /// Tokens of the items without a result; none once the job has ended.
+    pub fn waiting_tokens(&self) -> u64 {
+        if self.ended {
+            return 0;
+        }
+        let waiting = self.job.items.iter().filter(|item| !self.done.contains(&item.id));
+        waiting.map(|item| item.tokens).sum()
+    }
+
+    /// Items that could run now.
+    pub fn runnable(&self) -> usize {
+        if self.ended { 0 } else { self.idle_items().count() }
+    }
+
+    fn idle_items(&self) -> impl Iterator<Item = &Item> {
+        let idle = |item: &&Item| !self.done.contains(&item.id) && !self.running.contains(&item.id);
+        self.job.items.iter().filter(idle)
+    }
+
+    /// Takes the next item to run: one that was stopped before one that has not
+    /// begun, since less of it is left.
+    pub fn start_next(&mut self, _now: Millis) -> Option<Item> {
+        if self.ended {
+            return None;
+        }
+        let begun = self.idle_items().find(|item| self.partials.contains_key(&item.id));
+        let item = begun.or_else(|| self.idle_items().next())?.clone();
+        self.running.insert(item.id.clone());
+        Some(item)
+    }
+
+    /// What an earlier run of the item has made.
+    pub fn partial(&self, item: &str) -> Partial {
+        self.partials.get(item).cloned().unwrap_or_default()
+    }
+
+    /// Everything that stopped runs have made, for a holder that takes over.
+    pub fn partials(&self) -> &HashMap<ItemId, Partial> {
+        &self.partials
+    }
+
+    /// Takes in what runs at another holder have made.
+    pub fn merge_partials(&mut self, partials: HashMap<ItemId, Partial>) {
+        for (item, partial) in partials {
+            let known = self.partials.entry(item).or_default();
+            if partial.last_event > known.last_event {
+                *known = partial;
+            }
+        }
+    }
+
+    /// A run was stopped or broke off before its end.
+    pub fn on_stopped(&mut self, item: &str, partial: Partial) {
+        self.running.remove(item);
+        if !partial.texts.is_empty() && !self.done.contains(item) {
+            self.partials.insert(item.to_owned(), partial);
+        }
+    }
+
+    /// A run came to its end.
+    pub fn on_done(&mut self, item: &str, outcome: Outcome) {
+        self.running.remove(item);
+        self.settle(outcome);
+    }
+
+    fn settle(&mut self, outcome: Outcome) {
+        if self.done.insert(outcome.item.clone()) {
+            self.partials.remove(&outcome.item);
+            self.failures.remove(&outcome.item);
+            self.fresh.push(outcome);
+        }
+    }
+
+    /// A run failed; the item fails for good after its last attempt.
+    pub fn on_failed(&mut self, item: &str, failure: Failure) {
+        self.running.remove(item);
+        // A run that failed says nothing about what it had made.
+        self.partials.remove(item);
+        let count = self.failures.entry(item.to_owned()).or_default();
+        match failure {
+            Failure::Failed => count.runs += 1,
+            Failure::Impossible => count.is_impossible = true,
+        }
+        if count.is_impossible || count.runs >= self.attempts {
+            self.give_up(item);
+        }
+    }
+
+    fn give_up(&mut self, item: &str) {
+        let outcome = Outcome { item: item.to_owned(), is_complete: false, text: String::new() };
+        self.settle(outcome);
+    }
+
+    /// Gives up what isn't done when its time has passed.
+    pub fn on_time(&mut self, now: Millis) {
+        if now < self.job.give_up || self.ended {
+            return;
+        }
+        let late: Vec<ItemId> = self.idle_items().map(|item| item.id.clone()).collect();
+        late.iter().for_each(|item| self.give_up(item));
+    }
+
+    /// The job's route is gone: what isn't done can't be.
+    pub fn on_route_gone(&mut self) {
+        let left: Vec<ItemId> = self.idle_items().map(|item| item.id.clone()).collect();
+        left.iter().for_each(|item| self.give_up(item));
+    }
+
+    /// Its submitter ends the job.
+    pub fn end(&mut self) {
+        self.ended = true;
+    }
+
+    /// The progress to write next; `None` when all is durable. Failures alone
+    /// are not worth a write: they go along with the next results, or when a
+    /// failure is the only thing that has happened, with [`Sheet::failures_due`].
+    pub fn draft(&self) -> Option<Progress> {
+        let is_news = !self.fresh.is_empty() || self.ended != self.durable.ended;
+        if is_news { Some(self.snapshot()) } else { None }
+    }
+
+    /// Whether failures have been counted that no write has carried yet.
+    pub fn failures_due(&self) -> bool {
+        self.failures != self.durable.failures
+    }
+
+    /// The progress with all that is known here.
+    pub fn snapshot(&self) -> Progress {
+        let mut outcomes = self.durable.outcomes.clone();
+        outcomes.extend(self.fresh.iter().cloned());
+        Progress {
+            holder: self.durable.holder,
+            outcomes,
+            failures: self.failures.clone(),
+            ended: self.ended,
+        }
+    }
+
+    /// A progress made from this sheet was written.
+    pub fn on_durable(&mut self, written: &Progress) {
+        let listed: HashSet<&str> = written.outcomes.iter().map(|o| o.item.as_str()).collect();
+        self.fresh.retain(|outcome| !listed.contains(outcome.item.as_str()));
+        self.durable = written.clone();
+    }
+
+    /// Another instance has written: its results stand, in its order. Results
+    /// made here that it doesn't have follow behind them.
+    pub fn on_overtaken(&mut self, found: Progress) {
+        let listed: HashSet<ItemId> = found.outcomes.iter().map(|o| o.item.clone()).collect();
+        self.fresh.retain(|outcome| !listed.contains(&outcome.item));
+        for item in &listed {
+            self.partials.remove(item);
+        }
+        self.done = listed;
+        self.done.extend(self.fresh.iter().map(|outcome| outcome.item.clone()));
+        for (item, count) in &found.failures {
+            let known = self.failures.entry(item.clone()).or_default();
+            known.runs = known.runs.max(count.runs);
+            known.is_impossible |= count.is_impossible;
+        }
+        let done = &self.done;
+        self.failures.retain(|item, _| !done.contains(item));
+        self.ended |= found.ended;
+        self.durable = found;
+    }
+
+    /// Who holds the job by what is durable.
+    pub fn holder(&self) -> Holder {
+        self.durable.holder.unwrap_or(self.job.acceptor)
+    }
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,13 +8,16 @@
 //! may run twice, and only the caller of this crate knows that.
 
 pub mod cut;
+pub mod event;
 pub mod http;
+pub mod listen;
 pub mod peer;
 pub mod platform;
 pub mod ring;
 pub mod sse;
 pub mod store;
 pub mod target;
+pub mod upstream;
 
 /// Generated from `schema/peer.capnp`; committed so that the build needs no
 /// generator.
--- a/crates/transport/src/peer.rs
+++ b/crates/transport/src/peer.rs
@@ -37,6 +37,8 @@
     fn entries(&self, after: u64) -> impl Future<Output = Entries>;
     /// A peer's online requests at a target.
     fn pressure(&self, from: u64, target: String, online: u32) -> impl Future<Output = ()>;
+    /// A message of the gateway, encoded; answers with its reply, encoded.
+    fn ask(&self, body: Vec<u8>) -> impl Future<Output = Vec<u8>>;
     /// All members known.
     fn members(&self) -> impl Future<Output = Vec<Member>>;
 }
--- a/crates/transport/src/peer/pool.rs
+++ b/crates/transport/src/peer/pool.rs
@@ -128,6 +128,27 @@
         self.finish(to, self.timeout, async { request.send().promise.await.map(|_| ()) }).await
     }
 
+    /// Sends a message of the gateway and waits `limit` for its reply.
+    ///
+    /// # Errors
+    ///
+    /// How the call failed.
+    pub async fn ask(
+        &self,
+        to: SocketAddr,
+        body: &[u8],
+        limit: Duration,
+    ) -> Result<Vec<u8>, Fault> {
+        let client = self.connect(to).await?;
+        let mut request = client.ask_request();
+        request.get().set_body(body);
+        self.finish(to, limit, async {
+            let response = request.send().promise.await?;
+            Ok(response.get()?.get_body()?.to_vec())
+        })
+        .await
+    }
+
     /// Asks for all members that a daemon knows.
     ///
     /// # Errors
--- a/crates/transport/src/peer/serve.rs
+++ b/crates/transport/src/peer/serve.rs
@@ -69,6 +69,17 @@
         Ok(())
     }
 
+    async fn ask(
+        self: Rc<Self>,
+        params: peer::AskParams,
+        mut results: peer::AskResults,
+    ) -> Result<(), capnp::Error> {
+        let body = params.get()?.get_body()?.to_vec();
+        let answer = self.handler.ask(body).await;
+        results.get().set_body(&answer);
+        Ok(())
+    }
+
     async fn members(
         self: Rc<Self>,
         _params: peer::MembersParams,
--- a/crates/transport/src/peer_capnp.rs
+++ b/crates/transport/src/peer_capnp.rs
@@ -1498,6 +1498,8 @@
     pub type PressureResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::pressure_results::Owned>;
     pub type MembersParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::members_params::Owned>;
     pub type MembersResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::members_results::Owned>;
+    pub type AskParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::ask_params::Owned>;
+    pub type AskResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::ask_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -1562,6 +1564,9 @@
         pub fn members_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::members_params::Owned,crate::peer_capnp::peer::members_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
+        pub fn ask_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::ask_params::Owned,crate::peer_capnp::peer::ask_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn ping(self: ::capnp::capability::Rc<Self>, _: PingParams<>, _: PingResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::ping not implemented".to_string()))) }
@@ -1569,6 +1574,7 @@
         fn entries(self: ::capnp::capability::Rc<Self>, _: EntriesParams<>, _: EntriesResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::entries not implemented".to_string()))) }
         fn pressure(self: ::capnp::capability::Rc<Self>, _: PressureParams<>, _: PressureResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::pressure not implemented".to_string()))) }
         fn members(self: ::capnp::capability::Rc<Self>, _: MembersParams<>, _: MembersResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::members not implemented".to_string()))) }
+        fn ask(self: ::capnp::capability::Rc<Self>, _: AskParams<>, _: AskResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::ask not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -1603,6 +1609,7 @@
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::entries(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::pressure(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::members(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::ask(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -3838,4 +3845,418 @@
             pub(crate) const TYPE_ID: u64 = 0xc281_eb59_44e1_8c09;
         }
     }
+
+    pub mod ask_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::Plain(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_body(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::Plain(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_body(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_body(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(206, 234, 96, 207, 163, 139, 178, 237),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(97, 115, 107, 36, 80, 97, 114, 97),
+                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xedb2_8ba3_cf60_eace;
+        }
+    }
+
+    pub mod ask_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::Plain(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_body(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::Plain(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_body(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_body(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(142, 213, 138, 169, 211, 16, 176, 222),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(97, 115, 107, 36, 82, 101, 115, 117),
+                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xdeb0_10d3_a98a_d58e;
+        }
+    }
 }
--- /dev/null
+++ b/crates/transport/src/upstream.rs
@@ -0,0 +1,295 @@
+//! HTTP connections that this instance opens, one exchange at a time on each.
+//!
+//! For targets and for the platform alike. What it gives over a ready client
+//! pool is certainty about what was sent: a [`Failure`] says whether a byte of
+//! the request can have left, an exchange that is dropped closes its connection
+//! at once (which is how a target learns that nobody waits any more), and a
+//! connection is used again only after a whole answer with nothing behind it.
+//!
+//! It doesn't retry and doesn't choose; it lives inside a `LocalSet`.
+//!
+//! ```no_run
+//! # async fn example() -> Result<(), transport::upstream::Failure> {
+//! use bytes::Bytes;
+//! use http_body_util::Full;
+//! use transport::upstream::{Pool, Settings};
+//!
+//! let pool = Pool::new(Settings::default());
+//! let request = hyper::Request::get("/report").body(Full::new(Bytes::new())).unwrap();
+//! let exchange = pool.send(([127, 0, 0, 1], 8080).into(), request).await?;
+//! println!("{}", exchange.head().status);
+//! # Ok(())
+//! # }
+//! ```
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::http::response::Parts;
+use hyper::{HeaderMap, Request};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// How connections are opened and kept.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Longest wait for a connection to come up.
+    pub connect: Duration,
+    /// Longest rest of a connection whose peer doesn't tell when it closes it.
+    pub rest: Duration,
+    /// How much earlier than the peer's own time a resting connection is given
+    /// up, so that a request doesn't cross the peer's close.
+    pub margin: Duration,
+    /// Most connections kept at rest for each address.
+    pub kept: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            connect: Duration::from_millis(300),
+            rest: Duration::from_secs(4),
+            margin: Duration::from_millis(500),
+            kept: 16,
+        }
+    }
+}
+
+/// Why a request got no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No byte of the request left.
+    NotSent(String),
+    /// The request left, at least in part, and no answer came.
+    Lost(String),
+}
+
+impl std::fmt::Display for Failure {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Failure::NotSent(text) => write!(f, "not sent: {text}"),
+            Failure::Lost(text) => write!(f, "sent, no answer: {text}"),
+        }
+    }
+}
+
+impl std::error::Error for Failure {}
+
+/// A task that ends with its owner; here, the task that drives a connection.
+#[derive(Debug)]
+struct Driver(JoinHandle<()>);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    // Held so that dropping the connection closes its socket.
+    _driver: Driver,
+}
+
+#[derive(Debug)]
+struct Resting {
+    connection: Connection,
+    until: Instant,
+}
+
+type Shelf = Rc<RefCell<HashMap<SocketAddr, Vec<Resting>>>>;
+
+/// Connections by address.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    settings: Settings,
+    shelf: Shelf,
+    opened: Rc<Cell<u64>>,
+}
+
+impl Pool {
+    /// An empty pool.
+    pub fn new(settings: Settings) -> Pool {
+        Pool { settings, shelf: Shelf::default(), opened: Rc::default() }
+    }
+
+    /// Connections opened so far.
+    pub fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
+    /// Closes the connections at rest to addresses that `keep` refuses.
+    pub fn retain(&self, keep: impl Fn(SocketAddr) -> bool) {
+        self.shelf.borrow_mut().retain(|address, _| keep(*address));
+    }
+
+    /// Sends a request and waits for the head of its answer. Dropping the
+    /// future, or the exchange that it gives, closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// Whether the request can have left.
+    pub async fn send(
+        &self,
+        to: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Exchange, Failure> {
+        let mut request = request;
+        loop {
+            let rested = self.take(to, Instant::now());
+            let is_rested = rested.is_some();
+            let mut connection = match rested {
+                Some(connection) => connection,
+                None => self.open(to).await?,
+            };
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => {
+                    let (head, body) = response.into_parts();
+                    let pool = self.clone();
+                    let kept = Some(connection);
+                    return Ok(Exchange { to, head, body, kept, pool, ended: false });
+                }
+                Err(mut error) => match error.take_message() {
+                    // The peer closed it while it rested; nothing left.
+                    Some(back) if is_rested => request = back,
+                    Some(_) => return Err(Failure::NotSent(error.error().to_string())),
+                    None => return Err(Failure::Lost(error.error().to_string())),
+                },
+            }
+        }
+    }
+
+    fn take(&self, to: SocketAddr, now: Instant) -> Option<Connection> {
+        let mut shelf = self.shelf.borrow_mut();
+        let resting = shelf.get_mut(&to)?;
+        while let Some(last) = resting.pop() {
+            if now < last.until && last.connection.sender.is_ready() {
+                return Some(last.connection);
+            }
+        }
+        None
+    }
+
+    fn put(&self, to: SocketAddr, connection: Connection, headers: &HeaderMap, now: Instant) {
+        let Some(rest) = rest(headers, self.settings) else {
+            return;
+        };
+        let mut shelf = self.shelf.borrow_mut();
+        let resting = shelf.entry(to).or_default();
+        resting.retain(|old| now < old.until && !old.connection.sender.is_closed());
+        if resting.len() < self.settings.kept {
+            resting.push(Resting { connection, until: now + rest });
+        }
+    }
+
+    async fn open(&self, to: SocketAddr) -> Result<Connection, Failure> {
+        let connect = tokio::time::timeout(self.settings.connect, TcpStream::connect(to));
+        let stream = match connect.await {
+            Err(_) => return Err(Failure::NotSent(format!("{to} took no connection in time"))),
+            Ok(Err(error)) => return Err(Failure::NotSent(format!("{to}: {error}"))),
+            Ok(Ok(stream)) => stream,
+        };
+        stream.set_nodelay(true).map_err(|error| Failure::NotSent(error.to_string()))?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| Failure::NotSent(error.to_string()))?;
+        self.opened.set(self.opened.get() + 1);
+        let driver = tokio::task::spawn_local(async move {
+            // How the connection ended shows in the exchange that used it.
+            let _ended = connection.await;
+        });
+        Ok(Connection { sender, _driver: Driver(driver) })
+    }
+}
+
+/// How long a connection may rest after an answer with these headers; `None`
+/// when the peer closes it.
+fn rest(headers: &HeaderMap, settings: Settings) -> Option<Duration> {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let closes = |value: &str| value.split(',').any(|p| p.trim().eq_ignore_ascii_case("close"));
+    if text("connection").is_some_and(closes) {
+        return None;
+    }
+    let told = text("keep-alive").and_then(|value| {
+        let parts = value.split(',').filter_map(|part| part.trim().split_once('='));
+        let mut timeout = parts.filter(|(key, _)| key.eq_ignore_ascii_case("timeout"));
+        timeout.next().and_then(|(_, seconds)| seconds.trim().parse::<u64>().ok())
+    });
+    match told {
+        None => Some(settings.rest),
+        Some(seconds) => Duration::from_secs(seconds).checked_sub(settings.margin),
+    }
+}
+
+/// One answer as it comes.
+#[derive(Debug)]
+pub struct Exchange {
+    to: SocketAddr,
+    head: Parts,
+    body: Incoming,
+    kept: Option<Connection>,
+    pool: Pool,
+    ended: bool,
+}
+
+impl Exchange {
+    /// Status and headers of the answer.
+    pub fn head(&self) -> &Parts {
+        &self.head
+    }
+
+    /// The next piece of the body; `None` at its end, after which the
+    /// connection rests for the next request.
+    ///
+    /// # Errors
+    ///
+    /// How the answer broke off.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, String> {
+        loop {
+            if self.ended {
+                return Ok(None);
+            }
+            match self.body.frame().await {
+                None => self.finish(),
+                Some(Err(error)) => return Err(error.to_string()),
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) if data.is_empty() => {}
+                    Ok(data) => return Ok(Some(data)),
+                    // Trailers say nothing here.
+                    Err(_) => {}
+                },
+            }
+        }
+    }
+
+    /// The rest of the body, of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// How the answer broke off, or that it is too long.
+    pub async fn whole(&mut self, limit: usize) -> Result<Bytes, String> {
+        let mut whole = bytes::BytesMut::new();
+        while let Some(piece) = self.next().await? {
+            if whole.len() + piece.len() > limit {
+                return Err(format!("the answer is over {limit} bytes"));
+            }
+            whole.extend_from_slice(&piece);
+        }
+        Ok(whole.freeze())
+    }
+
+    fn finish(&mut self) {
+        self.ended = true;
+        if let Some(connection) = self.kept.take() {
+            self.pool.put(self.to, connection, &self.head.headers, Instant::now());
+        }
+    }
+}
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -54,4 +54,5 @@
   entries @2 (after :UInt64) -> (head :UInt64, entries :List(Data), document :Data);
   pressure @3 (from :UInt64, target :Text, online :UInt32) -> ();
   members @4 () -> (members :List(Member));
+  ask @5 (body :Data) -> (body :Data);   # a message of the gateway, in its own codec
 }
