--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -39,8 +39,9 @@
 /// How an account works; the figures come from the measured rounds.
 #[derive(Clone, Copy, Debug)]
 pub struct Policy {
-    /// Slots of each target that batch leaves free.
-    pub reserve: u32,
+    /// Share of a service's slots that batch leaves free, so that not every
+    /// online request has to stop an item. A stopped item reads its prompt anew.
+    pub headroom: f64,
     /// Time in which a new account hands out nothing to batch, until holders
     /// have reported what they hold. A few round trips.
     pub settle: Duration,
@@ -59,7 +60,7 @@
 impl Default for Policy {
     fn default() -> Policy {
         Policy {
-            reserve: 0,
+            headroom: 0.06,
             settle: Duration::from_millis(300),
             crossing: Duration::from_secs(1),
             hope: 0.8,
@@ -305,7 +306,7 @@
 
     fn grant(&mut self, ask: &Ask, now: Instant) -> Option<(Grant, Option<Revocation>)> {
         let is_settling = now < self.since + self.policy.settle;
-        if ask.purpose == Purpose::Batch && is_settling {
+        if ask.purpose == Purpose::Batch && (is_settling || !self.has_headroom(&ask.service)) {
             return None;
         }
         let target = self.choose(ask, now)?;
@@ -319,6 +320,16 @@
         Some((Grant { lease, target, address }, revocation))
     }
 
+    /// Whether batch may take one more slot of the service.
+    fn has_headroom(&self, service: &str) -> bool {
+        let fits = |row: &&Row| row.target.service == service && !row.target.leaving;
+        let slots: u32 = self.rows.values().filter(fits).map(|row| row.target.slots).sum();
+        let used: u32 = self.rows.values().filter(fits).map(|row| row.online + row.batch).sum();
+        let reserve = (f64::from(slots) * self.policy.headroom).ceil() as u32;
+        // A service of very few slots would never run batch otherwise.
+        used + reserve.min(slots.saturating_sub(1)) < slots
+    }
+
     /// The target for a wish: one with a free slot, the least loaded first; for
     /// online, else one where batch can be stopped.
     fn choose(&self, ask: &Ask, now: Instant) -> Option<TargetId> {
@@ -344,8 +355,7 @@
         }
         let used = row.online + row.batch;
         let is_online = ask.purpose == Purpose::Online;
-        let reserve = if is_online { 0 } else { self.policy.reserve };
-        let has_free = used + reserve < target.slots;
+        let has_free = used < target.slots;
         let can_stop_batch = is_online && row.online < target.slots && row.batch > 0;
         if !has_free && !can_stop_batch {
             return None;
--- a/crates/daemon/src/gateway/account.rs
+++ b/crates/daemon/src/gateway/account.rs
@@ -204,23 +204,27 @@
         return Err(Refusal::NoTarget);
     }
     let mut shortest: Option<Duration> = None;
-    let mut is_answered = false;
-    // First whoever has a slot now; then a wait in the data centre's own queue.
-    let tries = data_centres.iter().map(|name| (name, false));
-    let wait = data_centres.first().map(|name| (name, true));
-    for (name, may_wait) in tries.chain(wait) {
-        if may_wait && !is_answered {
-            break;
-        }
-        match ask(node, name, want, may_wait).await {
+    let mut answered: Option<&DataCentreId> = None;
+    // First whoever has a slot now.
+    for name in &data_centres {
+        match ask(node, name, want, false).await {
             Answer::Lease(lease) => return Ok(lease),
             Answer::Full(after) => {
-                is_answered = true;
+                answered.get_or_insert(name);
                 shortest = Some(shortest.map_or(after, |known| known.min(after)));
             }
             Answer::Silent => {}
         }
     }
+    // Then a wait in the queue of the nearest account that answers.
+    if let Some(name) = answered {
+        match ask(node, name, want, true).await {
+            Answer::Lease(lease) => return Ok(lease),
+            Answer::Full(after) => shortest = Some(after),
+            Answer::Silent => {}
+        }
+    }
+    let is_answered = answered.is_some();
     if !is_answered && let Some(lease) = without_account(node, want) {
         return Ok(lease);
     }
--- a/crates/daemon/src/gateway/feed.rs
+++ b/crates/daemon/src/gateway/feed.rs
@@ -10,7 +10,7 @@
 use coordination::registry::Change;
 use coordination::watch::{self, Candidate};
 use platform::store::{Fault, Object};
-use platform::{config, target};
+use platform::{config, retirement, target};
 use protocol::InstanceId;
 use protocol::routing::{Target, Version};
 use serde::{Deserialize, Serialize};
@@ -26,6 +26,8 @@
 const CONFIG_SEATS: usize = 2;
 /// Instances of a data centre that watch the targets, whose changes are many.
 const TARGET_SEATS: usize = 1;
+/// Instances of the whole fleet that watch for machines to be emptied.
+const RETIREMENT_SEATS: usize = 1;
 /// Longest wait of one watch. A platform that has gone silent is noticed only
 /// when a watch is overdue, so this is a bargain between calls and notice.
 const WATCH: Duration = Duration::from_secs(6);
@@ -53,6 +55,7 @@
 enum Topic {
     Config,
     Targets,
+    Retirements,
 }
 
 impl Topic {
@@ -60,6 +63,7 @@
         match self {
             Topic::Config => config::KIND,
             Topic::Targets => target::KIND,
+            Topic::Retirements => retirement::KIND,
         }
     }
 
@@ -67,13 +71,19 @@
         match self {
             Topic::Config => CONFIG_SEATS,
             Topic::Targets => TARGET_SEATS,
+            Topic::Retirements => RETIREMENT_SEATS,
         }
     }
+
+    /// Whether one instance watches for all data centres.
+    fn is_global(self) -> bool {
+        self == Topic::Retirements
+    }
 }
 
 /// Watches, compares and removes what lapsed, until `stop`.
 pub async fn run(node: Rc<Node>, stop: CancellationToken) {
-    for topic in [Topic::Config, Topic::Targets] {
+    for topic in [Topic::Config, Topic::Targets, Topic::Retirements] {
         spawn_local(watch_topic(node.clone(), topic, stop.clone()));
     }
     let mut since_sync = Instant::now();
@@ -186,7 +196,8 @@
     let me = members.me().id;
     let is_blind = |id: InstanceId| blind.get(&id).is_some_and(|until| now < *until);
     let here = members.workers().filter(|member| {
-        member.data_centre == *node.data_centre() && member.state != State::Suspect
+        let is_near = topic.is_global() || member.data_centre == *node.data_centre();
+        is_near && member.state != State::Suspect
     });
     let candidates = here.map(|member| Candidate { id: member.id, is_blind: is_blind(member.id) });
     watch::is_watcher(topic.kind(), me, candidates, topic.seats())
@@ -224,6 +235,7 @@
             Err(fault) => {
                 failures += 1;
                 // One watch that is cut says nothing; the list that follows does.
+                node.store.on_gap();
                 if revision.take().is_none() {
                     node.store.on_failure(&fault, Instant::now());
                     set_blind(&node, true);
@@ -259,13 +271,18 @@
     let Some(revision) = revision else {
         let (objects, revision) = store.list_all(topic.kind()).await?;
         node.store.on_answer(Instant::now());
-        on_list(node, topic, objects, revision);
+        on_list(node, topic, objects, revision).await?;
         return Ok(revision);
     };
     let changes = store.watch(topic.kind(), revision, WATCH).await?;
     node.store.on_answer(Instant::now());
     let is_quiet = changes.changes.is_empty();
     match topic {
+        Topic::Retirements => {
+            for change in changes.changes.into_iter().filter(|change| !change.removed) {
+                retire(node, &change.object).await?;
+            }
+        }
         Topic::Config => {
             let present = changes.changes.into_iter().filter(|change| !change.removed);
             present.for_each(|change| on_config_object(node, &change.object));
@@ -295,8 +312,18 @@
     Ok(changes.revision)
 }
 
-fn on_list(node: &Rc<Node>, topic: Topic, objects: Vec<Object>, revision: u64) {
+async fn on_list(
+    node: &Rc<Node>,
+    topic: Topic,
+    objects: Vec<Object>,
+    revision: u64,
+) -> Result<(), Fault> {
     match topic {
+        Topic::Retirements => {
+            for object in &objects {
+                retire(node, object).await?;
+            }
+        }
         Topic::Config => objects.iter().for_each(|object| on_config_object(node, object)),
         Topic::Targets => {
             let targets: Vec<Target> =
@@ -307,6 +334,24 @@
             pass_on(node, news);
         }
     }
+    Ok(())
+}
+
+/// Nothing is kept on any machine, so each is empty at once.
+async fn retire(node: &Rc<Node>, object: &Object) -> Result<(), Fault> {
+    if retirement::Status::is_empty(object.status.get()) {
+        return Ok(());
+    }
+    let status = &retirement::Status::EMPTY;
+    let result =
+        node.store.set_status(retirement::KIND, &object.name, object.revision, status).await;
+    slog::info!(node.log, "machine emptied"; "machine" => &object.name,
+        "revision" => object.revision, "written" => result.is_ok());
+    match result {
+        // Another instance was faster, or the order was withdrawn.
+        Ok(_) | Err(Fault::Conflict(_) | Fault::Missing) => Ok(()),
+        Err(fault) => Err(fault),
+    }
 }
 
 fn pass_on(node: &Rc<Node>, news: Vec<Change>) {
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -32,6 +32,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Whether the caller seems to come again: it waits less long than others.
+    pub is_again: bool,
     /// When its head was read.
     pub started: Instant,
     /// Until when the caller waits, or the route lets it be held.
@@ -117,7 +119,9 @@
     };
     let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     let headers = header::passed_on(&parts.headers);
-    let call = Call { id, method: parts.method, target, host, headers, body, started, until };
+    let is_again = wait.is_some_and(|wait| node.is_again(&route.name, wait));
+    let method = parts.method;
+    let call = Call { id, method, target, host, headers, body, is_again, started, until };
     serve(node, &config, route, call).await
 }
 
--- a/crates/daemon/src/gateway/holder.rs
+++ b/crates/daemon/src/gateway/holder.rs
@@ -34,6 +34,9 @@
 const LOOK: Duration = Duration::from_millis(500);
 /// Shortest pause after a write that failed.
 const WRITE_PAUSE: Duration = Duration::from_millis(100);
+/// Time between looks whether a job is still held here, while whole data centres
+/// are out of sight: they may have taken it over, or seen its end.
+const VERIFY_EVERY: Duration = Duration::from_millis(1_500);
 /// Longest wait of one request for slots; the account answers when it has one.
 const SLOT_WAIT: Duration = Duration::from_millis(800);
 /// Pause after a request for slots that failed.
@@ -135,6 +138,33 @@
     }
 }
 
+/// A holder's word; if it speaks of a job that is held here, the platform tells
+/// whose it is.
+pub fn on_standing(node: &Rc<Node>, standing: Standing) {
+    let held = node.board.cell(&standing.job).filter(|held| !held.is_frozen);
+    if let Some(held) = held
+        && standing.holder.instance != node.id()
+    {
+        let node = node.clone();
+        spawn_local(async move { verify(&node, &held).await });
+    }
+    node.board.on_standing(standing);
+}
+
+/// Looks whether a job is still held here.
+async fn verify(node: &Rc<Node>, held: &Rc<Held>) {
+    let id = held.sheet.borrow().job().id.clone();
+    match node.store.get(job::KIND, &id).await {
+        Ok(Some(object)) if object.revision > held.revision.get() => {
+            let draft = held.sheet.borrow().snapshot();
+            on_found(node, held, &draft, &object);
+        }
+        Ok(Some(_)) => {}
+        Ok(None) => release(node, held),
+        Err(fault) => slog::info!(node.log, "job not read"; "job" => &id, "fault" => %fault),
+    }
+}
+
 /// The route of a job in the configuration in force.
 pub fn route_of(node: &Node, job: &Job) -> Option<Route> {
     let config = node.config()?;
@@ -225,6 +255,7 @@
 
 /// Writes what happens to a job until nothing is left to write.
 async fn write_all(node: Rc<Node>, held: Rc<Held>) {
+    let mut verified = Instant::now();
     loop {
         tokio::select! {
             () = held.dirty.notified() => {}
@@ -232,6 +263,10 @@
             () = held.released.cancelled() => return,
         }
         held.sheet.borrow_mut().on_time(millis());
+        if verified.elapsed() >= VERIFY_EVERY && node.is_isolated() {
+            verified = Instant::now();
+            verify(&node, &held).await;
+        }
         while is_write_due(&held, Instant::now()) {
             if !write(&node, &held).await {
                 let pause = node.store.back_in(Instant::now()).max(WRITE_PAUSE);
--- a/crates/daemon/src/gateway/jobs.rs
+++ b/crates/daemon/src/gateway/jobs.rs
@@ -34,6 +34,8 @@
 const COME_BACK: Duration = Duration::from_millis(500);
 /// Longest wait for the end of a job to become durable.
 const END_LIMIT: Duration = Duration::from_millis(2_500);
+/// Tries to write an end while others write to the job.
+const END_TRIES: u32 = 4;
 
 /// Header of an answer of our own.
 const CONTENT_TYPE_NAME: &str = "content-type";
@@ -91,6 +93,7 @@
         host: host.to_owned(),
         headers: HeaderMap::new(),
         body: Bytes::copy_from_slice(body),
+        is_again: false,
         started: now,
         until: now + RELAY_LIMIT,
     };
@@ -328,15 +331,63 @@
             false => unsure(node, id),
         },
         Found::Reply(Reply::Done) => text(200, "ended"),
-        Found::Stored(_, progress) if progress.ended => text(200, "ended"),
         Found::Missing => text(404, "no such job"),
-        Found::Reply(_) | Found::Stored(..) | Found::Unknown => unsure(node, id),
+        Found::Reply(_) | Found::Stored(..) | Found::Unknown => match end_stored(node, id).await {
+            true => text(200, "ended"),
+            false => unsure(node, id),
+        },
+    }
+}
+
+/// Ends a job whose holder can't be asked: on the platform, where its holder
+/// finds it with its next write; whoever can be reached is told besides.
+async fn end_stored(node: &Rc<Node>, id: &str) -> bool {
+    for _ in 0..END_TRIES {
+        let object = match node.store.get(job::KIND, id).await {
+            Ok(Some(object)) => object,
+            Ok(None) => return false,
+            Err(fault) => {
+                slog::info!(node.log, "end not written"; "job" => id, "fault" => %fault);
+                return false;
+            }
+        };
+        let Ok((_, mut progress)) = holder::read(&object) else {
+            return false;
+        };
+        if progress.ended {
+            return true;
+        }
+        progress.ended = true;
+        let written = node.store.set_status(job::KIND, id, object.revision, &progress).await;
+        slog::info!(node.log, "end written for a holder that is silent"; "job" => id,
+            "revision" => object.revision, "written" => written.is_ok());
+        match written {
+            Ok(_) => {
+                node.tell_all(&Ask::Ended(id.to_owned()));
+                return true;
+            }
+            Err(Fault::Conflict(_) | Fault::Lost(_)) => {}
+            Err(_) => return false,
+        }
+    }
+    false
+}
+
+/// A job was ended on the platform: it stops here, if it runs here.
+pub fn on_ended(node: &Node, id: &str) {
+    if let Some(held) = node.board.cell(id) {
+        held.sheet.borrow_mut().end();
+        held.stop_runs();
+        held.wake();
     }
 }
 
 /// Ends a held job; `true` once that is durable.
 async fn end_held(node: &Rc<Node>, held: &Rc<Held>) -> bool {
     let until = tokio::time::Instant::now() + END_LIMIT;
+    if held.sheet.borrow().is_all_listed() {
+        return true; // Nothing is left that could be ended.
+    }
     held.sheet.borrow_mut().end();
     slog::info!(node.log, "job ended by its submitter"; "job" => &held.sheet.borrow().job().id);
     held.stop_runs();
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -110,6 +110,8 @@
     Body(JobId, ItemId),
     /// The end of a job.
     End(JobId),
+    /// A job was ended on the platform while its holder was silent.
+    Ended(JobId),
     /// The receiver should hold the job; with what stopped runs have made.
     Adopt(JobId, HashMap<ItemId, Partial>),
 }
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -28,6 +28,12 @@
 /// How long a member that didn't reply is passed over where another will do.
 const SHUN: Duration = Duration::from_millis(400);
 
+/// Share of the longest time left below which a caller is taken for one that
+/// comes again.
+const FIRST_SHARE: f64 = 0.98;
+/// Routes whose callers' times are remembered.
+const MOST_ROUTES: usize = 4_096;
+
 /// The configuration in force, decoded and as it came.
 #[derive(Debug)]
 pub struct Config {
@@ -69,6 +75,8 @@
     pub blind: RefCell<HashMap<InstanceId, Instant>>,
     /// Members that lately didn't reply.
     shunned: RefCell<HashMap<SocketAddr, Instant>>,
+    /// Longest time left that callers on each route came with.
+    waits: RefCell<HashMap<String, Duration>>,
     /// Online requests in hand.
     pub running: Cell<usize>,
     /// Set once a stop was ordered.
@@ -93,6 +101,7 @@
             board: Board::default(),
             blind: RefCell::default(),
             shunned: RefCell::default(),
+            waits: RefCell::default(),
             measure: Measure::default(),
             running: Cell::new(0),
             stopping: CancellationToken::new(),
@@ -139,6 +148,26 @@
         self.members.borrow().others().cloned().collect()
     }
 
+    /// Whether a data centre with targets has no member in sight.
+    pub fn is_isolated(&self) -> bool {
+        let members = self.members.borrow();
+        let registry = self.registry.borrow();
+        let is_seen = |name: &str| members.workers().any(|member| member.data_centre == name);
+        registry.usable().any(|target| !is_seen(&target.data_centre))
+    }
+
+    /// Whether a caller on this route seems to come again: callers wait alike,
+    /// and one that comes again has less time left than it had at first.
+    pub fn is_again(&self, route: &str, wait: Duration) -> bool {
+        let mut waits = self.waits.borrow_mut();
+        if waits.len() >= MOST_ROUTES {
+            waits.clear();
+        }
+        let longest = waits.entry(route.to_owned()).or_insert(wait);
+        *longest = wait.max(*longest);
+        wait < longest.mul_f64(FIRST_SHARE)
+    }
+
     /// Whether `address` lately didn't reply.
     pub fn is_shunned(&self, address: SocketAddr, now: Instant) -> bool {
         self.shunned.borrow().get(&address).is_some_and(|until| now < *until)
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -13,6 +13,7 @@
 use platform::header;
 use protocol::routing::{Class, Route};
 use protocol::{Error, Kind};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use transport::listen::{Body, Broken};
@@ -52,6 +53,8 @@
     pub sent: u32,
     /// Whether a target may have run it, or has.
     pub may_have_run: bool,
+    /// From its start until the last answer about a slot.
+    pub slot_wait: Cell<Duration>,
     /// Targets that it shouldn't be sent to again.
     pub avoid: Vec<String>,
 }
@@ -117,6 +120,7 @@
         version,
         sent: 0,
         may_have_run: false,
+        slot_wait: Cell::default(),
         avoid: Vec::new(),
     };
     match trip.begin(None).await {
@@ -238,11 +242,12 @@
     }
 
     async fn lease(&self, after: Option<u64>) -> Result<Lease, Refusal> {
-        let now = Instant::now();
         let objective = self.route.objective;
-        // A stream that goes on has a reader who waits in the middle of it.
-        let useful = if after.is_some() {
-            now + self.route.gap
+        // A stream that goes on has a reader who waits in the middle of it, and a
+        // caller that comes again was refused before: for both, late is better
+        // than never.
+        let useful = if after.is_some() || self.call.is_again {
+            self.call.until
         } else {
             self.call.started + objective.mul_f64(1.0 - OWN_SHARE)
         };
@@ -254,7 +259,9 @@
             until: self.call.until,
             avoid: self.avoid.clone(),
         };
-        account::acquire(&self.node, &want).await
+        let result = account::acquire(&self.node, &want).await;
+        self.slot_wait.set(self.call.started.elapsed());
+        result
     }
 
     async fn send(&mut self, lease: Lease, after: Option<u64>) -> Result<Begun, Again> {
@@ -370,6 +377,7 @@
         slog::info!(self.node.log, "request failed"; "request" => &call.id, "cause" => cause,
             "status" => status, "route" => &self.route.name, "service" => &self.service,
             "config" => self.version, "sent" => self.sent, "avoided" => ?self.avoid,
+            "slot_ms" => self.slot_wait.get().as_millis() as u64, "again" => call.is_again,
             "age_ms" => age.as_millis() as u64, "repeatable" => is_repeatable);
         match failed {
             Failed::NotRun(refused) => {
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::task::spawn_local;
+use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
 use transport::peer::{Entries, Fault, Handler};
 
@@ -87,7 +88,7 @@
             Reply::Done
         }
         Ask::Standings(standings) => {
-            standings.into_iter().for_each(|standing| node.board.on_standing(standing));
+            standings.into_iter().for_each(|standing| holder::on_standing(node, standing));
             Reply::Done
         }
         Ask::Directory => Reply::Standings(holder::directory(node)),
@@ -99,6 +100,10 @@
         }
         Ask::Body(job, item) => jobs::on_body(node, &job, &item),
         Ask::End(job) => jobs::on_end(node, &job).await,
+        Ask::Ended(job) => {
+            jobs::on_ended(node, &job);
+            Reply::Done
+        }
         Ask::Adopt(job, partials) => {
             let node = node.clone();
             // The asker doesn't wait: it may be about to stop.
@@ -135,10 +140,10 @@
 
 /// Whoever changes the members calls this with the version before.
 fn on_members(node: &Rc<Node>, before: u64) {
-    node.news.notify_one();
     if node.members.borrow().version() == before {
         return;
     }
+    node.news.notify_one();
     let members = node.members.borrow();
     let states: Vec<String> =
         members.others().map(|member| format!("{:x} {:?}", member.id, member.state)).collect();
@@ -150,9 +155,13 @@
 /// Sends heartbeats and news until `stop`.
 pub async fn run(node: Rc<Node>, stop: CancellationToken) {
     spawn_local(until(join(node.clone()), stop.clone()));
+    // Independent of the news: were each piece of news to put the heartbeat off,
+    // a member that can't be reached would never be found out.
+    let mut beat = tokio::time::interval(node.settings.ping);
+    beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            () = tokio::time::sleep(node.settings.ping) => {}
+            _ = beat.tick() => {}
             () = node.news.notified() => {
                 tokio::time::sleep(GATHER).await;
                 let behind = node.members.borrow().behind();
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -39,6 +39,11 @@
         self.pieces += 1;
     }
 
+    /// From `started` to the first event of the last target.
+    fn first_after(&self, started: Instant) -> Option<Duration> {
+        Some(self.began?.saturating_duration_since(started) + self.first?)
+    }
+
     fn pace(&self) -> Option<Duration> {
         let began = self.began? + self.first?;
         let spaces = self.pieces.checked_sub(1).filter(|spaces| *spaces > 0)?;
@@ -234,15 +239,15 @@
         let node = self.node();
         let age = call.started.elapsed();
         node.measure.time("stream.whole", age);
-        if let (Some(began), Some(first)) = (self.tally.began, self.tally.first) {
-            let first = began.saturating_duration_since(call.started) + first;
+        if let Some(first) = self.tally.first_after(call.started) {
             node.measure.time("stream.first", first);
         }
         slog::info!(node.log, "{}", what; "request" => &call.id, "target" => target,
             "route" => &self.trip.route.name, "config" => self.trip.version,
             "fault" => fault, "pieces" => self.tally.pieces, "sent" => self.trip.sent,
-            "first_ms" => self.tally.first.map(|first| first.as_millis() as u64),
+            "first_ms" => self.tally.first_after(call.started).map(|at| at.as_millis() as u64),
             "slowest_ms" => self.tally.slowest.as_millis() as u64,
-            "age_ms" => age.as_millis() as u64);
+            "slot_ms" => self.trip.slot_wait.get().as_millis() as u64,
+            "again" => call.is_again, "age_ms" => age.as_millis() as u64);
     }
 }
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -27,6 +27,9 @@
     store: Store,
     breaker: RefCell<Breaker>,
     regained: Cell<Option<Instant>>,
+    /// Whether a watch broke since the last answer: the store may have been away
+    /// in between.
+    has_gap: Cell<bool>,
     log: Logger,
 }
 
@@ -37,6 +40,7 @@
             store: Store::new(address, limit),
             breaker: RefCell::default(),
             regained: Cell::new(None),
+            has_gap: Cell::new(false),
             log,
         }
     }
@@ -70,12 +74,20 @@
     /// A call was answered.
     pub fn on_answer(&self, now: Instant) {
         let failures = std::mem::take(&mut *self.breaker.borrow_mut()).failures;
-        if failures > 0 {
+        if self.has_gap.take() || failures > 0 {
             self.regained.set(Some(now));
+        }
+        if failures > 0 {
             slog::info!(self.log, "platform regained"; "failures" => failures);
         }
     }
 
+    /// A watch broke. That alone doesn't stop other calls, but what has lapsed
+    /// since then may only seem to be gone.
+    pub fn on_gap(&self) {
+        self.has_gap.set(true);
+    }
+
     /// A call failed.
     pub fn on_failure(&self, fault: &Fault, now: Instant) {
         let mut breaker = self.breaker.borrow_mut();
--- a/crates/daemon/src/gateway/takeover.rs
+++ b/crates/daemon/src/gateway/takeover.rs
@@ -9,7 +9,7 @@
 use super::message::{Ask, Standing};
 use super::node::Node;
 use coordination::hash;
-use coordination::member::{Member, State};
+use coordination::member::Member;
 use platform::job;
 use platform::store::{Fault, Object};
 use state::progress::{Holder, ItemId, JobId, Partial};
@@ -80,11 +80,12 @@
     if holder.instance == members.me().id {
         return false;
     }
-    let known = members.get(holder.instance).map(|member| member.state);
-    match known {
-        Some(state) => state == State::Dead,
-        None => members.is_dead(holder.instance) || is_acquainted,
+    if members.get(holder.instance).is_some() {
+        return false;
     }
+    // Its address answers under another id, so it was started anew.
+    let is_replaced = members.workers().any(|member| member.peer == holder.address);
+    is_replaced || is_acquainted || members.is_dead(holder.instance)
 }
 
 /// Jobs that fall to this instance because their holder is gone.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -45,8 +45,6 @@
         (terminate, interrupt)
     };
     let daemon = daemon::start(settings, log)?;
-    // One line for whoever started the process and gave port 0.
-    println!("front {} peers {}", daemon.front, daemon.peer);
     runtime.block_on(async {
         tokio::select! {
             _ = signals.0.recv() => {}
--- /dev/null
+++ b/crates/daemon/tests/gateway_batch.rs
@@ -0,0 +1,200 @@
+//! Batch jobs through gateways: kept from the 202 on, each result once.
+
+mod util;
+
+use serde_json::Value;
+use standin::objects::Faults;
+use standin::runner::{Config, Runner};
+use std::time::Duration;
+use util::gateway::{Fleet, HOST, Plan};
+use util::{client, wait_until};
+
+const JOBS: &str = "gatespool-jobs";
+
+fn slow(id: &str) -> Config {
+    Config { id: id.to_owned(), pace: Duration::from_millis(40), events: 40, ..Config::default() }
+}
+
+fn slow_plan() -> Plan {
+    Plan { runners: vec![("east", slow("r0")), ("west", slow("r1"))], ..Plan::default() }
+}
+
+#[track_caller]
+fn assert_results(results: &[Value], items: &[&str], events: u64) {
+    let mut ids: Vec<&str> = results.iter().filter_map(|result| result["id"].as_str()).collect();
+    ids.sort_unstable();
+    assert_eq!(ids, items, "each item once");
+    for result in results {
+        let id = result["id"].as_str().expect("an id");
+        assert_eq!(result["state"], "complete");
+        assert_eq!(result["message"], Runner::text(id, events));
+    }
+}
+
+#[test]
+fn a_job_is_accepted_here_and_read_there() {
+    let fleet = Fleet::start(Plan::default());
+    assert_eq!(fleet.submit(0, "job", &["a", "b", "c"]).status, 202);
+    let results = fleet.wait_results(2, "job");
+    assert_results(&results, &["a", "b", "c"], 10);
+    for n in 0..3 {
+        assert_eq!(fleet.wait_results(n, "job"), results, "the same order everywhere");
+        let path = "/items/job?id=b";
+        let reply = client::call("GET", fleet.gateways[n].front, path, &[("host", HOST)], "");
+        assert_eq!((reply.status, &reply.body[..]), (200, &b"prompt"[..]));
+    }
+    assert_eq!(fleet.results(1, "unknown", 0).status, 404);
+}
+
+#[test]
+fn a_job_sent_again_elsewhere_is_taken_once() {
+    let fleet = Fleet::start(Plan::default());
+    for n in [0, 1, 2, 0] {
+        assert_eq!(fleet.submit(n, "twice", &["a", "b"]).status, 202);
+    }
+    assert_results(&fleet.wait_results(0, "twice"), &["a", "b"], 10);
+    assert_eq!(fleet.runs("/batch/").len(), 2);
+}
+
+#[test]
+fn an_answer_of_the_platform_that_is_lost_loses_no_job() {
+    let fleet = Fleet::start(Plan::default());
+    fleet.objects.set_faults(Faults { lost: 1, ..Faults::default() });
+    let reply = fleet.submit(0, "lost", &["a"]);
+    assert_eq!(reply.status, 202, "{reply:?}");
+    assert_results(&fleet.wait_results(1, "lost"), &["a"], 10);
+    assert_eq!(fleet.runs("/batch/").len(), 1);
+}
+
+/// A write that is done seconds after its caller gave up must not make a job run
+/// that nobody was promised, nor lose one that somebody was.
+#[test]
+fn a_write_that_is_done_late_keeps_the_promise_given() {
+    let fleet = Fleet::start(Plan::default());
+    let late_by = Duration::from_millis(1_500);
+    fleet.objects.set_faults(Faults { late: 1, late_by, ..Faults::default() });
+    let reply = fleet.submit(0, "late", &["a"]);
+    std::thread::sleep(Duration::from_millis(2_000));
+    match reply.status {
+        202 => assert_results(&fleet.wait_results(1, "late"), &["a"], 10),
+        503 => panic!("nobody can promise that the write isn't done"),
+        _ => {
+            assert_eq!(fleet.submit(1, "late", &["a"]).status, 202);
+            assert_results(&fleet.wait_results(1, "late"), &["a"], 10);
+        }
+    }
+}
+
+#[test]
+fn without_the_platform_a_job_is_refused_and_never_runs() {
+    let fleet = Fleet::start(Plan::default());
+    fleet.objects.set_faults(Faults { away: true, ..Faults::default() });
+    let reply = fleet.submit(0, "refused", &["a"]);
+    assert_eq!(reply.status, 503, "{reply:?}");
+    assert!(!reply.header("retry-after").is_empty());
+    fleet.objects.set_faults(Faults::default());
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert!(fleet.objects.get(JOBS, "refused").is_none());
+    assert!(fleet.runs("/batch/").is_empty());
+}
+
+#[test]
+fn a_killed_holder_loses_nothing_and_no_result_moves() {
+    let mut fleet = Fleet::start(slow_plan());
+    let items = ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j"];
+    assert_eq!(fleet.submit(0, "orphan", &items).status, 202);
+    wait_until("some results are listed", || {
+        let reply = fleet.results(1, "orphan", 0);
+        reply.status == 200 && !reply.json()["results"].as_array().expect("a list").is_empty()
+    });
+    let before = fleet.results(1, "orphan", 0).json()["results"].clone();
+    let before = before.as_array().expect("a list").clone();
+    fleet.gateways[0].kill();
+    let after = fleet.wait_results(2, "orphan");
+    assert_eq!(after[..before.len()], before[..]);
+    assert_results(&after, &items, 40);
+}
+
+#[test]
+fn all_killed_at_once_and_back_lose_nothing() {
+    let mut fleet = Fleet::start(slow_plan());
+    assert_eq!(fleet.submit(1, "herd", &["a", "b", "c", "d"]).status, 202);
+    for gateway in &mut fleet.gateways {
+        gateway.kill();
+    }
+    for n in 0..3 {
+        fleet.restart(n);
+    }
+    assert_results(&fleet.wait_results(0, "herd"), &["a", "b", "c", "d"], 40);
+}
+
+#[test]
+fn a_planned_stop_hands_runs_on_where_they_stand() {
+    let fleet = Fleet::start(slow_plan());
+    assert_eq!(fleet.submit(0, "handed", &["a", "b"]).status, 202);
+    wait_until("both run", || fleet.runs("/batch/").len() == 2);
+    std::thread::sleep(Duration::from_millis(400));
+    fleet.gateways[0].terminate();
+    assert_results(&fleet.wait_results(1, "handed"), &["a", "b"], 40);
+    let runs = fleet.runs("/batch/");
+    let resumed = runs.iter().filter(|run| run.after.is_some()).count();
+    assert_eq!((runs.len(), resumed), (4, 2), "{runs:?}");
+}
+
+#[test]
+fn an_ended_job_stops() {
+    let fleet = Fleet::start(slow_plan());
+    let items: Vec<String> = (0..30).map(|n| format!("item-{n}")).collect();
+    let items: Vec<&str> = items.iter().map(String::as_str).collect();
+    assert_eq!(fleet.submit(0, "ended", &items).status, 202);
+    wait_until("it runs", || !fleet.runs("/batch/").is_empty());
+    assert_eq!(fleet.end(2, "ended").status, 200);
+    let runs = fleet.runs("/batch/").len();
+    assert_eq!(fleet.end(1, "ended").status, 200, "repeated");
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(fleet.runs("/batch/").len(), runs, "nothing starts after the end");
+}
+
+#[test]
+fn items_that_can_never_be_done_end_as_failed() {
+    let fleet = Fleet::start(Plan::default());
+    for runner in &fleet.runners {
+        runner.fail("never", 422);
+        runner.fail("poison", 500);
+    }
+    assert_eq!(fleet.submit(0, "mixed", &["good", "never", "poison"]).status, 202);
+    let results = fleet.wait_results(1, "mixed");
+    for result in &results {
+        let expected = if result["id"] == "good" { "complete" } else { "errored" };
+        assert_eq!(result["state"], expected, "{result}");
+    }
+    assert_eq!(fleet.runs("/batch/never").len(), 1);
+    assert_eq!(fleet.runs("/batch/poison").len(), 3);
+}
+
+#[test]
+fn what_may_wait_on_a_route_is_bounded_over_all_instances() {
+    let plan = Plan { waiting_tokens: 350, ..slow_plan() };
+    let fleet = Fleet::start(plan);
+    assert_eq!(fleet.submit(0, "first", &["a", "b", "c"]).status, 202);
+    std::thread::sleep(Duration::from_millis(200));
+    let reply = fleet.submit(1, "second", &["d"]);
+    assert_eq!(reply.status, 429, "{reply:?}");
+    assert_eq!(fleet.submit(2, "first", &["a", "b", "c"]).status, 202, "it was taken before");
+    fleet.wait_results(0, "first");
+    wait_until("there is room again", || fleet.submit(1, "second", &["d"]).status == 202);
+}
+
+/// A quiet fleet costs the platform next to nothing.
+#[test]
+fn idle_gateways_make_few_calls() {
+    let fleet = Fleet::start(Plan::default());
+    // A start looks through the jobs on the platform until it knows the others.
+    std::thread::sleep(Duration::from_secs(4));
+    let before = fleet.objects.counts();
+    std::thread::sleep(Duration::from_secs(4));
+    let after = fleet.objects.counts();
+    assert_eq!(after.writes, before.writes);
+    assert!(after.reads - before.reads <= 2, "{before:?} {after:?}");
+    assert!(after.watches - before.watches <= 8, "{before:?} {after:?}");
+}
--- /dev/null
+++ b/crates/daemon/tests/gateway_online.rs
@@ -0,0 +1,226 @@
+//! Online requests through gateways, judged by callers and by the runners' record.
+
+mod util;
+
+use standin::objects;
+use standin::runner::{Config, Faults, Runner};
+use std::time::{Duration, Instant};
+use util::gateway::{Fleet, Plan, data_of};
+use util::wait_until;
+
+#[test]
+fn a_stream_is_served_whole_by_any_instance() {
+    let fleet = Fleet::start(Plan::default());
+    for n in 0..3 {
+        let id = format!("whole-{n}");
+        let reply = fleet.send(n, "/ask/1", &id);
+        assert_eq!((reply.status, reply.whole), (200, true));
+        assert_eq!(data_of(&reply), Runner::text(&id, 10));
+        assert_eq!(reply.header("x-gatespool-request-id"), id);
+        assert!(reply.header("x-gatespool-server-stamp").ends_with(&id));
+    }
+    assert_eq!(fleet.send(0, "/nowhere/1", "lost").status, 404);
+}
+
+#[test]
+fn without_a_configuration_requests_are_refused_not_unknown() {
+    let fleet = Fleet::start_unconfigured(Plan::default());
+    assert_eq!(fleet.send(0, "/ask/1", "early").status, 503);
+}
+
+#[test]
+fn a_stream_that_may_run_once_is_broken_off_and_not_sent_again() {
+    let fleet = Fleet::start(Plan::default());
+    fleet.runners.iter().for_each(|r| r.set_faults(Faults { cut: 1, ..Faults::default() }));
+    let reply = fleet.send(0, "/ask/cut", "once");
+    assert!(!reply.whole, "a broken answer must not look whole: {reply:?}");
+    assert_eq!(fleet.runs("/ask/cut").len(), 1);
+}
+
+#[test]
+fn a_stream_that_may_be_resumed_goes_on_where_it_broke() {
+    let paced = |id: &str| Config {
+        id: id.to_owned(),
+        first: Duration::from_millis(100),
+        ..Config::default()
+    };
+    let runners = vec![("east", paced("r0")), ("west", paced("r1"))];
+    let fleet = Fleet::start(Plan { runners, ..Plan::default() });
+    fleet.runners.iter().for_each(|r| r.set_faults(Faults { cut: 1, ..Faults::default() }));
+    std::thread::scope(|scope| {
+        let call = scope.spawn(|| fleet.send(0, "/talk/cut", "again"));
+        // The first run is to be cut; the next one isn't.
+        wait_until("the first run", || !fleet.runs("/talk/cut").is_empty());
+        fleet.runners.iter().for_each(|r| r.set_faults(Faults::default()));
+        let reply = call.join().expect("an answer");
+        assert!(reply.whole);
+        assert_eq!(data_of(&reply), Runner::text("again", 10));
+    });
+    let runs = fleet.runs("/talk/cut");
+    assert_eq!(runs.iter().filter(|run| run.after == Some(2)).count(), 1, "{runs:?}");
+}
+
+#[test]
+fn an_answer_to_another_request_reaches_nobody() {
+    let fleet = Fleet::start(Plan::default());
+    fleet.runners.iter().for_each(|r| r.set_faults(Faults { foreign: 1, ..Faults::default() }));
+    let reply = fleet.send(0, "/ask/foreign", "mine");
+    assert_eq!(reply.status, 502, "it may have run, so no refusal: {reply:?}");
+    assert_eq!(fleet.runs("/ask/foreign").len(), 1);
+}
+
+#[test]
+fn a_refusal_is_true_and_says_when_to_come_back() {
+    let fleet = Fleet::start(Plan::default());
+    fleet.runners.iter().for_each(|r| r.set_faults(Faults { full: true, ..Faults::default() }));
+    let began = Instant::now();
+    let reply = fleet.send(0, "/ask/full", "refused");
+    assert_eq!(reply.status, 503);
+    let after: f64 = reply.header("retry-after").parse().expect("seconds");
+    assert!(after > 0.0 && after <= 1.5);
+    assert!(began.elapsed() < Duration::from_secs(1), "given up on, so answered at once");
+    assert!(fleet.runs("/ask/full").is_empty());
+}
+
+/// Once a target may have run a request, no later refusal may deny it.
+#[test]
+fn no_refusal_after_a_send_that_may_have_run() {
+    let fleet = Fleet::start(Plan { attempts: 3, ..Plan::default() });
+    let foreign = Faults { foreign: 1, full: false, ..Faults::default() };
+    fleet.runners[0].set_faults(foreign);
+    fleet.runners[1].set_faults(Faults { full: true, ..Faults::default() });
+    // The first target runs it and answers under another id; by the second it is
+    // turned away.
+    let reply = fleet.send(0, "/talk/denied", "denied");
+    if !fleet.runs("/talk/denied").is_empty() {
+        assert_eq!(reply.status, 502, "{reply:?}");
+    }
+}
+
+#[test]
+fn online_takes_the_slots_that_batch_fills() {
+    let slow = |id: &str| Config {
+        id: id.to_owned(),
+        slots: 2,
+        pace: Duration::from_millis(50),
+        events: 60,
+        ..Config::default()
+    };
+    let runners = vec![("east", slow("r0")), ("west", slow("r1"))];
+    let fleet = Fleet::start(Plan { runners, ..Plan::default() });
+    let items: Vec<String> = (0..8).map(|n| format!("item-{n}")).collect();
+    let items: Vec<&str> = items.iter().map(String::as_str).collect();
+    assert_eq!(fleet.submit(0, "job", &items).status, 202);
+    wait_until("batch fills all slots", || fleet.runs("/batch/").len() >= 4);
+    std::thread::sleep(Duration::from_millis(300));
+    let began = Instant::now();
+    std::thread::scope(|scope| {
+        for n in 0..3 {
+            let fleet = &fleet;
+            scope.spawn(move || {
+                let reply = fleet.send(n, "/ask/urgent", &format!("urgent-{n}"));
+                assert_eq!((reply.status, reply.whole), (200, true));
+            });
+        }
+        wait_until("online runs", || fleet.runs("/ask/urgent").len() == 3);
+        // A batch item holds its slot for three seconds.
+        assert!(began.elapsed() < Duration::from_secs(1), "waited {:?}", began.elapsed());
+    });
+    let results = fleet.wait_results(1, "job");
+    assert_eq!(results.len(), 8);
+    for result in &results {
+        let id = result["id"].as_str().expect("an id");
+        assert_eq!(result["message"], Runner::text(id, 60));
+    }
+    let resumed = fleet.runs("/batch/").iter().filter(|run| run.after.is_some()).count();
+    assert!(resumed > 0, "items that made way go on where they stopped");
+}
+
+#[test]
+fn a_leaving_target_receives_nothing_new() {
+    let fleet = Fleet::start(Plan::default());
+    fleet.set_state(0, "draining");
+    std::thread::sleep(Duration::from_millis(1_000));
+    for n in 0..12 {
+        assert_eq!(fleet.send(n % 3, "/ask/left", &format!("left-{n}")).status, 200);
+    }
+    let left = |run: &standin::runner::Run| run.path == "/ask/left";
+    assert_eq!(fleet.runners[0].runs().iter().filter(|run| left(run)).count(), 0);
+}
+
+#[test]
+fn entries_that_lapse_while_the_platform_is_away_are_not_gone() {
+    let fleet = Fleet::start(Plan::default());
+    fleet.objects.set_faults(objects::Faults { away: true, ..Default::default() });
+    std::thread::sleep(Duration::from_millis(800));
+    assert_eq!(fleet.send(0, "/ask/away", "away").status, 200);
+    for n in 0..2 {
+        fleet.objects.remove("servers", &format!("r{n}"));
+    }
+    fleet.objects.forget_history();
+    fleet.objects.set_faults(objects::Faults::default());
+    std::thread::sleep(Duration::from_millis(1_000));
+    for n in 0..3 {
+        assert_eq!(fleet.send(n, "/ask/lapsed", &format!("lapsed-{n}")).status, 200);
+        fleet.set_state(0, "ready");
+        fleet.set_state(1, "ready");
+    }
+}
+
+#[test]
+fn a_configuration_never_reverts() {
+    let fleet = Fleet::start(Plan::default());
+    let mut later = fleet.config(12);
+    later["routes"][0]["path_prefix"] = "/asked/".into();
+    fleet.objects.put("config", "main", later);
+    for n in 0..3 {
+        wait_until("the later one is in force", || {
+            fleet.send(n, "/asked/1", &format!("later-{n}")).status == 200
+        });
+    }
+    fleet.configure(9);
+    std::thread::sleep(Duration::from_millis(1_200));
+    for n in 0..3 {
+        assert_eq!(fleet.send(n, "/asked/1", &format!("still-{n}")).status, 200);
+        assert_eq!(fleet.send(n, "/ask/1", &format!("gone-{n}")).status, 404);
+    }
+}
+
+#[test]
+fn a_planned_stop_cuts_off_no_stream() {
+    let slow = Config { pace: Duration::from_millis(60), events: 20, ..Config::default() };
+    let runners = vec![("east", Config { id: "r0".into(), ..slow })];
+    let mut fleet = Fleet::start(Plan { runners, ..Plan::default() });
+    let front = fleet.gateways[0].front;
+    let call = std::thread::spawn(move || util::gateway::send_to(front, "/ask/stop", "stop", &[]));
+    wait_until("it runs", || fleet.runs("/ask/stop").len() == 1);
+    fleet.gateways[0].terminate();
+    let reply = call.join().expect("an answer");
+    assert!(reply.whole);
+    assert_eq!(data_of(&reply), Runner::text("stop", 20));
+    assert!(fleet.gateways[0].wait_exit().success());
+}
+
+#[test]
+fn a_caller_that_leaves_stops_its_run() {
+    let slow = Config { pace: Duration::from_millis(50), ..Config::default() };
+    let runners = vec![("east", Config { id: "r0".into(), slots: 1, ..slow })];
+    let fleet = Fleet::start(Plan { runners, ..Plan::default() });
+    fleet.runners[0].set_events(400);
+    // A caller that closes its connection while the answer comes.
+    {
+        use std::io::{Read, Write};
+        let mut stream =
+            std::net::TcpStream::connect(fleet.gateways[0].front).expect("a connection");
+        let request = "POST /ask/left HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n\
+                       X-Gatespool-Request-Id: leaver\r\n\r\n";
+        stream.write_all(request.as_bytes()).expect("sent");
+        let mut some = [0_u8; 64];
+        stream.read_exact(&mut some).expect("the answer begins");
+    }
+    fleet.runners[0].set_events(1);
+    let began = Instant::now();
+    // The only slot is free again long before the run's twenty seconds are over.
+    wait_until("the slot is free", || fleet.send(1, "/plain/1", "next").status == 200);
+    assert!(began.elapsed() < Duration::from_secs(2), "{:?}", began.elapsed());
+}
--- a/crates/daemon/tests/util/daemon.rs
+++ b/crates/daemon/tests/util/daemon.rs
@@ -3,7 +3,7 @@
 use super::client::{self, Reply};
 use super::wait_until;
 use rustix::process::{Pid, Signal, kill_process};
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -34,23 +34,17 @@
             format!("{ini}\n{faults}")
         };
         std::fs::write(&settings, text).expect("a settings file");
-        let log = std::fs::File::create(folder.join(format!("{name}.log"))).expect("a log");
+        let fault = std::fs::File::create(folder.join(format!("{name}.err"))).expect("a file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_gatespoold"))
             .arg("--settings")
             .arg(&settings)
             .stdout(Stdio::piped())
-            .stderr(log)
+            .stderr(fault)
             .spawn()
             .expect("the daemon starts");
-        let mut line = String::new();
+        let log = std::fs::File::create(folder.join(format!("{name}.log"))).expect("a log");
         let stdout = child.stdout.take().expect("its output");
-        BufReader::new(stdout).read_line(&mut line).expect("its first line");
-        let words: Vec<&str> = line.split_whitespace().collect();
-        let (front, peer) = match words.as_slice() {
-            ["front", front, "peers", peer] => (front.parse(), peer.parse()),
-            _ => panic!("unexpected first line: {line:?}; see {}", folder.display()),
-        };
-        let (front, peer) = (front.expect("an address"), peer.expect("an address"));
+        let (front, peer) = addresses(stdout, log, folder);
         Daemon { front, peer, cut, child }
     }
 
@@ -148,3 +142,33 @@
         self.kill();
     }
 }
+
+/// Reads the addresses from the line that tells the start, and keeps all lines.
+#[track_caller]
+fn addresses(
+    stdout: std::process::ChildStdout,
+    mut log: std::fs::File,
+    folder: &Path,
+) -> (SocketAddr, SocketAddr) {
+    let mut lines = BufReader::new(stdout).lines();
+    let mut found = None;
+    while found.is_none() {
+        let line = lines.next().and_then(Result::ok);
+        let line = line.unwrap_or_else(|| panic!("no start; see {}", folder.display()));
+        writeln!(log, "{line}").expect("the log");
+        let line: serde_json::Value = serde_json::from_str(&line).expect("lines of JSON");
+        if line["msg"] == "started" {
+            let address = |key: &str| line[key].as_str().expect("an address").parse();
+            let front = address("front").expect("an IP number and port");
+            found = Some((front, address("peers").expect("an IP number and port")));
+        }
+    }
+    std::thread::spawn(move || {
+        for line in lines.map_while(Result::ok) {
+            if writeln!(log, "{line}").is_err() {
+                return;
+            }
+        }
+    });
+    found.expect("the addresses")
+}
--- a/crates/daemon/tests/util/mod.rs
+++ b/crates/daemon/tests/util/mod.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod cluster;
 pub mod daemon;
+pub mod gateway;
 
 use std::time::{Duration, Instant};
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,7 +6,9 @@
 //! None of this is a simulator of a cluster.
 
 pub mod engine;
+pub mod objects;
 pub mod plain;
 pub mod platform;
+pub mod runner;
 pub mod serve;
 pub mod text;
--- /dev/null
+++ b/crates/standin/src/objects.rs
@@ -0,0 +1,350 @@
+//! Stand-in of the users' platform: an object store with revisions, conditional
+//! writes and watches, in the form that the platform's pages give.
+
+use bytes::Bytes;
+use hyper::Method;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::Notify;
+use transport::http::{self, BodyStream, Head, Response, Service};
+
+const BODY_LIMIT: usize = 8 << 20;
+const BODY_WAIT: Duration = Duration::from_secs(10);
+/// Longer than any test waits.
+const NEVER: Duration = Duration::from_secs(3_600);
+/// Most objects of one page of a list.
+const PAGE: usize = 500;
+/// Most bytes of one page, and of one half of an object.
+const PAGE_BYTES: usize = 1 << 20;
+
+/// How the store misbehaves.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// Every call gets 503 and nothing is done.
+    pub away: bool,
+    /// No call gets an answer and nothing is done.
+    pub silent: bool,
+    /// Answers of this many writes are lost, the writes are done.
+    pub lost: u32,
+    /// This many writes are done after `late_by`, their answers are lost.
+    pub late: u32,
+    /// See `late`.
+    pub late_by: Duration,
+    /// Delay of every answer.
+    pub slow: Duration,
+}
+
+/// Calls counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Reads of one object and lists.
+    pub reads: u64,
+    /// Watches.
+    pub watches: u64,
+    /// Writes.
+    pub writes: u64,
+}
+
+#[derive(Clone)]
+struct Change {
+    revision: u64,
+    kind: String,
+    object: Value,
+    removed: bool,
+}
+
+type Key = (String, String);
+
+#[derive(Default)]
+struct State {
+    objects: BTreeMap<Key, Value>,
+    history: VecDeque<Change>,
+    forgotten: u64,
+    revision: u64,
+    faults: Faults,
+    counts: Counts,
+}
+
+/// The store.
+#[derive(Clone, Default)]
+pub struct Objects {
+    state: Arc<Mutex<State>>,
+    changed: Arc<Notify>,
+}
+
+impl Objects {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets the faults from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        self.lock().faults = faults;
+        self.changed.notify_waiters();
+    }
+
+    /// Calls so far.
+    pub fn counts(&self) -> Counts {
+        self.lock().counts
+    }
+
+    /// Drops the history: watches from before get 410.
+    pub fn forget_history(&self) {
+        let mut state = self.lock();
+        state.forgotten = state.revision;
+        state.history.clear();
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// An object, as the store shows it.
+    pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
+        self.lock().objects.get(&(kind.to_owned(), name.to_owned())).cloned()
+    }
+
+    /// All objects of a kind.
+    pub fn all(&self, kind: &str) -> Vec<Value> {
+        let state = self.lock();
+        let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
+        of_kind.map(|(_, object)| object.clone()).collect()
+    }
+
+    /// Writes a spec, as an operator or a target does.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        let mut state = self.lock();
+        let key = (kind.to_owned(), name.to_owned());
+        let status = state.objects.get(&key).map_or(Value::Null, |object| object["status"].clone());
+        store(&mut state, key, spec, status);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Removes an object, as a target does that has left.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut state = self.lock();
+        if let Some(object) = state.objects.remove(&(kind.to_owned(), name.to_owned())) {
+            log(&mut state, kind.to_owned(), object, true);
+        }
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    fn list(&self, kind: &str, after: Option<&str>) -> Response {
+        let mut state = self.lock();
+        state.counts.reads += 1;
+        let mut items = Vec::new();
+        let mut bytes = 0;
+        let mut has_more = false;
+        for ((of, name), object) in &state.objects {
+            if of != kind || after.is_some_and(|after| name.as_str() <= after) {
+                continue;
+            }
+            bytes += object.to_string().len();
+            if items.len() >= PAGE || (bytes > PAGE_BYTES && !items.is_empty()) {
+                has_more = true;
+                break;
+            }
+            items.push(object.clone());
+        }
+        let as_of = state.revision;
+        http::json(200, &json!({ "items": items, "has_more": has_more, "as_of": as_of }))
+    }
+
+    async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Response {
+        self.lock().counts.watches += 1;
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            {
+                let state = self.lock();
+                if state.faults.away {
+                    return http::json(503, &json!({})); // A store that goes cuts its watches.
+                }
+                if from < state.forgotten {
+                    return http::json(410, &json!({}));
+                }
+                let fits = |change: &&Change| change.revision > from && change.kind == kind;
+                let show = |c: &Change| json!({ "removed": c.removed, "object": c.object.clone() });
+                let events: Vec<Value> = state.history.iter().filter(fits).map(show).collect();
+                if !events.is_empty() || tokio::time::Instant::now() >= until {
+                    let as_of = state.revision;
+                    return http::json(200, &json!({ "events": events, "as_of": as_of }));
+                }
+            }
+            tokio::select! {
+                () = changed => {}
+                () = tokio::time::sleep_until(until) => {}
+            }
+        }
+    }
+
+    fn read(&self, kind: &str, name: &str) -> Response {
+        self.lock().counts.reads += 1;
+        match self.get(kind, name) {
+            Some(object) => http::json(200, &object),
+            None => http::json(404, &json!({})),
+        }
+    }
+
+    fn write(
+        &self,
+        method: &Method,
+        segments: &[&str],
+        query_rev: Option<u64>,
+        body: &[u8],
+    ) -> Response {
+        let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+        let mut state = self.lock();
+        state.counts.writes += 1;
+        let kind = segments.first().copied().unwrap_or_default().to_owned();
+        let name = match segments.get(1) {
+            Some(name) => (*name).to_owned(),
+            None => body["meta"]["name"].as_str().unwrap_or_default().to_owned(),
+        };
+        let key = (kind, name);
+        let known = state.objects.get(&key).cloned();
+        let expected = query_rev.or(body["meta"]["rev"].as_u64());
+        let response = if *method == Method::POST {
+            match known {
+                Some(object) => http::json(409, &object),
+                None => {
+                    let object = store(&mut state, key, body["spec"].clone(), Value::Null);
+                    http::json(201, &object)
+                }
+            }
+        } else {
+            let Some(object) = known else {
+                return http::json(404, &json!({}));
+            };
+            if expected.is_some_and(|rev| object["meta"]["rev"] != rev) {
+                return http::json(409, &object);
+            }
+            if *method == Method::DELETE {
+                state.objects.remove(&key);
+                log(&mut state, key.0, object, true);
+                http::json(200, &json!({}))
+            } else if segments.get(2) == Some(&"status") {
+                let object = store(&mut state, key, object["spec"].clone(), body["status"].clone());
+                http::json(200, &object)
+            } else {
+                let object = store(&mut state, key, body["spec"].clone(), object["status"].clone());
+                http::json(200, &object)
+            }
+        };
+        drop(state);
+        self.changed.notify_waiters();
+        response
+    }
+
+    async fn answer(&self, head: &Head, body: &[u8]) -> Response {
+        let segments = head.segments();
+        let Some(("objects", path)) = segments.split_first().map(|(first, path)| (*first, path))
+        else {
+            return http::json(404, &json!({}));
+        };
+        let number = |name: &str| head.value(name).and_then(|value| value.parse::<u64>().ok());
+        match (&head.method, path) {
+            (&Method::GET, [kind]) => match number("watch") {
+                Some(from) => {
+                    let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
+                    self.watch(kind, from, wait).await
+                }
+                None => self.list(kind, head.value("since_rev")),
+            },
+            (&Method::GET, [kind, name]) => self.read(kind, name),
+            (method, path) => self.write(method, path, number("rev"), body),
+        }
+    }
+}
+
+fn store(state: &mut State, key: Key, spec: Value, status: Value) -> Value {
+    if let Some(known) = state.objects.get(&key)
+        && known["spec"] == spec
+        && known["status"] == status
+    {
+        return known.clone(); // A write that changes nothing raises no revision.
+    }
+    let created = state.objects.get(&key).map(|object| object["meta"]["created"].clone());
+    state.revision += 1;
+    let rev = state.revision;
+    let meta = json!({
+        "name": key.1, "rev": rev, "created": created.unwrap_or(json!(rev)),
+        "finalizers": [], "deleting": false,
+    });
+    let object = json!({ "meta": meta, "spec": spec, "status": status });
+    state.objects.insert(key.clone(), object.clone());
+    state.history.push_back(Change {
+        revision: rev,
+        kind: key.0,
+        object: object.clone(),
+        removed: false,
+    });
+    object
+}
+
+fn log(state: &mut State, kind: String, object: Value, removed: bool) {
+    state.revision += 1;
+    let revision = state.revision;
+    state.history.push_back(Change { revision, kind, object, removed });
+}
+
+/// What becomes of a write.
+enum Fate {
+    Answered,
+    Lost,
+    Late(Duration),
+}
+
+impl Service for Objects {
+    async fn call<B: BodyStream>(&self, head: Head, mut body: B) -> Response {
+        let Ok(body) = http::read(&mut body, BODY_LIMIT, BODY_WAIT).await else {
+            return http::bytes(400, "text/plain", Bytes::new());
+        };
+        let faults = self.lock().faults.clone();
+        if faults.silent {
+            tokio::time::sleep(NEVER).await;
+        }
+        if faults.away {
+            return http::json(503, &json!({}));
+        }
+        tokio::time::sleep(faults.slow).await;
+        let fate = if head.method == Method::GET { Fate::Answered } else { self.fate() };
+        match fate {
+            Fate::Answered => self.answer(&head, &body).await,
+            Fate::Lost => {
+                let _unheard = self.answer(&head, &body).await;
+                tokio::time::sleep(NEVER).await;
+                http::json(503, &json!({}))
+            }
+            Fate::Late(by) => {
+                // Done even if the caller has hung up by then.
+                let objects = self.clone();
+                let task = async move {
+                    tokio::time::sleep(by).await;
+                    let _unheard = objects.answer(&head, &body).await;
+                };
+                drop(tokio::spawn(task));
+                tokio::time::sleep(NEVER).await;
+                http::json(503, &json!({}))
+            }
+        }
+    }
+}
+
+impl Objects {
+    fn fate(&self) -> Fate {
+        let mut state = self.lock();
+        let faults = &mut state.faults;
+        if faults.lost > 0 {
+            faults.lost -= 1;
+            Fate::Lost
+        } else if faults.late > 0 {
+            faults.late -= 1;
+            Fate::Late(faults.late_by)
+        } else {
+            Fate::Answered
+        }
+    }
+}
--- a/crates/state/src/progress.rs
+++ b/crates/state/src/progress.rs
@@ -216,6 +216,11 @@
         self.done.len() >= self.job.items.len()
     }
 
+    /// Whether every item has a result that is durable.
+    pub fn is_all_listed(&self) -> bool {
+        self.durable.outcomes.len() >= self.job.items.len()
+    }
+
     /// Whether nothing is left to run or to write.
     pub fn is_settled(&self) -> bool {
         let nothing_left = self.is_done() || self.ended;
