--- a/crates/coordination/src/registry.rs
+++ b/crates/coordination/src/registry.rs
@@ -110,7 +110,9 @@
         if self.removed.len() >= MOST_REMOVED {
             self.forget_oldest();
         }
-        let known = self.removed.insert(id.to_owned(), revision);
+        // Of several removals the latest counts, in whatever order they arrive.
+        let known = self.removed.get(id).copied();
+        self.removed.insert(id.to_owned(), revision.max(known.unwrap_or(0)));
         self.rows.remove(id).is_some() || known.is_none()
     }
 
--- /dev/null
+++ b/crates/coordination/tests/slots.rs
@@ -0,0 +1,313 @@
+//! The account of slots: online before batch, true waits, and an account that
+//! agrees with its holders whatever is lost on the way.
+
+use coordination::slots::{Ask, End, Grant, Held, Ledger, Policy, Purpose, Report, Verdict};
+use proptest::prelude::*;
+use protocol::routing::Target;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn target(n: u16, slots: u32) -> Target {
+    Target {
+        id: format!("t{n}"),
+        service: String::from("llm"),
+        address: SocketAddr::from(([127, 0, 0, 1], 1_000 + n)),
+        data_centre: String::from("east"),
+        slots,
+        leaving: false,
+        revision: 1,
+    }
+}
+
+/// An account of `targets` targets with two slots each, past its settling time.
+fn ledger(targets: u16, now: Instant) -> Ledger {
+    let policy = Policy { headroom: 0.0, ..Policy::default() };
+    let mut ledger = Ledger::new(policy, 0, now - Duration::from_secs(10));
+    let targets: Vec<Target> = (0..targets).map(|n| target(n, 2)).collect();
+    ledger.set_targets(&targets);
+    ledger
+}
+
+fn ask(purpose: Purpose, now: Instant) -> Ask {
+    Ask {
+        holder: 1,
+        service: String::from("llm"),
+        purpose,
+        urgency: now + MS * 5_000,
+        useful_until: now + MS * 200,
+        refuse_by: now + MS * 60,
+        avoid: Vec::new(),
+        may_wait: false,
+    }
+}
+
+#[track_caller]
+fn grant(ledger: &mut Ledger, ask: Ask, now: Instant) -> Grant {
+    match ledger.on_ask(ask, now) {
+        Verdict::Granted(grant, _) => grant,
+        other => panic!("no slot: {other:?}"),
+    }
+}
+
+#[test]
+fn online_takes_a_free_slot_before_one_of_batch() {
+    let now = Instant::now();
+    let mut ledger = ledger(2, now);
+    let batch = grant(&mut ledger, ask(Purpose::Batch, now), now);
+    match ledger.on_ask(ask(Purpose::Online, now), now) {
+        Verdict::Granted(grant, None) => assert_ne!(grant.target, batch.target, "the emptier one"),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn online_stops_the_least_urgent_item_when_nothing_is_free() {
+    let now = Instant::now();
+    let mut ledger = ledger(1, now);
+    let soon = grant(&mut ledger, Ask { urgency: now, ..ask(Purpose::Batch, now) }, now);
+    let later = grant(&mut ledger, ask(Purpose::Batch, now), now);
+    match ledger.on_ask(ask(Purpose::Online, now), now) {
+        Verdict::Granted(_, Some(revocation)) => assert_eq!(revocation.lease, later.lease),
+        other => panic!("{other:?}"),
+    }
+    assert_eq!(ledger.in_use(), [1, 1]);
+    // The holder gives it back: it must not be counted twice.
+    ledger.on_release(later.lease, Report::default(), now);
+    assert_eq!(ledger.in_use(), [1, 1]);
+    ledger.on_release(soon.lease, Report::default(), now);
+    assert_eq!(ledger.in_use(), [1, 0]);
+}
+
+#[test]
+fn batch_leaves_headroom_to_online() {
+    let now = Instant::now();
+    let policy = Policy { headroom: 0.25, ..Policy::default() };
+    let mut ledger = Ledger::new(policy, 0, now - Duration::from_secs(10));
+    let targets = [target(0, 4), target(1, 4)];
+    ledger.set_targets(&targets);
+    for _ in 0..6 {
+        grant(&mut ledger, ask(Purpose::Batch, now), now);
+    }
+    assert!(matches!(ledger.on_ask(ask(Purpose::Batch, now), now), Verdict::Full(_)));
+    assert!(matches!(ledger.on_ask(ask(Purpose::Online, now), now), Verdict::Granted(_, None)));
+}
+
+#[test]
+fn batch_never_passes_an_online_request_that_waits() {
+    let now = Instant::now();
+    let mut ledger = ledger(1, now);
+    let first = grant(&mut ledger, ask(Purpose::Online, now), now);
+    grant(&mut ledger, ask(Purpose::Online, now), now);
+    let useful_until = now + MS * 2_000;
+    let waits = |purpose| Ask { may_wait: true, useful_until, ..ask(purpose, now) };
+    let Verdict::Waiting(batch) = ledger.on_ask(waits(Purpose::Batch), now) else {
+        panic!("batch waits");
+    };
+    ledger.on_release(first.lease, Report::default(), now);
+    let second = grant(&mut ledger, ask(Purpose::Online, now), now);
+    let Verdict::Waiting(online) = ledger.on_ask(waits(Purpose::Online), now) else {
+        panic!("online waits");
+    };
+    ledger.on_release(second.lease, Report::default(), now);
+    let grants = ledger.next_grants(now);
+    assert_eq!(grants.iter().map(|(id, ..)| *id).collect::<Vec<_>>(), [online]);
+    assert_ne!(batch, online);
+}
+
+#[test]
+fn a_wait_that_cannot_help_is_refused_with_a_time() {
+    let now = Instant::now();
+    let mut ledger = ledger(1, now);
+    grant(&mut ledger, ask(Purpose::Online, now), now);
+    grant(&mut ledger, ask(Purpose::Online, now), now);
+    let hopeless =
+        Ask { useful_until: now + MS * 10, may_wait: true, ..ask(Purpose::Online, now) };
+    match ledger.on_ask(hopeless, now) {
+        Verdict::Full(after) => assert!(after >= MS * 100 && after <= MS * 1_500),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn one_that_waits_is_refused_while_that_does_no_harm_and_not_after() {
+    let now = Instant::now();
+    let mut ledger = ledger(1, now);
+    for _ in 0..2 {
+        grant(&mut ledger, ask(Purpose::Online, now), now);
+    }
+    let patient = Ask { useful_until: now + MS * 400, may_wait: true, ..ask(Purpose::Online, now) };
+    let Verdict::Waiting(_) = ledger.on_ask(patient.clone(), now) else {
+        panic!("it waits");
+    };
+    assert!(ledger.hopeless(now + MS * 50).is_empty(), "there is time to decide");
+    assert!(ledger.hopeless(now + MS * 300).is_empty(), "too late for a quick refusal");
+    let Verdict::Waiting(id) = ledger.on_ask(patient, now) else {
+        panic!("it waits");
+    };
+    let vain = ledger.hopeless(now + MS * 70);
+    assert!(vain.is_empty() || vain.iter().any(|(refused, _)| *refused == id));
+}
+
+#[test]
+fn a_silent_target_is_left_alone_and_returns_gently() {
+    let now = Instant::now();
+    let mut ledger = ledger(2, now);
+    let lost = grant(&mut ledger, ask(Purpose::Online, now), now);
+    let silent = Report { end: End::Silent, ..Report::default() };
+    ledger.on_release(lost.lease, silent, now);
+    for _ in 0..2 {
+        assert_ne!(grant(&mut ledger, ask(Purpose::Online, now), now).target, lost.target);
+    }
+    let later = now + Duration::from_secs(3);
+    let back = grant(&mut ledger, ask(Purpose::Online, later), later);
+    assert_eq!(back.target, lost.target);
+    // One at a time until it has done a few.
+    assert!(matches!(ledger.on_ask(ask(Purpose::Online, later), later), Verdict::Full(_)));
+}
+
+#[test]
+fn a_doubted_target_is_used_last() {
+    let now = Instant::now();
+    let mut ledger = ledger(2, now);
+    ledger.on_doubt("t0", now);
+    for _ in 0..2 {
+        assert_eq!(grant(&mut ledger, ask(Purpose::Online, now), now).target, "t1");
+    }
+    assert_eq!(grant(&mut ledger, ask(Purpose::Online, now), now).target, "t0");
+}
+
+#[test]
+fn a_new_account_waits_for_reports_before_it_serves_batch() {
+    let now = Instant::now();
+    let mut ledger = ledger(1, now);
+    ledger.settle(now);
+    assert!(matches!(ledger.on_ask(ask(Purpose::Batch, now), now), Verdict::Full(_)));
+    let held = |lease, purpose| Held { lease, target: String::from("t0"), purpose };
+    let reported = [held(91, Purpose::Online), held(92, Purpose::Batch)];
+    ledger.on_held(7, &reported, now);
+    assert_eq!(ledger.in_use(), [1, 1]);
+    let later = now + MS * 400;
+    assert!(matches!(ledger.on_ask(ask(Purpose::Batch, later), later), Verdict::Full(_)));
+    ledger.on_holder_gone(7);
+    assert_eq!(ledger.in_use(), [0, 0]);
+}
+
+#[test]
+fn a_lease_whose_release_was_lost_is_found_out() {
+    let now = Instant::now();
+    let mut ledger = ledger(1, now);
+    let lost = grant(&mut ledger, ask(Purpose::Online, now), now);
+    ledger.on_held(1, &[], now);
+    assert_eq!(ledger.in_use(), [1, 0], "the grant may have crossed the report");
+    let later = now + Duration::from_secs(2);
+    ledger.on_held(1, &[], later);
+    assert_eq!(ledger.in_use(), [0, 0]);
+    ledger.on_release(lost.lease, Report::default(), later);
+    assert_eq!(ledger.in_use(), [0, 0], "a late release changes nothing");
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Online,
+    Batch,
+    Release(usize),
+    Pump,
+    HolderGone,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        4 => Just(Step::Online),
+        4 => Just(Step::Batch),
+        6 => (0..64_usize).prop_map(Step::Release),
+        2 => Just(Step::Pump),
+        1 => Just(Step::HolderGone),
+    ];
+    proptest::collection::vec(step, 1..200)
+}
+
+/// Leases out by the holders' own count: online and those of batch that were
+/// not revoked.
+#[derive(Default)]
+struct Model {
+    out: BTreeMap<u64, (Purpose, String)>,
+    revoked: Vec<u64>,
+}
+
+impl Model {
+    fn on_grant(&mut self, grant: &Grant, purpose: Purpose) {
+        self.out.insert(grant.lease, (purpose, grant.target.clone()));
+    }
+
+    fn count(&self, target: &str, purpose: Purpose) -> u32 {
+        let fits = |(id, (p, t)): &(&u64, &(Purpose, String))| {
+            t == target && *p == purpose && !self.revoked.contains(id)
+        };
+        self.out.iter().filter(fits).count() as u32
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+
+    /// Whatever happens in whatever order: no target holds more online requests
+    /// than it has slots, and none more in all once revoked items have stopped.
+    #[test]
+    fn no_target_is_ever_given_more_than_its_slots(steps in steps()) {
+        let mut now = Instant::now();
+        let mut ledger = ledger(3, now);
+        let mut model = Model::default();
+        let mut waiting = BTreeMap::new();
+        for step in steps {
+            now += MS * 7;
+            let verdict = match step {
+                Step::Online => {
+                    let ask = Ask { may_wait: true, ..ask(Purpose::Online, now) };
+                    Some((Purpose::Online, ledger.on_ask(ask, now)))
+                }
+                Step::Batch => {
+                    let ask = Ask { may_wait: true, ..ask(Purpose::Batch, now) };
+                    Some((Purpose::Batch, ledger.on_ask(ask, now)))
+                }
+                Step::Release(n) => {
+                    let id = model.out.keys().nth(n % model.out.len().max(1)).copied();
+                    if let Some(id) = id {
+                        model.out.remove(&id);
+                        ledger.on_release(id, Report::default(), now);
+                    }
+                    None
+                }
+                Step::Pump => None,
+                Step::HolderGone => {
+                    ledger.on_holder_gone(1);
+                    model = Model::default();
+                    waiting.clear();
+                    None
+                }
+            };
+            match verdict {
+                Some((purpose, Verdict::Granted(grant, revocation))) => {
+                    model.revoked.extend(revocation.map(|r| r.lease));
+                    model.on_grant(&grant, purpose);
+                }
+                Some((purpose, Verdict::Waiting(id))) => {
+                    waiting.insert(id, purpose);
+                }
+                _ => {}
+            }
+            for (id, grant, revocation) in ledger.next_grants(now) {
+                model.revoked.extend(revocation.map(|r| r.lease));
+                let purpose = waiting.remove(&id).expect("it waited");
+                model.on_grant(&grant, purpose);
+            }
+            for target in ["t0", "t1", "t2"] {
+                let online = model.count(target, Purpose::Online);
+                let batch = model.count(target, Purpose::Batch);
+                prop_assert!(online <= 2 && online + batch <= 2, "{target}: {online} {batch}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/tests/progress.rs
@@ -0,0 +1,164 @@
+//! The life of a job under seeded interleavings: two holders, a store that loses
+//! answers, runs that fail, ends at any moment.
+
+use proptest::prelude::*;
+use state::progress::{Failure, Job, Outcome, Partial, Progress, Sheet};
+use std::collections::BTreeSet;
+
+const ITEMS: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+fn outcome(item: &str, by: &str) -> Outcome {
+    Outcome { item: item.to_owned(), is_complete: true, text: format!("{item} by {by}") }
+}
+
+#[test]
+fn an_item_fails_for_good_after_its_attempts_also_across_holders() {
+    let mut first = Sheet::new(Job::example("j", &["a"]), Progress::default(), 3);
+    for _ in 0..2 {
+        first.start_next(0).expect("an item");
+        first.on_failed("a", Failure::Failed);
+    }
+    assert!(first.failures_due());
+    let mut second = Sheet::new(Job::example("j", &["a"]), first.snapshot(), 3);
+    second.start_next(0).expect("an item");
+    second.on_failed("a", Failure::Failed);
+    let draft = second.draft().expect("a result");
+    assert!(!draft.outcomes[0].is_complete);
+    assert!(second.start_next(0).is_none());
+}
+
+#[test]
+fn an_impossible_item_runs_once() {
+    let mut sheet = Sheet::new(Job::example("j", &["a"]), Progress::default(), 3);
+    sheet.start_next(0).expect("an item");
+    sheet.on_failed("a", Failure::Impossible);
+    assert!(sheet.is_done());
+}
+
+#[test]
+fn a_stopped_item_goes_on_where_it_stood() {
+    let mut sheet = Sheet::new(Job::example("j", &["a", "b"]), Progress::default(), 3);
+    let item = sheet.start_next(0).expect("an item").id;
+    let made = Partial { last_event: Some(3), texts: vec!["x".into(); 3] };
+    sheet.on_stopped(&item, made.clone());
+    assert_eq!(sheet.start_next(0).expect("it again").id, item);
+    assert_eq!(sheet.partial(&item), made);
+    // What a failed run had made is worth nothing.
+    sheet.on_failed(&item, Failure::Failed);
+    assert_eq!(sheet.partial(&item), Partial::default());
+}
+
+#[test]
+fn nothing_starts_after_the_end_and_what_is_late_is_given_up() {
+    let mut sheet = Sheet::new(Job::example("j", &["a", "b"]), Progress::default(), 3);
+    sheet.end();
+    assert!(sheet.start_next(0).is_none());
+    assert_eq!(sheet.waiting_tokens(), 0);
+    let mut late = Sheet::new(Job::example("j", &["a", "b"]), Progress::default(), 3);
+    late.on_time(59_999);
+    assert!(!late.is_done());
+    late.on_time(60_000);
+    assert!(late.is_done());
+    assert!(late.draft().expect("results").outcomes.iter().all(|o| !o.is_complete));
+}
+
+/// What the platform keeps of the job, with a revision.
+#[derive(Clone)]
+struct Store {
+    progress: Progress,
+    revision: u64,
+}
+
+/// One holder with its idea of the revision.
+struct Worker {
+    name: &'static str,
+    sheet: Sheet,
+    revision: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Finish(usize, usize),
+    Fail(usize, usize),
+    /// A write; `true` loses its answer.
+    Write(usize, bool),
+    End(usize),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        6 => (0..2_usize, 0..5_usize).prop_map(|(w, i)| Step::Finish(w, i)),
+        1 => (0..2_usize, 0..5_usize).prop_map(|(w, i)| Step::Fail(w, i)),
+        5 => (0..2_usize, any::<bool>()).prop_map(|(w, lost)| Step::Write(w, lost)),
+        1 => (0..2_usize).prop_map(Step::End),
+    ];
+    proptest::collection::vec(step, 1..60)
+}
+
+fn write(worker: &mut Worker, store: &mut Store, is_answer_lost: bool) {
+    let draft = worker.sheet.snapshot();
+    if store.revision != worker.revision {
+        let found = store.progress.clone();
+        worker.revision = store.revision;
+        if found == draft {
+            worker.sheet.on_durable(&draft);
+        } else {
+            worker.sheet.on_overtaken(found);
+        }
+        return;
+    }
+    store.progress = draft.clone();
+    store.revision += 1;
+    if !is_answer_lost {
+        worker.revision = store.revision;
+        worker.sheet.on_durable(&draft);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, ..ProptestConfig::default() })]
+
+    /// Two holders that both believe the job theirs: no listed result ever moves
+    /// or changes, none is doubled, what a holder lists is durable, an end stays.
+    #[test]
+    fn two_holders_never_contradict_what_was_listed(steps in steps()) {
+        let mut store = Store { progress: Progress::default(), revision: 1 };
+        let worker = |name| Worker {
+            name,
+            sheet: Sheet::new(Job::example("j", &ITEMS), Progress::default(), 3),
+            revision: 1,
+        };
+        let mut workers = [worker("one"), worker("two")];
+        for step in steps {
+            let before = store.progress.clone();
+            match step {
+                Step::Finish(w, item) => {
+                    let worker = &mut workers[w];
+                    let outcome = outcome(ITEMS[item], worker.name);
+                    worker.sheet.on_done(ITEMS[item], outcome);
+                }
+                Step::Fail(w, item) => workers[w].sheet.on_failed(ITEMS[item], Failure::Failed),
+                Step::Write(w, lost) => write(&mut workers[w], &mut store, lost),
+                Step::End(w) => workers[w].sheet.end(),
+            }
+            let kept = &store.progress;
+            prop_assert_eq!(&kept.outcomes[..before.outcomes.len()], &before.outcomes[..]);
+            prop_assert!(kept.ended || !before.ended, "an end stays");
+            let items: BTreeSet<&str> = kept.outcomes.iter().map(|o| o.item.as_str()).collect();
+            prop_assert_eq!(items.len(), kept.outcomes.len(), "each item once");
+            for worker in &workers {
+                let listed = worker.sheet.listed();
+                prop_assert_eq!(listed, &kept.outcomes[..listed.len()], "listed is durable");
+            }
+        }
+        // In the end both write until all is settled, and agree.
+        for _ in 0..6 {
+            for worker in &mut workers {
+                write(worker, &mut store, false);
+            }
+        }
+        for worker in &workers {
+            prop_assert_eq!(worker.sheet.listed(), &store.progress.outcomes[..]);
+        }
+    }
+}
