Compare the open jobs that instances know of

Cause: an instance that started while nobody answered it never learnt which jobs are open; when one of them fell to it, it took none over, and the others left it to that instance. Ruled out: a lost look through all jobs (two had listed it as without holder). Change: the periodic comparison carries a digest of the open jobs and their holders; where it differs, the list is asked for, every 4 s at most. Words about a job carry the revision of its object, the later one counts. A start asks until somebody answers.

--- a/crates/daemon/src/gateway/feed.rs
+++ b/crates/daemon/src/gateway/feed.rs
@@ -39,6 +39,9 @@
 const BLIND: Duration = Duration::from_secs(5);
 /// Time between comparisons with another instance.
 const SYNC_EVERY: Duration = Duration::from_millis(500);
+/// Shortest time between looks at another instance's open jobs, if they differ:
+/// for a moment after each change they do.
+const LEARN_EVERY: Duration = Duration::from_secs(4);
 /// Longest wait for a comparison's reply.
 const SYNC_LIMIT: Duration = Duration::from_millis(500);
 /// Pauses between tries of a watcher that can't reach the platform.
@@ -118,7 +121,12 @@
     let is_blind = node.store.is_doubtful();
     let ask = Ask::Sync { from: node.id(), mark: node.mark(), is_blind };
     let reply = node.ask(others[at].peer, &ask, SYNC_LIMIT).await;
-    if let Ok(Reply::News { config, targets, .. }) = reply {
+    if let Ok(Reply::News { config, targets, mark }) = reply {
+        let is_due = node.board.learnt.get().is_none_or(|at| at.elapsed() >= LEARN_EVERY);
+        if mark.jobs != node.mark().jobs && is_due {
+            node.board.learnt.set(Some(now));
+            super::holder::learn_from(&node, others[at].peer, true).await;
+        }
         if let Some((version, text)) = config {
             on_config(&node, version, &text, "compared");
         }
--- a/crates/daemon/src/gateway/holder.rs
+++ b/crates/daemon/src/gateway/holder.rs
@@ -18,6 +18,7 @@
 use state::progress::{Failure, Item, Job, JobId, Outcome, Partial, Progress, Sheet};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -107,6 +108,8 @@
     pub directory: RefCell<HashMap<JobId, Standing>>,
     /// What is to be told to all others.
     outbox: RefCell<HashMap<JobId, Standing>>,
+    /// When another instance's open jobs were last asked for.
+    pub learnt: Cell<Option<Instant>>,
     work: Notify,
     filling: RefCell<HashSet<(String, ServiceId)>>,
 }
@@ -117,9 +120,13 @@
         self.cells.borrow().len()
     }
 
-    /// A holder's word.
+    /// A word about a job; an earlier one is passed over.
     pub fn on_standing(&self, standing: Standing) {
-        self.directory.borrow_mut().insert(standing.job.clone(), standing);
+        let mut directory = self.directory.borrow_mut();
+        let known = directory.get(&standing.job);
+        if known.is_none_or(|known| known.revision <= standing.revision) {
+            directory.insert(standing.job.clone(), standing);
+        }
     }
 
     /// Something has changed for items that wait.
@@ -155,6 +162,7 @@
     let held = node.board.cell(&standing.job).filter(|held| !held.is_frozen);
     if let Some(held) = held
         && standing.holder.instance != node.id()
+        && standing.revision > held.revision.get()
     {
         let node = node.clone();
         spawn_local(async move { verify(&node, &held).await });
@@ -232,6 +240,7 @@
         job: sheet.job().id.clone(),
         holder: node.as_holder(),
         data_centre: node.data_centre().clone(),
+        revision: held.revision.get(),
         route: route_of(node, sheet.job()).map_or_else(String::new, |route| route.name),
         waiting_tokens: sheet.waiting_tokens(),
         is_settled: sheet.is_settled(),
@@ -287,27 +296,48 @@
     }
 }
 
-/// How all jobs stand that are known here.
-pub fn directory(node: &Node) -> Vec<Standing> {
+/// How jobs stand that are known here.
+pub fn directory(node: &Node, is_open_only: bool) -> Vec<Standing> {
     let cells = node.board.cells.borrow();
     let own = cells.values().filter(|held| !held.is_frozen).map(|held| standing(node, held));
     let directory = node.board.directory.borrow();
     let others = directory.values().filter(|standing| !cells.contains_key(&standing.job));
-    own.chain(others.cloned()).collect()
+    let all = own.chain(others.cloned());
+    all.filter(|standing| !(is_open_only && standing.is_settled)).collect()
+}
+
+/// A number that two instances share if they know the same open jobs and holders.
+pub fn digest(node: &Node) -> u64 {
+    let standings = directory(node, true);
+    let one = |standing: &Standing| hash::weight(standing.job.as_bytes(), standing.holder.instance);
+    standings.iter().map(one).fold(0, u64::wrapping_add)
 }
 
 /// Learns from another instance how jobs stand, after a start.
 pub async fn learn(node: &Rc<Node>) {
-    for member in node.others() {
-        let reply = node.ask(member.peer, &Ask::Directory, super::peers::PING_TIMEOUT).await;
-        if let Ok(super::message::Reply::Standings(standings)) = reply {
-            slog::info!(node.log, "jobs learnt"; "from" => %member.peer, "jobs" => standings.len());
-            standings.into_iter().for_each(|standing| node.board.on_standing(standing));
-            return;
+    loop {
+        for member in node.others() {
+            if learn_from(node, member.peer, false).await {
+                return;
+            }
         }
+        tokio::time::sleep(LOOK).await;
     }
 }
 
+/// Learns how jobs stand from one instance; `false` when it didn't answer.
+pub async fn learn_from(node: &Rc<Node>, address: SocketAddr, is_open_only: bool) -> bool {
+    let ask = Ask::Directory(is_open_only);
+    let reply = node.ask(address, &ask, super::peers::PING_TIMEOUT).await;
+    let Ok(super::message::Reply::Standings(standings)) = reply else {
+        return false;
+    };
+    slog::info!(node.log, "jobs learnt"; "from" => %address, "jobs" => standings.len(),
+        "open_only" => is_open_only);
+    standings.into_iter().for_each(|standing| on_standing(node, standing));
+    true
+}
+
 /// Writes what happens to a job until nothing is left to write.
 async fn write_all(node: Rc<Node>, held: Rc<Held>) {
     let mut verified = Instant::now();
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -43,8 +43,10 @@
     pub job: JobId,
     /// Who holds it.
     pub holder: Holder,
-    /// Data centre of the holder.
+    /// Data centre of the holder; empty if it isn't known.
     pub data_centre: DataCentreId,
+    /// Revision of the job's object; of two words about a job, the later counts.
+    pub revision: u64,
     /// Route it belongs to.
     pub route: String,
     /// Tokens of its items without a result.
@@ -60,6 +62,8 @@
     pub config: Version,
     /// Highest revision of the registry of targets.
     pub targets: u64,
+    /// Sum over the open jobs and their holders.
+    pub jobs: u64,
 }
 
 /// A message.
@@ -90,8 +94,8 @@
     Targets(Vec<Change>),
     /// How jobs stand.
     Standings(Vec<Standing>),
-    /// All jobs that the receiver knows of.
-    Directory,
+    /// The jobs that the receiver knows of; `true` for open ones only.
+    Directory(bool),
     /// A submission that the sender can't put on the platform itself: host,
     /// path, id and body.
     Submit {
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -140,7 +140,8 @@
     /// How far this instance is.
     pub fn mark(&self) -> Mark {
         let config = self.config.borrow().as_ref().map_or(0, |config| config.table.version);
-        Mark { config, targets: self.registry.borrow().revision() }
+        let jobs = super::holder::digest(self);
+        Mark { config, targets: self.registry.borrow().revision(), jobs }
     }
 
     /// Members other than this one that are not known to be gone.
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -91,7 +91,7 @@
             standings.into_iter().for_each(|standing| holder::on_standing(node, standing));
             Reply::Done
         }
-        Ask::Directory => Reply::Standings(holder::directory(node)),
+        Ask::Directory(is_open_only) => Reply::Standings(holder::directory(node, is_open_only)),
         Ask::Submit { host, path, job, body } => {
             Reply::Submitted(jobs::on_submit(node, &host, &path, &job, body.as_bytes()).await)
         }
--- a/crates/daemon/tests/util/daemon.rs
+++ b/crates/daemon/tests/util/daemon.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 
 /// A daemon's process; killed when this is dropped.
 pub struct Daemon {
@@ -17,7 +18,7 @@
     /// File of addresses that this daemon can't reach.
     pub cut: PathBuf,
     child: Child,
-    is_stopping: std::cell::Cell<bool>,
+    is_stopping: AtomicBool,
 }
 
 impl Daemon {
@@ -47,7 +48,7 @@
         let log = std::fs::File::options().append(true).create(true).open(log).expect("a log");
         let stdout = child.stdout.take().expect("its output");
         let (front, peer) = addresses(stdout, log, folder);
-        Daemon { front, peer, cut, child, is_stopping: std::cell::Cell::new(false) }
+        Daemon { front, peer, cut, child, is_stopping: AtomicBool::new(false) }
     }
 
     /// Waits until it serves.
@@ -99,7 +100,7 @@
 
     /// SIGTERM.
     pub fn terminate(&self) {
-        self.is_stopping.set(true);
+        self.is_stopping.store(true, Ordering::Relaxed);
         self.signal(Signal::TERM);
     }
 
@@ -112,7 +113,7 @@
 
     /// Whether it was told to stop.
     pub fn is_stopping(&self) -> bool {
-        self.is_stopping.get()
+        self.is_stopping.load(Ordering::Relaxed)
     }
 
     /// Whether the process still runs.
