--- a/crates/daemon/src/gateway/measure.rs
+++ b/crates/daemon/src/gateway/measure.rs
@@ -7,14 +7,16 @@
 use bytes::Bytes;
 use cadence::prelude::*;
 use cadence::{MetricSink, StatsdClient};
+use coordination::burn::{Series, WINDOWS};
 use hdrhistogram::Histogram;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use transport::listen::{Body, Broken, Handler};
 
 /// Longest time that a histogram tells apart, in milliseconds.
@@ -61,16 +63,24 @@
     }
 }
 
+/// Share of requests that must be within their objective, by which the burn of a
+/// route's error budget is told. A project default: routes don't tell theirs.
+const GOOD_SHARE: f64 = 0.99;
+/// Routes whose burn is told.
+const MOST_ROUTES: usize = 256;
+
 /// The counters and histograms of one instance.
 pub struct Measure {
     client: StatsdClient,
     sink: Sink,
+    burn: RefCell<BTreeMap<String, Series>>,
 }
 
 impl Default for Measure {
     fn default() -> Measure {
         let sink = Sink::default();
-        Measure { client: StatsdClient::from_sink("gatespool", sink.clone()), sink }
+        let client = StatsdClient::from_sink("gatespool", sink.clone());
+        Measure { client, sink, burn: RefCell::default() }
     }
 }
 
@@ -86,6 +96,31 @@
         let _summed = self.client.time(name, time);
     }
 
+    /// Notes a request of a route against its objective.
+    pub fn note(&self, route: &str, is_good: bool, now: Instant) {
+        let mut burn = self.burn.borrow_mut();
+        if burn.len() >= MOST_ROUTES && !burn.contains_key(route) {
+            burn.clear(); // Routes come and go; those in use are back at once.
+        }
+        burn.entry(route.to_owned()).or_default().note(is_good, now);
+    }
+
+    fn burn_text(&self, now: Instant) -> String {
+        let mut text = String::new();
+        for (route, series) in self.burn.borrow().iter() {
+            for window in WINDOWS {
+                let count = series.within(window, now);
+                let labels = format!("{{route=\"{route}\",window_s=\"{}\"}}", window.as_secs());
+                // Writing to a string can't fail.
+                let _written = writeln!(text, "gatespool_good{labels} {}", count.good);
+                let _written = writeln!(text, "gatespool_all{labels} {}", count.all);
+                let burn = count.burn(GOOD_SHARE);
+                let _written = writeln!(text, "gatespool_burn{labels} {burn:.3}");
+            }
+        }
+        text
+    }
+
     fn text(&self) -> String {
         let sums = crate::fleet::lock(&self.sink.0);
         let mut text = String::new();
@@ -138,6 +173,7 @@
 
 fn metrics(node: &Node) -> String {
     let mut text = node.measure.text();
+    text.push_str(&node.measure.burn_text(Instant::now()));
     let counts = node.store.bare().counts();
     let [online, batch] = node.accounts.in_use();
     let gauges = [
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -147,6 +147,8 @@
         let fault = match read {
             Ok(Ok(body)) => {
                 begun.lease.end(End::Good);
+                let is_good = trip.call.started.elapsed() <= trip.route.objective;
+                trip.node.measure.note(&trip.route.name, is_good, Instant::now());
                 return Ok(respond(head, Body::Whole(body)));
             }
             Ok(Err(fault)) => fault,
@@ -374,6 +376,7 @@
             Failed::TimeOver => (504, "time over"),
         };
         let is_repeatable = self.route.is_repeatable();
+        self.node.measure.note(&self.route.name, false, Instant::now());
         slog::info!(self.node.log, "request failed"; "request" => &call.id, "cause" => cause,
             "status" => status, "route" => &self.route.name, "service" => &self.service,
             "config" => self.version, "sent" => self.sent, "avoided" => ?self.avoid,
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -239,9 +239,12 @@
         let node = self.node();
         let age = call.started.elapsed();
         node.measure.time("stream.whole", age);
-        if let Some(first) = self.tally.first_after(call.started) {
-            node.measure.time("stream.first", first);
-        }
+        let route = &self.trip.route;
+        let first = self.tally.first_after(call.started);
+        first.into_iter().for_each(|first| node.measure.time("stream.first", first));
+        let is_in_time = first.is_some_and(|first| first <= route.objective);
+        let is_good = fault.is_empty() && is_in_time && self.tally.slowest <= route.gap;
+        node.measure.note(&route.name, is_good, Instant::now());
         slog::info!(node.log, "{}", what; "request" => &call.id, "target" => target,
             "route" => &self.trip.route.name, "config" => self.trip.version,
             "fault" => fault, "pieces" => self.tally.pieces, "sent" => self.trip.sent,
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -11,6 +11,7 @@
 use protocol::settings::Settings;
 use slog::Logger;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -33,10 +34,10 @@
 /// # Errors
 ///
 /// When an address can't be bound or a signal can't be handled.
-pub fn run(settings: Settings, log: Logger) -> anyhow::Result<()> {
+pub fn run(settings: Settings, file: &Path, log: Logger) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
-    local.block_on(&runtime, serve_all(settings, log))
+    local.block_on(&runtime, serve_all(settings, file, log))
 }
 
 fn member(settings: &Settings, front: SocketAddr, peer: SocketAddr) -> Member {
@@ -55,7 +56,7 @@
     http::listen(address).with_context(|| format!("can't listen on {address}"))
 }
 
-async fn serve_all(settings: Settings, log: Logger) -> anyhow::Result<()> {
+async fn serve_all(settings: Settings, file: &Path, log: Logger) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
     let mut reload = signal(SignalKind::hangup()).context("SIGHUP")?;
     let front = bind(settings.front)?;
@@ -87,7 +88,7 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = reload.recv() => slog::info!(node.log, "reload"; "changed" => "nothing"),
+            _ = reload.recv() => reload_settings(&node, file),
         }
     }
     drain(&node, &front_stop).await;
@@ -96,6 +97,17 @@
     Ok(())
 }
 
+/// Reads the settings again. Addresses and bounds are bound to the process, so
+/// what has changed takes effect at the next start; a file with a fault is told
+/// now rather than then.
+fn reload_settings(node: &Node, file: &Path) {
+    match Settings::read(file) {
+        Ok(settings) => slog::info!(node.log, "reload";
+            "changed" => settings != node.settings, "takes_effect" => "next start"),
+        Err(fault) => slog::error!(node.log, "reload"; "fault" => %fault),
+    }
+}
+
 /// A planned stop: not ready any more, jobs handed over, answers brought to
 /// their end.
 async fn drain(node: &Rc<Node>, front: &CancellationToken) {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -34,7 +34,7 @@
     let log = daemon::logging::json(&settings.log_level, &settings.data_centre);
     match settings.duty {
         Duty::Own => {}
-        Duty::Gateway => return daemon::gateway::run(settings, log),
+        Duty::Gateway => return daemon::gateway::run(settings, &options.settings, log),
         Duty::Standby => return daemon::standby::run(&log),
     }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
--- a/crates/daemon/src/standby.rs
+++ b/crates/daemon/src/standby.rs
@@ -21,7 +21,7 @@
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
-                _ = reload.recv() => slog::info!(log, "reload"; "changed" => "nothing"),
+                _ = reload.recv() => slog::info!(log, "reload"; "takes_effect" => "next start"),
             }
         }
         slog::info!(log, "stopped"; "duty" => "standby");
