--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -14,154 +14,18 @@
 //!
 //! It does no I/O: whoever runs it carries its verdicts to the holders.
 
+mod lease;
+
+pub use lease::{
+    Ask, End, Grant, Held, LeaseId, Policy, Purpose, Report, Revocation, Verdict, WaiterId,
+};
+
 use crate::eject::{Health, Use};
 use crate::{InstanceId, TargetId};
 use protocol::routing::Target;
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// Identifies a lease; unique for each account.
-pub type LeaseId = u64;
-/// Identifies who waits for a lease.
-pub type WaiterId = u64;
-
-/// What a lease is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Purpose {
-    /// Somebody waits for the answer.
-    Online,
-    /// An item of a batch job; it can be stopped at any time.
-    Batch,
-}
-
-/// How an account works; the figures come from the measured rounds.
-#[derive(Clone, Copy, Debug)]
-pub struct Policy {
-    /// Share of a service's slots that batch leaves free, so that not every
-    /// online request has to stop an item. A stopped item reads its prompt anew.
-    pub headroom: f64,
-    /// Time in which a new account hands out nothing to batch, until holders
-    /// have reported what they hold. A few round trips.
-    pub settle: Duration,
-    /// A lease that its holder doesn't report is dropped when it is older than
-    /// this; younger ones may have crossed the report.
-    pub crossing: Duration,
-    /// Share of a request's patience that the expected wait may take.
-    pub hope: f64,
-    /// A target whose events come this many times slower than the median is
-    /// used last.
-    pub slow: f64,
-    /// Weight of the newest measurement in a running mean.
-    pub fresh: f64,
-}
-
-impl Default for Policy {
-    fn default() -> Policy {
-        Policy {
-            headroom: 0.06,
-            settle: Duration::from_millis(300),
-            crossing: Duration::from_secs(1),
-            hope: 0.8,
-            slow: 2.0,
-            fresh: 0.2,
-        }
-    }
-}
-
-/// A wish for a slot.
-#[derive(Clone, Debug)]
-pub struct Ask {
-    /// Who asks.
-    pub holder: InstanceId,
-    /// Service whose targets will do.
-    pub service: String,
-    /// What the slot is for.
-    pub purpose: Purpose,
-    /// Order among those that wait: the earliest goes first.
-    pub urgency: Instant,
-    /// Until when the slot is of full use; a wait beyond it isn't begun.
-    pub useful_until: Instant,
-    /// Until when the request can still be refused without harm.
-    pub refuse_by: Instant,
-    /// Targets that won't do.
-    pub avoid: Vec<TargetId>,
-    /// Whether it may wait.
-    pub may_wait: bool,
-}
-
-/// A lease on a slot.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Grant {
-    /// The lease.
-    pub lease: LeaseId,
-    /// The target.
-    pub target: TargetId,
-    /// Where the target is reached.
-    pub address: SocketAddr,
-}
-
-/// A lease that batch must give back at once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Revocation {
-    /// The lease.
-    pub lease: LeaseId,
-    /// Who holds it.
-    pub holder: InstanceId,
-}
-
-/// The answer to a wish.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// A slot, and what has to be stopped for it.
-    Granted(Grant, Option<Revocation>),
-    /// It waits; an answer follows.
-    Waiting(WaiterId),
-    /// Nothing is free; a slot is expected after this long.
-    Full(Duration),
-    /// There is no target of that service here.
-    Unknown,
-}
-
-/// How a lease was used.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Report {
-    /// How it ended.
-    pub end: End,
-    /// Time to the first event, if one came.
-    pub first: Option<Duration>,
-    /// Mean time between events, if several came.
-    pub pace: Option<Duration>,
-}
-
-/// How the use of a lease ended.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub enum End {
-    /// The answer came to its end.
-    #[default]
-    Good,
-    /// It was not used, or stopped by its holder.
-    Unused,
-    /// The target turned the request away.
-    Refused,
-    /// The answer broke off or was no answer.
-    Broken,
-    /// The target can't be reached or says nothing.
-    Silent,
-}
-
-/// A lease as its holder reports it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Held {
-    /// The lease.
-    pub lease: LeaseId,
-    /// The target.
-    pub target: TargetId,
-    /// What it is for.
-    pub purpose: Purpose,
-}
-
 #[derive(Clone, Debug)]
 struct Lease {
     target: TargetId,
--- /dev/null
+++ b/crates/daemon/src/gateway/board.rs
@@ -0,0 +1,290 @@
+//! Jobs that this instance knows of: those in its memory, and how all others
+//! stand by their holders' word.
+
+use super::message::{Ask, Reply, Standing};
+use super::node::Node;
+use super::{peers, record};
+use coordination::hash;
+use coordination::member::Member;
+use platform::store::Object;
+use protocol::ServiceId;
+use protocol::routing::Route;
+use state::progress::{Job, JobId, Progress, Sheet};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio_util::sync::CancellationToken;
+
+/// How jobs stand is told together that comes within this time: each message
+/// goes to every member.
+const TELL: Duration = Duration::from_millis(60);
+/// Longest wait for another instance to know of a job.
+const WITNESS: Duration = Duration::from_millis(60);
+/// Attempts of an item when its route no longer tells.
+const ATTEMPTS: u32 = 3;
+/// Pause before others are asked again how jobs stand.
+const LEARN_AGAIN: Duration = Duration::from_millis(500);
+
+/// One job in memory.
+pub struct Held {
+    /// Its sheet.
+    pub sheet: RefCell<Sheet>,
+    /// Revision of its object.
+    pub revision: Cell<u64>,
+    /// Woken when results or the end have become durable.
+    pub changed: Notify,
+    /// Woken when there is something to write.
+    pub(super) dirty: Notify,
+    /// When the oldest result that isn't durable came.
+    pub(super) oldest: Cell<Option<Instant>>,
+    /// Cancelled when the job's submitter has ended it: its runs stop.
+    pub(super) ended: CancellationToken,
+    /// Cancelled when this instance no longer holds the job.
+    pub released: CancellationToken,
+    /// Whether it only serves reads: nothing is left to run.
+    pub is_frozen: bool,
+}
+
+impl Held {
+    /// The job has ended: its runs stop.
+    pub fn stop_runs(&self) {
+        self.ended.cancel();
+    }
+
+    /// Something is to be written.
+    pub fn wake(&self) {
+        if self.sheet.borrow().fresh() > 0 && self.oldest.get().is_none() {
+            self.oldest.set(Some(Instant::now()));
+        }
+        self.dirty.notify_one();
+    }
+}
+
+/// All jobs that this instance knows of.
+#[derive(Default)]
+pub struct Board {
+    /// Jobs in memory here.
+    pub cells: RefCell<HashMap<JobId, Rc<Held>>>,
+    /// How jobs stand by their holders' word.
+    pub directory: RefCell<HashMap<JobId, Standing>>,
+    /// What is to be told to all others.
+    outbox: RefCell<HashMap<JobId, Standing>>,
+    /// When another instance's open jobs were last asked for.
+    pub learnt: Cell<Option<Instant>>,
+    pub(super) work: Notify,
+    pub(super) filling: RefCell<HashSet<(String, ServiceId)>>,
+}
+
+impl Board {
+    /// Jobs in memory.
+    pub fn held(&self) -> usize {
+        self.cells.borrow().len()
+    }
+
+    /// A word about a job; an earlier one is passed over.
+    pub fn on_standing(&self, standing: Standing) {
+        let mut directory = self.directory.borrow_mut();
+        let known = directory.get(&standing.job);
+        if known.is_none_or(|known| known.revision <= standing.revision) {
+            directory.insert(standing.job.clone(), standing);
+        }
+    }
+
+    /// Something has changed for items that wait.
+    pub fn wake(&self) {
+        self.work.notify_one();
+    }
+
+    /// The job, if it is in memory here.
+    pub fn cell(&self, job: &str) -> Option<Rc<Held>> {
+        self.cells.borrow().get(job).cloned()
+    }
+
+    /// Tokens that wait on a route, over all instances.
+    pub fn waiting_tokens(&self, node: &Node, route: &str) -> u64 {
+        let cells = self.cells.borrow();
+        let held = cells.values().filter(|held| !held.is_frozen);
+        let here: u64 = held
+            .map(|held| held.sheet.borrow())
+            .filter(|sheet| route_of(node, sheet.job()).is_some_and(|found| found.name == route))
+            .map(|sheet| sheet.waiting_tokens())
+            .sum();
+        let directory = self.directory.borrow();
+        let others = directory.values().filter(|standing| {
+            standing.route == route && !standing.is_settled && !cells.contains_key(&standing.job)
+        });
+        here + others.map(|standing| standing.waiting_tokens).sum::<u64>()
+    }
+}
+
+/// A holder's word; if it speaks of a job that is held here, the platform tells
+/// whose it is.
+pub fn on_standing(node: &Rc<Node>, standing: Standing) {
+    let held = node.board.cell(&standing.job).filter(|held| !held.is_frozen);
+    if let Some(held) = held
+        && standing.holder.instance != node.id()
+        && standing.revision > held.revision.get()
+    {
+        let node = node.clone();
+        spawn_local(async move { record::verify(&node, &held).await });
+    }
+    node.board.on_standing(standing);
+}
+
+/// The route of a job in the configuration in force.
+pub fn route_of(node: &Node, job: &Job) -> Option<Route> {
+    let config = node.config()?;
+    config.table.find(&job.host, &job.path).cloned()
+}
+
+/// Reads a job from its object.
+///
+/// # Errors
+///
+/// What is wrong with the object.
+pub fn read(object: &Object) -> Result<(Job, Progress), serde_json::Error> {
+    let job = serde_json::from_str(object.spec.get())?;
+    let progress: Option<Progress> = serde_json::from_str(object.status.get())?;
+    Ok((job, progress.unwrap_or_default()))
+}
+
+/// Puts a job into memory and, unless it is settled, begins to run it.
+pub fn hold(node: &Rc<Node>, job: Job, progress: Progress, revision: u64) -> Rc<Held> {
+    let id = job.id.clone();
+    let attempts = route_of(node, &job).map_or(ATTEMPTS, |route| route.attempts);
+    let sheet = Sheet::new(job, progress, attempts);
+    let is_frozen = sheet.is_settled();
+    let held = Rc::new(Held {
+        sheet: RefCell::new(sheet),
+        revision: Cell::new(revision),
+        changed: Notify::new(),
+        dirty: Notify::new(),
+        oldest: Cell::new(None),
+        ended: CancellationToken::new(),
+        released: CancellationToken::new(),
+        is_frozen,
+    });
+    node.board.cells.borrow_mut().insert(id, held.clone());
+    if !is_frozen {
+        spawn_local(record::write_all(node.clone(), held.clone()));
+        announce(node, &held);
+        node.board.wake();
+    }
+    held
+}
+
+/// This instance no longer holds the job: its runs stop.
+pub fn release(node: &Node, held: &Held) {
+    held.released.cancel();
+    let id = held.sheet.borrow().job().id.clone();
+    node.board.cells.borrow_mut().remove(&id);
+    held.changed.notify_waiters();
+}
+
+fn standing(node: &Node, held: &Held) -> Standing {
+    let sheet = held.sheet.borrow();
+    Standing {
+        job: sheet.job().id.clone(),
+        holder: node.as_holder(),
+        data_centre: node.data_centre().clone(),
+        revision: held.revision.get(),
+        route: route_of(node, sheet.job()).map_or_else(String::new, |route| route.name),
+        waiting_tokens: sheet.waiting_tokens(),
+        is_settled: sheet.is_settled(),
+    }
+}
+
+/// Tells all others how a job stands, together with what else is to be told soon.
+pub fn announce(node: &Rc<Node>, held: &Held) {
+    let standing = standing(node, held);
+    let is_first = {
+        let mut outbox = node.board.outbox.borrow_mut();
+        outbox.insert(standing.job.clone(), standing);
+        outbox.len() == 1
+    };
+    if !is_first {
+        return;
+    }
+    let node = node.clone();
+    spawn_local(async move {
+        tokio::time::sleep(TELL).await;
+        let standings = std::mem::take(&mut *node.board.outbox.borrow_mut());
+        node.tell_all(&Ask::Standings(standings.into_values().collect()));
+    });
+}
+
+/// Has two other instances know of a job before its submitter is answered, so
+/// that it is missed at once if this instance is lost in the next moment. Without
+/// an answer from them it is found by a look through all jobs, later.
+pub async fn tell_witnesses(node: &Rc<Node>, held: &Held) {
+    let now = Instant::now();
+    let mut members = node.others();
+    members.retain(|member| !node.is_shunned(member.peer, now));
+    // One far and one near, where there are such.
+    let near = |member: &Member| member.data_centre == *node.data_centre();
+    let id = held.sheet.borrow().job().id.clone();
+    members.sort_by_key(|member| hash::weight(id.as_bytes(), member.id));
+    let witnesses =
+        [members.iter().find(|member| !near(member)), members.iter().find(|member| near(member))];
+    let ask = Ask::Standings(vec![standing(node, held)]);
+    let tell = |witness: Option<&Member>| {
+        let (node, ask) = (node.clone(), ask.clone());
+        let address = witness.map(|member| member.peer);
+        async move {
+            match address {
+                Some(address) => node.ask(address, &ask, WITNESS).await.is_ok(),
+                None => false,
+            }
+        }
+    };
+    let (far, near) = tokio::join!(tell(witnesses[0]), tell(witnesses[1]));
+    if !far && !near {
+        slog::info!(node.log, "job without witness"; "job" => id, "members" => members.len());
+    }
+}
+
+/// How jobs stand that are known here.
+pub fn directory(node: &Node, is_open_only: bool) -> Vec<Standing> {
+    let cells = node.board.cells.borrow();
+    let own = cells.values().filter(|held| !held.is_frozen).map(|held| standing(node, held));
+    let directory = node.board.directory.borrow();
+    let others = directory.values().filter(|standing| !cells.contains_key(&standing.job));
+    let all = own.chain(others.cloned());
+    all.filter(|standing| !(is_open_only && standing.is_settled)).collect()
+}
+
+/// A number that two instances share if they know the same open jobs and holders.
+pub fn digest(node: &Node) -> u64 {
+    let standings = directory(node, true);
+    let one = |standing: &Standing| hash::weight(standing.job.as_bytes(), standing.holder.instance);
+    standings.iter().map(one).fold(0, u64::wrapping_add)
+}
+
+/// Learns from another instance how jobs stand, after a start.
+pub async fn learn(node: &Rc<Node>) {
+    loop {
+        for member in node.others() {
+            if learn_from(node, member.peer, false).await {
+                return;
+            }
+        }
+        tokio::time::sleep(LEARN_AGAIN).await;
+    }
+}
+
+/// Learns how jobs stand from one instance; `false` when it didn't answer.
+pub async fn learn_from(node: &Rc<Node>, address: SocketAddr, is_open_only: bool) -> bool {
+    let ask = Ask::Directory(is_open_only);
+    let reply = node.ask(address, &ask, peers::PING_TIMEOUT).await;
+    let Ok(Reply::Standings(standings)) = reply else {
+        return false;
+    };
+    slog::info!(node.log, "jobs learnt"; "from" => %address, "jobs" => standings.len(),
+        "open_only" => is_open_only);
+    standings.into_iter().for_each(|standing| on_standing(node, standing));
+    true
+}
--- a/crates/daemon/src/gateway/feed.rs
+++ b/crates/daemon/src/gateway/feed.rs
@@ -125,7 +125,7 @@
         let is_due = node.board.learnt.get().is_none_or(|at| at.elapsed() >= LEARN_EVERY);
         if mark.jobs != node.mark().jobs && is_due {
             node.board.learnt.set(Some(now));
-            super::holder::learn_from(&node, others[at].peer, true).await;
+            super::board::learn_from(&node, others[at].peer, true).await;
         }
         if let Some((version, text)) = config {
             on_config(&node, version, &text, "compared");
@@ -193,7 +193,7 @@
     let addresses: Vec<SocketAddr> = registry.usable().map(|target| target.address).collect();
     drop(registry);
     node.targets.retain(|address| addresses.contains(&address));
-    super::account::pump(node);
+    super::keeper::pump(node);
     node.board.wake();
 }
 
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -1,7 +1,7 @@
 //! Callers' requests: which route they take, and which call they are.
 
 use super::node::{Config, Node};
-use super::{jobs, online};
+use super::{jobs, online, submit};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -132,7 +132,7 @@
     call: Call,
 ) -> Result<Response<Body>, Broken> {
     if route.class == Class::Batch {
-        return Ok(jobs::submit(node, &route, &call).await);
+        return Ok(submit::submit(node, &route, &call).await);
     }
     online::serve(node, config, Rc::new(route), Rc::new(call)).await
 }
--- /dev/null
+++ b/crates/daemon/src/gateway/items.rs
@@ -0,0 +1,301 @@
+//! Runs the items of held jobs on slots that online leaves free.
+
+use super::account::{self, Lease};
+use super::board::{Held, route_of};
+use super::node::{Node, millis};
+use super::online::{is_not_run, is_own};
+use super::{record, takeover};
+use bytes::Bytes;
+use coordination::hash;
+use coordination::slots::End;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+use platform::{header, job};
+use protocol::ServiceId;
+use state::progress::{Failure, Item, Outcome, Partial, Sheet};
+use std::collections::{BTreeSet, HashSet};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::spawn_local;
+use tokio_util::sync::CancellationToken;
+use transport::event::Splitter;
+use transport::upstream::{Exchange, Failure as Unsent};
+
+/// Time between looks for items when nothing has happened.
+const LOOK: Duration = Duration::from_millis(500);
+/// Longest wait of one request for slots; the account answers when it has one.
+const SLOT_WAIT: Duration = Duration::from_millis(800);
+/// Pause after a request for slots that failed.
+const SLOT_PAUSE: Duration = Duration::from_millis(150);
+/// Most slots asked for at once.
+const MOST_SLOTS: usize = 4;
+/// An engine that sends nothing for this long is taken for silent. Prompts are
+/// read and tokens made within tens of milliseconds; an engine that runs five
+/// times slower still stays below it.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// Pause before an item runs again whose run broke off or was turned away.
+const ITEM_PAUSE: Duration = Duration::from_millis(100);
+/// Longest answer of a target that isn't a stream and is looked at.
+const MOST_BODY: usize = 1 << 20;
+
+/// Hands items to slots until `stop`.
+pub async fn run(node: Rc<Node>, stop: CancellationToken) {
+    loop {
+        tokio::select! {
+            () = node.board.work.notified() => {}
+            () = tokio::time::sleep(LOOK) => {}
+            () = stop.cancelled() => return,
+        }
+        if node.is_stopping() {
+            continue;
+        }
+        for service in services(&node) {
+            let registry = node.registry.borrow();
+            let of_service = registry.usable().filter(|target| target.service == service);
+            let places: BTreeSet<String> = of_service.map(|t| t.data_centre.clone()).collect();
+            drop(registry);
+            for place in places {
+                let key = (place, service.clone());
+                if node.board.filling.borrow_mut().insert(key.clone()) {
+                    spawn_local(fill(node.clone(), key.0, key.1, stop.clone()));
+                }
+            }
+        }
+    }
+}
+
+/// Services that items wait for.
+fn services(node: &Node) -> HashSet<ServiceId> {
+    let cells = node.board.cells.borrow();
+    let held = cells.values().filter(|held| held.sheet.borrow().runnable() > 0);
+    held.filter_map(|held| service_of(node, &held.sheet.borrow())).collect()
+}
+
+fn service_of(node: &Node, sheet: &Sheet) -> Option<ServiceId> {
+    let job = sheet.job();
+    let draw = hash::of(job.id.as_bytes());
+    route_of(node, job)?.service(draw).cloned()
+}
+
+/// Held jobs with items that wait for the service, the most urgent first.
+fn waiting(node: &Node, service: &str) -> Vec<Rc<Held>> {
+    let cells = node.board.cells.borrow();
+    let fits = |held: &&Rc<Held>| {
+        let sheet = held.sheet.borrow();
+        sheet.runnable() > 0 && service_of(node, &sheet).as_deref() == Some(service)
+    };
+    let mut held: Vec<Rc<Held>> = cells.values().filter(fits).cloned().collect();
+    held.sort_by_key(|held| held.sheet.borrow().job().due);
+    held
+}
+
+/// Gets slots of one data centre for one service as long as items wait.
+async fn fill(node: Rc<Node>, place: String, service: ServiceId, stop: CancellationToken) {
+    while !stop.is_cancelled() && !node.is_stopping() {
+        let waiting = waiting(&node, &service);
+        let Some(first) = waiting.first() else {
+            break;
+        };
+        let due = first.sheet.borrow().job().due.saturating_sub(millis());
+        let runnable: usize = waiting.iter().map(|held| held.sheet.borrow().runnable()).sum();
+        drop(waiting);
+        let most = runnable.min(MOST_SLOTS);
+        let due = Duration::from_millis(due);
+        let leases = account::acquire_batch(&node, &place, &service, due, most, SLOT_WAIT).await;
+        match leases {
+            Some(leases) => leases.into_iter().for_each(|lease| start(&node, &service, lease)),
+            None => tokio::time::sleep(SLOT_PAUSE).await,
+        }
+    }
+    node.board.filling.borrow_mut().remove(&(place, service));
+}
+
+/// Runs the most urgent item on a slot; without one, the slot goes back.
+fn start(node: &Rc<Node>, service: &str, lease: Lease) {
+    if node.is_stopping() {
+        return;
+    }
+    for held in waiting(node, service) {
+        let item = held.sheet.borrow_mut().start_next(millis());
+        if let Some(item) = item {
+            spawn_local(run_item(node.clone(), held, item, lease));
+            return;
+        }
+    }
+}
+
+/// How a run of an item ended.
+enum Ended {
+    Complete,
+    Failed(Failure),
+    /// It goes on later, where it stopped.
+    Stopped(End, String),
+}
+
+async fn run_item(node: Rc<Node>, held: Rc<Held>, item: Item, lease: Lease) {
+    let mut partial = held.sheet.borrow().partial(&item.id);
+    let before = partial.texts.len();
+    let began = Instant::now();
+    let target = lease.grant.target.clone();
+    let ended = tokio::select! {
+        ended = attempt(&node, &held, &item, &lease, &mut partial) => ended,
+        () = lease.stop.cancelled() => Ended::Stopped(End::Unused, String::from("revoked")),
+        () = held.released.cancelled() => Ended::Stopped(End::Unused, String::from("released")),
+        () = held.ended.cancelled() => Ended::Stopped(End::Unused, String::from("job ended")),
+    };
+    let mut lease = lease;
+    let made = partial.texts.len() - before.min(partial.texts.len());
+    if made > 1 {
+        lease.report.pace = Some(began.elapsed() / made as u32);
+    }
+    let (how, fault) = match &ended {
+        Ended::Complete => ("complete", String::new()),
+        Ended::Failed(failure) => ("failed", format!("{failure:?}")),
+        Ended::Stopped(_, fault) => ("stopped", fault.clone()),
+    };
+    slog::info!(node.log, "item run"; "item" => &item.id,
+        "job" => &held.sheet.borrow().job().id, "target" => target, "how" => how,
+        "fault" => &fault, "events" => partial.texts.len(), "resumed_at" => before,
+        "ran_ms" => began.elapsed().as_millis() as u64);
+    let mut pause = Duration::ZERO;
+    match ended {
+        Ended::Complete => {
+            lease.end(End::Good);
+            let text = partial.texts.join("\n");
+            let outcome = Outcome { item: item.id.clone(), is_complete: true, text };
+            held.sheet.borrow_mut().on_done(&item.id, outcome);
+        }
+        Ended::Failed(failure) => {
+            lease.end(End::Good);
+            held.sheet.borrow_mut().on_failed(&item.id, failure);
+        }
+        Ended::Stopped(end, _) => {
+            lease.end(end);
+            if end != End::Unused {
+                pause = ITEM_PAUSE;
+            }
+            held.sheet.borrow_mut().on_stopped(&item.id, partial);
+        }
+    }
+    held.wake();
+    tokio::time::sleep(pause).await;
+    node.board.wake();
+}
+
+async fn attempt(
+    node: &Rc<Node>,
+    held: &Held,
+    item: &Item,
+    lease: &Lease,
+    partial: &mut Partial,
+) -> Ended {
+    let host = held.sheet.borrow().job().host.clone();
+    let request = match request(&host, item, lease, partial) {
+        Ok(request) => request,
+        Err(fault) => {
+            slog::warn!(node.log, "item can't be sent"; "item" => &item.id, "fault" => &fault);
+            return Ended::Failed(Failure::Impossible);
+        }
+    };
+    let sent = node.targets.send(lease.grant.address, request);
+    let mut exchange = match tokio::time::timeout(SILENCE, sent).await {
+        Ok(Ok(exchange)) => exchange,
+        Ok(Err(Unsent::NotSent(fault))) => return Ended::Stopped(End::Silent, fault),
+        Ok(Err(Unsent::Lost(fault))) => return Ended::Stopped(End::Broken, fault),
+        Err(_) => return Ended::Stopped(End::Silent, String::from("no answer in time")),
+    };
+    let head = exchange.head();
+    if is_not_run(head) {
+        return Ended::Stopped(End::Refused, format!("turned away with {}", head.status));
+    }
+    if !is_own(&head.headers, &item.id) {
+        return Ended::Stopped(End::Broken, String::from("an answer to another request"));
+    }
+    let status = head.status;
+    if status.is_success() {
+        return take_events(&mut exchange, partial).await;
+    }
+    // Reading the rest keeps the connection.
+    let rest = exchange.whole(MOST_BODY).await;
+    slog::info!(node.log, "item failed"; "item" => &item.id, "status" => status.as_u16(),
+        "target" => &lease.grant.target, "whole" => rest.is_ok());
+    match status {
+        StatusCode::UNPROCESSABLE_ENTITY => Ended::Failed(Failure::Impossible),
+        StatusCode::INTERNAL_SERVER_ERROR => Ended::Failed(Failure::Failed),
+        _ => Ended::Stopped(End::Broken, format!("answered with {status}")),
+    }
+}
+
+async fn take_events(exchange: &mut Exchange, partial: &mut Partial) -> Ended {
+    let broken = |fault: &str| Ended::Stopped(End::Broken, fault.to_owned());
+    let mut splitter = Splitter::default();
+    loop {
+        let piece = match tokio::time::timeout(SILENCE, exchange.next()).await {
+            Err(_) => return Ended::Stopped(End::Silent, String::from("silent")),
+            Ok(Err(fault)) => return broken(&fault),
+            Ok(Ok(None)) if !splitter.is_empty() => return broken("ended within an event"),
+            Ok(Ok(None)) => return Ended::Complete,
+            Ok(Ok(Some(piece))) => piece,
+        };
+        if !splitter.push(&piece) {
+            return broken("an event is too long");
+        }
+        while let Some(event) = splitter.next_event() {
+            let is_known = match (event.id, partial.last_event) {
+                (Some(id), Some(last)) => id <= last,
+                _ => false,
+            };
+            if is_known {
+                continue;
+            }
+            partial.last_event = event.id.or(partial.last_event);
+            partial.texts.extend(event.data());
+        }
+    }
+}
+
+fn request(
+    host: &str,
+    item: &Item,
+    lease: &Lease,
+    partial: &Partial,
+) -> Result<Request<Full<Bytes>>, String> {
+    let body = job::body_of(&item.body)?;
+    let mut builder = Request::post(&item.path);
+    for (name, value) in &item.headers {
+        builder = builder.header(name, value);
+    }
+    builder = builder.header("host", host);
+    builder = builder.header(header::REQUEST_ID, &item.id);
+    builder = builder.header(header::TARGET, &lease.grant.target);
+    if let Some(last) = partial.last_event {
+        builder = builder.header(header::LAST_EVENT, last.to_string());
+    }
+    builder.body(Full::new(body)).map_err(|error| error.to_string())
+}
+
+/// Gives all jobs to other instances, with what their runs have made.
+pub async fn hand_over(node: &Rc<Node>) {
+    let cells: Vec<Rc<Held>> = node.board.cells.borrow().values().cloned().collect();
+    let open: Vec<Rc<Held>> =
+        cells.into_iter().filter(|h| !h.sheet.borrow().is_settled()).collect();
+    for held in &open {
+        held.released.cancel();
+    }
+    // The runs put down what they have made.
+    tokio::task::yield_now().await;
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    for held in open {
+        let is_fresh = held.sheet.borrow().draft().is_some();
+        if is_fresh && !record::write(node, &held).await {
+            slog::warn!(node.log, "results not written before the stop";
+                "job" => &held.sheet.borrow().job().id);
+        }
+        let (id, partials) = {
+            let sheet = held.sheet.borrow();
+            (sheet.job().id.clone(), sheet.partials().clone())
+        };
+        node.board.cells.borrow_mut().remove(&id);
+        takeover::pass(node, &id, partials).await;
+    }
+}
--- a/crates/daemon/src/gateway/jobs.rs
+++ b/crates/daemon/src/gateway/jobs.rs
@@ -1,15 +1,13 @@
 //! Calls of batch jobs: submission, results, an item's body, the end.
 
-use super::front::{Call, refusal, set, text};
-use super::holder::{self, Held};
-use super::message::{Acceptance, Ask, Reply};
-use super::node::{Node, millis};
-use super::takeover;
-use bytes::Bytes;
+use super::board::{self, Held};
+use super::front::{refusal, set, text};
+use super::message::{Ask, Reply};
+use super::node::Node;
+use super::{submit, takeover};
 use hyper::{HeaderMap, Response};
 use platform::store::Fault;
 use platform::{header, job};
-use protocol::routing::Route;
 use protocol::{Error, Kind};
 use state::progress::{Job, Outcome, Progress};
 use std::collections::HashMap;
@@ -21,17 +19,6 @@
 const LONGEST_HOLD: Duration = Duration::from_secs(5);
 /// Time for a holder to answer, on top of the time for which a read is held.
 const HOLDER_ANSWER: Duration = Duration::from_millis(400);
-/// Longest wait for an instance that keeps a submission in our place.
-const RELAY_LIMIT: Duration = Duration::from_millis(900);
-/// Instances that are asked to keep a submission in our place.
-const RELAYS: usize = 2;
-/// Share of the caller's time that may go into finding out what became of a
-/// submission whose answer was lost.
-const DOUBT_SHARE: f64 = 0.4;
-/// Pause before a submission is tried again whose answer was lost.
-const AGAIN: Duration = Duration::from_millis(50);
-/// When a caller comes back whose job didn't fit, or while the platform is away.
-const COME_BACK: Duration = Duration::from_millis(500);
 /// Longest wait for the end of a job to become durable.
 const END_LIMIT: Duration = Duration::from_millis(2_500);
 /// Tries to write an end while others write to the job.
@@ -40,205 +27,6 @@
 /// Header of an answer of our own.
 const CONTENT_TYPE_NAME: &str = "content-type";
 
-/// Answers a submission.
-pub async fn submit(node: &Rc<Node>, route: &Route, call: &Call) -> Response<Body> {
-    let until = call.started + call.left(call.started).mul_f64(DOUBT_SHARE);
-    let mut acceptance = accept(node, route, call, until).await;
-    if acceptance == Acceptance::Refused && !node.is_stopping() || node.store.is_doubtful() {
-        let is_open = matches!(acceptance, Acceptance::Refused | Acceptance::Unknown);
-        if is_open {
-            acceptance = relay(node, call, acceptance).await;
-        }
-    }
-    slog::info!(node.log, "submission"; "job" => &call.id, "route" => &route.name,
-        "acceptance" => ?acceptance, "bytes" => call.body.len(),
-        "age_ms" => call.started.elapsed().as_millis() as u64);
-    answer(node, &call.id, acceptance)
-}
-
-fn answer(node: &Node, id: &str, acceptance: Acceptance) -> Response<Body> {
-    let refuse = |kind, message| {
-        let mut error = Error::new(kind, message);
-        error.retry_after = Some(COME_BACK);
-        refusal(node, id, &error)
-    };
-    match acceptance {
-        Acceptance::Accepted => text(202, "accepted"),
-        Acceptance::Full => refuse(Kind::CallerLimit, "too many tokens wait on the route"),
-        Acceptance::Refused => refuse(Kind::PlatformAway, "the platform is away"),
-        Acceptance::Unknown => text(502, "nobody can say whether the job is kept"),
-        Acceptance::Malformed => text(400, "the submission can't be understood"),
-    }
-}
-
-/// A submission that another instance couldn't put on the platform.
-pub async fn on_submit(
-    node: &Rc<Node>,
-    host: &str,
-    path: &str,
-    id: &str,
-    body: &[u8],
-) -> Acceptance {
-    let Some(config) = node.config() else {
-        return Acceptance::Refused;
-    };
-    let Some(route) = config.table.find(host, path) else {
-        return Acceptance::Refused;
-    };
-    let now = Instant::now();
-    let call = Call {
-        id: id.to_owned(),
-        method: hyper::Method::POST,
-        target: path.to_owned(),
-        host: host.to_owned(),
-        headers: HeaderMap::new(),
-        body: Bytes::copy_from_slice(body),
-        is_again: false,
-        started: now,
-        until: now + RELAY_LIMIT,
-    };
-    accept(node, route, &call, now + RELAY_LIMIT.mul_f64(0.8)).await
-}
-
-/// Has other instances keep a submission.
-async fn relay(node: &Rc<Node>, call: &Call, acceptance: Acceptance) -> Acceptance {
-    let Ok(body) = std::str::from_utf8(&call.body) else {
-        return Acceptance::Malformed;
-    };
-    let path = call.target.split('?').next().unwrap_or_default().to_owned();
-    let ask =
-        Ask::Submit { host: call.host.clone(), path, job: call.id.clone(), body: body.to_owned() };
-    let now = Instant::now();
-    let blind = node.blind.borrow().clone();
-    let mut members = node.others();
-    members.retain(|member| !node.is_shunned(member.peer, now));
-    let is_blind = |id: &u64| blind.get(id).is_some_and(|until| now < *until);
-    // Cached: a key that is drawn anew at each comparison is no order.
-    members.sort_by_cached_key(|member| (is_blind(&member.id), rand::random::<u32>()));
-    let mut result = acceptance;
-    for member in members.into_iter().take(RELAYS) {
-        let reply = node.ask(member.peer, &ask, RELAY_LIMIT).await;
-        slog::info!(node.log, "submission relayed"; "job" => &call.id, "to" => %member.peer,
-            "reply" => ?reply);
-        match reply {
-            Ok(Reply::Submitted(Acceptance::Accepted)) => return Acceptance::Accepted,
-            Ok(Reply::Submitted(Acceptance::Refused)) => {}
-            Ok(Reply::Submitted(Acceptance::Full)) if result == Acceptance::Refused => {
-                return Acceptance::Full;
-            }
-            Err(transport::peer::Fault::NotSent(_)) => {}
-            Ok(_) | Err(_) => result = Acceptance::Unknown,
-        }
-    }
-    result
-}
-
-/// Keeps a job on the platform, or finds it kept already.
-async fn accept(node: &Rc<Node>, route: &Route, call: &Call, until: Instant) -> Acceptance {
-    let id = &call.id;
-    if node.board.cell(id).is_some() || node.board.directory.borrow().contains_key(id) {
-        return Acceptance::Accepted;
-    }
-    let Some(terms) = route.terms else {
-        return Acceptance::Malformed;
-    };
-    let items = match job::decode(&call.body) {
-        Ok(items) if !id.is_empty() => items,
-        Ok(_) => return Acceptance::Malformed,
-        Err(error) => {
-            slog::info!(node.log, "submission not understood"; "job" => id, "error" => error);
-            return Acceptance::Malformed;
-        }
-    };
-    let now = millis();
-    let job = Job {
-        id: id.clone(),
-        host: call.host.clone(),
-        path: call.target.split('?').next().unwrap_or_default().to_owned(),
-        accepted: now,
-        due: now + terms.due.as_millis() as u64,
-        give_up: now + terms.give_up.as_millis() as u64,
-        acceptor: node.as_holder(),
-        items,
-    };
-    let waiting = node.board.waiting_tokens(node, &route.name);
-    if terms.waiting_tokens > 0 && waiting + job.tokens() > terms.waiting_tokens {
-        slog::info!(node.log, "submission doesn't fit"; "job" => id, "waiting" => waiting,
-            "tokens" => job.tokens(), "most" => terms.waiting_tokens);
-        return is_kept(node, id).await;
-    }
-    create(node, job, until).await
-}
-
-/// A job that doesn't fit may have been kept before, when it did.
-async fn is_kept(node: &Rc<Node>, id: &str) -> Acceptance {
-    match node.store.get(job::KIND, id).await {
-        Ok(Some(_)) => Acceptance::Accepted,
-        Ok(None) => Acceptance::Full,
-        Err(fault) => {
-            slog::info!(node.log, "job not read"; "job" => id, "fault" => %fault);
-            Acceptance::Unknown
-        }
-    }
-}
-
-async fn create(node: &Rc<Node>, job: Job, until: Instant) -> Acceptance {
-    // Once an answer was lost, the job may be kept, and a refusal would be false.
-    let mut is_doubtful = false;
-    loop {
-        match node.store.create(job::KIND, &job.id, &job).await {
-            Ok(object) => {
-                let held = holder::hold(node, job, Progress::default(), object.revision);
-                holder::tell_witnesses(node, &held).await;
-                return Acceptance::Accepted;
-            }
-            Err(Fault::Conflict(_)) => {
-                found(node, &job.id).await;
-                return Acceptance::Accepted;
-            }
-            Err(Fault::Lost(fault)) => {
-                slog::info!(node.log, "submission in doubt"; "job" => &job.id, "fault" => fault);
-                is_doubtful = true;
-            }
-            Err(Fault::Away(_)) if !is_doubtful => return Acceptance::Refused,
-            Err(fault) => {
-                slog::info!(node.log, "submission in doubt"; "job" => &job.id,
-                    "fault" => %fault);
-            }
-        }
-        let pause = node.store.back_in(Instant::now()).max(AGAIN);
-        if Instant::now() + pause >= until {
-            return Acceptance::Unknown;
-        }
-        tokio::time::sleep(pause).await;
-    }
-}
-
-/// The job is kept already: its holder, if it lives, must know.
-async fn found(node: &Rc<Node>, id: &str) {
-    let object = match node.store.get(job::KIND, id).await {
-        Ok(Some(object)) => object,
-        Ok(None) => return,
-        Err(fault) => {
-            slog::info!(node.log, "job not read"; "job" => id, "fault" => %fault);
-            return;
-        }
-    };
-    let Ok((job, progress)) = holder::read(&object) else {
-        slog::error!(node.log, "job not understood"; "job" => id);
-        return;
-    };
-    let keeper = progress.holder.unwrap_or(job.acceptor);
-    let member = node.members.borrow().get(keeper.instance).cloned();
-    match member {
-        Some(member) => node.tell(member.peer, Ask::Adopt(id.to_owned(), HashMap::new())),
-        // Its own, or that of an instance that is gone.
-        None => {
-            takeover::adopt(node, id, HashMap::new()).await;
-        }
-    }
-}
-
 /// Answers a call about a job.
 pub async fn call(node: &Rc<Node>, call: job::Call, headers: &HeaderMap) -> Response<Body> {
     match call {
@@ -277,7 +65,7 @@
     slog::info!(node.log, "job in doubt"; "job" => id,
         "platform_away" => node.store.is_away(Instant::now()));
     let mut error = Error::new(Kind::PlatformAway, "the job can't be read now");
-    error.retry_after = Some(COME_BACK);
+    error.retry_after = Some(submit::COME_BACK);
     refusal(node, "", &error)
 }
 
@@ -353,7 +141,7 @@
                 return false;
             }
         };
-        let Ok((_, mut progress)) = holder::read(&object) else {
+        let Ok((_, mut progress)) = board::read(&object) else {
             return false;
         };
         if progress.ended {
@@ -447,14 +235,14 @@
             return Found::Unknown;
         }
     };
-    let Ok((job, progress)) = holder::read(&object) else {
+    let Ok((job, progress)) = board::read(&object) else {
         slog::error!(node.log, "job not understood"; "job" => id);
         return Found::Unknown;
     };
     let is_open = !progress.ended && progress.outcomes.len() < job.items.len();
     let keeper = progress.holder.unwrap_or(job.acceptor);
     if !is_open {
-        return Found::Here(holder::hold(node, job, progress, object.revision));
+        return Found::Here(board::hold(node, job, progress, object.revision));
     }
     if keeper.instance == node.id() {
         return match takeover::adopt(node, id, HashMap::new()).await {
--- /dev/null
+++ b/crates/daemon/src/gateway/keeper.rs
@@ -0,0 +1,207 @@
+//! Keeps the accounts of slots that fall to this instance.
+//!
+//! What is decided is decided by [`coordination::slots::Ledger`]; here its
+//! verdicts are carried to those who asked, who wait, or who must give way.
+
+use super::account::keeper;
+use super::message::{Ask, Reply, Wish};
+use super::node::Node;
+use coordination::slots::{
+    self, End, Grant, Held, LOOK, LeaseId, Purpose, Report, Revocation, Verdict, WaiterId,
+};
+use protocol::{DataCentreId, InstanceId};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+
+/// Answers a wish of another instance, or of this one for batch.
+pub async fn on_wish(node: &Rc<Node>, wish: Wish) -> Reply {
+    let now = Instant::now();
+    let after = |millis: u64| now + Duration::from_millis(millis);
+    let ask = |may_wait| slots::Ask {
+        holder: wish.from,
+        service: wish.service.clone(),
+        purpose: wish.purpose,
+        urgency: after(wish.due_ms),
+        useful_until: after(wish.useful_ms),
+        refuse_by: after(wish.refuse_ms),
+        avoid: wish.avoid.clone(),
+        may_wait,
+    };
+    let wait = Duration::from_millis(wish.wait_ms);
+    let mut grants = Vec::new();
+    while grants.len() < wish.most {
+        // The first one may be waited for; more only if they are free now.
+        let may_wait = grants.is_empty() && !wait.is_zero();
+        match serve(node, &wish.data_centre, ask(may_wait), wait).await {
+            Served::Grant(grant) => grants.push(grant),
+            Served::NotHere => return Reply::NotHere,
+            Served::Full(after) if grants.is_empty() && wish.purpose == Purpose::Online => {
+                return Reply::Full(after.as_millis() as u64);
+            }
+            Served::Full(_) => break,
+        }
+    }
+    Reply::Slots(grants)
+}
+
+/// The answer to one wish.
+pub enum Served {
+    /// A slot.
+    Grant(Grant),
+    /// None is free; one is expected after this long.
+    Full(Duration),
+    /// The account isn't kept here, or has no such service.
+    NotHere,
+}
+
+/// A waiter that leaves the account's queue when whoever waits is dropped.
+struct Place {
+    node: Rc<Node>,
+    id: WaiterId,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let accounts = &self.node.accounts;
+        if accounts.waiters.borrow_mut().remove(&self.id).is_some() {
+            accounts.ledger.borrow_mut().on_waiter_gone(self.id);
+        }
+    }
+}
+
+/// Asks an account kept here; waits up to `wait` if the wish may wait.
+pub async fn serve(node: &Rc<Node>, data_centre: &str, ask: slots::Ask, wait: Duration) -> Served {
+    refresh(node);
+    if !node.accounts.kept.borrow().contains(data_centre) {
+        return Served::NotHere;
+    }
+    let verdict = node.accounts.ledger.borrow_mut().on_ask(ask, Instant::now());
+    match verdict {
+        Verdict::Granted(grant, revocation) => {
+            revocation.into_iter().for_each(|revocation| revoke(node, revocation));
+            Served::Grant(grant)
+        }
+        Verdict::Full(after) => Served::Full(after),
+        Verdict::Unknown => Served::NotHere,
+        Verdict::Waiting(id) => {
+            let (sender, receiver) = oneshot::channel();
+            node.accounts.waiters.borrow_mut().insert(id, sender);
+            let place = Place { node: node.clone(), id };
+            look(node);
+            let answer = tokio::time::timeout(wait, receiver).await;
+            drop(place);
+            match answer {
+                Ok(Ok(Ok(grant))) => Served::Grant(grant),
+                Ok(Ok(Err(after))) => Served::Full(after),
+                Ok(Err(_)) | Err(_) => Served::Full(LOOK),
+            }
+        }
+    }
+}
+
+/// Sets the accounts for the members and targets known now.
+pub fn refresh(node: &Rc<Node>) {
+    let seen = (node.members.borrow().version(), node.registry.borrow().version());
+    let accounts = &node.accounts;
+    if accounts.seen.replace(seen) == seen {
+        return;
+    }
+    let registry = node.registry.borrow();
+    let names: BTreeSet<&DataCentreId> = registry.usable().map(|t| &t.data_centre).collect();
+    let is_mine = |name: &&&DataCentreId| keeper(node, name).is_some_and(|m| m.id == node.id());
+    let kept: BTreeSet<DataCentreId> = names.iter().filter(is_mine).map(|n| (*n).clone()).collect();
+    let mut ledger = accounts.ledger.borrow_mut();
+    let is_new = |name: &DataCentreId| !accounts.kept.borrow().contains(name);
+    if kept.iter().any(is_new) {
+        slog::info!(node.log, "keeps accounts"; "data_centres" => ?kept, "members" => seen.0);
+        ledger.settle(Instant::now());
+    }
+    ledger.set_targets(registry.usable().filter(|target| kept.contains(&target.data_centre)));
+    let members = node.members.borrow();
+    for holder in ledger.holders() {
+        if members.is_dead(holder) {
+            ledger.on_holder_gone(holder);
+        }
+    }
+    *accounts.kept.borrow_mut() = kept;
+}
+
+fn revoke(node: &Rc<Node>, revocation: Revocation) {
+    if revocation.holder == node.id() {
+        node.accounts.on_revoked(revocation.lease);
+        return;
+    }
+    let address = node.members.borrow().get(revocation.holder).map(|member| member.peer);
+    if let Some(address) = address {
+        node.tell(address, Ask::Revoke(revocation.lease));
+    }
+}
+
+/// A lease of an account kept here was given back.
+pub fn on_release(node: &Rc<Node>, lease: LeaseId, report: Report) {
+    node.accounts.ledger.borrow_mut().on_release(lease, report, Instant::now());
+    pump(node);
+}
+
+/// Somebody waits in vain for a first event at a target.
+pub fn on_doubt(node: &Rc<Node>, target: &str) {
+    node.accounts.ledger.borrow_mut().on_doubt(target, Instant::now());
+}
+
+/// A holder reports all that it holds.
+pub fn on_held(node: &Rc<Node>, holder: InstanceId, held: &[Held]) {
+    refresh(node);
+    let revocations = {
+        let mut ledger = node.accounts.ledger.borrow_mut();
+        ledger.on_held(holder, held, Instant::now());
+        ledger.overfull()
+    };
+    revocations.into_iter().for_each(|revocation| revoke(node, revocation));
+    pump(node);
+}
+
+/// Hands free slots to those that wait.
+pub fn pump(node: &Rc<Node>) {
+    refresh(node);
+    loop {
+        let grants = node.accounts.ledger.borrow_mut().next_grants(Instant::now());
+        if grants.is_empty() {
+            return;
+        }
+        for (waiter, grant, revocation) in grants {
+            revocation.into_iter().for_each(|revocation| revoke(node, revocation));
+            let sender = node.accounts.waiters.borrow_mut().remove(&waiter);
+            let lease = grant.lease;
+            let is_taken = sender.is_some_and(|sender| sender.send(Ok(grant)).is_ok());
+            if !is_taken {
+                let unused = Report { end: End::Unused, ..Report::default() };
+                node.accounts.ledger.borrow_mut().on_release(lease, unused, Instant::now());
+            }
+        }
+    }
+}
+
+/// Looks after those that wait until nobody does.
+fn look(node: &Rc<Node>) {
+    if node.accounts.is_looking.replace(true) {
+        return;
+    }
+    let node = node.clone();
+    spawn_local(async move {
+        while !node.accounts.waiters.borrow().is_empty() {
+            tokio::time::sleep(LOOK).await;
+            let refused = node.accounts.ledger.borrow_mut().hopeless(Instant::now());
+            for (waiter, after) in refused {
+                if let Some(sender) = node.accounts.waiters.borrow_mut().remove(&waiter) {
+                    // Whoever waited may have gone in this moment.
+                    let _gone = sender.send(Err(after));
+                }
+            }
+            pump(&node);
+        }
+        node.accounts.is_looking.set(false);
+    });
+}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -10,26 +10,32 @@
 //! | --- | --- |
 //! | [`front`] | callers' requests: which route, which call |
 //! | [`online`], [`relay`] | one request at a time; streams, resumed where they broke |
-//! | [`account`] | slots: asks for leases, and keeps the account of a data centre |
-//! | [`jobs`], [`holder`], [`takeover`] | batch jobs: calls, runs and results, lost holders |
+//! | [`account`], [`keeper`] | slots: asks for leases; keeps the account of a data centre |
+//! | [`submit`], [`jobs`] | batch jobs: submissions, and calls about accepted ones |
+//! | [`board`], [`record`], [`items`] | jobs known here; results made durable; runs of items |
+//! | [`takeover`] | jobs whose holder is gone |
 //! | [`feed`] | configuration and targets, watched by a few for all |
 //! | [`peers`], [`message`] | membership, and what instances say to each other |
 //! | [`store`] | the platform's store with a breaker in front |
 //! | [`measure`] | counters and histograms as text |
 
 pub mod account;
+pub mod board;
 pub mod feed;
 pub mod front;
-pub mod holder;
+pub mod items;
 pub mod jobs;
+pub mod keeper;
 pub mod measure;
 pub mod message;
 pub mod node;
 pub mod online;
 pub mod peers;
+pub mod record;
 pub mod relay;
 pub mod run;
 pub mod store;
+pub mod submit;
 pub mod takeover;
 
 pub use run::run;
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -1,7 +1,7 @@
 //! What one instance of the gateway knows.
 
 use super::account::Accounts;
-use super::holder::Board;
+use super::board::Board;
 use super::measure::Measure;
 use super::message::{Ask, Mark, Reply, decode, encode};
 use super::store::Guarded;
@@ -140,7 +140,7 @@
     /// How far this instance is.
     pub fn mark(&self) -> Mark {
         let config = self.config.borrow().as_ref().map_or(0, |config| config.table.version);
-        let jobs = super::holder::digest(self);
+        let jobs = super::board::digest(self);
         Mark { config, targets: self.registry.borrow().revision(), jobs }
     }
 
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -2,7 +2,7 @@
 
 use super::message::{Ask, Mark, Reply, decode, encode};
 use super::node::Node;
-use super::{account, feed, holder, jobs, takeover};
+use super::{board, feed, jobs, keeper, submit, takeover};
 use coordination::member::{Member, Note};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -61,17 +61,17 @@
 
 async fn answer(node: &Rc<Node>, ask: Ask) -> Reply {
     match ask {
-        Ask::Slots(wish) => account::on_wish(node, wish).await,
+        Ask::Slots(wish) => keeper::on_wish(node, wish).await,
         Ask::Release(lease, report) => {
-            account::on_release(node, lease, report);
+            keeper::on_release(node, lease, report);
             Reply::Done
         }
         Ask::Doubt(target) => {
-            account::on_doubt(node, &target);
+            keeper::on_doubt(node, &target);
             Reply::Done
         }
         Ask::Held(from, held) => {
-            account::on_held(node, from, &held);
+            keeper::on_held(node, from, &held);
             Reply::Done
         }
         Ask::Revoke(lease) => {
@@ -88,12 +88,12 @@
             Reply::Done
         }
         Ask::Standings(standings) => {
-            standings.into_iter().for_each(|standing| holder::on_standing(node, standing));
+            standings.into_iter().for_each(|standing| board::on_standing(node, standing));
             Reply::Done
         }
-        Ask::Directory(is_open_only) => Reply::Standings(holder::directory(node, is_open_only)),
+        Ask::Directory(is_open_only) => Reply::Standings(board::directory(node, is_open_only)),
         Ask::Submit { host, path, job, body } => {
-            Reply::Submitted(jobs::on_submit(node, &host, &path, &job, body.as_bytes()).await)
+            Reply::Submitted(submit::on_submit(node, &host, &path, &job, body.as_bytes()).await)
         }
         Ask::Results(job, from, wait) => {
             jobs::on_results(node, &job, from, Duration::from_millis(wait)).await
@@ -149,7 +149,7 @@
         members.others().map(|member| format!("{:x} {:?}", member.id, member.state)).collect();
     slog::info!(node.log, "members"; "version" => members.version(), "others" => ?states);
     drop(members);
-    account::pump(node);
+    keeper::pump(node);
 }
 
 /// Sends heartbeats and news until `stop`.
@@ -247,7 +247,7 @@
         }
         tokio::time::sleep(SEED_ALONE).await;
     }
-    holder::learn(&node).await;
+    board::learn(&node).await;
 }
 
 async fn ask_members(node: &Rc<Node>, address: SocketAddr) {
--- /dev/null
+++ b/crates/daemon/src/gateway/record.rs
@@ -0,0 +1,169 @@
+//! Makes what happens to a held job durable, and finds out whether it is still
+//! held here.
+
+use super::board::{self, Held};
+use super::node::{Node, millis};
+use platform::job;
+use platform::store::{Fault, Object};
+use state::progress::Progress;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Results wait this long for others to be written with them. Each write is a
+/// call that is paid for; a holder that is lost costs the runs not yet written.
+const GATHER: Duration = Duration::from_millis(1_500);
+/// Results are written without delay from this long before the job is due.
+const BEFORE_DUE: Duration = Duration::from_millis(1_500);
+/// A holder that finds itself this late was stopped or starved: its jobs may have
+/// been taken over meanwhile.
+const FROZEN: Duration = Duration::from_millis(1_500);
+/// Time between looks at a job that nothing has happened to.
+const LOOK: Duration = Duration::from_millis(500);
+/// Shortest pause after a write that failed.
+const WRITE_PAUSE: Duration = Duration::from_millis(100);
+/// Time between looks whether a job is still held here, while whole data centres
+/// are out of sight: they may have taken it over, or seen its end.
+const VERIFY_EVERY: Duration = Duration::from_millis(1_500);
+
+/// Looks whether a job is still held here.
+pub async fn verify(node: &Rc<Node>, held: &Rc<Held>) {
+    let id = held.sheet.borrow().job().id.clone();
+    match node.store.get(job::KIND, &id).await {
+        Ok(Some(object)) if object.revision > held.revision.get() => {
+            let draft = held.sheet.borrow().snapshot();
+            on_found(node, held, &draft, &object);
+        }
+        Ok(Some(_)) => {}
+        Ok(None) => board::release(node, held),
+        Err(fault) => slog::info!(node.log, "job not read"; "job" => &id, "fault" => %fault),
+    }
+}
+
+/// Writes what happens to a job until nothing is left to write.
+pub async fn write_all(node: Rc<Node>, held: Rc<Held>) {
+    let mut verified = Instant::now();
+    let mut looked = Instant::now();
+    loop {
+        tokio::select! {
+            () = held.dirty.notified() => {}
+            () = tokio::time::sleep(LOOK) => {}
+            () = held.released.cancelled() => return,
+        }
+        if looked.elapsed() >= FROZEN {
+            verify(&node, &held).await;
+        }
+        looked = Instant::now();
+        held.sheet.borrow_mut().on_time(millis());
+        if verified.elapsed() >= VERIFY_EVERY && node.is_isolated() {
+            verified = Instant::now();
+            verify(&node, &held).await;
+        }
+        while is_write_due(&held, Instant::now()) {
+            if !write(&node, &held).await {
+                let pause = node.store.back_in(Instant::now()).max(WRITE_PAUSE);
+                tokio::time::sleep(pause).await;
+            }
+            if held.released.is_cancelled() {
+                return;
+            }
+        }
+        if held.sheet.borrow().is_settled() {
+            let sheet = held.sheet.borrow();
+            slog::info!(node.log, "job settled"; "job" => &sheet.job().id,
+                "results" => sheet.listed().len(), "items" => sheet.job().items.len(),
+                "ended" => sheet.is_ended(),
+                "age_ms" => millis().saturating_sub(sheet.job().accepted));
+            drop(sheet);
+            board::announce(&node, &held);
+            return;
+        }
+    }
+}
+
+fn is_write_due(held: &Held, now: Instant) -> bool {
+    let sheet = held.sheet.borrow();
+    if sheet.draft().is_none() {
+        return false;
+    }
+    let is_end = sheet.is_ended() && !sheet.is_end_durable();
+    let is_near = millis() + BEFORE_DUE.as_millis() as u64 >= sheet.job().due;
+    let waited = held.oldest.get().map(|at| now.saturating_duration_since(at));
+    is_end || is_near || sheet.is_done() || waited.is_some_and(|waited| waited >= GATHER)
+}
+
+/// One write of a job's progress; `false` when it has to be tried again later.
+pub async fn write(node: &Rc<Node>, held: &Rc<Held>) -> bool {
+    let (id, draft) = {
+        let sheet = held.sheet.borrow();
+        (sheet.job().id.clone(), sheet.snapshot())
+    };
+    let revision = held.revision.get();
+    let result = node.store.set_status(job::KIND, &id, revision, &draft).await;
+    match result {
+        Ok(object) => {
+            on_durable(node, held, &draft, object.revision);
+            true
+        }
+        Err(Fault::Conflict(found)) => {
+            let found = match found {
+                Some(object) => Ok(Some(*object)),
+                None => node.store.get(job::KIND, &id).await,
+            };
+            match found {
+                Ok(Some(object)) => on_found(node, held, &draft, &object),
+                Ok(None) => board::release(node, held),
+                Err(fault) => {
+                    slog::info!(node.log, "job not read"; "job" => &id, "fault" => %fault);
+                    return false;
+                }
+            }
+            true
+        }
+        Err(Fault::Missing) => {
+            slog::warn!(node.log, "job is gone"; "job" => &id, "revision" => revision);
+            board::release(node, held);
+            true
+        }
+        Err(fault) => {
+            slog::info!(node.log, "job not written"; "job" => &id, "fault" => %fault,
+                "revision" => revision);
+            false
+        }
+    }
+}
+
+fn on_durable(node: &Rc<Node>, held: &Rc<Held>, draft: &Progress, revision: u64) {
+    held.revision.set(revision);
+    held.sheet.borrow_mut().on_durable(draft);
+    let fresh = held.sheet.borrow().fresh();
+    held.oldest.set((fresh > 0).then(Instant::now));
+    slog::info!(node.log, "results durable"; "job" => &held.sheet.borrow().job().id,
+        "results" => draft.outcomes.len(), "revision" => revision, "ended" => draft.ended);
+    held.changed.notify_waiters();
+    board::announce(node, held);
+}
+
+/// The object isn't as it was: an earlier write of ours was done after all, or
+/// another instance has written.
+fn on_found(node: &Rc<Node>, held: &Rc<Held>, draft: &Progress, object: &Object) {
+    let progress = match board::read(object) {
+        Ok((_, progress)) => progress,
+        Err(error) => {
+            slog::error!(node.log, "job not understood"; "job" => &object.name,
+                "revision" => object.revision, "error" => %error);
+            return board::release(node, held);
+        }
+    };
+    if progress == *draft {
+        return on_durable(node, held, draft, object.revision);
+    }
+    held.revision.set(object.revision);
+    held.sheet.borrow_mut().on_overtaken(progress);
+    let holder = held.sheet.borrow().holder();
+    held.changed.notify_waiters();
+    if holder.instance != node.id() {
+        slog::info!(node.log, "job overtaken"; "job" => &object.name,
+            "holder" => format!("{:x}", holder.instance), "revision" => object.revision);
+        board::release(node, held);
+    }
+}
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -4,7 +4,7 @@
 use super::measure::Probe;
 use super::node::Node;
 use super::peers::{Answers, PING_TIMEOUT};
-use super::{account, feed, holder, peers, takeover};
+use super::{account, feed, items, peers, takeover};
 use anyhow::Context;
 use coordination::drain::{self, Phase, Plan};
 use coordination::member::{Member, State};
@@ -77,7 +77,7 @@
     spawn_local(peers::run(node.clone(), stop.clone()));
     spawn_local(feed::run(node.clone(), stop.clone()));
     spawn_local(account::report(node.clone(), stop.clone()));
-    spawn_local(holder::run(node.clone(), stop.clone()));
+    spawn_local(items::run(node.clone(), stop.clone()));
     spawn_local(takeover::run(node.clone(), stop.clone()));
     for probe in ready.into_iter().chain(metrics) {
         let handler = Rc::new(Probe { node: node.clone() });
@@ -121,7 +121,7 @@
     let plan = Plan { grace: node.settings.stop_grace, bound };
     let over = spawn_local({
         let node = node.clone();
-        async move { holder::hand_over(&node).await }
+        async move { items::hand_over(&node).await }
     });
     loop {
         tokio::time::sleep(STOP_LOOK).await;
--- a/crates/daemon/src/gateway/takeover.rs
+++ b/crates/daemon/src/gateway/takeover.rs
@@ -5,9 +5,10 @@
 //! was only cut off is double work on its items, so a whole data centre that
 //! falls silent at once is given more time than a single instance.
 
-use super::holder::{self, Held};
+use super::board::{self, Held};
 use super::message::{Ask, Standing};
 use super::node::Node;
+use super::record;
 use coordination::hash;
 use coordination::member::{Member, State, Table};
 use platform::job;
@@ -168,7 +169,7 @@
     let mut orphans = Vec::new();
     let mut is_done = true;
     for object in &objects {
-        let Ok((job, progress)) = holder::read(object) else {
+        let Ok((job, progress)) = board::read(object) else {
             slog::error!(node.log, "job not understood"; "job" => &object.name,
                 "revision" => object.revision);
             continue;
@@ -186,7 +187,7 @@
                 holder: keeper,
                 data_centre: String::new(),
                 revision: object.revision,
-                route: holder::route_of(node, &job).map_or_else(String::new, |route| route.name),
+                route: board::route_of(node, &job).map_or_else(String::new, |route| route.name),
                 waiting_tokens: job.tokens(),
                 is_settled: false,
             });
@@ -266,14 +267,14 @@
 
 /// Writes this instance down as the holder.
 async fn claim(node: &Rc<Node>, object: &Object) -> Result<Rc<Held>, Option<Fault>> {
-    let (job, mut progress) = holder::read(object).map_err(|error| {
+    let (job, mut progress) = board::read(object).map_err(|error| {
         slog::error!(node.log, "job not understood"; "job" => &object.name, "error" => %error);
         None
     })?;
     let is_open = !progress.ended && progress.outcomes.len() < job.items.len();
     let former = progress.holder.unwrap_or(job.acceptor);
     if !is_open || former.instance == node.id() {
-        return Ok(holder::hold(node, job, progress, object.revision));
+        return Ok(board::hold(node, job, progress, object.revision));
     }
     if let Some(holder) = alive(node, former) {
         // Others were faster: whoever holds it now is told, in case it doesn't
@@ -285,7 +286,7 @@
             holder: former,
             data_centre: holder.data_centre,
             revision: object.revision,
-            route: holder::route_of(node, &job).map_or_else(String::new, |route| route.name),
+            route: board::route_of(node, &job).map_or_else(String::new, |route| route.name),
             waiting_tokens: job.tokens(),
             is_settled: false,
         });
@@ -300,12 +301,12 @@
     slog::info!(node.log, "job taken over"; "job" => &object.name,
         "from" => format!("{:x}", former.instance), "revision" => written.revision,
         "results" => progress.outcomes.len(), "items" => job.items.len());
-    let held = holder::hold(node, job, progress, written.revision);
+    let held = board::hold(node, job, progress, written.revision);
     let (node, taken) = (node.clone(), held.clone());
     tokio::task::spawn_local(async move {
         tokio::time::sleep(LOOK_BACK).await;
         if !taken.released.is_cancelled() {
-            holder::verify(&node, &taken).await;
+            record::verify(&node, &taken).await;
         }
     });
     Ok(held)
