--- a/crates/daemon/src/gateway/account.rs
+++ b/crates/daemon/src/gateway/account.rs
@@ -181,11 +181,15 @@
 
 /// Data centres with targets of a service, the own one first; the order of the
 /// others differs between instances, so that they don't all turn to the same.
-fn data_centres(node: &Node, service: &str) -> Vec<DataCentreId> {
+pub fn data_centres(node: &Node, service: &str) -> Vec<DataCentreId> {
     let registry = node.registry.borrow();
     let of_service = registry.usable().filter(|target| target.service == service);
     let names: BTreeSet<&DataCentreId> = of_service.map(|target| &target.data_centre).collect();
     let mut names: Vec<DataCentreId> = names.into_iter().cloned().collect();
+    let now = Instant::now();
+    if names.iter().any(|name| !node.is_newly_dark(name, now)) {
+        names.retain(|name| !node.is_newly_dark(name, now));
+    }
     let id = node.id();
     let own = node.data_centre();
     names.sort_by_key(|name| (name != own, hash::weight(name.as_bytes(), id)));
--- a/crates/daemon/src/gateway/items.rs
+++ b/crates/daemon/src/gateway/items.rs
@@ -13,7 +13,7 @@
 use platform::{header, job};
 use protocol::ServiceId;
 use state::progress::{Failure, Item, Outcome, Partial, Sheet};
-use std::collections::{BTreeSet, HashSet};
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::task::spawn_local;
@@ -50,11 +50,7 @@
             continue;
         }
         for service in services(&node) {
-            let registry = node.registry.borrow();
-            let of_service = registry.usable().filter(|target| target.service == service);
-            let places: BTreeSet<String> = of_service.map(|t| t.data_centre.clone()).collect();
-            drop(registry);
-            for place in places {
+            for place in account::data_centres(&node, &service) {
                 let key = (place, service.clone());
                 if node.board.filling.borrow_mut().insert(key.clone()) {
                     spawn_local(fill(node.clone(), key.0, key.1, stop.clone()));
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -28,6 +28,9 @@
 /// How long a member that didn't reply is passed over where another will do.
 const SHUN: Duration = Duration::from_millis(400);
 
+/// How long the targets of a data centre out of sight are left alone: longer than
+/// the cuts of some seconds that data centres are known to have.
+const NEWLY_DARK: Duration = Duration::from_secs(10);
 /// Share of the longest time left below which a caller is taken for one that
 /// comes again.
 const FIRST_SHARE: f64 = 0.98;
@@ -77,6 +80,8 @@
     shunned: RefCell<HashMap<SocketAddr, Instant>>,
     /// Longest time left that callers on each route came with.
     waits: RefCell<HashMap<String, Duration>>,
+    /// Data centres without a member in sight, and since when.
+    dark: RefCell<HashMap<DataCentreId, Instant>>,
     /// Online requests in hand.
     pub running: Cell<usize>,
     /// Set once a stop was ordered.
@@ -102,6 +107,7 @@
             blind: RefCell::default(),
             shunned: RefCell::default(),
             waits: RefCell::default(),
+            dark: RefCell::default(),
             measure: Measure::default(),
             running: Cell::new(0),
             stopping: CancellationToken::new(),
@@ -149,6 +155,20 @@
         self.members.borrow().others().cloned().collect()
     }
 
+    /// Whether a data centre has lost its last member in sight a short while ago.
+    /// It may be cut off, and then its targets can't be reached either; if it
+    /// stays out of sight, its targets are worth a try.
+    pub fn is_newly_dark(&self, data_centre: &str, now: Instant) -> bool {
+        let is_seen = self.members.borrow().workers().any(|m| m.data_centre == data_centre);
+        let mut dark = self.dark.borrow_mut();
+        if is_seen {
+            dark.remove(data_centre);
+            return false;
+        }
+        let since = *dark.entry(data_centre.to_owned()).or_insert(now);
+        now < since + NEWLY_DARK
+    }
+
     /// Whether a data centre with targets has no member in sight.
     pub fn is_isolated(&self) -> bool {
         let members = self.members.borrow();
--- a/crates/daemon/tests/gateway_online.rs
+++ b/crates/daemon/tests/gateway_online.rs
@@ -224,3 +224,23 @@
     wait_until("the slot is free", || fleet.send(1, "/plain/1", "next").status == 200);
     assert!(began.elapsed() < Duration::from_secs(2), "{:?}", began.elapsed());
 }
+
+/// A data centre whose instances have all just fallen silent is most likely cut
+/// off: its targets would cost each request a wait for a connection.
+#[test]
+fn targets_of_a_data_centre_newly_out_of_sight_are_left_alone() {
+    let mut fleet = Fleet::start(Plan::default());
+    fleet.gateways[2].kill();
+    wait_until("its loss is noticed", || {
+        fleet.log(0).iter().any(|line| {
+            line["msg"] == "members"
+                && line["others"].as_str().is_some_and(|o| o.matches("Alive").count() == 1)
+        })
+    });
+    std::thread::sleep(Duration::from_millis(200));
+    for n in 0..12 {
+        assert_eq!(fleet.send(n % 2, "/ask/dark", &format!("dark-{n}")).status, 200);
+    }
+    let of_west = fleet.runners[1].runs();
+    assert_eq!(of_west.iter().filter(|run| run.path == "/ask/dark").count(), 0);
+}
