Let a request wait in all accounts, who can be in time first

Each waited, if at all, in the queue of one data centre (1 to 3 targets) and was refused by that queue's expected wait, while slots elsewhere came free every 13 ms.

Change: a request without a free slot waits in up to four accounts at once; the first grant counts, the other places are withdrawn, a grant that crosses the withdrawal is given back. An account serves first who can still be in time, then the late ones by when their callers leave. Refused is only who won't be served before its caller leaves, at once, with the time at which its turn is expected.

--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -6,7 +6,9 @@
 //! slots: who wants to send asks for a lease on a slot first and gives it back
 //! afterwards. Online requests take a free slot, else one that batch holds (its
 //! lease is revoked and the item goes on elsewhere or later), else they wait
-//! here, in order of their deadlines, as long as that can still help them.
+//! here: who can still be in time goes before who can't, and who can't be served
+//! before its caller leaves is refused at once. A request may wait in several
+//! accounts; the first grant counts and its other places are given up.
 //!
 //! The account is soft state. It is rebuilt from what the holders report when
 //! another instance takes it over, and a wrong account costs a detour or a wait,
@@ -23,6 +25,7 @@
 };
 
 use crate::{InstanceId, TargetId};
+use lease::Turn;
 use protocol::routing::Target;
 use row::{Rank, Row};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -34,7 +37,7 @@
     holder: InstanceId,
     purpose: Purpose,
     granted: Instant,
-    urgency: Instant,
+    due: Instant,
     is_revoked: bool,
 }
 
@@ -110,15 +113,18 @@
         if !self.has_service(&ask.service) {
             return Verdict::Unknown;
         }
-        if !self.is_behind_others(&ask)
+        if !self.is_behind_others(&ask, now)
             && let Some((grant, revocation)) = self.grant(&ask, now)
         {
             return Verdict::Granted(grant, revocation);
         }
-        let wait = self.expected_wait(&ask);
-        let patience = ask.useful_until.saturating_duration_since(now);
-        let is_hopeless =
-            ask.purpose == Purpose::Online && wait > patience.mul_f64(self.policy.hope);
+        let turn = ask.turn(&self.policy, now);
+        let before = |waiter: &&Waiter| {
+            waiter.ask.service == ask.service && waiter.ask.turn(&self.policy, now) < turn
+        };
+        let ahead = self.waiters.values().filter(before).count();
+        let wait = self.expected_wait(&ask, ahead);
+        let is_hopeless = ask.purpose == Purpose::Online && now + wait > ask.until;
         if !ask.may_wait || is_hopeless {
             return Verdict::Full(wait.clamp(COME_BACK[0], COME_BACK[1]));
         }
@@ -129,17 +135,21 @@
     }
 
     /// Whether somebody waits who goes before this wish.
-    fn is_behind_others(&self, ask: &Ask) -> bool {
-        self.waiters.values().any(|waiter| is_before(&waiter.ask, ask))
+    fn is_behind_others(&self, ask: &Ask, now: Instant) -> bool {
+        let turn = ask.turn(&self.policy, now);
+        self.waiters.values().any(|waiter| {
+            waiter.ask.service == ask.service && waiter.ask.turn(&self.policy, now) < turn
+        })
     }
 
-    /// How long a wish is expected to wait: slots come free one after the other
-    /// as online requests end.
-    fn expected_wait(&self, ask: &Ask) -> Duration {
+    /// How long a wish with `ahead` others before it is expected to wait: slots
+    /// come free one after the other as online requests end, in all the accounts
+    /// in which they wait.
+    fn expected_wait(&self, ask: &Ask, ahead: usize) -> Duration {
         let fits = |row: &&Row| row.serves(&ask.service);
-        let slots: u32 = self.rows.values().filter(fits).map(|row| row.target.slots).sum();
-        let ahead = self.waiters.values().filter(|waiter| is_before(&waiter.ask, ask)).count();
-        Duration::from_secs_f64(self.hold * (ahead + 1) as f64 / f64::from(slots.max(1)))
+        let own: u32 = self.rows.values().filter(fits).map(|row| row.target.slots).sum();
+        let slots = own.max(ask.reach).max(1);
+        Duration::from_secs_f64(self.hold * (ahead + 1) as f64 / f64::from(slots))
     }
 
     fn grant(&mut self, ask: &Ask, now: Instant) -> Option<(Grant, Option<Revocation>)> {
@@ -200,7 +210,7 @@
             holder: ask.holder,
             purpose: ask.purpose,
             granted: now,
-            urgency: ask.urgency,
+            due: ask.due,
             is_revoked: false,
         };
         self.leases.insert(id, lease);
@@ -212,7 +222,7 @@
         let of_batch = self.leases.iter().filter(|(_, lease)| {
             lease.target == target && lease.purpose == Purpose::Batch && !lease.is_revoked
         });
-        let (id, _) = of_batch.max_by_key(|(id, lease)| (lease.urgency, **id))?;
+        let (id, _) = of_batch.max_by_key(|(id, lease)| (lease.due, **id))?;
         let id = *id;
         let lease = self.leases.get_mut(&id)?;
         lease.is_revoked = true;
@@ -252,10 +262,7 @@
 
     /// Slots for those that wait, as far as there are any.
     pub fn next_grants(&mut self, now: Instant) -> Vec<(WaiterId, Grant, Option<Revocation>)> {
-        let mut order: Vec<WaiterId> = self.waiters.keys().copied().collect();
-        order.sort_by_key(|id| {
-            self.waiters.get(id).map(|waiter| (rank_of(&waiter.ask), waiter.ask.urgency))
-        });
+        let order = self.in_turn(now);
         let mut grants = Vec::new();
         // Services whose first waiter found nothing: nobody behind goes before.
         let mut full: HashSet<(String, bool)> = HashSet::new();
@@ -283,21 +290,36 @@
         grants
     }
 
-    /// Those that wait and are better refused now, while a refusal does no harm,
-    /// with the time after which to come back.
+    /// Those that wait, the first one first.
+    fn in_turn(&self, now: Instant) -> Vec<WaiterId> {
+        let mut order: Vec<(Turn, WaiterId)> = self
+            .waiters
+            .iter()
+            .map(|(id, waiter)| (waiter.ask.turn(&self.policy, now), *id))
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Those that wait and won't be served before their callers leave, with the
+    /// time after which to come back: each when its own turn is expected, so that
+    /// they don't all come at one moment.
     pub fn hopeless(&mut self, now: Instant) -> Vec<(WaiterId, Duration)> {
         let mut refused = Vec::new();
-        for (id, waiter) in &self.waiters {
-            let ask = &waiter.ask;
-            if ask.purpose == Purpose::Batch || now < ask.refuse_by {
+        let mut ahead: HashMap<&str, usize> = HashMap::new();
+        for id in self.in_turn(now) {
+            let Some(ask) = self.waiters.get(&id).map(|waiter| &waiter.ask) else {
+                continue;
+            };
+            if ask.purpose == Purpose::Batch {
                 continue;
             }
-            let wait = self.expected_wait(ask);
-            let is_vain = now + wait > ask.useful_until;
-            // Past that time a refusal helps nobody: it is served late instead.
-            let is_first_look = now.saturating_duration_since(ask.refuse_by) < LOOK;
-            if is_vain && is_first_look {
-                refused.push((*id, wait.clamp(COME_BACK[0], COME_BACK[1])));
+            let ahead = ahead.entry(&ask.service).or_default();
+            let wait = self.expected_wait(ask, *ahead);
+            if now + wait > ask.until {
+                refused.push((id, wait.clamp(COME_BACK[0], COME_BACK[1])));
+            } else {
+                *ahead += 1;
             }
         }
         for (id, _) in &refused {
@@ -306,12 +328,6 @@
         refused
     }
 
-    /// When [`Ledger::hopeless`] should be asked next; `None` if nobody waits.
-    pub fn next_look(&self, now: Instant) -> Option<Instant> {
-        let online = self.waiters.values().filter(|w| w.ask.purpose == Purpose::Online);
-        online.map(|w| w.ask.refuse_by).filter(|at| *at > now).min()
-    }
-
     /// Who waited has gone.
     pub fn on_waiter_gone(&mut self, id: WaiterId) {
         self.waiters.remove(&id);
@@ -325,15 +341,3 @@
 
 /// Time between looks at those that wait.
 pub const LOOK: Duration = Duration::from_millis(25);
-
-fn rank_of(ask: &Ask) -> u8 {
-    match ask.purpose {
-        Purpose::Online => 0,
-        Purpose::Batch => 1,
-    }
-}
-
-fn is_before(waiting: &Ask, ask: &Ask) -> bool {
-    let same = waiting.service == ask.service;
-    same && (rank_of(waiting), waiting.urgency) < (rank_of(ask), ask.urgency)
-}
--- a/crates/coordination/src/slots/holders.rs
+++ b/crates/coordination/src/slots/holders.rs
@@ -43,9 +43,10 @@
                 holder,
                 service: String::new(),
                 purpose: held.purpose,
-                urgency: now,
-                useful_until: now,
-                refuse_by: now,
+                due: now,
+                in_time_until: now,
+                until: now,
+                reach: 0,
                 avoid: Vec::new(),
                 may_wait: false,
             };
--- a/crates/coordination/src/slots/lease.rs
+++ b/crates/coordination/src/slots/lease.rs
@@ -31,8 +31,9 @@
     /// A lease that its holder doesn't report is dropped when it is older than
     /// this; younger ones may have crossed the report.
     pub crossing: Duration,
-    /// Share of a request's patience that the expected wait may take.
-    pub hope: f64,
+    /// Whether online requests that can't be in time any more wait behind those
+    /// that still can.
+    pub late_last: bool,
     /// A target whose events come this many times slower than the median is
     /// used last.
     pub slow: f64,
@@ -46,7 +47,7 @@
             headroom: 0.06,
             settle: Duration::from_millis(300),
             crossing: Duration::from_secs(1),
-            hope: 0.8,
+            late_last: true,
             slow: 2.0,
             fresh: 0.2,
         }
@@ -62,18 +63,38 @@
     pub service: String,
     /// What the slot is for.
     pub purpose: Purpose,
-    /// Order among those that wait: the earliest goes first.
-    pub urgency: Instant,
-    /// Until when the slot is of full use; a wait beyond it isn't begun.
-    pub useful_until: Instant,
-    /// Until when the request can still be refused without harm.
-    pub refuse_by: Instant,
+    /// When the work is due; of several items the one due last gives way first.
+    pub due: Instant,
+    /// Until when a slot brings the answer within its objective.
+    pub in_time_until: Instant,
+    /// Until when a slot is of any use: the caller leaves then.
+    pub until: Instant,
+    /// Slots of all the accounts in which the request waits, this one's included.
+    pub reach: u32,
     /// Targets that won't do.
     pub avoid: Vec<TargetId>,
     /// Whether it may wait.
     pub may_wait: bool,
 }
 
+/// Place in the order of those that wait; the lowest goes first.
+pub(super) type Turn = (u8, bool, Instant);
+
+impl Ask {
+    /// Its turn: online before batch, who can be in time before who can't, then
+    /// who is due first. What is late already is served when nobody else waits,
+    /// the caller who leaves first before the others.
+    pub(super) fn turn(&self, policy: &Policy, now: Instant) -> Turn {
+        match self.purpose {
+            Purpose::Online if policy.late_last && now > self.in_time_until => {
+                (0, true, self.until)
+            }
+            Purpose::Online => (0, false, self.in_time_until),
+            Purpose::Batch => (1, false, self.due),
+        }
+    }
+}
+
 /// A lease on a slot.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
--- a/crates/daemon/src/gateway/account.rs
+++ b/crates/daemon/src/gateway/account.rs
@@ -1,15 +1,16 @@
 //! Slots: asks for leases, and keeps the accounts that fall to this instance.
 
 mod lease;
+mod wait;
 
 pub use lease::Lease;
 
 use super::keeper;
-use super::message::{Ask, Reply, Wish};
+use super::message::{Ask, Reply, Ticket, Wish};
 use super::node::Node;
 use coordination::hash;
 use coordination::member::Member;
-use coordination::slots::{self, Grant, Held, LOOK, LeaseId, Ledger, Policy, Purpose, WaiterId};
+use coordination::slots::{self, Grant, Held, LeaseId, Ledger, Policy, Purpose, WaiterId};
 use lease::{Keeper, Out, hold};
 use protocol::{DataCentreId, InstanceId};
 use std::cell::{Cell, RefCell};
@@ -23,6 +24,9 @@
 /// takes about 2 ms; a keeper that needs more is slow or gone, and a decision
 /// without it is better than none.
 const ANSWER: Duration = Duration::from_millis(60);
+/// Most accounts that one request asks and waits in, its own data centre's among
+/// them: messages grow with the requests that wait, not with the data centres.
+const MOST_ACCOUNTS: usize = 4;
 /// Time between reports of all that is held.
 const REPORT_EVERY: Duration = Duration::from_millis(1_000);
 /// Leases that an instance grants itself while no account answers carry this
@@ -34,12 +38,8 @@
 pub struct Want {
     /// Service.
     pub service: String,
-    /// When the answer is due, for the order among those that wait.
-    pub due: Instant,
-    /// Until when a slot is of full use.
-    pub useful_until: Instant,
-    /// Until when a refusal does no harm.
-    pub refuse_by: Instant,
+    /// Until when a slot brings the answer within its objective.
+    pub in_time_until: Instant,
     /// Until when the caller waits.
     pub until: Instant,
     /// Targets that won't do.
@@ -65,8 +65,11 @@
     pub(super) places: RefCell<BTreeSet<DataCentreId>>,
     pub(super) waiters: RefCell<HashMap<WaiterId, oneshot::Sender<Result<Grant, Duration>>>>,
     pub(super) is_looking: Cell<bool>,
+    /// Wishes that wait in the accounts kept here.
+    pub(super) tickets: RefCell<HashMap<(InstanceId, Ticket), WaiterId>>,
     out: RefCell<HashMap<LeaseId, Out>>,
     next_own: Cell<LeaseId>,
+    next_ticket: Cell<Ticket>,
 }
 
 impl Accounts {
@@ -81,11 +84,19 @@
             places: RefCell::default(),
             waiters: RefCell::default(),
             is_looking: Cell::new(false),
+            tickets: RefCell::default(),
             out: RefCell::default(),
             next_own: Cell::new(seed | OWN),
+            next_ticket: Cell::default(),
         }
     }
 
+    fn ticket(&self) -> Ticket {
+        let ticket = self.next_ticket.get() + 1;
+        self.next_ticket.set(ticket);
+        ticket
+    }
+
     /// Leases of the accounts kept here: online and batch.
     pub fn in_use(&self) -> [u32; 2] {
         self.ledger.borrow().in_use()
@@ -134,107 +145,137 @@
     names
 }
 
-/// Gets a lease for an online request.
+/// Gets a lease for an online request: a slot that is free now, the own data
+/// centre's first, else the first that comes free in any account.
 ///
 /// # Errors
 ///
 /// Why there is none.
 pub async fn acquire(node: &Rc<Node>, want: &Want) -> Result<Lease, Refusal> {
-    let data_centres = data_centres(node, &want.service);
-    if data_centres.is_empty() {
-        return Err(Refusal::NoTarget);
-    }
-    let mut shortest: Option<Duration> = None;
-    let mut answered: Option<&DataCentreId> = None;
-    // First whoever has a slot now.
-    for name in &data_centres {
-        match ask(node, name, want, false).await {
-            Answer::Lease(lease) => return Ok(lease),
-            Answer::Full(after) => {
-                answered.get_or_insert(name);
-                shortest = Some(shortest.map_or(after, |known| known.min(after)));
-            }
-            Answer::Silent => {}
+    loop {
+        match acquire_once(node, want).await {
+            Outcome::Lease(lease) => return Ok(lease),
+            Outcome::Refused(refusal) => return Err(refusal),
+            // Accounts and their keepers may have changed meanwhile.
+            Outcome::Pending => {}
         }
     }
-    // Then a wait in the queue of the nearest account that answers.
-    if let Some(name) = answered {
-        match ask(node, name, want, true).await {
-            Answer::Lease(lease) => return Ok(lease),
-            Answer::Full(after) => shortest = Some(after),
+}
+
+enum Outcome {
+    Lease(Lease),
+    Refused(Refusal),
+    Pending,
+}
+
+async fn acquire_once(node: &Rc<Node>, want: &Want) -> Outcome {
+    let mut names = data_centres(node, &want.service);
+    if names.is_empty() {
+        return Outcome::Refused(Refusal::NoTarget);
+    }
+    names.truncate(MOST_ACCOUNTS);
+    let mut answered = Vec::new();
+    for name in names {
+        let visit = Visit::look(node, want, &name);
+        match ask(node.clone(), visit).await {
+            Answer::Lease(lease) => return Outcome::Lease(lease),
+            Answer::Full(_) | Answer::Pending => answered.push(name),
             Answer::Silent => {}
         }
     }
-    let is_answered = answered.is_some();
-    if !is_answered && let Some(lease) = without_account(node, want) {
-        return Ok(lease);
+    if answered.is_empty() {
+        let lease = without_account(node, want);
+        return lease.map_or(Outcome::Refused(Refusal::NoTarget), Outcome::Lease);
+    }
+    wait::first(node, want, answered).await
+}
+
+/// One wish at one account.
+struct Visit {
+    data_centre: DataCentreId,
+    ask: slots::Ask,
+    ticket: Ticket,
+    /// How long it may wait there; zero if it may not.
+    wait: Duration,
+}
+
+impl Visit {
+    /// A look for a slot that is free now.
+    fn look(node: &Node, want: &Want, data_centre: &str) -> Visit {
+        let ask = slots::Ask {
+            holder: node.id(),
+            service: want.service.clone(),
+            purpose: Purpose::Online,
+            due: want.until,
+            in_time_until: want.in_time_until,
+            until: want.until,
+            reach: 0,
+            avoid: want.avoid.clone(),
+            may_wait: false,
+        };
+        let ticket = node.accounts.ticket();
+        Visit { data_centre: data_centre.to_owned(), ask, ticket, wait: Duration::ZERO }
+    }
+
+    fn wish(&self, now: Instant) -> Wish {
+        Wish {
+            from: self.ask.holder,
+            data_centre: self.data_centre.clone(),
+            service: self.ask.service.clone(),
+            purpose: self.ask.purpose,
+            ticket: self.ticket,
+            due_ms: span(self.ask.due, now),
+            in_time_ms: span(self.ask.in_time_until, now),
+            until_ms: span(self.ask.until, now),
+            reach: self.ask.reach,
+            wait_ms: self.wait.as_millis() as u64,
+            most: 1,
+            avoid: self.ask.avoid.clone(),
+        }
     }
-    Err(shortest.map_or(Refusal::NoTarget, Refusal::Full))
 }
 
 enum Answer {
     Lease(Lease),
+    /// Nothing is free; a slot is expected after this long.
     Full(Duration),
+    /// The wait there is over without a slot.
+    Pending,
     Silent,
 }
 
-async fn ask(node: &Rc<Node>, data_centre: &str, want: &Want, may_wait: bool) -> Answer {
+async fn ask(node: Rc<Node>, visit: Visit) -> Answer {
     let now = Instant::now();
-    let Some(keeper) = keeper(node, data_centre) else {
+    let Some(keeper) = keeper(&node, &visit.data_centre) else {
         return Answer::Silent;
     };
-    let left = want.until.saturating_duration_since(now);
-    let wait = if may_wait { left } else { Duration::ZERO };
     if keeper.id == node.id() {
-        let ask = online_ask(node.id(), want, may_wait);
-        return match keeper::serve(node, data_centre, ask, wait).await {
+        let Visit { data_centre, ask, ticket, wait } = visit;
+        return match keeper::serve(&node, &data_centre, ask, ticket, wait).await {
             keeper::Served::Grant(grant) => {
-                Answer::Lease(hold(node, grant, Purpose::Online, Keeper::Here))
+                Answer::Lease(hold(&node, grant, Purpose::Online, Keeper::Here))
             }
             keeper::Served::Full(after) => Answer::Full(after),
+            keeper::Served::Pending => Answer::Pending,
             keeper::Served::NotHere => Answer::Silent,
         };
     }
     if node.is_shunned(keeper.peer, now) {
         return Answer::Silent;
     }
-    let wish = Wish {
-        from: node.id(),
-        data_centre: data_centre.to_owned(),
-        service: want.service.clone(),
-        purpose: Purpose::Online,
-        due_ms: span(want.due, now),
-        useful_ms: span(want.useful_until, now),
-        refuse_ms: span(want.refuse_by, now),
-        wait_ms: wait.as_millis() as u64,
-        most: 1,
-        avoid: want.avoid.clone(),
-    };
-    match node.ask(keeper.peer, &Ask::Slots(wish), wait + ANSWER).await {
+    let wish = visit.wish(now);
+    match node.ask(keeper.peer, &Ask::Slots(wish), visit.wait + ANSWER).await {
         Ok(Reply::Slots(grants)) => match grants.into_iter().next() {
             Some(grant) => {
-                Answer::Lease(hold(node, grant, Purpose::Online, Keeper::At(keeper.peer)))
+                Answer::Lease(hold(&node, grant, Purpose::Online, Keeper::At(keeper.peer)))
             }
-            None => Answer::Full(LOOK),
+            None => Answer::Pending,
         },
         Ok(Reply::Full(after)) => Answer::Full(Duration::from_millis(after)),
         Ok(_) | Err(_) => Answer::Silent,
     }
 }
 
-fn online_ask(from: InstanceId, want: &Want, may_wait: bool) -> slots::Ask {
-    slots::Ask {
-        holder: from,
-        service: want.service.clone(),
-        purpose: Purpose::Online,
-        urgency: want.due,
-        useful_until: want.useful_until,
-        refuse_by: want.refuse_by,
-        avoid: want.avoid.clone(),
-        may_wait,
-    }
-}
-
 fn span(to: Instant, now: Instant) -> u64 {
     to.saturating_duration_since(now).as_millis() as u64
 }
@@ -278,9 +319,11 @@
         data_centre: data_centre.to_owned(),
         service: service.to_owned(),
         purpose: Purpose::Batch,
+        ticket: node.accounts.ticket(),
         due_ms: due.as_millis() as u64,
-        useful_ms: wait.as_millis() as u64,
-        refuse_ms: wait.as_millis() as u64,
+        in_time_ms: wait.as_millis() as u64,
+        until_ms: wait.as_millis() as u64,
+        reach: 0,
         wait_ms: wait.as_millis() as u64,
         most,
         avoid: Vec::new(),
--- a/crates/daemon/src/gateway/keeper.rs
+++ b/crates/daemon/src/gateway/keeper.rs
@@ -4,7 +4,7 @@
 //! verdicts are carried to those who asked, who wait, or who must give way.
 
 use super::account::keeper;
-use super::message::{Ask, Reply, Wish};
+use super::message::{Ask, Reply, Ticket, Wish};
 use super::node::Node;
 use coordination::slots::{
     self, End, Grant, Held, LOOK, LeaseId, Purpose, Report, Revocation, Verdict, WaiterId,
@@ -24,9 +24,10 @@
         holder: wish.from,
         service: wish.service.clone(),
         purpose: wish.purpose,
-        urgency: after(wish.due_ms),
-        useful_until: after(wish.useful_ms),
-        refuse_by: after(wish.refuse_ms),
+        due: after(wish.due_ms),
+        in_time_until: after(wish.in_time_ms),
+        until: after(wish.until_ms),
+        reach: wish.reach,
         avoid: wish.avoid.clone(),
         may_wait,
     };
@@ -35,13 +36,13 @@
     while grants.len() < wish.most {
         // The first one may be waited for; more only if they are free now.
         let may_wait = grants.is_empty() && !wait.is_zero();
-        match serve(node, &wish.data_centre, ask(may_wait), wait).await {
+        match serve(node, &wish.data_centre, ask(may_wait), wish.ticket, wait).await {
             Served::Grant(grant) => grants.push(grant),
             Served::NotHere => return Reply::NotHere,
             Served::Full(after) if grants.is_empty() && wish.purpose == Purpose::Online => {
                 return Reply::Full(after.as_millis() as u64);
             }
-            Served::Full(_) => break,
+            Served::Full(_) | Served::Pending => break,
         }
     }
     Reply::Slots(grants)
@@ -53,6 +54,8 @@
     Grant(Grant),
     /// None is free; one is expected after this long.
     Full(Duration),
+    /// The wait is over without a slot.
+    Pending,
     /// The account isn't kept here, or has no such service.
     NotHere,
 }
@@ -61,23 +64,44 @@
 struct Place {
     node: Rc<Node>,
     id: WaiterId,
+    wish: (InstanceId, Ticket),
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
         let accounts = &self.node.accounts;
+        accounts.tickets.borrow_mut().remove(&self.wish);
         if accounts.waiters.borrow_mut().remove(&self.id).is_some() {
             accounts.ledger.borrow_mut().on_waiter_gone(self.id);
         }
     }
 }
 
+/// A wish that waits here is withdrawn; one that was granted meanwhile isn't
+/// found, and its asker gives the lease back.
+pub fn on_withdrawn(node: &Node, wish: (InstanceId, Ticket)) {
+    let accounts = &node.accounts;
+    let Some(id) = accounts.tickets.borrow_mut().remove(&wish) else {
+        return;
+    };
+    accounts.ledger.borrow_mut().on_waiter_gone(id);
+    // Ends the wait: its asker is answered that it got none.
+    drop(accounts.waiters.borrow_mut().remove(&id));
+}
+
 /// Asks an account kept here; waits up to `wait` if the wish may wait.
-pub async fn serve(node: &Rc<Node>, data_centre: &str, ask: slots::Ask, wait: Duration) -> Served {
+pub async fn serve(
+    node: &Rc<Node>,
+    data_centre: &str,
+    ask: slots::Ask,
+    ticket: Ticket,
+    wait: Duration,
+) -> Served {
     refresh(node);
     if !node.accounts.kept.borrow().contains(data_centre) {
         return Served::NotHere;
     }
+    let wish = (ask.holder, ticket);
     let verdict = node.accounts.ledger.borrow_mut().on_ask(ask, Instant::now());
     match verdict {
         Verdict::Granted(grant, revocation) => {
@@ -89,14 +113,15 @@
         Verdict::Waiting(id) => {
             let (sender, receiver) = oneshot::channel();
             node.accounts.waiters.borrow_mut().insert(id, sender);
-            let place = Place { node: node.clone(), id };
+            node.accounts.tickets.borrow_mut().insert(wish, id);
+            let place = Place { node: node.clone(), id, wish };
             look(node);
             let answer = tokio::time::timeout(wait, receiver).await;
             drop(place);
             match answer {
                 Ok(Ok(Ok(grant))) => Served::Grant(grant),
                 Ok(Ok(Err(after))) => Served::Full(after),
-                Ok(Err(_)) | Err(_) => Served::Full(LOOK),
+                Ok(Err(_)) | Err(_) => Served::Pending,
             }
         }
     }
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -12,6 +12,9 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+/// Names a wish among those of one asker.
+pub type Ticket = u64;
+
 /// A wish for slots at the account of a data centre.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Wish {
@@ -23,12 +26,16 @@
     pub service: ServiceId,
     /// What the slots are for.
     pub purpose: Purpose,
-    /// Milliseconds until the work is due; orders those that wait.
+    /// Names the wish among those of its asker, so that it can be withdrawn.
+    pub ticket: Ticket,
+    /// Milliseconds until the work is due.
     pub due_ms: u64,
-    /// Milliseconds for which a slot is of full use.
-    pub useful_ms: u64,
-    /// Milliseconds in which a refusal does no harm.
-    pub refuse_ms: u64,
+    /// Milliseconds in which a slot brings the answer within its objective.
+    pub in_time_ms: u64,
+    /// Milliseconds until the caller leaves.
+    pub until_ms: u64,
+    /// Slots of all the accounts in which the request waits.
+    pub reach: u32,
     /// Milliseconds that the asker waits for an answer; 0 for no wait.
     pub wait_ms: u64,
     /// Most slots.
@@ -94,6 +101,8 @@
 pub enum Ask {
     /// Slots.
     Slots(Wish),
+    /// A wish that waits is withdrawn: its asker has a slot elsewhere, or has gone.
+    Withdraw(InstanceId, Ticket),
     /// A lease is given back.
     Release(LeaseId, Report),
     /// Somebody waits in vain for a first event at a target.
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -22,8 +22,6 @@
 use transport::listen::{Body, Broken};
 use transport::upstream::Exchange;
 
-/// Share of the objective in which a refusal counts as quick.
-const QUICK: f64 = 0.2;
 /// Share of the objective that a target itself takes for a first event; the
 /// rest can be spent on waiting for a slot.
 const OWN_SHARE: f64 = 0.35;
@@ -247,21 +245,23 @@
     }
 
     async fn lease(&self, after: Option<u64>) -> Result<Lease, Refusal> {
-        let objective = self.route.objective;
-        // A stream that goes on has a reader who waits in the middle of it, and a
-        // caller that comes again was refused before: for both, late is better
-        // than never.
-        let useful = if after.is_some() || self.call.is_again {
-            self.call.until
+        let start = self.call.started;
+        let patience = self.call.until.min(start + self.route.timeout);
+        let silence = self.route.silence.map_or(patience, |silence| start + silence);
+        let (in_time_until, until) = if after.is_some() {
+            // A reader waits in the middle of the stream.
+            let now = Instant::now();
+            (now + self.route.gap, now + self.route.silence.unwrap_or(self.route.timeout))
+        } else if self.call.is_again {
+            // Its objective is counted from the first time it came.
+            (start, silence)
         } else {
-            self.call.started + objective.mul_f64(1.0 - OWN_SHARE)
+            (start + self.route.objective.mul_f64(1.0 - OWN_SHARE), silence)
         };
         let want = Want {
             service: self.service.clone(),
-            due: self.call.until.min(self.call.started + self.route.timeout),
-            useful_until: useful,
-            refuse_by: self.call.started + objective.mul_f64(QUICK),
-            until: self.call.until,
+            in_time_until,
+            until: until.min(patience),
             avoid: self.avoid.clone(),
         };
         let result = account::acquire(&self.node, &want).await;
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -69,6 +69,10 @@
 async fn answer(node: &Rc<Node>, ask: Ask) -> Reply {
     match ask {
         Ask::Slots(wish) => keeper::on_wish(node, wish).await,
+        Ask::Withdraw(from, ticket) => {
+            keeper::on_withdrawn(node, (from, ticket));
+            Reply::Done
+        }
         Ask::Release(lease, report) => {
             keeper::on_release(node, lease, report);
             Reply::Done
--- a/crates/daemon/tests/gateway_online.rs
+++ b/crates/daemon/tests/gateway_online.rs
@@ -136,6 +136,40 @@
     assert!(resumed > 0, "items that made way go on where they stopped");
 }
 
+/// Regression: a request waited in the queue of its own data centre alone, and was
+/// refused by that queue's wait while a slot elsewhere was about to come free.
+#[test]
+fn a_request_waits_for_the_first_slot_of_any_data_centre() {
+    let paced = |id: &str, events: u64| Config {
+        id: id.to_owned(),
+        slots: 1,
+        pace: Duration::from_millis(50),
+        events,
+        ..Config::default()
+    };
+    let runners = vec![("east", paced("r0", 70)), ("west", paced("r1", 14))];
+    let fleet = Fleet::start(Plan { runners, ..Plan::default() });
+    std::thread::scope(|scope| {
+        for n in 0..2 {
+            let fleet = &fleet;
+            scope.spawn(move || fleet.send(0, "/ask/first", &format!("first-{n}")));
+            wait_until("it runs", || fleet.runs("/ask/first").len() > n);
+        }
+        let began = Instant::now();
+        let reply = fleet.send(0, "/ask/next", "next");
+        assert_eq!((reply.status, reply.whole), (200, true));
+        assert!(began.elapsed() < Duration::from_secs(2), "waited {:?}", began.elapsed());
+    });
+    let next = |run: &standin::runner::Run| run.path == "/ask/next";
+    assert_eq!(fleet.runners[1].runs().iter().filter(|run| next(run)).count(), 1);
+    // Its other place was given up: the slot of the first data centre isn't held
+    // for a request that was served elsewhere.
+    let reply = fleet.send(0, "/ask/last", "last");
+    assert_eq!(reply.status, 200);
+    let last = |run: &standin::runner::Run| run.path == "/ask/last";
+    assert_eq!(fleet.runners[0].runs().iter().filter(|run| last(run)).count(), 1);
+}
+
 #[test]
 fn a_leaving_target_receives_nothing_new() {
     let fleet = Fleet::start(Plan::default());
--- a/crates/protocol/src/routing.rs
+++ b/crates/protocol/src/routing.rs
@@ -63,6 +63,9 @@
     pub objective: Duration,
     /// Longest pause between events that keeps a stream within its objective.
     pub gap: Duration,
+    /// Silence after which callers leave a stream, its first event included;
+    /// `None` if they wait as long as they said.
+    pub silence: Option<Duration>,
     /// Rank; 0 is the most urgent.
     pub rank: u32,
     /// Services with their weights; the weights need not add up to anything.
@@ -85,6 +88,7 @@
             timeout: Duration::from_secs(30),
             objective: Duration::from_secs(1),
             gap: Duration::from_secs(1),
+            silence: None,
             rank: 0,
             services: Vec::new(),
             attempts: 1,
