Put batch that can't be in time behind what can; settings for the policy

From second 39 on some 100 items wait for 45 to 60 slots in the lows; the one due first always went first, also when it could not be done by then, and made the next ones late.

Change: coordination::span learns how long items run. A job whose next item can't be done by its due time waits behind those that can, at its holder and in the accounts, and its runs are stopped first. The item of a job with the least left goes first. [policy] holds the figures and switches of the gateway's decisions.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod rollout;
 pub mod route;
 pub mod slots;
+pub mod span;
 pub mod sweep;
 pub mod watch;
 
--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -38,6 +38,8 @@
     purpose: Purpose,
     granted: Instant,
     due: Instant,
+    /// Whether it was granted too late for its work to be in time.
+    is_late: bool,
     is_revoked: bool,
 }
 
@@ -211,18 +213,20 @@
             purpose: ask.purpose,
             granted: now,
             due: ask.due,
+            is_late: self.policy.late_last && now > ask.in_time_until,
             is_revoked: false,
         };
         self.leases.insert(id, lease);
     }
 
-    /// Takes the least urgent batch lease of a target back. It counts as given
-    /// back at once, since its holder stops without being asked twice.
+    /// Takes a batch lease of a target back: of work that is late already, else of
+    /// what is due last. It counts as given back at once, since its holder stops
+    /// without being asked twice.
     fn revoke_one(&mut self, target: &str) -> Option<Revocation> {
         let of_batch = self.leases.iter().filter(|(_, lease)| {
             lease.target == target && lease.purpose == Purpose::Batch && !lease.is_revoked
         });
-        let (id, _) = of_batch.max_by_key(|(id, lease)| (lease.due, **id))?;
+        let (id, _) = of_batch.max_by_key(|(id, lease)| (lease.is_late, lease.due, **id))?;
         let id = *id;
         let lease = self.leases.get_mut(&id)?;
         lease.is_revoked = true;
--- a/crates/coordination/src/slots/lease.rs
+++ b/crates/coordination/src/slots/lease.rs
@@ -31,12 +31,16 @@
     /// A lease that its holder doesn't report is dropped when it is older than
     /// this; younger ones may have crossed the report.
     pub crossing: Duration,
-    /// Whether online requests that can't be in time any more wait behind those
-    /// that still can.
+    /// Whether what can't be in time any more waits behind what still can, and
+    /// gives way before it.
     pub late_last: bool,
     /// A target whose events come this many times slower than the median is
     /// used last.
     pub slow: f64,
+    /// Whether a target that fails in part is used last, and not for batch.
+    pub failing_last: bool,
+    /// Whether a target at which somebody waited in vain is used last for a while.
+    pub doubt: bool,
     /// Weight of the newest measurement in a running mean.
     pub fresh: f64,
 }
@@ -49,6 +53,8 @@
             crossing: Duration::from_secs(1),
             late_last: true,
             slow: 2.0,
+            failing_last: true,
+            doubt: true,
             fresh: 0.2,
         }
     }
@@ -90,7 +96,7 @@
                 (0, true, self.until)
             }
             Purpose::Online => (0, false, self.in_time_until),
-            Purpose::Batch => (1, false, self.due),
+            Purpose::Batch => (1, policy.late_last && now > self.in_time_until, self.due),
         }
     }
 }
--- a/crates/coordination/src/slots/row.rs
+++ b/crates/coordination/src/slots/row.rs
@@ -113,7 +113,7 @@
         if self.is_full() && !can_stop_batch {
             return None;
         }
-        let is_failing = self.failures.share(now) >= FAILING;
+        let is_failing = policy.failing_last && self.failures.share(now) >= FAILING;
         if is_failing && !is_online {
             return None;
         }
@@ -122,7 +122,7 @@
             Use::Probation if self.used() == 0 => 1,
             Use::Probation | Use::Ejected => return None,
         };
-        let is_doubted = self.doubted.is_some_and(|at| now < at + DOUBT);
+        let is_doubted = policy.doubt && self.doubted.is_some_and(|at| now < at + DOUBT);
         let is_slow = median > 0.0 && self.pace > median * policy.slow;
         let class = 4 * u32::from(is_doubted || is_failing)
             + 2 * u32::from(self.is_full())
--- a/crates/coordination/tests/slots.rs
+++ b/crates/coordination/tests/slots.rs
@@ -192,6 +192,32 @@
     wait(&mut ledger, Ask { reach: 16, ..hurried }, now);
 }
 
+/// Regression: in an overload the item due first always came first, in vain once it
+/// was too late for it, and made the next ones late as well.
+#[test]
+fn batch_that_cannot_be_in_time_waits_last_and_gives_way_first() {
+    let now = Instant::now();
+    let mut ledger = ledger(1, now);
+    let item = |due: u32, in_time: u32| Ask {
+        due: now + MS * due,
+        in_time_until: now + MS * in_time,
+        ..ask(Purpose::Batch, now)
+    };
+    let later = now + MS * 100;
+    let late = grant(&mut ledger, item(1_000, 0), later);
+    let in_time = grant(&mut ledger, item(9_000, 4_000), later);
+    let waits_late = wait(&mut ledger, item(500, 0), later);
+    let waits = wait(&mut ledger, item(9_500, 4_500), later);
+    match ledger.on_ask(ask(Purpose::Online, later), later) {
+        Verdict::Granted(_, Some(revocation)) => assert_eq!(revocation.lease, late.lease),
+        other => panic!("{other:?}"),
+    }
+    ledger.on_release(in_time.lease, Report::default(), later);
+    let grants = ledger.next_grants(later);
+    assert_eq!(grants.iter().map(|(id, ..)| *id).collect::<Vec<_>>(), [waits]);
+    assert_ne!(waits, waits_late);
+}
+
 #[test]
 fn a_silent_target_is_left_alone_and_returns_gently() {
     let now = Instant::now();
--- a/crates/daemon/src/gateway/account.rs
+++ b/crates/daemon/src/gateway/account.rs
@@ -24,9 +24,6 @@
 /// takes about 2 ms; a keeper that needs more is slow or gone, and a decision
 /// without it is better than none.
 const ANSWER: Duration = Duration::from_millis(60);
-/// Most accounts that one request asks and waits in, its own data centre's among
-/// them: messages grow with the requests that wait, not with the data centres.
-const MOST_ACCOUNTS: usize = 4;
 /// Time between reports of all that is held.
 const REPORT_EVERY: Duration = Duration::from_millis(1_000);
 /// Leases that an instance grants itself while no account answers carry this
@@ -74,11 +71,11 @@
 
 impl Accounts {
     /// No leases and no accounts.
-    pub fn new(id: InstanceId, now: Instant) -> Accounts {
+    pub fn new(id: InstanceId, policy: Policy, now: Instant) -> Accounts {
         // Ids differ between accounts: the upper half comes from the keeper.
         let seed = (id << 32) & !OWN;
         Accounts {
-            ledger: RefCell::new(Ledger::new(Policy::default(), seed, now)),
+            ledger: RefCell::new(Ledger::new(policy, seed, now)),
             kept: RefCell::default(),
             seen: Cell::new((u64::MAX, u64::MAX)),
             places: RefCell::default(),
@@ -173,7 +170,8 @@
     if names.is_empty() {
         return Outcome::Refused(Refusal::NoTarget);
     }
-    names.truncate(MOST_ACCOUNTS);
+    // Messages grow with the requests that wait, not with the data centres.
+    names.truncate(node.settings.policy.accounts);
     let mut answered = Vec::new();
     for name in names {
         let visit = Visit::look(node, want, &name);
@@ -303,15 +301,25 @@
     Some(hold(node, grant, Purpose::Online, Keeper::Nobody))
 }
 
+/// What batch asks of one account.
+pub struct BatchWant<'a> {
+    /// Data centre of the account.
+    pub data_centre: &'a str,
+    /// Service.
+    pub service: &'a str,
+    /// Time until the most urgent item is due.
+    pub due: Duration,
+    /// Time in which it must begin to be done by then.
+    pub in_time: Duration,
+    /// Most slots.
+    pub most: usize,
+    /// Longest wait for the first one.
+    pub wait: Duration,
+}
+
 /// Asks the account of a data centre for slots for batch, and waits for them.
-pub async fn acquire_batch(
-    node: &Rc<Node>,
-    data_centre: &str,
-    service: &str,
-    due: Duration,
-    most: usize,
-    wait: Duration,
-) -> Option<Vec<Lease>> {
+pub async fn acquire_batch(node: &Rc<Node>, want: BatchWant<'_>) -> Option<Vec<Lease>> {
+    let BatchWant { data_centre, service, due, in_time, most, wait } = want;
     let keeper = keeper(node, data_centre)?;
     let now = Instant::now();
     let wish = Wish {
@@ -321,7 +329,7 @@
         purpose: Purpose::Batch,
         ticket: node.accounts.ticket(),
         due_ms: due.as_millis() as u64,
-        in_time_ms: wait.as_millis() as u64,
+        in_time_ms: in_time.as_millis() as u64,
         until_ms: wait.as_millis() as u64,
         reach: 0,
         wait_ms: wait.as_millis() as u64,
--- a/crates/daemon/src/gateway/board.rs
+++ b/crates/daemon/src/gateway/board.rs
@@ -7,6 +7,7 @@
 use super::{peers, record, spread};
 use coordination::hash;
 use coordination::member::Member;
+use coordination::span::Span;
 use protocol::ServiceId;
 use protocol::routing::Route;
 use state::progress::{Job, JobId, Sheet};
@@ -78,6 +79,8 @@
     /// When another instance's open jobs were last asked for.
     pub learnt: Cell<Option<Instant>>,
     pub(super) work: Notify,
+    /// What was learnt of how long items run.
+    pub(super) span: RefCell<Span>,
     pub(super) filling: RefCell<HashSet<(String, ServiceId)>>,
 }
 
--- a/crates/daemon/src/gateway/items.rs
+++ b/crates/daemon/src/gateway/items.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, StatusCode};
 use platform::{header, job};
 use protocol::ServiceId;
-use state::progress::{Failure, Item, Outcome, Partial, Sheet};
+use state::progress::{Failure, Item, Millis, Outcome, Partial, Sheet};
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -75,15 +75,27 @@
     route_of(node, job)?.service(draw).cloned()
 }
 
-/// Held jobs with items that wait for the service, the most urgent first.
+/// When the next item of a job must begin to be done by the time it is due.
+fn latest_start(node: &Node, sheet: &Sheet) -> Millis {
+    let left = node.board.span.borrow().left(sheet.next_made().unwrap_or_default());
+    sheet.job().due.saturating_sub(left.as_millis() as Millis)
+}
+
+/// Held jobs with items that wait for the service, the most urgent first. Those
+/// that can't be in time any more come last: in their turn they would make the
+/// others late as well.
 fn waiting(node: &Node, service: &str) -> Vec<Rc<Held>> {
+    let now = millis();
     let cells = node.board.cells.borrow();
     let fits = |held: &&Rc<Held>| {
         let sheet = held.sheet.borrow();
         sheet.runnable() > 0 && service_of(node, &sheet).as_deref() == Some(service)
     };
     let mut held: Vec<Rc<Held>> = cells.values().filter(fits).cloned().collect();
-    held.sort_by_key(|held| held.sheet.borrow().job().due);
+    held.sort_by_cached_key(|held| {
+        let sheet = held.sheet.borrow();
+        (now > latest_start(node, &sheet), sheet.job().due)
+    });
     held
 }
 
@@ -94,13 +106,20 @@
         let Some(first) = waiting.first() else {
             break;
         };
-        let due = first.sheet.borrow().job().due.saturating_sub(millis());
+        let now = millis();
+        let due = first.sheet.borrow().job().due.saturating_sub(now);
+        let in_time = latest_start(&node, &first.sheet.borrow()).saturating_sub(now);
         let runnable: usize = waiting.iter().map(|held| held.sheet.borrow().runnable()).sum();
         drop(waiting);
-        let most = runnable.min(MOST_SLOTS);
-        let due = Duration::from_millis(due);
-        let leases = account::acquire_batch(&node, &place, &service, due, most, SLOT_WAIT).await;
-        match leases {
+        let want = account::BatchWant {
+            data_centre: &place,
+            service: &service,
+            due: Duration::from_millis(due),
+            in_time: Duration::from_millis(in_time),
+            most: runnable.min(MOST_SLOTS),
+            wait: SLOT_WAIT,
+        };
+        match account::acquire_batch(&node, want).await {
             Some(leases) => leases.into_iter().for_each(|lease| start(&node, &service, lease)),
             None => tokio::time::sleep(SLOT_PAUSE).await,
         }
@@ -114,7 +133,7 @@
         return;
     }
     for held in waiting(node, service) {
-        let item = held.sheet.borrow_mut().start_next(millis());
+        let item = held.sheet.borrow_mut().start_next();
         if let Some(item) = item {
             spawn_local(run_item(node.clone(), held, item, lease));
             return;
@@ -158,6 +177,9 @@
     let mut pause = Duration::ZERO;
     match ended {
         Ended::Complete => {
+            if let Some(pace) = lease.report.pace {
+                node.board.span.borrow_mut().on_done(partial.texts.len(), pace);
+            }
             lease.end(End::Good);
             let text = partial.texts.join("\n");
             let outcome = Outcome { item: item.id.clone(), is_complete: true, text };
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -8,8 +8,9 @@
 use super::store::Guarded;
 use coordination::member::{Member, Policy, Table};
 use coordination::registry::Registry;
+use coordination::slots;
 use protocol::routing;
-use protocol::settings::Settings;
+use protocol::settings::{self, Settings};
 use protocol::{DataCentreId, InstanceId};
 use slog::Logger;
 use state::progress::{Holder, Millis};
@@ -107,7 +108,7 @@
         Rc::new(Node {
             store: Guarded::new(settings.platform, settings.platform_timeout, log.clone()),
             targets: upstream::Pool::new(connections),
-            accounts: Accounts::new(me.id, now),
+            accounts: Accounts::new(me.id, slot_policy(&settings.policy), now),
             members: RefCell::new(Table::new(me, policy)),
             news: Notify::new(),
             seeds: RefCell::new(settings.seeds.clone()),
@@ -233,6 +234,19 @@
     }
 }
 
+/// How accounts work by the settings.
+fn slot_policy(policy: &settings::Policy) -> slots::Policy {
+    let default = slots::Policy::default();
+    slots::Policy {
+        headroom: policy.headroom,
+        late_last: policy.late_last,
+        slow: if policy.slow_last { default.slow } else { f64::INFINITY },
+        failing_last: policy.failing_last,
+        doubt: policy.doubt,
+        ..default
+    }
+}
+
 /// The time of day in milliseconds, for what is kept on the platform.
 pub fn millis() -> Millis {
     crate::clock::millis()
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -22,15 +22,6 @@
 use transport::listen::{Body, Broken};
 use transport::upstream::Exchange;
 
-/// Share of the objective that a target itself takes for a first event; the
-/// rest can be spent on waiting for a slot.
-const OWN_SHARE: f64 = 0.35;
-/// Share of the objective after which a first event is overdue and the account
-/// hears of it.
-const OVERDUE: f64 = 0.8;
-/// A first event that takes this many objectives is waited for no longer, if the
-/// request may go on elsewhere.
-const GIVE_UP: f64 = 1.6;
 /// Targets that couldn't be reached, after which a request is refused.
 const MOST_UNREACHED: u32 = 3;
 /// Longest answer that is read whole before it is passed on.
@@ -256,7 +247,10 @@
             // Its objective is counted from the first time it came.
             (start, silence)
         } else {
-            (start + self.route.objective.mul_f64(1.0 - OWN_SHARE), silence)
+            (
+                start + self.route.objective.mul_f64(1.0 - self.node.settings.policy.own_share),
+                silence,
+            )
         };
         let want = Want {
             service: self.service.clone(),
--- a/crates/daemon/src/gateway/online/attempt.rs
+++ b/crates/daemon/src/gateway/online/attempt.rs
@@ -1,6 +1,6 @@
 //! One send of a request to one target, and what its answer says.
 
-use super::{Begun, Forward, GIVE_UP, OVERDUE};
+use super::{Begun, Forward};
 use crate::gateway::account::Lease;
 use bytes::Bytes;
 use coordination::slots::End;
@@ -19,8 +19,9 @@
             return Err(Again::TimeOver);
         }
         let request = self.request(&lease, left, after).map_err(Again::Unreached)?;
-        let overdue = self.route.objective.mul_f64(OVERDUE);
-        let give_up = self.route.objective.mul_f64(GIVE_UP);
+        let policy = &self.node.settings.policy;
+        let overdue = self.route.objective.mul_f64(policy.overdue);
+        let give_up = self.route.objective.mul_f64(policy.give_up);
         let sent = self.node.targets.send(lease.grant.address, request);
         let mut sent = std::pin::pin!(sent);
         let mut limit = left;
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -3,8 +3,11 @@
 //! Every key is known: a misspelt key is an error, because a setting that is
 //! silently ignored is found out on the worst day.
 
+mod policy;
 mod source;
 
+pub use policy::Policy;
+
 use crate::DataCentreId;
 use source::Source;
 use std::fmt;
@@ -145,6 +148,8 @@
     pub metrics: Option<SocketAddr>,
     /// `[log_lines] level`: `debug`, `info`, `warning` or `error`.
     pub log_level: String,
+    /// `[policy]`: what the gateway decides by.
+    pub policy: Policy,
     /// `[faults] cut`: addresses this daemon treats as unreachable (tests).
     pub cut: Option<PathBuf>,
     /// `[faults] unguarded`: guards switched off (tests).
@@ -195,6 +200,7 @@
             metrics_listen: None,
             metrics: None,
             log_level: String::from("info"),
+            policy: Policy::default(),
             cut: None,
             unguarded: Vec::new(),
         }
@@ -229,6 +235,7 @@
         settings.fill_addresses(&mut source)?;
         settings.fill_log(&mut source)?;
         settings.fill_work(&mut source)?;
+        settings.policy.fill(&mut source)?;
         source.finish()?;
         settings.check(file)?;
         Ok(settings)
@@ -299,13 +306,16 @@
             (self.stop_bound > self.stop_grace, "stop", "bound_ms", "over grace_ms"),
             (self.suspect > self.ping, "peers", "suspect_ms", "over ping_ms"),
         ];
-        match rules.iter().find(|(met, ..)| !met) {
+        let failed = rules.iter().find(|(met, ..)| !met);
+        let failed = failed.map(|(_, section, key, expected)| (*section, *key, *expected));
+        let policy = self.policy.check().map(|(key, expected)| ("policy", key, expected));
+        match failed.or(policy) {
             None => Ok(()),
-            Some((_, section, key, expected)) => Err(Fault {
+            Some((section, key, expected)) => Err(Fault {
                 file: file.into(),
-                section: (*section).into(),
-                key: (*key).into(),
-                expected: (*expected).into(),
+                section: section.into(),
+                key: key.into(),
+                expected: expected.into(),
             }),
         }
     }
--- /dev/null
+++ b/crates/protocol/src/settings/policy.rs
@@ -0,0 +1,79 @@
+//! `[policy]`: figures and switches of what the gateway decides. The defaults are
+//! what was measured best; docs/POLICY.md says what each is worth.
+
+use super::Fault;
+use super::source::Source;
+
+/// What the gateway decides by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Policy {
+    /// `[policy] accounts`: most accounts in which one request waits.
+    pub accounts: usize,
+    /// `[policy] late_last`: whether what can't be in time any more waits behind
+    /// what still can.
+    pub late_last: bool,
+    /// `[policy] headroom`: share of a service's slots that batch leaves free.
+    pub headroom: f64,
+    /// `[policy] slow_last`: whether targets that are slower than others are used
+    /// last.
+    pub slow_last: bool,
+    /// `[policy] failing_last`: whether targets that fail in part are used last,
+    /// and not for batch.
+    pub failing_last: bool,
+    /// `[policy] doubt`: whether a target whose first event is overdue is used
+    /// last for a while.
+    pub doubt: bool,
+    /// `[policy] own_share`: share of the objective that a target is given for
+    /// its first event.
+    pub own_share: f64,
+    /// `[policy] overdue`: share of the objective after which a first event is
+    /// overdue.
+    pub overdue: f64,
+    /// `[policy] give_up`: objectives after which a request that may run again is
+    /// sent elsewhere.
+    pub give_up: f64,
+}
+
+impl Default for Policy {
+    fn default() -> Policy {
+        Policy {
+            accounts: 4,
+            late_last: true,
+            headroom: 0.06,
+            slow_last: true,
+            failing_last: true,
+            doubt: true,
+            own_share: 0.35,
+            overdue: 0.8,
+            give_up: 1.6,
+        }
+    }
+}
+
+impl Policy {
+    pub(super) fn fill(&mut self, s: &mut Source) -> Result<(), Fault> {
+        let bool = "true or false";
+        s.value("policy", "accounts", "a number of accounts", &mut self.accounts)?;
+        s.value("policy", "late_last", bool, &mut self.late_last)?;
+        s.value("policy", "headroom", "a share of the slots", &mut self.headroom)?;
+        s.value("policy", "slow_last", bool, &mut self.slow_last)?;
+        s.value("policy", "failing_last", bool, &mut self.failing_last)?;
+        s.value("policy", "doubt", bool, &mut self.doubt)?;
+        s.value("policy", "own_share", "a share of the objective", &mut self.own_share)?;
+        s.value("policy", "overdue", "a share of the objective", &mut self.overdue)?;
+        s.value("policy", "give_up", "a number of objectives", &mut self.give_up)
+    }
+
+    /// The first key out of its bounds, and what was expected.
+    pub(super) fn check(&self) -> Option<(&'static str, &'static str)> {
+        let is_share = |share: f64| (0.0..1.0).contains(&share);
+        let rules = [
+            (self.accounts >= 1, "accounts", "at least 1"),
+            (is_share(self.headroom), "headroom", "from 0 to below 1"),
+            (is_share(self.own_share), "own_share", "from 0 to below 1"),
+            (self.overdue > 0.0, "overdue", "above 0"),
+            (self.give_up >= self.overdue, "give_up", "at least overdue"),
+        ];
+        rules.iter().find(|(met, ..)| !met).map(|(_, key, expected)| (*key, *expected))
+    }
+}
--- a/crates/protocol/tests/settings.rs
+++ b/crates/protocol/tests/settings.rs
@@ -18,6 +18,10 @@
 #[case("[log]\nshards = many", "log", "shards", "a number of shards")]
 #[case("[batch]\nclaim_ms = 100\nreport_ms = 90", "batch", "claim_ms", "over twice report_ms")]
 #[case("[orders]\nlease_ms = 5\nlifetime_ms = 9", "orders", "lease_ms", "over lifetime_ms")]
+#[case("[policy]\naccounts = 0", "policy", "accounts", "at least 1")]
+#[case("[policy]\nheadroom = 1", "policy", "headroom", "from 0 to below 1")]
+#[case("[policy]\noverdue = 2", "policy", "give_up", "at least overdue")]
+#[case("[policy]\ndoubt = yes", "policy", "doubt", "true or false")]
 #[case("[stop]\nbound_ms = 5\ngrace_ms = 9", "stop", "bound_ms", "over grace_ms")]
 fn a_fault_names_its_place(
     #[case] text: &str,
--- a/crates/state/src/progress.rs
+++ b/crates/state/src/progress.rs
@@ -14,7 +14,7 @@
 //!
 //! let job = Job::example("7c41", &["a", "b"]);
 //! let mut sheet = Sheet::new(job, Progress::default(), 3);
-//! assert_eq!(sheet.start_next(0).map(|item| item.id.clone()), Some("a".into()));
+//! assert_eq!(sheet.start_next().map(|item| item.id.clone()), Some("a".into()));
 //! sheet.on_done("a", Outcome { item: "a".into(), is_complete: true, text: "x".into() });
 //! assert!(sheet.listed().is_empty(), "listed only once it is durable");
 //! let draft = sheet.draft().unwrap();
@@ -27,6 +27,7 @@
 pub use job::{Failures, Holder, Item, ItemId, Job, JobId, Millis, Outcome, Progress};
 
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
@@ -141,14 +142,25 @@
         self.job.items.iter().filter(idle)
     }
 
-    /// Takes the next item to run: one that was stopped before one that has not
-    /// begun, since less of it is left.
-    pub fn start_next(&mut self, _now: Millis) -> Option<Item> {
-        if self.ended {
-            return None;
-        }
-        let begun = self.idle_items().find(|item| self.partials.contains_key(&item.id));
-        let item = begun.or_else(|| self.idle_items().next())?.clone();
+    /// The next item to run: the one that has made most, since least of it is left.
+    fn next_item(&self) -> Option<&Item> {
+        let runnable = self.idle_items().filter(|_| !self.ended);
+        runnable.min_by_key(|item| Reverse(self.made(&item.id)))
+    }
+
+    /// Events that earlier runs of an item have made.
+    fn made(&self, item: &str) -> usize {
+        self.partials.get(item).map_or(0, |partial| partial.texts.len())
+    }
+
+    /// Events that the next item to run has made already; `None` if none is left.
+    pub fn next_made(&self) -> Option<usize> {
+        self.next_item().map(|item| self.made(&item.id))
+    }
+
+    /// Takes the next item to run.
+    pub fn start_next(&mut self) -> Option<Item> {
+        let item = self.next_item()?.clone();
         self.running.insert(item.id.clone());
         Some(item)
     }
--- a/crates/state/tests/progress.rs
+++ b/crates/state/tests/progress.rs
@@ -15,33 +15,47 @@
 fn an_item_fails_for_good_after_its_attempts_also_across_holders() {
     let mut first = Sheet::new(Job::example("j", &["a"]), Progress::default(), 3);
     for _ in 0..2 {
-        first.start_next(0).expect("an item");
+        first.start_next().expect("an item");
         first.on_failed("a", Failure::Failed);
     }
     assert!(first.failures_due());
     let mut second = Sheet::new(Job::example("j", &["a"]), first.snapshot(), 3);
-    second.start_next(0).expect("an item");
+    second.start_next().expect("an item");
     second.on_failed("a", Failure::Failed);
     let draft = second.draft().expect("a result");
     assert!(!draft.outcomes[0].is_complete);
-    assert!(second.start_next(0).is_none());
+    assert!(second.start_next().is_none());
 }
 
 #[test]
 fn an_impossible_item_runs_once() {
     let mut sheet = Sheet::new(Job::example("j", &["a"]), Progress::default(), 3);
-    sheet.start_next(0).expect("an item");
+    sheet.start_next().expect("an item");
     sheet.on_failed("a", Failure::Impossible);
     assert!(sheet.is_done());
 }
 
+/// Regression: of the items that were stopped the first in the list went on, so
+/// some stayed nearly done until the whole job was late.
+#[test]
+fn the_item_with_the_least_left_goes_on_first() {
+    let mut sheet = Sheet::new(Job::example("j", &["a", "b", "c"]), Progress::default(), 3);
+    let partial = |made: usize| Partial {
+        last_event: Some(made as u64),
+        texts: vec![String::from("x"); made],
+    };
+    sheet.merge_partials([("a".to_owned(), partial(3)), ("b".to_owned(), partial(9))].into());
+    assert_eq!(sheet.next_made(), Some(9));
+    assert_eq!(sheet.start_next().map(|item| item.id), Some(String::from("b")));
+}
+
 #[test]
 fn a_stopped_item_goes_on_where_it_stood() {
     let mut sheet = Sheet::new(Job::example("j", &["a", "b"]), Progress::default(), 3);
-    let item = sheet.start_next(0).expect("an item").id;
+    let item = sheet.start_next().expect("an item").id;
     let made = Partial { last_event: Some(3), texts: vec!["x".into(); 3] };
     sheet.on_stopped(&item, made.clone());
-    assert_eq!(sheet.start_next(0).expect("it again").id, item);
+    assert_eq!(sheet.start_next().expect("it again").id, item);
     assert_eq!(sheet.partial(&item), made);
     // What a failed run had made is worth nothing.
     sheet.on_failed(&item, Failure::Failed);
@@ -52,7 +66,7 @@
 fn nothing_starts_after_the_end_and_what_is_late_is_given_up() {
     let mut sheet = Sheet::new(Job::example("j", &["a", "b"]), Progress::default(), 3);
     sheet.end();
-    assert!(sheet.start_next(0).is_none());
+    assert!(sheet.start_next().is_none());
     assert_eq!(sheet.waiting_tokens(), 0);
     let mut late = Sheet::new(Job::example("j", &["a", "b"]), Progress::default(), 3);
     late.on_time(59_999);
