Wait at the nearest account while silent ones are asked

Change: it waits in the nearest account at once, beside the looks at the others.

Test: silent_accounts_hold_up_no_request, on processes.

--- a/crates/daemon/src/gateway/account.rs
+++ b/crates/daemon/src/gateway/account.rs
@@ -153,6 +153,7 @@
         match acquire_once(node, want).await {
             Outcome::Lease(lease) => return Ok(lease),
             Outcome::Refused(refusal) => return Err(refusal),
+            Outcome::Unanswered => return Err(Refusal::NoTarget),
             // Accounts and their keepers may have changed meanwhile.
             Outcome::Pending => {}
         }
@@ -162,7 +163,10 @@
 enum Outcome {
     Lease(Lease),
     Refused(Refusal),
+    /// Nothing came free so far; there is time left.
     Pending,
+    /// No account answered.
+    Unanswered,
 }
 
 async fn acquire_once(node: &Rc<Node>, want: &Want) -> Outcome {
@@ -172,20 +176,19 @@
     }
     // Messages grow with the requests that wait, not with the data centres.
     names.truncate(node.settings.policy.accounts);
-    let mut answered = Vec::new();
-    for name in names {
-        let visit = Visit::look(node, want, &name);
-        match ask(node.clone(), visit).await {
-            Answer::Lease(lease) => return Outcome::Lease(lease),
-            Answer::Full(_) | Answer::Pending => answered.push(name),
-            Answer::Silent => {}
-        }
+    let nearest = names.remove(0);
+    match ask(node.clone(), Visit::look(node, want, &nearest)).await.1 {
+        Answer::Lease(lease) => return Outcome::Lease(lease),
+        Answer::Full(_) | Answer::Pending => names.insert(0, nearest),
+        Answer::Silent => {}
     }
-    if answered.is_empty() {
-        let lease = without_account(node, want);
-        return lease.map_or(Outcome::Refused(Refusal::NoTarget), Outcome::Lease);
+    match wait::first(node, want, names).await {
+        Outcome::Unanswered => {
+            let lease = without_account(node, want);
+            lease.map_or(Outcome::Refused(Refusal::NoTarget), Outcome::Lease)
+        }
+        outcome => outcome,
     }
-    wait::first(node, want, answered).await
 }
 
 /// One wish at one account.
@@ -242,16 +245,22 @@
     Silent,
 }
 
-async fn ask(node: Rc<Node>, visit: Visit) -> Answer {
+/// Makes a wish, and gives it back with its answer.
+async fn ask(node: Rc<Node>, visit: Visit) -> (Visit, Answer) {
+    let answer = answer(&node, &visit).await;
+    (visit, answer)
+}
+
+async fn answer(node: &Rc<Node>, visit: &Visit) -> Answer {
     let now = Instant::now();
-    let Some(keeper) = keeper(&node, &visit.data_centre) else {
+    let Some(keeper) = keeper(node, &visit.data_centre) else {
         return Answer::Silent;
     };
     if keeper.id == node.id() {
         let Visit { data_centre, ask, ticket, wait } = visit;
-        return match keeper::serve(&node, &data_centre, ask, ticket, wait).await {
+        return match keeper::serve(node, data_centre, ask.clone(), *ticket, *wait).await {
             keeper::Served::Grant(grant) => {
-                Answer::Lease(hold(&node, grant, Purpose::Online, Keeper::Here))
+                Answer::Lease(hold(node, grant, Purpose::Online, Keeper::Here))
             }
             keeper::Served::Full(after) => Answer::Full(after),
             keeper::Served::Pending => Answer::Pending,
@@ -265,7 +274,7 @@
     match node.ask(keeper.peer, &Ask::Slots(wish), visit.wait + ANSWER).await {
         Ok(Reply::Slots(grants)) => match grants.into_iter().next() {
             Some(grant) => {
-                Answer::Lease(hold(&node, grant, Purpose::Online, Keeper::At(keeper.peer)))
+                Answer::Lease(hold(node, grant, Purpose::Online, Keeper::At(keeper.peer)))
             }
             None => Answer::Pending,
         },
--- a/crates/daemon/src/gateway/account/wait.rs
+++ b/crates/daemon/src/gateway/account/wait.rs
@@ -1,5 +1,6 @@
-//! A wait in several accounts at once: the first slot counts, the other places
-//! are given up.
+//! A search in several accounts at once: a wait where nothing was free, looks at
+//! the others, a wait there too. The first slot counts, the other places are given
+//! up.
 
 use super::{Answer, Outcome, Refusal, Visit, Want, ask, keeper};
 use crate::gateway::keeper as kept;
@@ -19,22 +20,26 @@
 /// between heartbeats, and a fifth of the shortest time that callers wait.
 const RENEW: Duration = Duration::from_millis(400);
 
-/// Waits for the first slot in any of the accounts.
+/// Searches the accounts of some data centres, the nearest first, which has just
+/// said that nothing is free there.
 pub(super) async fn first(node: &Rc<Node>, want: &Want, names: Vec<DataCentreId>) -> Outcome {
-    let left = want.until.saturating_duration_since(Instant::now());
-    let reach = reach(node, want, &names);
-    let visits = names.iter().map(|name| {
-        let mut visit = Visit::look(node, want, name);
-        visit.ask.reach = reach;
-        visit.ask.may_wait = true;
-        visit.wait = left.min(RENEW);
-        visit
-    });
-    let visits: Vec<Visit> = visits.collect();
-    let tickets = visits.iter().map(|visit| (visit.data_centre.clone(), visit.ticket)).collect();
-    let waits = visits.into_iter().map(|visit| ask(node.clone(), visit)).collect();
-    let mut places = Places { node: node.clone(), tickets, waits: Some(waits) };
-    places.first(left).await
+    let mut names = names.into_iter();
+    let Some(nearest) = names.next() else {
+        return Outcome::Unanswered;
+    };
+    let all: Vec<DataCentreId> = std::iter::once(nearest.clone()).chain(names.clone()).collect();
+    let mut search = Search {
+        places: Places { node: node.clone(), tickets: Vec::new(), wishes: FuturesUnordered::new() },
+        start: ask,
+        want,
+        reach: reach(node, want, &all),
+        answered: Vec::new(),
+        shortest: None,
+        is_pending: false,
+    };
+    // A silent account must not hold up the wait at one that answers.
+    search.wait_at(&nearest);
+    search.run(names).await
 }
 
 /// Slots of the accounts together.
@@ -46,43 +51,101 @@
     registry.usable().filter(fits).map(|target| target.slots).sum()
 }
 
-/// Places in several accounts; those that are left are given up when it is dropped.
-struct Places<F: Future<Output = Answer> + 'static> {
-    node: Rc<Node>,
-    tickets: Vec<(DataCentreId, Ticket)>,
-    waits: Option<FuturesUnordered<F>>,
+struct Search<'a, S, F: Future<Output = (Visit, Answer)> + 'static> {
+    places: Places<F>,
+    /// Makes a wish.
+    start: S,
+    want: &'a Want,
+    reach: u32,
+    /// Data centres beside the nearest that have answered a look.
+    answered: Vec<DataCentreId>,
+    shortest: Option<Duration>,
+    is_pending: bool,
 }
 
-impl<F: Future<Output = Answer> + 'static> Places<F> {
-    async fn first(&mut self, left: Duration) -> Outcome {
-        let mut shortest: Option<Duration> = None;
-        let mut is_pending = false;
-        while let Some(waits) = self.waits.as_mut()
-            && let Some(answer) = waits.next().await
-        {
+impl<S, F> Search<'_, S, F>
+where
+    S: Fn(Rc<Node>, Visit) -> F,
+    F: Future<Output = (Visit, Answer)> + 'static,
+{
+    fn wait_at(&mut self, name: &str) {
+        let node = self.places.node.clone();
+        let mut visit = Visit::look(&node, self.want, name);
+        visit.ask.reach = self.reach;
+        visit.ask.may_wait = true;
+        visit.wait = self.left().min(RENEW);
+        self.places.tickets.push((visit.data_centre.clone(), visit.ticket));
+        self.places.wishes.push((self.start)(node, visit));
+    }
+
+    fn look_at(&mut self, name: &str) {
+        let node = self.places.node.clone();
+        let visit = Visit::look(&node, self.want, name);
+        self.places.wishes.push((self.start)(node, visit));
+    }
+
+    fn left(&self) -> Duration {
+        self.want.until.saturating_duration_since(Instant::now())
+    }
+
+    /// Looks at one data centre after the other, so that no two give a slot, then
+    /// waits at all that answered.
+    async fn run(&mut self, mut names: impl Iterator<Item = DataCentreId>) -> Outcome {
+        self.look_at_next(&mut names);
+        while let Some((visit, answer)) = self.places.wishes.next().await {
+            let is_look = !visit.ask.may_wait;
             match answer {
                 Answer::Lease(lease) => return Outcome::Lease(lease),
+                Answer::Full(_) | Answer::Pending if is_look => {
+                    self.answered.push(visit.data_centre);
+                }
                 Answer::Full(after) => {
-                    shortest = Some(shortest.map_or(after, |known| known.min(after)));
+                    self.shortest = Some(self.shortest.map_or(after, |known| known.min(after)));
                 }
-                Answer::Pending => is_pending = true,
+                Answer::Pending => self.is_pending = true,
                 Answer::Silent => {}
             }
+            if is_look {
+                self.look_at_next(&mut names);
+            }
         }
-        match shortest {
-            _ if is_pending && left > RENEW => Outcome::Pending,
+        self.outcome()
+    }
+
+    fn look_at_next(&mut self, names: &mut impl Iterator<Item = DataCentreId>) {
+        if let Some(name) = names.next() {
+            self.look_at(&name);
+            return;
+        }
+        for name in std::mem::take(&mut self.answered) {
+            self.wait_at(&name);
+        }
+    }
+
+    fn outcome(&self) -> Outcome {
+        match self.shortest {
+            _ if self.is_pending && !self.left().is_zero() => Outcome::Pending,
             Some(after) => Outcome::Refused(Refusal::Full(after)),
-            None if left > RENEW => Outcome::Pending,
-            None => Outcome::Refused(Refusal::Full(RENEW)),
+            None if self.is_pending => Outcome::Refused(Refusal::Full(RENEW)),
+            None => Outcome::Unanswered,
         }
     }
 }
 
-impl<F: Future<Output = Answer> + 'static> Drop for Places<F> {
+/// Wishes under way; those that are left are given up when it is dropped.
+struct Places<F: Future<Output = (Visit, Answer)> + 'static> {
+    node: Rc<Node>,
+    /// Places in accounts' queues.
+    tickets: Vec<(DataCentreId, Ticket)>,
+    wishes: FuturesUnordered<F>,
+}
+
+impl<F: Future<Output = (Visit, Answer)> + 'static> Drop for Places<F> {
     fn drop(&mut self) {
-        let Some(waits) = self.waits.take().filter(|waits| !waits.is_empty()) else {
+        let wishes = std::mem::take(&mut self.wishes);
+        if wishes.is_empty() {
             return;
-        };
+        }
         for (data_centre, ticket) in &self.tickets {
             let wish = (self.node.id(), *ticket);
             match keeper(&self.node, data_centre) {
@@ -92,6 +155,6 @@
             }
         }
         // A grant that has crossed the withdrawal is given back as it is dropped.
-        spawn_local(async move { waits.for_each(|answer| async move { drop(answer) }).await });
+        spawn_local(async move { wishes.for_each(|answer| async move { drop(answer) }).await });
     }
 }
--- a/crates/daemon/tests/gateway_online.rs
+++ b/crates/daemon/tests/gateway_online.rs
@@ -170,6 +170,36 @@
     assert_eq!(fleet.runners[0].runs().iter().filter(|run| last(run)).count(), 1);
 }
 
+/// Regression: at the start of a cut each request asked the silent accounts one
+/// after the other, 60 ms each, before it waited at the one that answers.
+#[test]
+fn silent_accounts_hold_up_no_request() {
+    let places = ["east", "north", "south", "west"];
+    let paced = |n: usize| Config {
+        id: format!("r{n}"),
+        slots: 1,
+        first: Duration::from_millis(20),
+        events: 20,
+        ..Config::default()
+    };
+    let runners = places.iter().enumerate().map(|(n, place)| (*place, paced(n))).collect();
+    let fleet = Fleet::start(Plan { gateways: places.to_vec(), runners, ..Plan::default() });
+    std::thread::scope(|scope| {
+        scope.spawn(|| fleet.send(0, "/ask/first", "first"));
+        wait_until("it runs", || !fleet.runs("/ask/first").is_empty());
+        fleet.gateways[1..].iter().for_each(|gateway| gateway.freeze());
+        let reply = fleet.send(0, "/ask/next", "next");
+        assert_eq!((reply.status, reply.whole), (200, true));
+        fleet.gateways[1..].iter().for_each(|gateway| gateway.thaw());
+    });
+    let is_next = |line: &&serde_json::Value| line["request"] == "next";
+    let log = fleet.log(0);
+    let line = log.iter().rfind(is_next).expect("a line about the request");
+    // The first request holds the slot for 120 ms; three silent accounts are 180.
+    let waited = line["slot_ms"].as_u64().expect("milliseconds");
+    assert!(waited < 150, "waited {waited} ms for a slot");
+}
+
 #[test]
 fn a_leaving_target_receives_nothing_new() {
     let fleet = Fleet::start(Plan::default());
