Give the slots of holders that fell silent to who waits

Change: an online lease whose holder has said nothing for 1.5 s counts as given back; a holder that lives reports it again.

Test: a_lease_of_a_holder_that_fell_silent_is_given_to_who_waits.

--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -62,6 +62,8 @@
     rows: BTreeMap<TargetId, Row>,
     leases: HashMap<LeaseId, Lease>,
     waiters: BTreeMap<WaiterId, Waiter>,
+    /// When each holder last said something.
+    heard: HashMap<InstanceId, Instant>,
     next: u64,
     /// Running mean of the time for which online leases are held, in seconds.
     hold: f64,
@@ -76,6 +78,7 @@
             rows: BTreeMap::new(),
             leases: HashMap::new(),
             waiters: BTreeMap::new(),
+            heard: HashMap::new(),
             next: seed,
             hold: FIRST_GUESS.as_secs_f64(),
         }
@@ -115,11 +118,13 @@
         if !self.has_service(&ask.service) {
             return Verdict::Unknown;
         }
+        self.on_heard(ask.holder, now);
         if !self.is_behind_others(&ask, now)
             && let Some((grant, revocation)) = self.grant(&ask, now)
         {
             return Verdict::Granted(grant, revocation);
         }
+        self.drop_silent(now);
         let turn = ask.turn(&self.policy, now);
         let before = |waiter: &&Waiter| {
             waiter.ask.service == ask.service && waiter.ask.turn(&self.policy, now) < turn
@@ -242,6 +247,7 @@
         let Some(lease) = self.leases.remove(&id) else {
             return;
         };
+        self.on_heard(lease.holder, now);
         let fresh = self.policy.fresh;
         if lease.purpose == Purpose::Online && report.end == End::Good {
             let held = now.saturating_duration_since(lease.granted).as_secs_f64();
@@ -309,6 +315,7 @@
     /// time after which to come back: each when its own turn is expected, so that
     /// they don't all come at one moment.
     pub fn hopeless(&mut self, now: Instant) -> Vec<(WaiterId, Duration)> {
+        self.drop_silent(now);
         let mut refused = Vec::new();
         let mut ahead: HashMap<&str, usize> = HashMap::new();
         for id in self.in_turn(now) {
--- a/crates/coordination/src/slots/holders.rs
+++ b/crates/coordination/src/slots/holders.rs
@@ -1,6 +1,6 @@
 //! Makes an account agree with what its holders say, whatever was lost between.
 
-use super::lease::{Ask, Held, LeaseId, Revocation};
+use super::lease::{Ask, Held, LeaseId, Purpose, Revocation};
 use super::row::Row;
 use super::{Lease, Ledger};
 use crate::{InstanceId, TargetId};
@@ -22,10 +22,33 @@
             self.drop_lease(id);
         }
         self.waiters.retain(|_, waiter| waiter.ask.holder != holder);
+        self.heard.remove(&holder);
+    }
+
+    /// A holder has said something.
+    pub(super) fn on_heard(&mut self, holder: InstanceId, now: Instant) {
+        self.heard.insert(holder, now);
+    }
+
+    /// Drops the online leases of holders that have fallen silent. One that still
+    /// lives reports them again.
+    pub(super) fn drop_silent(&mut self, now: Instant) {
+        let silence = self.policy.silence;
+        let is_over = |at: Instant| now.saturating_duration_since(at) > silence;
+        let is_silent = |holder: &InstanceId| self.heard.get(holder).is_none_or(|at| is_over(*at));
+        let is_lost = |lease: &Lease| {
+            lease.purpose == Purpose::Online && is_over(lease.granted) && is_silent(&lease.holder)
+        };
+        let lost = self.leases.iter().filter(|(_, lease)| is_lost(lease));
+        let lost: Vec<LeaseId> = lost.map(|(id, _)| *id).collect();
+        for id in lost {
+            self.drop_lease(id);
+        }
     }
 
     /// A holder reports all that it holds: the account is made to agree.
     pub fn on_held(&mut self, holder: InstanceId, held: &[Held], now: Instant) {
+        self.on_heard(holder, now);
         let reported: HashSet<LeaseId> = held.iter().map(|held| held.lease).collect();
         let is_lost = |(id, lease): &(&LeaseId, &Lease)| {
             let is_old = now.saturating_duration_since(lease.granted) > self.policy.crossing;
--- a/crates/coordination/src/slots/lease.rs
+++ b/crates/coordination/src/slots/lease.rs
@@ -31,6 +31,10 @@
     /// A lease that its holder doesn't report is dropped when it is older than
     /// this; younger ones may have crossed the report.
     pub crossing: Duration,
+    /// An online lease whose holder has said nothing for this long counts as given
+    /// back: the holder may be cut off. A report is due each second, and online
+    /// requests take less than one.
+    pub silence: Duration,
     /// Whether what can't be in time any more waits behind what still can, and
     /// gives way before it.
     pub late_last: bool,
@@ -51,6 +55,7 @@
             headroom: 0.06,
             settle: Duration::from_millis(300),
             crossing: Duration::from_secs(1),
+            silence: Duration::from_millis(1_500),
             late_last: true,
             slow: 2.0,
             failing_last: true,
--- a/crates/coordination/tests/slots.rs
+++ b/crates/coordination/tests/slots.rs
@@ -276,6 +276,26 @@
     assert_eq!(ledger.in_use(), [0, 0], "a late release changes nothing");
 }
 
+/// Regression: in a cut, slots leased to holders on its other side stayed taken for
+/// seconds, while requests waited and were refused.
+#[test]
+fn a_lease_of_a_holder_that_fell_silent_is_given_to_who_waits() {
+    let now = Instant::now();
+    let mut ledger = ledger(1, now);
+    for holder in [7, 8] {
+        grant(&mut ledger, Ask { holder, ..ask(Purpose::Online, now) }, now);
+    }
+    let later = now + MS * 1_000;
+    ledger.on_held(8, &[], later);
+    let id = wait(&mut ledger, ask(Purpose::Online, later), later);
+    assert!(ledger.next_grants(later).is_empty(), "both may still be at work");
+    let later = now + MS * 1_600;
+    ledger.hopeless(later);
+    let granted: Vec<u64> = ledger.next_grants(later).iter().map(|(id, ..)| *id).collect();
+    assert_eq!(granted, [id], "the slot of the silent one, not of the one that was heard");
+    assert_eq!(ledger.in_use(), [2, 0]);
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Online,
