Count requests that break off together as one failure of their target

Each target had lost eight requests at one moment and was taken out of use for failures in a row, and the expected wait counted the slots of targets that are out of use.

Change: only a request that began after the last break counts as a further failure; the expected wait counts targets in use.

Tests: requests_that_break_off_together_are_one_event, a_wait_counts_no_target_that_is_out_of_use; the first seen failing.

--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -130,7 +130,7 @@
             waiter.ask.service == ask.service && waiter.ask.turn(&self.policy, now) < turn
         };
         let ahead = self.waiters.values().filter(before).count();
-        let wait = self.expected_wait(&ask, ahead);
+        let wait = self.expected_wait(&ask, ahead, now);
         let is_hopeless = ask.purpose == Purpose::Online && now + wait > ask.until;
         if !ask.may_wait || is_hopeless {
             return Verdict::Full(wait.clamp(COME_BACK[0], COME_BACK[1]));
@@ -151,12 +151,16 @@
 
     /// How long a wish with `ahead` others before it is expected to wait: slots
     /// come free one after the other as online requests end, in all the accounts
-    /// in which they wait.
-    fn expected_wait(&self, ask: &Ask, ahead: usize) -> Duration {
+    /// in which they wait. The others are taken to have lost as large a share of
+    /// their targets as this one.
+    fn expected_wait(&self, ask: &Ask, ahead: usize, now: Instant) -> Duration {
         let fits = |row: &&Row| row.serves(&ask.service);
         let own: u32 = self.rows.values().filter(fits).map(|row| row.target.slots).sum();
-        let slots = own.max(ask.reach).max(1);
-        Duration::from_secs_f64(self.hold * (ahead + 1) as f64 / f64::from(slots))
+        let in_use = self.rows.values().filter(fits).filter(|row| row.is_in_use(now));
+        let in_use: u32 = in_use.map(|row| row.target.slots).sum();
+        let share = f64::from(in_use) / f64::from(own.max(1));
+        let slots = (f64::from(own.max(ask.reach)) * share).max(1.0);
+        Duration::from_secs_f64(self.hold * (ahead + 1) as f64 / slots)
     }
 
     fn grant(&mut self, ask: &Ask, now: Instant) -> Option<(Grant, Option<Revocation>)> {
@@ -260,7 +264,7 @@
             let count = row.count(lease.purpose);
             *count = count.saturating_sub(1);
         }
-        row.on_report(report, fresh, now);
+        row.on_report(report, lease.granted, fresh, now);
     }
 
     /// Somebody waits in vain for a first event at the target.
@@ -326,7 +330,7 @@
                 continue;
             }
             let ahead = ahead.entry(&ask.service).or_default();
-            let wait = self.expected_wait(ask, *ahead);
+            let wait = self.expected_wait(ask, *ahead, now);
             if now + wait > ask.until {
                 refused.push((id, wait.clamp(COME_BACK[0], COME_BACK[1])));
             } else {
--- a/crates/coordination/src/slots/row.rs
+++ b/crates/coordination/src/slots/row.rs
@@ -54,6 +54,8 @@
     pub(super) pace: f64,
     /// When somebody last waited in vain for a first event there.
     doubted: Option<Instant>,
+    /// When a request last broke off there.
+    broke: Option<Instant>,
 }
 
 /// How good a target is for a wish; the lowest is the best.
@@ -70,6 +72,7 @@
             failures: Failures::default(),
             pace: 0.0,
             doubted: None,
+            broke: None,
         }
     }
 
@@ -137,8 +140,24 @@
         self.doubted = Some(now);
     }
 
-    /// A lease was given back; `fresh` is the weight of a new measurement.
-    pub(super) fn on_report(&mut self, report: Report, fresh: f64, now: Instant) {
+    /// Whether health lets it take requests, be it one at a time.
+    pub(super) fn is_in_use(&self, now: Instant) -> bool {
+        self.health.usage(now) != Use::Ejected
+    }
+
+    /// A lease that was granted at `granted` was given back; `fresh` is the weight
+    /// of a new measurement.
+    pub(super) fn on_report(&mut self, report: Report, granted: Instant, fresh: f64, now: Instant) {
+        if report.end == End::Broken {
+            // Requests that were under way together break off together when
+            // connections are reset: that is one event, whatever their number.
+            // Only one that began after it tells more. Silence is another matter:
+            // a target that says nothing to eight is left alone for long.
+            if self.broke.is_some_and(|at| granted < at) {
+                return;
+            }
+            self.broke = Some(now);
+        }
         match report.end {
             End::Unused => {}
             End::Good => {
--- a/crates/coordination/tests/slots.rs
+++ b/crates/coordination/tests/slots.rs
@@ -235,6 +235,50 @@
     assert!(matches!(ledger.on_ask(ask(Purpose::Online, later), later), Verdict::Full(_)));
 }
 
+/// Regression: when all connections of the fleet were reset, each target lost eight
+/// requests at once, and was taken out of use for eight failures in a row: no slot
+/// for three seconds, though all were sound.
+#[test]
+fn requests_that_break_off_together_are_one_event() {
+    let now = Instant::now();
+    let mut ledger = Ledger::new(Policy::default(), 0, now - Duration::from_secs(10));
+    ledger.set_targets(&[target(0, 8)]);
+    let leases: Vec<Grant> =
+        (0..8).map(|_| grant(&mut ledger, ask(Purpose::Online, now), now)).collect();
+    let broken = Report { end: End::Broken, ..Report::default() };
+    for (n, lease) in leases.iter().enumerate() {
+        ledger.on_release(lease.lease, broken, now + MS * (100 + n as u32));
+    }
+    let later = now + MS * 200;
+    for n in 0..2 {
+        let at = later + MS * n;
+        let next = grant(&mut ledger, ask(Purpose::Online, at), at);
+        ledger.on_release(next.lease, broken, at + MS);
+    }
+    let after = later + MS * 10;
+    let verdict = ledger.on_ask(ask(Purpose::Online, after), after);
+    assert!(matches!(verdict, Verdict::Full(_)), "one after the other they are: {verdict:?}");
+}
+
+/// Regression: a wait was expected as if targets out of use served, so requests were
+/// held for 2 s and then refused.
+#[test]
+fn a_wait_counts_no_target_that_is_out_of_use() {
+    let now = Instant::now();
+    let mut ledger = ledger(8, now);
+    let silent = Report { end: End::Silent, ..Report::default() };
+    let leases: Vec<Grant> =
+        (0..16).map(|_| grant(&mut ledger, ask(Purpose::Online, now), now)).collect();
+    for lease in leases {
+        if lease.target != "t0" {
+            ledger.on_release(lease.lease, silent, now);
+        }
+    }
+    // Two slots are left: half a second each, so the next comes in a quarter.
+    let hurried = Ask { until: now + MS * 200, may_wait: true, ..ask(Purpose::Online, now) };
+    assert!(matches!(ledger.on_ask(hurried, now), Verdict::Full(_)));
+}
+
 #[test]
 fn a_doubted_target_is_used_last() {
     let now = Instant::now();
