Split the accounts' module; name the window in which a slot is of use

Behaviour is unchanged: slots for batch and reports of leases have modules of their own, and the times that an online request waits by are one function.

--- a/crates/daemon/src/gateway/account.rs
+++ b/crates/daemon/src/gateway/account.rs
@@ -1,16 +1,20 @@
 //! Slots: asks for leases, and keeps the accounts that fall to this instance.
 
+mod batch;
 mod lease;
+mod report;
 mod wait;
 
+pub use batch::{Batch, acquire_batch};
 pub use lease::Lease;
+pub use report::report;
 
 use super::keeper;
 use super::message::{Ask, Reply, Ticket, Wish};
 use super::node::Node;
 use coordination::hash;
 use coordination::member::Member;
-use coordination::slots::{self, Grant, Held, LeaseId, Ledger, Policy, Purpose, WaiterId};
+use coordination::slots::{self, Grant, LeaseId, Ledger, Policy, Purpose, WaiterId};
 use lease::{Keeper, Out, hold};
 use protocol::{DataCentreId, InstanceId};
 use std::cell::{Cell, RefCell};
@@ -18,14 +22,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
-use tokio_util::sync::CancellationToken;
 
 /// Longest wait for an account's immediate answer. Within a region a round trip
 /// takes about 2 ms; a keeper that needs more is slow or gone, and a decision
 /// without it is better than none.
 const ANSWER: Duration = Duration::from_millis(60);
-/// Time between reports of all that is held.
-const REPORT_EVERY: Duration = Duration::from_millis(1_000);
 /// Leases that an instance grants itself while no account answers carry this
 /// bit, so that they never collide with an account's own.
 const OWN: LeaseId = 1 << 63;
@@ -309,97 +310,3 @@
         "service" => &want.service);
     Some(hold(node, grant, Purpose::Online, Keeper::Nobody))
 }
-
-/// What batch asks of one account.
-pub struct BatchWant<'a> {
-    /// Data centre of the account.
-    pub data_centre: &'a str,
-    /// Service.
-    pub service: &'a str,
-    /// Time until the most urgent item is due.
-    pub due: Duration,
-    /// Time in which it must begin to be done by then.
-    pub in_time: Duration,
-    /// Most slots.
-    pub most: usize,
-    /// Longest wait for the first one.
-    pub wait: Duration,
-}
-
-/// Asks the account of a data centre for slots for batch, and waits for them.
-pub async fn acquire_batch(node: &Rc<Node>, want: BatchWant<'_>) -> Option<Vec<Lease>> {
-    let BatchWant { data_centre, service, due, in_time, most, wait } = want;
-    let keeper = keeper(node, data_centre)?;
-    let now = Instant::now();
-    let wish = Wish {
-        from: node.id(),
-        data_centre: data_centre.to_owned(),
-        service: service.to_owned(),
-        purpose: Purpose::Batch,
-        ticket: node.accounts.ticket(),
-        due_ms: due.as_millis() as u64,
-        in_time_ms: in_time.as_millis() as u64,
-        until_ms: wait.as_millis() as u64,
-        reach: 0,
-        wait_ms: wait.as_millis() as u64,
-        most,
-        avoid: Vec::new(),
-    };
-    let (reply, at) = if keeper.id == node.id() {
-        (keeper::on_wish(node, wish).await, Keeper::Here)
-    } else if node.is_shunned(keeper.peer, now) {
-        return None;
-    } else {
-        let reply = node.ask(keeper.peer, &Ask::Slots(wish), wait + ANSWER * 4).await.ok()?;
-        (reply, Keeper::At(keeper.peer))
-    };
-    let Reply::Slots(grants) = reply else {
-        return None;
-    };
-    let lease = |grant| hold(node, grant, Purpose::Batch, at);
-    Some(grants.into_iter().map(lease).collect())
-}
-
-/// Reports all that is held to the accounts, now and then.
-pub async fn report(node: Rc<Node>, stop: CancellationToken) {
-    let mut told: HashMap<DataCentreId, InstanceId> = HashMap::new();
-    let mut last = Instant::now();
-    loop {
-        tokio::select! {
-            () = tokio::time::sleep(REPORT_EVERY / 4) => {}
-            () = stop.cancelled() => return,
-        }
-        keeper::refresh(&node);
-        let is_due = last.elapsed() >= REPORT_EVERY;
-        if is_due {
-            last = Instant::now();
-        }
-        report_once(&node, &mut told, is_due);
-    }
-}
-
-fn report_once(node: &Rc<Node>, told: &mut HashMap<DataCentreId, InstanceId>, is_due: bool) {
-    let registry = node.registry.borrow();
-    let names: BTreeSet<DataCentreId> =
-        registry.usable().map(|target| target.data_centre.clone()).collect();
-    for name in names {
-        let Some(keeper) = keeper(node, &name) else {
-            continue;
-        };
-        let is_new = told.insert(name.clone(), keeper.id) != Some(keeper.id);
-        if !(is_due || is_new) {
-            continue;
-        }
-        let out = node.accounts.out.borrow();
-        let of_this = |held: &&Held| {
-            registry.get(&held.target).is_some_and(|target| target.data_centre == name)
-        };
-        let held: Vec<Held> = out.values().map(|out| &out.held).filter(of_this).cloned().collect();
-        drop(out);
-        if keeper.id == node.id() {
-            node.accounts.ledger.borrow_mut().on_held(keeper.id, &held, Instant::now());
-        } else {
-            node.tell(keeper.peer, Ask::Held(node.id(), held));
-        }
-    }
-}
--- /dev/null
+++ b/crates/daemon/src/gateway/account/batch.rs
@@ -0,0 +1,60 @@
+//! Slots for batch: asked of one account at a time, several at once.
+
+use super::lease::{Keeper, hold};
+use super::{ANSWER, Lease, keeper};
+use crate::gateway::keeper as kept;
+use crate::gateway::message::{Ask, Reply, Wish};
+use crate::gateway::node::Node;
+use coordination::slots::Purpose;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// What batch asks of one account.
+pub struct Batch<'a> {
+    /// Data centre of the account.
+    pub data_centre: &'a str,
+    /// Service.
+    pub service: &'a str,
+    /// Time until the most urgent item is due.
+    pub due: Duration,
+    /// Time in which it must begin to be done by then.
+    pub in_time: Duration,
+    /// Most slots.
+    pub most: usize,
+    /// Longest wait for the first one.
+    pub wait: Duration,
+}
+
+/// Asks the account of a data centre for slots for batch, and waits for them.
+pub async fn acquire_batch(node: &Rc<Node>, want: Batch<'_>) -> Option<Vec<Lease>> {
+    let Batch { data_centre, service, due, in_time, most, wait } = want;
+    let keeper = keeper(node, data_centre)?;
+    let now = Instant::now();
+    let wish = Wish {
+        from: node.id(),
+        data_centre: data_centre.to_owned(),
+        service: service.to_owned(),
+        purpose: Purpose::Batch,
+        ticket: node.accounts.ticket(),
+        due_ms: due.as_millis() as u64,
+        in_time_ms: in_time.as_millis() as u64,
+        until_ms: wait.as_millis() as u64,
+        reach: 0,
+        wait_ms: wait.as_millis() as u64,
+        most,
+        avoid: Vec::new(),
+    };
+    let (reply, at) = if keeper.id == node.id() {
+        (kept::on_wish(node, wish).await, Keeper::Here)
+    } else if node.is_shunned(keeper.peer, now) {
+        return None;
+    } else {
+        let reply = node.ask(keeper.peer, &Ask::Slots(wish), wait + ANSWER * 4).await.ok()?;
+        (reply, Keeper::At(keeper.peer))
+    };
+    let Reply::Slots(grants) = reply else {
+        return None;
+    };
+    let lease = |grant| hold(node, grant, Purpose::Batch, at);
+    Some(grants.into_iter().map(lease).collect())
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/account/report.rs
@@ -0,0 +1,59 @@
+//! Reports of the leases held here, from which accounts mend what was lost.
+
+use super::keeper;
+use crate::gateway::keeper as kept;
+use crate::gateway::message::Ask;
+use crate::gateway::node::Node;
+use coordination::slots::Held;
+use protocol::{DataCentreId, InstanceId};
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
+
+/// Time between reports of all that is held.
+const REPORT_EVERY: Duration = Duration::from_millis(1_000);
+
+/// Reports all that is held to the accounts, now and then.
+pub async fn report(node: Rc<Node>, stop: CancellationToken) {
+    let mut told: HashMap<DataCentreId, InstanceId> = HashMap::new();
+    let mut last = Instant::now();
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(REPORT_EVERY / 4) => {}
+            () = stop.cancelled() => return,
+        }
+        kept::refresh(&node);
+        let is_due = last.elapsed() >= REPORT_EVERY;
+        if is_due {
+            last = Instant::now();
+        }
+        report_once(&node, &mut told, is_due);
+    }
+}
+
+fn report_once(node: &Rc<Node>, told: &mut HashMap<DataCentreId, InstanceId>, is_due: bool) {
+    let registry = node.registry.borrow();
+    let names: BTreeSet<DataCentreId> =
+        registry.usable().map(|target| target.data_centre.clone()).collect();
+    for name in names {
+        let Some(keeper) = keeper(node, &name) else {
+            continue;
+        };
+        let is_new = told.insert(name.clone(), keeper.id) != Some(keeper.id);
+        if !(is_due || is_new) {
+            continue;
+        }
+        let out = node.accounts.out.borrow();
+        let of_this = |held: &&Held| {
+            registry.get(&held.target).is_some_and(|target| target.data_centre == name)
+        };
+        let held: Vec<Held> = out.values().map(|out| &out.held).filter(of_this).cloned().collect();
+        drop(out);
+        if keeper.id == node.id() {
+            node.accounts.ledger.borrow_mut().on_held(keeper.id, &held, Instant::now());
+        } else {
+            node.tell(keeper.peer, Ask::Held(node.id(), held));
+        }
+    }
+}
--- a/crates/daemon/src/gateway/items.rs
+++ b/crates/daemon/src/gateway/items.rs
@@ -111,7 +111,7 @@
         let in_time = latest_start(&node, &first.sheet.borrow()).saturating_sub(now);
         let runnable: usize = waiting.iter().map(|held| held.sheet.borrow().runnable()).sum();
         drop(waiting);
-        let want = account::BatchWant {
+        let want = account::Batch {
             data_centre: &place,
             service: &service,
             due: Duration::from_millis(due),
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -235,29 +235,29 @@
         Failed::NotRun(refusal)
     }
 
-    async fn lease(&self, after: Option<u64>) -> Result<Lease, Refusal> {
+    /// Until when a slot brings the answer in time, and until when the caller waits.
+    fn window(&self, is_resumed: bool, now: Instant) -> (Instant, Instant) {
+        let route = &self.route;
         let start = self.call.started;
-        let patience = self.call.until.min(start + self.route.timeout);
-        let silence = self.route.silence.map_or(patience, |silence| start + silence);
-        let (in_time_until, until) = if after.is_some() {
+        let last = self.call.until.min(start + route.timeout);
+        let leaves =
+            |since: Instant| route.silence.map_or(last, |silence| last.min(since + silence));
+        if is_resumed {
             // A reader waits in the middle of the stream.
-            let now = Instant::now();
-            (now + self.route.gap, now + self.route.silence.unwrap_or(self.route.timeout))
-        } else if self.call.is_again {
-            // Its objective is counted from the first time it came.
-            (start, silence)
-        } else {
-            (
-                start + self.route.objective.mul_f64(1.0 - self.node.settings.policy.own_share),
-                silence,
-            )
-        };
-        let want = Want {
-            service: self.service.clone(),
-            in_time_until,
-            until: until.min(patience),
-            avoid: self.avoid.clone(),
-        };
+            return (now + route.gap, leaves(now));
+        }
+        if self.call.is_again {
+            // Its objective is counted from the first time it came: it is late.
+            return (start, leaves(start));
+        }
+        let own_share = self.node.settings.policy.own_share;
+        (start + route.objective.mul_f64(1.0 - own_share), leaves(start))
+    }
+
+    async fn lease(&self, after: Option<u64>) -> Result<Lease, Refusal> {
+        let (in_time_until, until) = self.window(after.is_some(), Instant::now());
+        let want =
+            Want { service: self.service.clone(), in_time_until, until, avoid: self.avoid.clone() };
         let result = account::acquire(&self.node, &want).await;
         self.slot_wait.set(self.call.started.elapsed());
         result
