Pass on what a holder has learnt of a job with the job

What a holder learns of an item - that it can't be done, how often it failed, its whole result - lay only in its memory for up to 1.5 s before it was written, and went with nothing: a planned stop passed on what stopped runs had made, and nothing of failures; whose write failed at the stop lost results too; whose job had been taken over dropped all of it.

Ruled out: that the count was kept and not obeyed. `state` gives an item up at the first 422 (an_impossible_item_runs_once), also across holders once it is written.

Change: `state::progress::Learnt` holds what stopped runs made, failures and results that aren't durable. It goes along at a planned stop, and from a holder that finds itself overtaken to the new one, until that has heard it (15 s at most, longer than cuts last). Counts of two holders aren't added: both may have counted the same runs.

Before (test on the code as it landed): an_item_that_can_never_be_done_runs_once_though_its_ job_changes_hands and a_holder_that_was_overtaken_tells_what_it_has_learnt fail, 9 others of the file pass. After: 11 of 11, progress 11 of 11.

--- a/crates/daemon/src/gateway/board.rs
+++ b/crates/daemon/src/gateway/board.rs
@@ -10,7 +10,7 @@
 use coordination::span::Span;
 use protocol::ServiceId;
 use protocol::routing::Route;
-use state::progress::{Job, JobId, Sheet};
+use state::progress::{Job, JobId, Learnt, Sheet};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -81,8 +81,9 @@
     pub(super) work: Notify,
     /// What was learnt of how long items run.
     pub(super) span: RefCell<Span>,
-    /// Jobs that this instance is about to take over, as others have asked.
-    pub(super) adopting: RefCell<HashSet<JobId>>,
+    /// What was learnt elsewhere of jobs that this instance is about to take over, as
+    /// others have asked.
+    pub(super) adopting: RefCell<HashMap<JobId, Vec<Learnt>>>,
     pub(super) filling: RefCell<HashSet<(String, ServiceId)>>,
 }
 
--- a/crates/daemon/src/gateway/items.rs
+++ b/crates/daemon/src/gateway/items.rs
@@ -309,7 +309,7 @@
     }
     // The runs put down what they have made.
     tokio::task::yield_now().await;
-    tokio::time::sleep(Duration::from_millis(5)).await;
+    tokio::time::sleep(record::RUNS_STOP).await;
     let mut left = Vec::new();
     for held in open {
         let is_fresh = held.sheet.borrow().draft().is_some();
@@ -320,15 +320,15 @@
         let sheet = held.sheet.borrow();
         let id = sheet.job().id.clone();
         node.board.cells.borrow_mut().remove(&id);
-        left.push((id, sheet.partials().clone()));
+        left.push((id, sheet.learnt()));
     }
     // While it is cut off there is nobody to pass a job to, and what it accepted
     // meanwhile is known to nobody else. The bound of the stop ends this.
     loop {
         let mut still = Vec::new();
-        for (id, partials) in left {
-            if !takeover::pass(node, &id, &partials).await {
-                still.push((id, partials));
+        for (id, learnt) in left {
+            if !takeover::pass(node, &id, &learnt).await {
+                still.push((id, learnt));
             }
         }
         if still.is_empty() {
--- a/crates/daemon/src/gateway/jobs.rs
+++ b/crates/daemon/src/gateway/jobs.rs
@@ -10,8 +10,7 @@
 use platform::store::Fault;
 use platform::{header, job};
 use protocol::{Error, Kind};
-use state::progress::{Job, Outcome, Progress};
-use std::collections::HashMap;
+use state::progress::{Job, Learnt, Outcome, Progress};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use transport::listen::Body;
@@ -246,7 +245,7 @@
     }
     let stored = |record: Record| Found::Stored(Box::new(record.job), Box::new(record.progress));
     if keeper.instance == node.id() {
-        return match takeover::adopt(node, id, HashMap::new()).await {
+        return match takeover::adopt(node, id, Learnt::default()).await {
             Some(held) => Found::Here(held),
             None => stored(record),
         };
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -8,8 +8,7 @@
 use protocol::routing::Version;
 use protocol::{DataCentreId, InstanceId, ServiceId, TargetId};
 use serde::{Deserialize, Serialize};
-use state::progress::{Holder, ItemId, JobId, Outcome, Partial};
-use std::collections::HashMap;
+use state::progress::{Holder, ItemId, JobId, Learnt, Outcome};
 use std::net::SocketAddr;
 
 /// Names a wish among those of one asker.
@@ -166,8 +165,8 @@
     Body(JobId, ItemId),
     /// The end of a job.
     End(JobId),
-    /// The receiver should hold the job; with what stopped runs have made.
-    Adopt(JobId, HashMap<ItemId, Partial>),
+    /// The receiver should hold the job; with what another holder has learnt of it.
+    Adopt(JobId, Learnt),
 }
 
 /// A reply.
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -113,10 +113,10 @@
         }
         Ask::Body(job, item) => jobs::on_body(node, &job, &item),
         Ask::End(job) => jobs::on_end(node, &job).await,
-        Ask::Adopt(job, partials) => {
+        Ask::Adopt(job, learnt) => {
             let node = node.clone();
             // The asker doesn't wait: it may be about to stop.
-            spawn_local(async move { takeover::adopt_when_able(&node, &job, partials).await });
+            spawn_local(async move { takeover::adopt_when_able(&node, &job, learnt).await });
             Reply::Done
         }
     }
--- a/crates/daemon/src/gateway/record.rs
+++ b/crates/daemon/src/gateway/record.rs
@@ -4,11 +4,13 @@
 use super::board::{self, Held};
 use super::node::{Node, millis};
 use super::stored::{self, Record, Unread};
+use super::takeover;
 use platform::job;
 use platform::store::{Fault, Object};
-use state::progress::Progress;
+use state::progress::{Holder, Progress};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::task::spawn_local;
 
 /// Results wait this long for others to be written with them. Each write is a
 /// call that is paid for; a holder that is lost costs the runs not yet written.
@@ -30,6 +32,9 @@
 /// meet again within some two seconds.
 const AFTER_ISOLATION: Duration = Duration::from_secs(4);
 
+/// Runs that were told to stop have put down what they made after this time.
+pub(super) const RUNS_STOP: Duration = Duration::from_millis(5);
+
 /// Looks whether a job is still held here.
 pub async fn verify(node: &Rc<Node>, held: &Rc<Held>) {
     let id = held.sheet.borrow().job().id.clone();
@@ -147,6 +152,16 @@
     }
 }
 
+/// Tells the new holder of a job what was learnt here.
+async fn pass_learnt(node: Rc<Node>, held: Rc<Held>, holder: Holder) {
+    tokio::time::sleep(RUNS_STOP).await;
+    let (id, learnt) = {
+        let sheet = held.sheet.borrow();
+        (sheet.job().id.clone(), sheet.learnt())
+    };
+    takeover::tell_learnt(node, id, holder, learnt).await;
+}
+
 fn on_durable(node: &Rc<Node>, held: &Rc<Held>, draft: &Progress, revision: u64) {
     held.revision.set(revision);
     held.sheet.borrow_mut().on_durable(draft);
@@ -187,6 +202,7 @@
         slog::info!(node.log, "job overtaken"; "job" => &object.name,
             "holder" => format!("{:x}", holder.instance), "revision" => object.revision);
         board::release(node, held);
+        spawn_local(pass_learnt(node.clone(), held.clone(), holder));
     }
     true
 }
--- a/crates/daemon/src/gateway/submit.rs
+++ b/crates/daemon/src/gateway/submit.rs
@@ -13,8 +13,7 @@
 use platform::store::Fault;
 use protocol::routing::Route;
 use protocol::{Error, Kind};
-use state::progress::{Job, JobId, Progress};
-use std::collections::HashMap;
+use state::progress::{Job, JobId, Learnt, Progress};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::task::spawn_local;
@@ -223,7 +222,7 @@
         slog::info!(node.log, "holder not told of its job"; "job" => &id, "fault" => fault,
             "again" => !node.is_stopping());
         if node.is_stopping() {
-            takeover::pass(&node, &id, &HashMap::new()).await;
+            takeover::pass(&node, &id, &Learnt::default()).await;
             return;
         }
         tokio::time::sleep(node.store.back_in(Instant::now()).max(TELL_AGAIN)).await;
@@ -246,10 +245,10 @@
     let member = node.members.borrow().get(brief.holder.instance).cloned();
     let Some(member) = member else {
         // Its own, or that of an instance that is gone.
-        takeover::adopt_when_able(node, id, HashMap::new()).await;
+        takeover::adopt_when_able(node, id, Learnt::default()).await;
         return Ok(());
     };
-    let ask = Ask::Adopt(id.to_owned(), HashMap::new());
+    let ask = Ask::Adopt(id.to_owned(), Learnt::default());
     let told = node.ask(member.peer, &ask, TELL_LIMIT).await;
     told.map(|_| ()).map_err(|fault| format!("{fault:?}"))
 }
--- a/crates/daemon/src/gateway/sweep.rs
+++ b/crates/daemon/src/gateway/sweep.rs
@@ -15,7 +15,7 @@
 use coordination::sweep::{Range, share};
 use platform::job;
 use platform::store::Object;
-use std::collections::HashMap;
+use state::progress::Learnt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::task::spawn_local;
@@ -125,7 +125,8 @@
             match look_at(node, object, is_acquainted) {
                 Look::Orphan(status) => of_page.push(*status),
                 Look::Own => {
-                    is_done &= takeover::adopt(node, &object.name, HashMap::new()).await.is_some();
+                    is_done &=
+                        takeover::adopt(node, &object.name, Learnt::default()).await.is_some();
                 }
                 // Unless it is passed on, it has no holder in a moment.
                 Look::Leaving => is_done = false,
--- a/crates/daemon/src/gateway/takeover.rs
+++ b/crates/daemon/src/gateway/takeover.rs
@@ -14,10 +14,11 @@
 use coordination::member::{Member, State, Table};
 use platform::job;
 use platform::store::{Fault, Object};
-use state::progress::{Holder, ItemId, JobId, Partial};
+use state::progress::{Holder, JobId, Learnt};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::task::spawn_local;
 use tokio_util::sync::CancellationToken;
 
 /// Time between looks for jobs without a holder.
@@ -38,6 +39,9 @@
 const TRIES: u32 = 4;
 /// Shortest pause before a job is tried again that couldn't be taken over.
 const ADOPT_AGAIN: Duration = Duration::from_millis(250);
+/// How long a holder is told what was learnt of its job: longer than the cuts of some
+/// seconds that data centres are known to have.
+const LEARNT_LIMIT: Duration = Duration::from_secs(15);
 /// Longest wait for an instance that is to take a job over.
 const PASS_LIMIT: Duration = Duration::from_millis(300);
 
@@ -56,7 +60,7 @@
         }
         let is_acquainted = now >= began + ACQUAINTED;
         for id in due(&node, &mut noticed, is_acquainted, now) {
-            adopt(&node, &id, HashMap::new()).await;
+            adopt(&node, &id, Learnt::default()).await;
         }
     }
 }
@@ -140,7 +144,7 @@
 
 /// Has another instance take a job over; this one, if no other does and it isn't
 /// stopping. `false` when nobody did.
-pub async fn pass(node: &Rc<Node>, id: &str, partials: &HashMap<ItemId, Partial>) -> bool {
+pub async fn pass(node: &Rc<Node>, id: &str, learnt: &Learnt) -> bool {
     let mut ranked: Vec<Member> = node.members.borrow().workers().cloned().collect();
     ranked.sort_by_key(|member| std::cmp::Reverse(hash::weight(id.as_bytes(), member.id)));
     for member in ranked {
@@ -148,12 +152,13 @@
             if node.is_stopping() {
                 continue;
             }
-            return adopt(node, id, partials.clone()).await.is_some();
+            return adopt(node, id, learnt.clone()).await.is_some();
         }
-        let ask = Ask::Adopt(id.to_owned(), partials.clone());
+        let ask = Ask::Adopt(id.to_owned(), learnt.clone());
         if node.ask(member.peer, &ask, PASS_LIMIT).await.is_ok() {
             slog::info!(node.log, "job passed on"; "job" => id, "to" => %member.peer,
-                "partials" => partials.len());
+                "partials" => learnt.partials.len(), "failures" => learnt.failures.len(),
+                "outcomes" => learnt.outcomes.len());
             return true;
         }
     }
@@ -163,12 +168,8 @@
 
 /// Takes a job over, unless it is settled or another holder is at work; `None`
 /// when it can't be done now, or there is no such job.
-pub async fn adopt(
-    node: &Rc<Node>,
-    id: &str,
-    partials: HashMap<ItemId, Partial>,
-) -> Option<Rc<Held>> {
-    match try_adopt(node, id, partials).await {
+pub async fn adopt(node: &Rc<Node>, id: &str, learnt: Learnt) -> Option<Rc<Held>> {
+    match try_adopt(node, id, &learnt).await {
         Ok(held) => held,
         Err(fault) => {
             slog::info!(node.log, "job not taken over"; "job" => id, "fault" => %fault);
@@ -182,20 +183,73 @@
 ///
 /// Guards against a job that lies for the rest of the day because its holder couldn't
 /// read it at that moment (seen 41 s long, on a platform three hundred times slower).
-pub async fn adopt_when_able(node: &Rc<Node>, id: &str, partials: HashMap<ItemId, Partial>) {
-    if !node.board.adopting.borrow_mut().insert(id.to_owned()) {
-        return; // What the other runs made is made again.
+pub async fn adopt_when_able(node: &Rc<Node>, id: &str, learnt: Learnt) {
+    let is_first = {
+        let mut adopting = node.board.adopting.borrow_mut();
+        let is_first = !adopting.contains_key(id);
+        adopting.entry(id.to_owned()).or_default().push(learnt);
+        is_first
+    };
+    if !is_first {
+        return; // The one under way takes it in.
     }
-    while let Err(fault) = try_adopt(node, id, partials.clone()).await {
+    while let Err(fault) = try_adopt(node, id, &Learnt::default()).await {
         slog::info!(node.log, "job not taken over"; "job" => id, "fault" => %fault,
             "again" => !node.is_stopping());
         if node.is_stopping() {
-            pass(node, id, &partials).await;
-            break;
+            for learnt in node.board.adopting.borrow_mut().remove(id).unwrap_or_default() {
+                spawn_local(pass_on(node.clone(), id.to_owned(), learnt));
+            }
+            return;
         }
         tokio::time::sleep(node.store.back_in(Instant::now()).max(ADOPT_AGAIN)).await;
     }
-    node.board.adopting.borrow_mut().remove(id);
+    let learnt = node.board.adopting.borrow_mut().remove(id).unwrap_or_default();
+    for learnt in learnt {
+        hand_on(node, id, learnt).await;
+    }
+}
+
+async fn pass_on(node: Rc<Node>, id: JobId, learnt: Learnt) {
+    pass(&node, &id, &learnt).await;
+}
+
+/// Brings what was learnt of a job to its holder, be it this instance.
+async fn hand_on(node: &Rc<Node>, id: &str, learnt: Learnt) {
+    if let Some(held) = node.board.cell(id) {
+        learn(node, &held, learnt);
+        return;
+    }
+    let holder = node.board.directory.borrow().get(id).map(|status| status.holder);
+    if let Some(holder) = holder.filter(|holder| holder.instance != node.id()) {
+        tell_learnt(node.clone(), id.to_owned(), holder, learnt).await;
+    }
+}
+
+/// Takes in what another holder has learnt.
+fn learn(node: &Node, held: &Held, learnt: Learnt) {
+    held.sheet.borrow_mut().learn(learnt);
+    held.wake();
+    node.board.wake();
+}
+
+/// Tells the holder of a job what was learnt here, until it has heard it: it may be
+/// out of sight for as long as a cut lasts.
+pub async fn tell_learnt(node: Rc<Node>, id: JobId, holder: Holder, learnt: Learnt) {
+    if learnt.is_empty() {
+        return;
+    }
+    let until = Instant::now() + LEARNT_LIMIT;
+    let ask = Ask::Adopt(id.clone(), learnt);
+    while Instant::now() < until {
+        if node.ask(holder.address, &ask, PASS_LIMIT).await.is_ok() {
+            slog::info!(node.log, "what was learnt passed on"; "job" => &id,
+                "to" => %holder.address);
+            return;
+        }
+        tokio::time::sleep(ADOPT_AGAIN).await;
+    }
+    slog::info!(node.log, "what was learnt is lost"; "job" => &id, "to" => %holder.address);
 }
 
 /// As [`adopt`]; `None` when the job isn't to be taken over.
@@ -203,16 +257,11 @@
 /// # Errors
 ///
 /// Why it can't be done now.
-async fn try_adopt(
-    node: &Rc<Node>,
-    id: &str,
-    partials: HashMap<ItemId, Partial>,
-) -> Result<Option<Rc<Held>>, Fault> {
+async fn try_adopt(node: &Rc<Node>, id: &str, learnt: &Learnt) -> Result<Option<Rc<Held>>, Fault> {
     let mut conflict = None;
     for _ in 0..TRIES {
         if let Some(held) = node.board.cell(id) {
-            held.sheet.borrow_mut().merge_partials(partials);
-            node.board.wake();
+            learn(node, &held, learnt.clone());
             return Ok(Some(held));
         }
         let Some(object) = node.store.get(job::KIND, id).await? else {
@@ -220,8 +269,7 @@
         };
         match claim(node, &object).await {
             Ok(Some(held)) => {
-                held.sheet.borrow_mut().merge_partials(partials);
-                node.board.wake();
+                learn(node, &held, learnt.clone());
                 return Ok(Some(held));
             }
             Ok(None) => return Ok(None),
@@ -251,7 +299,7 @@
         // Others were faster: whoever holds it now is told, in case it doesn't
         // know, and asked from now on.
         slog::info!(node.log, "job is held"; "job" => &object.name, "holder" => %holder.peer);
-        node.tell(holder.peer, Ask::Adopt(object.name.clone(), HashMap::new()));
+        node.tell(holder.peer, Ask::Adopt(object.name.clone(), Learnt::default()));
         node.board.on_status(Status {
             job: object.name.clone(),
             holder: former,
@@ -275,7 +323,7 @@
         "results" => progress.outcomes.len(), "items" => record.job.items.len());
     let held = board::hold(node, Record { pieces, revision: written.revision, ..record });
     let (node, taken) = (node.clone(), held.clone());
-    tokio::task::spawn_local(async move {
+    spawn_local(async move {
         tokio::time::sleep(LOOK_BACK).await;
         if !taken.released.is_cancelled() {
             record::verify(&node, &taken).await;
--- a/crates/daemon/tests/gateway_holders.rs
+++ b/crates/daemon/tests/gateway_holders.rs
@@ -201,3 +201,42 @@
     fleet.gateways.iter().for_each(|gateway| gateway.cut_off(&[]));
     assert_results(&fleet.wait_results(2, "alone"), &["a"], 40);
 }
+
+/// Regression: an item that can never be done ran again at each change of hands: what a
+/// holder had learnt and not yet written was lost when it stopped.
+#[test]
+fn an_item_that_can_never_be_done_runs_once_though_its_job_changes_hands() {
+    let (fleet, proxies) = Fleet::start_proxied(slow_plan());
+    fleet.runners.iter().for_each(|runner| runner.fail("never", 422));
+    assert_eq!(fleet.submit(0, "handed", &["never", "a", "b"]).status, 202);
+    wait_until("it was tried", || !fleet.runs("/batch/never").is_empty());
+    // The verdict reaches the holder, and not the platform.
+    proxies[0].set(Mode::Silent);
+    std::thread::sleep(Duration::from_millis(100));
+    fleet.gateways[0].terminate();
+    let results = fleet.wait_results(1, "handed");
+    let failed: Vec<&Value> =
+        results.iter().filter(|result| result["state"] == "errored").collect();
+    assert_eq!(failed.len(), 1, "{results:?}");
+    assert_eq!(failed[0]["id"], "never");
+    assert_eq!(fleet.runs("/batch/never").len(), 1);
+}
+
+/// Regression: the same, where another had taken the job over while its holder was out
+/// of sight. The holder tells what it has learnt as soon as it can.
+#[test]
+fn a_holder_that_was_overtaken_tells_what_it_has_learnt() {
+    let fleet = Fleet::start(slow_plan());
+    let peers: Vec<_> = fleet.gateways.iter().map(|gateway| gateway.peer).collect();
+    // Two rounds on the slots that there are, so that some are under way all the time.
+    let items: Vec<String> = (10..26).map(|n| format!("item-{n}")).collect();
+    let items: Vec<&str> = items.iter().map(String::as_str).collect();
+    assert_eq!(fleet.submit(0, "taken", &items).status, 202);
+    fleet.gateways[0].cut_off(&peers[1..]);
+    fleet.gateways[1].cut_off(&peers[..1]);
+    fleet.gateways[2].cut_off(&peers[..1]);
+    wait_until("it finds out", || fleet.log(0).last_of("job overtaken").is_some());
+    fleet.gateways.iter().for_each(|gateway| gateway.cut_off(&[]));
+    wait_until("it tells", || fleet.log(0).last_of("what was learnt passed on").is_some());
+    assert_results(&fleet.wait_results(1, "taken"), &items, 40);
+}
--- a/crates/state/tests/progress.rs
+++ b/crates/state/tests/progress.rs
@@ -208,3 +208,59 @@
         }
     }
 }
+
+/// Regression: a holder that lost its job kept to itself which items had failed for
+/// good and what was done, so the next one ran them again, the third as well.
+#[test]
+fn what_a_holder_has_learnt_saves_the_next_one_the_runs() {
+    let job = || Job::example("j", &["never", "done", "begun", "failed"]);
+    let mut first = Sheet::new(job(), Progress::default(), 3);
+    while first.start_next().is_some() {}
+    first.on_failed("never", Failure::Impossible);
+    first.on_done("done", outcome("done", "first"));
+    let made = Partial { last_event: Some(3), texts: vec!["x".into(); 3] };
+    first.on_stopped("begun", made.clone());
+    first.on_failed("failed", Failure::Failed);
+    first.on_failed("failed", Failure::Failed);
+    let mut second = Sheet::new(job(), Progress::default(), 3);
+    second.learn(first.learnt());
+    assert_eq!(second.runnable(), 2, "neither what is done nor what can't be");
+    assert_eq!(second.partial("begun"), made);
+    second.on_failed("failed", Failure::Failed);
+    assert_eq!(second.runnable(), 1, "the third failure is the last");
+    let listed = second.draft().expect("results").outcomes;
+    let complete: Vec<&str> =
+        listed.iter().filter(|o| o.is_complete).map(|o| o.item.as_str()).collect();
+    assert_eq!((listed.len(), complete), (3, vec!["done"]));
+}
+
+#[test]
+fn what_two_holders_learnt_of_the_same_runs_counts_once() {
+    let job = || Job::example("j", &["a", "b"]);
+    let mut first = Sheet::new(job(), Progress::default(), 3);
+    while first.start_next().is_some() {}
+    first.on_failed("a", Failure::Failed);
+    first.on_failed("a", Failure::Failed);
+    first.on_done("b", outcome("b", "first"));
+    let mut second = Sheet::new(job(), Progress::default(), 3);
+    while second.start_next().is_some() {}
+    second.on_failed("a", Failure::Failed);
+    second.learn(first.learnt());
+    second.learn(first.learnt());
+    assert!(!second.is_done(), "two failures are known for sure, not three or five");
+    second.on_done("b", outcome("b", "second"));
+    let draft = second.draft().expect("a result");
+    assert_eq!(draft.outcomes, [outcome("b", "first")], "one result, the one that was learnt");
+}
+
+#[test]
+fn nothing_learnt_is_listed_once_an_end_is_durable() {
+    let job = || Job::example("j", &["a", "b"]);
+    let mut first = Sheet::new(job(), Progress::default(), 3);
+    first.start_next().expect("an item");
+    first.on_done("a", outcome("a", "first"));
+    let ended = Progress { ended: true, ..Progress::default() };
+    let mut second = Sheet::new(job(), ended, 3);
+    second.learn(first.learnt());
+    assert!(second.draft().is_none());
+}
