Gather results of late jobs too, ask the platform less for others' jobs, count calls by cause

Change. coordination::flush says when results are written: 3 s after the first, 0.3 s after an item failed for good, by the time the job is due, late ones gathered like others. A read that finds nothing new is held as long as its caller asks, and a job that was read from the platform is shown again for 0.7 s (another instance must show it a second later). A write that succeeds counts as a look. Calls are counted by cause, in metrics and every 4 s in the log.

--- /dev/null
+++ b/crates/coordination/src/flush.rs
@@ -0,0 +1,78 @@
+//! When the holder of a batch job writes results that aren't durable yet.
+//!
+//! Each write is a call of the platform that is paid for, and what isn't written is
+//! run again if the holder is lost; callers see a result once it is written. So
+//! results are gathered, but not past the time at which the job is due.
+//!
+//! ```
+//! use coordination::flush::{self, Fresh, Policy};
+//! use std::time::{Duration, Instant};
+//!
+//! let now = Instant::now();
+//! let fresh = Fresh { oldest: now, verdict: None, due: now + Duration::from_secs(18), is_last: false };
+//! let policy = Policy::default();
+//! assert_eq!(flush::due_at(policy, fresh), now + policy.gather);
+//! assert_eq!(flush::due_at(policy, Fresh { is_last: true, ..fresh }), now);
+//! ```
+
+use std::time::{Duration, Instant};
+
+/// How long results wait to be written.
+#[derive(Clone, Copy, Debug)]
+pub struct Policy {
+    /// Results wait this long for others to be written with them. Twice as long as half
+    /// of what an item takes to run, so that most of a job's items share a write; a
+    /// holder that is lost costs the runs of half as long, some 1.5 s of its items.
+    pub gather: Duration,
+    /// The same where an item has failed for good. Who follows a holder that was lost
+    /// runs such an item again, in vain.
+    pub verdict: Duration,
+    /// How long before the job is due its results are written. A store that is sixty
+    /// times slower answers in 240 ms, and a lost answer costs 700 ms.
+    pub before_due: Duration,
+    /// Results that come later than that, and in time, wait this long: callers ask
+    /// twice a second.
+    pub brisk: Duration,
+}
+
+impl Default for Policy {
+    fn default() -> Policy {
+        Policy {
+            gather: Duration::from_secs(3),
+            verdict: Duration::from_millis(300),
+            before_due: Duration::from_millis(1_500),
+            brisk: Duration::from_millis(300),
+        }
+    }
+}
+
+/// What waits to be written.
+#[derive(Clone, Copy, Debug)]
+pub struct Fresh {
+    /// When the oldest result came.
+    pub oldest: Instant,
+    /// When the oldest result came that says that its item failed for good.
+    pub verdict: Option<Instant>,
+    /// When the job is due.
+    pub due: Instant,
+    /// Whether nothing else of the job will follow: all its items have results, or its
+    /// submitter has ended it.
+    pub is_last: bool,
+}
+
+/// When to write.
+pub fn due_at(policy: Policy, fresh: Fresh) -> Instant {
+    let Fresh { oldest, verdict, due, is_last } = fresh;
+    if is_last {
+        return oldest;
+    }
+    let mut at = oldest + policy.gather;
+    if let Some(verdict) = verdict {
+        at = at.min(verdict + policy.verdict);
+    }
+    if oldest >= due {
+        return at; // Late already: it is of no use to hurry for this one.
+    }
+    let near = due.checked_sub(policy.before_due).unwrap_or(oldest);
+    at.min(near.max(oldest + policy.brisk).min(due))
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod contact;
 pub mod drain;
 pub mod eject;
+pub mod flush;
 pub mod hash;
 pub mod lease;
 pub mod leaving;
--- a/crates/daemon/src/gateway/jobs.rs
+++ b/crates/daemon/src/gateway/jobs.rs
@@ -1,10 +1,11 @@
 //! Calls of batch jobs: submission, results, an item's body, the end.
 
 use super::board::{self, Held};
+use super::cause::Cause;
 use super::front::{refusal, set, text};
 use super::message::{Ask, News, Reply};
 use super::node::Node;
-use super::stored::{self, Record};
+use super::stored::{self, Record, Unread};
 use super::{spread, submit, takeover};
 use hyper::{HeaderMap, Response};
 use platform::store::Fault;
@@ -19,6 +20,11 @@
 const LONGEST_HOLD: Duration = Duration::from_secs(5);
 /// Time for a holder to answer, on top of the time for which a read is held.
 const HOLDER_ANSWER: Duration = Duration::from_millis(400);
+/// Time between looks whether a job has a holder again.
+const HOLDER_LOOK: Duration = Duration::from_millis(100);
+/// How long a job that was read from the platform is shown again without a call. What
+/// one instance has shown, all others must show a second later.
+const RECENT: Duration = Duration::from_millis(700);
 /// Longest wait for the end of a job to become durable.
 const END_LIMIT: Duration = Duration::from_millis(2_500);
 /// Tries to write an end while others write to the job.
@@ -40,18 +46,52 @@
 }
 
 async fn results(node: &Rc<Node>, id: &str, from: usize, wait: Duration) -> Response<Body> {
-    match find(node, id, |id| Ask::Results(id, from, wait.as_millis() as u64), wait).await {
-        Found::Here(held) => {
-            let (total, outcomes) = held_results(&held, from, wait).await;
-            listed(total, from, &outcomes)
+    let until = Instant::now() + wait;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        let ask = |id| Ask::Results(id, from, left.as_millis() as u64);
+        match find(node, id, ask, left).await {
+            Found::Here(held) => {
+                let (total, outcomes) = held_results(&held, from, left).await;
+                return listed(total, from, &outcomes);
+            }
+            Found::Reply(Reply::Results(total, outcomes)) => {
+                return listed(total, from, &outcomes);
+            }
+            Found::Stored(job, progress) => {
+                let outcomes = progress.outcomes.get(from..).unwrap_or_default();
+                if outcomes.is_empty() && is_held_before(node, id, until).await {
+                    continue;
+                }
+                return listed(job.items.len(), from, outcomes);
+            }
+            Found::Missing => return text(404, "no such job"),
+            Found::Reply(_) | Found::Unknown => return unsure(node, id),
         }
-        Found::Reply(Reply::Results(total, outcomes)) => listed(total, from, &outcomes),
-        Found::Stored(job, progress) => {
-            let outcomes = progress.outcomes.get(from..).unwrap_or_default();
-            listed(job.items.len(), from, outcomes)
+    }
+}
+
+/// Waits until a job whose holder couldn't be asked has another that can; `false` when
+/// the time is over.
+///
+/// Gains calls of the platform: a read that finds nothing new is held as long as its
+/// caller asks instead of coming again at once, which made a call each time.
+async fn is_held_before(node: &Rc<Node>, id: &str, until: Instant) -> bool {
+    let holder = |node: &Node| {
+        let status = node.board.directory.borrow().get(id).map(|status| status.holder.instance);
+        status.filter(|holder| node.members.borrow().get(*holder).is_some())
+    };
+    let before = holder(node);
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return false;
+        }
+        tokio::time::sleep(left.min(HOLDER_LOOK)).await;
+        let now = holder(node);
+        if node.board.cell(id).is_some() || (now.is_some() && now != before) {
+            return true;
         }
-        Found::Missing => text(404, "no such job"),
-        Found::Reply(_) | Found::Unknown => unsure(node, id),
     }
 }
 
@@ -133,7 +173,7 @@
 /// finds it with its next write; whoever can be reached is told besides.
 async fn end_stored(node: &Rc<Node>, id: &str) -> bool {
     for _ in 0..END_TRIES {
-        let mut record = match stored::load(node, id).await {
+        let mut record = match stored::load(node, Cause::End, id).await {
             Ok(Some(record)) => record,
             Ok(None) => return false,
             Err(unread) => {
@@ -146,7 +186,7 @@
         }
         record.progress.ended = true;
         let Record { progress, pieces, revision, .. } = &record;
-        let written = stored::write(node, id, *revision, progress, pieces).await;
+        let written = stored::write(node, Cause::End, id, *revision, progress, pieces).await;
         slog::info!(node.log, "end written for a holder that is silent"; "job" => id,
             "revision" => *revision, "written" => written.is_ok());
         match written {
@@ -231,7 +271,7 @@
         }
         asked = Some(status.holder.instance);
     }
-    let record = match stored::load(node, id).await {
+    let record = match load_recent(node, id).await {
         Ok(Some(record)) => record,
         Ok(None) => return Found::Missing,
         Err(unread) => {
@@ -259,6 +299,23 @@
     stored(record)
 }
 
+/// A job by its id, as it was a moment ago at most.
+async fn load_recent(node: &Node, id: &str) -> Result<Option<Record>, Unread> {
+    let now = Instant::now();
+    let known = node.board.recent.borrow().get(id).cloned();
+    if let Some((_, record)) = known.filter(|(read, _)| now < *read + RECENT) {
+        return Ok(Some(record));
+    }
+    let record = stored::load(node, Cause::Find, id).await?;
+    let mut recent = node.board.recent.borrow_mut();
+    recent.retain(|_, (read, _)| now < *read + RECENT);
+    if let Some(record) = &record {
+        // As of before the call: the answer may show no more than that.
+        recent.insert(id.to_owned(), (now, record.clone()));
+    }
+    Ok(record)
+}
+
 /// The holder's reply; `None` if it can't be asked or doesn't hold the job.
 async fn ask_holder(node: &Rc<Node>, holder: u64, ask: Ask, limit: Duration) -> Option<Reply> {
     let address = node.members.borrow().get(holder).map(|member| member.peer)?;
--- a/crates/daemon/src/gateway/liveness.rs
+++ b/crates/daemon/src/gateway/liveness.rs
@@ -11,12 +11,14 @@
 //! after 1.2 s instead of 6.7 s where the platform is silent to all that watch. A
 //! sign of life costs a tenth of a call.
 
+use super::cause::Cause;
 use super::message::{Ask, Contact};
 use super::node::Node;
 use coordination::contact::Series;
 use coordination::member::Member;
 use platform::instance;
 use protocol::InstanceId;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::task::spawn_local;
@@ -31,6 +33,8 @@
 /// How long a member that lost contact with the platform ranks behind others, if it
 /// says nothing more.
 const LOST: Duration = Duration::from_secs(5);
+/// Time between lines about the calls made.
+const CALLS_EVERY: Duration = Duration::from_secs(4);
 /// Time after which an instance that stays cut off says so again: well before the
 /// others forget it.
 const TELL_AGAIN: Duration = Duration::from_secs(2);
@@ -39,6 +43,8 @@
 /// data centre whether it has any, until `stop`.
 pub async fn run(node: Rc<Node>, stop: CancellationToken) {
     let mut told = Told::default();
+    let mut calls = BTreeMap::new();
+    let mut calls_told = Instant::now();
     loop {
         tokio::select! {
             () = tokio::time::sleep(LOOK) => {}
@@ -53,7 +59,26 @@
         if told.is_due(node.store.is_lost(), now) {
             tell(&node);
         }
+        if now >= calls_told + CALLS_EVERY {
+            calls_told = now;
+            tell_calls(&node, &mut calls);
+        }
+    }
+}
+
+/// Logs which calls of the platform were made since it was done last.
+fn tell_calls(node: &Node, told: &mut BTreeMap<Cause, u64>) {
+    let calls = node.store.calls();
+    let new = |(cause, count): (&Cause, &u64)| {
+        let before = told.get(cause).copied().unwrap_or_default();
+        (*count > before).then(|| format!("{} {}", cause.name(), count - before))
+    };
+    let new: Vec<String> = calls.iter().filter_map(new).collect();
+    if !new.is_empty() {
+        slog::info!(node.log, "platform calls"; "counts" => new.join(", "),
+            "within_s" => CALLS_EVERY.as_secs());
     }
+    *told = calls;
 }
 
 /// What the others were told last.
--- a/crates/daemon/src/gateway/measure.rs
+++ b/crates/daemon/src/gateway/measure.rs
@@ -192,6 +192,14 @@
         ("gatespool.jobs.held", node.board.held() as u64),
         ("gatespool.running", node.running.get() as u64),
     ];
+    for (cause, calls) in node.store.calls() {
+        line(
+            &mut text,
+            "gatespool.platform.calls",
+            &format!("{{cause=\"{}\"}}", cause.name()),
+            calls,
+        );
+    }
     for (name, value) in gauges {
         line(&mut text, name, "", value);
     }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -23,7 +23,8 @@
 
 pub mod account;
 pub mod board;
-pub mod compare;
+pub mod cause;
+mod compare;
 pub mod feed;
 pub mod front;
 pub mod items;
--- a/crates/daemon/src/gateway/record.rs
+++ b/crates/daemon/src/gateway/record.rs
@@ -2,9 +2,11 @@
 //! held here.
 
 use super::board::{self, Held};
+use super::cause::Cause;
 use super::node::{Node, millis};
 use super::stored::{self, Record, Unread};
 use super::takeover;
+use coordination::flush;
 use platform::job;
 use platform::store::{Fault, Object};
 use state::progress::{Holder, Progress};
@@ -12,11 +14,6 @@
 use std::time::{Duration, Instant};
 use tokio::task::spawn_local;
 
-/// Results wait this long for others to be written with them. Each write is a
-/// call that is paid for; a holder that is lost costs the runs not yet written.
-const GATHER: Duration = Duration::from_millis(1_500);
-/// Results are written without delay from this long before the job is due.
-const BEFORE_DUE: Duration = Duration::from_millis(1_500);
 /// A holder that finds itself this late was stopped or starved: its jobs may have
 /// been taken over meanwhile.
 const FROZEN: Duration = Duration::from_millis(1_500);
@@ -24,8 +21,9 @@
 const LOOK: Duration = Duration::from_millis(500);
 /// Shortest pause after a write that failed.
 const WRITE_PAUSE: Duration = Duration::from_millis(100);
-/// Time between looks whether a job is still held here, while whole data centres
-/// are out of sight: they may have taken it over, or seen its end.
+/// Time after which a job is looked at that the platform hasn't shown to be held here
+/// meanwhile, while whole data centres are out of sight: they may have taken it over,
+/// or seen its end. A write that succeeds shows as much as a look.
 const VERIFY_EVERY: Duration = Duration::from_millis(1_500);
 /// How long that goes on after all are in sight again: whoever ended a job just
 /// before may not have known its holder. Members of a data centre that was cut off
@@ -38,13 +36,13 @@
 /// Looks whether a job is still held here.
 pub async fn verify(node: &Rc<Node>, held: &Rc<Held>) {
     let id = held.sheet.borrow().job().id.clone();
-    match node.store.get(job::KIND, &id).await {
+    match node.store.get(Cause::Check, job::KIND, &id).await {
         Ok(Some(object)) if object.revision > held.revision.get() => {
             let draft = held.sheet.borrow().snapshot();
             // Not read now, it is met again with the next write.
             on_found(node, held, &draft, &object).await;
         }
-        Ok(Some(_)) => {}
+        Ok(Some(_)) => held.on_confirmed(Instant::now()),
         Ok(None) => board::release(node, held),
         Err(fault) => slog::info!(node.log, "job not read"; "job" => &id, "fault" => %fault),
     }
@@ -52,13 +50,13 @@
 
 /// Writes what happens to a job until nothing is left to write.
 pub async fn write_all(node: Rc<Node>, held: Rc<Held>) {
-    let mut verified = Instant::now();
+    let mut tried = Instant::now();
     let mut looked = Instant::now();
     let mut isolated: Option<Instant> = None;
     loop {
         tokio::select! {
             () = held.dirty.notified() => {}
-            () = tokio::time::sleep(LOOK) => {}
+            () = tokio::time::sleep(until_write(&node, &held, Instant::now()).min(LOOK)) => {}
             () = held.released.cancelled() => return,
         }
         if looked.elapsed() >= FROZEN {
@@ -70,13 +68,14 @@
             isolated = Some(looked);
         }
         let may_be_overtaken = isolated.is_some_and(|at| at.elapsed() < AFTER_ISOLATION);
-        if verified.elapsed() >= VERIFY_EVERY && may_be_overtaken {
-            verified = Instant::now();
+        let is_due = tried.max(held.confirmed.get()).elapsed() >= VERIFY_EVERY;
+        if is_due && may_be_overtaken {
+            tried = Instant::now();
             verify(&node, &held).await;
         }
         // Who has been overtaken writes nothing: the new holder answers from memory,
         // and would show nothing where others had read it on the platform.
-        while !held.released.is_cancelled() && is_write_due(&held, Instant::now()) {
+        while !held.released.is_cancelled() && until_write(&node, &held, Instant::now()).is_zero() {
             if !write(&node, &held).await {
                 let pause = node.store.back_in(Instant::now()).max(WRITE_PAUSE);
                 tokio::time::sleep(pause).await;
@@ -98,15 +97,24 @@
     }
 }
 
-fn is_write_due(held: &Held, now: Instant) -> bool {
+/// Time until something is to be written; the longest there is if nothing is.
+fn until_write(node: &Node, held: &Held, now: Instant) -> Duration {
     let sheet = held.sheet.borrow();
-    if sheet.draft().is_none() {
-        return false;
+    if !sheet.has_news() {
+        return Duration::MAX;
     }
+    let (due, at) = (sheet.job().due, millis());
+    let overdue = Duration::from_millis(at.saturating_sub(due));
+    let due_in = Duration::from_millis(due.saturating_sub(at));
     let is_end = sheet.is_ended() && !sheet.is_end_durable();
-    let is_near = millis() + BEFORE_DUE.as_millis() as u64 >= sheet.job().due;
-    let waited = held.oldest.get().map(|at| now.saturating_duration_since(at));
-    is_end || is_near || sheet.is_done() || waited.is_some_and(|waited| waited >= GATHER)
+    let fresh = flush::Fresh {
+        oldest: held.oldest.get().unwrap_or(now),
+        verdict: held.verdict.get(),
+        due: now.checked_sub(overdue).unwrap_or(now) + due_in,
+        is_last: is_end || sheet.is_done(),
+    };
+    let policy = flush::Policy { gather: node.settings.policy.gather, ..flush::Policy::default() };
+    flush::due_at(policy, fresh).saturating_duration_since(now)
 }
 
 /// One write of a job's progress; `false` when it has to be tried again later.
@@ -117,7 +125,7 @@
     };
     let revision = held.revision.get();
     let pieces = held.pieces.borrow().clone();
-    let result = stored::write(node, &id, revision, &draft, &pieces).await;
+    let result = stored::write(node, Cause::Progress, &id, revision, &draft, &pieces).await;
     match result {
         Ok((object, pieces)) => {
             *held.pieces.borrow_mut() = pieces;
@@ -127,7 +135,7 @@
         Err(Fault::Conflict(found)) => {
             let found = match found {
                 Some(object) => Ok(Some(*object)),
-                None => node.store.get(job::KIND, &id).await,
+                None => node.store.get(Cause::Progress, job::KIND, &id).await,
             };
             match found {
                 Ok(Some(object)) => return on_found(node, held, &draft, &object).await,
@@ -164,9 +172,11 @@
 
 fn on_durable(node: &Rc<Node>, held: &Rc<Held>, draft: &Progress, revision: u64) {
     held.revision.set(revision);
+    held.on_confirmed(Instant::now());
     held.sheet.borrow_mut().on_durable(draft);
-    let fresh = held.sheet.borrow().fresh();
-    held.oldest.set((fresh > 0).then(Instant::now));
+    held.oldest.set(None);
+    held.verdict.set(None);
+    held.wake();
     slog::info!(node.log, "results durable"; "job" => &held.sheet.borrow().job().id,
         "results" => draft.outcomes.len(), "revision" => revision, "ended" => draft.ended);
     held.changed.notify_waiters();
@@ -176,7 +186,7 @@
 /// The object isn't as it was: an earlier write of ours was done after all, or
 /// another instance has written. `false` when it couldn't be read whole.
 async fn on_found(node: &Rc<Node>, held: &Rc<Held>, draft: &Progress, object: &Object) -> bool {
-    let Record { progress, pieces, .. } = match stored::read(node, object).await {
+    let Record { progress, pieces, .. } = match stored::read(node, Cause::Check, object).await {
         Ok(record) => record,
         Err(unread @ Unread::Malformed(_)) => {
             slog::error!(node.log, "job not read"; "job" => &object.name,
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -3,6 +3,7 @@
 //! Every call is paid for, refused ones too, and a store that is away answers
 //! none: after a failure, calls fail here at once until a back-off has passed.
 
+use super::cause::Cause;
 use coordination::contact::{Contact, Policy, Series};
 use coordination::retry;
 use platform::store::{Fault, Object, Page, Store};
@@ -10,6 +11,7 @@
 use serde::Serialize;
 use slog::Logger;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
@@ -31,6 +33,8 @@
 /// The store behind a breaker.
 pub struct Guarded {
     store: Store,
+    /// Calls made, by cause.
+    calls: RefCell<BTreeMap<Cause, u64>>,
     breaker: RefCell<Breaker>,
     contact: RefCell<Contact>,
     /// Told when the store counts as lost.
@@ -44,6 +48,7 @@
         let lapse = settings.entry_heartbeat.mul_f64(LAPSE);
         Guarded {
             store: Store::new(settings.platform, settings.platform_timeout),
+            calls: RefCell::default(),
             breaker: RefCell::default(),
             contact: RefCell::new(Contact::new(Policy { lapse, ..Policy::default() })),
             lost: Notify::new(),
@@ -167,10 +172,21 @@
         result
     }
 
-    fn gate(&self) -> Result<(), Fault> {
+    /// A call is made.
+    pub fn count(&self, cause: Cause) {
+        *self.calls.borrow_mut().entry(cause).or_default() += 1;
+    }
+
+    /// Calls made so far, by cause.
+    pub fn calls(&self) -> BTreeMap<Cause, u64> {
+        self.calls.borrow().clone()
+    }
+
+    fn gate(&self, cause: Cause) -> Result<(), Fault> {
         if self.is_away(Instant::now()) {
             return Err(Fault::Away(String::from("backing off")));
         }
+        self.count(cause);
         Ok(())
     }
 
@@ -181,6 +197,7 @@
     ///
     /// As [`Store::touch`].
     pub async fn touch(&self, kind: &str, name: &str) -> Result<(), Fault> {
+        self.count(Cause::Life);
         self.note(self.store.touch(kind, name).await)
     }
 
@@ -189,8 +206,8 @@
     /// # Errors
     ///
     /// As [`Store::get`], and [`Fault::Away`] while calls back off.
-    pub async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, Fault> {
-        self.gate()?;
+    pub async fn get(&self, cause: Cause, kind: &str, name: &str) -> Result<Option<Object>, Fault> {
+        self.gate(cause)?;
         self.note(self.store.get(kind, name).await)
     }
 
@@ -199,8 +216,8 @@
     /// # Errors
     ///
     /// As [`Store::list_all`], and [`Fault::Away`] while calls back off.
-    pub async fn list_all(&self, kind: &str) -> Result<Vec<Object>, Fault> {
-        self.gate()?;
+    pub async fn list_all(&self, cause: Cause, kind: &str) -> Result<Vec<Object>, Fault> {
+        self.gate(cause)?;
         self.note(self.store.list_all(kind).await).map(|(objects, _)| objects)
     }
 
@@ -209,8 +226,8 @@
     /// # Errors
     ///
     /// As [`Store::list`], and [`Fault::Away`] while calls back off.
-    pub async fn list(&self, kind: &str, after: Option<&str>) -> Result<Page, Fault> {
-        self.gate()?;
+    pub async fn list(&self, cause: Cause, kind: &str, after: Option<&str>) -> Result<Page, Fault> {
+        self.gate(cause)?;
         self.note(self.store.list(kind, after).await)
     }
 
@@ -221,11 +238,12 @@
     /// As [`Store::create`], and [`Fault::Away`] while calls back off.
     pub async fn create<T: Serialize>(
         &self,
+        cause: Cause,
         kind: &str,
         name: &str,
         spec: &T,
     ) -> Result<Object, Fault> {
-        self.gate()?;
+        self.gate(cause)?;
         self.note(self.store.create(kind, name, spec).await)
     }
 
@@ -236,12 +254,13 @@
     /// As [`Store::set_status`], and [`Fault::Away`] while calls back off.
     pub async fn set_status<T: Serialize>(
         &self,
+        cause: Cause,
         kind: &str,
         name: &str,
         revision: u64,
         status: &T,
     ) -> Result<Object, Fault> {
-        self.gate()?;
+        self.gate(cause)?;
         self.note(self.store.set_status(kind, name, revision, status).await)
     }
 
@@ -250,8 +269,14 @@
     /// # Errors
     ///
     /// As [`Store::delete`], and [`Fault::Away`] while calls back off.
-    pub async fn delete(&self, kind: &str, name: &str, revision: Option<u64>) -> Result<(), Fault> {
-        self.gate()?;
+    pub async fn delete(
+        &self,
+        cause: Cause,
+        kind: &str,
+        name: &str,
+        revision: Option<u64>,
+    ) -> Result<(), Fault> {
+        self.gate(cause)?;
         self.note(self.store.delete(kind, name, revision).await)
     }
 }
--- a/crates/daemon/src/gateway/stored.rs
+++ b/crates/daemon/src/gateway/stored.rs
@@ -6,6 +6,7 @@
 //! created, and the first results of a long progress. Only pieces that the job's
 //! own object names count; others were left by a writer that came too late.
 
+use super::cause::Cause;
 use super::node::Node;
 use coordination::hash;
 use platform::job;
@@ -147,12 +148,12 @@
 /// # Errors
 ///
 /// Why it can't be read now.
-pub async fn read(node: &Node, object: &Object) -> Result<Record, Unread> {
+pub async fn read(node: &Node, cause: Cause, object: &Object) -> Result<Record, Unread> {
     let (spec, status) = decode(object)?;
     let (mut job, mut progress) = (spec.job, status.progress);
-    job.items.extend(fetch::<Item>(node, &spec.pieces).await?);
+    job.items.extend(fetch::<Item>(node, cause, &spec.pieces).await?);
     if !status.pieces.is_empty() {
-        let mut outcomes = fetch::<Outcome>(node, &status.pieces).await?;
+        let mut outcomes = fetch::<Outcome>(node, cause, &status.pieces).await?;
         outcomes.append(&mut progress.outcomes);
         progress.outcomes = outcomes;
     }
@@ -165,20 +166,22 @@
 /// # Errors
 ///
 /// Why it can't be read now.
-pub async fn load(node: &Node, id: &str) -> Result<Option<Record>, Unread> {
-    match node.store.get(job::KIND, id).await.map_err(Unread::Fault)? {
-        Some(object) => read(node, &object).await.map(Some),
+pub async fn load(node: &Node, cause: Cause, id: &str) -> Result<Option<Record>, Unread> {
+    match node.store.get(cause, job::KIND, id).await.map_err(Unread::Fault)? {
+        Some(object) => read(node, cause, &object).await.map(Some),
         None => Ok(None),
     }
 }
 
 async fn fetch<T: for<'a> Deserialize<'a>>(
     node: &Node,
+    cause: Cause,
     pieces: &[Piece],
 ) -> Result<Vec<T>, Unread> {
     let mut all = Vec::new();
     for piece in pieces {
-        let found = node.store.get(job::PIECE_KIND, &piece.name).await.map_err(Unread::Fault)?;
+        let found =
+            node.store.get(cause, job::PIECE_KIND, &piece.name).await.map_err(Unread::Fault)?;
         let Some(object) = found else {
             return Err(Unread::Malformed(format!("piece `{}` is missing", piece.name)));
         };
@@ -197,12 +200,12 @@
     let most = share(node, SPEC_SHARE);
     let runs = runs(&job.items, most);
     let Some((first, rest)) = runs.split_first().filter(|(_, rest)| !rest.is_empty()) else {
-        let object = node.store.create(job::KIND, &job.id, job).await?;
+        let object = node.store.create(Cause::Submission, job::KIND, &job.id, job).await?;
         return Ok((object, Pieces::default()));
     };
     let mut items = Vec::new();
     for run in rest {
-        items.push(put_aside(node, &job.id, run).await?);
+        items.push(put_aside(node, Cause::Submission, &job.id, run).await?);
     }
     let piece_tokens = rest.iter().flat_map(|run| run.iter()).map(|item| item.tokens).sum();
     let spec = Spec {
@@ -210,7 +213,7 @@
         pieces: items.clone(),
         piece_tokens,
     };
-    let object = node.store.create(job::KIND, &job.id, &spec).await?;
+    let object = node.store.create(Cause::Submission, job::KIND, &job.id, &spec).await?;
     slog::info!(node.log, "long job kept in pieces"; "job" => &job.id,
         "items" => job.items.len(), "pieces" => items.len());
     Ok((object, Pieces { items, results: Vec::new() }))
@@ -224,6 +227,7 @@
 /// [`Fault::Conflict`] when it has another revision, else how a call failed.
 pub async fn write(
     node: &Node,
+    cause: Cause,
     id: &str,
     revision: u64,
     progress: &Progress,
@@ -235,7 +239,7 @@
     let most = share(node, STATUS_SHARE);
     let runs = runs(left, most);
     for run in runs.split_last().map(|(_, early)| early).unwrap_or_default() {
-        pieces.results.push(put_aside(node, id, run).await?);
+        pieces.results.push(put_aside(node, cause, id, run).await?);
         left = &left[run.len()..];
     }
     let progress = Progress {
@@ -245,18 +249,20 @@
         ended: progress.ended,
     };
     let status = Status { progress, pieces: pieces.results.clone() };
-    let object = node.store.set_status(job::KIND, id, revision, &status).await?;
+    let object = node.store.set_status(cause, job::KIND, id, revision, &status).await?;
     Ok((object, pieces))
 }
 
 /// Deletes a job and its pieces.
 pub async fn delete(node: &Node, id: &str, revision: u64, pieces: &Pieces) {
-    if let Err(fault) = node.store.delete(job::KIND, id, Some(revision)).await {
+    if let Err(fault) = node.store.delete(Cause::Expiry, job::KIND, id, Some(revision)).await {
         slog::info!(node.log, "job not deleted"; "job" => id, "fault" => %fault);
         return;
     }
     for piece in pieces.items.iter().chain(&pieces.results) {
-        if let Err(fault) = node.store.delete(job::PIECE_KIND, &piece.name, None).await {
+        if let Err(fault) =
+            node.store.delete(Cause::Expiry, job::PIECE_KIND, &piece.name, None).await
+        {
             slog::info!(node.log, "piece not deleted"; "piece" => &piece.name, "fault" => %fault);
         }
     }
@@ -289,10 +295,15 @@
 
 /// Puts a run into a piece. Its name tells its contents, so that a repeated write
 /// finds it there and two writers never share one by mistake.
-async fn put_aside<T: Serialize>(node: &Node, id: &str, run: &[T]) -> Result<Piece, Fault> {
+async fn put_aside<T: Serialize>(
+    node: &Node,
+    cause: Cause,
+    id: &str,
+    run: &[T],
+) -> Result<Piece, Fault> {
     let text = serde_json::to_vec(run).map_err(|error| Fault::Away(error.to_string()))?;
     let name = format!("{id}.{:016x}", hash::of(&text));
-    match node.store.create(job::PIECE_KIND, &name, &run).await {
+    match node.store.create(cause, job::PIECE_KIND, &name, &run).await {
         Ok(_) | Err(Fault::Conflict(_)) => Ok(Piece { name, count: run.len() }),
         Err(fault) => Err(fault),
     }
--- a/crates/daemon/src/gateway/submit.rs
+++ b/crates/daemon/src/gateway/submit.rs
@@ -1,5 +1,6 @@
 //! Submissions of batch jobs: kept on the platform before they are acknowledged.
 
+use super::cause::Cause;
 use super::front::{Call, refusal, text};
 use super::message::{Acceptance, Ask, Reply};
 use super::node::{Node, millis};
@@ -167,7 +168,7 @@
 
 /// A job that doesn't fit may have been kept before, when it did.
 async fn is_kept(node: &Rc<Node>, id: &str) -> Acceptance {
-    match node.store.get(job::KIND, id).await {
+    match node.store.get(Cause::Submission, job::KIND, id).await {
         Ok(Some(_)) => Acceptance::Accepted,
         Ok(None) => Acceptance::Full,
         Err(fault) => {
@@ -231,7 +232,11 @@
 
 /// One try; what failed otherwise.
 async fn try_tell_holder(node: &Rc<Node>, id: &str) -> Result<(), String> {
-    let found = node.store.get(job::KIND, id).await.map_err(|fault| fault.to_string())?;
+    let found = node
+        .store
+        .get(Cause::Submission, job::KIND, id)
+        .await
+        .map_err(|fault| fault.to_string())?;
     let Some(object) = found else {
         return Ok(());
     };
--- a/crates/daemon/src/gateway/sweep.rs
+++ b/crates/daemon/src/gateway/sweep.rs
@@ -6,6 +6,7 @@
 //! told at once, since a page takes long on a slow link.
 
 use super::board::{self, Held};
+use super::cause::Cause;
 use super::message::{News, Status};
 use super::node::{Node, millis};
 use super::spread;
@@ -109,7 +110,7 @@
     let mut is_done = true;
     let (mut jobs, mut orphans) = (0, 0);
     loop {
-        let page = match node.store.list(job::KIND, after.as_deref()).await {
+        let page = match node.store.list(Cause::Sweep, job::KIND, after.as_deref()).await {
             Ok(page) => page,
             Err(fault) => {
                 slog::info!(node.log, "jobs not listed"; "fault" => %fault);
--- a/crates/daemon/src/gateway/takeover.rs
+++ b/crates/daemon/src/gateway/takeover.rs
@@ -6,6 +6,7 @@
 //! falls silent at once is given more time than a single instance.
 
 use super::board::{self, Held};
+use super::cause::Cause;
 use super::message::{Ask, Status};
 use super::node::Node;
 use super::record;
@@ -264,7 +265,7 @@
             learn(node, &held, learnt.clone());
             return Ok(Some(held));
         }
-        let Some(object) = node.store.get(job::KIND, id).await? else {
+        let Some(object) = node.store.get(Cause::Takeover, job::KIND, id).await? else {
             return Ok(None);
         };
         match claim(node, &object).await {
@@ -283,7 +284,7 @@
 /// Writes this instance down as the holder; `None` when another is, or nobody can
 /// read the job.
 async fn claim(node: &Rc<Node>, object: &Object) -> Result<Option<Rc<Held>>, Fault> {
-    let mut record = match stored::read(node, object).await {
+    let mut record = match stored::read(node, Cause::Takeover, object).await {
         Ok(record) => record,
         Err(Unread::Fault(fault)) => return Err(fault),
         Err(unread @ Unread::Malformed(_)) => {
@@ -313,7 +314,8 @@
     }
     record.progress.holder = Some(node.as_holder());
     let Record { progress, pieces, revision, .. } = &record;
-    let written = stored::write(node, &object.name, *revision, progress, pieces).await;
+    let written =
+        stored::write(node, Cause::Takeover, &object.name, *revision, progress, pieces).await;
     let (written, pieces) = written?;
     if let Some(held) = node.board.cell(&object.name) {
         return Ok(Some(held));
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -5,6 +5,7 @@
 //! watcher lists once and watches from there; after a watch that broke it lists
 //! again. What it learns goes to [`super::feed`].
 
+use super::cause::Cause;
 use super::feed;
 use super::liveness::{OVERDUE, has_lost_contact};
 use super::node::Node;
@@ -36,6 +37,16 @@
 const GATHER: Duration = Duration::from_millis(200);
 /// Time between looks whether this instance should watch.
 const LOOK: Duration = Duration::from_millis(100);
+/// Time after a start in which others are met before anybody watches, and the longest
+/// while none is known. Without it all 250 instances of a fleet that starts take
+/// themselves for watchers: 1,570 lists and watches, 3,000 signs of life and 250 entries
+/// of addresses, where 70 will do.
+const MEET: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(500)];
+/// Time between looks whether others are known.
+const MEET_LOOK: Duration = Duration::from_millis(10);
+/// A seat counts as lost after this long: members come and go in a cut, and to watch
+/// anew costs a list and a watch.
+const LOST_FOR: Duration = Duration::from_millis(500);
 /// Pauses between tries of a watcher that can't reach the platform.
 const PAUSE: [Duration; 2] = [Duration::from_millis(250), Duration::from_millis(1_500)];
 
@@ -77,6 +88,18 @@
     }
 }
 
+/// Waits until other members are known, or must be taken for absent.
+async fn meet(node: &Node) {
+    loop {
+        let age = node.started.elapsed();
+        let is_alone = node.members.borrow().others().next().is_none();
+        if age >= MEET[usize::from(is_alone)] {
+            return;
+        }
+        tokio::time::sleep(MEET_LOOK).await;
+    }
+}
+
 fn is_watcher(node: &Node, topic: Topic) -> bool {
     let now = Instant::now();
     let members = node.members.borrow();
@@ -96,6 +119,10 @@
     let mut is_registered = topic != Topic::Config;
     let mut revision: Option<Revision> = None;
     let mut failures = 0_u32;
+    tokio::select! {
+        () = meet(&node) => {}
+        () = stop.cancelled() => return,
+    }
     while !stop.is_cancelled() {
         // Without a sign of life the platform is left alone until there is one.
         if !seat.look() || node.store.is_lost() {
@@ -107,6 +134,7 @@
         let result = tokio::select! {
             result = step(&node, topic, revision) => result,
             () = node.store.lost() => Err(Fault::Lost(String::from("no sign of life"))),
+            () = seat.lost() => continue,
             () = stop.cancelled() => return,
         };
         match result {
@@ -164,6 +192,18 @@
 }
 
 impl Seat {
+    /// Returns once it is clear that others hold it. A watch that goes on to its end
+    /// costs signs of life all the while.
+    async fn lost(&self) {
+        let mut held = Instant::now();
+        while held.elapsed() < LOST_FOR {
+            tokio::time::sleep(LOOK).await;
+            if is_watcher(&self.node, self.topic) && !self.node.is_stopping() {
+                held = Instant::now();
+            }
+        }
+    }
+
     /// Looks whether it is held now.
     fn look(&mut self) -> bool {
         let node = &self.node;
@@ -199,12 +239,14 @@
 ) -> Result<Revision, Fault> {
     let store = node.store.bare();
     let Some(revision) = revision else {
+        node.store.count(Cause::Watch);
         let (objects, revision) = store.list_all(topic.kind()).await?;
         node.store.on_answer(Instant::now());
         on_list(node, topic, objects, revision).await?;
         return Ok(revision);
     };
     let wait = topic.longest_wait();
+    node.store.count(Cause::Watch);
     let watch = store.watch(topic.kind(), revision, wait);
     let changes = tokio::time::timeout(wait + OVERDUE, watch)
         .await
@@ -254,8 +296,10 @@
         return Ok(());
     }
     let status = &retirement::Status::EMPTY;
-    let result =
-        node.store.set_status(retirement::KIND, &object.name, object.revision, status).await;
+    let result = node
+        .store
+        .set_status(Cause::Retirement, retirement::KIND, &object.name, object.revision, status)
+        .await;
     slog::info!(node.log, "machine emptied"; "machine" => &object.name,
         "revision" => object.revision, "written" => result.is_ok());
     match result {
@@ -271,7 +315,7 @@
     let name = &node.settings.name;
     let peer = node.as_holder().address;
     let entry = instance::Entry { peer, data_centre: node.data_centre().clone() };
-    match node.store.create(instance::KIND, name, &entry).await {
+    match node.store.create(Cause::Address, instance::KIND, name, &entry).await {
         Ok(_) | Err(Fault::Conflict(_)) => true,
         Err(fault) => {
             slog::info!(node.log, "not registered"; "fault" => %fault);
@@ -282,7 +326,7 @@
 
 /// Addresses that instances have left on the platform.
 pub async fn registered(node: &Rc<Node>) -> Vec<SocketAddr> {
-    let objects = match node.store.list_all(instance::KIND).await {
+    let objects = match node.store.list_all(Cause::Address, instance::KIND).await {
         Ok(objects) => objects,
         Err(fault) => {
             slog::info!(node.log, "no instances from the platform"; "fault" => %fault);
