Take word of a death for a suspicion, so that a healed cut doesn't tear the fleet apart

Word that one is dead which counts as alive here makes it a suspect, for three times as long as usual; word of a death is taken from one who has been a suspect for 0.75 of that time, as it is when all see it die. Whoever is in doubt is told so first in each heartbeat, and in the answer to its own. Instances that start look at the seeds after 30, 60, 90 ms and so on instead of every 300 ms.

--- a/crates/coordination/src/member.rs
+++ b/crates/coordination/src/member.rs
@@ -18,12 +18,28 @@
 const LOG: usize = 512;
 const PAGE: usize = 64;
 const REVIVE_EVERY: u64 = 8;
+/// Share of the time of a suspicion for which word of the suspect's death isn't taken:
+/// those who know it by themselves say so only when that time is over.
+const REFUTED: f64 = 0.75;
+/// How many times longer one is a suspect that others call dead and that was alive here:
+/// its refutation comes among hundreds.
+const BY_WORD: u32 = 3;
 
 #[derive(Clone, Debug)]
 struct Row {
     member: Member,
     misses: u32,
     changed: Instant,
+    /// Whether it is a suspect only because others say that it is dead.
+    by_word: bool,
+}
+
+impl Row {
+    /// Whether it is a suspect for too short a time to have refuted it.
+    fn is_young_suspect(&self, policy: Policy, now: Instant) -> bool {
+        let since = now.saturating_duration_since(self.changed);
+        since < policy.suspect.mul_f64(REFUTED)
+    }
 }
 
 /// One instance's view of all members.
@@ -181,13 +197,23 @@
         rows.map(|row| row.member.clone()).collect()
     }
 
-    /// News for `to`, and the mark to confirm with [`Table::on_sent`].
+    /// News for `to`, and the mark to confirm with [`Table::on_sent`]. That it is itself
+    /// in doubt comes first: only `to` can refute it, and after a cut there is more news
+    /// than one page holds.
     pub fn news(&self, to: InstanceId) -> (u64, Vec<Note>) {
         let from = self.sent.get(&to).copied().unwrap_or(0);
         let fresh = self.notes.iter().filter(|(at, _)| *at > from).take(PAGE);
         let page: Vec<(u64, Note)> = fresh.cloned().collect();
         let mark = page.last().map_or(self.head, |(at, _)| *at);
-        (mark, page.into_iter().map(|(_, note)| note).collect())
+        let own = self.doubt_of(to);
+        (mark, own.into_iter().chain(page.into_iter().map(|(_, note)| note)).collect())
+    }
+
+    /// What a member should be told of itself, so that it can refute it.
+    pub fn doubt_of(&self, id: InstanceId) -> Option<Note> {
+        let is_doubted = |row: &&Row| matches!(row.member.state, State::Suspect | State::Dead);
+        let row = self.rows.get(&id).filter(is_doubted);
+        row.map(|row| Note::Member(row.member.clone()))
     }
 
     /// `to` has the news up to `mark`.
@@ -215,24 +241,35 @@
         if is_first {
             row.member.state = State::Suspect;
             row.changed = now;
+            row.by_word = false;
             let note = Note::Member(row.member.clone());
             self.push(note);
         }
     }
 
     /// Takes in a member's state from anyone; `true` when it was news.
+    ///
+    /// Word that one is dead which counts as alive here makes it a suspect: whoever says
+    /// so may have been cut off from it. Word of a death that all see comes well after
+    /// that of the suspicion, and is taken as it is.
+    ///
+    /// Guards against a fleet that falls apart when a cut heals, as each side spreads its
+    /// view of the other: of 250 instances, 200 on one side, each counted some 130 of its
+    /// own side as dead for over four seconds; several kept the same account, and targets
+    /// got twice what they had slots for.
     pub fn merge(&mut self, member: Member, now: Instant) -> bool {
         if member.id == self.me.id {
             self.refute(&member);
             return false;
         }
+        let policy = self.policy;
         let Some(row) = self.rows.get_mut(&member.id) else {
             if member.state == State::Dead {
                 return false;
             }
             self.replace(&member, now);
             let note = Note::Member(member.clone());
-            self.rows.insert(member.id, Row { member, misses: 0, changed: now });
+            self.rows.insert(member.id, Row { member, misses: 0, changed: now, by_word: false });
             self.version += 1;
             self.push(note);
             return true;
@@ -244,9 +281,17 @@
             row.member.generation = generation;
             return false;
         }
+        let is_death = member.state == State::Dead;
+        let by_word = is_death && known.state == State::Alive;
+        if is_death && known.state == State::Suspect && row.is_young_suspect(policy, now) {
+            return false;
+        }
+        let state = if by_word { State::Suspect } else { member.state };
+        let member = Member { state, ..member };
         let is_loss =
             member.state == State::Dead && !matches!(known.state, State::Dead | State::Leaving);
         row.changed = now;
+        row.by_word = by_word;
         row.member = member;
         row.member.generation = generation;
         self.losses += u64::from(is_loss);
@@ -301,7 +346,8 @@
         let mut losses = 0;
         for row in self.rows.values_mut() {
             let silent = now.saturating_duration_since(row.changed);
-            let expired = row.member.state == State::Suspect && silent >= policy.suspect;
+            let patience = if row.by_word { BY_WORD } else { 1 };
+            let expired = row.member.state == State::Suspect && silent >= policy.suspect * patience;
             let gone = row.member.state == State::Leaving && row.misses >= MISSES;
             if expired || gone {
                 losses += u64::from(expired);
--- a/crates/coordination/tests/member.rs
+++ b/crates/coordination/tests/member.rs
@@ -108,6 +108,21 @@
         }
     }
 
+    /// News goes on until nobody lacks any, as instances do within a heartbeat.
+    fn tell_all(&mut self) {
+        for _ in 0..40 {
+            let behind: Vec<(u64, u64)> = self
+                .tables
+                .iter()
+                .flat_map(|(id, table)| table.behind().into_iter().map(|to| (*id, to.id)))
+                .collect();
+            if behind.is_empty() {
+                return;
+            }
+            behind.into_iter().for_each(|(from, to)| self.ping(from, to));
+        }
+    }
+
     fn rounds_until(&mut self, most: u32, holds: impl Fn(&Fleet) -> bool) -> u32 {
         for round in 0..most {
             if holds(self) {
@@ -235,3 +250,49 @@
     assert!(!table.is_behind(2));
     assert!(!table.is_behind(99), "nor is one that was never met");
 }
+
+/// Regression: when a cut healed, each side spread its view that the other was dead, and
+/// whoever heard it took its own side for dead as well.
+#[test]
+fn a_cut_that_heals_makes_no_member_lose_its_own_side() {
+    let mut fleet = Fleet::new(250);
+    fleet.rounds_until(60, |fleet| fleet.all_know(250));
+    for (n, side) in fleet.side.values_mut().enumerate() {
+        *side = u8::from(n % 5 == 0);
+    }
+    let is_settled = |fleet: &Fleet| {
+        let sees = |id: &u64| if fleet.side[id] == 1 { 50 } else { 200 };
+        fleet.tables.iter().all(|(id, table)| table.workers().count() == sees(id))
+    };
+    fleet.rounds_until(80, is_settled);
+    let sides = fleet.side.clone();
+    fleet.side.values_mut().for_each(|side| *side = 0);
+    for round in 0..60 {
+        fleet.round();
+        fleet.tell_all();
+        for (id, table) in &fleet.tables {
+            let own = table.workers().filter(|member| sides[&member.id] == sides[id]).count();
+            let all = if sides[id] == 1 { 50 } else { 200 };
+            assert_eq!(own, all, "round {round}: {id} has lost its own side");
+        }
+        if fleet.all_know(250) {
+            // A first heartbeat across, a refutation by each, and its way through all.
+            assert!(round <= 12, "{round} rounds");
+            return;
+        }
+    }
+    panic!("the sides don't meet");
+}
+
+#[test]
+fn a_death_that_was_a_suspicion_before_is_taken_at_once() {
+    let now = Instant::now();
+    let mut table = Table::new(member(1), Policy::default());
+    table.merge(member(2), now);
+    let said = |state| Member { state, ..member(2) };
+    table.merge(said(State::Dead), now);
+    table.merge(said(State::Dead), now + Duration::from_secs(1));
+    assert!(!table.is_dead(2), "it was alive a moment ago: it may refute");
+    table.merge(said(State::Dead), now + Duration::from_millis(2_300));
+    assert!(table.is_dead(2));
+}
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -3,7 +3,7 @@
 use super::message::{Ask, Contact, Mark, Reply, decode, encode};
 use super::node::Node;
 use super::{board, jobs, keeper, liveness, spread, submit, takeover, watch};
-use coordination::member::{Member, Note, State};
+use coordination::member::{Member, Note, State, Table};
 use protocol::InstanceId;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,7 +27,10 @@
 const MOST_NAMED: usize = 8;
 /// News that comes in within this time leaves together.
 const GATHER: Duration = Duration::from_millis(5);
-/// Time between looks at the seeds while no other member is known.
+/// Time after the first look at the seeds; each further one takes so much longer. When
+/// all start at once, the seeds do as well.
+const SEED_FIRST: Duration = Duration::from_millis(30);
+/// Longest time between looks at the seeds while no other member is known.
 const SEED_ALONE: Duration = Duration::from_millis(300);
 
 /// Answers other instances.
@@ -39,8 +42,10 @@
 
 impl Handler for Answers {
     async fn ping(&self, from: Member, notes: Vec<Note>) -> (Member, Vec<Note>) {
+        let id = from.id;
         hear(&self.node, from, &notes);
-        (self.node.members.borrow().me().clone(), Vec::new())
+        let members = self.node.members.borrow();
+        (members.me().clone(), members.doubt_of(id).into_iter().collect())
     }
 
     async fn command(&self, _shard: u32, _body: Vec<u8>) -> Vec<u8> {
@@ -136,15 +141,19 @@
     {
         let mut members = node.members.borrow_mut();
         members.on_heard(from, now);
-        for note in notes {
-            if let Note::Member(member) = note {
-                members.merge(member.clone(), now);
-            }
-        }
+        merge(&mut members, notes, now);
     }
     on_members(node, before);
 }
 
+fn merge(members: &mut Table, notes: &[Note], now: Instant) {
+    for note in notes {
+        if let Note::Member(member) = note {
+            members.merge(member.clone(), now);
+        }
+    }
+}
+
 /// Whoever changes the members calls this with the version before. Changes come
 /// by hundreds when a fleet starts, so what follows from them is done together.
 fn on_members(node: &Rc<Node>, before: u64) {
@@ -243,8 +252,9 @@
     let now = Instant::now();
     let before = node.members.borrow().version();
     let is_answered = match result {
-        Ok((from, _)) => {
+        Ok((from, doubt)) => {
             let mut members = node.members.borrow_mut();
+            merge(&mut members, &doubt, now);
             if from.id == to.id {
                 members.on_sent(to.id, mark);
             } else {
@@ -286,7 +296,7 @@
         if node.members.borrow().others().next().is_some() {
             break;
         }
-        tokio::time::sleep(SEED_ALONE).await;
+        tokio::time::sleep(SEED_FIRST.saturating_mul(tries).min(SEED_ALONE)).await;
     }
     board::learn(&node).await;
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -8,7 +8,7 @@
 use crate::shared::Shared;
 use coordination::admit;
 use coordination::chain::Offer;
-use coordination::member::{Member, Note, State};
+use coordination::member::{Member, Note};
 use platform::instance;
 use protocol::config::{Document, Entry};
 use std::collections::HashSet;
@@ -158,15 +158,11 @@
     }
 
     async fn ping(self, to: Member) {
-        let (me, mark, mut news) = {
+        let (me, mark, news) = {
             let table = lock(&self.shared.table);
             let (mark, news) = table.news(to.id);
             (table.me().clone(), mark, news)
         };
-        if matches!(to.state, State::Suspect | State::Dead) {
-            // Told to its face, so that it can refute.
-            news.push(Note::Member(to.clone()));
-        }
         match self.pool.ping(to.peer, &me, &news).await {
             Ok((member, notes)) => {
                 lock(&self.shared.table).on_sent(to.id, mark);
