--- a/crates/daemon/src/gateway/compare.rs
+++ b/crates/daemon/src/gateway/compare.rs
@@ -13,6 +13,8 @@
 
 /// Time between comparisons with another instance.
 const SYNC_EVERY: Duration = Duration::from_millis(500);
+/// The same until there is a configuration.
+const FIRST_EVERY: Duration = Duration::from_millis(60);
 /// Shortest time between looks at another instance's open jobs, if they differ:
 /// for a moment after each change they do.
 const LEARN_EVERY: Duration = Duration::from_secs(4);
@@ -23,7 +25,7 @@
 pub async fn run(node: Rc<Node>, stop: CancellationToken) {
     loop {
         tokio::select! {
-            () = tokio::time::sleep(SYNC_EVERY) => {}
+            () = tokio::time::sleep(pause(&node)) => {}
             () = stop.cancelled() => return,
         }
         // Not awaited: one that is silent doesn't put off the next.
@@ -31,6 +33,11 @@
     }
 }
 
+/// Time until the next comparison: an instance that has no configuration serves nothing.
+fn pause(node: &Node) -> Duration {
+    if node.config().is_none() { FIRST_EVERY } else { SYNC_EVERY }
+}
+
 /// Compares with one other instance, drawn by lot.
 async fn compare(node: Rc<Node>) {
     let others = node.others();
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -15,6 +15,11 @@
 
 /// Head limit before a configuration tells one.
 const HEAD_LIMIT: usize = 64 << 10;
+/// Time after a start in which requests are held until there is a configuration. It
+/// comes from the platform or from another instance, within some 0.3 s.
+const STARTING: Duration = Duration::from_secs(1);
+/// Time between looks whether there is one.
+const CONFIG_LOOK: Duration = Duration::from_millis(10);
 /// Longest time in which a body must be in, when the caller tells none.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
@@ -81,7 +86,7 @@
     started: Instant,
 ) -> Result<Response<Body>, Broken> {
     let (parts, mut body) = request.into_parts();
-    let Some(config) = node.config() else {
+    let Some(config) = config(node).await else {
         let error = Error::new(Kind::NotReady, "no configuration yet");
         return Ok(refusal(node, "", &error));
     };
@@ -125,6 +130,14 @@
     serve(node, &config, route, call).await
 }
 
+/// The configuration in force; an instance that has just started is about to have one.
+async fn config(node: &Node) -> Option<Rc<Config>> {
+    while node.config().is_none() && node.started.elapsed() < STARTING {
+        tokio::time::sleep(CONFIG_LOOK).await;
+    }
+    node.config()
+}
+
 async fn serve(
     node: &Rc<Node>,
     config: &Config,
