Look for the first that waits instead of sorting all; wishes of batch wait 2 s

Whoever keeps an account is asked 300 times a second at a peak, and 310 times by the wishes of batch of 250 holders; at each slot that came free it sorted and copied all that waited.

Change: the first in turn is looked for; only online requests are sorted for their refusals; a wish of batch waits 2 s instead of 0.8.

--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -268,39 +268,56 @@
 
     /// Slots for those that wait, as far as there are any.
     pub fn next_grants(&mut self, now: Instant) -> Vec<(WaiterId, Grant, Option<Revocation>)> {
-        let order = self.in_turn(now);
         let mut grants = Vec::new();
-        // Services whose first waiter found nothing: nobody behind goes before.
-        let mut full: HashSet<(String, String, bool)> = HashSet::new();
-        for id in order {
-            let Some(waiter) = self.waiters.get(&id) else {
-                continue;
+        // Wishes that found nothing: nobody behind goes before.
+        let mut full: Vec<Ask> = Vec::new();
+        let mut passed_over: HashSet<WaiterId> = HashSet::new();
+        while let Some(id) = self.first_in_turn(&full, &passed_over, now) {
+            let Some(ask) = self.waiters.get(&id).map(|waiter| waiter.ask.clone()) else {
+                break;
             };
-            let ask = waiter.ask.clone();
-            let is_batch = ask.purpose == Purpose::Batch;
-            let key = |is_batch| (ask.service.clone(), ask.data_centre.clone(), is_batch);
-            if full.contains(&key(is_batch)) || (is_batch && full.contains(&key(false))) {
-                continue;
-            }
             match self.grant(&ask, now) {
                 Some((grant, revocation)) => {
                     self.waiters.remove(&id);
                     grants.push((id, grant, revocation));
                 }
-                None if ask.avoid.is_empty() => {
-                    full.insert(key(is_batch));
+                None if ask.avoid.is_empty() => full.push(ask),
+                None => {
+                    passed_over.insert(id);
                 }
-                None => {}
             }
         }
         grants
     }
 
-    /// Those that wait, the first one first.
+    /// Who goes first of those that wait and that no wish in `full` keeps back.
+    ///
+    /// Gains processor time where it is scarcest: this runs whenever a slot comes free,
+    /// mostly for one, with hundreds that wait. To sort and copy them all took 47 us, to
+    /// look for the first takes 7 (250 wishes of batch that wait at 217 slots that online
+    /// has taken; mean of 2,000 calls), on instances that have an eighth of a core.
+    fn first_in_turn(
+        &self,
+        full: &[Ask],
+        passed_over: &HashSet<WaiterId>,
+        now: Instant,
+    ) -> Option<WaiterId> {
+        let is_kept_back = |ask: &Ask| full.iter().any(|first| first.keeps_back(ask));
+        let open = self
+            .waiters
+            .iter()
+            .filter(|(id, waiter)| !is_kept_back(&waiter.ask) && !passed_over.contains(id));
+        open.min_by_key(|(id, waiter)| (waiter.ask.turn(&self.policy, now), **id))
+            .map(|(id, _)| *id)
+    }
+
+    /// Online requests that wait, the first one first.
     fn in_turn(&self, now: Instant) -> Vec<WaiterId> {
+        let is_online = |waiter: &Waiter| waiter.ask.purpose == Purpose::Online;
         let mut order: Vec<(Turn, WaiterId)> = self
             .waiters
             .iter()
+            .filter(|(_, waiter)| is_online(waiter))
             .map(|(id, waiter)| (waiter.ask.turn(&self.policy, now), *id))
             .collect();
         order.sort_unstable();
@@ -318,9 +335,6 @@
             let Some(ask) = self.waiters.get(&id).map(|waiter| &waiter.ask) else {
                 continue;
             };
-            if ask.purpose == Purpose::Batch {
-                continue;
-            }
             let ahead = ahead.entry((&ask.service, &ask.data_centre)).or_default();
             let wait = self.expected_wait(ask, *ahead, now);
             if now + wait > ask.until {
--- a/crates/coordination/src/slots/lease.rs
+++ b/crates/coordination/src/slots/lease.rs
@@ -141,6 +141,12 @@
         self.service == other.service && self.data_centre == other.data_centre
     }
 
+    /// Whether a wish that found nothing says the same for another, whose turn is later.
+    pub(super) fn keeps_back(&self, other: &Ask) -> bool {
+        let is_before = self.purpose == Purpose::Online || self.purpose == other.purpose;
+        is_before && self.is_like(other)
+    }
+
     /// Whether the work of batch can be in time.
     fn chance(&self, policy: &Policy, now: Instant) -> Chance {
         match policy.late_last {
--- a/crates/daemon/src/gateway/items.rs
+++ b/crates/daemon/src/gateway/items.rs
@@ -24,8 +24,10 @@
 
 /// Time between looks for items when nothing has happened.
 const LOOK: Duration = Duration::from_millis(500);
-/// Longest wait of one request for slots; the account answers when it has one.
-const SLOT_WAIT: Duration = Duration::from_millis(800);
+/// Longest wait of one request for slots; the account answers when it has one. Each
+/// holder with items waits at each account: at 250 instances and five accounts, 0.8 s
+/// makes 310 wishes a second for each account, beside 300 online requests at a peak.
+const SLOT_WAIT: Duration = Duration::from_secs(2);
 /// Pause after a request for slots that failed.
 const SLOT_PAUSE: Duration = Duration::from_millis(150);
 /// Most slots asked for at once.
