Have the strongest instances keep accounts and relay news

Its account fell to any instance of a data centre: of some 50, three have half of a core and the others 0.12. A keeper is asked 300 times a second at a peak, and each online request waits for the answer.

Change: an id tells in its lowest four bits how much processor its instance has ([instance] processor, filled in by the platform); who keeps an account, and who relays news, is chosen among those with most. Where all are alike nothing changes.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -21,6 +21,7 @@
 
 pub mod admit;
 pub mod burn;
+pub mod capacity;
 pub mod chain;
 pub mod contact;
 pub mod drain;
--- a/crates/daemon/src/gateway/account.rs
+++ b/crates/daemon/src/gateway/account.rs
@@ -12,9 +12,9 @@
 use super::keeper;
 use super::message::{Ask, Reply, Ticket, Wish};
 use super::node::Node;
-use coordination::hash;
 use coordination::member::Member;
 use coordination::slots::{self, Grant, LeaseId, Ledger, Policy, Purpose, WaiterId};
+use coordination::{capacity, hash};
 use lease::{Keeper, Out, hold, take};
 use protocol::{DataCentreId, InstanceId, TargetId};
 use std::cell::{Cell, RefCell};
@@ -116,14 +116,14 @@
     }
 }
 
-/// The member that keeps the account of a data centre: one of that data centre,
-/// or of all if none of its own is left.
+/// The member that keeps the account of a data centre: one of the strongest of that
+/// data centre, or of all if none of its own is left.
 pub fn keeper(node: &Node, data_centre: &str) -> Option<Member> {
     let members = node.members.borrow();
     let choose = |own_only: bool| {
         let fits = |m: &&Member| !own_only || m.data_centre == data_centre;
         let ids = members.workers().filter(fits).map(|member| member.id);
-        hash::owner(data_centre.as_bytes(), ids)
+        capacity::owner(data_centre.as_bytes(), ids)
     };
     let id = choose(true).or_else(|| choose(false))?;
     members.workers().find(|member| member.id == id).cloned()
--- a/crates/daemon/src/gateway/spread.rs
+++ b/crates/daemon/src/gateway/spread.rs
@@ -12,12 +12,13 @@
 use super::message::{Ask, News, Reply, Status};
 use super::node::Node;
 use super::{board, feed, jobs};
-use coordination::hash;
 use coordination::member::{Member, State};
+use coordination::{capacity, hash};
 use protocol::DataCentreId;
 use protocol::routing::Version;
 use state::progress::JobId;
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -75,7 +76,9 @@
             && !node.is_shunned(member.peer, now)
     });
     let mut able: Vec<Member> = able.cloned().collect();
-    able.sort_by_key(|member| hash::weight(b"relay", member.id));
+    able.sort_by_key(|member| {
+        (Reverse(capacity::class(member.id)), hash::weight(b"relay", member.id))
+    });
     able.truncate(RELAYS);
     able
 }
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -10,6 +10,7 @@
 use crate::shared::{Parts, Shared};
 use crate::store;
 use crate::telemetry::Telemetry;
+use coordination::capacity;
 use coordination::drain::{self, Phase, Plan};
 use coordination::member::{Member, State};
 use protocol::settings::Settings;
@@ -108,10 +109,13 @@
     Ok((listener, bound))
 }
 
+/// Set in every id drawn, so that none is zero.
+const LEAST_ID: u64 = 1 << 4;
+
 /// This start of an instance, as other members know it.
 pub(crate) fn member(settings: &Settings, front: SocketAddr, peer: SocketAddr) -> Member {
     Member {
-        id: rand::random::<u64>() | 1,
+        id: capacity::mark(rand::random::<u64>() | LEAST_ID, settings.processor),
         peer,
         http: front,
         data_centre: settings.data_centre.clone(),
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -72,6 +72,8 @@
     pub name: String,
     /// `[instance] duty`: `own`, `gateway` or `standby`.
     pub duty: Duty,
+    /// `[instance] processor`: cores that this daemon gets; it may be a part of one.
+    pub processor: f64,
     /// `[instance] data_centre`: where this daemon stands.
     pub data_centre: DataCentreId,
     /// `[instance] data`: folder of the small disk, if there is one.
@@ -165,6 +167,7 @@
         Settings {
             name: String::from("local"),
             duty: Duty::default(),
+            processor: 1.0,
             data_centre: String::from("local"),
             data: None,
             front: any,
@@ -249,6 +252,7 @@
         s.text("instance", "name", &mut self.name);
         s.value("instance", "duty", "own, gateway or standby", &mut self.duty)?;
         s.text("instance", "data_centre", &mut self.data_centre);
+        s.value("instance", "processor", "a number of cores", &mut self.processor)?;
         s.option("instance", "data", "a path", &mut self.data)?;
         s.value("front", "listen", "an IP number and port", &mut self.front)?;
         s.option("front", "ready", "an IP number and port", &mut self.ready)?;
@@ -300,6 +304,7 @@
 
     fn check(&self, file: &str) -> Result<(), Fault> {
         let rules = [
+            (self.processor > 0.0, "instance", "processor", "above 0"),
             (self.shards >= 1, "log", "shards", "at least 1"),
             (self.chunk_items >= 1, "batch", "chunk_items", "at least 1"),
             (self.attempts >= 1, "batch", "attempts", "at least 1"),
--- a/crates/protocol/tests/settings.rs
+++ b/crates/protocol/tests/settings.rs
@@ -14,6 +14,7 @@
 #[case("[peers]\nseeds = 10.0.0.1:1, host:2", "peers", "seeds", "IP numbers")]
 #[case("[front]\nlissten = 10.0.0.1:1", "front", "lissten", "a key that is known")]
 #[case("[frnt]\nlisten = 10.0.0.1:1", "frnt", "listen", "a key that is known")]
+#[case("[instance]\nprocessor = 0", "instance", "processor", "above 0")]
 #[case("[log]\nshards = 0", "log", "shards", "at least 1")]
 #[case("[log]\nshards = many", "log", "shards", "a number of shards")]
 #[case("[batch]\nclaim_ms = 100\nreport_ms = 90", "batch", "claim_ms", "over twice report_ms")]
