Give the load test of batch the same figures on every run

No check had failed. Ordered maps now, three runs alike: 1,501, 1,580, 1,503 and 1,286, 1,193, 1,286. No check is changed.

--- a/crates/coordination/tests/shortage.rs
+++ b/crates/coordination/tests/shortage.rs
@@ -11,7 +11,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 const MS: Duration = Duration::from_millis(1);
@@ -75,9 +75,9 @@
     is_told: bool,
     now: Instant,
     jobs: Vec<Job>,
-    runs: HashMap<LeaseId, Run>,
-    online: HashMap<LeaseId, Instant>,
-    online_waits: HashMap<WaiterId, Instant>,
+    runs: BTreeMap<LeaseId, Run>,
+    online: BTreeMap<LeaseId, Instant>,
+    online_waits: BTreeMap<WaiterId, Instant>,
     online_late: u32,
     online_all: u32,
     cuts: u32,
@@ -93,9 +93,9 @@
             is_told,
             now,
             jobs: Vec::new(),
-            runs: HashMap::new(),
-            online: HashMap::new(),
-            online_waits: HashMap::new(),
+            runs: BTreeMap::new(),
+            online: BTreeMap::new(),
+            online_waits: BTreeMap::new(),
             online_late: 0,
             online_all: 0,
             cuts: 0,
@@ -310,7 +310,7 @@
     assert!(tally.in_time * 10 >= done * 8, "{tally:?}");
     assert!(tally.wasted < 5.0, "slots went into what was never done: {tally:?}");
     assert!(tally.online_late < 0.001, "online pays for it: {tally:?}");
-    // Before, 513, 438 and 413 of 2,760 to 2,900 were in time; now 1,505 to 1,601.
+    // Before, 513, 438 and 413 of 2,760 to 2,900 were in time; now 1,501 to 1,580.
     let untold = play(Policy::default(), false, 2.5, seed);
     assert!(tally.in_time > 2 * untold.in_time, "{tally:?}, untold {untold:?}");
 }
@@ -323,7 +323,7 @@
     assert!(tally.in_time * 100 >= tally.asked * 93, "{tally:?}");
     assert!(tally.online_late < 0.001, "online pays for it: {tally:?}");
     assert!(tally.cuts as usize <= tally.asked, "stopped too often: {tally:?}");
-    // Before, 1,241, 1,163 and 1,219 were in time; now 1,287, 1,193 and 1,289.
+    // Before, 1,241, 1,163 and 1,219 were in time; now 1,286, 1,193 and 1,286.
     let never = Duration::from_secs(60);
     let wide = play(Policy { stop_cost: never, ..Policy::default() }, true, 1.1, seed);
     assert!(tally.in_time > wide.in_time, "{tally:?}, by share alone {wide:?}");
