Renew a watch of the configuration that may have missed a change

Symptom: callers got 404 for a route up to 3.8 s after the platform had acknowledged the configuration that adds it.

Cause: a watch whose request or response was lost is indistinguishable from one without changes. A lost watch of the configuration was detected only after its timeout of 3.4 s plus 0.4 s. A change answers the watchers of all data centres at the same moment, so they all watch again at the same moment, and a store that is silent for about half a second just then loses the watches of all of them. Nothing else fails, so no probe detects it.

Change: the response to each list and watch carries the store's revision. While the revision stays the same, no watch has missed a change. When another response shows a higher revision (the watch of the targets is answered every 1.5 s), a watch of the configuration that has been open for at least 1.5 s is renewed from its own revision; a missed change is returned at once. The renewed watch has a timeout of 1.5 s, as has every watch of the configuration until it has caught up with the revision; otherwise the timeout stays 3.4 s.

An idle fleet stays within 2.5 calls a second (idle_gateways_make_few_platform_calls).

Rejected alternative: a timeout of 2 s for all watches of the configuration, which by arithmetic takes an idle fleet over that bound.

--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -7,11 +7,11 @@
 use crate::clock;
 use coordination::connectivity::{Policy, Tracker, Uptime};
 use coordination::retry;
-use platform::store::{Object, Page, Store, StoreError, Undecodable};
+use platform::store::{Object, Page, Revision, Store, StoreError, Undecodable};
 use protocol::settings::Settings;
 use serde::Serialize;
 use slog::Logger;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -40,6 +40,7 @@
     calls: RefCell<BTreeMap<CallReason, u64>>,
     breaker: RefCell<Breaker>,
     tracker: RefCell<Tracker>,
+    latest_revision: Cell<Revision>,
     /// Notified when the store counts as disconnected.
     disconnected: Notify,
     log: Logger,
@@ -54,6 +55,7 @@
             calls: RefCell::default(),
             breaker: RefCell::default(),
             tracker: RefCell::new(Tracker::new(Policy { expiry: min_outage, ..Policy::default() })),
+            latest_revision: Cell::default(),
             disconnected: Notify::new(),
             log,
         }
@@ -132,6 +134,16 @@
         }
     }
 
+    /// Records the store's revision from the response to a list or a watch.
+    pub fn on_revision(&self, revision: Revision) {
+        self.latest_revision.set(self.latest_revision.get().max(revision));
+    }
+
+    /// Highest revision of the store in any response to a list or a watch; 0 before the first.
+    pub fn latest_revision(&self) -> Revision {
+        self.latest_revision.get()
+    }
+
     /// Records a failed watch, which alone doesn't open the breaker.
     pub fn on_watch_failed(&self) {
         self.tracker.borrow_mut().on_failure();
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -11,7 +11,7 @@
 use super::quarantine;
 use crate::clock;
 use coordination::membership::{Member, State};
-use coordination::watch::{self, Candidate};
+use coordination::watch::{self, Candidate, Timeouts};
 use platform::store::{Listing, Object, Revision, StoreError};
 use platform::{config, decommission, instance, target};
 use std::net::SocketAddr;
@@ -29,8 +29,11 @@
 /// noticed only this long plus [`PROBE_TIMEOUT`] later, which must stay below the 2 s in
 /// which requests to a leaving target must stop. Each watch costs a call.
 const TARGETS_WATCH_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// The same for the configuration, which may take longer after an outage of the platform.
-const CONFIG_WATCH_TIMEOUT: Duration = Duration::from_millis(3_400);
+/// The same for the configuration. A configuration must be in force within 2 s of its
+/// acknowledgement by the platform, or within 3 s after an outage of the platform, so a watch
+/// that may have missed a change has a shorter timeout.
+const CONFIG_WATCH_TIMEOUTS: Timeouts =
+    Timeouts { up_to_date: Duration::from_millis(3_400), behind: Duration::from_millis(1_500) };
 /// The same for orders to empty a machine, which aren't urgent.
 const DECOMMISSIONS_WATCH_TIMEOUT: Duration = Duration::from_secs(10);
 /// The same for quarantined requests, which instances also report to each other.
@@ -71,12 +74,12 @@
         }
     }
 
-    fn watch_timeout(self) -> Duration {
+    fn watch_timeouts(self) -> Timeouts {
         match self {
-            Topic::Config => CONFIG_WATCH_TIMEOUT,
-            Topic::Targets => TARGETS_WATCH_TIMEOUT,
-            Topic::Decommissions => DECOMMISSIONS_WATCH_TIMEOUT,
-            Topic::Quarantine => QUARANTINE_WATCH_TIMEOUT,
+            Topic::Config => CONFIG_WATCH_TIMEOUTS,
+            Topic::Targets => Timeouts::constant(TARGETS_WATCH_TIMEOUT),
+            Topic::Decommissions => Timeouts::constant(DECOMMISSIONS_WATCH_TIMEOUT),
+            Topic::Quarantine => Timeouts::constant(QUARANTINE_WATCH_TIMEOUT),
         }
     }
 
@@ -134,6 +137,12 @@
             result = list_or_watch(&node, topic, revision) => result,
             () = node.store.disconnected() =>
                 Err(StoreError::OutcomeUnknown(String::from("probe failed"))),
+            () = renewal_due(&node, topic, revision) => {
+                node.metrics.count("watch.renewed");
+                slog::debug!(node.log, "watch renewed"; "kind" => topic.kind(),
+                    "since" => revision, "latest" => node.store.latest_revision());
+                continue;
+            }
             () = role.lost() => continue,
             () = node.resumed.notified() => {
                 revision = None;
@@ -167,6 +176,28 @@
     }
 }
 
+/// Returns once a watch that starts now from `since` should be renewed, because another response
+/// has shown a higher revision. Never returns for a list, or for a watch that already has the
+/// shorter timeout.
+async fn renewal_due(node: &Node, topic: Topic, since: Option<Revision>) {
+    let timeouts = topic.watch_timeouts();
+    let Some(since) = since else {
+        return std::future::pending().await;
+    };
+    if timeouts.timeout(since, node.store.latest_revision()) <= timeouts.behind {
+        return std::future::pending().await;
+    }
+    let started_at = clock::now();
+    tokio::time::sleep(timeouts.behind).await;
+    let is_due = || {
+        let latest = node.store.latest_revision();
+        timeouts.is_renewal_due(since, latest, clock::since(started_at))
+    };
+    while !is_due() {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
 /// Handles the failure of a watch that was open for the given time, or of the list before
 /// it.
 async fn on_watch_error(
@@ -254,10 +285,11 @@
         node.store.on_response(clock::now());
         node.store.log_undecodable(topic.kind(), &listing.undecodable);
         let revision = listing.revision;
+        node.store.on_revision(revision);
         on_list(node, topic, listing).await?;
         return Ok(revision);
     };
-    let wait = topic.watch_timeout();
+    let wait = topic.watch_timeouts().timeout(revision, node.store.latest_revision());
     node.store.count_call(CallReason::Watch);
     let watch = store.watch(topic.kind(), revision, wait);
     let changes = tokio::time::timeout(wait + PROBE_TIMEOUT, watch).await.unwrap_or_else(|_| {
@@ -267,6 +299,7 @@
     node.store.log_undecodable(topic.kind(), &changes.undecodable);
     let is_unchanged = changes.changes.is_empty() && changes.undecodable.is_empty();
     let revision = changes.revision;
+    node.store.on_revision(revision);
     match topic {
         Topic::Decommissions => {
             for change in changes.changes.into_iter().filter(|change| !change.removed) {
--- a/crates/standin/src/objects.rs
+++ b/crates/standin/src/objects.rs
@@ -50,6 +50,8 @@
     page_size: usize,
     /// Watches of an earlier epoch hang.
     watch_epoch: u64,
+    /// The same, by kind of the watched objects.
+    kind_watch_epochs: BTreeMap<String, u64>,
 }
 
 impl State {
@@ -57,6 +59,11 @@
     fn visible_objects(&self) -> &BTreeMap<Key, Value> {
         self.stale_objects.as_ref().unwrap_or(&self.objects)
     }
+
+    /// Epochs of a watch of `kind` that starts now: of all watches, and of those of `kind`.
+    fn watch_epochs(&self, kind: &str) -> (u64, u64) {
+        (self.watch_epoch, self.kind_watch_epochs.get(kind).copied().unwrap_or_default())
+    }
 }
 
 /// Handle to an object store; clones share its state.
@@ -134,12 +141,12 @@
         let watch_epoch = {
             let mut state = self.lock();
             state.counts.watches += 1;
-            state.watch_epoch
+            state.watch_epochs(kind)
         };
         let until = tokio::time::Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
-            if self.lock().watch_epoch != watch_epoch {
+            if self.lock().watch_epochs(kind) != watch_epoch {
                 tokio::time::sleep(HANG_TIME).await;
             }
             {
--- a/crates/standin/src/objects/faults.rs
+++ b/crates/standin/src/objects/faults.rs
@@ -72,6 +72,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Makes the open watches of `kind` hang; later ones work.
+    pub fn hang_watches_of_kind(&self, kind: &str) {
+        *self.lock().kind_watch_epochs.entry(kind.to_owned()).or_default() += 1;
+        self.changed.notify_waiters();
+    }
+
     /// While set, reads return the objects of this moment and watches no events; writes work.
     pub fn set_stale_reads(&self, is_stale: bool) {
         let mut state = self.lock();
