Notify a job's holder of its end until it acknowledges

Symptom: an item of a job reached a target 3.73 s after the end of the job had been acknowledged (at most 3 s are allowed).

Cause: the job was ended at another instance while its holder was unreachable from all other instances for 1.28 s. The end was written to the platform. The holder was notified once (timeout 800 ms) and by the two attempts of the broadcast (timeouts 300 and 800 ms), all of them during the partition. A holder checks its jobs on the platform only after a whole data centre was unreachable, so it kept running items until its next write conflicted, 4.3 s after the end.

Change: the notification is retried until the holder acknowledges it, for 15 s, with a timeout of 300 ms for each attempt and a delay of 250 ms between attempts, as handoffs already were. Both use the new Node::deliver.

Evidence: holder_unreachable_at_the_end_of_its_job_is_notified_later fails without the change (the holder isn't notified within the 30 s that the test waits) and passes with it, as do the 11 other tests of gateway_holders.

--- a/crates/daemon/src/gateway/jobs.rs
+++ b/crates/daemon/src/gateway/jobs.rs
@@ -12,9 +12,11 @@
 use platform::store::StoreError;
 use platform::{header, job};
 use protocol::{Error, Kind};
-use state::progress::{Handoff, Job, Outcome, Progress};
+use state::progress::{Handoff, Job, JobId, Outcome, Progress};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::task::spawn_local;
 use transport::server::Body;
 
 /// Longest time for which a read waits for new results, whatever the caller requests.
@@ -175,7 +177,7 @@
 }
 
 /// Ends a job whose holder can't be reached, by writing to the platform. The holder notices
-/// with its next write, or earlier if a broadcast reaches it.
+/// with its next write, or earlier if a notification reaches it.
 async fn end_stored(node: &Rc<Node>, id: &str) -> bool {
     for _ in 0..MAX_END_ATTEMPTS {
         let mut stored_job = match job_store::load(node, CallReason::End, id).await {
@@ -197,12 +199,12 @@
             "revision" => *revision, "written" => written.is_ok());
         match written {
             Ok(_) => {
-                // Right after a partition the holder may not be a known member yet, so the
-                // address stored with the job is used.
-                let update = Update::Ended(id.to_owned());
-                let request = PeerRequest::Update(node.as_holder().address, update.clone());
-                node.notify(stored_job.holder().address, request);
-                broadcast::send(node, update);
+                spawn_local(notify_holder_of_end(
+                    node.clone(),
+                    id.to_owned(),
+                    stored_job.holder().address,
+                ));
+                broadcast::send(node, Update::Ended(id.to_owned()));
                 return true;
             }
             Err(StoreError::Conflict(_) | StoreError::OutcomeUnknown(_)) => {}
@@ -212,6 +214,18 @@
     false
 }
 
+/// Notifies the holder that its job has ended, retrying because the holder may still be
+/// unreachable. `holder` is the address stored with the job, since the holder may not be a
+/// known member right after a partition.
+async fn notify_holder_of_end(node: Rc<Node>, id: JobId, holder: SocketAddr) {
+    let update = Update::Ended(id.clone());
+    let request = PeerRequest::Update(node.as_holder().address, update);
+    if !node.deliver(holder, &request).await {
+        slog::info!(node.log, "holder not notified of the end of its job"; "job" => &id,
+            "holder" => %holder);
+    }
+}
+
 /// Handles a job's end that another instance has written to the platform.
 pub fn on_ended(node: &Node, id: &str) {
     if let Some(held) = node.jobs.held_job(id) {
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -32,6 +32,12 @@
 const NOTIFY_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long a member that failed to reply is skipped.
 const UNRESPONSIVE_PERIOD: Duration = Duration::from_millis(400);
+/// Timeout of each attempt of [`Node::deliver`].
+const DELIVERY_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Delay between attempts of [`Node::deliver`].
+const DELIVERY_RETRY_DELAY: Duration = Duration::from_millis(250);
+/// How long [`Node::deliver`] retries; longer than a typical network partition.
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(15);
 /// How long the targets of a data centre are avoided once none of its members is reachable;
 /// longer than network partitions usually last.
 const UNREACHABLE_PERIOD: Duration = Duration::from_secs(10);
@@ -308,6 +314,19 @@
             .ok_or_else(|| PeerError::OutcomeUnknown(String::from("reply has an unknown format")))
     }
 
+    /// Sends a request repeatedly until it is acknowledged, for longer than a typical network
+    /// partition; `false` if it wasn't acknowledged. The peer may receive it more than once.
+    pub async fn deliver(&self, to: SocketAddr, request: &PeerRequest) -> bool {
+        let until = clock::now() + DELIVERY_TIMEOUT;
+        while clock::now() < until {
+            if self.request(to, request, DELIVERY_ATTEMPT_TIMEOUT).await.is_ok() {
+                return true;
+            }
+            tokio::time::sleep(DELIVERY_RETRY_DELAY).await;
+        }
+        false
+    }
+
     /// Sends a request to one member without waiting for the acknowledgement.
     pub fn notify(self: &Rc<Node>, to: SocketAddr, request: PeerRequest) {
         let node = self.clone();
--- a/crates/daemon/src/gateway/takeover.rs
+++ b/crates/daemon/src/gateway/takeover.rs
@@ -38,8 +38,6 @@
 const MAX_ATTEMPTS: u32 = 4;
 /// Minimum delay after a failed takeover.
 const TAKEOVER_RETRY_DELAY: Duration = Duration::from_millis(250);
-/// How long a hand-off is retried; longer than a typical network partition.
-const SEND_HANDOFF_TIMEOUT: Duration = Duration::from_secs(15);
 /// Longest wait for the reply to a hand-off.
 const HANDOFF_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -235,17 +233,10 @@
     if handoff.is_empty() {
         return;
     }
-    let until = clock::now() + SEND_HANDOFF_TIMEOUT;
     let request = PeerRequest::TakeOver(id.clone(), handoff);
-    while clock::now() < until {
-        if node.request(holder.address, &request, HANDOFF_TIMEOUT).await.is_ok() {
-            slog::info!(node.log, "handoff sent"; "job" => &id,
-                "to" => %holder.address);
-            return;
-        }
-        tokio::time::sleep(TAKEOVER_RETRY_DELAY).await;
-    }
-    slog::info!(node.log, "handoff lost"; "job" => &id, "to" => %holder.address);
+    let is_delivered = node.deliver(holder.address, &request).await;
+    slog::info!(node.log, "{}", if is_delivered { "handoff sent" } else { "handoff lost" };
+        "job" => &id, "to" => %holder.address);
 }
 
 /// As [`take_over`], with `None` if the job shouldn't be taken over.
--- a/crates/daemon/tests/gateway_holders.rs
+++ b/crates/daemon/tests/gateway_holders.rs
@@ -108,6 +108,24 @@
     });
 }
 
+/// Regression: a holder that was briefly unreachable while its job was ended at another
+/// instance wasn't notified once it was reachable again, and kept running items.
+#[test]
+fn holder_unreachable_at_the_end_of_its_job_is_notified_later() {
+    let fleet = Fleet::start(slow_plan());
+    assert_eq!(fleet.submit(0, "cut", &["a", "b"]).status, 202);
+    let holder = [fleet.gateways[0].peer_address];
+    fleet.gateways[1..].iter().for_each(|gateway| gateway.set_unreachable(&holder));
+    std::thread::sleep(Duration::from_millis(80)); // The partition file is read every 50 ms.
+    assert_eq!(fleet.end_job(1, "cut").status, 200);
+    std::thread::sleep(Duration::from_millis(300));
+    assert!(fleet.log(0).last_message("job ended elsewhere").is_none());
+    fleet.gateways.iter().for_each(|gateway| gateway.set_unreachable(&[]));
+    wait_until("the holder is notified", || {
+        fleet.log(0).last_message("job ended elsewhere").is_some()
+    });
+}
+
 /// Regression: a holder that had detected the takeover of its job still wrote results, which
 /// the new holder didn't know and so didn't list.
 #[test]
