Add no failed result to a job whose end is durable

Symptom: two_holders_keep_results_append_only failed once in a run of all tests ("no later results", after 282 cases had passed). For a caller: some instances would list results of an ended job that others don't. Not shown: an order of events in a running daemon that gets there.

Cause: a holder whose write conflicts with an ended job drops its unwritten results, then merges the failure counts that it found. The merge fails items that have no attempts left. It still treated the job as open, since the progress found became the durable one only after the merge. So the failed item's result was added, and the next write listed it after the end.

Change: the progress found becomes the durable one before its failure counts are merged.

--- a/crates/state/src/progress.rs
+++ b/crates/state/src/progress.rs
@@ -313,11 +313,14 @@
         }
         self.done = durable_items;
         self.done.extend(self.unwritten.iter().map(|outcome| outcome.item.clone()));
-        self.merge_failures(&found.failures);
-        let done = &self.done;
-        self.failures.retain(|item, _| !done.contains(item));
         self.ended |= found.ended;
+        // Set before the failure counts are merged: an item that fails in the merge adds
+        // a result unless the end is durable.
         self.durable = found;
+        let failures = self.durable.failures.clone();
+        self.merge_failures(&failures);
+        let done = &self.done;
+        self.failures.retain(|item, _| !done.contains(item));
     }
 
     /// The job's holder according to the durable progress.
--- a/crates/state/tests/progress.rs
+++ b/crates/state/tests/progress.rs
@@ -2,8 +2,8 @@
 //! lost responses of the store, failed runs and ends.
 
 use proptest::prelude::*;
-use state::progress::{Failure, Job, JobState, Outcome, PartialOutput, Progress};
-use std::collections::BTreeSet;
+use state::progress::{Failure, FailureCount, Job, JobState, Outcome, PartialOutput, Progress};
+use std::collections::{BTreeMap, BTreeSet};
 
 const ITEMS: [&str; 5] = ["a", "b", "c", "d", "e"];
 
@@ -95,6 +95,21 @@
     assert!(state.durable_results().is_empty());
 }
 
+/// Regression: on a conflict with an ended job, merging the failure counts failed an
+/// item and added its result to that job.
+#[test]
+fn merged_failures_add_no_result_once_the_end_is_durable() {
+    let mut state = JobState::new(Job::example("j", &["a"]), Progress::default(), 3);
+    state.on_done("a", outcome("a", "holder"));
+    for _ in 0..3 {
+        state.on_failed("a", Failure::Retryable);
+    }
+    let count = FailureCount { runs: 1, ..FailureCount::default() };
+    let failures = BTreeMap::from([(String::from("a"), count)]);
+    state.on_conflict(Progress { ended: true, failures, ..Progress::default() });
+    assert!(state.next_write().is_none());
+}
+
 #[test]
 fn results_before_the_end_are_written_with_it() {
     let mut state = JobState::new(Job::example("j", &["a", "b"]), Progress::default(), 3);
