Stop the callers of the crashing request soak test on a panic

Symptom: the test hung for 9 minutes, until it was stopped by hand, after a restarted gateway had found its port taken and the fault injection had panicked.

Cause: the callers were told to stop only when the fault injection returned. A panic left them running, and the thread scope waits for them.

Change: a guard tells the callers to stop when it is dropped, also during a panic. No check, bound or seed changed.

Remaining: another program can still take the port between a kill and a restart. This now fails the test instead of hanging it; calls in flight are still waited for, each for at most 60 s (the timeout of the test client).

--- a/crates/daemon/tests/soak/crashing_request.rs
+++ b/crates/daemon/tests/soak/crashing_request.rs
@@ -41,6 +41,16 @@
     fleet
 }
 
+/// Stops the callers when dropped. Otherwise, a panic during fault injection would leave them
+/// running and [`std::thread::scope`] would never return.
+struct StopGuard<'a>(&'a AtomicBool);
+
+impl Drop for StopGuard<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// Runs the scenario of a seed and returns the violated guarantees.
 pub fn run(seed: u64) -> Vec<String> {
     let mut fleet = fleet();
@@ -48,6 +58,7 @@
     let is_over = AtomicBool::new(false);
     let mut restarts = Vec::new();
     std::thread::scope(|scope| {
+        let _stop_guard = StopGuard(&is_over);
         for n in 0..CALLERS[0] + CALLERS[1] {
             let (fronts, is_over) = (&fronts, &is_over);
             scope.spawn(move || {
@@ -62,7 +73,6 @@
             });
         }
         restarts.extend(inject_faults(&mut fleet, seed));
-        is_over.store(true, Ordering::Relaxed);
     });
     find_violations(&fleet, &restarts)
 }
