Let the benchmarks' daemons log the line that the harness waits for

Symptom: every benchmark with production settings waited for ever for its first daemon (measure -- takeover: ended by timeout after 90 s without a round). Cause: the harness waits for the log line "started", which is of level info, and the settings asked for warnings only. Change: level info. The other benchmarks were not run; figures of the README are older and were taken without these log lines.

--- a/crates/daemon/benches/measure/fleet.rs
+++ b/crates/daemon/benches/measure/fleet.rs
@@ -25,7 +25,7 @@
         "batch.chunk_items = 256",
         "targets.poll_ms = 500",
         "targets.idle_ms = 5000",
-        "log_lines.level = warning",
+        "log_lines.level = info",
         "front.threads = 1",
     ]
     .map(String::from)
