Leave a large configuration 2 s to arrive instead of 500 ms

Cause: an instance that is told of a version fetches it whole from the one that told it, all instances of a data centre at one moment, and gives up after 500 ms. On small, busy machines the answer takes longer; it is thrown away, and the next try begins anew (front-pwr-c-6: three fetches failed, "no reply within 500ms", from 7.8 to 9.1 s, with the version of 4.7 s in force at 10.4 s). Change: the second try of a fetch waits 2 s. Not changed: comparisons carry a configuration too, and still wait 500 ms.

--- a/crates/daemon/src/gateway/broadcast.rs
+++ b/crates/daemon/src/gateway/broadcast.rs
@@ -36,7 +36,7 @@
 const SEND_TIMEOUTS: [Duration; 2] = [Duration::from_millis(300), Duration::from_millis(800)];
 /// Timeouts of the two attempts to fetch a configuration. The second allows for the largest
 /// one on the slowest links.
-const FETCH_TIMEOUTS: [Duration; 2] = [Duration::from_millis(250), Duration::from_millis(500)];
+const FETCH_TIMEOUTS: [Duration; 2] = [Duration::from_millis(250), Duration::from_millis(2_000)];
 
 /// Updates on their way through this instance.
 #[derive(Default)]
