Let a stop wait for submissions, and hand off the job accepted last

Cause: a submission was not counted among the requests in flight, so a stop ended while its write was being repeated; and a job that was found stored or created after the hand-off of all jobs was announced to nobody.

Change: submissions, forwarded ones and the notification of a holder count as in flight; a job created by a stopping instance, or found stored with it as the holder, is handed off before the instance exits.

Evidence: submission_in_flight_at_a_stop_is_answered_and_its_job_runs: red before (status 0), green 8 of 8 after.

--- a/crates/daemon/src/gateway/items.rs
+++ b/crates/daemon/src/gateway/items.rs
@@ -186,14 +186,20 @@
     let held_jobs: Vec<Rc<HeldJob>> = node.jobs.held.borrow().values().cloned().collect();
     let open: Vec<Rc<HeldJob>> =
         held_jobs.into_iter().filter(|h| !h.state.borrow().is_finished()).collect();
-    for held in &open {
+    hand_off(node, open).await;
+}
+
+/// Hands off some held jobs, including partial output of their runs. Retries until all are
+/// taken over.
+pub async fn hand_off(node: &Rc<Node>, jobs: Vec<Rc<HeldJob>>) {
+    for held in &jobs {
         held.released.cancel();
     }
     // Lets cancelled runs store their partial output.
     tokio::task::yield_now().await;
     tokio::time::sleep(job_writer::RUN_STOP_DELAY).await;
     let mut remaining = Vec::new();
-    for held in open {
+    for held in jobs {
         let has_unwritten = held.state.borrow().next_write().is_some();
         if has_unwritten && !job_writer::write(node, &held).await {
             slog::warn!(node.log, "results not written before shutdown";
--- a/crates/daemon/src/gateway/submit.rs
+++ b/crates/daemon/src/gateway/submit.rs
@@ -6,8 +6,8 @@
 use super::job_store::{self, StoredJob};
 use super::message::{PeerReply, PeerRequest, SubmitOutcome};
 use super::node::{Node, unix_millis};
-use super::takeover;
-use super::{job_table, platform_health};
+use super::online::InFlightGuard;
+use super::{items, job_table, platform_health, takeover};
 use crate::clock;
 use bytes::Bytes;
 use coordination::membership::Member;
@@ -39,8 +39,9 @@
 /// unavailable.
 pub const RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Serves a submission.
+/// Serves a submission. A stop waits for it, and hands off the job that it accepts.
 pub async fn submit(node: &Rc<Node>, route: &Route, call: &CallerRequest) -> Response<Body> {
+    let _in_flight = InFlightGuard::new(node);
     let until = call.started + call.remaining(call.started).mul_f64(CONFIRM_TIME_RATIO);
     let mut outcome = accept(node, route, call, until).await;
     if outcome == SubmitOutcome::Rejected && !node.is_stopping() || node.store.last_call_failed() {
@@ -85,6 +86,7 @@
     let Some(route) = config.table.route_for(host, path) else {
         return SubmitOutcome::Rejected;
     };
+    let _in_flight = InFlightGuard::new(node);
     let now = clock::now();
     let call = CallerRequest {
         id: id.to_owned(),
@@ -200,6 +202,11 @@
                 let progress = Progress::default();
                 let stored_job = StoredJob { job, progress, overflow, revision: object.revision };
                 let held = job_table::hold(node, stored_job);
+                if node.is_stopping() {
+                    // The hand-off of all jobs may have collected them already.
+                    items::hand_off(node, vec![held]).await;
+                    return SubmitOutcome::Accepted;
+                }
                 job_table::notify_witnesses(node, &held).await;
                 return SubmitOutcome::Accepted;
             }
@@ -236,6 +243,7 @@
 /// Notifies the holder of a job stored earlier. Retried until the holder has the job, since
 /// the response to the submitter says that the job is stored and no other instance may know it.
 async fn notify_holder(node: Rc<Node>, id: JobId) {
+    let _in_flight = InFlightGuard::new(&node);
     while let Err(error) = try_notify_holder(&node, &id).await {
         slog::info!(node.log, "holder not notified of its job"; "job" => &id, "fault" => error,
             "again" => !node.is_stopping());
@@ -267,6 +275,10 @@
     if !summary.is_open {
         return Ok(());
     }
+    if node.is_stopping() && summary.holder.instance == node.id() {
+        let is_taken = takeover::hand_off(node, id, &Handoff::default()).await;
+        return is_taken.then_some(()).ok_or_else(|| String::from("nobody took the job over"));
+    }
     let member = node.members.borrow().get(summary.holder.instance).cloned();
     let Some(member) = member else {
         // Held by this instance, or by one that is gone.
--- a/crates/daemon/tests/gateway_holders.rs
+++ b/crates/daemon/tests/gateway_holders.rs
@@ -7,7 +7,7 @@
 use standin::runner::Config;
 use std::time::Duration;
 use util::batch::{LogLines, assert_results, slow_plan};
-use util::gateway::{Fleet, Plan};
+use util::gateway::{Fleet, Plan, submit_to};
 use util::proxy::Mode;
 use util::wait_until;
 
@@ -266,3 +266,20 @@
     wait_until("the progress is sent", || fleet.log(0).last_message("handoff sent").is_some());
     assert_results(&fleet.wait_results(1, "taken"), &items, 40);
 }
+
+/// Regression: a stop did not wait for a submission whose first write got no response, and no
+/// instance was notified of a job that it accepted after the hand-off.
+#[test]
+fn submission_in_flight_at_a_stop_is_answered_and_its_job_runs() {
+    let mut fleet = Fleet::start(slow_plan());
+    let write_delay = Duration::from_millis(1_200);
+    fleet.objects.set_faults(Faults { delayed_writes: 3, write_delay, ..Faults::default() });
+    let gateway = fleet.gateways.remove(0);
+    let front = gateway.front_address;
+    let submission = std::thread::spawn(move || submit_to(front, "last", &["a", "b"], &[]));
+    std::thread::sleep(Duration::from_millis(200));
+    gateway.terminate();
+    let response = submission.join().expect("a response");
+    assert_eq!(response.status, 202);
+    assert_results(&fleet.wait_results(0, "last"), &["a", "b"], 40);
+}
--- a/crates/daemon/tests/util/gateway.rs
+++ b/crates/daemon/tests/util/gateway.rs
@@ -246,20 +246,7 @@
 
     /// Submits a job of items with these ids, of 100 tokens each.
     pub fn submit(&self, n: usize, job: &str, items: &[&str]) -> Response {
-        let item = |id: &&str| {
-            json!({
-                "id": id, "path": format!("/batch/{id}"), "headers": {},
-                "body": "cHJvbXB0", "tokens": 100,
-            })
-        };
-        let items: Vec<Value> = items.iter().map(item).collect();
-        let headers = [("host", HOST), ("x-gatespool-request-id", job)];
-        client::post(
-            self.gateways[n].front_address,
-            &format!("/batch/{job}"),
-            &headers,
-            &json!({ "items": items }),
-        )
+        submit_to(self.gateways[n].front_address, job, items, &[])
     }
 
     /// Reads the results of a job from position `from` on.
@@ -330,6 +317,25 @@
     client::call("POST", to, path, &headers, "a prompt")
 }
 
+/// Submits a job of items with these ids, of 100 tokens each, to the gateway at `to`.
+pub fn submit_to(
+    to: SocketAddr,
+    job: &str,
+    items: &[&str],
+    extra_headers: &[(&str, &str)],
+) -> Response {
+    let item = |id: &&str| {
+        json!({
+            "id": id, "path": format!("/batch/{id}"), "headers": {},
+            "body": "cHJvbXB0", "tokens": 100,
+        })
+    };
+    let items: Vec<Value> = items.iter().map(item).collect();
+    let mut headers = vec![("host", HOST), ("x-gatespool-request-id", job)];
+    headers.extend(extra_headers);
+    client::post(to, &format!("/batch/{job}"), &headers, &json!({ "items": items }))
+}
+
 fn runner_entry(
     address: SocketAddr,
     data_centre: &str,
