Identify callers by API key, and name their workspace to targets

Cause: no part knew keys.

Change: the configuration's workspaces and keys are decoded into protocol::workspace; gateway::access decides. A request whose route isn't public needs a known key: 401 with WWW-Authenticate otherwise, 503 before a configuration is known. The gateway sets the workspace on each run of a request or item and drops what the caller sent in its place. A job belongs to its submitter's workspace: others get 404, keys that go end no job, the limit of waiting tokens counts for each workspace. Jobs without an owner (of an earlier version, or submitted without a key) are served to whoever knows their id.

Messages: JobStatus, Submit and the stored job gain an optional field each; the outcome NotFound is only sent to instances that named a workspace.

--- /dev/null
+++ b/crates/daemon/src/gateway/access.rs
@@ -0,0 +1,54 @@
+//! Access control: the workspace of a request, and which jobs it may see.
+
+use hyper::HeaderMap;
+use platform::header;
+use protocol::routing::{Class, Table};
+use protocol::workspace::Workspace;
+use std::rc::Rc;
+
+/// The API key of a request is missing, malformed or unknown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unauthorized;
+
+/// The workspace whose API key a request has; `None` if it needs no key and has no known one.
+///
+/// # Errors
+///
+/// The request needs a key and has no known one.
+pub fn authenticate(
+    table: &Table,
+    is_public: bool,
+    headers: &HeaderMap,
+) -> Result<Option<Rc<Workspace>>, Unauthorized> {
+    let Some(workspaces) = &table.workspaces else {
+        return Ok(None);
+    };
+    let found = header::api_key(headers).and_then(|key| workspaces.find(key));
+    if found.is_none() && !is_public {
+        return Err(Unauthorized);
+    }
+    Ok(found.cloned())
+}
+
+/// Whether calls about jobs need no API key on a host: all its batch routes are public.
+pub fn has_public_jobs(table: &Table, host: &str) -> bool {
+    let routes = table.routes.iter().filter(|route| route.host.eq_ignore_ascii_case(host));
+    let mut batch = routes.filter(|route| route.class == Class::Batch).peekable();
+    batch.peek().is_some() && batch.all(|route| route.is_public)
+}
+
+/// Whether a caller of the workspace `caller` may see a job of the workspace `owner`. A job
+/// without an owner was submitted without a key, or to a version that kept no owner; whoever
+/// knows its id may see it.
+pub fn may_access(owner: Option<&str>, caller: Option<&str>) -> bool {
+    owner.is_none() || owner == caller
+}
+
+/// Removes the headers that only the gateway sets for targets. An `Authorization` header has
+/// another meaning, and is kept, where no workspaces are configured.
+pub fn remove_reserved(table: &Table, headers: &mut HeaderMap) {
+    headers.remove(header::WORKSPACE);
+    if table.workspaces.is_some() {
+        headers.remove(header::AUTHORIZATION);
+    }
+}
--- a/crates/daemon/src/gateway/anti_entropy.rs
+++ b/crates/daemon/src/gateway/anti_entropy.rs
@@ -74,7 +74,7 @@
             compare_crash_reports(&node, &others[index], digest).await;
         }
         if let Some((version, text)) = config {
-            discovery::on_config(&node, version, &text, "compared");
+            discovery::on_config(&node, version, text.expose(), "compared");
         }
         if digest.targets != node.state_digest().targets {
             let request = PeerRequest::Targets(node.registry.borrow().digests());
--- a/crates/daemon/src/gateway/broadcast.rs
+++ b/crates/daemon/src/gateway/broadcast.rs
@@ -208,7 +208,7 @@
     node.outbox.fetching.set(None);
     match reply {
         Ok(PeerReply::Sync { config: Some((version, text)), .. }) => {
-            discovery::on_config(node, version, &text, "peer")
+            discovery::on_config(node, version, text.expose(), "peer")
         }
         Ok(_) => false,
         Err(error) => {
--- a/crates/daemon/src/gateway/discovery.rs
+++ b/crates/daemon/src/gateway/discovery.rs
@@ -11,6 +11,8 @@
 use platform::store::{Changes, Listing, Object, Revision};
 use platform::{config, target};
 use protocol::routing::{Target, Version};
+use protocol::secret::Secret;
+use protocol::workspace::Directory;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -48,8 +50,9 @@
     match config::decode(text.as_bytes()) {
         Ok(table) => {
             slog::info!(node.log, "configuration in force"; "version" => version,
-                "before" => current, "from" => from, "routes" => table.routes.len());
-            let config = Config { table, text: text.to_owned(), since: clock::now() };
+                "before" => current, "from" => from, "routes" => table.routes.len(),
+                "workspaces" => table.workspaces.as_ref().map(Directory::len));
+            let config = Config { table, text: Secret::from(text.to_owned()), since: clock::now() };
             *node.config.borrow_mut() = Some(Rc::new(config));
             node.jobs.wake();
             true
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -2,7 +2,7 @@
 //! requests, batch submissions and job calls.
 
 use super::node::{Config, Node};
-use super::{jobs, online, submit};
+use super::{access, jobs, online, submit};
 use crate::clock;
 use bytes::Bytes;
 use coordination::hash;
@@ -11,6 +11,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use platform::{header, job};
 use protocol::routing::{Class, Route};
+use protocol::workspace::Workspace;
 use protocol::{Error, Kind, RequestFingerprint};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -35,10 +36,12 @@
     pub target: String,
     /// Host header without the port.
     pub host: String,
-    /// Headers to be forwarded, without hop-by-hop headers.
+    /// Headers to be forwarded, without hop-by-hop headers and those that only the gateway sets.
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// Workspace of the caller; `None` if the request needs no API key and has none.
+    pub workspace: Option<Rc<Workspace>>,
     /// Whether the request is assumed to be a retry, since its timeout is shorter than usual.
     pub is_retry: bool,
     /// When the head was read.
@@ -53,6 +56,11 @@
         hash::request_fingerprint(self.method.as_str(), &self.host, &self.target, &self.body)
     }
 
+    /// Name of the caller's workspace.
+    pub fn workspace_name(&self) -> Option<&str> {
+        self.workspace.as_ref().map(|workspace| workspace.name.as_str())
+    }
+
     /// Time until the deadline; zero afterwards.
     pub fn remaining(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
@@ -108,7 +116,13 @@
         let call = job::Request::parse(parts.method.as_str(), path, query);
         return match call {
             Some(call) if config.table.routes.iter().any(|route| route.host == host) => {
-                Ok(jobs::call(node, call, &parts.headers).await)
+                let is_public = access::has_public_jobs(&config.table, &host);
+                match access::authenticate(&config.table, is_public, &parts.headers) {
+                    Ok(workspace) => {
+                        Ok(jobs::call(node, call, &parts.headers, workspace.as_deref()).await)
+                    }
+                    Err(access::Unauthorized) => Ok(unauthorized(node, &id, &config)),
+                }
             }
             _ => {
                 slog::info!(node.log, "no route"; "request" => &id, "host" => &host,
@@ -117,6 +131,9 @@
             }
         };
     };
+    let Ok(workspace) = access::authenticate(&config.table, route.is_public, &parts.headers) else {
+        return Ok(unauthorized(node, &id, &config));
+    };
     let route = route.clone();
     let timeout = header::millis(&parts.headers, header::DEADLINE_MS);
     let deadline = started + timeout.unwrap_or(route.timeout).min(route.timeout);
@@ -137,11 +154,22 @@
         return Ok(error_response(node, &id, &error));
     };
     let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
-    let headers = header::end_to_end(&parts.headers);
+    let mut headers = header::end_to_end(&parts.headers);
+    access::remove_reserved(&config.table, &mut headers);
     let is_retry = timeout.is_some_and(|timeout| node.is_retry(&route.name, timeout));
     let method = parts.method;
-    let call =
-        CallerRequest { id, method, target, host, headers, body, is_retry, started, deadline };
+    let call = CallerRequest {
+        id,
+        method,
+        target,
+        host,
+        headers,
+        body,
+        workspace,
+        is_retry,
+        started,
+        deadline,
+    };
     serve(node, &config, route, call).await
 }
 
@@ -171,6 +199,16 @@
     host.split_once(':').map_or(host, |(name, _)| name)
 }
 
+/// The response to a request without a known API key.
+fn unauthorized(node: &Node, id: &str, config: &Config) -> Response<Body> {
+    slog::info!(node.log, "unknown API key"; "request" => id, "config" => config.table.version,
+        "config_age_ms" => clock::since(config.since).as_millis() as u64);
+    let error = Error::new(Kind::Unauthorized, "the API key is missing or unknown");
+    let mut response = error_response(node, id, &error);
+    set_header(&mut response, header::AUTHENTICATE, "Bearer");
+    response
+}
+
 /// The response to request `id` for an error of the gateway.
 pub fn error_response(node: &Node, id: &str, error: &Error) -> Response<Body> {
     let status = error.kind.properties().status;
--- a/crates/daemon/src/gateway/items/run.rs
+++ b/crates/daemon/src/gateway/items/run.rs
@@ -15,7 +15,7 @@
 use hyper::{Request, StatusCode};
 use platform::{header, job};
 use protocol::RequestFingerprint;
-use state::progress::{Failure, Item, Outcome, PartialOutput};
+use state::progress::{Failure, Item, Job, Outcome, PartialOutput};
 use std::rc::Rc;
 use std::time::Duration;
 use transport::event::EventSplitter;
@@ -151,8 +151,8 @@
     lease: &Lease,
     partial: &mut PartialOutput,
 ) -> RunEnd {
-    let host = held.state.borrow().job().host.clone();
-    let request = match request(&host, item, lease, partial) {
+    let request = request(held.state.borrow().job(), item, lease, partial);
+    let request = match request {
         Ok(request) => request,
         Err(error) => {
             slog::warn!(node.log, "invalid item request"; "item" => &item.id, "fault" => &error);
@@ -236,17 +236,20 @@
 }
 
 fn request(
-    host: &str,
+    job: &Job,
     item: &Item,
     lease: &Lease,
     partial: &PartialOutput,
 ) -> Result<Request<Full<Bytes>>, String> {
     let body = job::decode_body(&item.body)?;
     let mut builder = Request::post(&item.path);
-    for (name, value) in &item.headers {
+    for (name, value) in item.headers.iter().filter(|(name, _)| !header::is_reserved(name)) {
         builder = builder.header(name, value);
     }
-    builder = builder.header("host", host);
+    builder = builder.header("host", &job.host);
+    if let Some(workspace) = &job.workspace {
+        builder = builder.header(header::WORKSPACE, workspace);
+    }
     builder = builder.header(header::REQUEST_ID, &item.id);
     builder = builder.header(header::EXPECTED_TARGET, &lease.grant.target);
     if let Some(last) = partial.last_event_id {
--- a/crates/daemon/src/gateway/job_table.rs
+++ b/crates/daemon/src/gateway/job_table.rs
@@ -9,8 +9,8 @@
 use coordination::hash;
 use coordination::membership::Member;
 use coordination::run_time::Estimate;
-use protocol::ServiceId;
 use protocol::routing::Route;
+use protocol::{ServiceId, WorkspaceId};
 use state::progress::{Handoff, ItemId, Job, JobId, JobState};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -125,18 +125,30 @@
         self.held.borrow().get(job).cloned()
     }
 
-    /// Tokens of unfinished items on a route, over all instances.
-    pub fn waiting_tokens(&self, node: &Node, route: &str) -> u64 {
+    /// Workspace of a job that is known here; `None` for an unknown job.
+    pub fn known_owner(&self, job: &str) -> Option<Option<WorkspaceId>> {
+        if let Some(held) = self.held_job(job) {
+            return Some(held.state.borrow().job().workspace.clone());
+        }
+        self.directory.borrow().get(job).map(|status| status.workspace.clone())
+    }
+
+    /// Tokens of a workspace's unfinished items on a route, over all instances.
+    pub fn waiting_tokens(&self, node: &Node, route: &str, workspace: Option<&str>) -> u64 {
         let held_jobs = self.held.borrow();
         let held = held_jobs.values().filter(|held| !held.is_read_only);
         let local: u64 = held
             .map(|held| held.state.borrow())
+            .filter(|state| state.job().workspace.as_deref() == workspace)
             .filter(|state| route_of(node, state.job()).is_some_and(|found| found.name == route))
             .map(|state| state.waiting_tokens())
             .sum();
         let directory = self.directory.borrow();
         let others = directory.values().filter(|status| {
-            status.route == route && !status.is_finished && !held_jobs.contains_key(&status.job)
+            status.route == route
+                && status.workspace.as_deref() == workspace
+                && !status.is_finished
+                && !held_jobs.contains_key(&status.job)
         });
         local + others.map(|status| status.waiting_tokens).sum::<u64>()
     }
@@ -208,6 +220,7 @@
         data_centre: node.data_centre().clone(),
         revision: held.revision.get(),
         route: route_of(node, state.job()).map_or_else(String::new, |route| route.name),
+        workspace: state.job().workspace.clone(),
         waiting_tokens: state.waiting_tokens(),
         is_finished: state.is_finished(),
     }
--- a/crates/daemon/src/gateway/jobs.rs
+++ b/crates/daemon/src/gateway/jobs.rs
@@ -6,11 +6,12 @@
 use super::job_table::{self, HeldJob};
 use super::message::{PeerReply, PeerRequest, Update};
 use super::node::Node;
-use super::{broadcast, submit, takeover};
+use super::{access, broadcast, submit, takeover};
 use crate::clock;
 use hyper::{HeaderMap, Response};
 use platform::store::StoreError;
 use platform::{header, job};
+use protocol::workspace::Workspace;
 use protocol::{Error, Kind};
 use state::progress::{Handoff, Job, JobId, Outcome, Progress};
 use std::net::SocketAddr;
@@ -35,24 +36,37 @@
 
 const CONTENT_TYPE: &str = "content-type";
 
-/// Serves a call about a job.
-pub async fn call(node: &Rc<Node>, call: job::Request, headers: &HeaderMap) -> Response<Body> {
+/// Serves a call about a job for a caller of `workspace`. A job of another workspace is reported
+/// as not found.
+pub async fn call(
+    node: &Rc<Node>,
+    call: job::Request,
+    headers: &HeaderMap,
+    workspace: Option<&Workspace>,
+) -> Response<Body> {
+    let caller = workspace.map(|workspace| workspace.name.as_str());
     match call {
         job::Request::Results { job, from } => {
             let wait = header::millis(headers, header::WAIT_MS).unwrap_or_default();
-            results(node, &job, from, wait.min(MAX_RESULTS_WAIT)).await
+            results(node, &job, caller, from, wait.min(MAX_RESULTS_WAIT)).await
         }
-        job::Request::ItemBody { job, item } => body(node, &job, &item).await,
-        job::Request::End { job } => end(node, &job).await,
+        job::Request::ItemBody { job, item } => body(node, &job, caller, &item).await,
+        job::Request::End { job } => end(node, &job, caller).await,
     }
 }
 
-async fn results(node: &Rc<Node>, id: &str, from: usize, wait: Duration) -> Response<Body> {
+async fn results(
+    node: &Rc<Node>,
+    id: &str,
+    caller: Option<&str>,
+    from: usize,
+    wait: Duration,
+) -> Response<Body> {
     let until = clock::now() + wait;
     loop {
         let remaining = until.saturating_duration_since(clock::now());
         let request = |id| PeerRequest::Results(id, from, remaining.as_millis() as u64);
-        match find(node, id, request, remaining).await {
+        match find(node, id, caller, request, remaining).await {
             Location::Local(held) => {
                 let (total, outcomes) = held_results(&held, from, remaining).await;
                 return results_response(total, from, &outcomes);
@@ -136,9 +150,9 @@
     }
 }
 
-async fn body(node: &Rc<Node>, id: &str, item: &str) -> Response<Body> {
+async fn body(node: &Rc<Node>, id: &str, caller: Option<&str>, item: &str) -> Response<Body> {
     let request = |id| PeerRequest::Body(id, item.to_owned());
-    let found = match find(node, id, request, Duration::ZERO).await {
+    let found = match find(node, id, caller, request, Duration::ZERO).await {
         Location::Local(held) => body_in(held.state.borrow().job(), item),
         Location::Reply(PeerReply::Body(body)) => body,
         Location::Stored(job, _) => body_in(&job, item),
@@ -159,8 +173,8 @@
     job.items.iter().find(|candidate| candidate.id == item).map(|candidate| candidate.body.clone())
 }
 
-async fn end(node: &Rc<Node>, id: &str) -> Response<Body> {
-    match find(node, id, PeerRequest::End, END_TIMEOUT).await {
+async fn end(node: &Rc<Node>, id: &str, caller: Option<&str>) -> Response<Body> {
+    match find(node, id, caller, PeerRequest::End, END_TIMEOUT).await {
         Location::Local(held) => match end_held(node, &held).await {
             true => text_response(200, "ended"),
             false => unavailable(node, id),
@@ -274,18 +288,27 @@
     Unknown,
 }
 
-/// Finds a job here, at its holder or on the platform.
+/// Finds a job here, at its holder or on the platform, unless it belongs to another workspace
+/// than the caller.
 async fn find(
     node: &Rc<Node>,
     id: &str,
+    caller: Option<&str>,
     request: impl Fn(String) -> PeerRequest,
     wait: Duration,
 ) -> Location {
     if let Some(held) = node.jobs.held_job(id) {
-        return Location::Local(held);
+        let is_visible = access::may_access(held.state.borrow().job().workspace.as_deref(), caller);
+        return if is_visible { Location::Local(held) } else { Location::NotFound };
     }
     let timeout = wait + HOLDER_REPLY_TIMEOUT;
     let status = node.jobs.directory.borrow().get(id).cloned();
+    let owner = status.as_ref().and_then(|status| status.workspace.as_deref());
+    if !access::may_access(owner, caller) {
+        return Location::NotFound;
+    }
+    // A status without an owner may come from an instance that knows of no workspaces.
+    let status = status.filter(|status| status.workspace.is_some() || caller.is_none());
     let mut asked_holder = None;
     if let Some(status) = status {
         if let Some(reply) =
@@ -303,6 +326,9 @@
             return Location::Unknown;
         }
     };
+    if !access::may_access(stored_job.job.workspace.as_deref(), caller) {
+        return Location::NotFound;
+    }
     let holder = stored_job.holder();
     if !stored_job.is_open() {
         return Location::Local(job_table::hold(node, stored_job));
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -8,7 +8,8 @@
 use coordination::run_time::Estimate;
 use coordination::slots::{Grant, HeldLease, LeaseId, LeaseReport, Purpose};
 use protocol::routing::Version;
-use protocol::{DataCentreId, InstanceId, RequestFingerprint, ServiceId, TargetId};
+use protocol::secret::Secret;
+use protocol::{DataCentreId, InstanceId, RequestFingerprint, ServiceId, TargetId, WorkspaceId};
 use serde::{Deserialize, Serialize};
 use state::progress::{Handoff, Holder, ItemId, JobId, Outcome};
 use std::net::SocketAddr;
@@ -75,6 +76,9 @@
     pub revision: u64,
     /// Route on which the job was submitted.
     pub route: String,
+    /// Workspace of the job; `None` if it has none, or if the sender knows of no workspaces.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<WorkspaceId>,
     /// Number of tokens of the items without a result.
     pub waiting_tokens: u64,
     /// Whether no item is left to run.
@@ -194,6 +198,9 @@
         job: JobId,
         /// Body of the submission as received.
         body: String,
+        /// Workspace of the submitter.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        workspace: Option<WorkspaceId>,
     },
     /// Requests the results of a job from a position on, and waits up to the given milliseconds
     /// if there are none yet.
@@ -232,7 +239,7 @@
         #[serde(rename = "mark")]
         digest: StateDigest,
         /// The receiver's configuration, if it is newer.
-        config: Option<(Version, String)>,
+        config: Option<(Version, Secret)>,
         /// Whether the receiver can reach the platform.
         #[serde(rename = "contact")]
         connectivity: Connectivity,
@@ -273,6 +280,9 @@
     Malformed,
     /// An item exceeds the size that the platform can store.
     TooLong,
+    /// Another workspace has a job with this id. Only sent in reply to a submission with a
+    /// workspace.
+    NotFound,
 }
 
 /// Encodes a message as JSON.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 //! | module | job |
 //! | --- | --- |
 //! | [`front`] | HTTP requests of callers: routes and calls |
+//! | [`access`] | API keys and workspaces |
 //! | [`online`], [`streaming`] | online requests; event streams and their resumption |
 //! | [`leases`], [`allocator`] | leases of slots; the slot allocator of a data centre |
 //! | [`submit`], [`jobs`] | submission of batch jobs; calls about accepted jobs |
@@ -25,6 +26,7 @@
 //! | [`node`], [`mod@run`] | state of an instance; start and shutdown |
 //! | [`metrics`] | counters and histograms |
 
+pub mod access;
 pub mod allocator;
 pub mod anti_entropy;
 pub mod broadcast;
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -13,6 +13,7 @@
 use coordination::registry::Registry;
 use coordination::slots;
 use protocol::routing;
+use protocol::secret::Secret;
 use protocol::settings::{self, Settings};
 use protocol::{DataCentreId, InstanceId, TargetId};
 use slog::Logger;
@@ -50,10 +51,10 @@
 /// The configuration in force, decoded and as text.
 #[derive(Debug)]
 pub struct Config {
-    /// The decoded routes and limits.
+    /// The decoded routes, limits and workspaces.
     pub table: routing::Table,
     /// The platform's encoding, to be sent to other instances.
-    pub text: String,
+    pub text: Secret,
     /// When it came into force at this instance.
     pub since: Instant,
 }
--- a/crates/daemon/src/gateway/online/attempt.rs
+++ b/crates/daemon/src/gateway/online/attempt.rs
@@ -93,6 +93,9 @@
         }
         builder = builder.header(header::DEADLINE_MS, remaining);
         builder = builder.header(header::EXPECTED_TARGET, &lease.grant.target);
+        if let Some(workspace) = &call.workspace {
+            builder = builder.header(header::WORKSPACE, &workspace.name);
+        }
         if let Some(last_event) = last_event {
             builder = builder.header(header::LAST_EVENT_ID, last_event.to_string());
         }
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -121,8 +121,9 @@
         PeerRequest::ListJobs(filter) => {
             PeerReply::Statuses(job_table::statuses_for(node, &filter))
         }
-        PeerRequest::Submit { host, path, job, body } => {
-            PeerReply::Submitted(submit::on_submit(node, &host, &path, &job, body.as_bytes()).await)
+        PeerRequest::Submit { host, path, job, body, workspace } => {
+            let submission = submit::Forwarded { host, path, job, body, workspace };
+            PeerReply::Submitted(submit::on_submit(node, submission).await)
         }
         PeerRequest::Results(job, from, wait) => {
             jobs::on_results(node, &job, from, Duration::from_millis(wait)).await
--- a/crates/daemon/src/gateway/submit.rs
+++ b/crates/daemon/src/gateway/submit.rs
@@ -7,15 +7,16 @@
 use super::message::{PeerReply, PeerRequest, SubmitOutcome};
 use super::node::{Node, unix_millis};
 use super::online::InFlightGuard;
-use super::{items, job_table, platform_health, takeover};
+use super::{access, items, job_table, platform_health, takeover};
 use crate::clock;
 use bytes::Bytes;
 use coordination::membership::Member;
 use hyper::{HeaderMap, Response};
 use platform::job;
-use platform::store::StoreError;
+use platform::store::{Object, StoreError};
 use protocol::routing::Route;
-use protocol::{Error, Kind};
+use protocol::workspace::Workspace;
+use protocol::{Error, Kind, WorkspaceId};
 use state::progress::{Handoff, Job, JobId, Progress};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -51,6 +52,7 @@
         }
     }
     slog::info!(node.log, "submission handled"; "job" => &call.id, "route" => &route.name,
+        "workspace" => call.workspace_name(),
         "acceptance" => ?outcome, "bytes" => call.body.len(),
         "age_ms" => clock::since(call.started).as_millis() as u64);
     response(node, &call.id, outcome)
@@ -68,38 +70,55 @@
         SubmitOutcome::Rejected => retry_later(Kind::PlatformUnavailable, "the platform is away"),
         SubmitOutcome::Unknown => text_response(502, "nobody can say whether the job is kept"),
         SubmitOutcome::Malformed => text_response(400, "the submission can't be understood"),
+        SubmitOutcome::NotFound => text_response(404, "no such job"),
         SubmitOutcome::TooLong => text_response(413, "the platform can't keep an item that long"),
     }
 }
 
-/// Handles a submission forwarded by an instance that can't reach the platform.
-pub async fn on_submit(
-    node: &Rc<Node>,
-    host: &str,
-    path: &str,
-    id: &str,
-    body: &[u8],
-) -> SubmitOutcome {
+/// A submission forwarded by an instance that can't reach the platform.
+pub struct Forwarded {
+    /// Host of the submission's route.
+    pub host: String,
+    /// Path of the submission.
+    pub path: String,
+    /// Id of the job.
+    pub job: JobId,
+    /// Body of the submission as received.
+    pub body: String,
+    /// Workspace of the submitter, as authenticated by the instance that received it.
+    pub workspace: Option<WorkspaceId>,
+}
+
+/// Handles a submission forwarded by another instance.
+pub async fn on_submit(node: &Rc<Node>, submission: Forwarded) -> SubmitOutcome {
+    let Forwarded { host, path, job, body, workspace } = submission;
     let Some(config) = node.config() else {
         return SubmitOutcome::Rejected;
     };
-    let Some(route) = config.table.route_for(host, path) else {
+    let Some(route) = config.table.route_for(&host, &path) else {
         return SubmitOutcome::Rejected;
     };
+    let is_anonymous = workspace.is_none();
+    let workspace = workspace.map(|name| Rc::new(Workspace { name, ..Workspace::default() }));
     let _in_flight = InFlightGuard::new(node);
     let now = clock::now();
     let call = CallerRequest {
-        id: id.to_owned(),
+        id: job,
         method: hyper::Method::POST,
-        target: path.to_owned(),
-        host: host.to_owned(),
+        target: path,
+        host,
         headers: HeaderMap::new(),
-        body: Bytes::copy_from_slice(body),
+        body: Bytes::from(body),
+        workspace,
         is_retry: false,
         started: now,
         deadline: now + FORWARD_TIMEOUT,
     };
-    accept(node, route, &call, now + FORWARD_TIMEOUT.mul_f64(0.8)).await
+    match accept(node, route, &call, now + FORWARD_TIMEOUT.mul_f64(0.8)).await {
+        // The sender may be of a version that knows neither workspaces nor this outcome.
+        SubmitOutcome::NotFound if is_anonymous => SubmitOutcome::Accepted,
+        outcome => outcome,
+    }
 }
 
 /// Has another instance store a submission.
@@ -113,6 +132,7 @@
         path,
         job: call.id.clone(),
         body: body.to_owned(),
+        workspace: call.workspace_name().map(str::to_owned),
     };
     let now = clock::now();
     let mut members = node.others();
@@ -146,8 +166,9 @@
     until: Instant,
 ) -> SubmitOutcome {
     let id = &call.id;
-    if node.jobs.held_job(id).is_some() || node.jobs.directory.borrow().contains_key(id) {
-        return SubmitOutcome::Accepted;
+    let caller = call.workspace_name();
+    if let Some(owner) = node.jobs.known_owner(id) {
+        return repeated(owner.as_deref(), caller);
     }
     let Some(terms) = route.batch else {
         return SubmitOutcome::Malformed;
@@ -169,22 +190,36 @@
         due: now + terms.due.as_millis() as u64,
         expires: now + terms.expire_after.as_millis() as u64,
         accepted_by: node.as_holder(),
+        workspace: caller.map(str::to_owned),
         items,
     };
-    let waiting = node.jobs.waiting_tokens(node, &route.name);
+    let waiting = node.jobs.waiting_tokens(node, &route.name, caller);
     if terms.max_queued_tokens > 0 && waiting + job.tokens() > terms.max_queued_tokens {
         slog::info!(node.log, "submission exceeds the token limit";
-            "job" => id, "waiting" => waiting,
+            "job" => id, "workspace" => caller, "waiting" => waiting,
             "tokens" => job.tokens(), "most" => terms.max_queued_tokens);
-        return check_stored(node, id).await;
+        return check_stored(node, id, caller).await;
     }
     create(node, job, until).await
 }
 
+/// The outcome of a submission whose id belongs to a job of the workspace `owner`.
+fn repeated(owner: Option<&str>, caller: Option<&str>) -> SubmitOutcome {
+    match access::may_access(owner, caller) {
+        true => SubmitOutcome::Accepted,
+        false => SubmitOutcome::NotFound,
+    }
+}
+
+/// Workspace of a stored job; `None` if it has none or can't be decoded.
+fn owner_of(object: &Object) -> Option<WorkspaceId> {
+    job_store::summary(object).ok()?.job.workspace
+}
+
 /// A job that exceeds the limit now may have been accepted earlier.
-async fn check_stored(node: &Rc<Node>, id: &str) -> SubmitOutcome {
+async fn check_stored(node: &Rc<Node>, id: &str, caller: Option<&str>) -> SubmitOutcome {
     match node.store.get(CallReason::Submission, job::KIND, id).await {
-        Ok(Some(_)) => SubmitOutcome::Accepted,
+        Ok(Some(object)) => repeated(owner_of(&object).as_deref(), caller),
         Ok(None) => SubmitOutcome::Full,
         Err(error) => {
             slog::info!(node.log, "job load failed"; "job" => id, "fault" => %error);
@@ -210,9 +245,13 @@
                 job_table::notify_witnesses(node, &held).await;
                 return SubmitOutcome::Accepted;
             }
-            Err(StoreError::Conflict(_)) => {
-                spawn_local(notify_holder(node.clone(), job.id));
-                return SubmitOutcome::Accepted;
+            Err(StoreError::Conflict(found)) => {
+                let owner = found.and_then(|object| owner_of(&object));
+                let outcome = repeated(owner.as_deref(), job.workspace.as_deref());
+                if outcome == SubmitOutcome::Accepted {
+                    spawn_local(notify_holder(node.clone(), job.id));
+                }
+                return outcome;
             }
             Err(StoreError::OutcomeUnknown(error)) => {
                 slog::info!(node.log, "submission outcome unknown";
--- a/crates/daemon/tests/util/gateway.rs
+++ b/crates/daemon/tests/util/gateway.rs
@@ -27,6 +27,8 @@
     pub max_attempts: u32,
     /// Maximum number of queued tokens on the batch route; 0 for no limit.
     pub max_queued_tokens: u64,
+    /// Workspaces of the configuration in its stored form; null for none.
+    pub workspaces: Value,
     /// Additional settings, as `section.key = value`.
     pub settings: Vec<String>,
 }
@@ -39,6 +41,7 @@
             runners: vec![("east", runner(0)), ("west", runner(1))],
             max_attempts: 2,
             max_queued_tokens: 0,
+            workspaces: Value::Null,
             settings: Vec::new(),
         }
     }
@@ -192,12 +195,18 @@
         batch["queue_max"] = json!(self.plan.max_queued_tokens);
         let mut plain = route("plain", "/plain/", "safe");
         plain["max_attempts"] = json!(2);
-        json!({
+        let mut open = route("open", "/open/", "safe");
+        open["public"] = json!(true);
+        let mut config = json!({
             "version": version,
-            "routes": [route("ask", "/ask/", "stream"), resumable, batch, plain],
+            "routes": [route("ask", "/ask/", "stream"), resumable, batch, plain, open],
             "services": [{ "name": "llm", "health_path": "/healthz", "max_conns": 200 }],
             "limits": { "max_body_bytes": 4_000_000, "idle_timeout_ms": 15_000 },
-        })
+        });
+        if !self.plan.workspaces.is_null() {
+            config["tenants"] = self.plan.workspaces.clone();
+        }
+        config
     }
 
     /// Waits until every gateway knows a configuration, the targets and all other gateways.
@@ -205,7 +214,7 @@
     pub fn wait_ready(&self) {
         for n in 0..self.gateways.len() {
             wait_until("a gateway is ready", || {
-                self.send(n, &format!("/plain/ready-{n}"), &format!("ready-{n}")).status == 200
+                self.send(n, &format!("/open/ready-{n}"), &format!("ready-{n}")).status == 200
             });
         }
         let others = self.gateways.len() - 1;
@@ -251,15 +260,26 @@
 
     /// Reads the results of a job from position `from` on.
     pub fn results(&self, n: usize, job: &str, from: usize) -> Response {
-        let headers = [("host", HOST), ("x-gatespool-wait-ms", "200")];
         let path = format!("/lots/{job}?since_rev={from}");
-        client::call("GET", self.gateways[n].front_address, &path, &headers, Vec::new())
+        self.call_job(n, "GET", &path, &[])
+    }
+
+    /// Sends a call about a job, with additional headers.
+    pub fn call_job(
+        &self,
+        n: usize,
+        method: &str,
+        path: &str,
+        extra_headers: &[(&str, &str)],
+    ) -> Response {
+        let mut headers = vec![("host", HOST), ("x-gatespool-wait-ms", "200")];
+        headers.extend(extra_headers);
+        client::call(method, self.gateways[n].front_address, path, &headers, Vec::new())
     }
 
     /// Requests the end of a job.
     pub fn end_job(&self, n: usize, job: &str) -> Response {
-        let path = format!("/lots/{job}");
-        client::call("DELETE", self.gateways[n].front_address, &path, &[("host", HOST)], Vec::new())
+        self.call_job(n, "DELETE", &format!("/lots/{job}"), &[])
     }
 
     /// Waits until all results of a job are listed and returns them.
--- a/crates/protocol/src/kind.rs
+++ b/crates/protocol/src/kind.rs
@@ -47,6 +47,8 @@
     TooLarge,
     /// The body did not arrive in time.
     SlowCaller,
+    /// The API key is missing, malformed or unknown.
+    Unauthorized,
     /// No such path or method.
     UnknownPath,
     /// No such service in the configuration.
@@ -107,10 +109,11 @@
 
 impl Kind {
     /// All kinds, in the order of the published table.
-    pub const ALL: [Kind; 29] = [
+    pub const ALL: [Kind; 30] = [
         Kind::Malformed,
         Kind::TooLarge,
         Kind::SlowCaller,
+        Kind::Unauthorized,
         Kind::UnknownPath,
         Kind::UnknownService,
         Kind::NotFound,
@@ -147,6 +150,7 @@
             Kind::Malformed => (400, NotRun, Never),
             Kind::TooLarge => (413, NotRun, Never),
             Kind::SlowCaller => (408, NotRun, RETRY_SOON),
+            Kind::Unauthorized => (401, NotRun, Never),
             Kind::UnknownPath => (404, NotRun, Never),
             Kind::UnknownService => (404, NotRun, Never),
             Kind::NotFound => (404, NotRun, Never),
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -19,8 +19,10 @@
 pub mod job;
 pub mod kind;
 pub mod routing;
+pub mod secret;
 pub mod settings;
 pub mod trace;
+pub mod workspace;
 
 pub use error::Error;
 pub use kind::Kind;
@@ -33,6 +35,8 @@
 pub type ServiceId = String;
 /// Name of a data centre in the configuration.
 pub type DataCentreId = String;
+/// Name of a workspace in the configuration.
+pub type WorkspaceId = String;
 /// Hash of a request's method, host, path and body; the same for every caller and retry.
 pub type RequestFingerprint = u64;
 /// Identifies an accepted batch job across all instances.
--- a/crates/protocol/src/routing.rs
+++ b/crates/protocol/src/routing.rs
@@ -12,6 +12,7 @@
 //! assert!(table.route_for("a.example", "/other/").is_none());
 //! ```
 
+use crate::workspace::Directory;
 use crate::{DataCentreId, Millis, ServiceId, TargetId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -43,7 +44,8 @@
     /// Time from the submission after which unfinished items may be dropped.
     #[serde(rename = "give_up")]
     pub expire_after: Duration,
-    /// Maximum number of queued tokens on the route over all instances; 0 for no limit.
+    /// Maximum number of queued tokens on the route over all instances, for each workspace if
+    /// there are any; 0 for no limit.
     #[serde(rename = "waiting_tokens")]
     pub max_queued_tokens: u64,
 }
@@ -80,6 +82,9 @@
     pub max_attempts: u32,
     /// Whether an interrupted stream may be resumed at another target.
     pub resumable: bool,
+    /// Whether requests need no API key.
+    #[serde(default)]
+    pub is_public: bool,
     /// Limits of a batch route; `None` for other classes.
     #[serde(rename = "terms")]
     pub batch: Option<BatchTerms>,
@@ -100,6 +105,7 @@
             services: Vec::new(),
             max_attempts: 1,
             resumable: false,
+            is_public: false,
             batch: None,
         }
     }
@@ -174,7 +180,7 @@
 }
 
 /// Routes, services and limits of one configuration version.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Table {
     /// Version of the configuration.
     pub version: Version,
@@ -184,6 +190,8 @@
     pub services: Vec<Service>,
     /// Limits on the requests of callers.
     pub limits: Limits,
+    /// Workspaces and their API keys; `None` if requests need no keys.
+    pub workspaces: Option<Directory>,
 }
 
 impl Table {
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -15,6 +15,7 @@
 const REQUEST_ID: &str = "x-gatespool-request-id";
 const DEADLINE_MS: &str = "x-gatespool-deadline-ms";
 const EXPECTED_TARGET: &str = "x-gatespool-expect-instance";
+const WORKSPACE: &str = "x-gatespool-tenant";
 const NOT_RUN: &str = "x-gatespool-not-run";
 const SERVER_STAMP: &str = "x-gatespool-server-stamp";
 
@@ -71,6 +72,10 @@
     pub id: String,
     /// Request path.
     pub path: String,
+    /// Workspace that the sender named; empty if it named none.
+    pub workspace: String,
+    /// `Authorization` header; empty if there was none.
+    pub authorization: String,
     /// Event after which it resumed; `None` for a new stream.
     pub last_event_id: Option<u64>,
     /// Remaining time, as the sender stated it.
@@ -193,6 +198,8 @@
             let run = Run {
                 id: id.clone(),
                 path,
+                workspace: head.header(WORKSPACE).to_owned(),
+                authorization: head.header("authorization").to_owned(),
                 last_event_id,
                 remaining,
                 arrived,
--- a/crates/state/src/progress/job.rs
+++ b/crates/state/src/progress/job.rs
@@ -1,5 +1,6 @@
 //! A job as it was accepted, and its progress, in their stored form.
 
+use protocol::WorkspaceId;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -65,6 +66,10 @@
     /// The instance that accepted it, and holds it until another takes it over.
     #[serde(rename = "acceptor")]
     pub accepted_by: Holder,
+    /// Workspace of the submitter; `None` if it needed no API key, or if the job was stored by a
+    /// version that kept no workspace.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<WorkspaceId>,
     /// Items in the order of submission.
     pub items: Vec<Item>,
 }
@@ -87,6 +92,7 @@
             due: 18_000,
             expires: 60_000,
             accepted_by: Holder { instance: 1, address: SocketAddr::from(([127, 0, 0, 1], 1)) },
+            workspace: None,
             items: items.iter().map(item).collect(),
         }
     }
