Hold workspaces to their quotas over all data centres

Change: coordination::quota::Ledger, one per data centre, kept by the instance that runs the data centre's slot allocator. The charge goes along with the request for a slot, so it costs no message of its own. Ledgers share a quota by demand, reported every 400 ms; a report follows only once the last one is acknowledged by all, and until then a ledger counts itself with the lower figure, so shares never add up to more than the quota, and stay in a cut. Quotas that fit into the tolerance are not shared at all. What has not run is given back. 429 at once with the caller's turn. While no allocator replies, or one of an earlier version does, each instance uses its own part.

Ways tried in the model (coordination/tests/quota.rs, proptest): shares that follow the reported demand at once and freeze when reports stop (at first) exceeded the bound when a cut began while demand was rising, since each side counted the other with its old demand; with acknowledged reports no schedule of 200,000 did (two properties of 100,000 each).

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod membership;
 pub mod quarantine;
 pub mod queue;
+pub mod quota;
 pub mod range_scan;
 pub mod registry;
 pub mod retry;
--- a/crates/daemon/src/gateway/allocator.rs
+++ b/crates/daemon/src/gateway/allocator.rs
@@ -6,7 +6,7 @@
 use super::leases::allocator_owner;
 use super::message::{PeerReply, PeerRequest, SlotRequest, SlotRequestId};
 use super::node::Node;
-use super::suspension;
+use super::{quota, suspension};
 use crate::clock;
 use coordination::slots::{
     self, Decision, Grant, HeldLease, LeaseId, LeaseOutcome, LeaseReport, Purpose, Revocation,
@@ -19,8 +19,35 @@
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 
-/// Answers a request for slots, from another instance or from this one for batch.
+/// Answers a request for slots, from another instance or from this one for batch. One with a
+/// charge is first charged to the quota of its workspace.
 pub async fn on_slot_request(node: &Rc<Node>, request: SlotRequest) -> PeerReply {
+    let Some(workspace) = request.charge.clone() else {
+        return grant_slots(node, request).await;
+    };
+    if !owns(node, &request.data_centre) {
+        return PeerReply::NotOwner;
+    }
+    let data_centre = request.data_centre.clone();
+    if let Err(after) = quota::charge_local(node, &data_centre, &workspace) {
+        return PeerReply::OverQuota(after.as_millis() as u64);
+    }
+    match grant_slots(node, request).await {
+        PeerReply::NotOwner => {
+            quota::refund_local(node, &data_centre, &workspace);
+            PeerReply::NotOwner
+        }
+        reply => PeerReply::Charged(Box::new(reply)),
+    }
+}
+
+/// Whether the allocator of a data centre runs here, by the current members and targets.
+pub fn owns(node: &Rc<Node>, data_centre: &str) -> bool {
+    refresh(node);
+    node.leases.owned.borrow().contains(data_centre)
+}
+
+async fn grant_slots(node: &Rc<Node>, request: SlotRequest) -> PeerReply {
     let now = clock::now();
     let after = |millis: u64| now + Duration::from_millis(millis);
     let slot_request = |may_wait| slots::Request {
@@ -108,8 +135,7 @@
     request_id: SlotRequestId,
     wait: Duration,
 ) -> AcquireOutcome {
-    refresh(node);
-    if !node.leases.owned.borrow().contains(data_centre) {
+    if !owns(node, data_centre) {
         return AcquireOutcome::NotOwner;
     }
     let key = (request.holder, request_id);
@@ -175,6 +201,7 @@
             allocator.on_holder_lost(holder);
         }
     }
+    leases.quotas.set_owned(&owned, &leases.data_centres.borrow());
     *leases.owned.borrow_mut() = owned;
 }
 
--- a/crates/daemon/src/gateway/leases.rs
+++ b/crates/daemon/src/gateway/leases.rs
@@ -13,12 +13,13 @@
 use super::allocator;
 use super::message::{PeerReply, PeerRequest, SlotRequest, SlotRequestId};
 use super::node::Node;
+use super::quota::{self, Charge, Keeper, Quotas};
 use crate::clock;
 use coordination::membership::Member;
 use coordination::slots::{self, Allocator, Grant, LeaseId, Policy, Purpose, WaiterId};
 use coordination::{capacity, hash};
 use lease::{ActiveLease, Grantor, accept_remote_grant, activate};
-use protocol::{DataCentreId, InstanceId, TargetId};
+use protocol::{DataCentreId, InstanceId, TargetId, WorkspaceId};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
@@ -57,6 +58,8 @@
     NoTarget,
     /// The request has crashed targets and is quarantined for this much longer.
     Quarantined(Duration),
+    /// The request exceeds the quota of its workspace; its turn is after this delay.
+    OverQuota(Duration),
 }
 
 /// Leases held by this instance, and the slot allocators that it owns.
@@ -75,13 +78,15 @@
     /// Requests that wait in the allocators owned here.
     pub(super) pending: RefCell<HashMap<(InstanceId, SlotRequestId), WaiterId>>,
     active: RefCell<HashMap<LeaseId, ActiveLease>>,
+    /// Quotas, whose ledgers are kept by the owners of the allocators.
+    pub(super) quotas: Quotas,
     next_self_granted: Cell<LeaseId>,
     next_request_id: Cell<SlotRequestId>,
 }
 
 impl Leases {
     /// State without leases; allocators are owned once members and targets are known.
-    pub fn new(id: InstanceId, policy: Policy, now: Instant) -> Leases {
+    pub fn new(id: InstanceId, policy: Policy, quotas: Quotas, now: Instant) -> Leases {
         // The instance id in the upper half keeps lease ids of different owners distinct.
         let seed = (id << 32) & !SELF_GRANTED_BIT;
         Leases {
@@ -93,6 +98,7 @@
             is_checking_waiters: Cell::new(false),
             pending: RefCell::default(),
             active: RefCell::default(),
+            quotas,
             next_self_granted: Cell::new(seed | SELF_GRANTED_BIT),
             next_request_id: Cell::default(),
         }
@@ -154,14 +160,19 @@
 }
 
 /// Acquires a lease for an online request: a slot that is free now, preferably in the local
-/// data centre, or the first that any allocator grants before the query expires.
+/// data centre, or the first that any allocator grants before the query expires. A charge that is
+/// due is made along with the first request.
 ///
 /// # Errors
 ///
 /// Returns why no slot was granted.
-pub async fn acquire(node: &Rc<Node>, query: &SlotQuery) -> Result<Lease, AcquireError> {
+pub async fn acquire(
+    node: &Rc<Node>,
+    query: &SlotQuery,
+    charge: &mut Charge,
+) -> Result<Lease, AcquireError> {
     loop {
-        match acquire_once(node, query).await {
+        match acquire_once(node, query, charge).await {
             Outcome::Lease(lease) => return Ok(lease),
             Outcome::Rejected(error) => return Err(error),
             Outcome::NoReply => return Err(AcquireError::NoTarget),
@@ -180,7 +191,7 @@
     NoReply,
 }
 
-async fn acquire_once(node: &Rc<Node>, query: &SlotQuery) -> Outcome {
+async fn acquire_once(node: &Rc<Node>, query: &SlotQuery, charge: &mut Charge) -> Outcome {
     let mut names = data_centres(node, &query.service);
     if names.is_empty() {
         return Outcome::Rejected(AcquireError::NoTarget);
@@ -188,10 +199,22 @@
     // Bounds the messages per waiting request, however many data centres there are.
     names.truncate(node.settings.policy.max_allocators);
     let nearest = names.remove(0);
-    match call_allocator(node.clone(), AllocatorCall::immediate(node, query, &nearest)).await.1 {
+    let mut call = AllocatorCall::immediate(node, query, &nearest);
+    call.charge = charge.due().cloned();
+    let (call, reply) = call_allocator(node.clone(), call).await;
+    call.keeper.into_iter().for_each(|keeper| charge.on_charged(keeper));
+    if let AllocatorReply::OverQuota(after) = reply {
+        return Outcome::Rejected(AcquireError::OverQuota(after));
+    }
+    if let Err(after) = charge.charge_instance() {
+        return Outcome::Rejected(AcquireError::OverQuota(after));
+    }
+    match reply {
         AllocatorReply::Lease(lease) => return Outcome::Lease(lease),
         AllocatorReply::Full(_) | AllocatorReply::Pending => names.insert(0, nearest),
-        AllocatorReply::UnusableTarget(_) | AllocatorReply::Unresponsive => {}
+        AllocatorReply::UnusableTarget(_)
+        | AllocatorReply::Unresponsive
+        | AllocatorReply::OverQuota(_) => {}
     }
     match wait::first_grant(node, query, names).await {
         Outcome::NoReply => {
@@ -209,6 +232,10 @@
     id: SlotRequestId,
     /// Longest wait in the allocator's queue; zero to be rejected instead of queued.
     wait: Duration,
+    /// Workspace to be charged; `None` if no charge is due.
+    charge: Option<WorkspaceId>,
+    /// Where the request was charged.
+    keeper: Option<Keeper>,
 }
 
 impl AllocatorCall {
@@ -230,7 +257,20 @@
             may_wait: false,
         };
         let id = node.leases.next_request_id();
-        AllocatorCall { data_centre: data_centre.to_owned(), request, id, wait: Duration::ZERO }
+        AllocatorCall {
+            data_centre: data_centre.to_owned(),
+            request,
+            id,
+            wait: Duration::ZERO,
+            charge: None,
+            keeper: None,
+        }
+    }
+
+    /// Records that the request was charged, so that it isn't charged again.
+    fn on_charged(&mut self, keeper: Keeper) {
+        self.charge = None;
+        self.keeper = Some(keeper);
     }
 
     fn to_message(&self, now: Instant) -> SlotRequest {
@@ -250,6 +290,7 @@
             wait_ms: self.wait.as_millis() as u64,
             limit: 1,
             excluded: self.request.excluded.clone(),
+            charge: self.charge.clone(),
         }
     }
 }
@@ -263,13 +304,15 @@
     /// The wait ended without a slot.
     Pending,
     Unresponsive,
+    /// The request exceeds the quota of its workspace; its turn is after this delay.
+    OverQuota(Duration),
 }
 
 /// Calls an allocator; returns the call together with its reply.
 async fn call_allocator(node: Rc<Node>, call: AllocatorCall) -> (AllocatorCall, AllocatorReply) {
     let mut call = call;
     for _ in 0..MAX_UNUSABLE_GRANTS {
-        match try_call(&node, &call).await {
+        match try_call(&node, &mut call).await {
             AllocatorReply::UnusableTarget(target) => call.request.excluded.push(target),
             reply => return (call, reply),
         }
@@ -278,13 +321,21 @@
     (call, AllocatorReply::Unresponsive)
 }
 
-async fn try_call(node: &Rc<Node>, call: &AllocatorCall) -> AllocatorReply {
+async fn try_call(node: &Rc<Node>, call: &mut AllocatorCall) -> AllocatorReply {
     let now = clock::now();
     let Some(owner) = allocator_owner(node, &call.data_centre) else {
         return AllocatorReply::Unresponsive;
     };
     if owner.id == node.id() {
-        let AllocatorCall { data_centre, request, id, wait } = call;
+        if let Some(workspace) = &call.charge
+            && allocator::owns(node, &call.data_centre)
+        {
+            if let Err(after) = quota::charge_local(node, &call.data_centre, workspace) {
+                return AllocatorReply::OverQuota(after);
+            }
+            call.on_charged(Keeper::Local(call.data_centre.clone()));
+        }
+        let AllocatorCall { data_centre, request, id, wait, .. } = call;
         return match allocator::acquire_local(node, data_centre, request.clone(), *id, *wait).await
         {
             allocator::AcquireOutcome::Grant(grant) => {
@@ -299,7 +350,16 @@
         return AllocatorReply::Unresponsive;
     }
     let message = call.to_message(now);
-    match node.request(owner.peer, &PeerRequest::Slots(message), call.wait + REPLY_TIMEOUT).await {
+    let reply =
+        node.request(owner.peer, &PeerRequest::Slots(message), call.wait + REPLY_TIMEOUT).await;
+    let reply = match reply {
+        Ok(PeerReply::Charged(reply)) => {
+            call.on_charged(Keeper::Remote(call.data_centre.clone(), owner.peer));
+            Ok(*reply)
+        }
+        reply => reply,
+    };
+    match reply {
         Ok(PeerReply::Slots(grants, _)) => match grants.into_iter().next() {
             Some(grant) => match accept_remote_grant(node, grant, Purpose::Online, owner.peer) {
                 Ok(lease) => AllocatorReply::Lease(lease),
@@ -308,6 +368,7 @@
             None => AllocatorReply::Pending,
         },
         Ok(PeerReply::Full(after)) => AllocatorReply::Full(Duration::from_millis(after)),
+        Ok(PeerReply::OverQuota(after)) => AllocatorReply::OverQuota(Duration::from_millis(after)),
         Ok(_) | Err(_) => AllocatorReply::Unresponsive,
     }
 }
--- a/crates/daemon/src/gateway/leases/batch.rs
+++ b/crates/daemon/src/gateway/leases/batch.rs
@@ -64,6 +64,7 @@
         wait_ms: wait.as_millis() as u64,
         limit,
         excluded: Vec::new(),
+        charge: None,
     };
     let address = owner.peer;
     let is_local = owner.id == node.id();
--- a/crates/daemon/src/gateway/leases/wait.rs
+++ b/crates/daemon/src/gateway/leases/wait.rs
@@ -115,7 +115,9 @@
                         Some(self.shortest_wait.map_or(after, |known| known.min(after)));
                 }
                 AllocatorReply::Pending => self.is_pending = true,
-                AllocatorReply::UnusableTarget(_) | AllocatorReply::Unresponsive => {}
+                AllocatorReply::UnusableTarget(_)
+                | AllocatorReply::Unresponsive
+                | AllocatorReply::OverQuota(_) => {}
             }
             if is_immediate {
                 self.try_next(&mut names);
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -4,6 +4,7 @@
 //! instances share no clock.
 
 use coordination::quarantine::CrashReport;
+use coordination::quota::Report;
 use coordination::registry::Change;
 use coordination::run_time::Estimate;
 use coordination::slots::{Grant, HeldLease, LeaseId, LeaseReport, Purpose};
@@ -60,6 +61,9 @@
     /// Targets that must not be granted.
     #[serde(rename = "avoid")]
     pub excluded: Vec<TargetId>,
+    /// Workspace to whose quota the request is charged; `None` if that isn't needed, or done.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub charge: Option<WorkspaceId>,
 }
 
 /// Status of a job, as its holder reports it to other instances.
@@ -217,6 +221,10 @@
     /// Requests the crash reports of requests with several crashes.
     #[serde(rename = "Strikes")]
     CrashReports,
+    /// Gives back the charge of a request that did not run, to the ledger of a data centre.
+    Refund(DataCentreId, WorkspaceId),
+    /// Reports the demand for quotas in a data centre.
+    Demand(Report),
 }
 
 /// A reply.
@@ -226,6 +234,11 @@
     Slots(Vec<Grant>, Estimate),
     /// No slot is free; one is expected after this many milliseconds.
     Full(u64),
+    /// The request was charged to its workspace; the reply about the slot. An instance that knows
+    /// of no quotas replies without this.
+    Charged(Box<PeerReply>),
+    /// The request exceeds the quota of its workspace; its turn is after this many milliseconds.
+    OverQuota(u64),
     /// The receiver owns no such allocator, or holds no such job.
     #[serde(rename = "NotHere")]
     NotOwner,
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -87,8 +87,13 @@
 impl Metrics {
     /// Increments a counter.
     pub fn count(&self, name: &str) {
+        self.count_many(name, 1);
+    }
+
+    /// Increments a counter by `count`.
+    pub fn count_many(&self, name: &str, count: u64) {
         // The sink aggregates in memory and never fails.
-        let _recorded = self.client.count(name, 1_u64);
+        let _recorded = self.client.count(name, count);
     }
 
     /// Records a time in a histogram, in milliseconds.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 //! | [`access`] | API keys and workspaces |
 //! | [`online`], [`streaming`] | online requests; event streams and their resumption |
 //! | [`leases`], [`allocator`] | leases of slots; the slot allocator of a data centre |
+//! | [`quota`] | quotas of workspaces: ledgers, charges and refunds |
 //! | [`submit`], [`jobs`] | submission of batch jobs; calls about accepted jobs |
 //! | [`crash`], [`quarantine`] | detection of crashed targets; requests that crash them |
 //! | [`job_table`], [`job_writer`], [`items`] | known jobs; durable progress; scheduling of items |
@@ -48,6 +49,7 @@
 pub mod peers;
 pub mod platform_health;
 pub mod quarantine;
+pub mod quota;
 pub mod run;
 pub mod store;
 pub mod streaming;
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -6,6 +6,7 @@
 use super::leases::Leases;
 use super::message::{Connectivity, PeerReply, PeerRequest, StateDigest, Uptime, decode, encode};
 use super::metrics::Metrics;
+use super::quota::Quotas;
 use super::store::PlatformStore;
 use crate::clock;
 use coordination::membership::{Member, MemberTable, Policy};
@@ -146,7 +147,7 @@
             watched: Cell::new(0),
             is_probing: Cell::new(false),
             targets: upstream::Pool::new(connections),
-            leases: Leases::new(me.id, slot_policy(&settings.policy), now),
+            leases: Leases::new(me.id, slot_policy(&settings.policy), Quotas::new(&settings), now),
             members: RefCell::new(MemberTable::new(me, policy)),
             membership_changed: Notify::new(),
             seeds: RefCell::new(settings.seeds.clone()),
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -10,6 +10,7 @@
 use super::leases::{self, AcquireError, Lease, SlotQuery};
 use super::node::{Config, Node};
 use super::quarantine::{self, Admission};
+use super::quota::Charge;
 use super::streaming;
 use crate::clock;
 use attempt::{RetryReason, completion_outcome};
@@ -56,6 +57,8 @@
     pub registry: Revision,
     /// Targets of failed attempts.
     pub excluded: Vec<String>,
+    /// Charge to the quota of the caller's workspace.
+    pub charge: Charge,
 }
 
 /// A response of a target whose head has arrived.
@@ -111,6 +114,7 @@
         return Ok(error_response(node, &call.id, &error));
     };
     let version = config.table.version;
+    let charge = Charge::new(node, call.workspace.as_deref());
     let mut request = ProxiedRequest {
         node: node.clone(),
         call,
@@ -122,6 +126,7 @@
         slot_wait: Cell::default(),
         registry: 0,
         excluded: Vec::new(),
+        charge,
     };
     match request.forward(None).await {
         Ok(response) => respond(request, response, in_flight).await,
@@ -237,6 +242,7 @@
                 self.acquire_admitted(last_event).await.map_err(|error| self.reject(error))?;
             let target = lease.grant.target.clone();
             self.registry = lease.registry;
+            self.charge.set_may_have_run(true);
             let result = self.send(lease, last_event).await;
             let reason = match result {
                 Ok(response) => return Ok(response),
@@ -249,6 +255,8 @@
                 "registry" => self.registry,
                 "age_ms" => clock::since(self.call.started).as_millis() as u64);
             self.excluded.push(target);
+            let is_not_run = matches!(reason, RetryReason::NotSent(_) | RetryReason::NotRun);
+            self.charge.set_may_have_run(self.may_have_run || !is_not_run);
             match reason {
                 RetryReason::NotSent(_) => {
                     unreachable += 1;
@@ -304,8 +312,9 @@
     }
 
     /// Acquires a lease, unless the request is quarantined.
-    async fn acquire_admitted(&self, last_event: Option<u64>) -> Result<Lease, AcquireError> {
-        let fingerprint = || self.call.fingerprint();
+    async fn acquire_admitted(&mut self, last_event: Option<u64>) -> Result<Lease, AcquireError> {
+        let call = self.call.clone();
+        let fingerprint = || call.fingerprint();
         let admission = quarantine::admit(&self.node, fingerprint).await;
         if let Admission::Quarantined(remaining) = admission {
             return Err(AcquireError::Quarantined(remaining));
@@ -320,7 +329,7 @@
         }
     }
 
-    async fn acquire_lease(&self, last_event: Option<u64>) -> Result<Lease, AcquireError> {
+    async fn acquire_lease(&mut self, last_event: Option<u64>) -> Result<Lease, AcquireError> {
         let (latest_start, expires) = self.slot_deadlines(last_event.is_some(), clock::now());
         let query = SlotQuery {
             service: self.service.clone(),
@@ -328,7 +337,7 @@
             expires,
             excluded: self.excluded.clone(),
         };
-        let result = leases::acquire(&self.node, &query).await;
+        let result = leases::acquire(&self.node, &query, &mut self.charge).await;
         self.slot_wait.set(clock::since(self.call.started));
         result
     }
@@ -341,12 +350,16 @@
             ForwardError::NotRun(AcquireError::Full(_)) => (503, "no slot"),
             ForwardError::NotRun(AcquireError::NoTarget) => (503, "no target"),
             ForwardError::NotRun(AcquireError::Quarantined(_)) => (503, "crashes its targets"),
+            ForwardError::NotRun(AcquireError::OverQuota(_)) => (429, "over the quota"),
             ForwardError::MayHaveRun(_) => (502, "no whole answer"),
             ForwardError::DeadlineExceeded => (504, "time over"),
         };
         let is_repeatable = self.route.is_repeatable();
-        self.node.metrics.record_request(&self.route.name, false, clock::now());
+        if status != 429 {
+            self.node.metrics.record_request(&self.route.name, false, clock::now());
+        }
         slog::info!(self.node.log, "request failed"; "request" => &call.id, "cause" => cause,
+            "workspace" => call.workspace_name(),
             "content" => hex(call.fingerprint()),
             "status" => status, "route" => &self.route.name, "service" => &self.service,
             "config" => self.version, "registry" => self.registry, "sent" => self.attempts,
@@ -356,13 +369,16 @@
         match error {
             ForwardError::NotRun(rejection) => {
                 let after = match rejection {
-                    AcquireError::Full(after) | AcquireError::Quarantined(after) => *after,
+                    AcquireError::Full(after)
+                    | AcquireError::Quarantined(after)
+                    | AcquireError::OverQuota(after) => *after,
                     AcquireError::NoTarget => RETRY_AFTER,
                 };
                 let kind = match rejection {
                     AcquireError::Full(_) => Kind::Overloaded,
                     AcquireError::NoTarget => Kind::NoTarget,
                     AcquireError::Quarantined(_) => Kind::Quarantined,
+                    AcquireError::OverQuota(_) => Kind::CallerLimit,
                 };
                 let mut error = Error::new(kind, cause);
                 error.retry_after = Some(after);
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -3,7 +3,8 @@
 use super::message::{Connectivity, PeerReply, PeerRequest, StateDigest, decode, encode};
 use super::node::Node;
 use super::{
-    allocator, broadcast, job_table, jobs, platform_health, quarantine, submit, takeover, watch,
+    allocator, broadcast, job_table, jobs, platform_health, quarantine, quota, submit, takeover,
+    watch,
 };
 use crate::clock;
 use coordination::membership::{Member, MemberTable, State, Update};
@@ -140,6 +141,14 @@
             PeerReply::Trial(quarantine::on_trial(node, fingerprint))
         }
         PeerRequest::CrashReports => PeerReply::CrashReports(quarantine::crash_reports(node)),
+        PeerRequest::Refund(data_centre, workspace) => {
+            quota::refund_local(node, &data_centre, &workspace);
+            PeerReply::Acknowledged
+        }
+        PeerRequest::Demand(report) => {
+            quota::on_report(node, report);
+            PeerReply::Acknowledged
+        }
     }
 }
 
--- /dev/null
+++ b/crates/daemon/src/gateway/quota.rs
@@ -0,0 +1,260 @@
+//! Charges online requests to the quotas of their workspaces.
+//!
+//! [`coordination::quota::Ledger`] decides. The instance that runs the slot allocator of a data
+//! centre keeps its ledger, so a charge goes along with the request for a slot. While no
+//! allocator replies, or its instance knows of no quotas, each instance charges its own part.
+
+use super::leases::allocator_owner;
+use super::message::PeerRequest;
+use super::node::Node;
+use crate::clock;
+use coordination::limit::TokenBucket;
+use coordination::quota::{Ledger, Policy, Report};
+use protocol::settings::Settings;
+use protocol::workspace::{Quota, Workspace};
+use protocol::{DataCentreId, WorkspaceId};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+
+/// Requests that an instance may run at once on its own part of a quota.
+const LOCAL_BURST: f64 = 1.0;
+/// Age up to which a ledger reports more often, since it knows no shares yet.
+const STARTUP_PERIOD: Duration = Duration::from_secs(2);
+/// Time between the reports of a new ledger.
+const STARTUP_EXCHANGE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The quota accounts kept by this instance.
+pub struct Quotas {
+    policy: Policy,
+    /// Ledgers of the data centres whose allocator runs here.
+    ledgers: RefCell<BTreeMap<DataCentreId, Ledger>>,
+    /// This instance's own part of each quota.
+    local: RefCell<HashMap<WorkspaceId, TokenBucket>>,
+}
+
+impl Quotas {
+    /// No ledgers yet.
+    pub fn new(settings: &Settings) -> Quotas {
+        let policy = Policy {
+            window: settings.quota.window,
+            excess_ratio: settings.quota.excess_ratio,
+            excess_requests: settings.quota.excess_requests,
+            ..Policy::default()
+        };
+        Quotas { policy, ledgers: RefCell::default(), local: RefCell::default() }
+    }
+
+    /// Keeps ledgers for the data centres in `owned`; those in `sharers` share the quotas.
+    pub fn set_owned(&self, owned: &BTreeSet<DataCentreId>, sharers: &BTreeSet<DataCentreId>) {
+        let now = clock::now();
+        let epoch = clock::millis();
+        let mut ledgers = self.ledgers.borrow_mut();
+        ledgers.retain(|name, _| owned.contains(name));
+        for name in owned {
+            let new = || Ledger::new(self.policy, name, epoch, now);
+            ledgers.entry(name.clone()).or_insert_with(new).set_data_centres(sharers);
+        }
+    }
+}
+
+impl Quotas {
+    /// Time until the next exchange of reports.
+    fn exchange_delay(&self) -> Duration {
+        let now = clock::now();
+        let is_new = |ledger: &Ledger| ledger.age(now) < STARTUP_PERIOD;
+        match self.ledgers.borrow().values().any(is_new) {
+            true => STARTUP_EXCHANGE_INTERVAL,
+            false => self.policy.exchange_interval,
+        }
+    }
+}
+
+/// Where a request was charged.
+#[derive(Clone, Debug)]
+pub enum Keeper {
+    /// The ledger of this data centre, kept here.
+    Local(DataCentreId),
+    /// The ledger of this data centre, kept by the instance at the address.
+    Remote(DataCentreId, SocketAddr),
+    /// This instance's own part.
+    Instance,
+}
+
+/// The charge of one request. Dropping it gives the charge back unless the request was sent to a
+/// target that may have run it.
+pub struct Charge {
+    node: Rc<Node>,
+    /// `None` if the request needs no charge.
+    workspace: Option<WorkspaceId>,
+    keeper: Option<Keeper>,
+    may_have_run: bool,
+}
+
+impl Charge {
+    /// A charge that is due if the workspace has a quota.
+    pub fn new(node: &Rc<Node>, workspace: Option<&Workspace>) -> Charge {
+        let limited = workspace.filter(|workspace| workspace.quota.is_some());
+        Charge {
+            node: node.clone(),
+            workspace: limited.map(|workspace| workspace.name.clone()),
+            keeper: None,
+            may_have_run: false,
+        }
+    }
+
+    /// The workspace to be charged; `None` if no charge is needed, or it is done.
+    pub fn due(&self) -> Option<&WorkspaceId> {
+        self.workspace.as_ref().filter(|_| self.keeper.is_none())
+    }
+
+    /// Records where the charge was made.
+    pub fn on_charged(&mut self, keeper: Keeper) {
+        self.keeper = Some(keeper);
+    }
+
+    /// Records whether a target may have run the request.
+    pub fn set_may_have_run(&mut self, may_have_run: bool) {
+        self.may_have_run = may_have_run;
+    }
+
+    /// Charges a request that is still due to this instance's own part of the quota.
+    ///
+    /// # Errors
+    ///
+    /// The part is used up; the time until it allows a request.
+    pub fn charge_instance(&mut self) -> Result<(), Duration> {
+        let Some(workspace) = self.due() else {
+            return Ok(());
+        };
+        if let Some(quota) = quota_of(&self.node, workspace) {
+            take_local(&self.node, workspace, quota)?;
+        }
+        self.keeper = Some(Keeper::Instance);
+        Ok(())
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        if self.may_have_run {
+            return;
+        }
+        let (Some(workspace), Some(keeper)) = (self.workspace.take(), self.keeper.take()) else {
+            return;
+        };
+        match keeper {
+            Keeper::Local(data_centre) => refund_local(&self.node, &data_centre, &workspace),
+            Keeper::Remote(data_centre, address) => {
+                self.node.notify(address, PeerRequest::Refund(data_centre, workspace));
+            }
+            Keeper::Instance => {}
+        }
+    }
+}
+
+/// Quota of a workspace in the configuration in force here; `None` if it has none.
+fn quota_of(node: &Node, workspace: &str) -> Option<Quota> {
+    node.config()?.table.workspaces.as_ref()?.get(workspace)?.quota
+}
+
+fn take_local(node: &Node, workspace: &str, quota: Quota) -> Result<(), Duration> {
+    let instances = node.members.borrow().workers().count().max(1);
+    let rate = quota.rate / instances as f64;
+    let now = clock::now();
+    let mut local = node.leases.quotas.local.borrow_mut();
+    let new = || TokenBucket::new(rate, LOCAL_BURST, now);
+    let bucket = local.entry(workspace.to_owned()).or_insert_with(new);
+    bucket.set(rate, LOCAL_BURST);
+    bucket.try_take(now)
+}
+
+/// Charges a request to the ledger of a data centre, which is kept here.
+///
+/// # Errors
+///
+/// The request exceeds the quota; the time after which it is its turn.
+pub fn charge_local(node: &Node, data_centre: &str, workspace: &str) -> Result<(), Duration> {
+    let Some(quota) = quota_of(node, workspace) else {
+        return Ok(());
+    };
+    match node.leases.quotas.ledgers.borrow_mut().get_mut(data_centre) {
+        Some(ledger) => ledger.charge(workspace, quota, clock::now()),
+        None => Ok(()),
+    }
+}
+
+/// Gives a charge back to the ledger of a data centre if it is kept here.
+pub fn refund_local(node: &Node, data_centre: &str, workspace: &str) {
+    if let Some(ledger) = node.leases.quotas.ledgers.borrow_mut().get_mut(data_centre) {
+        ledger.refund(workspace);
+    }
+}
+
+/// Handles the demand that the keeper of another data centre reports.
+pub fn on_report(node: &Node, report: Report) {
+    let now = clock::now();
+    if let Some(ledger) = node.leases.quotas.ledgers.borrow_mut().get_mut(node.data_centre()) {
+        ledger.on_report(report, now);
+    }
+}
+
+/// Exchanges reports with the keepers of the other data centres until `stop`.
+pub async fn run(node: Rc<Node>, stop: CancellationToken) {
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(node.leases.quotas.exchange_delay()) => {}
+            () = stop.cancelled() => return,
+        }
+        exchange(&node);
+        node.leases.quotas.ledgers.borrow_mut().values_mut().for_each(|ledger| {
+            log_rejected(&node, ledger);
+        });
+    }
+}
+
+/// Only the ledger of this instance's own data centre is exchanged: during a network partition,
+/// instances on the other side keep a ledger of this data centre too, which nobody charges.
+fn exchange(node: &Rc<Node>) {
+    let report = {
+        let mut ledgers = node.leases.quotas.ledgers.borrow_mut();
+        let Some(ledger) = ledgers.get_mut(node.data_centre()) else {
+            return;
+        };
+        ledger.exchange(clock::now())
+    };
+    let has_quotas = node.config().is_some_and(|config| config.table.workspaces.is_some());
+    if !has_quotas {
+        return;
+    }
+    for name in node.leases.data_centres.borrow().iter() {
+        let keeper = allocator_owner(node, name).filter(|owner| owner.data_centre == *name);
+        if let Some(keeper) = keeper.filter(|keeper| keeper.id != node.id()) {
+            node.notify(keeper.peer, PeerRequest::Demand(report.clone()));
+        }
+    }
+}
+
+fn log_rejected(node: &Node, ledger: &mut Ledger) {
+    let now = clock::now();
+    for (workspace, rejected) in ledger.take_rejected() {
+        node.metrics.count_many(&format!("quota.rejected.{}", metric_name(&workspace)), rejected);
+        let Some(balance) = ledger.balance(&workspace, now) else {
+            continue;
+        };
+        let quota = quota_of(node, &workspace);
+        slog::info!(node.log, "quota exceeded"; "workspace" => &workspace, "rejected" => rejected,
+            "rate" => quota.map(|quota| quota.rate), "burst" => quota.map(|quota| quota.burst),
+            "tokens" => balance.tokens, "share" => balance.share, "demand" => balance.demand,
+            "report_age_ms" => balance.report_age.map(|age| age.as_millis() as u64));
+    }
+}
+
+/// A name without the characters that separate the parts of a metric.
+fn metric_name(workspace: &str) -> String {
+    let is_kept = |c: char| c.is_ascii_alphanumeric() || c == '-';
+    workspace.chars().map(|c| if is_kept(c) { c } else { '_' }).collect()
+}
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -5,7 +5,7 @@
 use super::node::Node;
 use super::peers::{HEARTBEAT_TIMEOUT, PeerHandler};
 use super::{
-    anti_entropy, discovery, items, job_scan, leases, peers, platform_health, quarantine,
+    anti_entropy, discovery, items, job_scan, leases, peers, platform_health, quarantine, quota,
     suspension, takeover, watch,
 };
 use crate::clock;
@@ -73,6 +73,7 @@
     spawn_local(discovery::run(node.clone(), stop.clone()));
     spawn_local(anti_entropy::run(node.clone(), stop.clone()));
     spawn_local(leases::report(node.clone(), stop.clone()));
+    spawn_local(quota::run(node.clone(), stop.clone()));
     spawn_local(items::run(node.clone(), stop.clone()));
     spawn_local(takeover::run(node.clone(), stop.clone()));
     spawn_local(quarantine::persist(node.clone(), stop.clone()));
--- /dev/null
+++ b/crates/daemon/tests/gateway_quota.rs
@@ -0,0 +1,126 @@
+//! Quotas of workspaces over several instances and data centres: what runs, and what callers get
+//! beyond the quota.
+
+mod util;
+
+use serde_json::{Value, json};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+use util::client::Response;
+use util::gateway::{Fleet, Plan, send_to};
+use util::wait_until;
+
+const BUSY: (&str, &str) = ("authorization", "Bearer key-busy");
+const CALM: (&str, &str) = ("authorization", "Bearer key-calm");
+const RATE: f64 = 12.0;
+const BURST: f64 = 12.0;
+const WINDOW: Duration = Duration::from_secs(5);
+/// Tolerated excess, as in the settings of [`plan`].
+const EXCESS_RATIO: f64 = 0.1;
+
+static NEXT_ID: AtomicU32 = AtomicU32::new(0);
+
+fn workspaces(rate: f64) -> Value {
+    json!([
+        { "name": "busy", "api_keys": ["key-busy"], "rate_per_s": rate, "burst": BURST },
+        { "name": "calm", "api_keys": ["key-calm"], "rate_per_s": 5.0, "burst": 5.0 },
+    ])
+}
+
+fn plan() -> Plan {
+    let settings = vec![String::from("quota.slack = 3"), String::from("quota.excess = 0.1")];
+    Plan { workspaces: workspaces(RATE), settings, ..Plan::default() }
+}
+
+fn bound() -> f64 {
+    (RATE * WINDOW.as_secs_f64() + BURST) * (1.0 + EXCESS_RATIO) + 3.0
+}
+
+fn ask(fleet: &Fleet, n: usize, key: (&str, &str)) -> Response {
+    let id = format!("q-{}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
+    send_to(fleet.gateways[n].front_address, "/plain/x", &id, &[key])
+}
+
+/// Sends requests of the busy workspace to all gateways from several threads for some time.
+fn press(fleet: &Fleet, time: Duration) -> Vec<Response> {
+    let until = Instant::now() + time;
+    std::thread::scope(|scope| {
+        let callers: Vec<_> = (0..6)
+            .map(|caller| {
+                scope.spawn(move || {
+                    let mut responses = Vec::new();
+                    while Instant::now() < until {
+                        responses.push(ask(fleet, caller % fleet.gateways.len(), BUSY));
+                        std::thread::sleep(Duration::from_millis(20));
+                    }
+                    responses
+                })
+            })
+            .collect();
+        callers.into_iter().flat_map(|caller| caller.join().expect("a caller")).collect()
+    })
+}
+
+/// Largest number of runs of the busy workspace in a sliding window.
+fn busiest_window(fleet: &Fleet) -> usize {
+    let mut runs = fleet.runs("/plain/");
+    runs.retain(|run| run.workspace == "busy");
+    runs.sort_by_key(|run| run.started);
+    let in_window = |first: usize| {
+        runs[first..].iter().take_while(|run| run.started - runs[first].started < WINDOW).count()
+    };
+    (0..runs.len()).map(in_window).max().unwrap_or(0)
+}
+
+#[test]
+fn busy_workspace_is_held_to_its_quota_and_the_other_is_served() {
+    let fleet = Fleet::start(plan());
+    let calm = std::thread::scope(|scope| {
+        let load = scope.spawn(|| press(&fleet, Duration::from_secs(7)));
+        let mut calm = Vec::new();
+        while !load.is_finished() {
+            calm.push(ask(&fleet, calm.len() % 3, CALM).status);
+            std::thread::sleep(Duration::from_millis(400));
+        }
+        let responses = load.join().expect("a load");
+        let rejected = responses.iter().filter(|response| response.status == 429);
+        for response in rejected.clone() {
+            let after = response.headers["retry-after"].to_str().expect("a number");
+            assert!(after.parse::<f64>().expect("a number") > 0.0);
+        }
+        assert!(rejected.count() > 100);
+        assert!(responses.iter().all(|response| [200, 429].contains(&response.status)));
+        calm
+    });
+    assert!(calm.iter().all(|status| *status == 200), "{calm:?}");
+    let most = busiest_window(&fleet);
+    assert!(most as f64 <= bound(), "{most} of {}", bound());
+    assert!(most as f64 >= RATE * WINDOW.as_secs_f64() * 0.7, "{most}");
+}
+
+#[test]
+fn quota_holds_through_a_restart_of_all_instances() {
+    let mut fleet = Fleet::start(plan());
+    press(&fleet, Duration::from_secs(3));
+    for gateway in &mut fleet.gateways {
+        gateway.kill();
+    }
+    (0..3).for_each(|n| fleet.restart(n));
+    press(&fleet, Duration::from_secs(4));
+    let most = busiest_window(&fleet);
+    assert!(most as f64 <= bound(), "{most} of {}", bound());
+}
+
+#[test]
+fn removed_limit_is_not_enforced() {
+    let fleet = Fleet::start(plan());
+    let mut config = fleet.config(8);
+    config["tenants"] = workspaces(0.0);
+    fleet.objects.put("config", "main", config);
+    wait_until("the configuration is in force", || {
+        let is_applied = |line: &Value| line["version"] == 8;
+        (0..3).all(|n| fleet.log(n).iter().any(is_applied))
+    });
+    let responses = press(&fleet, Duration::from_secs(2));
+    assert!(responses.iter().all(|response| response.status == 200));
+}
--- /dev/null
+++ b/crates/daemon/tests/message_versions.rs
@@ -0,0 +1,92 @@
+//! Messages and stored jobs of the version before workspaces are understood, and the other way
+//! round.
+
+use daemon::gateway::message::{JobStatus, PeerReply, PeerRequest, SlotRequest, decode, encode};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use state::progress::Job;
+
+/// Messages as the version before workspaces sends them.
+const SLOTS: &str = r#"{"Slots":{"from":7,"data_centre":"east","service":"llm",
+  "purpose":"Online","ticket":3,"due_ms":5000,"left_ms":0,"is_begun":false,"in_time_ms":195,
+  "sure_ms":195,"until_ms":2000,"reach":0,"wait_ms":0,"most":1,"avoid":[]}}"#;
+const STATUSES: &str = r#"{"Statuses":[{"job":"j","holder":{"instance":7,
+  "address":"127.0.0.1:7"},"data_centre":"east","revision":9,"route":"batch",
+  "waiting_tokens":100,"is_settled":false}]}"#;
+const SUBMIT: &str = r#"{"Submit":{"host":"a.example","path":"/batch/j","job":"j","body":"{}"}}"#;
+const JOB: &str = r#"{"id":"j","host":"a.example","path":"/batch/j","accepted":1,"due":2,
+  "give_up":3,"acceptor":{"instance":7,"address":"127.0.0.1:7"},
+  "items":[{"id":"a","path":"/batch/a","headers":[],"body":"","tokens":10}]}"#;
+
+#[test]
+fn messages_of_the_earlier_version_are_decoded() {
+    let Some(PeerRequest::Slots(slots)) = decode(SLOTS.as_bytes()) else {
+        panic!("a slot request");
+    };
+    assert_eq!(slots.charge, None);
+    let Some(PeerRequest::Statuses(statuses)) = decode(STATUSES.as_bytes()) else {
+        panic!("statuses");
+    };
+    assert_eq!(statuses[0].workspace, None);
+    let Some(PeerRequest::Submit { workspace, .. }) = decode(SUBMIT.as_bytes()) else {
+        panic!("a submission");
+    };
+    assert_eq!(workspace, None);
+    let job: Job = serde_json::from_str(JOB).expect("a job");
+    assert_eq!(job.workspace, None);
+}
+
+/// A message without a workspace has the same fields as before.
+#[test]
+fn messages_without_workspaces_have_the_earlier_form() {
+    for text in [SLOTS, STATUSES, SUBMIT] {
+        let request: PeerRequest = decode(text.as_bytes()).expect("a request");
+        let written: Value = serde_json::from_slice(&encode(&request)).expect("JSON");
+        assert_eq!(written, serde_json::from_str::<Value>(text).expect("JSON"));
+    }
+    let job: Job = serde_json::from_str(JOB).expect("a job");
+    assert_eq!(json!(job), serde_json::from_str::<Value>(JOB).expect("JSON"));
+}
+
+/// The fields that the earlier version reads.
+#[derive(Deserialize)]
+#[allow(dead_code)]
+struct EarlierSlotRequest {
+    from: u64,
+    data_centre: String,
+    ticket: u64,
+    avoid: Vec<String>,
+}
+
+#[derive(Deserialize)]
+#[allow(dead_code)]
+struct EarlierStatus {
+    job: String,
+    revision: u64,
+    is_settled: bool,
+}
+
+#[test]
+fn earlier_version_decodes_messages_with_a_workspace() {
+    let Some(PeerRequest::Slots(slots)) = decode(SLOTS.as_bytes()) else {
+        panic!("a slot request");
+    };
+    let slots = SlotRequest { charge: Some(String::from("press")), ..slots };
+    let earlier: EarlierSlotRequest = decode(&encode(&slots)).expect("a slot request");
+    assert_eq!(earlier.ticket, 3);
+    let Some(PeerRequest::Statuses(statuses)) = decode(STATUSES.as_bytes()) else {
+        panic!("statuses");
+    };
+    let status = JobStatus { workspace: Some(String::from("press")), ..statuses[0].clone() };
+    let earlier: EarlierStatus = decode(&encode(&status)).expect("a status");
+    assert_eq!(earlier.job, "j");
+}
+
+/// An allocator that knows of no quotas replies without saying that it charged the request.
+#[test]
+fn reply_of_an_earlier_allocator_is_not_taken_for_a_charge() {
+    let reply: PeerReply = decode(br#"{"Full":80}"#).expect("a reply");
+    assert!(matches!(reply, PeerReply::Full(80)));
+    let unknown: Option<PeerReply> = decode(br#"{"Novel":1}"#);
+    assert!(unknown.is_none());
+}
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -3,9 +3,11 @@
 //! Unknown keys are errors, so that a misspelt key isn't silently ignored.
 
 mod policy;
+mod quota;
 mod source;
 
 pub use policy::Policy;
+pub use quota::Quota;
 
 use crate::DataCentreId;
 use source::Source;
@@ -153,6 +155,8 @@
     pub log_level: String,
     /// `[policy]`: parameters of the gateway's decisions.
     pub policy: Policy,
+    /// `[quota]`: how strictly the quotas of workspaces must hold.
+    pub quota: Quota,
     /// `[faults] cut`: file that lists addresses to treat as unreachable, for tests.
     pub partition_file: Option<PathBuf>,
     /// `[faults] suspended`: file with the total time in milliseconds for which the machine
@@ -209,6 +213,7 @@
             metrics_address: None,
             log_level: String::from("info"),
             policy: Policy::default(),
+            quota: Quota::default(),
             partition_file: None,
             suspension_file: None,
             disabled_guards: Vec::new(),
@@ -245,6 +250,7 @@
         settings.read_log(&mut source)?;
         settings.read_batch_and_targets(&mut source)?;
         settings.policy.read(&mut source)?;
+        settings.quota.read(&mut source)?;
         source.finish()?;
         settings.validate(file)?;
         Ok(settings)
@@ -377,7 +383,8 @@
         let failed = rules.iter().find(|(met, ..)| !met);
         let failed = failed.map(|(_, section, key, expected)| (*section, *key, *expected));
         let policy = self.policy.validate().map(|(key, expected)| ("policy", key, expected));
-        match failed.or(policy) {
+        let quota = self.quota.validate().map(|(key, expected)| ("quota", key, expected));
+        match failed.or(policy).or(quota) {
             None => Ok(()),
             Some((section, key, expected)) => Err(SettingsError {
                 file: file.into(),
