Borrow from other data centres once a part of a quota is used up

Change: a request whose data centre has used up its part is charged to another one's ledger, by one message more on that path only. Where all have refused, they aren't asked again for 50 ms.

--- a/crates/coordination/src/quota.rs
+++ b/crates/coordination/src/quota.rs
@@ -69,6 +69,10 @@
     }
 }
 
+/// A data centre's part of a quota is used up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UsedUp;
+
 /// Demand of workspaces in requests per second. One that isn't listed has none.
 pub type Demand = BTreeMap<WorkspaceId, f64>;
 
@@ -168,14 +172,28 @@
     ///
     /// The request exceeds the quota; the time after which it is the caller's turn.
     pub fn charge(&mut self, workspace: &str, quota: Quota, now: Instant) -> Result<(), Duration> {
-        let mut account = match self.accounts.remove(workspace) {
-            Some(account) => account,
-            None => self.open(workspace, quota, now),
-        };
-        account.set_quota(&self.policy, quota, self.sharer_count());
-        let result = account.charge(&self.policy, now);
-        self.accounts.insert(workspace.to_owned(), account);
-        result
+        let policy = self.policy;
+        self.account(workspace, quota, now).charge(&policy, now)
+    }
+
+    /// Charges one request from another data centre, whose part of the quota is used up. It
+    /// doesn't count as demand here.
+    ///
+    /// # Errors
+    ///
+    /// This part is used up too.
+    pub fn lend(&mut self, workspace: &str, quota: Quota, now: Instant) -> Result<(), UsedUp> {
+        self.account(workspace, quota, now).take(now).then_some(()).ok_or(UsedUp)
+    }
+
+    /// The account of a workspace, with the quota in force.
+    fn account(&mut self, workspace: &str, quota: Quota, now: Instant) -> &mut Account {
+        let sharers = self.sharer_count();
+        let (share, age) = (self.share(workspace, quota), self.age(now));
+        let new = || Account::new(&self.policy, quota, share, sharers, age, now);
+        let account = self.accounts.entry(workspace.to_owned()).or_insert_with(new);
+        account.set_quota(&self.policy, quota, sharers);
+        account
     }
 
     /// Gives back the charge of a request that did not run.
@@ -247,11 +265,6 @@
         })
     }
 
-    fn open(&self, workspace: &str, quota: Quota, now: Instant) -> Account {
-        let share = self.share(workspace, quota);
-        Account::new(&self.policy, quota, share, self.sharer_count(), self.age(now), now)
-    }
-
     /// Number of data centres that share the quotas.
     fn sharer_count(&self) -> usize {
         self.sharers.len() + 1
--- a/crates/coordination/src/quota/account.rs
+++ b/crates/coordination/src/quota/account.rs
@@ -106,14 +106,20 @@
         self.refilled_at = now;
     }
 
+    /// Takes a token; `false` if there is none.
+    pub(super) fn take(&mut self, now: Instant) -> bool {
+        self.refill(now);
+        let is_available = self.tokens >= 1.0;
+        self.tokens -= if is_available { 1.0 } else { 0.0 };
+        is_available
+    }
+
     /// Takes a token, or says when it is the caller's turn. Each rejected caller gets a later
     /// turn than the one before.
     pub(super) fn charge(&mut self, policy: &Policy, now: Instant) -> Result<(), Duration> {
         self.recent = self.decayed(policy, now) + 1.0;
         self.decayed_at = now;
-        self.refill(now);
-        if self.tokens >= 1.0 {
-            self.tokens -= 1.0;
+        if self.take(now) {
             return Ok(());
         }
         self.rejected += 1;
--- a/crates/daemon/src/gateway/leases.rs
+++ b/crates/daemon/src/gateway/leases.rs
@@ -28,7 +28,7 @@
 
 /// Timeout for the immediate reply of an allocator. Much longer than a round trip within a
 /// region, so an owner that exceeds it is overloaded or gone.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
+pub(super) const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
 /// Grants on unusable targets after which a call gives up. The allocator is notified of each
 /// such target, and anti-entropy brings it up to date.
 const MAX_UNUSABLE_GRANTS: u32 = 4;
@@ -176,7 +176,8 @@
             Outcome::Lease(lease) => return Ok(lease),
             Outcome::Rejected(error) => return Err(error),
             Outcome::NoReply => return Err(AcquireError::NoTarget),
-            // Allocators and their owners may have changed during the wait.
+            // The charge was borrowed, or allocators and their owners may have changed during
+            // the wait.
             Outcome::Pending => {}
         }
     }
@@ -204,7 +205,10 @@
     let (call, reply) = call_allocator(node.clone(), call).await;
     call.keeper.into_iter().for_each(|keeper| charge.on_charged(keeper));
     if let AllocatorReply::OverQuota(after) = reply {
-        return Outcome::Rejected(AcquireError::OverQuota(after));
+        return match quota::borrow(node, charge, &names).await {
+            true => Outcome::Pending,
+            false => Outcome::Rejected(AcquireError::OverQuota(after)),
+        };
     }
     if let Err(after) = charge.charge_instance() {
         return Outcome::Rejected(AcquireError::OverQuota(after));
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -221,6 +221,8 @@
     /// Requests the crash reports of requests with several crashes.
     #[serde(rename = "Strikes")]
     CrashReports,
+    /// Charges a request to the ledger of a data centre, because that of its own is used up.
+    Borrow(DataCentreId, WorkspaceId),
     /// Gives back the charge of a request that did not run, to the ledger of a data centre.
     Refund(DataCentreId, WorkspaceId),
     /// Reports the demand for quotas in a data centre.
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -141,6 +141,9 @@
             PeerReply::Trial(quarantine::on_trial(node, fingerprint))
         }
         PeerRequest::CrashReports => PeerReply::CrashReports(quarantine::crash_reports(node)),
+        PeerRequest::Borrow(data_centre, workspace) => {
+            quota::on_borrow(node, &data_centre, &workspace)
+        }
         PeerRequest::Refund(data_centre, workspace) => {
             quota::refund_local(node, &data_centre, &workspace);
             PeerReply::Acknowledged
--- a/crates/daemon/src/gateway/quota.rs
+++ b/crates/daemon/src/gateway/quota.rs
@@ -3,9 +3,11 @@
 //! [`coordination::quota::Ledger`] decides. The instance that runs the slot allocator of a data
 //! centre keeps its ledger, so a charge goes along with the request for a slot. While no
 //! allocator replies, or its instance knows of no quotas, each instance charges its own part.
+//! A ledger whose part is used up borrows from those of the other data centres.
 
-use super::leases::allocator_owner;
-use super::message::PeerRequest;
+use super::allocator;
+use super::leases::{REPLY_TIMEOUT, allocator_owner};
+use super::message::{PeerReply, PeerRequest};
 use super::node::Node;
 use crate::clock;
 use coordination::limit::TokenBucket;
@@ -17,13 +19,15 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
 
 /// Requests that an instance may run at once on its own part of a quota.
 const LOCAL_BURST: f64 = 1.0;
 /// Age up to which a ledger reports more often, since it knows no shares yet.
 const STARTUP_PERIOD: Duration = Duration::from_secs(2);
+/// How long other data centres are not asked again after all have refused to lend.
+const USED_UP_PERIOD: Duration = Duration::from_millis(50);
 /// Time between the reports of a new ledger.
 const STARTUP_EXCHANGE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -34,6 +38,8 @@
     ledgers: RefCell<BTreeMap<DataCentreId, Ledger>>,
     /// This instance's own part of each quota.
     local: RefCell<HashMap<WorkspaceId, TokenBucket>>,
+    /// Workspaces whose quota was used up in all data centres, and until when this is assumed.
+    used_up: RefCell<HashMap<WorkspaceId, Instant>>,
 }
 
 impl Quotas {
@@ -45,7 +51,12 @@
             excess_requests: settings.quota.excess_requests,
             ..Policy::default()
         };
-        Quotas { policy, ledgers: RefCell::default(), local: RefCell::default() }
+        Quotas {
+            policy,
+            ledgers: RefCell::default(),
+            local: RefCell::default(),
+            used_up: RefCell::default(),
+        }
     }
 
     /// Keeps ledgers for the data centres in `owned`; those in `sharers` share the quotas.
@@ -187,6 +198,56 @@
     }
 }
 
+/// Charges a request to the ledger of another data centre, since that of its own is used up;
+/// `false` if none lends, or all refused a moment ago.
+pub async fn borrow(node: &Rc<Node>, charge: &mut Charge, data_centres: &[DataCentreId]) -> bool {
+    let Some(workspace) = charge.due().cloned() else {
+        return false;
+    };
+    let now = clock::now();
+    let used_up_until = node.leases.quotas.used_up.borrow().get(&workspace).copied();
+    if used_up_until.is_some_and(|until| now < until) {
+        return false;
+    }
+    for name in data_centres {
+        if let Some(keeper) = borrow_from(node, name, &workspace).await {
+            charge.on_charged(keeper);
+            return true;
+        }
+    }
+    let mut used_up = node.leases.quotas.used_up.borrow_mut();
+    used_up.retain(|_, until| now < *until);
+    used_up.insert(workspace, clock::now() + USED_UP_PERIOD);
+    false
+}
+
+async fn borrow_from(node: &Rc<Node>, data_centre: &str, workspace: &str) -> Option<Keeper> {
+    let keeper = allocator_owner(node, data_centre)?;
+    if keeper.data_centre != data_centre || node.is_unresponsive(keeper.peer, clock::now()) {
+        return None;
+    }
+    let request = PeerRequest::Borrow(data_centre.to_owned(), workspace.to_owned());
+    match node.request(keeper.peer, &request, REPLY_TIMEOUT).await {
+        Ok(PeerReply::Acknowledged) => Some(Keeper::Remote(data_centre.to_owned(), keeper.peer)),
+        Ok(_) | Err(_) => None,
+    }
+}
+
+/// Handles a request to lend from the ledger of a data centre.
+pub fn on_borrow(node: &Rc<Node>, data_centre: &str, workspace: &str) -> PeerReply {
+    if !allocator::owns(node, data_centre) {
+        return PeerReply::NotOwner;
+    }
+    let Some(quota) = quota_of(node, workspace) else {
+        return PeerReply::Acknowledged;
+    };
+    let mut ledgers = node.leases.quotas.ledgers.borrow_mut();
+    match ledgers.get_mut(data_centre).map(|ledger| ledger.lend(workspace, quota, clock::now())) {
+        Some(Ok(())) => PeerReply::Acknowledged,
+        Some(Err(_)) | None => PeerReply::NotOwner,
+    }
+}
+
 /// Gives a charge back to the ledger of a data centre if it is kept here.
 pub fn refund_local(node: &Node, data_centre: &str, workspace: &str) {
     if let Some(ledger) = node.leases.quotas.ledgers.borrow_mut().get_mut(data_centre) {
