Probe a platform that is away less and less often

Cause: a failed probe is due again at the next check, 100 ms later, since the time without a response stays over its limit.

Change: after a failed probe the next one waits 100 ms, doubled up to 800 ms, with jitter; when another instance reports that it is connected again, the next one is due at once, so the first of many ends the wait of all.

Evidence: outage_costs_few_probes_and_its_end_is_noticed_at_once (17 instances, 6 s: 1,020 probes before, at most 255 now, all connected 0.4 s after the end).

--- a/crates/coordination/src/connectivity.rs
+++ b/crates/coordination/src/connectivity.rs
@@ -1,7 +1,8 @@
 //! Tracks whether a service is reachable when idle time may only mean that it has nothing to send.
 //!
 //! A pending watch is idle by nature, and a broken one looks the same. So a client that relies on
-//! a watch sends a probe after some idle time, and counts as disconnected when that fails.
+//! a watch sends a probe after some idle time, and counts as disconnected when that fails. Further
+//! probes are sent less and less often, until another instance reports that it is connected again.
 //!
 //! The tracker also knows since when the service has responded without a long outage, by responses
 //! to this instance and to others ([`Uptime`]). Entries that need renewal expire in a long outage
@@ -19,14 +20,16 @@
 //! tracker.on_response(start);
 //! let later = start + Duration::from_millis(700);
 //! assert!(tracker.is_probe_due(later));
-//! tracker.on_probe_failed();
+//! tracker.on_probe_failed(later, 0.5);
 //! assert!(tracker.is_disconnected());
+//! assert!(!tracker.is_probe_due(later));
 //! tracker.on_response(later);
 //! assert!(!tracker.is_disconnected());
 //! let uptime = tracker.uptime().unwrap();
 //! assert_eq!(uptime.since, start, "the outage was too short for entries to expire");
 //! ```
 
+use crate::retry;
 use std::time::{Duration, Instant};
 
 /// When a probe is due, and which outages count.
@@ -37,11 +40,21 @@
     pub probe_after: Duration,
     /// Shortest outage in which an entry may expire although its owner lives.
     pub expiry: Duration,
+    /// Delay of the next probe after the first one that failed; doubles with each further one.
+    pub min_probe_delay: Duration,
+    /// Longest delay of the next probe after one that failed. Many instances probe in this time,
+    /// and the first that gets a response makes the others probe.
+    pub max_probe_delay: Duration,
 }
 
 impl Default for Policy {
     fn default() -> Policy {
-        Policy { probe_after: Duration::from_millis(600), expiry: Duration::from_millis(1_800) }
+        Policy {
+            probe_after: Duration::from_millis(600),
+            expiry: Duration::from_millis(1_800),
+            min_probe_delay: Duration::from_millis(100),
+            max_probe_delay: Duration::from_millis(800),
+        }
     }
 }
 
@@ -66,6 +79,10 @@
     /// Whether a call has failed, here or elsewhere, since the uptime's last response.
     has_failed_calls: bool,
     is_disconnected: bool,
+    /// Probes that failed since the last response.
+    failed_probes: u32,
+    /// When to probe next; `None` if none failed since the last response.
+    next_probe: Option<Instant>,
 }
 
 impl Tracker {
@@ -77,6 +94,8 @@
             uptime: None,
             has_failed_calls: false,
             is_disconnected: false,
+            failed_probes: 0,
+            next_probe: None,
         }
     }
 
@@ -85,6 +104,8 @@
         self.merge(Uptime { since: now, last: now });
         self.has_failed_calls = false;
         self.is_disconnected = false;
+        self.failed_probes = 0;
+        self.next_probe = None;
         self.last_response = Some(now);
     }
 
@@ -93,10 +114,22 @@
         self.has_failed_calls = true;
     }
 
-    /// A probe timed out or was rejected.
-    pub fn on_probe_failed(&mut self) {
+    /// A probe timed out or was rejected; `chance` in 0..1 is the jitter of the next one.
+    pub fn on_probe_failed(&mut self, now: Instant, chance: f64) {
         self.has_failed_calls = true;
         self.is_disconnected = true;
+        self.failed_probes += 1;
+        let Policy { min_probe_delay, max_probe_delay, .. } = self.policy;
+        let delay = retry::backoff(self.failed_probes, min_probe_delay, max_probe_delay, chance);
+        self.next_probe = Some(now + delay);
+    }
+
+    /// Another instance was disconnected and is so no longer: the next probe is due at once.
+    pub fn on_peer_regained(&mut self, now: Instant) {
+        if self.is_disconnected {
+            self.failed_probes = 0;
+            self.next_probe = Some(now);
+        }
     }
 
     /// Another instance reported its latest uptime, and whether it is disconnected.
@@ -132,6 +165,9 @@
 
     /// Whether a probe should be sent.
     pub fn is_probe_due(&self, now: Instant) -> bool {
+        if let Some(next_probe) = self.next_probe {
+            return now >= next_probe;
+        }
         self.idle_time(now).is_none_or(|idle_time| idle_time >= self.policy.probe_after)
     }
 
--- a/crates/coordination/tests/connectivity.rs
+++ b/crates/coordination/tests/connectivity.rs
@@ -8,7 +8,7 @@
 }
 
 fn tracker() -> Tracker {
-    Tracker::new(Policy { probe_after: ms(300), expiry: ms(1_800) })
+    Tracker::new(Policy { probe_after: ms(300), expiry: ms(1_800), ..Policy::default() })
 }
 
 #[test]
@@ -30,7 +30,7 @@
     tracker.on_response(start);
     tracker.on_failure();
     assert!(!tracker.is_disconnected(), "one failed call isn't enough");
-    tracker.on_probe_failed();
+    tracker.on_probe_failed(start, 0.5);
     assert!(tracker.is_disconnected());
     tracker.on_response(start + ms(900));
     assert!(!tracker.is_disconnected());
@@ -51,7 +51,7 @@
     let short = start + ms(1_799);
     tracker.on_response(short);
     assert_eq!(uptime_since(&tracker), Some(start));
-    tracker.on_probe_failed();
+    tracker.on_probe_failed(short, 0.5);
     let back = short + ms(1_800);
     tracker.on_response(back);
     assert_eq!(uptime_since(&tracker), Some(back));
@@ -73,7 +73,7 @@
     let start = Instant::now();
     let mut tracker = tracker();
     tracker.on_response(start);
-    tracker.on_probe_failed();
+    tracker.on_probe_failed(start, 0.5);
     let back = start + ms(9_000);
     tracker.on_response(back);
     assert_eq!(uptime_since(&tracker), Some(back), "no peer report yet");
@@ -89,7 +89,7 @@
     let start = Instant::now();
     let mut tracker = tracker();
     tracker.on_response(start);
-    tracker.on_probe_failed();
+    tracker.on_probe_failed(start, 0.5);
     let back = start + ms(2_500);
     tracker.on_peer_report(Some(Uptime { since: back, last: back + ms(20) }), false);
     tracker.on_response(back + ms(100));
@@ -118,3 +118,39 @@
     successor.on_response(back);
     assert_eq!(uptime_since(&successor), Some(back));
 }
+
+/// Load: 17 instances check every 100 ms whether a probe is due while the service rejects all of
+/// them at once for 6 s. Regression: each sent 10 probes per second.
+#[test]
+fn outage_costs_few_probes_and_its_end_is_noticed_at_once() {
+    const INSTANCES: u32 = 17;
+    let start = Instant::now();
+    let outage_ends = start + ms(6_000);
+    let mut trackers: Vec<Tracker> = (0..INSTANCES).map(|_| tracker()).collect();
+    let mut probes = 0;
+    let mut reports: Vec<Instant> = Vec::new();
+    let mut now = start;
+    while now < outage_ends + ms(400) {
+        let arrived = reports.iter().filter(|at| **at <= now).count();
+        for _ in reports.drain(..arrived) {
+            trackers.iter_mut().for_each(|tracker| tracker.on_peer_regained(now));
+        }
+        let phase = ((now - start).as_millis() % 100) as u32;
+        for (n, tracker) in trackers.iter_mut().enumerate() {
+            if phase != n as u32 * 5 || !tracker.is_probe_due(now) {
+                continue;
+            }
+            if now < outage_ends {
+                probes += 1;
+                tracker.on_probe_failed(now, f64::from(n as u32) / f64::from(INSTANCES));
+            } else {
+                tracker.on_response(now);
+                // The instance polls its own state before it reports it.
+                reports.push(now + ms(100));
+            }
+        }
+        now += ms(5);
+    }
+    assert!(trackers.iter().all(|tracker| !tracker.is_disconnected()));
+    assert!(probes <= 15 * INSTANCES, "{probes} probes");
+}
--- a/crates/daemon/src/gateway/platform_health.rs
+++ b/crates/daemon/src/gateway/platform_health.rs
@@ -140,8 +140,8 @@
     let mut disconnected = node.disconnected.borrow_mut();
     if connectivity.is_disconnected {
         disconnected.insert(member, now + DISCONNECTED_TTL);
-    } else {
-        disconnected.remove(&member);
+    } else if disconnected.remove(&member).is_some() {
+        node.store.on_peer_regained(now);
     }
 }
 
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -156,7 +156,7 @@
         if !tracker.is_disconnected() {
             slog::info!(self.log, "platform contact lost"; "silence_ms" => idle_time);
         }
-        tracker.on_probe_failed();
+        tracker.on_probe_failed(now, rand::random());
         drop(tracker);
         self.disconnected.notify_waiters();
     }
@@ -166,6 +166,11 @@
         self.tracker.borrow_mut().on_peer_report(uptime, is_disconnected);
     }
 
+    /// As [`Tracker::on_peer_regained`].
+    pub fn on_peer_regained(&self, now: Instant) {
+        self.tracker.borrow_mut().on_peer_regained(now);
+    }
+
     /// Records a failed call and opens the breaker.
     pub fn on_failure(&self, error: &StoreError, now: Instant) {
         self.tracker.borrow_mut().on_failure();
