Let the soak replace an earlier build by the current one, and back

What wasn't checked: gateways of two builds beside each other, as while the instances of a fleet are replaced in series.

Change: with GATESPOOL_EARLIER_BUILD all gateways of the soak start with that program, and every restart changes the build. All callers have an API key, and the configuration a workspace with a quota, so charges reach allocators of both builds.

--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -13,6 +13,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+/// API key of all callers.
+pub const KEY: &str = "key-soak";
+
 type HttpClient = Client<HttpConnector, Full<bytes::Bytes>>;
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(6);
@@ -51,6 +54,7 @@
         .header("host", HOST)
         .header("x-gatespool-request-id", id)
         .header("x-gatespool-deadline-ms", "5000")
+        .header("authorization", format!("Bearer {KEY}"))
         .body(Full::new(body.into()))
         .expect("a request");
     let mut response = Response { status: 0, body: Vec::new(), is_complete: false };
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -10,6 +10,9 @@
 //! the environment variable `GATESPOOL_SOAK=100..150` runs a range of seeds instead. A seed
 //! determines the faults, but not the timing: a run that fails keeps its logs, and its seed is
 //! added to [`REGRESSION_SEEDS`].
+//!
+//! With the path of an earlier `gatespoold` in `GATESPOOL_EARLIER_BUILD`, all gateways start with
+//! that build, and each restart replaces it by the current one or the other way round.
 
 #[path = "../util/mod.rs"]
 mod util;
--- a/crates/daemon/tests/soak/scenario.rs
+++ b/crates/daemon/tests/soak/scenario.rs
@@ -10,6 +10,7 @@
 use standin::objects;
 use standin::runner::{self, Config};
 use std::collections::BTreeMap;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -95,7 +96,11 @@
             ..Config::default()
         };
         let runners = vec![("east", config(0)), ("west", config(1)), ("east", config(2))];
-        let plan = Plan { runners, ..Plan::default() };
+        let workspaces = json!([{
+            "name": "soak", "api_keys": [callers::KEY], "rate_per_s": 1_000, "burst": 1_000,
+        }]);
+        let earlier_build = std::env::var_os("GATESPOOL_EARLIER_BUILD").map(PathBuf::from);
+        let plan = Plan { runners, workspaces, earlier_build, ..Plan::default() };
         let gateways = plan.gateways.len();
         let mut proxies = Vec::new();
         let fleet = Fleet::start_behind_proxies(plan, |address| {
--- a/crates/daemon/tests/util/daemon.rs
+++ b/crates/daemon/tests/util/daemon.rs
@@ -29,6 +29,12 @@
     /// `dir` are called `name`.
     #[track_caller]
     pub fn start(dir: &Path, name: &str, ini: &str) -> Daemon {
+        Daemon::start_build(Path::new(env!("CARGO_BIN_EXE_gatespoold")), dir, name, ini)
+    }
+
+    /// As [`Daemon::start`], with the program of some build.
+    #[track_caller]
+    pub fn start_build(program: &Path, dir: &Path, name: &str, ini: &str) -> Daemon {
         let partition_file = dir.join(format!("{name}.cut"));
         std::fs::write(&partition_file, "").expect("the partition file is written");
         let suspension_file = dir.join(format!("{name}.suspended"));
@@ -47,7 +53,7 @@
         std::fs::write(&settings, text).expect("the settings file is written");
         let stderr =
             std::fs::File::create(dir.join(format!("{name}.err"))).expect("a file for stderr");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_gatespoold"))
+        let mut child = Command::new(program)
             .arg("--settings")
             .arg(&settings)
             .stdout(Stdio::piped())
--- a/crates/daemon/tests/util/gateway.rs
+++ b/crates/daemon/tests/util/gateway.rs
@@ -29,6 +29,9 @@
     pub max_queued_tokens: u64,
     /// Workspaces of the configuration in its stored form; null for none.
     pub workspaces: Value,
+    /// Program of an earlier build: gateways start with it, and change the build whenever they
+    /// are restarted.
+    pub earlier_build: Option<PathBuf>,
     /// Additional settings, as `section.key = value`.
     pub settings: Vec<String>,
 }
@@ -42,6 +45,7 @@
             max_attempts: 2,
             max_queued_tokens: 0,
             workspaces: Value::Null,
+            earlier_build: None,
             settings: Vec::new(),
         }
     }
@@ -58,6 +62,8 @@
     /// Directory of settings and logs.
     pub dir: PathBuf,
     plan: Plan,
+    /// Number of starts of each gateway.
+    starts: Vec<AtomicU32>,
     platform_addresses: Vec<SocketAddr>,
     _servers: Vec<Server>,
 }
@@ -116,6 +122,7 @@
             runner_addresses,
             gateways: Vec::new(),
             dir,
+            starts: plan.gateways.iter().map(|_| AtomicU32::new(0)).collect(),
             plan,
             platform_addresses,
             _servers: servers,
@@ -160,7 +167,12 @@
             let (section, setting) = line.split_once('.').expect("section.key = value");
             ini.push_str(&format!("[{section}]\n{setting}\n"));
         }
-        Daemon::start(&self.dir, &format!("gateway-{n}"), &ini)
+        let name = format!("gateway-{n}");
+        let is_even_start = self.starts[n].fetch_add(1, Ordering::Relaxed).is_multiple_of(2);
+        match &self.plan.earlier_build {
+            Some(program) if is_even_start => Daemon::start_build(program, &self.dir, &name, &ini),
+            _ => Daemon::start(&self.dir, &name, &ini),
+        }
     }
 
     /// Restarts a gateway on the same addresses, after a SIGKILL if it still runs.
