--- a/crates/coordination/src/quota.rs
+++ b/crates/coordination/src/quota.rs
@@ -29,6 +29,8 @@
 const MIN_DEMAND_RATIO: f64 = 0.05;
 /// Accounts with a lower demand, in requests per second, are not reported.
 const MIN_REPORTED_DEMAND: f64 = 0.05;
+/// Reported demand is rounded to hundredths, which keeps messages short.
+const DEMAND_DIGITS: f64 = 100.0;
 
 /// Settings of a ledger.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -283,6 +285,9 @@
         let shared = self.accounts.iter().filter(|(_, account)| !account.is_unshared());
         shared
             .map(|(workspace, account)| (workspace.clone(), account.demand(&self.policy, now)))
+            .map(|(workspace, demand)| {
+                (workspace, (demand * DEMAND_DIGITS).round() / DEMAND_DIGITS)
+            })
             .filter(|(_, demand)| *demand >= MIN_REPORTED_DEMAND)
             .collect()
     }
--- a/crates/daemon/benches/slopes.rs
+++ b/crates/daemon/benches/slopes.rs
@@ -5,17 +5,19 @@
 
 use coordination::membership::{Member, MemberTable, Policy as MemberPolicy, State, Update};
 use coordination::quarantine;
+use coordination::quota::{Ledger, Policy as QuotaPolicy, Report};
 use coordination::route::{self, Candidate, Policy as RoutePolicy};
 use daemon::fleet::{Fleet, ViewContext};
 use protocol::chat::Outcome;
 use protocol::config::{Change, Document};
+use protocol::workspace::Quota;
 use serde_json::json;
 use state::command::{Command, Reply};
 use state::part::ResultPartRef;
 use state::record::{Disposition, Entry, JobSpec, Record, StoredOutcome};
 use state::shard::{Batch, Decision, Policy, Shard};
 use state::snapshot::Body;
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::hint::black_box;
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -31,6 +33,7 @@
 fn main() {
     // Smallest first, and nothing is freed: reused memory wouldn't show as growth
     // of resident memory.
+    quotas();
     members();
     configuration();
     jobs();
@@ -294,3 +297,44 @@
         println!("{targets:>10} {each:>16.2}");
     }
 }
+
+/// Report of another ledger that acknowledges `report`.
+fn acknowledgement(from: &str, report: &Report) -> Report {
+    let received = [(report.data_centre.clone(), report.id)].into();
+    Report { data_centre: from.to_owned(), received, ..Report::default() }
+}
+
+/// Accounts of a ledger that shares its quotas with two others, by number of workspaces.
+fn quotas() {
+    println!(
+        "{:>10} {:>18} {:>14} {:>16} {:>14}",
+        "workspaces", "bytes a workspace", "us a charge", "us an exchange", "bytes a report"
+    );
+    let names: BTreeSet<String> = ["east", "north", "west"].map(String::from).into();
+    let quota = Quota { rate: 60.0, burst: 60.0 };
+    for count in [73u64, 500, 5_000] {
+        let before = resident_bytes();
+        let now = Instant::now();
+        let mut ledger = Ledger::new(QuotaPolicy::default(), "east", 1, now);
+        ledger.set_data_centres(&names);
+        let workspaces: Vec<String> = (0..count).map(|n| format!("workspace-{n}")).collect();
+        let rounds = 20;
+        for _ in 0..rounds {
+            for workspace in &workspaces {
+                let _charged = black_box(ledger.charge(workspace, quota, Instant::now()));
+            }
+        }
+        let charge = now.elapsed().as_secs_f64() * 1e6 / (rounds * count) as f64;
+        let mut report = ledger.exchange(Instant::now());
+        for other in ["north", "west"] {
+            ledger.on_report(acknowledgement(other, &report), now);
+        }
+        let start = Instant::now();
+        report = ledger.exchange(start);
+        let exchange = start.elapsed().as_secs_f64() * 1e6;
+        let bytes = serde_json::to_vec(&report).unwrap_or_default().len();
+        let resident = (resident_bytes() - before) / count as f64;
+        println!("{count:>10} {resident:>18.0} {charge:>14.2} {exchange:>16.0} {bytes:>14}");
+        std::mem::forget(ledger);
+    }
+}
