Split the lookup of jobs, calls of allocators and the role setting off

Change: jobs/lookup.rs finds a job and checks its workspace, leases/call.rs sends one request to one allocator with its charge, settings/role.rs has the duty of a process. Code is moved, not changed, but for paths and visibility.

--- a/crates/coordination/src/quota/account.rs
+++ b/crates/coordination/src/quota/account.rs
@@ -7,7 +7,7 @@
 /// Part of the tolerance that pays for the margins of all data centres; as much pays for what new
 /// ledgers start with.
 const MARGIN_RATIO: f64 = 0.5;
-/// Longest time for which callers are told to wait for their turn.
+/// Longest delay until the turn of a rejected caller.
 const MAX_TURN_DELAY: Duration = Duration::from_secs(5);
 /// Demand in requests per second below which an account counts as unused.
 const IDLE_DEMAND: f64 = 0.01;
--- a/crates/coordination/tests/quota.rs
+++ b/crates/coordination/tests/quota.rs
@@ -238,7 +238,7 @@
     assert!(fleet.ask(1).is_err(), "what was lent is used up");
 }
 
-/// Callers that come back when they were told to are served.
+/// Callers that retry in their turn are served.
 #[test]
 fn caller_that_waits_as_told_is_served() {
     let mut fleet = Fleet { borrows: false, ..Fleet::new(quota(30.0)) };
--- a/crates/daemon/src/gateway/access.rs
+++ b/crates/daemon/src/gateway/access.rs
@@ -38,8 +38,8 @@
 }
 
 /// Whether a caller of the workspace `caller` may see a job of the workspace `owner`. A job
-/// without an owner was submitted without a key, or to a version that kept no owner; whoever
-/// knows its id may see it.
+/// without an owner was submitted without a key, or to a version that stored no owner; all callers
+/// that know its id may see it.
 pub fn may_access(owner: Option<&str>, caller: Option<&str>) -> bool {
     owner.is_none() || owner == caller
 }
--- a/crates/daemon/src/gateway/jobs.rs
+++ b/crates/daemon/src/gateway/jobs.rs
@@ -1,19 +1,22 @@
 //! Calls about accepted batch jobs: results, the body of an item, the end.
 
+mod lookup;
+
 use super::call_reason::CallReason;
 use super::front::{error_response, set_header, text_response};
-use super::job_store::{self, LoadError, StoredJob};
-use super::job_table::{self, HeldJob};
+use super::job_store::{self, StoredJob};
+use super::job_table::HeldJob;
 use super::message::{PeerReply, PeerRequest, Update};
 use super::node::Node;
-use super::{access, broadcast, submit, takeover};
+use super::{broadcast, submit};
 use crate::clock;
 use hyper::{HeaderMap, Response};
+use lookup::{Location, find};
 use platform::store::StoreError;
 use platform::{header, job};
 use protocol::workspace::Workspace;
 use protocol::{Error, Kind};
-use state::progress::{Handoff, Job, JobId, Outcome, Progress};
+use state::progress::{Job, JobId, Outcome};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -22,13 +25,8 @@
 
 /// Longest time for which a read waits for new results, whatever the caller requests.
 const MAX_RESULTS_WAIT: Duration = Duration::from_secs(5);
-/// Time for a holder to reply, on top of the time for which it waits for results.
-const HOLDER_REPLY_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval between checks for a new holder.
 const HOLDER_POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// How long a job read from the platform is served again. Bounded because results returned
-/// by one instance must be visible on all others within a second.
-const JOB_CACHE_TTL: Duration = Duration::from_millis(700);
 /// Longest wait until the end of a job is durable.
 const END_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Attempts to write an end while others write to the same job.
@@ -275,118 +273,6 @@
     }
 }
 
-/// Where a job was found.
-enum Location {
-    /// Held by this instance.
-    Local(Rc<HeldJob>),
-    /// The holder's reply.
-    Reply(PeerReply),
-    /// On the platform; its holder can't be reached.
-    Stored(Box<Job>, Box<Progress>),
-    NotFound,
-    /// Neither the holder nor the platform could be reached.
-    Unknown,
-}
-
-/// Finds a job here, at its holder or on the platform, unless it belongs to another workspace
-/// than the caller.
-async fn find(
-    node: &Rc<Node>,
-    id: &str,
-    caller: Option<&str>,
-    request: impl Fn(String) -> PeerRequest,
-    wait: Duration,
-) -> Location {
-    if let Some(held) = node.jobs.held_job(id) {
-        let is_visible = access::may_access(held.state.borrow().job().workspace.as_deref(), caller);
-        return if is_visible { Location::Local(held) } else { Location::NotFound };
-    }
-    let timeout = wait + HOLDER_REPLY_TIMEOUT;
-    let status = node.jobs.directory.borrow().get(id).cloned();
-    let owner = status.as_ref().and_then(|status| status.workspace.as_deref());
-    if !access::may_access(owner, caller) {
-        return Location::NotFound;
-    }
-    // A status without an owner may come from an instance that knows of no workspaces.
-    let status = status.filter(|status| status.workspace.is_some() || caller.is_none());
-    let mut asked_holder = None;
-    if let Some(status) = status {
-        if let Some(reply) =
-            request_from_holder(node, status.holder.instance, request(id.to_owned()), timeout).await
-        {
-            return Location::Reply(reply);
-        }
-        asked_holder = Some(status.holder.instance);
-    }
-    let stored_job = match load_cached(node, id).await {
-        Ok(Some(stored_job)) => stored_job,
-        Ok(None) => return Location::NotFound,
-        Err(error) => {
-            slog::info!(node.log, "job load failed"; "job" => id, "fault" => %error);
-            return Location::Unknown;
-        }
-    };
-    if !access::may_access(stored_job.job.workspace.as_deref(), caller) {
-        return Location::NotFound;
-    }
-    let holder = stored_job.holder();
-    if !stored_job.is_open() {
-        return Location::Local(job_table::hold(node, stored_job));
-    }
-    let as_stored = |stored_job: StoredJob| {
-        Location::Stored(Box::new(stored_job.job), Box::new(stored_job.progress))
-    };
-    if holder.instance == node.id() {
-        return match takeover::take_over(node, id, Handoff::default()).await {
-            Some(held) => Location::Local(held),
-            None => as_stored(stored_job),
-        };
-    }
-    if asked_holder != Some(holder.instance) {
-        let reply =
-            request_from_holder(node, holder.instance, request(id.to_owned()), timeout).await;
-        if let Some(reply) = reply {
-            return Location::Reply(reply);
-        }
-    }
-    as_stored(stored_job)
-}
-
-/// Loads a job, serving recent reads from the cache.
-async fn load_cached(node: &Node, id: &str) -> Result<Option<StoredJob>, LoadError> {
-    let now = clock::now();
-    let cached = node.jobs.cache.borrow().get(id).cloned();
-    if let Some((_, stored_job)) = cached.filter(|(read, _)| now < *read + JOB_CACHE_TTL) {
-        return Ok(Some(stored_job));
-    }
-    let stored_job = job_store::load(node, CallReason::Lookup, id).await?;
-    let mut cache = node.jobs.cache.borrow_mut();
-    cache.retain(|_, (read, _)| now < *read + JOB_CACHE_TTL);
-    if let Some(stored_job) = &stored_job {
-        // Stamped with the time before the call, since the data is no newer than that.
-        cache.insert(id.to_owned(), (now, stored_job.clone()));
-    }
-    Ok(stored_job)
-}
-
-/// The holder's reply; `None` if it can't be reached or doesn't hold the job.
-async fn request_from_holder(
-    node: &Rc<Node>,
-    holder: u64,
-    request: PeerRequest,
-    timeout: Duration,
-) -> Option<PeerReply> {
-    let address = node.members.borrow().get(holder).map(|member| member.peer)?;
-    match node.request(address, &request, timeout).await {
-        Ok(PeerReply::NotOwner) => None,
-        Ok(reply) => Some(reply),
-        Err(error) => {
-            slog::info!(node.log, "holder unresponsive"; "holder" => %address, "fault" => ?error);
-            None
-        }
-    }
-}
-
 /// Handles a request for results from another instance.
 pub async fn on_results(node: &Rc<Node>, id: &str, from: usize, wait: Duration) -> PeerReply {
     match node.jobs.held_job(id) {
--- /dev/null
+++ b/crates/daemon/src/gateway/leases/call.rs
@@ -0,0 +1,175 @@
+//! One request for a slot to one allocator, with the charge that is made along with it.
+
+use super::lease::{Grantor, Lease, accept_remote_grant, activate};
+use super::{SlotQuery, allocator_owner};
+use crate::clock;
+use crate::gateway::allocator;
+use crate::gateway::message::{PeerReply, PeerRequest, SlotRequest, SlotRequestId};
+use crate::gateway::node::Node;
+use crate::gateway::quota::{self, Keeper};
+use coordination::slots::{self, Purpose};
+use protocol::{DataCentreId, TargetId, WorkspaceId};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Timeout for the immediate reply of an allocator. Much longer than a round trip within a
+/// region, so an owner that exceeds it is overloaded or gone.
+pub(in crate::gateway) const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
+/// Grants on unusable targets after which a call gives up. The allocator is notified of each
+/// such target, and anti-entropy brings it up to date.
+const MAX_UNUSABLE_GRANTS: u32 = 4;
+
+/// One request to one allocator.
+pub(super) struct AllocatorCall {
+    pub(super) data_centre: DataCentreId,
+    pub(super) request: slots::Request,
+    pub(super) id: SlotRequestId,
+    /// Longest wait in the allocator's queue; zero to be rejected instead of queued.
+    pub(super) wait: Duration,
+    /// Workspace to be charged; `None` if no charge is due.
+    pub(super) charge: Option<WorkspaceId>,
+    /// Where the request was charged.
+    pub(super) keeper: Option<Keeper>,
+}
+
+impl AllocatorCall {
+    /// A request for a slot that is free now.
+    pub(super) fn immediate(node: &Node, query: &SlotQuery, data_centre: &str) -> AllocatorCall {
+        let request = slots::Request {
+            holder: node.id(),
+            data_centre: data_centre.to_owned(),
+            service: query.service.clone(),
+            purpose: Purpose::Online,
+            due: query.expires,
+            remaining: Duration::ZERO,
+            is_started: false,
+            latest_start: query.latest_start,
+            safe_start: query.latest_start,
+            expires: query.expires,
+            total_slots: 0,
+            excluded: query.excluded.clone(),
+            may_wait: false,
+        };
+        let id = node.leases.next_request_id();
+        AllocatorCall {
+            data_centre: data_centre.to_owned(),
+            request,
+            id,
+            wait: Duration::ZERO,
+            charge: None,
+            keeper: None,
+        }
+    }
+
+    /// Records that the request was charged, so that it isn't charged again.
+    fn on_charged(&mut self, keeper: Keeper) {
+        self.charge = None;
+        self.keeper = Some(keeper);
+    }
+
+    fn to_message(&self, now: Instant) -> SlotRequest {
+        SlotRequest {
+            from: self.request.holder,
+            data_centre: self.data_centre.clone(),
+            service: self.request.service.clone(),
+            purpose: self.request.purpose,
+            id: self.id,
+            due_ms: millis_until(self.request.due, now),
+            remaining_ms: 0,
+            is_started: false,
+            latest_start_ms: millis_until(self.request.latest_start, now),
+            safe_start_ms: millis_until(self.request.safe_start, now),
+            expires_ms: millis_until(self.request.expires, now),
+            total_slots: self.request.total_slots,
+            wait_ms: self.wait.as_millis() as u64,
+            limit: 1,
+            excluded: self.request.excluded.clone(),
+            charge: self.charge.clone(),
+        }
+    }
+}
+
+pub(super) enum AllocatorReply {
+    Lease(Lease),
+    /// The granted slot is on this target, which is unusable.
+    UnusableTarget(TargetId),
+    /// No slot is free; one is expected after this delay.
+    Full(Duration),
+    /// The wait ended without a slot.
+    Pending,
+    Unresponsive,
+    /// The request exceeds the quota of its workspace; its turn is after this delay.
+    OverQuota(Duration),
+}
+
+/// Calls an allocator; returns the call together with its reply.
+pub(super) async fn call_allocator(
+    node: Rc<Node>,
+    call: AllocatorCall,
+) -> (AllocatorCall, AllocatorReply) {
+    let mut call = call;
+    for _ in 0..MAX_UNUSABLE_GRANTS {
+        match try_call(&node, &mut call).await {
+            AllocatorReply::UnusableTarget(target) => call.request.excluded.push(target),
+            reply => return (call, reply),
+        }
+    }
+    // An allocator with such outdated targets is treated as unavailable.
+    (call, AllocatorReply::Unresponsive)
+}
+
+async fn try_call(node: &Rc<Node>, call: &mut AllocatorCall) -> AllocatorReply {
+    let now = clock::now();
+    let Some(owner) = allocator_owner(node, &call.data_centre) else {
+        return AllocatorReply::Unresponsive;
+    };
+    if owner.id == node.id() {
+        if let Some(workspace) = &call.charge
+            && allocator::owns(node, &call.data_centre)
+        {
+            if let Err(after) = quota::charge_local(node, &call.data_centre, workspace) {
+                return AllocatorReply::OverQuota(after);
+            }
+            call.on_charged(Keeper::Local(call.data_centre.clone()));
+        }
+        let AllocatorCall { data_centre, request, id, wait, .. } = call;
+        return match allocator::acquire_local(node, data_centre, request.clone(), *id, *wait).await
+        {
+            allocator::AcquireOutcome::Grant(grant) => {
+                AllocatorReply::Lease(activate(node, grant, Purpose::Online, Grantor::Local))
+            }
+            allocator::AcquireOutcome::Full(after) => AllocatorReply::Full(after),
+            allocator::AcquireOutcome::Pending => AllocatorReply::Pending,
+            allocator::AcquireOutcome::NotOwner => AllocatorReply::Unresponsive,
+        };
+    }
+    if node.is_unresponsive(owner.peer, now) {
+        return AllocatorReply::Unresponsive;
+    }
+    let message = call.to_message(now);
+    let reply =
+        node.request(owner.peer, &PeerRequest::Slots(message), call.wait + REPLY_TIMEOUT).await;
+    let reply = match reply {
+        Ok(PeerReply::Charged(reply)) => {
+            call.on_charged(Keeper::Remote(call.data_centre.clone(), owner.peer));
+            Ok(*reply)
+        }
+        reply => reply,
+    };
+    match reply {
+        Ok(PeerReply::Slots(grants, _)) => match grants.into_iter().next() {
+            Some(grant) => match accept_remote_grant(node, grant, Purpose::Online, owner.peer) {
+                Ok(lease) => AllocatorReply::Lease(lease),
+                Err(target) => AllocatorReply::UnusableTarget(target),
+            },
+            None => AllocatorReply::Pending,
+        },
+        Ok(PeerReply::Full(after)) => AllocatorReply::Full(Duration::from_millis(after)),
+        Ok(PeerReply::OverQuota(after)) => AllocatorReply::OverQuota(Duration::from_millis(after)),
+        Ok(_) | Err(_) => AllocatorReply::Unresponsive,
+    }
+}
+
+fn millis_until(to: Instant, now: Instant) -> u64 {
+    to.saturating_duration_since(now).as_millis() as u64
+}
--- a/crates/daemon/src/gateway/quota.rs
+++ b/crates/daemon/src/gateway/quota.rs
@@ -278,7 +278,7 @@
 }
 
 /// Only the ledger of this instance's own data centre is exchanged: during a network partition,
-/// instances on the other side keep a ledger of this data centre too, which nobody charges.
+/// instances on the other side keep a ledger of this data centre too, which gets no charges.
 fn exchange(node: &Rc<Node>) {
     let report = {
         let mut ledgers = node.leases.quotas.ledgers.borrow_mut();
--- a/crates/daemon/tests/gateway_workspaces.rs
+++ b/crates/daemon/tests/gateway_workspaces.rs
@@ -166,7 +166,7 @@
     assert_eq!(fleet.call_job(2, "DELETE", "/lots/job", &kept).status, 200);
 }
 
-/// A job that an earlier version stored has no owner: whoever knows its id may read it.
+/// A job that an earlier version stored has no owner.
 #[test]
 fn job_without_an_owner_is_served_to_any_workspace() {
     let fleet = Fleet::start(Plan { workspaces: Value::Null, ..slow_plan() });
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -4,17 +4,18 @@
 
 mod policy;
 mod quota;
+mod role;
 mod source;
 
 pub use policy::Policy;
 pub use quota::Quota;
+pub use role::Role;
 
 use crate::DataCentreId;
 use source::Source;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::str::FromStr;
 use std::time::Duration;
 
 /// Why a settings file is invalid.
@@ -39,32 +40,6 @@
 
 impl std::error::Error for SettingsError {}
 
-/// Role of a process.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Role {
-    /// Serves the product's own API.
-    #[default]
-    Standalone,
-    /// Serves the operator's routes on a platform that stores configuration,
-    /// targets and jobs.
-    Gateway,
-    /// Idles until it is stopped, on a machine held in reserve.
-    Standby,
-}
-
-impl FromStr for Role {
-    type Err = ();
-
-    fn from_str(text: &str) -> Result<Role, ()> {
-        match text {
-            "own" => Ok(Role::Standalone),
-            "gateway" => Ok(Role::Gateway),
-            "standby" => Ok(Role::Standby),
-            _ => Err(()),
-        }
-    }
-}
-
 /// Settings of one instance; each field names its section and key.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
