Give ledgers random epochs, bound a local refusal's delay, split charges off

What could go wrong: two keepers of one data centre, which exist for a moment when members change, could start in the same millisecond and take each other's acknowledgement for their own; an instance on its own part of a small quota asked callers to come back after up to a minute, though an allocator answers again within a second or so.

Change: the epoch of a ledger is random; the delay is at most 1 s. The charge of a request moves to quota/charge.rs.

Both faults found by reading, not seen failing.

--- a/crates/coordination/src/quota.rs
+++ b/crates/coordination/src/quota.rs
@@ -103,7 +103,7 @@
 /// What one account holds, for logs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Balance {
-    /// Requests that may run at once; negative after corrections.
+    /// Requests that may run at once.
     pub tokens: f64,
     /// Part of the quota that this data centre may use, from 0 to 1.
     pub share: f64,
--- a/crates/daemon/src/gateway/quota.rs
+++ b/crates/daemon/src/gateway/quota.rs
@@ -5,6 +5,10 @@
 //! allocator replies, or its instance knows of no quotas, each instance charges its own part.
 //! A ledger whose part is used up borrows from those of the other data centres.
 
+mod charge;
+
+pub use charge::{Charge, Keeper};
+
 use super::allocator;
 use super::leases::{REPLY_TIMEOUT, allocator_owner};
 use super::message::{PeerReply, PeerRequest};
@@ -13,17 +17,18 @@
 use coordination::limit::TokenBucket;
 use coordination::quota::{Ledger, Policy, Report};
 use protocol::settings::Settings;
-use protocol::workspace::{Quota, Workspace};
+use protocol::workspace::Quota;
 use protocol::{DataCentreId, WorkspaceId};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
 
 /// Requests that an instance may run at once on its own part of a quota.
 const LOCAL_BURST: f64 = 1.0;
+/// Longest time after which a caller is asked to retry when an instance's own part is used up.
+const MAX_LOCAL_DELAY: Duration = Duration::from_secs(1);
 /// Age up to which a ledger reports more often, since it knows no shares yet.
 const STARTUP_PERIOD: Duration = Duration::from_secs(2);
 /// How long other data centres are not asked again after all have refused to lend.
@@ -62,17 +67,14 @@
     /// Keeps ledgers for the data centres in `owned`; those in `sharers` share the quotas.
     pub fn set_owned(&self, owned: &BTreeSet<DataCentreId>, sharers: &BTreeSet<DataCentreId>) {
         let now = clock::now();
-        let epoch = clock::millis();
         let mut ledgers = self.ledgers.borrow_mut();
         ledgers.retain(|name, _| owned.contains(name));
         for name in owned {
-            let new = || Ledger::new(self.policy, name, epoch, now);
+            let new = || Ledger::new(self.policy, name, rand::random(), now);
             ledgers.entry(name.clone()).or_insert_with(new).set_data_centres(sharers);
         }
     }
-}
 
-impl Quotas {
     /// Time until the next exchange of reports.
     fn exchange_delay(&self) -> Duration {
         let now = clock::now();
@@ -84,89 +86,6 @@
     }
 }
 
-/// Where a request was charged.
-#[derive(Clone, Debug)]
-pub enum Keeper {
-    /// The ledger of this data centre, kept here.
-    Local(DataCentreId),
-    /// The ledger of this data centre, kept by the instance at the address.
-    Remote(DataCentreId, SocketAddr),
-    /// This instance's own part.
-    Instance,
-}
-
-/// The charge of one request. Dropping it gives the charge back unless the request was sent to a
-/// target that may have run it.
-pub struct Charge {
-    node: Rc<Node>,
-    /// `None` if the request needs no charge.
-    workspace: Option<WorkspaceId>,
-    keeper: Option<Keeper>,
-    may_have_run: bool,
-}
-
-impl Charge {
-    /// A charge that is due if the workspace has a quota.
-    pub fn new(node: &Rc<Node>, workspace: Option<&Workspace>) -> Charge {
-        let limited = workspace.filter(|workspace| workspace.quota.is_some());
-        Charge {
-            node: node.clone(),
-            workspace: limited.map(|workspace| workspace.name.clone()),
-            keeper: None,
-            may_have_run: false,
-        }
-    }
-
-    /// The workspace to be charged; `None` if no charge is needed, or it is done.
-    pub fn due(&self) -> Option<&WorkspaceId> {
-        self.workspace.as_ref().filter(|_| self.keeper.is_none())
-    }
-
-    /// Records where the charge was made.
-    pub fn on_charged(&mut self, keeper: Keeper) {
-        self.keeper = Some(keeper);
-    }
-
-    /// Records whether a target may have run the request.
-    pub fn set_may_have_run(&mut self, may_have_run: bool) {
-        self.may_have_run = may_have_run;
-    }
-
-    /// Charges a request that is still due to this instance's own part of the quota.
-    ///
-    /// # Errors
-    ///
-    /// The part is used up; the time until it allows a request.
-    pub fn charge_instance(&mut self) -> Result<(), Duration> {
-        let Some(workspace) = self.due() else {
-            return Ok(());
-        };
-        if let Some(quota) = quota_of(&self.node, workspace) {
-            take_local(&self.node, workspace, quota)?;
-        }
-        self.keeper = Some(Keeper::Instance);
-        Ok(())
-    }
-}
-
-impl Drop for Charge {
-    fn drop(&mut self) {
-        if self.may_have_run {
-            return;
-        }
-        let (Some(workspace), Some(keeper)) = (self.workspace.take(), self.keeper.take()) else {
-            return;
-        };
-        match keeper {
-            Keeper::Local(data_centre) => refund_local(&self.node, &data_centre, &workspace),
-            Keeper::Remote(data_centre, address) => {
-                self.node.notify(address, PeerRequest::Refund(data_centre, workspace));
-            }
-            Keeper::Instance => {}
-        }
-    }
-}
-
 /// Quota of a workspace in the configuration in force here; `None` if it has none.
 fn quota_of(node: &Node, workspace: &str) -> Option<Quota> {
     node.config()?.table.workspaces.as_ref()?.get(workspace)?.quota
@@ -180,7 +99,8 @@
     let new = || TokenBucket::new(rate, LOCAL_BURST, now);
     let bucket = local.entry(workspace.to_owned()).or_insert_with(new);
     bucket.set(rate, LOCAL_BURST);
-    bucket.try_take(now)
+    // An allocator is likely to reply before a small part allows the next request.
+    bucket.try_take(now).map_err(|after| after.min(MAX_LOCAL_DELAY))
 }
 
 /// Charges a request to the ledger of a data centre, which is kept here.
