Measure a wait for a slot against the time for which the slot was held

No allocator was waited for.

Change: the wait may be 30 ms over the time for which the first request held the slot, instead of 150 ms in all. With the nominal 120 ms that is the same bound; the fault it guards against (three timeouts in a row, 180 ms) is 60 ms over, red as before; a late runner is no longer taken for it.

--- a/crates/daemon/tests/gateway_online.rs
+++ b/crates/daemon/tests/gateway_online.rs
@@ -199,12 +199,15 @@
         fleet.gateways[1..].iter().for_each(|gateway| gateway.thaw());
     });
     // The log is written asynchronously.
-    let line = wait_for("a log line of the request", || {
-        fleet.log(0).into_iter().rfind(|line| line["request"] == "next")
-    });
+    let millis = |request: &str, field: &str| {
+        let line = wait_for("a log line of the request", || {
+            fleet.log(0).into_iter().rfind(|line| line["request"] == request)
+        });
+        line[field].as_u64().expect("milliseconds")
+    };
     // The first request holds the slot for 120 ms; three timeouts in a row would take 180 ms.
-    let waited_ms = line["slot_ms"].as_u64().expect("milliseconds");
-    assert!(waited_ms < 150, "waited {waited_ms} ms for a slot");
+    let (waited, held) = (millis("next", "slot_ms"), millis("first", "age_ms"));
+    assert!(waited < held + 30, "waited {waited} ms for a slot that was held for {held} ms");
 }
 
 #[test]
