Let a stop wait for calls about jobs, and end a job that is handed off

Callers saw their connection closed without a response when the instance that they had asked stopped while it ended a job, or while it waited for results that another instance holds.

Cause: only online requests and submissions counted as in flight, so a stop exited 40 ms after its grace period whatever calls about jobs waited. And an end that had to wait while its job was handed off was answered 503.

Change: calls about jobs count as in flight (gateway::in_flight, moved out of online.rs). An end whose job is released meanwhile is written to the platform, as for a holder that can't be reached.

--- a/crates/daemon/src/gateway/jobs.rs
+++ b/crates/daemon/src/gateway/jobs.rs
@@ -172,19 +172,16 @@
 }
 
 async fn end(node: &Rc<Node>, id: &str, caller: Option<&str>) -> Response<Body> {
-    match find(node, id, caller, PeerRequest::End, END_TIMEOUT).await {
-        Location::Local(held) => match end_held(node, &held).await {
-            true => text_response(200, "ended"),
-            false => unavailable(node, id),
-        },
-        Location::Reply(PeerReply::Acknowledged) => text_response(200, "ended"),
-        Location::NotFound => text_response(404, "no such job"),
-        Location::Reply(_) | Location::Stored(..) | Location::Unknown => {
-            match end_stored(node, id).await {
-                true => text_response(200, "ended"),
-                false => unavailable(node, id),
-            }
-        }
+    let has_ended = match find(node, id, caller, PeerRequest::End, END_TIMEOUT).await {
+        // The job may be handed off meanwhile.
+        Location::Local(held) => end_held(node, &held).await || end_stored(node, id).await,
+        Location::Reply(PeerReply::Acknowledged) => true,
+        Location::NotFound => return text_response(404, "no such job"),
+        Location::Reply(_) | Location::Stored(..) | Location::Unknown => end_stored(node, id).await,
+    };
+    match has_ended {
+        true => text_response(200, "ended"),
+        false => unavailable(node, id),
     }
 }
 
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -24,7 +24,7 @@
 //! | [`broadcast`], [`anti_entropy`] | updates to all instances; repair of lost ones |
 //! | [`store`], [`job_store`] | the platform's store behind a circuit breaker; stored jobs |
 //! | [`call_reason`] | reasons by which calls of the platform are counted |
-//! | [`node`], [`mod@run`] | state of an instance; start and shutdown |
+//! | [`node`], [`mod@run`], [`in_flight`] | state of an instance; start and shutdown; work that a stop waits for |
 //! | [`metrics`] | counters and histograms |
 
 pub mod access;
@@ -35,6 +35,7 @@
 pub mod crash;
 pub mod discovery;
 pub mod front;
+pub mod in_flight;
 pub mod items;
 pub mod job_scan;
 pub mod job_store;
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -123,7 +123,7 @@
     /// Data centres that have had a reachable member; `Some` is the time since which they have
     /// none.
     unreachable_since: RefCell<HashMap<DataCentreId, Option<Instant>>>,
-    /// Number of online requests in flight.
+    /// Number of calls and tasks that a stop waits for; see [`super::in_flight`].
     pub in_flight: Cell<usize>,
     /// Cancelled when a stop is requested.
     pub stopping: CancellationToken,
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -11,7 +11,7 @@
 use super::node::{Config, Node};
 use super::quarantine::{self, Admission};
 use super::quota::Charge;
-use super::streaming;
+use super::{in_flight, streaming};
 use crate::clock;
 use attempt::{RetryReason, completion_outcome};
 use coordination::hash;
@@ -79,23 +79,6 @@
     DeadlineExceeded,
 }
 
-/// Counts a request as in flight until dropped.
-pub struct InFlightGuard(Rc<Node>);
-
-impl InFlightGuard {
-    /// Increments the number of requests in flight.
-    pub fn new(node: &Rc<Node>) -> InFlightGuard {
-        node.in_flight.set(node.in_flight.get() + 1);
-        InFlightGuard(node.clone())
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get().saturating_sub(1));
-    }
-}
-
 /// Serves an online request.
 ///
 /// # Errors
@@ -107,7 +90,7 @@
     route: Rc<Route>,
     call: Rc<CallerRequest>,
 ) -> Result<Response<Body>, server::BodyAborted> {
-    let in_flight = InFlightGuard::new(node);
+    let in_flight = in_flight::Guard::new(node);
     let random = hash::bytes(call.id.as_bytes());
     let Some(service) = route.service(random).cloned() else {
         let error = Error::new(Kind::NoTarget, "the route has no service");
@@ -137,7 +120,7 @@
 async fn respond(
     request: ProxiedRequest,
     response: TargetResponse,
-    in_flight: InFlightGuard,
+    in_flight: in_flight::Guard,
 ) -> Result<Response<Body>, server::BodyAborted> {
     if request.route.class == Class::Stream && response.exchange.head().status.is_success() {
         return Ok(streaming::stream(request, response, in_flight));
--- a/crates/daemon/src/gateway/streaming.rs
+++ b/crates/daemon/src/gateway/streaming.rs
@@ -3,11 +3,10 @@
 
 use super::crash::hex;
 use super::front::CallerRequest;
+use super::in_flight;
 use super::leases::{AcquireError, Lease};
 use super::node::Node;
-use super::online::{
-    ForwardError, InFlightGuard, ProxiedRequest, TargetResponse, response_head, with_body,
-};
+use super::online::{ForwardError, ProxiedRequest, TargetResponse, response_head, with_body};
 use crate::clock;
 use bytes::{Bytes, BytesMut};
 use coordination::slots::LeaseOutcome;
@@ -58,7 +57,7 @@
 pub fn stream(
     request: ProxiedRequest,
     response: TargetResponse,
-    in_flight: InFlightGuard,
+    in_flight: in_flight::Guard,
 ) -> Response<Body> {
     let head = response_head(&response.exchange);
     let (sender, body) = server::body_channel();
