Tell the receiver of a job that its sender is stopping before the hand-off

Callers of batch saw items run again from their first event, and jobs stand still, whenever an instance of a larger fleet was stopped.

Cause: a planned stop hands its jobs off some 8 ms after it was ordered, and the update that it leaves takes a heartbeat and a batch window a hop, log2 n hops. A receiver that had not heard of the stop found that the stored holder, the sender, was alive; it acknowledged the hand-off and left the job to the sender, which had dropped it. The progress was lost, and the job waited until the sender counted as dead and its time to be taken over had passed.

Change: before a hand-off, a member that lacks updates gets them with a heartbeat of its own.

--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -280,6 +280,13 @@
     });
 }
 
+/// Sends a member the updates that it lacks.
+pub(super) async fn send_updates(node: &Rc<Node>, to: &Member) {
+    if node.members.borrow().is_out_of_date(to.id) {
+        heartbeat_once(node, to).await;
+    }
+}
+
 /// `true` if the member replied, or another instance replied at its address.
 async fn heartbeat_once(node: &Rc<Node>, to: &Member) -> bool {
     let (me, (cursor, updates)) = {
--- a/crates/daemon/src/gateway/takeover.rs
+++ b/crates/daemon/src/gateway/takeover.rs
@@ -10,6 +10,7 @@
 use super::job_writer;
 use super::message::{JobStatus, PeerRequest};
 use super::node::Node;
+use super::peers;
 use crate::clock;
 use coordination::hash;
 use coordination::membership::{Member, MemberTable, State};
@@ -150,6 +151,10 @@
             }
             return take_over(node, id, handoff.clone()).await.is_some();
         }
+        if node.is_stopping() {
+            // A member that takes this instance for alive would leave it the job.
+            peers::send_updates(node, &member).await;
+        }
         let request = PeerRequest::TakeOver(id.to_owned(), handoff.clone());
         if node.request(member.peer, &request, HANDOFF_TIMEOUT).await.is_ok() {
             slog::info!(node.log, "job handed off"; "job" => id, "to" => %member.peer,
