Decline jobs at a stopping instance, and wait at a stop for takeovers

Cause: an instance acknowledged a takeover at once and ran it in a task that no stop waited for, also while it was stopping itself and had handed off its jobs already. Senders counted any reply as an acknowledgement, so a decline by another build would have been no better. A job that a late takeover brought to a stopping instance was not handed off again, a failed one was handed off once by a task that no stop waited for, and a job accepted during a stop had no witnesses.

Change: a stopping instance replies `Stopping`; earlier builds can't decode it and take it for a failed request, so they try the next instance. Only `Acknowledged` counts for senders. Acknowledged takeovers and deliveries that are retried count as in flight; a stop hands off whatever it holds until it exits. Progress follows the job's holder. A job accepted during a stop is reported to two witnesses, which helps beside earlier builds. When every other member is known to leave, a stop no longer waits for a receiver: the job stands on the platform, and a later start exits sooner.

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -129,6 +129,13 @@
         std::iter::once(&self.me).chain(self.others()).filter(is_worker)
     }
 
+    /// Whether the owner and all other members are leaving; `false` if the owner knows no others.
+    pub fn is_fleet_leaving(&self) -> bool {
+        let mut others = self.others().peekable();
+        let is_leaving = |member: &Member| member.state == State::Leaving;
+        is_leaving(&self.me) && others.peek().is_some() && others.all(is_leaving)
+    }
+
     /// Incremented whenever [`MemberTable::workers`] may have changed.
     pub fn version(&self) -> u64 {
         self.version
--- a/crates/coordination/tests/membership.rs
+++ b/crates/coordination/tests/membership.rs
@@ -297,3 +297,17 @@
     table.merge(reported(State::Dead), now + Duration::from_millis(2_300));
     assert!(table.is_dead(2));
 }
+
+/// Work is given up only if every other member is known to leave: a lost one may come back.
+#[test]
+fn fleet_is_leaving_only_if_every_member_is() {
+    let now = Instant::now();
+    let leaving = |id: u64| Member { state: State::Leaving, ..member(id) };
+    let mut table = MemberTable::new(member(1), Policy::default());
+    table.leave();
+    assert!(!table.is_fleet_leaving(), "no other member is known");
+    table.merge(leaving(2), now);
+    assert!(table.is_fleet_leaving());
+    table.merge(member(3), now);
+    assert!(!table.is_fleet_leaving());
+}
--- a/crates/daemon/src/gateway/items.rs
+++ b/crates/daemon/src/gateway/items.rs
@@ -5,7 +5,7 @@
 use super::job_table::{HeldJob, route_of};
 use super::leases::{self, Lease};
 use super::node::{Node, unix_millis};
-use super::{job_writer, takeover};
+use super::{in_flight, job_writer, takeover};
 use coordination::hash;
 use coordination::slots::Feasibility;
 use protocol::ServiceId;
@@ -23,8 +23,8 @@
 const SLOT_TIMEOUT: Duration = Duration::from_secs(2);
 const SLOT_RETRY_DELAY: Duration = Duration::from_millis(150);
 const MAX_SLOTS_PER_REQUEST: usize = 4;
-/// Delay before a stopping instance retries to hand off jobs that nobody took over.
-const HANDOFF_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Interval between checks of a stopping instance for jobs to hand off.
+const HANDOFF_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Schedules items until `stop`.
 pub async fn run(node: Rc<Node>, stop: CancellationToken) {
@@ -181,17 +181,26 @@
     }
 }
 
-/// Hands off all jobs to other instances, including partial output of their runs.
-pub async fn hand_off_jobs(node: &Rc<Node>) {
-    let held_jobs: Vec<Rc<HeldJob>> = node.jobs.held.borrow().values().cloned().collect();
-    let open: Vec<Rc<HeldJob>> =
-        held_jobs.into_iter().filter(|h| !h.state.borrow().is_finished()).collect();
-    hand_off(node, open).await;
+/// Hands off all jobs to other instances until `stop`, including partial output of their runs.
+/// A takeover in progress may still bring jobs after the first ones are handed off.
+pub async fn hand_off_jobs(node: Rc<Node>, stop: CancellationToken) {
+    while !stop.is_cancelled() {
+        let open = node.jobs.open_jobs();
+        if !open.is_empty() {
+            spawn_local(hand_off_all(node.clone(), open));
+        }
+        tokio::time::sleep(HANDOFF_POLL_INTERVAL).await;
+    }
+}
+
+async fn hand_off_all(node: Rc<Node>, jobs: Vec<Rc<HeldJob>>) {
+    hand_off(&node, jobs).await;
 }
 
 /// Hands off some held jobs, including partial output of their runs. Retries until all are
 /// taken over.
 pub async fn hand_off(node: &Rc<Node>, jobs: Vec<Rc<HeldJob>>) {
+    let _in_flight = in_flight::Guard::new(node);
     for held in &jobs {
         held.released.cancel();
     }
@@ -219,10 +228,10 @@
                 pending.push((id, handoff));
             }
         }
-        if pending.is_empty() {
+        if pending.is_empty() || node.members.borrow().is_fleet_leaving() {
             return;
         }
         remaining = pending;
-        tokio::time::sleep(HANDOFF_RETRY_DELAY).await;
+        tokio::time::sleep(takeover::HANDOFF_RETRY_DELAY).await;
     }
 }
--- a/crates/daemon/src/gateway/job_table.rs
+++ b/crates/daemon/src/gateway/job_table.rs
@@ -106,6 +106,15 @@
         self.held.borrow().len()
     }
 
+    /// Unfinished jobs held here, without those that are being handed off.
+    pub fn open_jobs(&self) -> Vec<Rc<HeldJob>> {
+        let held_jobs = self.held.borrow();
+        let is_open = |held: &&Rc<HeldJob>| {
+            !held.released.is_cancelled() && !held.state.borrow().is_finished()
+        };
+        held_jobs.values().filter(is_open).cloned().collect()
+    }
+
     /// Records a reported status unless a later revision is known.
     pub fn on_status(&self, status: JobStatus) {
         let mut directory = self.directory.borrow_mut();
--- a/crates/daemon/src/gateway/jobs.rs
+++ b/crates/daemon/src/gateway/jobs.rs
@@ -229,7 +229,7 @@
 async fn notify_holder_of_end(node: Rc<Node>, id: JobId, holder: SocketAddr) {
     let update = Update::Ended(id.clone());
     let request = PeerRequest::Update(node.as_holder().address, update);
-    if !node.deliver(holder, &request).await {
+    if !node.deliver(|| holder, &request).await {
         slog::info!(node.log, "holder not notified of the end of its job"; "job" => &id,
             "holder" => %holder);
     }
--- a/crates/daemon/src/gateway/jobs/lookup.rs
+++ b/crates/daemon/src/gateway/jobs/lookup.rs
@@ -78,7 +78,7 @@
     let as_stored = |stored_job: StoredJob| {
         Location::Stored(Box::new(stored_job.job), Box::new(stored_job.progress))
     };
-    if holder.instance == node.id() {
+    if holder.instance == node.id() && !node.is_stopping() {
         return match takeover::take_over(node, id, Handoff::default()).await {
             Some(held) => Location::Local(held),
             None => as_stored(stored_job),
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -277,6 +277,9 @@
     /// The receiver is unable to serve the request now.
     #[serde(rename = "Away")]
     Unavailable,
+    /// The receiver is stopping and takes no job over. Earlier versions can't decode this, and so
+    /// treat it as a failed request; any other reply they would take for an acknowledgement.
+    Stopping,
 }
 
 /// Outcome of a submission.
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -2,6 +2,7 @@
 
 use super::broadcast::Outbox;
 use super::crash::CrashChecks;
+use super::in_flight;
 use super::job_table::JobTable;
 use super::leases::Leases;
 use super::message::{Connectivity, PeerReply, PeerRequest, StateDigest, Uptime, decode, encode};
@@ -123,7 +124,7 @@
     /// Data centres that have had a reachable member; `Some` is the time since which they have
     /// none.
     unreachable_since: RefCell<HashMap<DataCentreId, Option<Instant>>>,
-    /// Number of calls and tasks that a stop waits for; see [`super::in_flight`].
+    /// Number of calls and tasks that a stop waits for; see [`in_flight`].
     pub in_flight: Cell<usize>,
     /// Cancelled when a stop is requested.
     pub stopping: CancellationToken,
@@ -317,11 +318,20 @@
     }
 
     /// Sends a request repeatedly until it is acknowledged, for longer than a typical network
-    /// partition; `false` if it wasn't acknowledged. The peer may receive it more than once.
-    pub async fn deliver(&self, to: SocketAddr, request: &PeerRequest) -> bool {
+    /// partition; `false` if it wasn't acknowledged. The receiver may receive it more than once.
+    /// A stop waits for it.
+    ///
+    /// `to` is called for each attempt, since the receiver may be replaced meanwhile.
+    pub async fn deliver(
+        self: &Rc<Node>,
+        to: impl Fn() -> SocketAddr,
+        request: &PeerRequest,
+    ) -> bool {
+        let _in_flight = in_flight::Guard::new(self);
         let until = clock::now() + DELIVERY_TIMEOUT;
         while clock::now() < until {
-            if self.request(to, request, DELIVERY_ATTEMPT_TIMEOUT).await.is_ok() {
+            let reply = self.request(to(), request, DELIVERY_ATTEMPT_TIMEOUT).await;
+            if matches!(reply, Ok(PeerReply::Acknowledged)) {
                 return true;
             }
             tokio::time::sleep(DELIVERY_RETRY_DELAY).await;
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -131,12 +131,7 @@
         }
         PeerRequest::Body(job, item) => jobs::on_body(node, &job, &item),
         PeerRequest::End(job) => jobs::on_end(node, &job).await,
-        PeerRequest::TakeOver(job, handoff) => {
-            let node = node.clone();
-            // Not awaited: the sender may be about to stop.
-            spawn_local(async move { takeover::take_over_with_retry(&node, &job, handoff).await });
-            PeerReply::Acknowledged
-        }
+        PeerRequest::TakeOver(job, handoff) => takeover::on_request(node, job, handoff),
         PeerRequest::Trial(fingerprint) => {
             PeerReply::Trial(quarantine::on_trial(node, fingerprint))
         }
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -90,7 +90,7 @@
             _ = reload.recv() => reload_settings(&node, file),
         }
     }
-    drain(&node, &front_stop).await;
+    drain(&node, &front_stop, &stop).await;
     slog::info!(node.log, "stopped"; "running" => node.in_flight.get());
     stop.cancel();
     Ok(())
@@ -112,8 +112,8 @@
 }
 
 /// Stops gracefully: reports not ready, hands off jobs, and completes requests in flight, within
-/// the time limit of the settings.
-async fn drain(node: &Rc<Node>, front: &CancellationToken) {
+/// the time limit of the settings. `stop` ends the hand-off of jobs.
+async fn drain(node: &Rc<Node>, front: &CancellationToken, stop: &CancellationToken) {
     let since = clock::now();
     slog::info!(node.log, "stop ordered"; "running" => node.in_flight.get(),
         "jobs" => node.jobs.held_count());
@@ -122,13 +122,10 @@
     node.membership_changed.notify_one();
     let max_duration = node.settings.max_stop_duration.saturating_sub(STOP_MARGIN);
     let plan = Plan { grace: node.settings.stop_grace, max_duration };
-    let handoff = spawn_local({
-        let node = node.clone();
-        async move { items::hand_off_jobs(&node).await }
-    });
+    spawn_local(items::hand_off_jobs(node.clone(), stop.clone()));
     loop {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
-        let remaining = node.in_flight.get() + usize::from(!handoff.is_finished());
+        let remaining = node.in_flight.get() + node.jobs.open_jobs().len();
         let is_closed = front.is_cancelled();
         match drain::phase(plan, since, remaining, is_closed, clock::now()) {
             Phase::Exit => break,
--- a/crates/daemon/src/gateway/submit.rs
+++ b/crates/daemon/src/gateway/submit.rs
@@ -236,12 +236,11 @@
                 let progress = Progress::default();
                 let stored_job = StoredJob { job, progress, overflow, revision: object.revision };
                 let held = job_table::hold(node, stored_job);
+                job_table::notify_witnesses(node, &held).await;
                 if node.is_stopping() {
                     // The hand-off of all jobs may have collected them already.
                     items::hand_off(node, vec![held]).await;
-                    return SubmitOutcome::Accepted;
                 }
-                job_table::notify_witnesses(node, &held).await;
                 return SubmitOutcome::Accepted;
             }
             Err(StoreError::Conflict(found)) => {
@@ -286,13 +285,13 @@
         slog::info!(node.log, "holder not notified of its job"; "job" => &id, "fault" => error,
             "again" => !node.is_stopping());
         if node.is_stopping() {
-            takeover::hand_off(&node, &id, &Handoff::default()).await;
-            return;
+            return takeover::hand_off_with_retry(&node, &id, &Handoff::default()).await;
+        }
+        let delay = node.store.backoff_remaining(clock::now()).max(NOTIFY_HOLDER_RETRY_DELAY);
+        tokio::select! {
+            () = tokio::time::sleep(delay) => {}
+            () = node.stopping.cancelled() => {}
         }
-        tokio::time::sleep(
-            node.store.backoff_remaining(clock::now()).max(NOTIFY_HOLDER_RETRY_DELAY),
-        )
-        .await;
     }
 }
 
@@ -324,6 +323,8 @@
         return Ok(());
     };
     let request = PeerRequest::TakeOver(id.to_owned(), Handoff::default());
-    let reply = node.request(member.peer, &request, NOTIFY_HOLDER_TIMEOUT).await;
-    reply.map(|_| ()).map_err(|error| format!("{error:?}"))
+    match node.request(member.peer, &request, NOTIFY_HOLDER_TIMEOUT).await {
+        Ok(PeerReply::Acknowledged) => Ok(()),
+        other => Err(format!("{other:?}")),
+    }
 }
--- a/crates/daemon/src/gateway/takeover.rs
+++ b/crates/daemon/src/gateway/takeover.rs
@@ -5,10 +5,11 @@
 //! unreachable as a whole is therefore given more time than a single instance.
 
 use super::call_reason::CallReason;
+use super::in_flight;
 use super::job_store::{self, LoadError, StoredJob};
 use super::job_table::{self, HeldJob};
 use super::job_writer;
-use super::message::{JobStatus, PeerRequest};
+use super::message::{JobStatus, PeerReply, PeerRequest};
 use super::node::Node;
 use super::peers;
 use crate::clock;
@@ -39,6 +40,8 @@
 const MAX_ATTEMPTS: u32 = 4;
 /// Minimum delay after a failed takeover.
 const TAKEOVER_RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Delay before a stopping instance retries to hand off a job that nobody took over.
+pub(super) const HANDOFF_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Longest wait for the reply to a hand-off.
 const HANDOFF_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -156,7 +159,8 @@
             peers::send_updates(node, &member).await;
         }
         let request = PeerRequest::TakeOver(id.to_owned(), handoff.clone());
-        if node.request(member.peer, &request, HANDOFF_TIMEOUT).await.is_ok() {
+        let reply = node.request(member.peer, &request, HANDOFF_TIMEOUT).await;
+        if matches!(reply, Ok(PeerReply::Acknowledged)) {
             slog::info!(node.log, "job handed off"; "job" => id, "to" => %member.peer,
                 "partials" => handoff.partials.len(), "failures" => handoff.failures.len(),
                 "outcomes" => handoff.outcomes.len());
@@ -167,6 +171,37 @@
     false
 }
 
+/// Hands a job off, retrying until an instance takes it over or none is left that could. The
+/// time limit of the shutdown ends the retries.
+pub async fn hand_off_with_retry(node: &Rc<Node>, id: &str, handoff: &Handoff) {
+    let _in_flight = in_flight::Guard::new(node);
+    while !hand_off(node, id, handoff).await {
+        if node.members.borrow().is_fleet_leaving() {
+            slog::warn!(node.log, "job left to the next scan"; "job" => id);
+            return;
+        }
+        tokio::time::sleep(HANDOFF_RETRY_DELAY).await;
+    }
+}
+
+/// Handles the request of another instance to take a job over.
+///
+/// A stopping instance declines, so that the sender asks another one. Otherwise the request is
+/// acknowledged at once, since the sender may be about to stop, and a stop waits for the takeover.
+pub fn on_request(node: &Rc<Node>, id: JobId, handoff: Handoff) -> PeerReply {
+    if node.is_stopping() {
+        slog::info!(node.log, "takeover declined"; "job" => id);
+        return PeerReply::Stopping;
+    }
+    let in_flight = in_flight::Guard::new(node);
+    let node = node.clone();
+    spawn_local(async move {
+        take_over_with_retry(&node, &id, handoff).await;
+        drop(in_flight);
+    });
+    PeerReply::Acknowledged
+}
+
 /// Takes a job over unless it is finished or has a live holder. `None` if that failed or
 /// there is no such job.
 pub async fn take_over(node: &Rc<Node>, id: &str, handoff: Handoff) -> Option<Rc<HeldJob>> {
@@ -180,7 +215,8 @@
 }
 
 /// Takes a job over at another instance's request, retrying until the platform is
-/// available: the other instance considers the job held and won't repeat the request.
+/// available: the other instance considers the job held and won't repeat the request. If this
+/// instance stops meanwhile, the job is handed off.
 pub async fn take_over_with_retry(node: &Rc<Node>, id: &str, handoff: Handoff) {
     let is_first = {
         let mut pending_takeovers = node.jobs.pending_takeovers.borrow_mut();
@@ -195,22 +231,25 @@
         slog::info!(node.log, "job not taken over"; "job" => id, "fault" => %error,
             "again" => !node.is_stopping());
         if node.is_stopping() {
-            for handoff in node.jobs.pending_takeovers.borrow_mut().remove(id).unwrap_or_default() {
-                spawn_local(hand_off_detached(node.clone(), id.to_owned(), handoff));
+            for handoff in pending_handoffs(node, id) {
+                hand_off_with_retry(node, id, &handoff).await;
             }
             return;
         }
-        tokio::time::sleep(node.store.backoff_remaining(clock::now()).max(TAKEOVER_RETRY_DELAY))
-            .await;
+        let delay = node.store.backoff_remaining(clock::now()).max(TAKEOVER_RETRY_DELAY);
+        tokio::select! {
+            () = tokio::time::sleep(delay) => {}
+            () = node.stopping.cancelled() => {}
+        }
     }
-    let handoffs = node.jobs.pending_takeovers.borrow_mut().remove(id).unwrap_or_default();
-    for handoff in handoffs {
+    for handoff in pending_handoffs(node, id) {
         forward_handoff(node, id, handoff).await;
     }
 }
 
-async fn hand_off_detached(node: Rc<Node>, id: JobId, handoff: Handoff) {
-    hand_off(&node, &id, &handoff).await;
+/// Removes the hand-offs that wait for a job's takeover.
+fn pending_handoffs(node: &Node, id: &str) -> Vec<Handoff> {
+    node.jobs.pending_takeovers.borrow_mut().remove(id).unwrap_or_default()
 }
 
 /// Delivers a hand-off to the job's holder, which may be this instance.
@@ -219,8 +258,7 @@
         merge_handoff(node, &held, handoff);
         return;
     }
-    let holder = node.jobs.directory.borrow().get(id).map(|status| status.holder);
-    if let Some(holder) = holder.filter(|holder| holder.instance != node.id()) {
+    if let Some(holder) = current_holder(node, id) {
         send_handoff(node.clone(), id.to_owned(), holder, handoff).await;
     }
 }
@@ -239,11 +277,19 @@
         return;
     }
     let request = PeerRequest::TakeOver(id.clone(), handoff);
-    let is_delivered = node.deliver(holder.address, &request).await;
+    let address = || current_holder(&node, &id).unwrap_or(holder).address;
+    let is_delivered = node.deliver(address, &request).await;
     slog::info!(node.log, "{}", if is_delivered { "handoff sent" } else { "handoff lost" };
         "job" => &id, "to" => %holder.address);
 }
 
+/// The other instance that holds a job according to the last reported status.
+fn current_holder(node: &Node, id: &str) -> Option<Holder> {
+    let directory = node.jobs.directory.borrow();
+    let holder = directory.get(id).map(|status| status.holder);
+    holder.filter(|holder| holder.instance != node.id())
+}
+
 /// As [`take_over`], with `None` if the job shouldn't be taken over.
 ///
 /// # Errors
--- a/crates/daemon/tests/gateway_stopping.rs
+++ b/crates/daemon/tests/gateway_stopping.rs
@@ -3,18 +3,117 @@
 mod util;
 
 use coordination::hash;
+use daemon::gateway::message::{PeerReply, PeerRequest, encode};
+use serde_json::json;
+use standin::objects::Faults;
+use state::progress::{Handoff, Holder, Job};
 use std::time::Duration;
 use util::batch::{LogLines, assert_results, slow_plan};
 use util::client;
 use util::gateway::{Fleet, HOST, Plan};
+use util::peer::{PeerStandin, request};
 use util::wait_until;
 
+/// Id of an instance that no member knows.
+const UNKNOWN_INSTANCE: u64 = 7;
+
+/// Stores an open job that no instance knows.
+fn store_job(fleet: &Fleet, id: &str, items: &[&str], holder: Holder) {
+    let now = daemon::clock::millis();
+    let job = Job {
+        host: HOST.to_owned(),
+        path: format!("/batch/{id}"),
+        accepted: now,
+        due: now + 5_000,
+        expires: now + 60_000,
+        accepted_by: holder,
+        ..Job::example(id, items)
+    };
+    fleet.objects.put("gatespool-jobs", id, json!(job));
+}
+
+/// A holder at an address where nothing listens.
+fn unknown_holder() -> Holder {
+    Holder { instance: UNKNOWN_INSTANCE, address: "127.0.0.1:9".parse().expect("an address") }
+}
+
+/// Asks instances in turn to take a job over, as an instance that stops does, until one does.
+fn hand_off(fleet: &Fleet, id: &str, to: &[usize]) -> Option<usize> {
+    let takeover = PeerRequest::TakeOver(id.to_owned(), Handoff::default());
+    let takes = |n: &usize| {
+        let reply = request(fleet.gateways[*n].peer_address, &takeover);
+        matches!(reply, Some(PeerReply::Acknowledged))
+    };
+    to.iter().copied().find(takes)
+}
+
+fn wait_for_line(fleet: &Fleet, n: usize, message: &str) {
+    wait_until(message, || fleet.log(n).last_message(message).is_some());
+}
+
 /// Id that the instance `n` has logged at its start.
 fn instance_id(fleet: &Fleet, n: usize) -> u64 {
     let line = fleet.log(n).last_message("started").expect("a line");
     u64::from_str_radix(line["id"].as_str().expect("an id"), 16).expect("a number")
 }
 
+/// Regression: an instance that was stopping acknowledged a takeover and exited before it had
+/// the job, so that the job had no holder.
+#[test]
+fn stopping_instance_declines_a_takeover() {
+    let fleet = Fleet::start(Plan::default());
+    store_job(&fleet, "declined", &["a", "b"], unknown_holder());
+    // Longer than the instance still runs.
+    let latency = Duration::from_secs(1);
+    fleet.objects.set_faults(Faults { latency, ..Faults::default() });
+    fleet.gateways[0].terminate();
+    wait_for_line(&fleet, 0, "stop ordered");
+    assert_eq!(hand_off(&fleet, "declined", &[0, 1]), Some(1));
+    fleet.objects.set_faults(Faults::default());
+    assert_results(&fleet.wait_results(2, "declined"), &["a", "b"], 10);
+}
+
+/// Regression: a stop did not wait for a takeover that was acknowledged before it, so that the
+/// job had no holder.
+#[test]
+fn takeover_in_progress_at_a_stop_is_passed_on() {
+    let fleet = Fleet::start(Plan::default());
+    store_job(&fleet, "passed", &["a", "b"], unknown_holder());
+    let latency = Duration::from_secs(1);
+    fleet.objects.set_faults(Faults { latency, ..Faults::default() });
+    assert_eq!(hand_off(&fleet, "passed", &[0]), Some(0));
+    fleet.gateways[0].terminate();
+    // Longer than the grace period.
+    std::thread::sleep(Duration::from_millis(600));
+    fleet.objects.set_faults(Faults::default());
+    assert_results(&fleet.wait_results(1, "passed"), &["a", "b"], 10);
+}
+
+/// Regression: a stopping instance took any reply for a takeover, so that what it knew of a
+/// job and had not written was lost.
+#[test]
+fn declined_handoff_goes_to_the_next_instance() {
+    let fleet = Fleet::start(slow_plan());
+    let ids: Vec<u64> = (0..3).map(|n| instance_id(&fleet, n)).collect();
+    let ranks_first =
+        |id: &u64| hash::owner(b"handed", ids.iter().copied().chain([*id])) == Some(*id);
+    let id = (1_u64..).find(ranks_first).expect("an id");
+    let peers = fleet.gateways.iter().map(|gateway| gateway.peer_address).collect();
+    let standin = PeerStandin::join(id, "east", peers, encode(&PeerReply::Unavailable));
+    wait_until("the stand-in is a member", || {
+        fleet.log(0).last_message("members").is_some_and(|line| line["alive"] == 3)
+    });
+    assert_eq!(fleet.submit(0, "handed", &["a", "b"]).status, 202);
+    wait_until("both items run", || fleet.runs("/batch/").len() == 2);
+    std::thread::sleep(Duration::from_millis(400));
+    fleet.gateways[0].terminate();
+    assert_results(&fleet.wait_results(1, "handed"), &["a", "b"], 40);
+    assert!(standin.takeover_requests() > 0);
+    let runs = fleet.runs("/batch/");
+    let resumed = runs.iter().filter(|run| run.last_event_id.is_some()).count();
+    assert_eq!(resumed, 2, "{runs:?}");
+}
+
 /// The instance that a job of instance `from` is handed off to.
 fn receiver(ids: &[u64], from: usize, job: &str) -> u64 {
     let others = ids.iter().copied().filter(|id| *id != ids[from]);
--- a/crates/daemon/tests/util/mod.rs
+++ b/crates/daemon/tests/util/mod.rs
@@ -8,6 +8,7 @@
 pub mod cluster;
 pub mod daemon;
 pub mod gateway;
+pub mod peer;
 pub mod proxy;
 
 use std::time::{Duration, Instant};
