Tell a holder of a job that it doesn't know until it acknowledges

Callers saw 202 for a job that never ran: the platform named a live holder that didn't know the job.

Cause: the instance that found this out told the holder by one message without an acknowledgement, recorded it as the holder, and did nothing more. If the message was lost, nobody did, as a live holder is not replaced.

--- a/crates/daemon/src/gateway/takeover.rs
+++ b/crates/daemon/src/gateway/takeover.rs
@@ -19,6 +19,7 @@
 use platform::store::{Object, StoreError};
 use state::progress::{Handoff, Holder, JobId};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::task::spawn_local;
@@ -342,7 +343,7 @@
         // the job, and recorded as the holder.
         slog::info!(node.log, "job has a live holder"; "job" => &object.name,
             "holder" => %holder.peer);
-        node.notify(holder.peer, PeerRequest::TakeOver(object.name.clone(), Handoff::default()));
+        spawn_local(notify_holder(node.clone(), object.name.clone(), holder.peer));
         node.jobs.on_status(JobStatus {
             job: object.name.clone(),
             holder: previous_holder,
@@ -380,6 +381,14 @@
     Ok(Some(held))
 }
 
+/// Notifies a live holder of its job, retrying because no other instance will.
+async fn notify_holder(node: Rc<Node>, id: JobId, holder: SocketAddr) {
+    let request = PeerRequest::TakeOver(id.clone(), Handoff::default());
+    if !node.deliver(|| holder, &request).await {
+        slog::info!(node.log, "holder not notified of its job"; "job" => id, "holder" => %holder);
+    }
+}
+
 /// The member that holds a job, unless it is gone or stopping.
 fn live_holder(node: &Node, holder: Holder) -> Option<Member> {
     let members = node.members.borrow();
--- a/crates/daemon/tests/gateway_stopping.rs
+++ b/crates/daemon/tests/gateway_stopping.rs
@@ -153,6 +153,23 @@
     assert_eq!((runs.len(), resumed), (2 * jobs.len(), jobs.len()), "{runs:?}");
 }
 
+/// Regression: a holder that did not know its job was told of it once, by a message that was
+/// not repeated when it was lost.
+#[test]
+fn holder_that_does_not_know_its_job_is_told_until_it_acknowledges() {
+    let fleet = Fleet::start(Plan::default());
+    let peers: Vec<_> = fleet.gateways.iter().map(|gateway| gateway.peer_address).collect();
+    let holder = Holder { instance: instance_id(&fleet, 1), address: peers[1] };
+    store_job(&fleet, "untold", &["a"], holder);
+    fleet.gateways[0].set_unreachable(&peers[1..2]);
+    std::thread::sleep(Duration::from_millis(80)); // The partition file is read every 50 ms.
+    assert_eq!(hand_off(&fleet, "untold", &[0]), Some(0));
+    wait_for_line(&fleet, 0, "job has a live holder");
+    std::thread::sleep(Duration::from_millis(100));
+    fleet.gateways[0].set_unreachable(&[]);
+    assert_results(&fleet.wait_results(2, "untold"), &["a"], 10);
+}
+
 /// Regression: a stop did not wait for the end of a job that another instance held, and closed the
 /// connection without a response.
 #[test]
