--- a/crates/coordination/tests/quota.rs
+++ b/crates/coordination/tests/quota.rs
@@ -204,6 +204,26 @@
     assert!(fleet.runs.len() as f64 > allowed * 0.75, "{} of {allowed}", fleet.runs.len());
 }
 
+/// A ledger that starts inside a cut knows no shares, while the others keep theirs.
+#[rstest]
+#[case::one(&[0])]
+#[case::one_of_the_others(&[1])]
+#[case::all(&[0, 1, 2])]
+fn ledgers_that_start_inside_a_cut_do_not_exceed_the_quota(#[case] restarted: &[usize]) {
+    let rate = 95.0;
+    let mut fleet = Fleet::new(Quota { rate, burst: rate * 0.1 });
+    // At first only the data centres whose ledgers stay have demand, so they hold the quota.
+    let is_busy = |n: &usize| restarted.len() == NAMES.len() || !restarted.contains(n);
+    let load = [0, 1, 2].map(|n| if is_busy(&n) { rate * 3.0 } else { 0.0 });
+    fleet.play(Duration::from_secs(8), load);
+    fleet.cut = Some(0);
+    fleet.play(Duration::from_secs(6), load);
+    restarted.iter().for_each(|n| fleet.restart(*n));
+    fleet.play(Duration::from_secs(12), [rate * 3.0; 3]);
+    let (busiest, bound) = (fleet.busiest_window() as f64, fleet.bound());
+    assert!(busiest <= bound, "{busiest} of {bound}");
+}
+
 #[test]
 fn lowered_quota_holds_one_window_later() {
     let mut fleet = Fleet::new(quota(60.0));
