Let a ledger that starts inside a cut keep its predecessor's share

A workspace's requests could exceed its quota: a ledger that started inside a cut took an equal part while the others kept theirs (641 requests in a window with a bound of 553). And callers below their quota were rejected when the keeper of a busy data centre was lost inside a cut, as the next keeper started with an equal part of it.

Cause: the shares lived in the memory of one keeper, and a ledger without reports of all others assumed that all had started with it.

Change: a keeper sends the demands that its share follows from to the next keeper of its data centre with every report; a ledger that starts there continues from them if they are at most 2 s old.

--- a/crates/coordination/src/quota.rs
+++ b/crates/coordination/src/quota.rs
@@ -8,7 +8,9 @@
 //! A ledger reports new figures only once all others have acknowledged the last ones, and until
 //! then counts itself with the lower of the two. So no data centre takes a share before the
 //! others have given it up, whatever is lost or delayed, and in a network partition all shares
-//! stay as they are.
+//! stay as they are. A ledger that starts inside a partition continues from a [`Snapshot`] of the
+//! last one. Without one, it takes an equal part for one exchange and then a small one, since the
+//! others may hold all the rest.
 //!
 //! The quota is a limit on each sliding window, with a tolerance. A part of the tolerance is
 //! spent on a margin for each data centre, which serves callers that a share just missed; another
@@ -16,6 +18,9 @@
 //! workspace that fits into the tolerance as a whole is granted by every data centre alone.
 
 mod account;
+mod snapshot;
+
+pub use snapshot::Snapshot;
 
 use account::Account;
 use protocol::workspace::Quota;
@@ -191,7 +196,7 @@
     /// The account of a workspace, with the quota in force.
     fn account(&mut self, workspace: &str, quota: Quota, now: Instant) -> &mut Account {
         let sharers = self.sharer_count();
-        let (share, age) = (self.share(workspace, quota), self.age(now));
+        let (share, age) = (self.share(workspace, quota, now), self.age(now));
         let new = || Account::new(&self.policy, quota, share, sharers, age, now);
         let account = self.accounts.entry(workspace.to_owned()).or_insert_with(new);
         account.set_quota(&self.policy, quota, sharers);
@@ -236,7 +241,7 @@
         }
         let mut accounts = std::mem::take(&mut self.accounts);
         for (workspace, account) in &mut accounts {
-            account.set_share(self.share(workspace, account.quota()), now);
+            account.set_share(self.share(workspace, account.quota(), now), now);
         }
         self.accounts = accounts;
         let known = self.sharers.iter().filter_map(|(name, sharer)| Some((name, sharer.as_ref()?)));
@@ -301,19 +306,23 @@
         Some(ages?.into_iter().max().unwrap_or_default())
     }
 
-    /// Part of the quota in proportion to the demand of all data centres; an equal part until
-    /// all have reported.
-    fn share(&self, workspace: &str, quota: Quota) -> f64 {
+    /// Part of the quota in proportion to the demand of all data centres.
+    ///
+    /// While a report is missing, a new ledger takes an equal part for one exchange. Later, a data
+    /// centre that has not reported counts with a demand of the whole quota.
+    fn share(&self, workspace: &str, quota: Quota, now: Instant) -> f64 {
+        let is_new = self.age(now) <= self.policy.exchange_interval;
+        if is_new && self.sharers.values().any(Option::is_none) {
+            return 1.0 / self.sharer_count() as f64;
+        }
         let min_demand = quota.rate * MIN_DEMAND_RATIO;
         let demand_in = |demand: &Demand| demand.get(workspace).copied().unwrap_or_default();
         let own = demand_in(&self.settled).min(demand_in(&self.proposed)) + min_demand;
         let other = |sharer: &Option<Sharer>| {
-            sharer.as_ref().map(|sharer| demand_in(&sharer.demand) + min_demand)
+            let demand = sharer.as_ref().map(|sharer| demand_in(&sharer.demand));
+            demand.unwrap_or(quota.rate) + min_demand
         };
-        let others: Option<f64> = self.sharers.values().map(other).sum();
-        match others {
-            Some(others) => own / (own + others),
-            None => 1.0 / self.sharer_count() as f64,
-        }
+        let others: f64 = self.sharers.values().map(other).sum();
+        own / (own + others)
     }
 }
--- a/crates/coordination/tests/quota.rs
+++ b/crates/coordination/tests/quota.rs
@@ -65,6 +65,13 @@
         self.ledgers[n] = new_ledger(self.policy, NAMES[n], self.epoch, self.now);
     }
 
+    /// Replaces a ledger by one that continues from its snapshot.
+    fn replace(&mut self, n: usize) {
+        let snapshot = self.ledgers[n].snapshot();
+        self.restart(n);
+        self.ledgers[n].restore(snapshot, self.now);
+    }
+
     fn ask(&mut self, n: usize) -> Result<(), Duration> {
         self.asked += 1;
         let result = self.ledgers[n].charge(WORKSPACE, self.quota, self.now);
@@ -204,7 +211,8 @@
     assert!(fleet.runs.len() as f64 > allowed * 0.75, "{} of {allowed}", fleet.runs.len());
 }
 
-/// A ledger that starts inside a cut knows no shares, while the others keep theirs.
+/// Regression: a ledger that started inside a cut took an equal part of the quota, while the others
+/// kept theirs.
 #[rstest]
 #[case::one(&[0])]
 #[case::one_of_the_others(&[1])]
@@ -224,6 +232,27 @@
     assert!(busiest <= bound, "{busiest} of {bound}");
 }
 
+/// Regression: a ledger that started inside a cut didn't know the share of its predecessor.
+#[rstest]
+#[case::one(0)]
+#[case::one_of_the_others(1)]
+fn replaced_ledger_keeps_its_share_inside_a_cut(#[case] replaced: usize) {
+    let rate = 60.0;
+    let mut fleet = Fleet::new(quota(rate * 1.6));
+    let load = [0.6, 0.25, 0.15].map(|part| part * rate);
+    fleet.play(Duration::from_secs(8), load);
+    fleet.cut = Some(0);
+    fleet.play(Duration::from_secs(2), load);
+    fleet.replace(replaced);
+    (fleet.asked, fleet.refused) = (0, 0);
+    fleet.play(Duration::from_secs(6), load);
+    let refused_ratio = fleet.refused as f64 / fleet.asked as f64;
+    assert!(refused_ratio < 0.02, "{refused_ratio} of requests below the quota are refused");
+    let overload = [rate * 3.0; 3];
+    fleet.play(Duration::from_secs(10), overload);
+    assert!(fleet.busiest_window() as f64 <= fleet.bound(), "{}", fleet.busiest_window());
+}
+
 #[test]
 fn lowered_quota_holds_one_window_later() {
     let mut fleet = Fleet::new(quota(60.0));
@@ -285,6 +314,7 @@
     Cut(usize),
     Heal,
     Restart(usize),
+    Replace(usize),
     RestartAll,
 }
 
@@ -295,6 +325,7 @@
         1 => (0_usize..3).prop_map(Event::Cut),
         1 => Just(Event::Heal),
         1 => (0_usize..3).prop_map(Event::Restart),
+        1 => (0_usize..3).prop_map(Event::Replace),
         1 => Just(Event::RestartAll),
     ]
 }
@@ -314,13 +345,15 @@
         prop_assert!(fleet.busiest_window() as f64 <= fleet.bound());
     }
 
-    /// A cut, or a start of all ledgers at once, each followed by a window without another fault.
+    /// A cut, or a start of one or all ledgers, also inside a cut; each is followed by a window
+    /// without another fault.
     #[test]
     fn no_window_exceeds_the_quota_in_any_schedule(
         rate in 0.3_f64..120.0,
+        burst_ratio in 0.0_f64..1.0,
         events in proptest::collection::vec(event(), 1..12),
     ) {
-        let mut fleet = Fleet::new(quota(rate));
+        let mut fleet = Fleet::new(Quota { rate, burst: rate * burst_ratio });
         let mut last_fault: Option<Instant> = None;
         for event in events {
             let may_fail = last_fault.is_none_or(|at| fleet.now - at > fleet.policy.window);
@@ -335,11 +368,12 @@
                     continue;
                 }
                 Event::Cut(n) if may_fail && fleet.cut.is_none() => fleet.cut = Some(n),
-                Event::Restart(n) if may_fail && fleet.cut.is_none() => fleet.restart(n),
-                Event::RestartAll if may_fail && fleet.cut.is_none() => {
+                Event::Restart(n) if may_fail => fleet.restart(n),
+                Event::Replace(n) if may_fail => fleet.replace(n),
+                Event::RestartAll if may_fail => {
                     (0..NAMES.len()).for_each(|n| fleet.restart(n));
                 }
-                Event::Cut(_) | Event::Restart(_) | Event::RestartAll => continue,
+                Event::Cut(_) | Event::Restart(_) | Event::Replace(_) | Event::RestartAll => continue,
             }
             last_fault = Some(fleet.now);
         }
--- a/crates/daemon/src/gateway/allocator.rs
+++ b/crates/daemon/src/gateway/allocator.rs
@@ -201,7 +201,7 @@
             allocator.on_holder_lost(holder);
         }
     }
-    leases.quotas.set_owned(&owned, &leases.data_centres.borrow());
+    leases.quotas.set_owned(&owned, &leases.data_centres.borrow(), &node.log);
     *leases.owned.borrow_mut() = owned;
 }
 
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -4,7 +4,7 @@
 //! instances share no clock.
 
 use coordination::quarantine::CrashReport;
-use coordination::quota::Report;
+use coordination::quota::{Report, Snapshot};
 use coordination::registry::Change;
 use coordination::run_time::Estimate;
 use coordination::slots::{Grant, HeldLease, LeaseId, LeaseReport, Purpose};
@@ -227,6 +227,8 @@
     Refund(DataCentreId, WorkspaceId),
     /// Reports the demand for quotas in a data centre.
     Demand(Report),
+    /// Gives the next keeper of a ledger what it needs to continue from.
+    LedgerSnapshot(Snapshot),
 }
 
 /// A reply.
--- a/crates/daemon/src/gateway/quota.rs
+++ b/crates/daemon/src/gateway/quota.rs
@@ -14,11 +14,14 @@
 use super::message::{PeerReply, PeerRequest};
 use super::node::Node;
 use crate::clock;
+use coordination::capacity;
 use coordination::limit::TokenBucket;
-use coordination::quota::{Ledger, Policy, Report};
+use coordination::membership::Member;
+use coordination::quota::{Ledger, Policy, Report, Snapshot};
 use protocol::settings::Settings;
 use protocol::workspace::Quota;
 use protocol::{DataCentreId, WorkspaceId};
+use slog::Logger;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
@@ -33,6 +36,8 @@
 const STARTUP_PERIOD: Duration = Duration::from_secs(2);
 /// How long other data centres are not asked again after all have refused to lend.
 const USED_UP_PERIOD: Duration = Duration::from_millis(50);
+/// Age up to which a snapshot tells the shares of a ledger that starts.
+const SNAPSHOT_TTL: Duration = Duration::from_secs(2);
 /// Time between the reports of a new ledger.
 const STARTUP_EXCHANGE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -41,6 +46,8 @@
     policy: Policy,
     /// Ledgers of the data centres whose allocator runs here.
     ledgers: RefCell<BTreeMap<DataCentreId, Ledger>>,
+    /// Snapshots of ledgers that this instance is the next to keep, with the time of receipt.
+    snapshots: RefCell<BTreeMap<DataCentreId, (Instant, Snapshot)>>,
     /// This instance's own part of each quota.
     local: RefCell<HashMap<WorkspaceId, TokenBucket>>,
     /// Workspaces whose quota was used up in all data centres, and until when this is assumed.
@@ -59,22 +66,49 @@
         Quotas {
             policy,
             ledgers: RefCell::default(),
+            snapshots: RefCell::default(),
             local: RefCell::default(),
             used_up: RefCell::default(),
         }
     }
 
     /// Keeps ledgers for the data centres in `owned`; those in `sharers` share the quotas.
-    pub fn set_owned(&self, owned: &BTreeSet<DataCentreId>, sharers: &BTreeSet<DataCentreId>) {
+    pub fn set_owned(
+        &self,
+        owned: &BTreeSet<DataCentreId>,
+        sharers: &BTreeSet<DataCentreId>,
+        log: &Logger,
+    ) {
         let now = clock::now();
         let mut ledgers = self.ledgers.borrow_mut();
         ledgers.retain(|name, _| owned.contains(name));
         for name in owned {
-            let new = || Ledger::new(self.policy, name, rand::random(), now);
+            let new = || self.new_ledger(name, sharers, now, log);
             ledgers.entry(name.clone()).or_insert_with(new).set_data_centres(sharers);
         }
     }
 
+    /// A ledger that continues from a recent snapshot, if there is one.
+    fn new_ledger(
+        &self,
+        name: &str,
+        sharers: &BTreeSet<DataCentreId>,
+        now: Instant,
+        log: &Logger,
+    ) -> Ledger {
+        let mut ledger = Ledger::new(self.policy, name, rand::random(), now);
+        ledger.set_data_centres(sharers);
+        let snapshot = self.snapshots.borrow_mut().remove(name);
+        let recent = snapshot.filter(|(received, _)| now < *received + SNAPSHOT_TTL);
+        let age = recent.as_ref().map(|(received, _)| now.saturating_duration_since(*received));
+        slog::info!(log, "quota ledger started"; "data_centre" => name,
+            "snapshot_age_ms" => age.map(|age| age.as_millis() as u64));
+        if let Some((_, snapshot)) = recent {
+            ledger.restore(snapshot, now);
+        }
+        ledger
+    }
+
     /// Time until the next exchange of reports.
     fn exchange_delay(&self) -> Duration {
         let now = clock::now();
@@ -183,6 +217,12 @@
     }
 }
 
+/// Handles the snapshot of a ledger that this instance is the next to keep.
+pub fn on_snapshot(node: &Node, snapshot: Snapshot) {
+    let mut snapshots = node.leases.quotas.snapshots.borrow_mut();
+    snapshots.insert(snapshot.data_centre.clone(), (clock::now(), snapshot));
+}
+
 /// Exchanges reports with the keepers of the other data centres until `stop`.
 pub async fn run(node: Rc<Node>, stop: CancellationToken) {
     loop {
@@ -200,12 +240,12 @@
 /// Only the ledger of this instance's own data centre is exchanged: during a network partition,
 /// instances on the other side keep a ledger of this data centre too, which gets no charges.
 fn exchange(node: &Rc<Node>) {
-    let report = {
+    let (report, snapshot) = {
         let mut ledgers = node.leases.quotas.ledgers.borrow_mut();
         let Some(ledger) = ledgers.get_mut(node.data_centre()) else {
             return;
         };
-        ledger.exchange(clock::now())
+        (ledger.exchange(clock::now()), ledger.snapshot())
     };
     let has_quotas = node.config().is_some_and(|config| config.table.workspaces.is_some());
     if !has_quotas {
@@ -217,6 +257,19 @@
             node.notify(keeper.peer, PeerRequest::Demand(report.clone()));
         }
     }
+    if let Some(next) = next_keeper(node) {
+        node.notify(next.peer, PeerRequest::LedgerSnapshot(snapshot));
+    }
+}
+
+/// The instance that keeps the ledger of this data centre if this instance is lost.
+fn next_keeper(node: &Node) -> Option<Member> {
+    let members = node.members.borrow();
+    let is_candidate =
+        |member: &&Member| member.data_centre == *node.data_centre() && member.id != node.id();
+    let ids = members.workers().filter(is_candidate).map(|member| member.id);
+    let id = capacity::owner(node.data_centre().as_bytes(), ids)?;
+    members.workers().find(|member| member.id == id).cloned()
 }
 
 fn log_rejected(node: &Node, ledger: &mut Ledger) {
--- a/crates/daemon/tests/gateway_quota.rs
+++ b/crates/daemon/tests/gateway_quota.rs
@@ -3,6 +3,7 @@
 
 mod util;
 
+use coordination::capacity;
 use serde_json::{Value, json};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -124,3 +125,45 @@
     let responses = press(&fleet, Duration::from_secs(2));
     assert!(responses.iter().all(|response| response.status == 200));
 }
+
+/// Cuts the gateways `east` off from the gateways `west`.
+fn partition(fleet: &Fleet, east: &[usize], west: &[usize]) {
+    let peers = |side: &[usize]| -> Vec<_> {
+        side.iter().map(|n| fleet.gateways[*n].peer_address).collect()
+    };
+    east.iter().for_each(|n| fleet.gateways[*n].set_unreachable(&peers(west)));
+    west.iter().for_each(|n| fleet.gateways[*n].set_unreachable(&peers(east)));
+}
+
+/// Sends requests of the busy workspace to one gateway, evenly spread over some time; returns how
+/// many were rejected.
+fn rejected_of(fleet: &Fleet, n: usize, requests: u32, time: Duration) -> usize {
+    std::thread::scope(|scope| {
+        let calls: Vec<_> = (0..requests)
+            .map(|_| {
+                std::thread::sleep(time / requests);
+                scope.spawn(|| ask(fleet, n, BUSY).status)
+            })
+            .collect();
+        let statuses = calls.into_iter().map(|call| call.join().expect("a status"));
+        statuses.filter(|status| *status == 429).count()
+    })
+}
+
+/// Regression: the keeper of a ledger was lost inside a cut, and the next one didn't know its share
+/// of the quota.
+#[test]
+fn share_of_a_quota_survives_the_loss_of_its_keeper_inside_a_cut() {
+    let plan = Plan { gateways: vec!["east", "east", "west", "west"], ..plan() };
+    let mut fleet = Fleet::start(plan);
+    rejected_of(&fleet, 0, 40, Duration::from_secs(4));
+    partition(&fleet, &[0, 1], &[2, 3]);
+    std::thread::sleep(Duration::from_millis(700));
+    let ids = [0, 1].map(|n| fleet.instance_id(n));
+    let keeper_id = capacity::owner(b"east", ids).expect("an instance");
+    let keeper = ids.iter().position(|id| *id == keeper_id).expect("an instance");
+    fleet.gateways[keeper].kill();
+    std::thread::sleep(Duration::from_millis(1_500));
+    let rejected = rejected_of(&fleet, 1 - keeper, 60, Duration::from_secs(6));
+    assert_eq!(rejected, 0, "of 60 requests below the quota");
+}
--- a/crates/daemon/tests/gateway_stopping.rs
+++ b/crates/daemon/tests/gateway_stopping.rs
@@ -51,12 +51,6 @@
     wait_until(message, || fleet.log(n).last_message(message).is_some());
 }
 
-/// Id that the instance `n` has logged at its start.
-fn instance_id(fleet: &Fleet, n: usize) -> u64 {
-    let line = fleet.log(n).last_message("started").expect("a line");
-    u64::from_str_radix(line["id"].as_str().expect("an id"), 16).expect("a number")
-}
-
 /// Regression: an instance that was stopping acknowledged a takeover and exited before it had
 /// the job, so that the job had no holder.
 #[test]
@@ -94,7 +88,7 @@
 #[test]
 fn declined_handoff_goes_to_the_next_instance() {
     let fleet = Fleet::start(slow_plan());
-    let ids: Vec<u64> = (0..3).map(|n| instance_id(&fleet, n)).collect();
+    let ids: Vec<u64> = (0..3).map(|n| fleet.instance_id(n)).collect();
     let ranks_first =
         |id: &u64| hash::owner(b"handed", ids.iter().copied().chain([*id])) == Some(*id);
     let id = (1_u64..).find(ranks_first).expect("an id");
@@ -136,7 +130,7 @@
     const GATEWAYS: usize = 9;
     const LAST: usize = 7;
     let fleet = Fleet::start(Plan { gateways: vec!["east"; GATEWAYS], ..slow_plan() });
-    let ids: Vec<u64> = (0..GATEWAYS).map(|n| instance_id(&fleet, n)).collect();
+    let ids: Vec<u64> = (0..GATEWAYS).map(|n| fleet.instance_id(n)).collect();
     let is_far = |job: &String| distance(&ids, ids[0], receiver(&ids, 0, job)) == LAST;
     let jobs: Vec<String> = (0..).map(|n| format!("far-{n}")).filter(is_far).take(4).collect();
     for job in &jobs {
@@ -159,7 +153,7 @@
 fn holder_that_does_not_know_its_job_is_told_until_it_acknowledges() {
     let fleet = Fleet::start(Plan::default());
     let peers: Vec<_> = fleet.gateways.iter().map(|gateway| gateway.peer_address).collect();
-    let holder = Holder { instance: instance_id(&fleet, 1), address: peers[1] };
+    let holder = Holder { instance: fleet.instance_id(1), address: peers[1] };
     store_job(&fleet, "untold", &["a"], holder);
     fleet.gateways[0].set_unreachable(&peers[1..2]);
     std::thread::sleep(Duration::from_millis(80)); // The partition file is read every 50 ms.
--- a/crates/daemon/tests/util/gateway.rs
+++ b/crates/daemon/tests/util/gateway.rs
@@ -249,6 +249,14 @@
         text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect()
     }
 
+    /// Id that a gateway has logged at its start.
+    #[track_caller]
+    pub fn instance_id(&self, n: usize) -> u64 {
+        let lines = self.log(n);
+        let started = lines.iter().rev().find(|line| line["msg"] == "started").expect("a line");
+        u64::from_str_radix(started["id"].as_str().expect("an id"), 16).expect("a number")
+    }
+
     /// Sends a request to a gateway and waits for the response.
     pub fn send(&self, n: usize, path: &str, id: &str) -> Response {
         self.send_with(n, path, id, &[])
