Store a quarantine as soon as the platform is back

Cause: a quarantine that couldn't be stored was tried again at the next second, whatever brought the platform back meanwhile (a probe, a watch).

Change: the response that ends a series of failures wakes the writer.

What is left: a kill between the return of the platform and that one write.

--- a/crates/daemon/src/gateway/quarantine.rs
+++ b/crates/daemon/src/gateway/quarantine.rs
@@ -31,8 +31,8 @@
 /// Number of crashes from which a request is logged when its reports come from other instances,
 /// since every request that ran on a crashed target has one report.
 const MIN_LOGGED_CRASHES: usize = 2;
-/// Time between checks for quarantined requests that are not stored: a write may have failed, or
-/// the owner may have changed.
+/// Time between checks for quarantined requests that are not stored: the owner may have changed.
+/// After a failed write there is one as soon as the platform replies again.
 const WRITE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The stored form of a quarantined request.
@@ -188,6 +188,7 @@
     loop {
         tokio::select! {
             () = node.crash_reports_changed.notified() => {}
+            () = node.store.regained() => {}
             () = tokio::time::sleep(WRITE_INTERVAL) => {}
             () = stop.cancelled() => return,
         }
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -43,6 +43,8 @@
     latest_revision: Cell<Revision>,
     /// Notified when the store counts as disconnected.
     disconnected: Notify,
+    /// Notified when a call succeeds after a failure.
+    regained: Notify,
     log: Logger,
 }
 
@@ -57,6 +59,7 @@
             tracker: RefCell::new(Tracker::new(Policy { expiry: min_outage, ..Policy::default() })),
             latest_revision: Cell::default(),
             disconnected: Notify::new(),
+            regained: Notify::new(),
             log,
         }
     }
@@ -109,6 +112,12 @@
         }
     }
 
+    /// Returns at the next response after a failure, or at once if there was one since the last
+    /// call. For a single task.
+    pub async fn regained(&self) {
+        self.regained.notified().await;
+    }
+
     /// Whether a probe should be sent.
     pub fn is_probe_due(&self, now: Instant) -> bool {
         self.tracker.borrow().is_probe_due(now)
@@ -128,6 +137,7 @@
         let was_disconnected = tracker.is_disconnected();
         tracker.on_response(now);
         if failures > 0 || was_disconnected {
+            self.regained.notify_one();
             slog::info!(self.log, "platform regained"; "failures" => failures,
                 "was_lost" => was_disconnected, "silence_ms" => idle_time,
                 "may_have_lapsed" => tracker.uptime().is_some_and(|uptime| uptime.since == now));
--- a/crates/daemon/tests/gateway_crash.rs
+++ b/crates/daemon/tests/gateway_crash.rs
@@ -3,11 +3,12 @@
 mod util;
 
 use serde_json::Value;
+use standin::objects::Faults;
 use standin::runner::{Config, Runner};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use util::gateway::{Fleet, Plan, event_data};
-use util::wait_until;
+use util::{wait_for, wait_until};
 
 const RUNNERS: u32 = 8;
 
@@ -64,6 +65,27 @@
     assert!((8.0..=12.0).contains(&after), "{after}");
 }
 
+/// Regression: a quarantine that couldn't be stored was stored up to a second after the platform
+/// was back, and lost if all instances were killed meanwhile.
+#[test]
+fn quarantine_is_stored_as_soon_as_the_platform_is_back() {
+    let fleet = fleet("/ask/deadly");
+    fleet.objects.set_faults(Faults { unavailable: true, ..Faults::default() });
+    assert_eq!(crash_until_quarantined(&fleet, "/ask/deadly"), 3);
+    let lines = |n: usize, message: &str| {
+        fleet.log(n).into_iter().filter(|line| line["msg"] == message).collect::<Vec<Value>>()
+    };
+    let has_failed = |n| !lines(n, "quarantined request stored").is_empty();
+    let owner = wait_for("a write fails", || (0..3).find(|n| has_failed(*n)));
+    fleet.objects.set_faults(Faults::default());
+    wait_until("the platform is regained", || !lines(owner, "platform regained").is_empty());
+    let is_stored = || !fleet.objects.objects_of_kind("gatespool-quarantine").is_empty();
+    let regained = Instant::now();
+    wait_until("the quarantine is stored", is_stored);
+    // The log is written asynchronously.
+    assert!(regained.elapsed() < Duration::from_millis(200), "{:?}", regained.elapsed());
+}
+
 #[test]
 fn resumable_stream_that_crashes_targets_is_not_resumed_forever() {
     let fleet = fleet("/talk/deadly");
