Keep the ports of gateways over a restart, and assign enough items in a test

Two tests failed for reasons of their own.

Gateways of tests now listen on ports below those that the system hands out, each locked by its test for as long as the fleet exists.

Chunks of 128 leave 67 or more in hand. The wait and the check of all results are as they were.

--- a/crates/daemon/tests/exactly_once.rs
+++ b/crates/daemon/tests/exactly_once.rs
@@ -106,7 +106,9 @@
 #[test]
 fn platform_outage_and_kill_together_lose_nothing() {
     let engine = Config { token_interval: Duration::from_millis(5), ..Config::default() };
-    let mut cluster = Cluster::start(Plan { engine, ..Plan::default() });
+    // Whichever chunks are assigned, more than ten of their items haven't run by then.
+    let settings = vec![String::from("batch.chunk_items = 128")];
+    let mut cluster = Cluster::start(Plan { engine, settings, ..Plan::default() });
     let job = job_id(&cluster.submit(0, "night", &items("describe", 500)));
     wait_until("items are running", || cluster.runs().len() > 60);
     cluster.set_platform_down(true);
--- a/crates/daemon/tests/util/gateway.rs
+++ b/crates/daemon/tests/util/gateway.rs
@@ -2,6 +2,7 @@
 
 use super::client::{self, Response};
 use super::daemon::Daemon;
+use super::port::ReservedPort;
 use super::proxy::Proxy;
 use super::{wait_for, wait_until};
 use serde_json::{Value, json};
@@ -65,6 +66,8 @@
     /// Number of starts of each gateway.
     starts: Vec<AtomicU32>,
     platform_addresses: Vec<SocketAddr>,
+    /// Ports of the gateways, which they keep over restarts.
+    ports: Vec<ReservedPort>,
     _servers: Vec<Server>,
 }
 
@@ -125,10 +128,13 @@
             starts: plan.gateways.iter().map(|_| AtomicU32::new(0)).collect(),
             plan,
             platform_addresses,
+            ports: Vec::new(),
             _servers: servers,
         };
         for n in 0..fleet.plan.gateways.len() {
-            let gateway = fleet.start_gateway(n, any_port(), any_port());
+            let [front, peer] = [ReservedPort::any(), ReservedPort::any()];
+            let gateway = fleet.start_gateway(n, front.address, peer.address);
+            fleet.ports.extend([front, peer]);
             fleet.gateways.push(gateway);
         }
         fleet
--- a/crates/daemon/tests/util/mod.rs
+++ b/crates/daemon/tests/util/mod.rs
@@ -9,6 +9,7 @@
 pub mod daemon;
 pub mod gateway;
 pub mod peer;
+pub mod port;
 pub mod proxy;
 
 use std::time::{Duration, Instant};
