Split the hand-off of jobs off takeover.rs and items.rs

Code moved to gateway::handoff; the release of held jobs is a function of its own. No change of behaviour.

--- a/crates/daemon/src/gateway/items.rs
+++ b/crates/daemon/src/gateway/items.rs
@@ -5,7 +5,6 @@
 use super::job_table::{HeldJob, route_of};
 use super::leases::{self, Lease};
 use super::node::{Node, unix_millis};
-use super::{in_flight, job_writer, takeover};
 use coordination::hash;
 use coordination::slots::Feasibility;
 use protocol::ServiceId;
@@ -24,8 +23,6 @@
 const SLOT_TIMEOUT: Duration = Duration::from_secs(2);
 const SLOT_RETRY_DELAY: Duration = Duration::from_millis(150);
 const MAX_SLOTS_PER_REQUEST: usize = 4;
-/// Interval between checks of a stopping instance for jobs to hand off.
-const HANDOFF_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Schedules items until `stop`.
 pub async fn run(node: Rc<Node>, stop: CancellationToken) {
@@ -181,58 +178,3 @@
         }
     }
 }
-
-/// Hands off all jobs to other instances until `stop`, including partial output of their runs.
-/// A takeover in progress may still bring jobs after the first ones are handed off.
-pub async fn hand_off_jobs(node: Rc<Node>, stop: CancellationToken) {
-    while !stop.is_cancelled() {
-        let open = node.jobs.open_jobs();
-        if !open.is_empty() {
-            spawn_local(hand_off_all(node.clone(), open));
-        }
-        tokio::time::sleep(HANDOFF_POLL_INTERVAL).await;
-    }
-}
-
-async fn hand_off_all(node: Rc<Node>, jobs: Vec<Rc<HeldJob>>) {
-    hand_off(&node, jobs).await;
-}
-
-/// Hands off some held jobs, including partial output of their runs. Retries until all are
-/// taken over.
-pub async fn hand_off(node: &Rc<Node>, jobs: Vec<Rc<HeldJob>>) {
-    let _in_flight = in_flight::Guard::new(node);
-    for held in &jobs {
-        held.released.cancel();
-    }
-    // Lets cancelled runs store their partial output.
-    tokio::task::yield_now().await;
-    tokio::time::sleep(job_writer::RUN_STOP_DELAY).await;
-    let mut remaining = Vec::new();
-    for held in jobs {
-        let has_unwritten = held.state.borrow().next_write().is_some();
-        if has_unwritten && !job_writer::write(node, &held).await {
-            slog::warn!(node.log, "results not written before shutdown";
-                "job" => &held.state.borrow().job().id);
-        }
-        let state = held.state.borrow();
-        let id = state.job().id.clone();
-        node.jobs.held.borrow_mut().remove(&id);
-        remaining.push((id, state.handoff()));
-    }
-    // A partitioned instance finds nobody to take its jobs, and jobs that it accepted
-    // meanwhile are known to nobody else. The shutdown deadline ends this loop.
-    loop {
-        let mut pending = Vec::new();
-        for (id, handoff) in remaining {
-            if !takeover::hand_off(node, &id, &handoff).await {
-                pending.push((id, handoff));
-            }
-        }
-        if pending.is_empty() || node.members.borrow().is_fleet_leaving() {
-            return;
-        }
-        remaining = pending;
-        tokio::time::sleep(takeover::HANDOFF_RETRY_DELAY).await;
-    }
-}
--- a/crates/daemon/src/gateway/job_writer.rs
+++ b/crates/daemon/src/gateway/job_writer.rs
@@ -2,10 +2,10 @@
 //! taken a job over.
 
 use super::call_reason::CallReason;
+use super::handoff;
 use super::job_store::{self, LoadError, StoredJob};
 use super::job_table::{self, HeldJob};
 use super::node::{Node, unix_millis};
-use super::takeover;
 use crate::clock;
 use coordination::flush;
 use platform::job;
@@ -172,7 +172,7 @@
         let state = held.state.borrow();
         (state.job().id.clone(), state.handoff())
     };
-    takeover::send_handoff(node, id, holder, handoff).await;
+    handoff::send_handoff(node, id, holder, handoff).await;
 }
 
 fn on_durable(node: &Rc<Node>, held: &Rc<HeldJob>, snapshot: &Progress, revision: u64) {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -16,7 +16,7 @@
 //! | [`submit`], [`jobs`] | submission of batch jobs; calls about accepted jobs |
 //! | [`crash`], [`quarantine`] | detection of crashed targets; requests that crash them |
 //! | [`job_table`], [`job_writer`], [`items`] | known jobs; durable progress; scheduling of items |
-//! | [`takeover`], [`job_scan`] | jobs whose holder is gone; scans of all jobs |
+//! | [`takeover`], [`handoff`], [`job_scan`] | jobs whose holder is gone; jobs of instances that stop; scans of all jobs |
 //! | [`watch`], [`platform_health`] | watches of the platform; probes of it |
 //! | [`suspension`] | reaction to a suspension of the machine |
 //! | [`discovery`] | changes of the configuration and of targets |
@@ -35,6 +35,7 @@
 pub mod crash;
 pub mod discovery;
 pub mod front;
+pub mod handoff;
 pub mod in_flight;
 pub mod items;
 pub mod job_scan;
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -5,8 +5,8 @@
 use super::node::Node;
 use super::peers::{HEARTBEAT_TIMEOUT, PeerHandler};
 use super::{
-    anti_entropy, discovery, items, job_scan, leases, peers, platform_health, quarantine, quota,
-    suspension, takeover, watch,
+    anti_entropy, discovery, handoff, items, job_scan, leases, peers, platform_health, quarantine,
+    quota, suspension, takeover, watch,
 };
 use crate::clock;
 use crate::start;
@@ -122,7 +122,7 @@
     node.membership_changed.notify_one();
     let max_duration = node.settings.max_stop_duration.saturating_sub(STOP_MARGIN);
     let plan = Plan { grace: node.settings.stop_grace, max_duration };
-    spawn_local(items::hand_off_jobs(node.clone(), stop.clone()));
+    spawn_local(handoff::hand_off_jobs(node.clone(), stop.clone()));
     loop {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
         let remaining = node.in_flight.get() + node.jobs.open_jobs().len();
--- a/crates/daemon/src/gateway/submit.rs
+++ b/crates/daemon/src/gateway/submit.rs
@@ -6,7 +6,7 @@
 use super::job_store::{self, StoredJob};
 use super::message::{PeerReply, PeerRequest, SubmitOutcome};
 use super::node::{Node, unix_millis};
-use super::{access, in_flight, items, job_table, platform_health, takeover};
+use super::{access, handoff, in_flight, job_table, platform_health, takeover};
 use crate::clock;
 use bytes::Bytes;
 use coordination::membership::Member;
@@ -239,7 +239,7 @@
                 job_table::notify_witnesses(node, &held).await;
                 if node.is_stopping() {
                     // The hand-off of all jobs may have collected them already.
-                    items::hand_off(node, vec![held]).await;
+                    handoff::hand_off_held(node, vec![held]).await;
                 }
                 return SubmitOutcome::Accepted;
             }
@@ -288,7 +288,7 @@
         slog::info!(node.log, "holder not notified of its job"; "job" => &id, "fault" => error,
             "again" => !node.is_stopping());
         if node.is_stopping() {
-            return takeover::hand_off_with_retry(&node, &id, &Handoff::default()).await;
+            return handoff::hand_off_with_retry(&node, &id, &Handoff::default()).await;
         }
         let delay = node.store.backoff_remaining(clock::now()).max(NOTIFY_HOLDER_RETRY_DELAY);
         tokio::select! {
@@ -316,7 +316,7 @@
         return Ok(());
     }
     if node.is_stopping() && summary.holder.instance == node.id() {
-        let is_taken = takeover::hand_off(node, id, &Handoff::default()).await;
+        let is_taken = handoff::hand_off(node, id, &Handoff::default()).await;
         return is_taken.then_some(()).ok_or_else(|| String::from("nobody took the job over"));
     }
     let member = node.members.borrow().get(summary.holder.instance).cloned();
--- a/crates/daemon/src/gateway/takeover.rs
+++ b/crates/daemon/src/gateway/takeover.rs
@@ -1,17 +1,17 @@
-//! Takeover of jobs whose holder is gone, and hand-off of jobs by instances that stop.
+//! Takeover of jobs whose holder is gone, or at the request of another instance.
 //!
 //! A takeover is a conditional write, so of two concurrent ones only one succeeds. If the
 //! holder was merely partitioned, its items run twice; a data centre that becomes
 //! unreachable as a whole is therefore given more time than a single instance.
 
 use super::call_reason::CallReason;
+use super::handoff;
 use super::in_flight;
 use super::job_store::{self, LoadError, StoredJob};
 use super::job_table::{self, HeldJob};
 use super::job_writer;
 use super::message::{JobStatus, PeerReply, PeerRequest};
 use super::node::Node;
-use super::peers;
 use crate::clock;
 use coordination::hash;
 use coordination::membership::{Member, MemberTable, State};
@@ -41,10 +41,6 @@
 const MAX_ATTEMPTS: u32 = 4;
 /// Minimum delay after a failed takeover.
 const TAKEOVER_RETRY_DELAY: Duration = Duration::from_millis(250);
-/// Delay before a stopping instance retries to hand off a job that nobody took over.
-pub(super) const HANDOFF_RETRY_DELAY: Duration = Duration::from_millis(300);
-/// Longest wait for the reply to a hand-off.
-const HANDOFF_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Takes over jobs without a holder until `stop`.
 pub async fn run(node: Rc<Node>, stop: CancellationToken) {
@@ -143,48 +139,6 @@
     !members.workers().any(is_reachable)
 }
 
-/// Hands a job off to another instance, or takes it over if no other does and this one
-/// isn't stopping. `false` if nobody took it.
-pub async fn hand_off(node: &Rc<Node>, id: &str, handoff: &Handoff) -> bool {
-    let mut ranked: Vec<Member> = node.members.borrow().workers().cloned().collect();
-    ranked.sort_by_key(|member| std::cmp::Reverse(hash::weight(id.as_bytes(), member.id)));
-    for member in ranked {
-        if member.id == node.id() {
-            if node.is_stopping() {
-                continue;
-            }
-            return take_over(node, id, handoff.clone()).await.is_some();
-        }
-        if node.is_stopping() {
-            // A member that takes this instance for alive would leave it the job.
-            peers::send_updates(node, &member).await;
-        }
-        let request = PeerRequest::TakeOver(id.to_owned(), handoff.clone());
-        let reply = node.request(member.peer, &request, HANDOFF_TIMEOUT).await;
-        if matches!(reply, Ok(PeerReply::Acknowledged)) {
-            slog::info!(node.log, "job handed off"; "job" => id, "to" => %member.peer,
-                "partials" => handoff.partials.len(), "failures" => handoff.failures.len(),
-                "outcomes" => handoff.outcomes.len());
-            return true;
-        }
-    }
-    slog::warn!(node.log, "no instance took the job over"; "job" => id);
-    false
-}
-
-/// Hands a job off, retrying until an instance takes it over or none is left that could. The
-/// time limit of the shutdown ends the retries.
-pub async fn hand_off_with_retry(node: &Rc<Node>, id: &str, handoff: &Handoff) {
-    let _in_flight = in_flight::Guard::new(node);
-    while !hand_off(node, id, handoff).await {
-        if node.members.borrow().is_fleet_leaving() {
-            slog::warn!(node.log, "job left to the next scan"; "job" => id);
-            return;
-        }
-        tokio::time::sleep(HANDOFF_RETRY_DELAY).await;
-    }
-}
-
 /// Handles the request of another instance to take a job over.
 ///
 /// A stopping instance declines, so that the sender asks another one. Otherwise the request is
@@ -233,7 +187,7 @@
             "again" => !node.is_stopping());
         if node.is_stopping() {
             for handoff in pending_handoffs(node, id) {
-                hand_off_with_retry(node, id, &handoff).await;
+                handoff::hand_off_with_retry(node, id, &handoff).await;
             }
             return;
         }
@@ -244,7 +198,7 @@
         }
     }
     for handoff in pending_handoffs(node, id) {
-        forward_handoff(node, id, handoff).await;
+        handoff::forward_handoff(node, id, handoff).await;
     }
 }
 
@@ -253,44 +207,6 @@
     node.jobs.pending_takeovers.borrow_mut().remove(id).unwrap_or_default()
 }
 
-/// Delivers a hand-off to the job's holder, which may be this instance.
-async fn forward_handoff(node: &Rc<Node>, id: &str, handoff: Handoff) {
-    if let Some(held) = node.jobs.held_job(id) {
-        merge_handoff(node, &held, handoff);
-        return;
-    }
-    if let Some(holder) = current_holder(node, id) {
-        send_handoff(node.clone(), id.to_owned(), holder, handoff).await;
-    }
-}
-
-/// Merges progress received from another holder.
-fn merge_handoff(node: &Node, held: &HeldJob, handoff: Handoff) {
-    held.state.borrow_mut().merge_handoff(handoff);
-    held.mark_dirty();
-    node.jobs.wake();
-}
-
-/// Sends progress made here to the job's holder, retrying for as long as a network
-/// partition may last.
-pub async fn send_handoff(node: Rc<Node>, id: JobId, holder: Holder, handoff: Handoff) {
-    if handoff.is_empty() {
-        return;
-    }
-    let request = PeerRequest::TakeOver(id.clone(), handoff);
-    let address = || current_holder(&node, &id).unwrap_or(holder).address;
-    let is_delivered = node.deliver(address, &request).await;
-    slog::info!(node.log, "{}", if is_delivered { "handoff sent" } else { "handoff lost" };
-        "job" => &id, "to" => %holder.address);
-}
-
-/// The other instance that holds a job according to the last reported status.
-fn current_holder(node: &Node, id: &str) -> Option<Holder> {
-    let directory = node.jobs.directory.borrow();
-    let holder = directory.get(id).map(|status| status.holder);
-    holder.filter(|holder| holder.instance != node.id())
-}
-
 /// As [`take_over`], with `None` if the job shouldn't be taken over.
 ///
 /// # Errors
@@ -304,7 +220,7 @@
     let mut conflict = None;
     for _ in 0..MAX_ATTEMPTS {
         if let Some(held) = node.jobs.held_job(id) {
-            merge_handoff(node, &held, handoff.clone());
+            handoff::merge_handoff(node, &held, handoff.clone());
             return Ok(Some(held));
         }
         let Some(object) = node.store.get(CallReason::Takeover, job::KIND, id).await? else {
@@ -312,7 +228,7 @@
         };
         match claim(node, &object).await {
             Ok(Some(held)) => {
-                merge_handoff(node, &held, handoff.clone());
+                handoff::merge_handoff(node, &held, handoff.clone());
                 return Ok(Some(held));
             }
             Ok(None) => return Ok(None),
