--- a/crates/daemon/tests/message_versions.rs
+++ b/crates/daemon/tests/message_versions.rs
@@ -90,3 +90,22 @@
     let unknown: Option<PeerReply> = decode(br#"{"Novel":1}"#);
     assert!(unknown.is_none());
 }
+
+/// Replies that the earlier version decodes when it hands a job off; any of them counts as a takeover
+/// there.
+#[derive(Deserialize)]
+enum EarlierReply {
+    Done,
+    NotHere,
+    Away,
+}
+
+/// Regression: whatever a stopping instance replied, an earlier sender took its job for handed off.
+#[test]
+fn decline_of_a_stopping_instance_is_a_failure_for_the_earlier_version() {
+    let decode_earlier = |reply| decode::<EarlierReply>(&encode(&reply));
+    assert!(decode_earlier(PeerReply::Stopping).is_none());
+    assert!(matches!(decode_earlier(PeerReply::Acknowledged), Some(EarlierReply::Done)));
+    assert!(matches!(decode_earlier(PeerReply::NotOwner), Some(EarlierReply::NotHere)));
+    assert!(matches!(decode_earlier(PeerReply::Unavailable), Some(EarlierReply::Away)));
+}
