--- a/crates/daemon/src/gateway/handoff.rs
+++ b/crates/daemon/src/gateway/handoff.rs
@@ -18,7 +18,7 @@
 
 /// Interval between checks of a stopping instance for jobs to hand off.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// Delay before a stopping instance retries to hand off a job that nobody took over.
+/// Delay before a stopping instance retries to hand off a job that every instance declined.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Longest wait for the reply to a hand-off.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(300);
@@ -44,8 +44,8 @@
 pub async fn hand_off_held(node: &Rc<Node>, jobs: Vec<Rc<HeldJob>>) {
     let _in_flight = in_flight::Guard::new(node);
     let mut remaining = release_all(node, jobs).await;
-    // A partitioned instance finds nobody to take its jobs, and jobs that it accepted
-    // meanwhile are known to nobody else. The shutdown deadline ends this loop.
+    // During a network partition no other instance can be reached, and none may know the jobs
+    // that were accepted since it began. The time limit of the shutdown ends this loop.
     loop {
         let mut pending = Vec::new();
         for (id, handoff) in remaining {
@@ -86,7 +86,7 @@
 }
 
 /// Hands a job off to another instance, or takes it over if no other does and this one
-/// isn't stopping. `false` if nobody took it.
+/// isn't stopping. `false` if no instance took it over.
 pub async fn hand_off(node: &Rc<Node>, id: &str, handoff: &Handoff) -> bool {
     let mut ranked: Vec<Member> = node.members.borrow().workers().cloned().collect();
     ranked.sort_by_key(|member| std::cmp::Reverse(hash::weight(id.as_bytes(), member.id)));
--- a/crates/daemon/tests/gateway_stopping.rs
+++ b/crates/daemon/tests/gateway_stopping.rs
@@ -147,8 +147,7 @@
     assert_eq!((runs.len(), resumed), (2 * jobs.len(), jobs.len()), "{runs:?}");
 }
 
-/// Regression: a holder that did not know its job was told of it once, by a message that was
-/// not repeated when it was lost.
+/// Regression: the notification of a holder that didn't know its job was lost and not repeated.
 #[test]
 fn holder_that_does_not_know_its_job_is_told_until_it_acknowledges() {
     let fleet = Fleet::start(Plan::default());
