Scan a range of jobs that was assigned after the last complete scan

Cause: after all instances had been killed, two of them read the same range of jobs, since they didn't know all members yet. The one that the range was left to had a complete scan behind it and scanned again 60 s later, so nobody read the range from 9~ to b~; two accepted jobs in it had no holder.

The schedule is a decision of its own in coordination::range_scan.

--- a/crates/daemon/src/gateway/job_scan.rs
+++ b/crates/daemon/src/gateway/job_scan.rs
@@ -13,65 +13,25 @@
 use super::takeover::{self, MEMBERSHIP_WARM_UP};
 use crate::clock;
 use coordination::membership::State;
-use coordination::range_scan::{Range, assigned_range};
+use coordination::range_scan::{Range, Schedule, View, assigned_range};
 use platform::job;
 use platform::store::Object;
 use state::progress::Handoff;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::task::spawn_local;
 use tokio_util::sync::CancellationToken;
 
 /// Interval between checks whether a scan is due.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// The first scan waits until the members haven't changed for this long, so that each
-/// instance knows its range...
-const MEMBERSHIP_STABLE_PERIOD: Duration = Duration::from_millis(250);
-/// ...but no longer than this.
-const MAX_FIRST_SCAN_DELAY: Duration = Duration::from_millis(1_500);
-/// Delay after a scan that failed or ran before all members were known.
-const SCAN_RETRY_DELAY: Duration = Duration::from_millis(1_000);
-/// Delay after the loss of a member, since others may be lost with it.
-const SCAN_DELAY_AFTER_LOSS: Duration = Duration::from_millis(2_000);
-/// Interval between scans when nothing has happened.
-const SCAN_INTERVAL: Duration = Duration::from_secs(60);
 /// One in this many instances scans. More of them cost more calls; fewer take longer, as
 /// a page of 1 MB takes some 300 ms on the slowest links.
 const INSTANCES_PER_SCANNER: usize = 8;
 
-/// When the next scan is due.
-struct Schedule {
-    started_at: Instant,
-    next: Option<Instant>,
-    losses: u64,
-    members: u64,
-    stable_since: Instant,
-}
-
-impl Schedule {
-    fn new(now: Instant) -> Schedule {
-        Schedule { started_at: now, next: None, losses: 0, members: 0, stable_since: now }
-    }
-
-    /// Whether a scan is due, given the number of losses and the version of the membership.
-    fn is_due(&mut self, losses: u64, members: u64, now: Instant) -> bool {
-        if self.members != members {
-            (self.members, self.stable_since) = (members, now);
-        }
-        if self.losses != losses {
-            self.losses = losses;
-            let after_loss = now + SCAN_DELAY_AFTER_LOSS;
-            self.next = self.next.map(|next| next.min(after_loss));
-        }
-        let is_stable = members > 0 && now >= self.stable_since + MEMBERSHIP_STABLE_PERIOD;
-        let first = || is_stable || now >= self.started_at + MAX_FIRST_SCAN_DELAY;
-        self.next.map_or_else(first, |next| now >= next)
-    }
-}
-
 /// Runs scans until `stop`.
 pub async fn run(node: Rc<Node>, stop: CancellationToken) {
-    let mut schedule = Schedule::new(clock::now());
+    let started_at = clock::now();
+    let mut schedule = Schedule::new(started_at);
     loop {
         tokio::select! {
             () = tokio::time::sleep(POLL_INTERVAL) => {}
@@ -81,30 +41,28 @@
         if node.is_stopping() || node.store.is_backing_off(now) || node.config().is_none() {
             continue;
         }
-        let (losses, version) = {
-            let members = node.members.borrow();
-            (members.losses(), members.version())
-        };
-        if !schedule.is_due(losses, version, now) {
+        let view = view(&node);
+        if !schedule.is_due(view, now) {
             continue;
         }
-        let is_warmed_up = now >= schedule.started_at + MEMBERSHIP_WARM_UP;
-        let is_done = match own_range(&node) {
+        let is_warmed_up = now >= started_at + MEMBERSHIP_WARM_UP;
+        let is_complete = match view.range {
             Some(range) => scan(&node, range, is_warmed_up).await,
             None => is_warmed_up,
         };
-        schedule.next = Some(clock::now() + if is_done { SCAN_INTERVAL } else { SCAN_RETRY_DELAY });
+        schedule.on_scan(view.range, is_complete, clock::now());
         expire(&node);
     }
 }
 
-fn own_range(node: &Node) -> Option<Range> {
+fn view(node: &Node) -> View {
     let members = node.members.borrow();
-    assigned_range(
-        members.me().id,
-        members.workers().map(|member| member.id),
-        INSTANCES_PER_SCANNER,
-    )
+    let ids = members.workers().map(|member| member.id);
+    View {
+        losses: members.losses(),
+        version: members.version(),
+        range: assigned_range(members.me().id, ids, INSTANCES_PER_SCANNER),
+    }
 }
 
 /// Scans a range of the jobs; `false` if it must be repeated.
