Tell slot allocators what is known of the work behind a request

A slot request carries the parts of the prompt, the objective of the route, its longest pause between events, the workspace with its weight, and whether the caller comes again after a rejection. Nothing decides by it yet. The field has a default, so earlier builds are understood, and they ignore it.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod limit;
 pub mod load;
 pub mod membership;
+pub mod prompt;
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -25,7 +25,7 @@
 
 pub use lease::{
     Decision, Feasibility, Grant, HeldLease, LeaseId, LeaseOutcome, LeaseReport, Policy, Purpose,
-    Request, Revocation, WaiterId,
+    Request, Revocation, WaiterId, Workload, WorkspaceWeight,
 };
 
 use crate::run_time::Estimate;
--- a/crates/coordination/src/slots/holders.rs
+++ b/crates/coordination/src/slots/holders.rs
@@ -1,6 +1,6 @@
 //! Reconciles the allocator's leases with its holders' reports.
 
-use super::lease::{HeldLease, LeaseId, Purpose, Request, Revocation};
+use super::lease::{HeldLease, LeaseId, Purpose, Request, Revocation, Workload};
 use super::target_state::TargetState;
 use super::{Allocator, Lease};
 use crate::{InstanceId, TargetId};
@@ -90,6 +90,7 @@
                 total_slots: 0,
                 excluded: Vec::new(),
                 may_wait: false,
+                workload: Workload::default(),
             };
             self.add(held.lease, &request, held.target.clone(), now);
         }
--- a/crates/coordination/src/slots/lease.rs
+++ b/crates/coordination/src/slots/lease.rs
@@ -1,8 +1,9 @@
 //! Slot requests, leases and decisions of an allocator.
 
+use crate::prompt::Prompt;
 use crate::run_time::Sample;
 use crate::{InstanceId, TargetId};
-use protocol::{DataCentreId, Millis};
+use protocol::{DataCentreId, Millis, WorkspaceId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -74,6 +75,51 @@
     }
 }
 
+/// What is known of the work that a slot is requested for. Each field is empty or zero if it isn't
+/// known, or if the sender is of an earlier build.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Workload {
+    /// The prompt; for several slots of a job that of its next item.
+    #[serde(skip_serializing_if = "Prompt::is_empty")]
+    pub prompt: Prompt,
+    /// Time from the request to its first event within which the response is in time.
+    #[serde(rename = "objective_ms", with = "millis", skip_serializing_if = "Duration::is_zero")]
+    pub objective: Duration,
+    /// Longest pause between two events of a response that is in time.
+    #[serde(rename = "gap_ms", with = "millis", skip_serializing_if = "Duration::is_zero")]
+    pub max_event_gap: Duration,
+    /// The workspace that the work belongs to, with its weight.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<WorkspaceWeight>,
+    /// Whether the caller was rejected before and comes again.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub is_retry: bool,
+}
+
+/// A workspace that competes for slots.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WorkspaceWeight {
+    /// Name of the workspace.
+    pub name: WorkspaceId,
+    /// Its part of the slots relative to those of others: the rate of its quota, or 1 without one.
+    pub weight: f64,
+}
+
+/// Durations as whole milliseconds.
+mod millis {
+    use serde::{Deserialize, Deserializer, Serializer};
+    use std::time::Duration;
+
+    pub(super) fn serialize<S: Serializer>(time: &Duration, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_u64(time.as_millis() as u64)
+    }
+
+    pub(super) fn deserialize<'a, D: Deserializer<'a>>(from: D) -> Result<Duration, D::Error> {
+        u64::deserialize(from).map(Duration::from_millis)
+    }
+}
+
 /// A request for a slot.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -104,6 +150,8 @@
     pub excluded: Vec<TargetId>,
     /// Whether the request may be queued.
     pub may_wait: bool,
+    /// What is known of the work.
+    pub workload: Workload,
 }
 
 /// Sort key of queued requests; the lowest is served first.
--- a/crates/coordination/tests/overload.rs
+++ b/crates/coordination/tests/overload.rs
@@ -5,6 +5,7 @@
 
 use coordination::slots::{
     Allocator, Decision, Grant, LeaseOutcome, LeaseReport, Policy, Purpose, Request, WaiterId,
+    Workload,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -74,6 +75,7 @@
             total_slots: 0,
             excluded: Vec::new(),
             may_wait: true,
+            workload: Workload::default(),
         };
         match self.allocator.on_request(request, now) {
             Decision::Granted(grant, _) => self.on_grant(&grant, now),
--- a/crates/coordination/tests/shortage.rs
+++ b/crates/coordination/tests/shortage.rs
@@ -7,7 +7,7 @@
 use coordination::run_time::{Estimate, Sample};
 use coordination::slots::{
     Allocator, Decision, Grant, LeaseId, LeaseOutcome, LeaseReport, Policy, Purpose, Request,
-    Revocation, WaiterId,
+    Revocation, WaiterId, Workload,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -115,6 +115,7 @@
             total_slots: 0,
             excluded: Vec::new(),
             may_wait: true,
+            workload: Workload::default(),
         }
     }
 
--- a/crates/coordination/tests/slots/main.rs
+++ b/crates/coordination/tests/slots/main.rs
@@ -7,7 +7,7 @@
 mod rate;
 mod waits;
 
-use coordination::slots::{Allocator, Decision, Grant, Policy, Purpose, Request};
+use coordination::slots::{Allocator, Decision, Grant, Policy, Purpose, Request, Workload};
 use protocol::routing::Target;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -52,6 +52,7 @@
         total_slots: 0,
         excluded: Vec::new(),
         may_wait: false,
+        workload: Workload::default(),
     }
 }
 
--- a/crates/daemon/src/gateway/allocator.rs
+++ b/crates/daemon/src/gateway/allocator.rs
@@ -69,6 +69,7 @@
         total_slots: request.total_slots,
         excluded: request.excluded.clone(),
         may_wait,
+        workload: request.workload.clone(),
     };
     let wait = Duration::from_millis(request.wait_ms);
     let mut grants = Vec::new();
--- a/crates/daemon/src/gateway/items.rs
+++ b/crates/daemon/src/gateway/items.rs
@@ -5,7 +5,7 @@
 use super::job_table::{HeldJob, route_of};
 use super::leases::{self, Lease};
 use super::node::{Node, unix_millis};
-use super::residency;
+use super::{residency, workload};
 use coordination::hash;
 use coordination::slots::Feasibility;
 use protocol::ServiceId;
@@ -132,6 +132,11 @@
     let event_count = state.next_event_count().unwrap_or_default();
     let until = |at: Millis| Duration::from_millis(at.saturating_sub(now));
     let (safe_start, latest_start) = latest_starts(node, &state);
+    let config = node.config();
+    let workspaces = config.as_ref().and_then(|config| config.table.workspaces.as_ref());
+    let workspace = state.job().workspace.as_deref().and_then(|name| workspaces?.get(name));
+    let of_item = |item| workload::of_item(item, workspace.map(AsRef::as_ref));
+    let workload = state.next_item().map(of_item).unwrap_or_default();
     leases::BatchQuery {
         data_centre,
         service,
@@ -142,6 +147,7 @@
         is_started: event_count > 0,
         limit: max_slots,
         wait: SLOT_TIMEOUT,
+        workload,
     }
 }
 
--- a/crates/daemon/src/gateway/leases.rs
+++ b/crates/daemon/src/gateway/leases.rs
@@ -20,7 +20,7 @@
 use call::{AllocatorCall, AllocatorReply, call_allocator};
 use coordination::membership::Member;
 use coordination::residency::Residency;
-use coordination::slots::{Allocator, Grant, LeaseId, Policy, Purpose, WaiterId};
+use coordination::slots::{Allocator, Grant, LeaseId, Policy, Purpose, WaiterId, Workload};
 use coordination::{capacity, hash};
 use lease::{ActiveLease, Grantor, activate};
 use protocol::{DataCentreId, InstanceId, TargetId};
@@ -51,6 +51,8 @@
     pub excluded: Vec<String>,
     /// Regions in which the request may be served.
     pub residency: Residency,
+    /// What is known of the request.
+    pub workload: Workload,
 }
 
 /// Why no lease was acquired.
--- a/crates/daemon/src/gateway/leases/batch.rs
+++ b/crates/daemon/src/gateway/leases/batch.rs
@@ -6,7 +6,7 @@
 use crate::gateway::allocator;
 use crate::gateway::message::{PeerReply, PeerRequest, SlotRequest};
 use crate::gateway::node::Node;
-use coordination::slots::Purpose;
+use coordination::slots::{Purpose, Workload};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -30,6 +30,8 @@
     pub limit: usize,
     /// Longest wait for the first slot.
     pub wait: Duration,
+    /// What is known of the job's next item.
+    pub workload: Workload,
 }
 
 /// Acquires leases for batch from the allocator of a data centre. `None` if it can't be reached
@@ -45,6 +47,7 @@
         is_started,
         limit,
         wait,
+        workload,
     } = query;
     let owner = allocator_owner(node, data_centre)?;
     let now = clock::now();
@@ -65,6 +68,7 @@
         limit,
         excluded: Vec::new(),
         charge: None,
+        workload,
     };
     let address = owner.peer;
     let is_local = owner.id == node.id();
--- a/crates/daemon/src/gateway/leases/call.rs
+++ b/crates/daemon/src/gateway/leases/call.rs
@@ -49,6 +49,7 @@
             total_slots: 0,
             excluded: query.excluded.clone(),
             may_wait: false,
+            workload: query.workload.clone(),
         };
         let id = node.leases.next_request_id();
         AllocatorCall {
@@ -85,6 +86,7 @@
             limit: 1,
             excluded: self.request.excluded.clone(),
             charge: self.charge.clone(),
+            workload: self.request.workload.clone(),
         }
     }
 }
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -10,7 +10,7 @@
 use coordination::quota::{Report, Snapshot};
 use coordination::registry::Change;
 use coordination::run_time::Estimate;
-use coordination::slots::{Grant, HeldLease, LeaseId, LeaseReport, Purpose};
+use coordination::slots::{Grant, HeldLease, LeaseId, LeaseReport, Purpose, Workload};
 use protocol::routing::Version;
 use protocol::secret::Secret;
 use protocol::{DataCentreId, InstanceId, RequestFingerprint, ServiceId, TargetId, WorkspaceId};
@@ -67,6 +67,9 @@
     /// Workspace to whose quota the request is charged; `None` if that isn't needed, or done.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub charge: Option<WorkspaceId>,
+    /// What is known of the work.
+    #[serde(default)]
+    pub workload: Workload,
 }
 
 /// Status of a job, as its holder reports it to other instances.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 //! | [`access`] | API keys and workspaces |
 //! | [`online`], [`streaming`] | online requests; event streams and their resumption |
 //! | [`leases`], [`allocator`] | leases of slots; the slot allocator of a data centre |
+//! | [`workload`] | what slot requests tell of the work behind them |
 //! | [`quota`] | quotas of workspaces: ledgers, charges and refunds |
 //! | [`submit`], [`jobs`] | submission of batch jobs; calls about accepted jobs |
 //! | [`crash`], [`quarantine`] | detection of crashed targets; requests that crash them |
@@ -65,5 +66,6 @@
 pub mod takeover;
 pub mod target_page;
 pub mod watch;
+pub mod workload;
 
 pub use run::run;
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -11,11 +11,11 @@
 use super::node::{Config, Node};
 use super::quarantine::{self, Admission};
 use super::quota::Charge;
-use super::{in_flight, residency, streaming};
+use super::{in_flight, residency, streaming, workload};
 use crate::clock;
 use attempt::{RetryReason, completion_outcome};
 use coordination::hash;
-use coordination::slots::{Grant, LeaseOutcome};
+use coordination::slots::{Grant, LeaseOutcome, Workload};
 use hyper::Response;
 use hyper::http::response::Parts;
 use platform::header;
@@ -59,6 +59,8 @@
     pub excluded: Vec<String>,
     /// Charge to the quota of the caller's workspace.
     pub charge: Charge,
+    /// What slot requests tell of the request.
+    pub workload: Workload,
 }
 
 /// A response of a target whose head has arrived.
@@ -98,6 +100,7 @@
     };
     let version = config.table.version;
     let charge = Charge::new(node, call.workspace.as_deref());
+    let workload = workload::of_request(&route, &call);
     let mut request = ProxiedRequest {
         node: node.clone(),
         call,
@@ -110,6 +113,7 @@
         registry: 0,
         excluded: Vec::new(),
         charge,
+        workload,
     };
     match request.forward(None).await {
         Ok(response) => respond(request, response, in_flight).await,
@@ -324,6 +328,7 @@
             expires,
             excluded: self.excluded.clone(),
             residency: residency::of_request(&self.route, self.call.workspace.as_deref()),
+            workload: self.workload.clone(),
         };
         let result = leases::acquire(&self.node, &query, &mut self.charge).await;
         self.slot_wait.set(clock::since(self.call.started));
--- a/crates/protocol/src/routing.rs
+++ b/crates/protocol/src/routing.rs
@@ -82,6 +82,9 @@
     pub max_attempts: u32,
     /// Whether an interrupted stream may be resumed at another target.
     pub resumable: bool,
+    /// Whether the prompts of its requests share parts.
+    #[serde(default)]
+    pub shares_prompts: bool,
     /// Whether requests need no API key.
     #[serde(default)]
     pub is_public: bool,
@@ -108,6 +111,7 @@
             services: Vec::new(),
             max_attempts: 1,
             resumable: false,
+            shares_prompts: false,
             is_public: false,
             allowed_regions: Vec::new(),
             batch: None,
@@ -155,6 +159,9 @@
     pub max_connections: u32,
     /// Maximum number of concurrent requests at one target; 0 if unspecified.
     pub slots: u32,
+    /// Tokens that a target keeps in memory, of prompts and of what it generates; 0 if unspecified.
+    #[serde(default)]
+    pub memory_tokens: u64,
     /// How its targets behave while they are cold; `None` if they need no care.
     #[serde(default)]
     pub cold: Option<Cold>,
--- a/crates/state/src/progress.rs
+++ b/crates/state/src/progress.rs
@@ -147,7 +147,7 @@
 
     /// The next item to run: the one with the most events, as it has the least
     /// work remaining.
-    fn next_item(&self) -> Option<&Item> {
+    pub fn next_item(&self) -> Option<&Item> {
         let runnable = self.runnable_items().filter(|_| !self.ended);
         runnable.min_by_key(|item| Reverse(self.event_count(&item.id)))
     }
