Place requests by the delays that are expected of them

Cause: the allocator picked the target with the lowest share of slots taken. What a target had read was nobody's concern, and a target twice as fast as the others counted as equal to them.

Change: each allocator keeps what its targets probably keep of prompts, until when they read, and how slow they are; a request goes to the target on which it delays all callers least. Prompts with long shared parts go to one data centre first. [policy] place_by_delay switches it off; requests of earlier builds, and those that nothing is known of, are placed by load as before. The log line of a stream names its workspace, the expected and the actual first event, and the tokens found.

Not measured yet.

--- a/crates/coordination/src/prompt.rs
+++ b/crates/coordination/src/prompt.rs
@@ -90,6 +90,18 @@
     pub fn shared_tokens(&self) -> u64 {
         self.parts.split_last().map_or(0, |(_, shared)| sum(shared))
     }
+
+    /// The shared part with which the prompt reaches this length; `None` if the shared parts are
+    /// shorter.
+    pub fn long_part(&self, min_tokens: u64) -> Option<PartKey> {
+        let (_, shared) = self.parts.split_last()?;
+        let mut tokens = 0;
+        let part = shared.iter().find(|part| {
+            tokens += u64::from(part.tokens);
+            tokens >= min_tokens
+        });
+        part.map(|part| part.key)
+    }
 }
 
 fn sum(parts: &[Part]) -> u64 {
--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -18,24 +18,33 @@
 
 mod batch;
 mod holders;
+mod learning;
 mod lease;
 mod limited;
+mod placement;
+mod prompt_cache;
 pub mod rate;
+mod speed;
 mod target_state;
 
+pub use placement::Forecast;
+
 pub use lease::{
     Decision, Feasibility, Grant, HeldLease, LeaseId, LeaseOutcome, LeaseReport, Policy, Purpose,
     Request, Revocation, WaiterId, Workload, WorkspaceWeight,
 };
 
+use crate::prompt::Prompt;
 use crate::run_time::Estimate;
 use crate::{InstanceId, TargetId};
 use lease::Priority;
+use placement::Expectation;
 use protocol::{DataCentreId, ServiceId};
 use rate::{Meter, RateLimit};
+use speed::Pace;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
-use target_state::{Rank, TargetState};
+use target_state::{Rank, Ranking, TargetState};
 
 #[derive(Clone, Debug)]
 struct Lease {
@@ -49,6 +58,18 @@
     /// Whether it was granted too late for its work to meet the deadline.
     is_late: bool,
     is_revoked: bool,
+    /// What was expected of the work; `None` if it was reported by its holder, or isn't placed by
+    /// delay.
+    placed: Option<Placed>,
+}
+
+/// What a request was expected to take where it was placed.
+#[derive(Clone, Debug)]
+struct Placed {
+    expected: Expectation,
+    /// Number of requests on the target, including this one.
+    running: u32,
+    prompt: Prompt,
 }
 
 #[derive(Clone, Debug)]
@@ -83,6 +104,10 @@
     removed_meters: HashMap<TargetId, Meter>,
     /// Parts of the rate limits that this allocator may use, below 1 in a network partition.
     shares: HashMap<DataCentreId, f64>,
+    /// What is learnt of the speed of each service.
+    paces: HashMap<ServiceId, Pace>,
+    /// Tokens that a target of each service keeps in memory.
+    memory_tokens: HashMap<ServiceId, u64>,
 }
 
 impl Allocator {
@@ -102,6 +127,8 @@
             rate_limits: HashMap::new(),
             removed_meters: HashMap::new(),
             shares: HashMap::new(),
+            paces: HashMap::new(),
+            memory_tokens: HashMap::new(),
         }
     }
 
@@ -189,31 +216,33 @@
         }
         let (mut target, rank) = self.choose(request, now)?;
         let mut preempted = None;
-        if self.targets.get(&target)?.is_full() {
+        if rank.is_full {
             let equivalent = self.equivalent(request, rank, now);
             preempted = self.cheapest_to_preempt(|id| equivalent.contains(id));
             target = self.leases.get(&preempted?)?.target.clone();
         }
         let address = self.targets.get(&target)?.target.address;
         let revocation = preempted.and_then(|lease| self.revoke(lease));
+        let placed = self.place(request, &target, now);
+        let forecast = self.forecast(request, placed.as_ref());
         self.next_id += 1;
         let lease = self.next_id;
-        self.add(lease, request, target.clone(), now);
+        self.add(lease, request, target.clone(), placed, now);
         if self.is_rate_limited(&request.service)
             && let Some(state) = self.targets.get_mut(&target)
         {
             state.meter.on_grant(now);
         }
-        Some((Grant { lease, target, address, queued_ms: 0 }, revocation))
+        Some((Grant { lease, target, address, queued_ms: 0, forecast }, revocation))
     }
 
     /// The best target for a request and its rank: the least loaded with a free slot; for online
     /// requests also one where batch can be preempted.
     fn choose(&self, request: &Request, now: Instant) -> Option<(TargetId, Rank)> {
-        let median = self.median_event_interval();
+        let ranking = self.ranking(request, now);
         let mut best: Option<(Rank, &TargetId)> = None;
         for (id, state) in &self.targets {
-            let Some(rank) = state.rank(request, median, &self.policy, now) else {
+            let Some(rank) = state.rank(request, &ranking) else {
                 continue;
             };
             let is_better = best.as_ref().is_none_or(|(known, _)| rank < *known);
@@ -224,6 +253,12 @@
         best.map(|(rank, id)| (id.clone(), rank))
     }
 
+    fn ranking(&self, request: &Request, now: Instant) -> Ranking<'_> {
+        let pace = self.pace_for(request);
+        let median = if pace.is_some() { 0.0 } else { self.median_event_interval() };
+        Ranking { policy: &self.policy, median, pace, now }
+    }
+
     fn median_event_interval(&self) -> f64 {
         let known = self
             .targets
@@ -235,7 +270,14 @@
         known.get(known.len() / 2).copied().unwrap_or(0.0)
     }
 
-    fn add(&mut self, id: LeaseId, request: &Request, target: TargetId, now: Instant) {
+    fn add(
+        &mut self,
+        id: LeaseId,
+        request: &Request,
+        target: TargetId,
+        placed: Option<Placed>,
+        now: Instant,
+    ) {
         if let Some(state) = self.targets.get_mut(&target) {
             *state.count(request.purpose) += 1;
         }
@@ -248,6 +290,7 @@
             ends: now + request.remaining,
             is_late: self.policy.late_last && now > request.latest_start,
             is_revoked: false,
+            placed,
         };
         self.leases.insert(id, lease);
     }
@@ -266,6 +309,7 @@
         if let Some(sample) = report.completed {
             self.run_time.record(sample);
         }
+        self.learn(&lease, &report, now);
         let Some(state) = self.targets.get_mut(&lease.target) else {
             return;
         };
--- a/crates/coordination/src/slots/batch.rs
+++ b/crates/coordination/src/slots/batch.rs
@@ -1,6 +1,7 @@
 //! How batch yields to online requests: headroom, and preemption of batch leases.
 
 use super::lease::{LeaseId, Purpose, Request, Revocation};
+use super::placement::preemption_tolerance;
 use super::target_state::{Rank, TargetState};
 use super::{Allocator, Lease};
 use crate::TargetId;
@@ -36,16 +37,20 @@
         (f64::from(slots) * self.policy.headroom).min(optimal.max(MIN_RESERVED_SLOTS)).ceil() as u32
     }
 
-    /// Targets that rank as high for a request as the best one, which is full.
+    /// Targets that rank about as high for a request as the best one, which is full.
     pub(super) fn equivalent(
         &self,
         request: &Request,
         rank: Rank,
         now: Instant,
     ) -> HashSet<TargetId> {
-        let median = self.median_event_interval();
-        let is_equivalent =
-            |state: &TargetState| state.rank(request, median, &self.policy, now) == Some(rank);
+        let ranking = self.ranking(request, now);
+        let tolerance = if ranking.pace.is_some() { preemption_tolerance() } else { 0 };
+        let is_equivalent = |state: &TargetState| {
+            state.rank(request, &ranking).is_some_and(|other| {
+                other.is_full && other.class == rank.class && other.cost <= rank.cost + tolerance
+            })
+        };
         let equivalent = self
             .targets
             .iter()
--- a/crates/coordination/src/slots/holders.rs
+++ b/crates/coordination/src/slots/holders.rs
@@ -92,7 +92,7 @@
                 may_wait: false,
                 workload: Workload::default(),
             };
-            self.add(held.lease, &request, held.target.clone(), now);
+            self.add(held.lease, &request, held.target.clone(), None, now);
         }
     }
 
--- a/crates/coordination/src/slots/lease.rs
+++ b/crates/coordination/src/slots/lease.rs
@@ -1,5 +1,7 @@
 //! Slot requests, leases and decisions of an allocator.
 
+use super::placement::Forecast;
+use crate::hash;
 use crate::prompt::Prompt;
 use crate::run_time::Sample;
 use crate::{InstanceId, TargetId};
@@ -53,6 +55,9 @@
     pub failing_last: bool,
     /// Whether a target with an overdue first event is used last for a while.
     pub overdue_last: bool,
+    /// Whether online requests are placed by the delays that are expected of them, where prompts
+    /// or objectives are known, instead of by load alone.
+    pub places_by_delay: bool,
     /// Weight of the newest sample in a running mean, in 0..1.
     pub smoothing: f64,
 }
@@ -70,6 +75,7 @@
             slow_factor: 2.0,
             failing_last: true,
             overdue_last: true,
+            places_by_delay: true,
             smoothing: 0.2,
         }
     }
@@ -97,6 +103,29 @@
     pub is_retry: bool,
 }
 
+/// Part of the objective from which on reading the shared parts of a prompt takes longer than
+/// sending the request to another data centre and its response back.
+const MIN_HOME_READING_RATIO: f64 = 1.0 / 16.0;
+
+impl Workload {
+    /// The data centre in which the first long part of the prompt should be read, so that it is
+    /// read in one of them only; `None` if reading the shared parts takes too little time to matter.
+    /// All instances agree as long as they know the same data centres.
+    pub fn home<'a>(
+        &self,
+        data_centres: impl Iterator<Item = &'a str>,
+        token_time: Duration,
+    ) -> Option<&'a str> {
+        let min_reading = self.objective.mul_f64(MIN_HOME_READING_RATIO);
+        if token_time.is_zero() || min_reading.is_zero() {
+            return None;
+        }
+        let min_tokens = min_reading.as_secs_f64() / token_time.as_secs_f64();
+        let key = self.prompt.long_part(min_tokens as u64)?;
+        data_centres.max_by_key(|name| (hash::weight(name.as_bytes(), key), *name))
+    }
+}
+
 /// A workspace that competes for slots.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WorkspaceWeight {
@@ -221,7 +250,7 @@
 }
 
 /// A lease on a slot.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Grant {
     /// Id for the release and for reports.
     pub lease: LeaseId,
@@ -232,6 +261,9 @@
     /// How long the request for the slot was queued at the allocator.
     #[serde(default, rename = "waited_ms")]
     pub queued_ms: Millis,
+    /// What is expected of the request; `None` if nothing is known, or from an earlier build.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub forecast: Option<Forecast>,
 }
 
 /// A batch lease that its holder must release at once.
@@ -244,7 +276,7 @@
 }
 
 /// The response to a slot request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
     /// A slot, and the batch lease that was preempted for it.
     Granted(Grant, Option<Revocation>),
@@ -262,7 +294,7 @@
     /// Defaults to [`LeaseOutcome::Completed`].
     #[serde(rename = "end")]
     pub outcome: LeaseOutcome,
-    /// Time to the first event; `None` if there was none.
+    /// Time from sending the request to its first event; `None` if there was none.
     #[serde(rename = "first")]
     pub first_event: Option<Duration>,
     /// Mean time between events; `None` with fewer than two.
--- a/crates/coordination/src/slots/limited.rs
+++ b/crates/coordination/src/slots/limited.rs
@@ -56,6 +56,7 @@
         let removed = previous.into_iter().map(|(id, state)| (id, state.meter));
         self.removed_meters.extend(removed);
         self.removed_meters.retain(|_, meter| meter.has_recent_grants(now));
+        self.update_cache_limits();
         let targets = &self.targets;
         self.leases.retain(|_, lease| targets.contains_key(&lease.target));
     }
--- a/crates/coordination/src/slots/target_state.rs
+++ b/crates/coordination/src/slots/target_state.rs
@@ -1,7 +1,10 @@
 //! State of one target: its leases, and its recent health.
 
 use super::lease::{LeaseOutcome, LeaseReport, Policy, Purpose, Request};
+use super::placement::Expectation;
+use super::prompt_cache::PromptCache;
 use super::rate::Meter;
+use super::speed::{Pace, Slowness};
 use crate::ejection::{Availability, Health};
 use protocol::routing::Target;
 use std::time::{Duration, Instant};
@@ -58,10 +61,35 @@
     last_interrupted: Option<Instant>,
     /// Rate of grants, if the service has a limit.
     pub(super) meter: Meter,
+    /// What it probably keeps of the prompts that it has read.
+    pub(super) cache: PromptCache,
+    pub(super) slowness: Slowness,
+    /// When it will have read the prompts of all requests granted so far.
+    pub(super) reading_until: Option<Instant>,
 }
 
 /// Rank of a target for a request; the lowest is the best.
-pub(super) type Rank = (u32, u64);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Rank {
+    /// Doubts about the target; a lower class precedes whatever the rest is.
+    pub(super) class: u32,
+    /// Delay over all callers, in steps that callers can tell apart; 0 where nothing is known of
+    /// the request.
+    pub(super) cost: u32,
+    /// Slots taken, in thousandths of all.
+    pub(super) load: u64,
+    pub(super) is_full: bool,
+}
+
+/// What targets are ranked by, beside the request.
+pub(super) struct Ranking<'a> {
+    pub(super) policy: &'a Policy,
+    /// Median event interval of all targets, in seconds.
+    pub(super) median: f64,
+    /// Pace of the request's service; `None` if requests aren't placed by expected delays.
+    pub(super) pace: Option<&'a Pace>,
+    pub(super) now: Instant,
+}
 
 impl TargetState {
     /// A target without leases or history.
@@ -76,6 +104,9 @@
             last_overdue: None,
             last_interrupted: None,
             meter: Meter::default(),
+            cache: PromptCache::new(u64::MAX, 0),
+            slowness: Slowness::default(),
+            reading_until: None,
         }
     }
 
@@ -101,15 +132,9 @@
         *service == request.service && *data_centre == request.data_centre && !leaving
     }
 
-    /// Rank for a request; `None` if the target can't be used. `median` is the median event
-    /// interval of all targets, in seconds.
-    pub(super) fn rank(
-        &self,
-        request: &Request,
-        median: f64,
-        policy: &Policy,
-        now: Instant,
-    ) -> Option<Rank> {
+    /// Rank for a request; `None` if the target can't be used.
+    pub(super) fn rank(&self, request: &Request, ranking: &Ranking<'_>) -> Option<Rank> {
+        let Ranking { policy, median, pace, now } = *ranking;
         if !self.serves(request) || request.excluded.contains(&self.target.id) {
             return None;
         }
@@ -129,13 +154,33 @@
         };
         let is_overdue =
             policy.overdue_last && self.last_overdue.is_some_and(|at| now < at + OVERDUE_PENALTY);
-        let is_slow = median > 0.0 && self.event_interval > median * policy.slow_factor;
-        let class = 4 * u32::from(is_overdue || is_failing)
-            + 2 * u32::from(self.is_full())
-            + u32::from(is_slow);
+        let doubts = 4 * u32::from(is_overdue || is_failing) + 8 * probation_rank;
+        let expected = pace.map(|pace| self.expect(&request.workload, pace, now));
+        let (class, cost) = match expected {
+            Some(expected) => self.rank_by_delay(&expected, request, policy),
+            None => (self.rank_by_speed(median, policy), 0),
+        };
         // Load in thousandths, since ranks are integers.
         let load = u64::from(self.used()) * 1_000 / u64::from(self.target.slots.max(1));
-        Some((class + 8 * probation_rank, load))
+        Some(Rank { class: class + doubts, cost, load, is_full: self.is_full() })
+    }
+
+    /// Class and cost by the delays that are expected.
+    fn rank_by_delay(
+        &self,
+        expected: &Expectation,
+        request: &Request,
+        policy: &Policy,
+    ) -> (u32, u32) {
+        let class = u32::from(expected.pauses_too_long(&request.workload));
+        (class, self.cost(expected, &request.workload, policy))
+    }
+
+    /// Class where nothing is known of the request: free targets before full ones, and slow ones
+    /// after others.
+    fn rank_by_speed(&self, median: f64, policy: &Policy) -> u32 {
+        let is_slow = median > 0.0 && self.event_interval > median * policy.slow_factor;
+        2 * u32::from(self.is_full()) + u32::from(is_slow)
     }
 
     /// A request is overdue for its first event.
--- a/crates/daemon/src/gateway/allocator.rs
+++ b/crates/daemon/src/gateway/allocator.rs
@@ -235,8 +235,14 @@
     })
 }
 
-/// Applies the rate limits of a configuration.
-pub fn set_rate_limits(node: &Node, services: &[Service]) {
+/// Applies the rate limits and the memory of targets in a configuration.
+pub fn set_services(node: &Node, services: &[Service]) {
+    let memory = services.iter().map(|service| (service.name.clone(), service.memory_tokens));
+    node.leases.allocator.borrow_mut().set_memory(memory.collect());
+    set_rate_limits(node, services);
+}
+
+fn set_rate_limits(node: &Node, services: &[Service]) {
     let limit = |service: &Service| {
         let cold = service.cold?;
         let limit = RateLimit {
--- a/crates/daemon/src/gateway/discovery.rs
+++ b/crates/daemon/src/gateway/discovery.rs
@@ -54,7 +54,7 @@
             slog::info!(node.log, "configuration in force"; "version" => version,
                 "before" => current, "from" => from, "routes" => table.routes.len(),
                 "workspaces" => table.workspaces.as_ref().map(Directory::len));
-            allocator::set_rate_limits(node, &table.services);
+            allocator::set_services(node, &table.services);
             let config = Config { table, text: Secret::from(text.to_owned()), since: clock::now() };
             *node.config.borrow_mut() = Some(Rc::new(config));
             node.jobs.wake();
--- a/crates/daemon/src/gateway/items/run.rs
+++ b/crates/daemon/src/gateway/items/run.rs
@@ -17,7 +17,7 @@
 use protocol::RequestFingerprint;
 use state::progress::{Failure, Item, Job, Outcome, PartialOutput};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use transport::event::EventSplitter;
 use transport::upstream::{Exchange, SendError};
 
@@ -37,6 +37,32 @@
     Stopped(LeaseOutcome, String),
 }
 
+/// When the events of a run arrived.
+#[derive(Clone, Copy, Debug, Default)]
+struct EventTimes {
+    first: Option<Instant>,
+    last: Option<Instant>,
+    count: u32,
+}
+
+impl EventTimes {
+    fn on_event(&mut self, now: Instant) {
+        self.first.get_or_insert(now);
+        self.last = Some(now);
+        self.count += 1;
+    }
+
+    fn first_since(&self, started: Instant) -> Option<Duration> {
+        Some(self.first?.saturating_duration_since(started))
+    }
+
+    /// Mean time between two events; `None` with fewer than two.
+    fn interval(&self) -> Option<Duration> {
+        let gaps = self.count.checked_sub(1).filter(|gaps| *gaps > 0)?;
+        Some(self.last?.saturating_duration_since(self.first?) / gaps)
+    }
+}
+
 /// Runs an item unless it is quarantined.
 pub(super) async fn run_item(node: Rc<Node>, held: Rc<HeldJob>, item: Item, lease: Lease) {
     let mut partial = held.state.borrow().partial(&item.id);
@@ -50,11 +76,12 @@
         withhold(&node, &held, &item, remaining).await;
         return;
     }
+    let mut times = EventTimes::default();
     let run_end = tokio::select! {
         biased;
         () = std::future::ready(()), if !lease.is_usable(clock::now()) =>
             RunEnd::Stopped(LeaseOutcome::Unused, String::from("target is unusable")),
-        run_end = attempt(&node, &held, &item, &lease, &mut partial) => run_end,
+        run_end = attempt(&node, &held, &item, &lease, &mut partial, &mut times) => run_end,
         () = lease.stop.cancelled() =>
             RunEnd::Stopped(LeaseOutcome::Unused, String::from("revoked")),
         () = held.released.cancelled() =>
@@ -64,9 +91,9 @@
     };
     let mut lease = lease;
     let new_events = partial.events.len() - events_before.min(partial.events.len());
-    if new_events > 1 {
-        lease.report.event_interval = Some(clock::since(started) / new_events as u32);
-    }
+    let slot_interval = (new_events > 1).then(|| clock::since(started) / new_events as u32);
+    lease.report.first_event = times.first_since(started);
+    lease.report.event_interval = times.interval();
     let (how, error) = match &run_end {
         RunEnd::Completed => ("complete", String::new()),
         RunEnd::Failed(failure) => ("failed", format!("{failure:?}")),
@@ -83,7 +110,7 @@
             let total =
                 clock::since(held.first_started.borrow_mut().remove(&item.id).unwrap_or(started));
             let events = partial.events.len() as u32;
-            lease.report.completed = lease.report.event_interval.map(|interval| Sample {
+            lease.report.completed = slot_interval.map(|interval| Sample {
                 events,
                 event_interval: interval,
                 elapsed: total,
@@ -153,6 +180,7 @@
     item: &Item,
     lease: &Lease,
     partial: &mut PartialOutput,
+    times: &mut EventTimes,
 ) -> RunEnd {
     let request = request(held.state.borrow().job(), item, lease, partial);
     let request = match request {
@@ -193,7 +221,7 @@
     }
     let status = head.status;
     if status.is_success() {
-        let run_end = read_events(&mut exchange, partial).await;
+        let run_end = read_events(&mut exchange, partial, times).await;
         if matches!(run_end, RunEnd::Completed) && exchange.has_body_framing() {
             quarantine::on_success(node, || fingerprint_of(held, item));
         }
@@ -210,7 +238,11 @@
     }
 }
 
-async fn read_events(exchange: &mut Exchange, partial: &mut PartialOutput) -> RunEnd {
+async fn read_events(
+    exchange: &mut Exchange,
+    partial: &mut PartialOutput,
+    times: &mut EventTimes,
+) -> RunEnd {
     let interrupted = |error: &str| RunEnd::Stopped(LeaseOutcome::Interrupted, error.to_owned());
     let mut splitter = EventSplitter::default();
     loop {
@@ -225,6 +257,7 @@
             return interrupted("event exceeds the size limit");
         }
         while let Some(event) = splitter.next_event() {
+            times.on_event(clock::now());
             let is_duplicate = match (event.id, partial.last_event_id) {
                 (Some(id), Some(last)) => id <= last,
                 _ => false,
--- a/crates/daemon/src/gateway/leases.rs
+++ b/crates/daemon/src/gateway/leases.rs
@@ -20,7 +20,9 @@
 use call::{AllocatorCall, AllocatorReply, call_allocator};
 use coordination::membership::Member;
 use coordination::residency::Residency;
-use coordination::slots::{Allocator, Grant, LeaseId, Policy, Purpose, WaiterId, Workload};
+use coordination::slots::{
+    Allocator, Forecast, Grant, LeaseId, Policy, Purpose, WaiterId, Workload,
+};
 use coordination::{capacity, hash};
 use lease::{ActiveLease, Grantor, activate};
 use protocol::{DataCentreId, InstanceId, TargetId};
@@ -92,6 +94,8 @@
     /// When this instance last granted itself a slot of each target whose rate is limited.
     self_granted_at: RefCell<HashMap<TargetId, Instant>>,
     next_request_id: Cell<SlotRequestId>,
+    /// Time to read a token of a prompt, as allocators last told; zero if unknown.
+    token_time: Cell<Duration>,
 }
 
 impl Leases {
@@ -113,6 +117,7 @@
             self_granted_at: RefCell::default(),
             next_self_granted: Cell::new(seed | SELF_GRANTED_BIT),
             next_request_id: Cell::default(),
+            token_time: Cell::default(),
         }
     }
 
@@ -122,6 +127,12 @@
         id
     }
 
+    /// Records what an allocator expects of a request.
+    pub(super) fn on_forecast(&self, forecast: &Forecast) {
+        let token_time = Duration::try_from_secs_f64(forecast.token_us * 1e-6);
+        self.token_time.set(token_time.unwrap_or_default());
+    }
+
     /// Leases granted by the allocators owned here: `[online, batch]`.
     pub fn in_use(&self) -> [u32; 2] {
         self.allocator.borrow().in_use()
@@ -185,7 +196,7 @@
 ) -> Result<Lease, AcquireError> {
     loop {
         match acquire_once(node, query, charge).await {
-            Outcome::Lease(lease) => return Ok(lease),
+            Outcome::Lease(lease) => return Ok(*lease),
             Outcome::Rejected(error) => return Err(error),
             Outcome::NoReply => return Err(AcquireError::NoTarget),
             // The charge was borrowed, or allocators and their owners may have changed during
@@ -196,7 +207,7 @@
 }
 
 enum Outcome {
-    Lease(Lease),
+    Lease(Box<Lease>),
     Rejected(AcquireError),
     /// No slot was granted so far, and the query has not expired.
     Pending,
@@ -210,6 +221,9 @@
     if names.is_empty() {
         return Outcome::Rejected(AcquireError::NoTarget);
     }
+    if node.settings.policy.places_by_delay {
+        prefer_home(&mut names, &query.workload, node.leases.token_time.get());
+    }
     // Bounds the messages per waiting request, however many data centres there are.
     names.truncate(node.settings.policy.max_allocators);
     let nearest = names.remove(0);
@@ -236,12 +250,23 @@
     match wait::first_grant(node, query, names).await {
         Outcome::NoReply => {
             let lease = grant_locally(node, query);
-            lease.map_or(Outcome::Rejected(AcquireError::NoTarget), Outcome::Lease)
+            let lease = lease.map(|lease| Outcome::Lease(Box::new(lease)));
+            lease.unwrap_or(Outcome::Rejected(AcquireError::NoTarget))
         }
         outcome => outcome,
     }
 }
 
+/// Moves the data centre in which the long parts of a prompt are read to the front, so that they
+/// are read in one of them only.
+fn prefer_home(names: &mut [DataCentreId], workload: &Workload, token_time: Duration) {
+    let home = workload.home(names.iter().map(String::as_str), token_time);
+    let position = home.and_then(|home| names.iter().position(|name| name == home));
+    if let Some(position) = position {
+        names[..=position].rotate_right(1);
+    }
+}
+
 /// Grants a slot without an allocator: on a random one of the targets with the fewest leases
 /// of this instance, in the local data centre if possible. A target whose rate is limited is used
 /// only once in a while, since other instances may do the same.
@@ -270,7 +295,7 @@
         self_granted_at.insert(target.id.clone(), now);
     }
     let (target, address) = (target.id.clone(), target.address);
-    let grant = Grant { lease, target, address, queued_ms: 0 };
+    let grant = Grant { lease, target, address, queued_ms: 0, forecast: None };
     drop(active);
     slog::info!(node.log, "slot granted without allocator"; "target" => &grant.target,
         "service" => &query.service);
--- a/crates/daemon/src/gateway/leases/call.rs
+++ b/crates/daemon/src/gateway/leases/call.rs
@@ -92,7 +92,7 @@
 }
 
 pub(super) enum AllocatorReply {
-    Lease(Lease),
+    Lease(Box<Lease>),
     /// The granted slot is on this target, which is unusable.
     UnusableTarget(TargetId),
     /// No slot is free; one is expected after this delay.
@@ -138,7 +138,8 @@
         return match allocator::acquire_local(node, data_centre, request.clone(), *id, *wait).await
         {
             allocator::AcquireOutcome::Grant(grant) => {
-                AllocatorReply::Lease(activate(node, grant, Purpose::Online, Grantor::Local, now))
+                let lease = activate(node, grant, Purpose::Online, Grantor::Local, now);
+                AllocatorReply::Lease(Box::new(lease))
             }
             allocator::AcquireOutcome::Full(after) => AllocatorReply::Full(after),
             allocator::AcquireOutcome::Pending => AllocatorReply::Pending,
@@ -162,7 +163,7 @@
         Ok(PeerReply::Slots(grants, _)) => match grants.into_iter().next() {
             Some(grant) => match accept_remote_grant(node, grant, Purpose::Online, owner.peer, now)
             {
-                Ok(lease) => AllocatorReply::Lease(lease),
+                Ok(lease) => AllocatorReply::Lease(Box::new(lease)),
                 Err(target) => AllocatorReply::UnusableTarget(target),
             },
             None => AllocatorReply::Pending,
--- a/crates/daemon/src/gateway/leases/lease.rs
+++ b/crates/daemon/src/gateway/leases/lease.rs
@@ -40,6 +40,8 @@
     pub report: LeaseReport,
     /// Revision of the registry at this instance when the lease was granted.
     pub registry: Revision,
+    /// When the request was sent; `None` before.
+    pub sent_at: Option<Instant>,
     granted_at: Instant,
     /// Earliest time at which the allocator may have granted the lease.
     earliest_grant: Instant,
@@ -117,7 +119,19 @@
     let registry = node.registry.borrow().revision();
     let earliest_grant = requested_at + Duration::from_millis(grant.queued_ms);
     let granted_at = clock::now();
-    Lease { node: node.clone(), grant, stop, report, registry, granted_at, earliest_grant }
+    if let Some(forecast) = &grant.forecast {
+        node.leases.on_forecast(forecast);
+    }
+    Lease {
+        node: node.clone(),
+        grant,
+        stop,
+        report,
+        registry,
+        sent_at: None,
+        granted_at,
+        earliest_grant,
+    }
 }
 
 /// Activates a lease granted by another instance, unless the registry here lists its target as
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -327,6 +327,7 @@
         preemption_cost: policy.preemption_cost,
         late_last: policy.late_last,
         slow_factor: if policy.slow_last { default.slow_factor } else { f64::INFINITY },
+        places_by_delay: policy.places_by_delay,
         failing_last: policy.failing_last,
         overdue_last: policy.overdue_last,
         ..default
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -15,7 +15,7 @@
 use crate::clock;
 use attempt::{RetryReason, completion_outcome};
 use coordination::hash;
-use coordination::slots::{Grant, LeaseOutcome, Workload};
+use coordination::slots::{Forecast, Grant, LeaseOutcome, Workload};
 use hyper::Response;
 use hyper::http::response::Parts;
 use platform::header;
@@ -61,6 +61,8 @@
     pub charge: Charge,
     /// What slot requests tell of the request.
     pub workload: Workload,
+    /// What the allocator expected of the request on the last target; `None` if it told nothing.
+    pub forecast: Option<Forecast>,
 }
 
 /// A response of a target whose head has arrived.
@@ -114,6 +116,7 @@
         excluded: Vec::new(),
         charge,
         workload,
+        forecast: None,
     };
     match request.forward(None).await {
         Ok(response) => respond(request, response, in_flight).await,
@@ -233,6 +236,8 @@
             }
             let target = lease.grant.target.clone();
             self.registry = lease.registry;
+            self.forecast = lease.grant.forecast;
+            self.count_prompt_tokens();
             self.charge.set_may_have_run(true);
             let result = self.send(lease, last_event).await;
             let reason = match result {
@@ -271,6 +276,14 @@
         }
     }
 
+    /// Counts the tokens of a prompt that is sent, by whether its target probably keeps them.
+    fn count_prompt_tokens(&self) {
+        if let Some(forecast) = &self.forecast {
+            self.node.metrics.count_many("prompt.tokens.kept", forecast.kept_tokens);
+            self.node.metrics.count_many("prompt.tokens.unread", forecast.unread_tokens);
+        }
+    }
+
     /// A rejection promises that the request did not run, so it is sent only if that is certain.
     fn reject(&self, error: AcquireError) -> ForwardError {
         if self.may_have_run {
--- a/crates/daemon/src/gateway/online/attempt.rs
+++ b/crates/daemon/src/gateway/online/attempt.rs
@@ -27,6 +27,8 @@
         let policy = &self.node.settings.policy;
         let overdue_after = self.route.objective.mul_f64(policy.overdue_factor);
         let reroute_after = self.route.objective.mul_f64(policy.reroute_factor);
+        let mut lease = lease;
+        lease.sent_at = Some(now);
         let sending = self.node.targets.send(lease.grant.address, request);
         let mut sending = std::pin::pin!(sending);
         let mut timeout = remaining;
--- a/crates/daemon/src/gateway/streaming.rs
+++ b/crates/daemon/src/gateway/streaming.rs
@@ -46,6 +46,11 @@
         Some(self.started_at?.saturating_duration_since(started) + self.first?)
     }
 
+    /// Time from sending the request to the first event of the last target.
+    fn first_since(&self, sent_at: Option<Instant>) -> Option<Duration> {
+        Some((self.started_at? + self.first?).saturating_duration_since(sent_at?))
+    }
+
     fn event_interval(&self) -> Option<Duration> {
         let first_at = self.started_at? + self.first?;
         let gaps = self.chunks.checked_sub(1).filter(|gaps| *gaps > 0)?;
@@ -62,7 +67,13 @@
     let head = response_head(&response.exchange);
     let (sender, body) = server::body_channel();
     tokio::task::spawn_local(async move {
-        let mut stream = Stream { request, last_event: None, sender, stats: EventStats::default() };
+        let mut stream = Stream {
+            request,
+            last_event: None,
+            sender,
+            stats: EventStats::default(),
+            target_first: None,
+        };
         stream.run(response).await;
         drop(in_flight);
     });
@@ -74,6 +85,8 @@
     last_event: Option<u64>,
     sender: BodySender,
     stats: EventStats,
+    /// Time from sending the request to the first event of the last target.
+    target_first: Option<Duration>,
 }
 
 /// Why a target's stream ended.
@@ -149,7 +162,8 @@
             StreamEnd::Completed => self.request.on_end(is_framed),
             StreamEnd::CallerGone | StreamEnd::DeadlineExceeded | StreamEnd::Idle => {}
         }
-        lease.report.first_event = self.stats.first;
+        self.target_first = self.stats.first_since(lease.sent_at);
+        lease.report.first_event = self.target_first;
         lease.report.event_interval = self.stats.event_interval();
         lease.end(match end {
             StreamEnd::Completed => LeaseOutcome::Completed,
@@ -268,12 +282,19 @@
         let first = self.stats.first_after(call.started);
         first.into_iter().for_each(|first| node.metrics.time("stream.first", first));
         let is_in_time = first.is_some_and(|first| first <= route.objective);
+        let forecast = self.request.forecast;
         let is_good = error.is_empty() && is_in_time && self.stats.slowest <= route.max_event_gap;
         node.metrics.record_request(&route.name, is_good, clock::now());
         slog::info!(node.log, "{}", event; "request" => &call.id, "target" => target,
             "content" => hex(call.fingerprint()),
+            "workspace" => call.workspace_name(),
             "route" => &self.request.route.name, "config" => self.request.version,
             "registry" => self.request.registry,
+            "expected_ms" => forecast.map(|forecast| forecast.first_ms as u64),
+            "target_first_ms" => self.target_first.map(|first| first.as_millis() as u64),
+            "kept_tokens" => forecast.map(|forecast| forecast.kept_tokens),
+            "unread_tokens" => forecast.map(|forecast| forecast.unread_tokens),
+            "slowness" => forecast.map(|forecast| forecast.slowness),
             "fault" => error, "pieces" => self.stats.chunks, "sent" => self.request.attempts,
             "first_ms" => self.stats.first_after(call.started).map(|at| at.as_millis() as u64),
             "slowest_ms" => self.stats.slowest.as_millis() as u64,
--- a/crates/protocol/src/settings/policy.rs
+++ b/crates/protocol/src/settings/policy.rs
@@ -26,6 +26,9 @@
     pub preemption_cost: Duration,
     /// `[policy] slow_last`: whether slow targets are used last.
     pub slow_last: bool,
+    /// `[policy] place_by_delay`: whether requests go to the target on which they delay all callers
+    /// least, by what it has read and how fast it is, instead of to the least loaded.
+    pub places_by_delay: bool,
     /// `[policy] failing_last`: whether targets that fail some requests are used last,
     /// and not at all for batch.
     pub failing_last: bool,
@@ -57,6 +60,7 @@
             headroom: 0.06,
             preemption_cost: Duration::from_millis(120),
             slow_last: true,
+            places_by_delay: true,
             failing_last: true,
             overdue_last: true,
             target_share: 0.35,
@@ -83,6 +87,7 @@
         source.read_value("policy", "headroom", "a share of the slots", &mut self.headroom)?;
         source.read_millis("policy", "stop_cost_ms", &mut self.preemption_cost)?;
         source.read_value("policy", "slow_last", bool, &mut self.slow_last)?;
+        source.read_value("policy", "place_by_delay", bool, &mut self.places_by_delay)?;
         source.read_value("policy", "failing_last", bool, &mut self.failing_last)?;
         source.read_value("policy", "doubt", bool, &mut self.overdue_last)?;
         source.read_value(
