Tell a new allocator what senders know of targets; give items the fast ones

And the time to a first event was taken to grow with a target's slowness as a whole: on the second deployment it is 72 ms on fast and slow targets alike.

First events have an excess for each target, apart from the factor for intervals and reading. What an item still needs counts in its placement, so items take the fast targets.

--- a/crates/coordination/src/prompt.rs
+++ b/crates/coordination/src/prompt.rs
@@ -70,6 +70,10 @@
         Prompt { parts: chain }
     }
 
+    pub(crate) fn from_parts(parts: Vec<Part>) -> Prompt {
+        Prompt { parts }
+    }
+
     /// The parts, from the beginning of the prompt.
     pub fn parts(&self) -> &[Part] {
         &self.parts
--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -18,6 +18,7 @@
 
 mod batch;
 mod holders;
+mod knowledge;
 mod learning;
 mod lease;
 mod limited;
@@ -27,6 +28,7 @@
 mod speed;
 mod target_state;
 
+pub use knowledge::{Knowledge, SentPrompts};
 pub use placement::Forecast;
 
 pub use lease::{
@@ -281,13 +283,14 @@
         if let Some(state) = self.targets.get_mut(&target) {
             *state.count(request.purpose) += 1;
         }
+        let slowness = placed.as_ref().map_or(1.0, |placed| placed.expected.slowness);
         let lease = Lease {
             target,
             holder: request.holder,
             purpose: request.purpose,
             granted: now,
             due: request.due,
-            ends: now + request.remaining,
+            ends: now + request.remaining.mul_f64(slowness),
             is_late: self.policy.late_last && now > request.latest_start,
             is_revoked: false,
             placed,
--- a/crates/coordination/src/slots/learning.rs
+++ b/crates/coordination/src/slots/learning.rs
@@ -107,7 +107,8 @@
                 state.cache.on_first_event(&placed.prompt, is_late);
                 unread_tokens += if is_late { placed.expected.kept_tokens } else { 0 };
             }
-            pace.record_first(first_s, unread_tokens, slowness);
+            let excess_s = pace.record_first(first_s, unread_tokens, slowness);
+            state.slowness.record_first_excess(excess_s, now);
         }
     }
 }
--- a/crates/coordination/src/slots/lease.rs
+++ b/crates/coordination/src/slots/lease.rs
@@ -116,14 +116,17 @@
         data_centres: impl Iterator<Item = &'a str>,
         token_time: Duration,
     ) -> Option<&'a str> {
-        let min_reading = self.objective.mul_f64(MIN_HOME_READING_RATIO);
-        if token_time.is_zero() || min_reading.is_zero() {
-            return None;
-        }
-        let min_tokens = min_reading.as_secs_f64() / token_time.as_secs_f64();
-        let key = self.prompt.long_part(min_tokens as u64)?;
+        let key = self.prompt.long_part(self.min_long_tokens(token_time)?)?;
         data_centres.max_by_key(|name| (hash::weight(name.as_bytes(), key), *name))
     }
+
+    /// Length in tokens from which on shared parts are long; `None` if nothing is known of the time
+    /// to read a token, or of the objective.
+    pub fn min_long_tokens(&self, token_time: Duration) -> Option<u64> {
+        let min_reading = self.objective.mul_f64(MIN_HOME_READING_RATIO);
+        let tokens = min_reading.as_secs_f64() / token_time.as_secs_f64();
+        (tokens.is_finite() && tokens > 0.0).then_some(tokens as u64)
+    }
 }
 
 /// A workspace that competes for slots.
--- a/crates/coordination/src/slots/placement.rs
+++ b/crates/coordination/src/slots/placement.rs
@@ -7,7 +7,7 @@
 //! the requests that run beside it, and the cost of an item that gives way. What the callers can't
 //! tell apart counts as equal, and the load decides.
 
-use super::lease::{Policy, Workload};
+use super::lease::{Policy, Request, Workload};
 use super::speed::Pace;
 use super::target_state::TargetState;
 use serde::{Deserialize, Serialize};
@@ -86,10 +86,11 @@
         let wait = self.reading_until.map(|until| until.saturating_duration_since(now));
         let wait_s = wait.unwrap_or_default().as_secs_f64();
         let reading_s = slowness * pace.token_time_s() * unread_tokens as f64;
+        let first_event_s = (pace.first_event_s() + self.slowness.first_excess_s(now)).max(0.0);
         Expectation {
             wait_s,
             reading_s,
-            first_s: wait_s + slowness * pace.first_event_s() + reading_s,
+            first_s: wait_s + first_event_s + reading_s,
             interval_s: slowness * pace.interval_s(self.used() + 1),
             kept_parts,
             kept_tokens,
@@ -99,11 +100,17 @@
     }
 
     /// Delay over all callers, in steps that callers can tell apart.
-    pub(super) fn cost(&self, expected: &Expectation, workload: &Workload, policy: &Policy) -> u32 {
+    ///
+    /// What an item still needs counts as a whole, so that items take the fast targets: they run for
+    /// seconds and must be complete when they are due, while callers are served in time by any target
+    /// whose first event and pauses are within their limits.
+    pub(super) fn cost(&self, expected: &Expectation, request: &Request, policy: &Policy) -> u32 {
+        let workload = &request.workload;
         let preemption = if self.is_full() { policy.preemption_cost } else { Duration::ZERO };
         let delay_s = expected.first_s
             + self.delay_to_others_s(expected, workload)
-            + preemption.as_secs_f64();
+            + preemption.as_secs_f64()
+            + request.remaining.as_secs_f64() * expected.slowness;
         (delay_s / resolution_s(workload)) as u32
     }
 
--- a/crates/coordination/src/slots/speed.rs
+++ b/crates/coordination/src/slots/speed.rs
@@ -2,8 +2,10 @@
 //!
 //! For each service: how long the events of a stream are apart, how that grows with the number of
 //! requests that run on the same target, how long a first event takes and how long each unread
-//! token of the prompt adds. For each target: a factor to these times, in two parts. The lasting
-//! part tells slow hardware, the recent one a disturbance that will pass.
+//! token of the prompt adds. For each target: a factor to the interval and to the reading time, in
+//! two parts, of which the lasting one tells slow hardware and the recent one a disturbance that
+//! will pass; and what its first events take beyond the usual, since not all of that time grows with
+//! the target's speed.
 
 use std::time::{Duration, Instant};
 
@@ -118,16 +120,19 @@
     }
 
     /// Records the time from sending a request to its first event, without waiting for others.
-    pub(super) fn record_first(&mut self, first_s: f64, unread_tokens: u64, slowness: f64) {
+    /// Returns by how much it exceeds what was expected on a target that reads `slowness` times as
+    /// slowly as usual; 0 while nothing was expected.
+    pub(super) fn record_first(&mut self, first_s: f64, unread_tokens: u64, slowness: f64) -> f64 {
         let tokens = unread_tokens as f64;
-        let expected = self.first_event_s() + self.token_time_s() * tokens;
         let is_known = self.first.weight > 0.0;
-        let plain = if is_known { first_s.min(expected * slowness * MAX_EXCESS) } else { first_s };
+        let expected = self.first_event_s() + slowness * self.token_time_s() * tokens;
+        let plain = if is_known { first_s.min(expected * MAX_EXCESS) } else { first_s };
         self.first.record(tokens, plain);
+        if is_known { plain - expected } else { 0.0 }
     }
 }
 
-/// Sum of logarithms of ratios, with weights that halve with age.
+/// Sum of samples, with weights that halve with age.
 #[derive(Clone, Copy, Debug, Default)]
 struct Memory {
     sum: f64,
@@ -158,8 +163,11 @@
 /// How slow a target is, as a factor to the times of its service.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Slowness {
+    /// Logarithms of ratios, as are the recent ones.
     lasting: Memory,
     recent: Memory,
+    /// Seconds that first events took beyond the expected time.
+    first_excess: Memory,
 }
 
 impl Slowness {
@@ -170,6 +178,16 @@
         self.recent.record(value, RECENT_HALF_LIFE, now);
     }
 
+    /// Records by how many seconds a first event exceeded the expected time.
+    pub(super) fn record_first_excess(&mut self, excess_s: f64, now: Instant) {
+        self.first_excess.record(excess_s, LASTING_HALF_LIFE, now);
+    }
+
+    /// Seconds by which a first event is expected to exceed the usual time; negative if it is sooner.
+    pub(super) fn first_excess_s(&self, now: Instant) -> f64 {
+        self.first_excess.mean(0.0, LASTING_HALF_LIFE, now)
+    }
+
     /// The factor expected now; 1 if nothing is known.
     pub(super) fn factor(&self, now: Instant) -> f64 {
         let lasting = self.lasting.mean(0.0, LASTING_HALF_LIFE, now);
--- a/crates/coordination/src/slots/target_state.rs
+++ b/crates/coordination/src/slots/target_state.rs
@@ -173,7 +173,7 @@
         policy: &Policy,
     ) -> (u32, u32) {
         let class = u32::from(expected.pauses_too_long(&request.workload));
-        (class, self.cost(expected, &request.workload, policy))
+        (class, self.cost(expected, request, policy))
     }
 
     /// Class where nothing is known of the request: free targets before full ones, and slow ones
--- a/crates/daemon/src/gateway/allocator.rs
+++ b/crates/daemon/src/gateway/allocator.rs
@@ -10,8 +10,8 @@
 use crate::clock;
 use coordination::slots::rate::RateLimit;
 use coordination::slots::{
-    self, Decision, Grant, HeldLease, LeaseId, LeaseOutcome, LeaseReport, Purpose, Revocation,
-    WAITER_CHECK_INTERVAL, WaiterId,
+    self, Decision, Grant, HeldLease, Knowledge, LeaseId, LeaseOutcome, LeaseReport, Purpose,
+    Revocation, WAITER_CHECK_INTERVAL, WaiterId,
 };
 use protocol::routing::{Service, Target};
 use protocol::{DataCentreId, InstanceId, ServiceId};
@@ -303,6 +303,12 @@
     grant_waiters(node);
 }
 
+/// Handles what a sender knows of targets whose allocator may have just started here.
+pub fn on_knowledge(node: &Rc<Node>, knowledge: &[Knowledge]) {
+    refresh(node);
+    node.leases.allocator.borrow_mut().on_knowledge(knowledge, clock::now());
+}
+
 /// Grants free slots to waiters.
 pub fn grant_waiters(node: &Rc<Node>) {
     refresh(node);
--- a/crates/daemon/src/gateway/leases.rs
+++ b/crates/daemon/src/gateway/leases.rs
@@ -21,7 +21,7 @@
 use coordination::membership::Member;
 use coordination::residency::Residency;
 use coordination::slots::{
-    Allocator, Forecast, Grant, LeaseId, Policy, Purpose, WaiterId, Workload,
+    Allocator, Forecast, Grant, LeaseId, Policy, Purpose, SentPrompts, WaiterId, Workload,
 };
 use coordination::{capacity, hash};
 use lease::{ActiveLease, Grantor, activate};
@@ -96,6 +96,8 @@
     next_request_id: Cell<SlotRequestId>,
     /// Time to read a token of a prompt, as allocators last told; zero if unknown.
     token_time: Cell<Duration>,
+    /// What this instance knows of the targets that it sends requests to.
+    sent_prompts: RefCell<SentPrompts>,
 }
 
 impl Leases {
@@ -118,6 +120,7 @@
             next_self_granted: Cell::new(seed | SELF_GRANTED_BIT),
             next_request_id: Cell::default(),
             token_time: Cell::default(),
+            sent_prompts: RefCell::default(),
         }
     }
 
@@ -133,6 +136,15 @@
         self.token_time.set(token_time.unwrap_or_default());
     }
 
+    /// Records that a target has completed a request, and so has read its prompt.
+    pub(super) fn on_completed(&self, grant: &Grant, workload: &Workload) {
+        let min_tokens = workload.min_long_tokens(self.token_time.get());
+        if let (Some(forecast), Some(min_tokens)) = (&grant.forecast, min_tokens) {
+            let mut sent_prompts = self.sent_prompts.borrow_mut();
+            sent_prompts.on_completed(&grant.target, &workload.prompt, min_tokens, forecast);
+        }
+    }
+
     /// Leases granted by the allocators owned here: `[online, batch]`.
     pub fn in_use(&self) -> [u32; 2] {
         self.allocator.borrow().in_use()
--- a/crates/daemon/src/gateway/leases/report.rs
+++ b/crates/daemon/src/gateway/leases/report.rs
@@ -5,6 +5,7 @@
 use crate::gateway::allocator;
 use crate::gateway::message::PeerRequest;
 use crate::gateway::node::Node;
+use coordination::membership::Member;
 use coordination::slots::HeldLease;
 use protocol::{DataCentreId, InstanceId};
 use std::collections::HashMap;
@@ -57,5 +58,29 @@
         } else {
             node.notify(owner.peer, PeerRequest::LeaseReport(node.id(), held));
         }
+        if is_new {
+            tell_knowledge(node, &name, &owner);
+        }
+    }
+}
+
+/// Tells a new owner of an allocator what this instance knows of its targets.
+fn tell_knowledge(node: &Rc<Node>, data_centre: &str, owner: &Member) {
+    let knowledge = {
+        let registry = node.registry.borrow();
+        let is_local = |target: &str| {
+            registry.get(target).is_some_and(|target| target.data_centre == data_centre)
+        };
+        node.leases.sent_prompts.borrow().of_targets(is_local)
+    };
+    if knowledge.is_empty() {
+        return;
+    }
+    slog::info!(node.log, "knowledge of targets told"; "data_centre" => data_centre,
+        "to" => %owner.peer, "prompts" => knowledge.len());
+    if owner.id == node.id() {
+        node.leases.allocator.borrow_mut().on_knowledge(&knowledge, clock::now());
+    } else {
+        node.notify(owner.peer, PeerRequest::Knowledge(knowledge));
     }
 }
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -10,7 +10,7 @@
 use coordination::quota::{Report, Snapshot};
 use coordination::registry::Change;
 use coordination::run_time::Estimate;
-use coordination::slots::{Grant, HeldLease, LeaseId, LeaseReport, Purpose, Workload};
+use coordination::slots::{Grant, HeldLease, Knowledge, LeaseId, LeaseReport, Purpose, Workload};
 use protocol::routing::Version;
 use protocol::secret::Secret;
 use protocol::{DataCentreId, InstanceId, RequestFingerprint, ServiceId, TargetId, WorkspaceId};
@@ -260,6 +260,8 @@
     Demand(Report),
     /// Gives the next keeper of a ledger what it needs to continue from.
     LedgerSnapshot(Snapshot),
+    /// Tells an allocator that has just started what the sender knows of its targets.
+    Knowledge(Vec<Knowledge>),
 }
 
 /// A reply.
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -161,6 +161,10 @@
             quota::on_report(node, report);
             PeerReply::Acknowledged
         }
+        PeerRequest::Knowledge(knowledge) => {
+            allocator::on_knowledge(node, &knowledge);
+            PeerReply::Acknowledged
+        }
         PeerRequest::LedgerSnapshot(snapshot) => {
             quota::on_snapshot(node, snapshot);
             PeerReply::Acknowledged
--- a/crates/daemon/src/gateway/streaming.rs
+++ b/crates/daemon/src/gateway/streaming.rs
@@ -159,7 +159,10 @@
         drop(exchange);
         match end {
             StreamEnd::Interrupted(_) => self.request.on_interrupted(&lease.grant),
-            StreamEnd::Completed => self.request.on_end(is_framed),
+            StreamEnd::Completed => {
+                self.node().leases.on_completed(&lease.grant, &self.request.workload);
+                self.request.on_end(is_framed);
+            }
             StreamEnd::CallerGone | StreamEnd::DeadlineExceeded | StreamEnd::Idle => {}
         }
         self.target_first = self.stats.first_since(lease.sent_at);
