Copy long prompts from targets that keep them

Cause: when the targets that keep a long prompt are full, it was read again elsewhere: 13,300 tokens in the mean, 155 ms in which nothing else runs at full speed there. Copying them takes 2.5 to 12 ms by the configuration's link and bytes a token.

Change: an allocator names the target that keeps most of a long prompt to the sender, which passes it on (Kv-Fetch), where a copy takes at most a quarter of the time to read; a copy counts as a quarter of that time at least, so a target that keeps the prompt is preferred while it has a slot. A sender tells which target has read the prompt for it, for copies between data centres. Prompts with long parts try the data centres in the order of rendezvous hashing. [policy] copy_prompts switches copies off.

--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -29,6 +29,7 @@
 mod target_state;
 
 pub use knowledge::{Knowledge, SentPrompts};
+pub use learning::TargetMemory;
 pub use placement::Forecast;
 
 pub use lease::{
@@ -108,8 +109,8 @@
     shares: HashMap<DataCentreId, f64>,
     /// What is learnt of the speed of each service.
     paces: HashMap<ServiceId, Pace>,
-    /// Tokens that a target of each service keeps in memory.
-    memory_tokens: HashMap<ServiceId, u64>,
+    /// The memory of the targets of each service.
+    memories: HashMap<ServiceId, TargetMemory>,
 }
 
 impl Allocator {
@@ -130,7 +131,7 @@
             removed_meters: HashMap::new(),
             shares: HashMap::new(),
             paces: HashMap::new(),
-            memory_tokens: HashMap::new(),
+            memories: HashMap::new(),
         }
     }
 
@@ -225,8 +226,11 @@
         }
         let address = self.targets.get(&target)?.target.address;
         let revocation = preempted.and_then(|lease| self.revoke(lease));
-        let placed = self.place(request, &target, now);
+        let source = self.pace_for(request).and_then(|pace| self.source(request, pace, now));
+        let placed = self.place(request, &target, source.as_ref(), now);
         let forecast = self.forecast(request, placed.as_ref());
+        let is_copied = placed.as_ref().is_some_and(|placed| placed.expected.copied_tokens > 0);
+        let copy_from = source.filter(|_| is_copied).map(|source| source.address);
         self.next_id += 1;
         let lease = self.next_id;
         self.add(lease, request, target.clone(), placed, now);
@@ -235,7 +239,8 @@
         {
             state.meter.on_grant(now);
         }
-        Some((Grant { lease, target, address, queued_ms: 0, forecast }, revocation))
+        let grant = Grant { lease, target, address, queued_ms: 0, forecast, copy_from };
+        Some((grant, revocation))
     }
 
     /// The best target for a request and its rank: the least loaded with a free slot; for online
@@ -258,7 +263,8 @@
     fn ranking(&self, request: &Request, now: Instant) -> Ranking<'_> {
         let pace = self.pace_for(request);
         let median = if pace.is_some() { 0.0 } else { self.median_event_interval() };
-        Ranking { policy: &self.policy, median, pace, now }
+        let source = pace.and_then(|pace| self.source(request, pace, now));
+        Ranking { policy: &self.policy, median, pace, source, now }
     }
 
     fn median_event_interval(&self) -> f64 {
--- a/crates/coordination/src/slots/knowledge.rs
+++ b/crates/coordination/src/slots/knowledge.rs
@@ -52,6 +52,13 @@
         self.sent.push_back(Knowledge { target, prompt, slowness });
     }
 
+    /// The targets that have read the long shared parts of a prompt, the last one first.
+    pub fn readers(&self, prompt: &Prompt) -> impl Iterator<Item = &TargetId> {
+        let shared = prompt.without_last();
+        let sent = self.sent.iter().rev().filter(move |known| known.prompt == shared);
+        sent.map(|known| &known.target)
+    }
+
     /// What is known of the targets that `is_wanted` selects.
     pub fn of_targets(&self, is_wanted: impl Fn(&str) -> bool) -> Vec<Knowledge> {
         self.sent.iter().filter(|known| is_wanted(&known.target)).cloned().collect()
--- a/crates/coordination/src/slots/learning.rs
+++ b/crates/coordination/src/slots/learning.rs
@@ -1,8 +1,9 @@
 //! What an allocator learns from its grants and from the reports at their release.
 
 use super::lease::{LeaseOutcome, LeaseReport, Purpose, Request};
-use super::placement::{Expectation, Forecast};
+use super::placement::{Expectation, Forecast, Source};
 use super::speed::Pace;
+use super::target_state::TargetState;
 use super::{Allocator, Lease, Placed};
 use crate::TargetId;
 use protocol::ServiceId;
@@ -19,10 +20,23 @@
 /// Part of the reading time of the kept parts by which the first event must be late for it.
 const EVIDENCE_RATIO: f64 = 0.75;
 
+/// Time to copy a token, as a part of the time to read it, up to which a copy is worth taking
+/// another target's memory and link for.
+const MAX_COPY_RATIO: f64 = 0.25;
+
+/// Memory of the targets of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TargetMemory {
+    /// Tokens that a target keeps; 0 if unknown.
+    pub tokens: u64,
+    /// Time to copy the memory of a token from another target, in seconds; `None` if they can't.
+    pub copy_token_time_s: Option<f64>,
+}
+
 impl Allocator {
-    /// Replaces the memory of targets in tokens, by service; 0 if unknown.
-    pub fn set_memory(&mut self, memory_tokens: HashMap<ServiceId, u64>) {
-        self.memory_tokens = memory_tokens;
+    /// Replaces what is known of the memory of targets, by service.
+    pub fn set_memory(&mut self, memories: HashMap<ServiceId, TargetMemory>) {
+        self.memories = memories;
         self.update_cache_limits();
     }
 
@@ -30,8 +44,9 @@
         let [min, max] = PARTS_PER_TARGET;
         let max_parts = (MAX_PARTS / self.targets.len().max(1)).clamp(min, max);
         for state in self.targets.values_mut() {
-            let capacity = self.memory_tokens.get(&state.target.service).copied();
-            let capacity = capacity.filter(|capacity| *capacity > 0).unwrap_or(u64::MAX);
+            let memory = self.memories.get(&state.target.service);
+            let capacity = memory.map(|memory| memory.tokens).filter(|tokens| *tokens > 0);
+            let capacity = capacity.unwrap_or(u64::MAX);
             state.cache.set_limits(capacity, max_parts);
         }
     }
@@ -51,6 +66,7 @@
         &mut self,
         request: &Request,
         target: &TargetId,
+        source: Option<&Source>,
         now: Instant,
     ) -> Option<Placed> {
         if self.policy.places_by_delay {
@@ -58,14 +74,42 @@
         }
         let pace = *self.pace_for(request)?;
         let state = self.targets.get_mut(target)?;
-        let expected = state.expect(&request.workload, &pace, now);
-        let busy_s = expected.wait_s + expected.reading_s;
+        let expected = state.expect(&request.workload, &pace, source, now);
+        let busy_s = expected.wait_s + expected.copying_s + expected.reading_s;
         state.reading_until = Some(now + Duration::from_secs_f64(busy_s));
         state.cache.on_sent(&request.workload.prompt);
         let prompt = request.workload.prompt.clone();
         Some(Placed { expected, running: state.used() + 1, prompt })
     }
 
+    /// The target that keeps most of a request's prompt, if copying that is much faster than reading
+    /// it and what is read matters to the caller.
+    pub(super) fn source(&self, request: &Request, pace: &Pace, now: Instant) -> Option<Source> {
+        let token_time_s = self.memories.get(&request.service)?.copy_token_time_s?;
+        let read_time = Duration::from_secs_f64(pace.token_time_s());
+        if token_time_s > read_time.as_secs_f64() * MAX_COPY_RATIO {
+            return None;
+        }
+        let min_tokens = request.workload.min_long_tokens(read_time)?;
+        request.workload.prompt.long_part(min_tokens)?;
+        let can_serve = |state: &&TargetState| {
+            state.serves(request)
+                && state.is_available(now)
+                && !request.excluded.contains(&state.target.id)
+        };
+        let kept = self.targets.values().filter(can_serve).map(|state| {
+            let (_, kept_tokens) = state.kept(&request.workload);
+            (kept_tokens, state.target.address)
+        });
+        let best = kept.max_by_key(|(kept_tokens, _)| *kept_tokens);
+        let best = best.filter(|(kept_tokens, _)| *kept_tokens >= min_tokens);
+        // Most likely in another data centre: the targets of this one are known here.
+        let told = request.workload.read_at;
+        let told = told.map(|address| (request.workload.prompt.shared_tokens(), address));
+        let (kept_tokens, address) = best.or(told)?;
+        Some(Source { address, kept_tokens, token_time_s, min_tokens })
+    }
+
     pub(super) fn forecast(&self, request: &Request, placed: Option<&Placed>) -> Option<Forecast> {
         let pace = self.pace_for(request)?;
         placed.map(|placed| placed.expected.forecast(pace))
@@ -101,7 +145,8 @@
             state.slowness.record(ratio, now);
         }
         if let Some(first) = report.first_event {
-            let first_s = (first.as_secs_f64() - placed.expected.wait_s).max(0.0);
+            let before_reading_s = placed.expected.wait_s + placed.expected.copying_s;
+            let first_s = (first.as_secs_f64() - before_reading_s).max(0.0);
             let mut unread_tokens = placed.expected.unread_tokens;
             if let Some(is_late) = shows_reading(&placed.expected, first_s, pace, slowness) {
                 state.cache.on_first_event(&placed.prompt, is_late);
@@ -117,6 +162,6 @@
 /// `None` if their reading time is too short to tell.
 fn shows_reading(expected: &Expectation, first_s: f64, pace: &Pace, slowness: f64) -> Option<bool> {
     let kept_s = slowness * pace.token_time_s() * expected.kept_tokens as f64;
-    let usual_s = expected.first_s - expected.wait_s;
+    let usual_s = expected.first_s - expected.wait_s - expected.copying_s;
     (kept_s >= MIN_EVIDENCE.as_secs_f64()).then_some(first_s > usual_s + kept_s * EVIDENCE_RATIO)
 }
--- a/crates/coordination/src/slots/lease.rs
+++ b/crates/coordination/src/slots/lease.rs
@@ -1,8 +1,7 @@
 //! Slot requests, leases and decisions of an allocator.
 
 use super::placement::Forecast;
-use crate::hash;
-use crate::prompt::Prompt;
+use crate::prompt::{PartKey, Prompt};
 use crate::run_time::Sample;
 use crate::{InstanceId, TargetId};
 use protocol::{DataCentreId, Millis, WorkspaceId};
@@ -98,6 +97,10 @@
     /// The workspace that the work belongs to, with its weight.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub workspace: Option<WorkspaceWeight>,
+    /// Address of a target to which the sender has sent the same shared parts; `None` if it knows
+    /// none. It may be in another data centre.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub read_at: Option<SocketAddr>,
     /// Whether the caller was rejected before and comes again.
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub is_retry: bool,
@@ -105,25 +108,19 @@
 
 /// Part of the objective from which on reading the shared parts of a prompt takes longer than
 /// sending the request to another data centre and its response back.
-const MIN_HOME_READING_RATIO: f64 = 1.0 / 16.0;
+const MIN_LONG_READING_RATIO: f64 = 1.0 / 16.0;
 
 impl Workload {
-    /// The data centre in which the first long part of the prompt should be read, so that it is
-    /// read in one of them only; `None` if reading the shared parts takes too little time to matter.
-    /// All instances agree as long as they know the same data centres.
-    pub fn home<'a>(
-        &self,
-        data_centres: impl Iterator<Item = &'a str>,
-        token_time: Duration,
-    ) -> Option<&'a str> {
-        let key = self.prompt.long_part(self.min_long_tokens(token_time)?)?;
-        data_centres.max_by_key(|name| (hash::weight(name.as_bytes(), key), *name))
+    /// The shared part with which the prompt becomes long, by which data centres are chosen, so that
+    /// it is read in few of them; `None` if reading the shared parts takes too little time to matter.
+    pub fn long_part(&self, token_time: Duration) -> Option<PartKey> {
+        self.prompt.long_part(self.min_long_tokens(token_time)?)
     }
 
     /// Length in tokens from which on shared parts are long; `None` if nothing is known of the time
     /// to read a token, or of the objective.
     pub fn min_long_tokens(&self, token_time: Duration) -> Option<u64> {
-        let min_reading = self.objective.mul_f64(MIN_HOME_READING_RATIO);
+        let min_reading = self.objective.mul_f64(MIN_LONG_READING_RATIO);
         let tokens = min_reading.as_secs_f64() / token_time.as_secs_f64();
         (tokens.is_finite() && tokens > 0.0).then_some(tokens as u64)
     }
@@ -267,6 +264,10 @@
     /// What is expected of the request; `None` if nothing is known, or from an earlier build.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub forecast: Option<Forecast>,
+    /// Address of the target from which this one should copy what it keeps of the prompt; `None` if
+    /// that takes longer than reading it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub copy_from: Option<SocketAddr>,
 }
 
 /// A batch lease that its holder must release at once.
--- a/crates/coordination/src/slots/placement.rs
+++ b/crates/coordination/src/slots/placement.rs
@@ -11,6 +11,7 @@
 use super::speed::Pace;
 use super::target_state::TargetState;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// Part of the objective below which differences between targets don't count.
@@ -18,6 +19,10 @@
 /// Part of the objective within which targets whose items could give way are compared by what the
 /// items lose.
 const PREEMPTION_TOLERANCE_RATIO: f64 = 0.25;
+/// Part of the time to read a long prompt that copying it counts at least. Whatever the link is
+/// like, the copy takes memory that other prompts are kept in, so a target that keeps the prompt is
+/// preferred while it has a free slot.
+const MIN_COPY_RATIO: f64 = 0.25;
 /// Objective assumed for work without one.
 const DEFAULT_OBJECTIVE: Duration = Duration::from_millis(300);
 
@@ -29,6 +34,8 @@
     pub first_ms: f64,
     /// Tokens of the prompt that the target probably keeps.
     pub kept_tokens: u64,
+    /// Tokens that it copies from another target.
+    pub copied_tokens: u64,
     /// Tokens that it has to read.
     pub unread_tokens: u64,
     /// Time to read a token on a target of ordinary speed, in microseconds; 0 if unknown.
@@ -42,8 +49,10 @@
 pub(super) struct Expectation {
     /// Until the prompts of requests granted before are read.
     pub(super) wait_s: f64,
-    /// To read what the target doesn't keep.
+    /// To read what the target neither keeps nor copies.
     pub(super) reading_s: f64,
+    /// To copy what another target keeps; zero if nothing is copied.
+    pub(super) copying_s: f64,
     /// Until the first event.
     pub(super) first_s: f64,
     /// Between two events.
@@ -52,17 +61,32 @@
     pub(super) kept_parts: usize,
     /// Tokens of these parts.
     pub(super) kept_tokens: u64,
-    /// Tokens of the other parts.
+    /// Tokens that it copies from another target.
+    pub(super) copied_tokens: u64,
+    /// Tokens that it reads.
     pub(super) unread_tokens: u64,
     pub(super) slowness: f64,
 }
 
+/// The target that keeps most of a prompt, from which others may copy it.
+#[derive(Clone, Debug)]
+pub(super) struct Source {
+    pub(super) address: SocketAddr,
+    /// Tokens of the leading parts that it keeps.
+    pub(super) kept_tokens: u64,
+    /// Time to copy the memory of a token, in seconds.
+    pub(super) token_time_s: f64,
+    /// Least tokens that are worth a copy.
+    pub(super) min_tokens: u64,
+}
+
 impl Expectation {
     /// What is told to the holder of the lease.
     pub(super) fn forecast(&self, pace: &Pace) -> Forecast {
         Forecast {
             first_ms: self.first_s * 1e3,
             kept_tokens: self.kept_tokens,
+            copied_tokens: self.copied_tokens,
             unread_tokens: self.unread_tokens,
             token_us: pace.token_time_s() * 1e6,
             slowness: self.slowness,
@@ -76,29 +100,47 @@
 }
 
 impl TargetState {
-    /// What to expect of one more request on this target.
-    pub(super) fn expect(&self, workload: &Workload, pace: &Pace, now: Instant) -> Expectation {
-        let kept_parts = self.cache.kept_parts(&workload.prompt);
-        let kept = workload.prompt.parts().iter().take(kept_parts);
-        let kept_tokens = kept.map(|part| u64::from(part.tokens)).sum();
-        let unread_tokens = workload.prompt.tokens() - kept_tokens;
+    /// What to expect of one more request on this target, which copies what `source` keeps beyond
+    /// its own.
+    pub(super) fn expect(
+        &self,
+        workload: &Workload,
+        pace: &Pace,
+        source: Option<&Source>,
+        now: Instant,
+    ) -> Expectation {
+        let (kept_parts, kept_tokens) = self.kept(workload);
+        let copied_tokens = source.map_or(0, |source| source.copied_tokens(kept_tokens));
+        let unread_tokens = workload.prompt.tokens() - kept_tokens - copied_tokens;
         let slowness = self.slowness.factor(now);
         let wait = self.reading_until.map(|until| until.saturating_duration_since(now));
         let wait_s = wait.unwrap_or_default().as_secs_f64();
-        let reading_s = slowness * pace.token_time_s() * unread_tokens as f64;
+        let token_time_s = slowness * pace.token_time_s();
+        let reading_s = token_time_s * unread_tokens as f64;
+        let link_time_s = source.map_or(0.0, |source| source.token_time_s);
+        let copying_s = link_time_s.max(token_time_s * MIN_COPY_RATIO) * copied_tokens as f64;
         let first_event_s = (pace.first_event_s() + self.slowness.first_excess_s(now)).max(0.0);
         Expectation {
             wait_s,
             reading_s,
-            first_s: wait_s + first_event_s + reading_s,
+            copying_s,
+            first_s: wait_s + first_event_s + copying_s + reading_s,
             interval_s: slowness * pace.interval_s(self.used() + 1),
             kept_parts,
             kept_tokens,
+            copied_tokens,
             unread_tokens,
             slowness,
         }
     }
 
+    /// Leading parts of the prompt that the target keeps, and their tokens.
+    pub(super) fn kept(&self, workload: &Workload) -> (usize, u64) {
+        let parts = self.cache.kept_parts(&workload.prompt);
+        let kept = workload.prompt.parts().iter().take(parts);
+        (parts, kept.map(|part| u64::from(part.tokens)).sum())
+    }
+
     /// Delay over all callers, in steps that callers can tell apart.
     ///
     /// What an item still needs counts as a whole, so that items take the fast targets: they run for
@@ -128,6 +170,14 @@
     }
 }
 
+impl Source {
+    /// Tokens that a target which keeps `kept_tokens` itself copies; zero if that isn't worth it.
+    fn copied_tokens(&self, kept_tokens: u64) -> u64 {
+        let beyond = self.kept_tokens.saturating_sub(kept_tokens);
+        if beyond >= self.min_tokens { beyond } else { 0 }
+    }
+}
+
 fn objective(workload: &Workload) -> Duration {
     if workload.objective.is_zero() { DEFAULT_OBJECTIVE } else { workload.objective }
 }
--- a/crates/coordination/src/slots/target_state.rs
+++ b/crates/coordination/src/slots/target_state.rs
@@ -1,7 +1,7 @@
 //! State of one target: its leases, and its recent health.
 
 use super::lease::{LeaseOutcome, LeaseReport, Policy, Purpose, Request};
-use super::placement::Expectation;
+use super::placement::{Expectation, Source};
 use super::prompt_cache::PromptCache;
 use super::rate::Meter;
 use super::speed::{Pace, Slowness};
@@ -88,6 +88,8 @@
     pub(super) median: f64,
     /// Pace of the request's service; `None` if requests aren't placed by expected delays.
     pub(super) pace: Option<&'a Pace>,
+    /// Where the prompt may be copied from; `None` if nowhere, or if reading it is as good.
+    pub(super) source: Option<Source>,
     pub(super) now: Instant,
 }
 
@@ -134,7 +136,7 @@
 
     /// Rank for a request; `None` if the target can't be used.
     pub(super) fn rank(&self, request: &Request, ranking: &Ranking<'_>) -> Option<Rank> {
-        let Ranking { policy, median, pace, now } = *ranking;
+        let Ranking { policy, median, pace, ref source, now } = *ranking;
         if !self.serves(request) || request.excluded.contains(&self.target.id) {
             return None;
         }
@@ -155,7 +157,7 @@
         let is_overdue =
             policy.overdue_last && self.last_overdue.is_some_and(|at| now < at + OVERDUE_PENALTY);
         let doubts = 4 * u32::from(is_overdue || is_failing) + 8 * probation_rank;
-        let expected = pace.map(|pace| self.expect(&request.workload, pace, now));
+        let expected = pace.map(|pace| self.expect(&request.workload, pace, source.as_ref(), now));
         let (class, cost) = match expected {
             Some(expected) => self.rank_by_delay(&expected, request, policy),
             None => (self.rank_by_speed(median, policy), 0),
--- a/crates/daemon/src/gateway/access.rs
+++ b/crates/daemon/src/gateway/access.rs
@@ -48,6 +48,7 @@
 /// another meaning, and is kept, where no workspaces are configured.
 pub fn remove_reserved(table: &Table, headers: &mut HeaderMap) {
     headers.remove(header::WORKSPACE);
+    headers.remove(header::COPY_PROMPT_FROM);
     if table.workspaces.is_some() {
         headers.remove(header::AUTHORIZATION);
     }
--- a/crates/daemon/src/gateway/allocator.rs
+++ b/crates/daemon/src/gateway/allocator.rs
@@ -11,7 +11,7 @@
 use coordination::slots::rate::RateLimit;
 use coordination::slots::{
     self, Decision, Grant, HeldLease, Knowledge, LeaseId, LeaseOutcome, LeaseReport, Purpose,
-    Revocation, WAITER_CHECK_INTERVAL, WaiterId,
+    Revocation, TargetMemory, WAITER_CHECK_INTERVAL, WaiterId,
 };
 use protocol::routing::{Service, Target};
 use protocol::{DataCentreId, InstanceId, ServiceId};
@@ -237,8 +237,14 @@
 
 /// Applies the rate limits and the memory of targets in a configuration.
 pub fn set_services(node: &Node, services: &[Service]) {
-    let memory = services.iter().map(|service| (service.name.clone(), service.memory_tokens));
-    node.leases.allocator.borrow_mut().set_memory(memory.collect());
+    let copies = node.settings.policy.copies_prompts;
+    let memory = |service: &Service| {
+        let transfer = service.transfer.filter(|_| copies);
+        let copy_token_time_s = transfer.map(|transfer| transfer.token_time_s());
+        (service.name.clone(), TargetMemory { tokens: service.memory_tokens, copy_token_time_s })
+    };
+    let memories = services.iter().map(memory).collect();
+    node.leases.allocator.borrow_mut().set_memory(memories);
     set_rate_limits(node, services);
 }
 
--- a/crates/daemon/src/gateway/items/run.rs
+++ b/crates/daemon/src/gateway/items/run.rs
@@ -288,6 +288,9 @@
     }
     builder = builder.header(header::REQUEST_ID, &item.id);
     builder = builder.header(header::EXPECTED_TARGET, &lease.grant.target);
+    if let Some(source) = lease.grant.copy_from {
+        builder = builder.header(header::COPY_PROMPT_FROM, source.to_string());
+    }
     if let Some(last) = partial.last_event_id {
         builder = builder.header(header::LAST_EVENT_ID, last.to_string());
     }
--- a/crates/daemon/src/gateway/leases.rs
+++ b/crates/daemon/src/gateway/leases.rs
@@ -27,6 +27,7 @@
 use lease::{ActiveLease, Grantor, activate};
 use protocol::{DataCentreId, InstanceId, TargetId};
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -97,7 +98,7 @@
     /// Time to read a token of a prompt, as allocators last told; zero if unknown.
     token_time: Cell<Duration>,
     /// What this instance knows of the targets that it sends requests to.
-    sent_prompts: RefCell<SentPrompts>,
+    pub(super) sent_prompts: RefCell<SentPrompts>,
 }
 
 impl Leases {
@@ -269,13 +270,10 @@
     }
 }
 
-/// Moves the data centre in which the long parts of a prompt are read to the front, so that they
-/// are read in one of them only.
+/// Orders data centres so that the long parts of a prompt are read in as few of them as possible.
 fn prefer_home(names: &mut [DataCentreId], workload: &Workload, token_time: Duration) {
-    let home = workload.home(names.iter().map(String::as_str), token_time);
-    let position = home.and_then(|home| names.iter().position(|name| name == home));
-    if let Some(position) = position {
-        names[..=position].rotate_right(1);
+    if let Some(part) = workload.long_part(token_time) {
+        names.sort_by_key(|name| Reverse(hash::weight(name.as_bytes(), part)));
     }
 }
 
@@ -307,7 +305,7 @@
         self_granted_at.insert(target.id.clone(), now);
     }
     let (target, address) = (target.id.clone(), target.address);
-    let grant = Grant { lease, target, address, queued_ms: 0, forecast: None };
+    let grant = Grant { lease, target, address, queued_ms: 0, forecast: None, copy_from: None };
     drop(active);
     slog::info!(node.log, "slot granted without allocator"; "target" => &grant.target,
         "service" => &query.service);
--- a/crates/daemon/src/gateway/leases/call.rs
+++ b/crates/daemon/src/gateway/leases/call.rs
@@ -7,8 +7,10 @@
 use crate::gateway::message::{PeerReply, PeerRequest, SlotRequest, SlotRequestId};
 use crate::gateway::node::Node;
 use crate::gateway::quota::{self, Keeper};
-use coordination::slots::{self, Purpose};
+use crate::gateway::residency;
+use coordination::slots::{self, Purpose, Workload};
 use protocol::{DataCentreId, TargetId, WorkspaceId};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -49,7 +51,7 @@
             total_slots: 0,
             excluded: query.excluded.clone(),
             may_wait: false,
-            workload: query.workload.clone(),
+            workload: Workload { read_at: read_at(node, query), ..query.workload.clone() },
         };
         let id = node.leases.next_request_id();
         AllocatorCall {
@@ -174,6 +176,18 @@
     }
 }
 
+/// Address of a target in an allowed region that has read the long shared parts of the prompt for
+/// this instance.
+fn read_at(node: &Node, query: &SlotQuery) -> Option<SocketAddr> {
+    let registry = node.registry.borrow();
+    let sent_prompts = node.leases.sent_prompts.borrow();
+    let targets = sent_prompts.readers(&query.workload.prompt);
+    let usable = targets.filter(|id| !registry.is_unusable(id)).filter_map(|id| registry.get(id));
+    let mut allowed =
+        usable.filter(|target| residency::allows(node, &query.residency, &target.data_centre));
+    allowed.next().map(|target| target.address)
+}
+
 fn millis_until(to: Instant, now: Instant) -> u64 {
     to.saturating_duration_since(now).as_millis() as u64
 }
--- a/crates/daemon/src/gateway/online/attempt.rs
+++ b/crates/daemon/src/gateway/online/attempt.rs
@@ -98,6 +98,9 @@
         if let Some(workspace) = &call.workspace {
             builder = builder.header(header::WORKSPACE, &workspace.name);
         }
+        if let Some(source) = lease.grant.copy_from {
+            builder = builder.header(header::COPY_PROMPT_FROM, source.to_string());
+        }
         if let Some(last_event) = last_event {
             builder = builder.header(header::LAST_EVENT_ID, last_event.to_string());
         }
--- a/crates/daemon/src/gateway/workload.rs
+++ b/crates/daemon/src/gateway/workload.rs
@@ -24,6 +24,7 @@
         max_event_gap: route.max_event_gap,
         workspace: call.workspace.as_deref().map(weight),
         is_retry: call.is_retry,
+        read_at: None,
     }
 }
 
--- a/crates/protocol/src/routing.rs
+++ b/crates/protocol/src/routing.rs
@@ -162,11 +162,30 @@
     /// Tokens that a target keeps in memory, of prompts and of what it generates; 0 if unspecified.
     #[serde(default)]
     pub memory_tokens: u64,
+    /// How its targets copy what they keep of prompts from each other; `None` if they can't.
+    #[serde(default)]
+    pub transfer: Option<Transfer>,
     /// How its targets behave while they are cold; `None` if they need no care.
     #[serde(default)]
     pub cold: Option<Cold>,
 }
 
+/// How the targets of a service copy the memory of prompts from each other.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Transfer {
+    /// Memory of a token, in bytes.
+    pub token_bytes: f64,
+    /// Bandwidth of a target's link, in bytes a second.
+    pub bandwidth: f64,
+}
+
+impl Transfer {
+    /// Time to copy the memory of a token.
+    pub fn token_time_s(&self) -> f64 {
+        self.token_bytes / self.bandwidth.max(f64::MIN_POSITIVE)
+    }
+}
+
 /// How the targets of a service behave after they have started.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Cold {
