Explain the placement and the wait of a late or rejected request

The line 'stream ended' also states the objective and the longest pause allowed, because explain can't tell without them whether a response was late.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -3,6 +3,10 @@
 //!
 //! With `--beliefs` it includes the state events that the same instances logged
 //! around that time: members, targets, configuration, availability of the platform.
+//! For a request that was late or rejected, the last line states why it was placed where it was
+//! and what it waited for.
+
+mod verdict;
 
 use crate::exit::Exit;
 use crate::options::Explain;
@@ -102,12 +106,25 @@
         eprintln!("{}: no log line mentions this id", args.id);
         return Ok(Exit::Negative);
     }
-    for line in timeline {
+    for line in &timeline {
         println!("{}", line.format());
     }
+    if let Some(verdict) = verdict(&timeline, &args.id) {
+        println!("{verdict}");
+    }
     Ok(Exit::Success)
 }
 
+/// Describes the last outcome of a request. Other ids, such as the content of several requests,
+/// have none.
+fn verdict(timeline: &[&LogLine], id: &str) -> Option<String> {
+    let is_outcome = |line: &&&LogLine| {
+        line.str_field("request") == Some(id) && verdict::OUTCOMES.contains(&line.message.as_str())
+    };
+    let outcome = timeline.iter().rfind(is_outcome)?;
+    verdict::describe(&outcome.message, outcome.value.as_object()?)
+}
+
 fn read_log(file: &Path) -> anyhow::Result<Vec<LogLine>> {
     let text = std::fs::read_to_string(file).with_context(|| file.display().to_string())?;
     let name = file.file_stem().and_then(|stem| stem.to_str()).unwrap_or("log");
--- a/crates/daemon/src/gateway/streaming.rs
+++ b/crates/daemon/src/gateway/streaming.rs
@@ -298,6 +298,8 @@
             "fault" => error, "pieces" => self.stats.chunks, "sent" => self.request.attempts,
             "first_ms" => self.stats.first_after(call.started).map(|at| at.as_millis() as u64),
             "slowest_ms" => self.stats.slowest.as_millis() as u64,
+            "objective_ms" => route.objective.as_millis() as u64,
+            "max_gap_ms" => route.max_event_gap.as_millis() as u64,
             "slot_ms" => self.request.slot_wait.get().as_millis() as u64,
             "again" => call.is_retry, "age_ms" => age.as_millis() as u64);
     }
