Serve the state of slot allocators as metrics

Learned times by service, targets by speed class and slots by workspace; at most 64 services and 20 workspaces are listed, and the rest is summed or counted. Leases record the workspace of their work.

--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -25,6 +25,7 @@
 mod prompt_cache;
 pub mod rate;
 mod speed;
+pub mod summary;
 mod target_state;
 
 pub use placement::Forecast;
@@ -39,7 +40,7 @@
 use crate::{InstanceId, TargetId};
 use lease::Priority;
 use placement::Expectation;
-use protocol::{DataCentreId, ServiceId};
+use protocol::{DataCentreId, ServiceId, WorkspaceId};
 use rate::{Meter, RateLimit};
 use speed::Pace;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -61,6 +62,8 @@
     /// What was expected of the work; `None` if it was reported by its holder, or isn't placed by
     /// delay.
     placed: Option<Placed>,
+    /// Workspace of the work, for [`summary`]; `None` if unknown.
+    workspace: Option<WorkspaceId>,
 }
 
 /// What a request was expected to take where it was placed.
@@ -291,6 +294,7 @@
             is_late: self.policy.late_last && now > request.latest_start,
             is_revoked: false,
             placed,
+            workspace: request.workspace().cloned(),
         };
         self.leases.insert(id, lease);
     }
--- a/crates/coordination/src/slots/lease.rs
+++ b/crates/coordination/src/slots/lease.rs
@@ -211,6 +211,11 @@
 }
 
 impl Request {
+    /// Workspace of the work; `None` if unknown.
+    pub(super) fn workspace(&self) -> Option<&WorkspaceId> {
+        self.workload.workspace.as_ref().map(|workspace| &workspace.name)
+    }
+
     /// Whether both requests compete for the same slots.
     pub(super) fn competes_with(&self, other: &Request) -> bool {
         self.service == other.service && self.data_centre == other.data_centre
--- a/crates/coordination/src/slots/speed.rs
+++ b/crates/coordination/src/slots/speed.rs
@@ -89,6 +89,16 @@
         (self.intervals.mean_y() + growth * distance).max(0.0)
     }
 
+    /// Interval between events at the mean number of running requests; 0 if unknown.
+    pub(super) fn usual_interval_s(&self) -> f64 {
+        self.intervals.mean_y()
+    }
+
+    /// Whether the time to the first event of any request is known.
+    pub(super) fn has_first_event(&self) -> bool {
+        self.first.weight > 0.0
+    }
+
     /// Time to read a token of a prompt.
     pub(super) fn token_time_s(&self) -> f64 {
         let [min, max] = TOKEN_TIME_RANGE_S;
--- a/crates/coordination/tests/slots/main.rs
+++ b/crates/coordination/tests/slots/main.rs
@@ -5,6 +5,7 @@
 mod model;
 mod order;
 mod rate;
+mod summary;
 mod waits;
 
 use coordination::slots::{Allocator, Decision, Grant, Policy, Purpose, Request, Workload};
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -3,6 +3,7 @@
 //! They are recorded with `cadence`, whose sink aggregates them in memory until they are read.
 
 use super::node::Node;
+use super::slot_metrics;
 use crate::clock;
 use bytes::Bytes;
 use cadence::prelude::*;
@@ -214,5 +215,6 @@
     for (name, value) in gauges {
         write_line(&mut text, name, "", value);
     }
+    text.push_str(&slot_metrics::text(node));
     text
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -29,7 +29,7 @@
 //! | [`store`], [`job_store`] | the platform's store behind a circuit breaker; stored jobs |
 //! | [`call_reason`] | reasons by which calls of the platform are counted |
 //! | [`node`], [`mod@run`], [`in_flight`] | state of an instance; start and shutdown; work that a stop waits for |
-//! | [`metrics`] | counters and histograms |
+//! | [`metrics`], [`slot_metrics`] | counters and histograms; state of the slot allocators |
 
 pub mod access;
 pub mod allocator;
@@ -59,6 +59,7 @@
 pub mod quota;
 pub mod residency;
 pub mod run;
+pub mod slot_metrics;
 pub mod store;
 pub mod streaming;
 pub mod submit;
