--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -13,11 +13,13 @@
 pub mod explain;
 pub mod fleet;
 pub mod job;
+pub mod metrics;
 pub mod options;
 pub mod print;
 pub mod replay;
 pub mod request;
 pub mod settings;
+pub mod slots;
 
 use exit::Exit;
 use options::{Command, Options};
@@ -48,7 +50,9 @@
         Command::ConfigGet => fleet::config(&context).await,
         Command::ConfigApply(args) => fleet::apply(&context, args).await,
         Command::ConfigHistory => fleet::history(&context).await,
-        Command::Targets => fleet::targets(&context).await,
+        Command::Targets(None) => fleet::targets(&context).await,
+        Command::Targets(Some(addresses)) => slots::targets(&context, &addresses).await,
+        Command::Workspaces(addresses) => slots::workspaces(&context, &addresses).await,
         Command::Leave(args) => fleet::leave(&context, &args).await,
         Command::Instances => fleet::instances(&context).await,
         Command::Burn => fleet::burn(&context).await,
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -1,5 +1,6 @@
 //! Commands, options and their help texts.
 
+use crate::metrics::Addresses;
 use bpaf::{OptionParser, Parser, construct, long, positional};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -34,8 +35,10 @@
     ConfigApply(Apply),
     /// `config history`
     ConfigHistory,
-    /// `targets`
-    Targets,
+    /// `targets`, from the metrics of gateways if their addresses are given.
+    Targets(Option<Addresses>),
+    /// `workspaces`
+    Workspaces(Addresses),
     /// `leave` and `return`
     Leave(Leave),
     /// `instances`
@@ -188,11 +191,8 @@
     let request = request().command("request").help("Send a request to a service");
     let job = job().command("job").help("Submit and manage batch jobs");
     let config = config().command("config").help("Show and change the configuration");
-    let targets = bpaf::pure(Command::Targets)
-        .to_options()
-        .descr("Lists the targets as the called instance sees them")
-        .command("targets")
-        .help("List targets");
+    let targets = targets().command("targets").help("List targets");
+    let workspaces = workspaces().command("workspaces").help("Print the use of slots by workspace");
     let leave = leave().command("leave").help("Give a target no new work");
     let instances = bpaf::pure(Command::Instances)
         .to_options()
@@ -208,7 +208,38 @@
     let replay = replay().command("replay").help("Replay a recorded trace");
     let explain =
         explain().command("explain").help("Print the log lines of one request, item or job");
-    construct!([request, job, config, targets, leave, instances, burn, check, explain, replay])
+    construct!([
+        request, job, config, targets, workspaces, leave, instances, burn, check, explain, replay
+    ])
+}
+
+fn metrics_addresses() -> impl Parser<Addresses> {
+    long("metrics")
+        .help("Metrics addresses of gateways, separated by commas")
+        .argument::<Addresses>("ADDRESS,...")
+}
+
+fn targets() -> OptionParser<Command> {
+    let addresses = metrics_addresses().optional();
+    addresses
+        .map(Command::Targets)
+        .to_options()
+        .descr(
+            "Lists the targets as the called instance sees them; with --metrics, numbers of \
+             targets and slots in use of gateways by service and speed class",
+        )
+        .footer("Example: gatespool targets --metrics 10.1.0.3:9100,10.2.0.4:9100")
+}
+
+fn workspaces() -> OptionParser<Command> {
+    metrics_addresses()
+        .map(Command::Workspaces)
+        .to_options()
+        .descr(
+            "Prints slots in use, waiting requests and rejections over the quota by workspace, \
+             from the metrics of gateways",
+        )
+        .footer("Example: gatespool workspaces --metrics 10.1.0.3:9100,10.2.0.4:9100")
 }
 
 fn request() -> OptionParser<Command> {
