--- a/crates/coordination/src/slots/summary.rs
+++ b/crates/coordination/src/slots/summary.rs
@@ -17,7 +17,8 @@
 pub const MAX_SERVICES: usize = 64;
 /// Slowness below which a target counts as fast.
 const FAST_BELOW: f64 = 0.75;
-/// Slowness from which on a target counts as slow.
+/// Slowness from which on a target counts as slow: the reciprocal of [`FAST_BELOW`], because
+/// slowness is a ratio.
 const SLOW_FROM: f64 = 1.33;
 /// Slowness from which on a target counts as very slow: the default of `Policy::slow_factor`.
 const VERY_SLOW_FROM: f64 = 2.0;
