Don't write an empty workload into slot requests

Cause: a slot request of which nothing is known carried "workload":{}, so it didn't have the form of the earlier version.

Change: an empty workload is left out.

Test: messages_without_workspaces_have_the_earlier_form, red since the workload was added.

--- a/crates/coordination/src/slots/lease.rs
+++ b/crates/coordination/src/slots/lease.rs
@@ -108,6 +108,11 @@
 const MIN_HOME_READING_RATIO: f64 = 1.0 / 16.0;
 
 impl Workload {
+    /// Whether nothing is known of the work.
+    pub fn is_unknown(&self) -> bool {
+        *self == Workload::default()
+    }
+
     /// The data centre in which the first long part of the prompt should be read, so that it is
     /// read in one of them only; `None` if reading the shared parts takes too little time to matter.
     /// All instances agree as long as they know the same data centres.
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -71,7 +71,7 @@
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub accepts_reservation: bool,
     /// What is known of the work.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Workload::is_unknown")]
     pub workload: Workload,
 }
 
