Serve workspaces below their share of the slots first

Cause: queued requests were ordered by deadline alone, so a workspace that asks for several times its usual work made the others late and rejected with it.

Change: coordination::fair_share records the tokens of work granted to each workspace, decaying over 3 s, at most 1,024 workspaces. Among queued requests of the same feasibility, online and batch apart, those of workspaces up to their share go first, then those up to twice the share and so on by doublings, then by deadline as before. A share is the weight of a workspace (the rate of its quota, or 1) among those that had work granted in the last 6 s; requests without a workspace are all one. A queued request counts nothing, and a lease that wasn't used is taken back. Each allocator counts what it granted itself. Slot requests carry the tokens of the work (X-Gatespool-Token-Count); without them 500 are assumed. [policy] fair_shares = false restores the order by deadline. The metric gatespool_share has the 16 largest parts for each service and class.

Tests: quiet_workspaces_are_no_later_beside_a_loud_one (red with fair_shares = false), unused_share_is_lent_and_returned, state_is_bounded, request_in_several_allocators_counts_once, workspace_below_its_share_goes_first, allocator_knows_what_it_granted_itself.

Not measured on a deployment.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod drain;
 pub mod ejection;
 pub mod evacuation;
+pub mod fair_share;
 pub mod flush;
 pub mod hash;
 pub mod lease;
--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -24,10 +24,12 @@
 mod placement;
 mod prompt_cache;
 pub mod rate;
+mod shares;
 mod speed;
 mod target_state;
 
 pub use placement::Forecast;
+pub use shares::WorkspaceShare;
 
 pub use lease::{
     Decision, Feasibility, Grant, HeldLease, LeaseId, LeaseOutcome, LeaseReport, Policy, Purpose,
@@ -41,6 +43,7 @@
 use placement::Expectation;
 use protocol::{DataCentreId, ServiceId};
 use rate::{Meter, RateLimit};
+use shares::{GrantedWork, Shares};
 use speed::Pace;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -61,6 +64,8 @@
     /// What was expected of the work; `None` if it was reported by its holder, or isn't placed by
     /// delay.
     placed: Option<Placed>,
+    /// Work granted with it; `None` if it was reported by its holder.
+    work: Option<GrantedWork>,
 }
 
 /// What a request was expected to take where it was placed.
@@ -108,6 +113,8 @@
     paces: HashMap<ServiceId, Pace>,
     /// Tokens that a target of each service keeps in memory.
     memory_tokens: HashMap<ServiceId, u64>,
+    /// Work granted to each workspace.
+    shares_of_work: Shares,
 }
 
 impl Allocator {
@@ -129,6 +136,7 @@
             shares: HashMap::new(),
             paces: HashMap::new(),
             memory_tokens: HashMap::new(),
+            shares_of_work: Shares::default(),
         }
     }
 
@@ -166,10 +174,10 @@
             return Decision::Granted(grant, revocation);
         }
         self.drop_unresponsive(now);
-        let priority = request.priority(&self.policy, now);
+        let priority = request.priority(&self.policy, &self.shares_of_work, now);
         let precedes = |waiter: &&Waiter| {
             waiter.request.competes_with(&request)
-                && waiter.request.priority(&self.policy, now) < priority
+                && waiter.request.priority(&self.policy, &self.shares_of_work, now) < priority
         };
         let ahead = self.waiters.values().filter(precedes).count();
         let wait = self.expected_wait(&request, ahead, now);
@@ -185,10 +193,10 @@
 
     /// Whether a queued request precedes this one.
     fn has_higher_priority_waiter(&self, request: &Request, now: Instant) -> bool {
-        let priority = request.priority(&self.policy, now);
+        let priority = request.priority(&self.policy, &self.shares_of_work, now);
         self.waiters.values().any(|waiter| {
             waiter.request.competes_with(request)
-                && waiter.request.priority(&self.policy, now) < priority
+                && waiter.request.priority(&self.policy, &self.shares_of_work, now) < priority
         })
     }
 
@@ -228,6 +236,10 @@
         self.next_id += 1;
         let lease = self.next_id;
         self.add(lease, request, target.clone(), placed, now);
+        let work = self.record_work(request, now);
+        if let Some(lease) = self.leases.get_mut(&lease) {
+            lease.work = Some(work);
+        }
         if self.is_rate_limited(&request.service)
             && let Some(state) = self.targets.get_mut(&target)
         {
@@ -291,6 +303,7 @@
             is_late: self.policy.late_last && now > request.latest_start,
             is_revoked: false,
             placed,
+            work: None,
         };
         self.leases.insert(id, lease);
     }
@@ -310,6 +323,9 @@
             self.run_time.record(sample);
         }
         self.learn(&lease, &report, now);
+        if report.outcome.is_not_run() {
+            self.take_back_work(&lease);
+        }
         let Some(state) = self.targets.get_mut(&lease.target) else {
             return;
         };
@@ -368,7 +384,9 @@
             .iter()
             .filter(|(id, waiter)| !is_blocked(&waiter.request) && !skipped.contains(id));
         candidates
-            .min_by_key(|(id, waiter)| (waiter.request.priority(&self.policy, now), **id))
+            .min_by_key(|(id, waiter)| {
+                (waiter.request.priority(&self.policy, &self.shares_of_work, now), **id)
+            })
             .map(|(id, _)| *id)
     }
 
@@ -379,7 +397,9 @@
             .waiters
             .iter()
             .filter(|(_, waiter)| is_online(waiter))
-            .map(|(id, waiter)| (waiter.request.priority(&self.policy, now), *id))
+            .map(|(id, waiter)| {
+                (waiter.request.priority(&self.policy, &self.shares_of_work, now), *id)
+            })
             .collect();
         ordered.sort_unstable();
         ordered.into_iter().map(|(_, id)| id).collect()
--- a/crates/coordination/src/slots/lease.rs
+++ b/crates/coordination/src/slots/lease.rs
@@ -1,6 +1,7 @@
 //! Slot requests, leases and decisions of an allocator.
 
 use super::placement::Forecast;
+use super::shares::Shares;
 use crate::hash;
 use crate::prompt::Prompt;
 use crate::run_time::Sample;
@@ -58,6 +59,9 @@
     /// Whether online requests are placed by the delays that are expected of them, where prompts
     /// or objectives are known, instead of by load alone.
     pub places_by_delay: bool,
+    /// Whether work of workspaces that had no more than their share lately precedes other work of
+    /// the same feasibility.
+    pub fair_shares: bool,
     /// Weight of the newest sample in a running mean, in 0..1.
     pub smoothing: f64,
 }
@@ -76,6 +80,7 @@
             failing_last: true,
             overdue_last: true,
             places_by_delay: true,
+            fair_shares: true,
             smoothing: 0.2,
         }
     }
@@ -98,11 +103,18 @@
     /// The workspace that the work belongs to, with its weight.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub workspace: Option<WorkspaceWeight>,
+    /// Tokens of the prompt and, at most, of the output.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub tokens: u32,
     /// Whether the caller was rejected before and comes again.
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub is_retry: bool,
 }
 
+fn is_zero(tokens: &u32) -> bool {
+    *tokens == 0
+}
+
 /// Part of the objective from which on reading the shared parts of a prompt takes longer than
 /// sending the request to another data centre and its response back.
 const MIN_HOME_READING_RATIO: f64 = 1.0 / 16.0;
@@ -189,7 +201,7 @@
 }
 
 /// Sort key of queued requests; the lowest is served first.
-pub(super) type Priority = (u8, Feasibility, bool, Instant);
+pub(super) type Priority = (u8, Feasibility, u8, bool, Instant);
 
 /// Whether work can meet its deadline; the most feasible sorts first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -235,20 +247,22 @@
         }
     }
 
-    /// Online before batch, feasible before late, then by deadline. Late online requests follow
-    /// the other online ones, in the order in which their callers leave.
+    /// Online before batch, feasible before late, workspaces up to their share before those above
+    /// it, then by deadline. Late online requests follow the other online ones, in the order in
+    /// which their callers leave.
     ///
     /// Started batch items precede others: otherwise a long shortage starts many items and
     /// completes few.
-    pub(super) fn priority(&self, policy: &Policy, now: Instant) -> Priority {
+    pub(super) fn priority(&self, policy: &Policy, shares: &Shares, now: Instant) -> Priority {
+        let level = if policy.fair_shares { shares.level(self, now) } else { 0 };
         match self.purpose {
             Purpose::Online if policy.late_last && now > self.latest_start => {
-                (0, Feasibility::Missed, false, self.expires)
+                (0, Feasibility::Missed, level, false, self.expires)
             }
-            Purpose::Online => (0, Feasibility::Safe, false, self.latest_start),
+            Purpose::Online => (0, Feasibility::Safe, level, false, self.latest_start),
             Purpose::Batch => {
                 let is_not_started = policy.started_first && !self.is_started;
-                (1, self.feasibility(policy, now), is_not_started, self.due)
+                (1, self.feasibility(policy, now), level, is_not_started, self.due)
             }
         }
     }
@@ -334,6 +348,13 @@
     Unresponsive,
 }
 
+impl LeaseOutcome {
+    /// Whether no target has run the request to its end, nor will, by this lease.
+    pub(super) fn is_not_run(self) -> bool {
+        matches!(self, LeaseOutcome::Unused | LeaseOutcome::Rejected | LeaseOutcome::Misdirected)
+    }
+}
+
 /// A lease in a holder's report.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldLease {
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -3,11 +3,13 @@
 //! They are recorded with `cadence`, whose sink aggregates them in memory until they are read.
 
 use super::node::Node;
+use super::quota::metric_name;
 use crate::clock;
 use bytes::Bytes;
 use cadence::prelude::*;
 use cadence::{MetricSink, StatsdClient};
 use coordination::burn_rate::{History, WINDOWS};
+use coordination::slots::Purpose;
 use hdrhistogram::Histogram;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -66,6 +68,8 @@
 /// Share of requests that must meet their objective; the rest is the error budget of a route, by
 /// which its burn rate is computed.
 const GOOD_RATIO: f64 = 0.99;
+/// Workspaces whose share is reported, for each service and class: those with the largest.
+const MAX_SHARES: usize = 16;
 /// Limit on routes with a burn rate.
 const MAX_ROUTES: usize = 256;
 
@@ -214,5 +218,23 @@
     for (name, value) in gauges {
         write_line(&mut text, name, "", value);
     }
+    text.push_str(&share_text(node));
+    text
+}
+
+/// Parts of the work that the slot allocators here granted in the last seconds, by workspace.
+fn share_text(node: &Node) -> String {
+    let mut text = String::new();
+    for share in node.leases.allocator.borrow().workspace_shares(MAX_SHARES, clock::now()) {
+        let class = match share.purpose {
+            Purpose::Online => "online",
+            Purpose::Batch => "batch",
+        };
+        let (service, workspace) = (&share.service, metric_name(&share.workspace));
+        let labels =
+            format!("{{service=\"{service}\",class=\"{class}\",workspace=\"{workspace}\"}}");
+        // Writing to a string can't fail.
+        let _written = writeln!(text, "gatespool_share{labels} {:.3}", share.part);
+    }
     text
 }
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -328,6 +328,7 @@
         late_last: policy.late_last,
         slow_factor: if policy.slow_last { default.slow_factor } else { f64::INFINITY },
         places_by_delay: policy.places_by_delay,
+        fair_shares: policy.fair_shares,
         failing_last: policy.failing_last,
         overdue_last: policy.overdue_last,
         ..default
--- a/crates/daemon/src/gateway/quota.rs
+++ b/crates/daemon/src/gateway/quota.rs
@@ -360,7 +360,7 @@
 }
 
 /// A name without the characters that separate the parts of a metric.
-fn metric_name(workspace: &str) -> String {
+pub fn metric_name(workspace: &str) -> String {
     let is_kept = |c: char| c.is_ascii_alphanumeric() || c == '-';
     workspace.chars().map(|c| if is_kept(c) { c } else { '_' }).collect()
 }
--- a/crates/daemon/src/gateway/workload.rs
+++ b/crates/daemon/src/gateway/workload.rs
@@ -23,6 +23,7 @@
         objective: route.objective,
         max_event_gap: route.max_event_gap,
         workspace: call.workspace.as_deref().map(weight),
+        tokens: header::token_count(text(header::TOKEN_COUNT)),
         is_retry: call.is_retry,
     }
 }
@@ -36,6 +37,7 @@
     Workload {
         prompt: prompt(text(header::MODEL), text(header::PROMPT_PREFIX)),
         workspace: workspace.map(weight),
+        tokens: header::token_count(text(header::TOKEN_COUNT)),
         ..Workload::default()
     }
 }
--- a/crates/protocol/src/settings/policy.rs
+++ b/crates/protocol/src/settings/policy.rs
@@ -32,6 +32,9 @@
     /// `[policy] fresh_first`: whether requests over the quota of their workspace may wait shortly
     /// for a token, before callers that come again.
     pub fresh_first: bool,
+    /// `[policy] fair_shares`: whether workspaces that had no more than their share of the slots
+    /// lately precede others.
+    pub fair_shares: bool,
     /// `[policy] failing_last`: whether targets that fail some requests are used last,
     /// and not at all for batch.
     pub failing_last: bool,
@@ -65,6 +68,7 @@
             slow_last: true,
             places_by_delay: true,
             fresh_first: true,
+            fair_shares: true,
             failing_last: true,
             overdue_last: true,
             target_share: 0.35,
@@ -93,6 +97,7 @@
         source.read_value("policy", "slow_last", bool, &mut self.slow_last)?;
         source.read_value("policy", "place_by_delay", bool, &mut self.places_by_delay)?;
         source.read_value("policy", "fresh_first", bool, &mut self.fresh_first)?;
+        source.read_value("policy", "fair_shares", bool, &mut self.fair_shares)?;
         source.read_value("policy", "failing_last", bool, &mut self.failing_last)?;
         source.read_value("policy", "doubt", bool, &mut self.overdue_last)?;
         source.read_value(
