--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -25,6 +25,7 @@
 mod placement;
 mod prompt_cache;
 pub mod rate;
+mod shares;
 mod speed;
 pub mod summary;
 mod target_state;
@@ -32,6 +33,7 @@
 pub use knowledge::{Knowledge, SentPrompts};
 pub use learning::TargetMemory;
 pub use placement::Forecast;
+pub use shares::WorkspaceShare;
 
 pub use lease::{
     Decision, Feasibility, Grant, HeldLease, LeaseId, LeaseOutcome, LeaseReport, Policy, Purpose,
@@ -45,6 +47,7 @@
 use placement::Expectation;
 use protocol::{DataCentreId, ServiceId, WorkspaceId};
 use rate::{Meter, RateLimit};
+use shares::{GrantedWork, Shares};
 use speed::Pace;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -67,6 +70,8 @@
     placed: Option<Placed>,
     /// Workspace of the work, for [`summary`]; `None` if unknown.
     workspace: Option<WorkspaceId>,
+    /// Work granted with it; `None` if it was reported by its holder.
+    work: Option<GrantedWork>,
 }
 
 /// What a request was expected to take where it was placed.
@@ -114,6 +119,8 @@
     paces: HashMap<ServiceId, Pace>,
     /// The memory of the targets of each service.
     memories: HashMap<ServiceId, TargetMemory>,
+    /// Work granted to each workspace.
+    shares_of_work: Shares,
 }
 
 impl Allocator {
@@ -135,6 +142,7 @@
             shares: HashMap::new(),
             paces: HashMap::new(),
             memories: HashMap::new(),
+            shares_of_work: Shares::default(),
         }
     }
 
@@ -172,10 +180,10 @@
             return Decision::Granted(grant, revocation);
         }
         self.drop_unresponsive(now);
-        let priority = request.priority(&self.policy, now);
+        let priority = request.priority(&self.policy, &self.shares_of_work, now);
         let precedes = |waiter: &&Waiter| {
             waiter.request.competes_with(&request)
-                && waiter.request.priority(&self.policy, now) < priority
+                && waiter.request.priority(&self.policy, &self.shares_of_work, now) < priority
         };
         let ahead = self.waiters.values().filter(precedes).count();
         let wait = self.expected_wait(&request, ahead, now);
@@ -191,10 +199,10 @@
 
     /// Whether a queued request precedes this one.
     fn has_higher_priority_waiter(&self, request: &Request, now: Instant) -> bool {
-        let priority = request.priority(&self.policy, now);
+        let priority = request.priority(&self.policy, &self.shares_of_work, now);
         self.waiters.values().any(|waiter| {
             waiter.request.competes_with(request)
-                && waiter.request.priority(&self.policy, now) < priority
+                && waiter.request.priority(&self.policy, &self.shares_of_work, now) < priority
         })
     }
 
@@ -237,6 +245,10 @@
         self.next_id += 1;
         let lease = self.next_id;
         self.add(lease, request, target.clone(), placed, now);
+        let work = self.record_work(request, now);
+        if let Some(lease) = self.leases.get_mut(&lease) {
+            lease.work = Some(work);
+        }
         if self.is_rate_limited(&request.service)
             && let Some(state) = self.targets.get_mut(&target)
         {
@@ -304,6 +316,7 @@
             is_revoked: false,
             placed,
             workspace: request.workspace().cloned(),
+            work: None,
         };
         self.leases.insert(id, lease);
     }
@@ -323,6 +336,9 @@
             self.run_time.record(sample);
         }
         self.learn(&lease, &report, now);
+        if report.outcome.is_not_run() {
+            self.take_back_work(&lease);
+        }
         let Some(state) = self.targets.get_mut(&lease.target) else {
             return;
         };
@@ -381,7 +397,9 @@
             .iter()
             .filter(|(id, waiter)| !is_blocked(&waiter.request) && !skipped.contains(id));
         candidates
-            .min_by_key(|(id, waiter)| (waiter.request.priority(&self.policy, now), **id))
+            .min_by_key(|(id, waiter)| {
+                (waiter.request.priority(&self.policy, &self.shares_of_work, now), **id)
+            })
             .map(|(id, _)| *id)
     }
 
@@ -392,7 +410,9 @@
             .waiters
             .iter()
             .filter(|(_, waiter)| is_online(waiter))
-            .map(|(id, waiter)| (waiter.request.priority(&self.policy, now), *id))
+            .map(|(id, waiter)| {
+                (waiter.request.priority(&self.policy, &self.shares_of_work, now), *id)
+            })
             .collect();
         ordered.sort_unstable();
         ordered.into_iter().map(|(_, id)| id).collect()
--- a/crates/daemon/src/gateway/streaming.rs
+++ b/crates/daemon/src/gateway/streaming.rs
@@ -304,6 +304,7 @@
             "objective_ms" => route.objective.as_millis() as u64,
             "max_gap_ms" => route.max_event_gap.as_millis() as u64,
             "slot_ms" => self.request.slot_wait.get().as_millis() as u64,
+            "quota_ms" => self.request.charge.waited().as_millis() as u64,
             "again" => call.is_retry, "age_ms" => age.as_millis() as u64);
     }
 }
