--- a/crates/coordination/tests/slots/main.rs
+++ b/crates/coordination/tests/slots/main.rs
@@ -4,6 +4,7 @@
 mod holders;
 mod model;
 mod order;
+mod prompts;
 mod rate;
 mod waits;
 
