Drop the reading time of a request that was not run

Cause: the release of a lease as not run forgot the parts of its prompt, but left the target counted as busy reading them, so the next requests were placed elsewhere or expected late. Change: the time that the reading would still have taken is subtracted again. Test: prompts::request_that_was_not_run_leaves_nothing_behind.

--- a/crates/coordination/src/slots/learning.rs
+++ b/crates/coordination/src/slots/learning.rs
@@ -88,6 +88,12 @@
             | LeaseOutcome::Unresponsive
             | LeaseOutcome::Misdirected => {
                 state.cache.on_not_run(&placed.prompt, placed.expected.kept_parts);
+                let reading = Duration::from_secs_f64(placed.expected.reading_s);
+                let end_s = placed.expected.wait_s + placed.expected.reading_s;
+                let end = lease.granted + Duration::from_secs_f64(end_s);
+                // What was granted after it is read earlier by what it would still have taken.
+                let unspent = reading.min(end.saturating_duration_since(now));
+                state.reading_until = state.reading_until.and_then(|at| at.checked_sub(unspent));
             }
             LeaseOutcome::Failed | LeaseOutcome::Interrupted => {}
         }
--- a/crates/coordination/tests/slots/prompts.rs
+++ b/crates/coordination/tests/slots/prompts.rs
@@ -100,6 +100,20 @@
     assert_eq!(forecast(&next).kept_tokens, 0);
 }
 
+/// Guards against believing that a target reads, or keeps, a prompt which it never received.
+#[rstest]
+#[case::unused(LeaseOutcome::Unused)]
+#[case::rejected(LeaseOutcome::Rejected)]
+fn request_that_was_not_run_leaves_nothing_behind(#[case] outcome: LeaseOutcome) {
+    let now = Instant::now();
+    let mut allocator = allocator(Policy::default(), 1, 2, now);
+    let first = grant(&mut allocator, prompted("manual", LONG, now), now);
+    let report = LeaseReport { outcome, ..LeaseReport::default() };
+    allocator.on_release(first.lease, report, now + MS);
+    let second = grant(&mut allocator, prompted("manual", LONG, now + MS), now + MS);
+    assert_eq!(forecast(&second), forecast(&first));
+}
+
 /// Guards against forgetting what other requests had read when one was not run.
 #[test]
 fn request_that_was_not_run_takes_nothing_along() {
