Compare differences of delays, not rounded delays

Cause: the delay of each target was rounded down to a thirtieth of the objective, so two targets whose delays lie on either side of a multiple of it differed by a step however close they were, and the more loaded one was chosen. Change: delays are kept a hundred times finer, and rounded as differences from the best target. The tolerance for preemption is unchanged in time. Test: prompts::short_part_goes_to_the_least_loaded_target.

--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -240,17 +240,17 @@
     /// requests also one where batch can be preempted.
     fn choose(&self, request: &Request, now: Instant) -> Option<(TargetId, Rank)> {
         let ranking = self.ranking(request, now);
-        let mut best: Option<(Rank, &TargetId)> = None;
+        let mut candidates: Vec<(Rank, &TargetId)> = Vec::with_capacity(self.targets.len());
         for (id, state) in &self.targets {
-            let Some(rank) = state.rank(request, &ranking) else {
-                continue;
-            };
-            let is_better = best.as_ref().is_none_or(|(known, _)| rank < *known);
-            if is_better && self.is_rate_allowed(state, now) {
-                best = Some((rank, id));
+            if let Some(rank) = state.rank(request, &ranking)
+                && self.is_rate_allowed(state, now)
+            {
+                candidates.push((rank, id));
             }
         }
-        best.map(|(rank, id)| (id.clone(), rank))
+        let best = candidates.iter().map(|(rank, _)| *rank).min()?;
+        let chosen = candidates.into_iter().min_by_key(|(rank, _)| rank.relative_to(best));
+        chosen.map(|(rank, id)| (id.clone(), rank))
     }
 
     fn ranking(&self, request: &Request, now: Instant) -> Ranking<'_> {
--- a/crates/coordination/src/slots/placement.rs
+++ b/crates/coordination/src/slots/placement.rs
@@ -9,12 +9,15 @@
 
 use super::lease::{Policy, Workload};
 use super::speed::Pace;
-use super::target_state::TargetState;
+use super::target_state::{Rank, TargetState};
 use serde::{Deserialize, Serialize};
 use std::time::{Duration, Instant};
 
 /// Part of the objective below which differences between targets don't count.
 const COST_RESOLUTION_RATIO: f64 = 1.0 / 30.0;
+/// Steps of [`TargetState::cost`] in that difference: enough for the differences between targets to
+/// be compared, rather than their rounded costs.
+const STEPS_PER_RESOLUTION: u32 = 100;
 /// Part of the objective within which targets whose items could give way are compared by what the
 /// items lose.
 const PREEMPTION_TOLERANCE_RATIO: f64 = 0.25;
@@ -98,13 +101,13 @@
         }
     }
 
-    /// Delay over all callers, in steps that callers can tell apart.
+    /// Delay over all callers, in steps of the resolution divided by [`STEPS_PER_RESOLUTION`].
     pub(super) fn cost(&self, expected: &Expectation, workload: &Workload, policy: &Policy) -> u32 {
         let preemption = if self.is_full() { policy.preemption_cost } else { Duration::ZERO };
         let delay_s = expected.first_s
             + self.delay_to_others_s(expected, workload)
             + preemption.as_secs_f64();
-        (delay_s / resolution_s(workload)) as u32
+        (delay_s / resolution_s(workload) * f64::from(STEPS_PER_RESOLUTION)) as u32
     }
 
     /// Delay that reading the prompt causes to the requests that run on the target, in seconds.
@@ -131,5 +134,12 @@
 
 /// Difference of [`TargetState::cost`] up to which items that could give way are compared.
 pub(super) fn preemption_tolerance() -> u32 {
-    (PREEMPTION_TOLERANCE_RATIO / COST_RESOLUTION_RATIO) as u32
+    (PREEMPTION_TOLERANCE_RATIO / COST_RESOLUTION_RATIO) as u32 * STEPS_PER_RESOLUTION
+}
+
+impl Rank {
+    /// The rank in which costs count only as far as callers can tell them from that of `best`.
+    pub(super) fn relative_to(self, best: Rank) -> Rank {
+        Rank { cost: self.cost.saturating_sub(best.cost) / STEPS_PER_RESOLUTION, ..self }
+    }
 }
--- a/crates/coordination/src/slots/target_state.rs
+++ b/crates/coordination/src/slots/target_state.rs
@@ -73,8 +73,7 @@
 pub(super) struct Rank {
     /// Doubts about the target; a lower class precedes whatever the rest is.
     pub(super) class: u32,
-    /// Delay over all callers, in steps that callers can tell apart; 0 where nothing is known of
-    /// the request.
+    /// Delay over all callers, see [`TargetState::cost`]; 0 where nothing is known of the request.
     pub(super) cost: u32,
     /// Slots taken, in thousandths of all.
     pub(super) load: u64,
--- a/crates/coordination/tests/slots/prompts.rs
+++ b/crates/coordination/tests/slots/prompts.rs
@@ -88,6 +88,27 @@
     assert_eq!(order, [0, 3, 6], "read again only when three slots are taken: {reads:?}");
 }
 
+/// Guards against load piling up on a target for the sake of a short part, also where the times of
+/// two targets lie on either side of a multiple of the smallest difference that counts.
+#[rstest]
+fn short_part_goes_to_the_least_loaded_target(#[values(3, 6, 9, 12, 15, 18)] first_ms: u32) {
+    let now = Instant::now();
+    let mut allocator = allocator(Policy::default(), 2, 8, now);
+    for n in 0..40 {
+        let own = format!("own-{n}");
+        let request = Request {
+            workload: Workload { prompt: Prompt::new("m", [(&*own, 20)]), ..workload("", 0) },
+            ..request(Purpose::Online, now)
+        };
+        complete(&mut allocator, request, MS * first_ms, now + READ * n);
+    }
+    let at = now + READ * 50;
+    let first = grant(&mut allocator, prompted("short", 300, at), at);
+    let at = at + READ;
+    let second = grant(&mut allocator, prompted("short", 300, at), at);
+    assert_ne!(second.target, first.target, "reading 300 tokens takes 6 ms");
+}
+
 /// Guards against sending requests where their prompt was kept by an earlier start.
 #[test]
 fn restarted_target_keeps_nothing() {
