--- a/crates/coordination/tests/slots/main.rs
+++ b/crates/coordination/tests/slots/main.rs
@@ -6,6 +6,7 @@
 mod order;
 mod prompts;
 mod rate;
+mod speeds;
 mod waits;
 
 use coordination::slots::{Allocator, Decision, Grant, Policy, Purpose, Request, Workload};
