Let the stand-in engine read and keep prompts

Reading time by tokens that aren't kept, a memory with eviction of the parts unused longest, and a factor to its times. The defaults take no time for reading and change nothing.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod objects;
 pub mod plain;
 pub mod platform;
+pub mod prompt_memory;
 pub mod runner;
 pub mod serve;
 pub mod text;
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -1,6 +1,7 @@
 //! Stand-in for an engine run by the platform: admits requests in order of arrival, streams
 //! numbered events, resumes streams, and marks requests that it did not run.
 
+use crate::prompt_memory::{PromptMemory, Tokens};
 use crate::serve::Process;
 use bytes::Bytes;
 use std::collections::HashMap;
@@ -17,6 +18,8 @@
 const EXPECTED_TARGET: &str = "x-gatespool-expect-instance";
 const WORKSPACE: &str = "x-gatespool-tenant";
 const NOT_RUN: &str = "x-gatespool-not-run";
+const MODEL: &str = "x-gatespool-model";
+const PROMPT_PREFIX: &str = "x-gatespool-prompt-prefix";
 const SERVER_STAMP: &str = "x-gatespool-server-stamp";
 
 /// Configuration of a runner.
@@ -36,6 +39,12 @@
     pub event_count: u64,
     /// Time from a crash to the restart.
     pub restart_delay: Duration,
+    /// Time to read a token of a prompt that isn't kept.
+    pub token_time: Duration,
+    /// Number of tokens of prompts that are kept at most.
+    pub memory_tokens: u64,
+    /// Factor to the times until and between events, and to read tokens.
+    pub slowness: f64,
 }
 
 impl Default for Config {
@@ -48,6 +57,9 @@
             event_interval: Duration::from_millis(5),
             event_count: 10,
             restart_delay: Duration::from_secs(3_600),
+            token_time: Duration::ZERO,
+            memory_tokens: u64::MAX,
+            slowness: 1.0,
         }
     }
 }
@@ -96,6 +108,7 @@
     failing_suffix: Option<(String, u16)>,
     crash_path: Option<String>,
     event_count: Option<u64>,
+    memory: PromptMemory,
 }
 
 /// Handle to a runner; clones share its state.
@@ -159,6 +172,16 @@
         self.lock().runs.clone()
     }
 
+    /// Tokens of prompts that it read and that it had kept.
+    pub fn tokens(&self) -> Tokens {
+        self.lock().memory.tokens()
+    }
+
+    /// Number of times that it read a part of a prompt, whatever the parts before it.
+    pub fn read_count(&self, part: &str) -> usize {
+        self.lock().memory.read_count(part)
+    }
+
     /// Joined data of all events of the response to `id`.
     pub fn text(id: &str, event_count: u64) -> String {
         let data: Vec<String> = (1..=event_count).map(|n| format!("{id}-{n}")).collect();
@@ -190,7 +213,7 @@
         };
         let id = head.header(REQUEST_ID).to_owned();
         let last_event_id = head.header("last-event-id").parse().ok();
-        let (run_index, is_interrupted, wrong_id, failure_status, will_crash) = {
+        let (run_index, is_interrupted, wrong_id, failure_status, will_crash, unread) = {
             let mut state = self.lock();
             let started = Instant::now();
             let path = head.path.clone();
@@ -216,9 +239,14 @@
                 state.failing_ids.get(&id).copied().or(by_suffix.map(|(_, status)| *status));
             let will_crash =
                 state.crash_path.as_ref().is_some_and(|path| head.path.starts_with(path));
-            (state.runs.len() - 1, is_interrupted, wrong_id, failure_status, will_crash)
+            let (model, prompt) = (head.header(MODEL), head.header(PROMPT_PREFIX));
+            let unread = state.memory.read(model, prompt, self.config.memory_tokens);
+            let run_index = state.runs.len() - 1;
+            (run_index, is_interrupted, wrong_id, failure_status, will_crash, unread)
         };
-        tokio::time::sleep(self.config.first_event_delay).await;
+        let reading = self.config.token_time.mul_f64(unread as f64);
+        let first_event_delay = self.config.first_event_delay + reading;
+        tokio::time::sleep(first_event_delay.mul_f64(self.config.slowness)).await;
         let echoed = if wrong_id { "another" } else { id.as_str() };
         let mut response = match failure_status {
             Some(status) => http::bytes(status, "text/plain", Bytes::from_static(b"failed")),
@@ -253,6 +281,7 @@
     ) {
         let from = last_event_id.map_or(1, |id| id + 1);
         let event_count = self.lock().event_count.unwrap_or(self.config.event_count);
+        let event_interval = self.config.event_interval.mul_f64(self.config.slowness);
         for n in from..=event_count {
             let event = format!("id: {n}\ndata: {id}-{n}\n\n");
             if is_interrupted && n >= from + 2 {
@@ -266,7 +295,7 @@
                 () = tx.closed() => return,
             }
             tokio::select! {
-                () = tokio::time::sleep(self.config.event_interval) => {}
+                () = tokio::time::sleep(event_interval) => {}
                 () = tx.closed() => return,
             }
         }
