--- a/crates/daemon/tests/util/gateway.rs
+++ b/crates/daemon/tests/util/gateway.rs
@@ -34,6 +34,9 @@
     pub allowed_regions: Vec<&'static str>,
     /// Requests a second that a cold runner bears; 0 if runners are never cold.
     pub cold_rate: f64,
+    /// Tokens that a runner keeps, by the configuration; 0 if it names none, and no route says that
+    /// its prompts share parts.
+    pub memory_tokens: u64,
     /// Program of an earlier build: gateways start with it, and change the build whenever they
     /// are restarted.
     pub earlier_build: Option<PathBuf>,
@@ -52,6 +55,7 @@
             workspaces: Value::Null,
             allowed_regions: Vec::new(),
             cold_rate: 0.0,
+            memory_tokens: 0,
             earlier_build: None,
             settings: Vec::new(),
         }
@@ -207,6 +211,7 @@
                 "name": name, "host": HOST, "path_prefix": prefix, "kind": kind,
                 "timeout_ms": 5000, "slo_ms": 300, "gap_slo_ms": 200, "priority": 0,
                 "service": "llm", "max_attempts": 1, "resumable": false,
+                "sticky": self.plan.memory_tokens > 0,
             })
         };
         let mut resumable = route("talk", "/talk/", "stream");
@@ -232,6 +237,9 @@
         });
         config["services"][0]["cold_s"] = json!(1.0);
         config["services"][0]["cold_per_s"] = json!(self.plan.cold_rate);
+        if self.plan.memory_tokens > 0 {
+            config["services"][0]["engine"] = json!({ "kv_capacity": self.plan.memory_tokens });
+        }
         if !self.plan.workspaces.is_null() {
             config["tenants"] = self.plan.workspaces.clone();
         }
