Send shared prompts and uneven load in the soak test

Runners differ in speed and keep fewer tokens than the prompts share; streams come from two hot and two quiet workspaces. The existing checks are unchanged; a new one is that runners find parts that they had read.

--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -13,8 +13,17 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-/// API key of all callers.
+/// API key of the callers of jobs.
 pub const KEY: &str = "key-soak";
+/// API keys of the callers of streams: of two hot workspaces, and of two quiet ones.
+pub const STREAM_KEYS: [&str; 6] =
+    ["key-hot-0", "key-hot-0", "key-hot-1", "key-hot-1", "key-quiet-0", "key-quiet-1"];
+/// Index of the first quiet caller of streams.
+const FIRST_QUIET: usize = 4;
+/// Ratio of the requests of a hot caller to those of a quiet one.
+const HOT_RATIO: u32 = 8;
+/// Long parts that prompts share, and their length in tokens.
+const PARTS: [(&str, u32); 4] = [("a0", 4_000), ("b1", 4_000), ("c2", 2_000), ("d3", 1_000)];
 
 type HttpClient = Client<HttpConnector, Full<bytes::Bytes>>;
 
@@ -48,15 +57,29 @@
     id: &str,
     body: String,
 ) -> Response {
-    let request = Request::builder()
+    call_with(http, method, to, path, id, body, &[("authorization", &format!("Bearer {KEY}"))])
+        .await
+}
+
+async fn call_with(
+    http: &HttpClient,
+    method: &str,
+    to: SocketAddr,
+    path: &str,
+    id: &str,
+    body: String,
+    extra_headers: &[(&str, &str)],
+) -> Response {
+    let mut request = Request::builder()
         .method(method)
         .uri(format!("http://{to}{path}"))
         .header("host", HOST)
         .header("x-gatespool-request-id", id)
-        .header("x-gatespool-deadline-ms", "5000")
-        .header("authorization", format!("Bearer {KEY}"))
-        .body(Full::new(body.into()))
-        .expect("a request");
+        .header("x-gatespool-deadline-ms", "5000");
+    for (name, value) in extra_headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(body.into())).expect("a request");
     let mut response = Response { status: 0, body: Vec::new(), is_complete: false };
     let exchange = async {
         let Ok(head) = http.request(request).await else {
@@ -97,9 +120,17 @@
         let id = format!("{kind}-{n}-{count}");
         // Three consecutive requests go to the same gateway, so that connections are reused.
         let front = fronts[(n + count / 3) % fronts.len()];
-        let response = call(&http, "POST", front, &format!("/{kind}/{id}"), &id, "x".into()).await;
+        let (part, tokens) = PARTS[(n + count / 2) % PARTS.len()];
+        let headers = [
+            ("authorization", &*format!("Bearer {}", STREAM_KEYS[n])),
+            ("x-gatespool-model", "m"),
+            ("x-gatespool-prompt-prefix", &*format!("{part}:{tokens},{n}{count:x}:20")),
+        ];
+        let path = format!("/{kind}/{id}");
+        let response = call_with(&http, "POST", front, &path, &id, "x".into(), &headers).await;
         record.on_stream(kind, &id, &response);
-        tokio::time::sleep(REQUEST_INTERVAL).await;
+        let pause = if n < FIRST_QUIET { 1 } else { HOT_RATIO };
+        tokio::time::sleep(REQUEST_INTERVAL * pause).await;
     }
 }
 
--- a/crates/daemon/tests/soak/scenario.rs
+++ b/crates/daemon/tests/soak/scenario.rs
@@ -8,7 +8,8 @@
 use super::util::proxy::{Mode, Proxy};
 use serde_json::json;
 use standin::objects;
-use standin::runner::{self, Config};
+use standin::prompt_memory::Tokens;
+use standin::runner::{self, Config, Runner};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -20,7 +21,11 @@
 /// Time after the last fault within which every accepted job must be completed.
 const COMPLETION_TIMEOUT: Duration = Duration::from_secs(40);
 /// Numbers of callers of streams and of jobs.
-const CALLERS: [usize; 2] = [6, 3];
+const CALLERS: [usize; 2] = [callers::STREAM_KEYS.len(), 3];
+/// Factors to the times of the runners.
+const SLOWNESS: [f64; 3] = [1.0, 0.5, 2.0];
+/// Tokens that a runner keeps: not all shared parts.
+const MEMORY_TOKENS: u64 = 9_000;
 
 /// How to undo a fault.
 enum Undo {
@@ -84,7 +89,13 @@
     });
     println!("seed {seed}: {}; logs in {}", record.counts(), scenario.fleet.dir.display());
     let runs = scenario.fleet.runs("/");
-    record.violations(&runs)
+    let mut violations = record.violations(&runs);
+    let tokens: Vec<Tokens> = scenario.fleet.runners.iter().map(Runner::tokens).collect();
+    println!("seed {seed}: {tokens:?}");
+    if tokens.iter().all(|tokens| tokens.found == 0) {
+        violations.push(String::from("no runner has found a part that it had read"));
+    }
+    violations
 }
 
 impl Scenario {
@@ -93,14 +104,25 @@
             id: format!("r{n}"),
             event_count: EVENTS_PER_RESPONSE,
             event_interval: Duration::from_millis(15),
+            token_time: Duration::from_micros(20),
+            memory_tokens: MEMORY_TOKENS,
+            slowness: SLOWNESS[n],
             ..Config::default()
         };
         let runners = vec![("east", config(0)), ("west", config(1)), ("east", config(2))];
-        let workspaces = json!([{
-            "name": "soak", "api_keys": [callers::KEY], "rate_per_s": 1_000, "burst": 1_000,
-        }]);
+        let workspace = |key: &&str| json!({ "name": key, "api_keys": [key], "rate_per_s": 1_000, "burst": 1_000 });
+        let mut keys: Vec<&str> = callers::STREAM_KEYS.to_vec();
+        keys.push(callers::KEY);
+        keys.dedup();
+        let workspaces = json!(keys.iter().map(workspace).collect::<Vec<_>>());
         let earlier_build = std::env::var_os("GATESPOOL_EARLIER_BUILD").map(PathBuf::from);
-        let plan = Plan { runners, workspaces, earlier_build, ..Plan::default() };
+        let plan = Plan {
+            runners,
+            workspaces,
+            earlier_build,
+            memory_tokens: MEMORY_TOKENS,
+            ..Plan::default()
+        };
         let gateways = plan.gateways.len();
         let mut proxies = Vec::new();
         let fleet = Fleet::start_behind_proxies(plan, |address| {
