--- a/crates/coordination/src/slots/learning.rs
+++ b/crates/coordination/src/slots/learning.rs
@@ -132,6 +132,13 @@
             | LeaseOutcome::Unresponsive
             | LeaseOutcome::Misdirected => {
                 state.cache.on_not_run(&placed.prompt, placed.expected.kept_parts);
+                let reading_s = placed.expected.copying_s + placed.expected.reading_s;
+                let end_s = placed.expected.wait_s + reading_s;
+                let end = lease.granted + Duration::from_secs_f64(end_s);
+                // What was granted after it is read earlier by what it would still have taken.
+                let unspent =
+                    Duration::from_secs_f64(reading_s).min(end.saturating_duration_since(now));
+                state.reading_until = state.reading_until.and_then(|at| at.checked_sub(unspent));
             }
             LeaseOutcome::Failed | LeaseOutcome::Interrupted => {}
         }
--- a/crates/coordination/src/slots/speed.rs
+++ b/crates/coordination/src/slots/speed.rs
@@ -79,7 +79,7 @@
     intervals: Regression,
     /// The same, without the slowness of each target.
     normalized: Regression,
-    /// Time to the first event over the unread tokens, in seconds.
+    /// Time to the first event over the unread tokens times the slowness of the target, in seconds.
     first: Regression,
 }
 
@@ -133,9 +133,9 @@
     /// Returns by how much it exceeds what was expected on a target that reads `slowness` times as
     /// slowly as usual; 0 while nothing was expected.
     pub(super) fn record_first(&mut self, first_s: f64, unread_tokens: u64, slowness: f64) -> f64 {
-        let tokens = unread_tokens as f64;
+        let tokens = unread_tokens as f64 * slowness;
         let is_known = self.first.weight > 0.0;
-        let expected = self.first_event_s() + slowness * self.token_time_s() * tokens;
+        let expected = self.first_event_s() + self.token_time_s() * tokens;
         let plain = if is_known { first_s.min(expected * MAX_EXCESS) } else { first_s };
         self.first.record(tokens, plain);
         if is_known { plain - expected } else { 0.0 }
@@ -170,37 +170,53 @@
     }
 }
 
-/// How slow a target is, as a factor to the times of its service.
+/// An estimate of a target: its lasting level, and how it differs from it at present.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Slowness {
-    /// Logarithms of ratios, as are the recent ones.
+struct Level {
     lasting: Memory,
     recent: Memory,
-    /// Seconds that first events took beyond the expected time.
-    first_excess: Memory,
+}
+
+impl Level {
+    fn record(&mut self, value: f64, now: Instant) {
+        self.lasting.record(value, LASTING_HALF_LIFE, now);
+        self.recent.record(value, RECENT_HALF_LIFE, now);
+    }
+
+    /// The value expected now; 0 if nothing is known.
+    fn value(&self, now: Instant) -> f64 {
+        let lasting = self.lasting.mean(0.0, LASTING_HALF_LIFE, now);
+        self.recent.mean(lasting, RECENT_HALF_LIFE, now)
+    }
+}
+
+/// How slow a target is, compared with the times of its service.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Slowness {
+    /// Logarithm of the factor to intervals and reading times.
+    log_factor: Level,
+    /// Seconds that first events take beyond the usual time without reading.
+    first_excess: Level,
 }
 
 impl Slowness {
     /// Records a time as a multiple of the usual one.
     pub(super) fn record(&mut self, ratio: f64, now: Instant) {
-        let value = ratio.clamp(1.0 / MAX_RATIO, MAX_RATIO).ln();
-        self.lasting.record(value, LASTING_HALF_LIFE, now);
-        self.recent.record(value, RECENT_HALF_LIFE, now);
+        self.log_factor.record(ratio.clamp(1.0 / MAX_RATIO, MAX_RATIO).ln(), now);
     }
 
     /// Records by how many seconds a first event exceeded the expected time.
     pub(super) fn record_first_excess(&mut self, excess_s: f64, now: Instant) {
-        self.first_excess.record(excess_s, LASTING_HALF_LIFE, now);
+        self.first_excess.record(excess_s, now);
     }
 
     /// Seconds by which a first event is expected to exceed the usual time; negative if it is sooner.
     pub(super) fn first_excess_s(&self, now: Instant) -> f64 {
-        self.first_excess.mean(0.0, LASTING_HALF_LIFE, now)
+        self.first_excess.value(now)
     }
 
     /// The factor expected now; 1 if nothing is known.
     pub(super) fn factor(&self, now: Instant) -> f64 {
-        let lasting = self.lasting.mean(0.0, LASTING_HALF_LIFE, now);
-        self.recent.mean(lasting, RECENT_HALF_LIFE, now).exp()
+        self.log_factor.value(now).exp()
     }
 }
--- a/crates/coordination/tests/slots/main.rs
+++ b/crates/coordination/tests/slots/main.rs
@@ -4,7 +4,9 @@
 mod holders;
 mod model;
 mod order;
+mod prompts;
 mod rate;
+mod speeds;
 mod summary;
 mod waits;
 
