Spare batch items that are about to end or were just started

Cause: an online request preempted the item with most work remaining, which often was one that had just been started, or one that could have been in time while another couldn't any more.

Change: by the order finish, an item that can't be in time at present is preempted first, one that was just started after others, one that would end within the preemption cost only if no other is left; among these the one that is due last. Without the last resort, online requests would wait where estimates are wrong. Holders of jobs and allocators order waiting items by the same function, so that late_last = false holds for both; until now holders ignored it.

Test: online_spares_items_that_are_ending_or_new.

--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -17,6 +17,7 @@
 //! There is no I/O here: the embedder delivers decisions to holders.
 
 mod batch;
+mod batch_order;
 mod holders;
 mod learning;
 mod lease;
@@ -27,6 +28,7 @@
 mod speed;
 mod target_state;
 
+pub use batch_order::{BatchPriority, BatchWork};
 pub use placement::Forecast;
 
 pub use lease::{
@@ -218,7 +220,7 @@
         let mut preempted = None;
         if rank.is_full {
             let equivalent = self.equivalent(request, rank, now);
-            preempted = self.cheapest_to_preempt(|id| equivalent.contains(id));
+            preempted = self.cheapest_to_preempt(|id| equivalent.contains(id), now);
             target = self.leases.get(&preempted?)?.target.clone();
         }
         let address = self.targets.get(&target)?.target.address;
--- a/crates/coordination/src/slots/batch.rs
+++ b/crates/coordination/src/slots/batch.rs
@@ -58,18 +58,18 @@
         equivalent.map(|(id, _)| id.clone()).collect()
     }
 
-    /// The batch lease on matching targets that costs least to preempt: one that is late already,
-    /// else the one with most work remaining, else the one with the latest deadline.
+    /// The batch lease on matching targets that costs least to preempt.
     pub(super) fn cheapest_to_preempt(
         &self,
         matches: impl Fn(&TargetId) -> bool,
+        now: Instant,
     ) -> Option<LeaseId> {
         let batch = self.leases.iter().filter(|(_, lease)| {
             lease.purpose == Purpose::Batch && !lease.is_revoked && matches(&lease.target)
         });
-        let preference =
-            |(id, lease): &(&LeaseId, &Lease)| (lease.is_late, lease.ends, lease.due, **id);
-        batch.max_by_key(preference).map(|(id, _)| *id)
+        let priority =
+            |(id, lease): &(&LeaseId, &Lease)| (self.policy.preemption_priority(lease, now), **id);
+        batch.max_by_key(priority).map(|(id, _)| *id)
     }
 
     /// Revokes a batch lease. Its slot counts as free at once, since its holder must stop at once.
--- a/crates/coordination/src/slots/holders.rs
+++ b/crates/coordination/src/slots/holders.rs
@@ -111,7 +111,7 @@
 
     /// Revokes one batch lease at each target with more leases than slots, which reports can
     /// cause.
-    pub fn revoke_excess(&mut self) -> Vec<Revocation> {
+    pub fn revoke_excess(&mut self, now: Instant) -> Vec<Revocation> {
         let is_overcommitted = |state: &&TargetState| {
             state.batch > 0 && state.online + state.batch > state.target.slots
         };
@@ -123,7 +123,7 @@
             .collect();
         let preempted: Vec<LeaseId> = overcommitted
             .iter()
-            .filter_map(|target| self.cheapest_to_preempt(|id| id == target))
+            .filter_map(|target| self.cheapest_to_preempt(|id| id == target, now))
             .collect();
         preempted.into_iter().filter_map(|lease| self.revoke(lease)).collect()
     }
--- a/crates/coordination/src/slots/lease.rs
+++ b/crates/coordination/src/slots/lease.rs
@@ -5,6 +5,7 @@
 use crate::prompt::Prompt;
 use crate::run_time::Sample;
 use crate::{InstanceId, TargetId};
+use protocol::settings::BatchOrder;
 use protocol::{DataCentreId, Millis, WorkspaceId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -48,6 +49,8 @@
     pub late_last: bool,
     /// Whether batch items that were started precede those that weren't.
     pub started_first: bool,
+    /// Which batch item is preempted.
+    pub batch_order: BatchOrder,
     /// Event interval, as a multiple of the median of all targets, above which a target is used
     /// last.
     pub slow_factor: f64,
@@ -72,6 +75,7 @@
             holder_timeout: Duration::from_millis(1_500),
             late_last: true,
             started_first: true,
+            batch_order: BatchOrder::Finish,
             slow_factor: 2.0,
             failing_last: true,
             overdue_last: true,
@@ -162,8 +166,7 @@
     pub purpose: Purpose,
     /// Deadline of the work.
     pub due: Instant,
-    /// Slot time that the work still needs; zero if unknown. Of several items the one with most of
-    /// it is preempted first.
+    /// Slot time that the work still needs; zero if unknown.
     pub remaining: Duration,
     /// Whether an earlier run has completed a part of the work.
     pub is_started: bool,
@@ -223,18 +226,9 @@
         is_before && self.competes_with(other)
     }
 
-    fn feasibility(&self, policy: &Policy, now: Instant) -> Feasibility {
-        match policy.late_last {
-            true => Feasibility::at(now, self.safe_start, self.latest_start),
-            false => Feasibility::Safe,
-        }
-    }
-
     /// Online before batch, feasible before late, then by deadline. Late online requests follow
-    /// the other online ones, in the order in which their callers leave.
-    ///
-    /// Started batch items precede others: otherwise a long shortage starts many items and
-    /// completes few.
+    /// the other online ones, in the order in which their callers leave. Batch follows
+    /// [`Policy::batch_priority`].
     pub(super) fn priority(&self, policy: &Policy, now: Instant) -> Priority {
         match self.purpose {
             Purpose::Online if policy.late_last && now > self.latest_start => {
@@ -242,8 +236,9 @@
             }
             Purpose::Online => (0, Feasibility::Safe, false, self.latest_start),
             Purpose::Batch => {
-                let is_not_started = policy.started_first && !self.is_started;
-                (1, self.feasibility(policy, now), is_not_started, self.due)
+                let (feasibility, is_unstarted, time) =
+                    policy.batch_priority(&self.batch_work(), now);
+                (1, feasibility, is_unstarted, time)
             }
         }
     }
--- a/crates/coordination/tests/slots/order.rs
+++ b/crates/coordination/tests/slots/order.rs
@@ -194,3 +194,29 @@
     // second.
     assert_eq!(granted, 210 - 46 - 5);
 }
+
+/// Regression: online requests stopped items that were about to end, and items that had just been
+/// started, which lost their slot time.
+#[test]
+fn online_spares_items_that_are_ending_or_new() {
+    let start = Instant::now();
+    let mut allocator = allocator(2, start);
+    let item = |due_ms: u32, left_ms: u32| Request {
+        due: start + MS * due_ms,
+        remaining: MS * left_ms,
+        latest_start: start + MS * (due_ms - left_ms),
+        ..request(Purpose::Batch, start)
+    };
+    let ending = grant(&mut allocator, item(18_000, 1_050), start);
+    let old = grant(&mut allocator, item(10_000, 5_000), start);
+    let now = start + MS * 1_000;
+    let new = grant(&mut allocator, item(18_000, 5_000), now);
+    let hopeless = grant(&mut allocator, item(3_000, 2_900), now);
+    let revoked: Vec<_> = (0..4)
+        .map(|_| match allocator.on_request(request(Purpose::Online, now), now) {
+            Decision::Granted(_, Some(revocation)) => revocation.lease,
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    assert_eq!(revoked, [hopeless.lease, old.lease, new.lease, ending.lease]);
+}
--- a/crates/daemon/src/gateway/allocator.rs
+++ b/crates/daemon/src/gateway/allocator.rs
@@ -295,9 +295,10 @@
 pub fn on_lease_report(node: &Rc<Node>, holder: InstanceId, held: &[HeldLease]) {
     refresh(node);
     let revocations = {
+        let now = clock::now();
         let mut allocator = node.leases.allocator.borrow_mut();
-        allocator.on_lease_report(holder, held, clock::now());
-        allocator.revoke_excess()
+        allocator.on_lease_report(holder, held, now);
+        allocator.revoke_excess(now)
     };
     revocations.into_iter().for_each(|revocation| revoke(node, revocation));
     grant_waiters(node);
--- a/crates/daemon/src/gateway/items.rs
+++ b/crates/daemon/src/gateway/items.rs
@@ -4,10 +4,10 @@
 
 use super::job_table::{HeldJob, route_of};
 use super::leases::{self, Lease};
-use super::node::{Node, unix_millis};
+use super::node::{Node, slot_policy, unix_millis};
 use super::{residency, workload};
 use coordination::hash;
-use coordination::slots::Feasibility;
+use coordination::slots::{BatchPriority, BatchWork};
 use protocol::ServiceId;
 use state::progress::{JobState, Millis};
 use std::collections::HashSet;
@@ -73,17 +73,13 @@
     )
 }
 
-/// Scheduling order of jobs, lowest first. Allocators order requests in the same way, so
+/// Scheduling order of jobs, lowest first. Allocators order requests by the same function, so
 /// slots go to the job for which they were granted.
-type Priority = (Feasibility, bool, Millis);
-
-/// Items that can no longer meet their due time go last, since they would only delay
-/// others. Started items go before unstarted ones.
-fn priority(node: &Node, state: &JobState, now: Millis) -> Priority {
+fn priority(node: &Node, state: &JobState, now: Millis) -> BatchPriority<Millis> {
     let (safe_start, latest_start) = latest_starts(node, state);
     let is_started = state.next_event_count().unwrap_or_default() > 0;
-    let is_unstarted = node.settings.policy.started_first && !is_started;
-    (Feasibility::at(now, safe_start, latest_start), is_unstarted, state.job().due)
+    let work = BatchWork { is_started, due: state.job().due, latest_start, safe_start };
+    slot_policy(&node.settings.policy).batch_priority(&work, now)
 }
 
 /// Held jobs with items waiting for the service that may run in a data centre, most urgent first.
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -319,7 +319,8 @@
     }
 }
 
-fn slot_policy(policy: &settings::Policy) -> slots::Policy {
+/// Parameters of slot allocators, by which holders of jobs order their items too.
+pub(super) fn slot_policy(policy: &settings::Policy) -> slots::Policy {
     let default = slots::Policy::default();
     slots::Policy {
         started_first: policy.started_first,
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -2,6 +2,7 @@
 //!
 //! Unknown keys are errors, so that a misspelt key isn't silently ignored.
 
+mod batch_order;
 mod cold;
 mod location;
 mod policy;
@@ -9,6 +10,7 @@
 mod role;
 mod source;
 
+pub use batch_order::BatchOrder;
 pub use cold::Cold;
 pub use location::Location;
 pub use policy::Policy;
