--- a/crates/coordination/tests/shortage.rs
+++ b/crates/coordination/tests/shortage.rs
@@ -9,6 +9,7 @@
     Allocator, Decision, Grant, LeaseId, LeaseOutcome, LeaseReport, Policy, Purpose, Request,
     Revocation, WaiterId, Workload,
 };
+use protocol::settings::BatchOrder;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -484,3 +485,31 @@
     assert!(tally.jobs_untouched * 5 < tally.jobs, "jobs starve: {tally:?}");
     assert!(tally.online_late < 0.001, "online requests are late: {tally:?}");
 }
+
+/// Ablation: guards against an order `finish` that costs items in time, interrupts more or makes
+/// online requests late, compared with `due`. Prints the figures of both orders.
+#[rstest]
+fn ablation(#[values(0.1, 0.4)] size_spread: f64) {
+    let total = |batch_order: BatchOrder| {
+        let policy = Policy { batch_order, ..Policy::default() };
+        let tallies: Vec<Tally> = (1..=8).map(|seed| shortage(policy, size_spread, seed)).collect();
+        let sum = |of: fn(&Tally) -> usize| tallies.iter().map(of).sum::<usize>() as f64;
+        let in_time = sum(|tally| tally.in_time);
+        let preemptions = sum(|tally| tally.preemptions as usize);
+        let online_late: f64 = tallies.iter().map(|tally| tally.online_late).sum();
+        println!(
+            "{batch_order:?}, sizes by {size_spread}: {:.3} of the bound, {:.2} interruptions, \
+             {:.3} lost, {:.2} jobs in time, {:.2} untouched, {online_late} online late",
+            in_time / sum(|tally| tally.bound),
+            preemptions / sum(|tally| tally.in_time + tally.late),
+            tallies.iter().map(|tally| tally.lost).sum::<f64>() / tallies.len() as f64,
+            sum(|tally| tally.jobs_in_time) / sum(|tally| tally.jobs),
+            sum(|tally| tally.jobs_untouched) / sum(|tally| tally.jobs),
+        );
+        (in_time, preemptions, online_late)
+    };
+    let (finish, due) = (total(BatchOrder::Finish), total(BatchOrder::Due));
+    assert!(finish.0 >= 0.99 * due.0, "items in time: {finish:?}, by due time {due:?}");
+    assert!(finish.1 <= 1.02 * due.1, "interruptions: {finish:?}, by due time {due:?}");
+    assert!(finish.2 <= due.2, "online requests are late: {finish:?}, by due time {due:?}");
+}
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -324,6 +324,7 @@
     let default = slots::Policy::default();
     slots::Policy {
         started_first: policy.started_first,
+        batch_order: policy.batch_order,
         headroom: policy.headroom,
         preemption_cost: policy.preemption_cost,
         late_last: policy.late_last,
--- a/crates/protocol/src/settings/policy.rs
+++ b/crates/protocol/src/settings/policy.rs
@@ -1,6 +1,7 @@
 //! `[policy]`: parameters of the gateway's decisions; docs/POLICY.md has the effect of each.
 
 use super::SettingsError;
+use super::batch_order::BatchOrder;
 use super::source::Source;
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
     pub late_last: bool,
     /// `[policy] begun_first`: whether started items are queued before others.
     pub started_first: bool,
+    /// `[policy] batch_order`: which running item is preempted for an online request.
+    pub batch_order: BatchOrder,
     /// `[policy] spare`: safety factor on the mean run time of an item that isn't started; an
     /// item with less time remaining is queued behind those that are sure to be in time.
     pub slack_factor: f64,
@@ -55,6 +58,7 @@
             max_allocators: 4,
             late_last: true,
             started_first: true,
+            batch_order: BatchOrder::Finish,
             slack_factor: 1.25,
             write_delay: Duration::from_secs(3),
             headroom: 0.06,
@@ -82,6 +86,7 @@
         )?;
         source.read_value("policy", "late_last", bool, &mut self.late_last)?;
         source.read_value("policy", "begun_first", bool, &mut self.started_first)?;
+        source.read_value("policy", "batch_order", "finish or due", &mut self.batch_order)?;
         source.read_value("policy", "spare", "a factor", &mut self.slack_factor)?;
         source.read_millis("policy", "gather_ms", &mut self.write_delay)?;
         source.read_value("policy", "headroom", "a share of the slots", &mut self.headroom)?;
--- a/crates/protocol/tests/settings.rs
+++ b/crates/protocol/tests/settings.rs
@@ -21,6 +21,7 @@
 #[case("[orders]\nlease_ms = 5\nlifetime_ms = 9", "orders", "lease_ms", "over lifetime_ms")]
 #[case("[policy]\naccounts = 0", "policy", "accounts", "at least 1")]
 #[case("[policy]\nheadroom = 1", "policy", "headroom", "from 0 to below 1")]
+#[case("[policy]\nbatch_order = last", "policy", "batch_order", "finish or due")]
 #[case("[policy]\nspare = -1", "policy", "spare", "at least 0")]
 #[case("[policy]\ngather_ms = soon", "policy", "gather_ms", "a number of milliseconds")]
 #[case("[policy]\noverdue = 2", "policy", "give_up", "at least overdue")]
