--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -17,6 +17,7 @@
 //! There is no I/O here: the embedder delivers decisions to holders.
 
 mod batch;
+mod batch_order;
 mod holders;
 mod knowledge;
 mod learning;
@@ -30,6 +31,7 @@
 pub mod summary;
 mod target_state;
 
+pub use batch_order::{BatchPriority, BatchWork};
 pub use knowledge::{Knowledge, SentPrompts};
 pub use learning::TargetMemory;
 pub use placement::Forecast;
@@ -232,7 +234,7 @@
         let mut preempted = None;
         if rank.is_full {
             let equivalent = self.equivalent(request, rank, now);
-            preempted = self.cheapest_to_preempt(|id| equivalent.contains(id));
+            preempted = self.cheapest_to_preempt(|id| equivalent.contains(id), now);
             target = self.leases.get(&preempted?)?.target.clone();
         }
         let address = self.targets.get(&target)?.target.address;
