--- a/crates/coordination/src/slots/lease.rs
+++ b/crates/coordination/src/slots/lease.rs
@@ -78,7 +78,7 @@
             holder_timeout: Duration::from_millis(1_500),
             late_last: true,
             started_first: true,
-            batch_order: BatchOrder::Finish,
+            batch_order: BatchOrder::Due,
             slow_factor: 2.0,
             failing_last: true,
             overdue_last: true,
@@ -204,7 +204,7 @@
 }
 
 /// Sort key of queued requests; the lowest is served first.
-pub(super) type Priority = (u8, Feasibility, u8, bool, Instant);
+pub(super) type Priority = (u8, Feasibility, bool, u8, Instant);
 
 /// Whether work can meet its deadline; the most feasible sorts first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -250,18 +250,19 @@
 
     /// Online before batch, feasible before late, workspaces up to their share before those above
     /// it, then by deadline. Late online requests follow the other online ones, in the order in
-    /// which their callers leave. Batch follows [`Policy::batch_priority`] within the same level.
+    /// which their callers leave. Batch follows [`Policy::batch_priority`]; among started items, and
+    /// among others, the share precedes the due time, so that shares leave no item half done.
     pub(super) fn priority(&self, policy: &Policy, shares: &Shares, now: Instant) -> Priority {
         let level = if policy.fair_shares { shares.level(self, now) } else { 0 };
         match self.purpose {
             Purpose::Online if policy.late_last && now > self.latest_start => {
-                (0, Feasibility::Missed, level, false, self.expires)
+                (0, Feasibility::Missed, false, level, self.expires)
             }
-            Purpose::Online => (0, Feasibility::Safe, level, false, self.latest_start),
+            Purpose::Online => (0, Feasibility::Safe, false, level, self.latest_start),
             Purpose::Batch => {
                 let (feasibility, is_unstarted, due) =
                     policy.batch_priority(&self.batch_work(), now);
-                (1, feasibility, level, is_unstarted, due)
+                (1, feasibility, is_unstarted, level, due)
             }
         }
     }
--- a/crates/coordination/tests/quota.rs
+++ b/crates/coordination/tests/quota.rs
@@ -407,7 +407,7 @@
         served
     };
     let (in_time, late) = play(true);
-    assert!(in_time > 0.93 && late < 0.03, "{in_time} in time and {late} late");
+    assert!(in_time > 0.95 && late < 0.03, "{in_time} in time and {late} late");
     let (in_time, late) = play(false);
     assert!(in_time < 0.85 && late > 0.15, "in the old order {in_time} in time and {late} late");
 }
--- a/crates/coordination/tests/shortage.rs
+++ b/crates/coordination/tests/shortage.rs
@@ -486,6 +486,14 @@
     assert!(tally.online_late < 0.001, "online requests are late: {tally:?}");
 }
 
+/// The same goal with sizes that vary as much as in the other cases.
+#[rstest]
+fn shortage_with_varied_sizes_completes_most_items(#[values(1, 2, 3)] seed: u64) {
+    let tally = shortage(Policy::default(), 0.4, seed);
+    let ratio = tally.in_time as f64 / tally.bound as f64;
+    assert!(ratio >= 0.8, "{ratio:.3} of the bound: {tally:?}");
+}
+
 /// Ablation: guards against an order `finish` that costs items in time, interrupts more or makes
 /// online requests late, compared with `due`. Prints the figures of both orders.
 #[rstest]
--- a/crates/coordination/tests/slots/order.rs
+++ b/crates/coordination/tests/slots/order.rs
@@ -4,6 +4,7 @@
 use crate::{MS, allocator, grant, request, target};
 use coordination::slots::{Allocator, Decision, LeaseReport, Policy, Purpose, Request};
 use protocol::routing::Target;
+use protocol::settings::BatchOrder;
 use std::time::{Duration, Instant};
 
 #[test]
@@ -200,7 +201,9 @@
 #[test]
 fn online_spares_items_that_are_ending_or_new() {
     let start = Instant::now();
-    let mut allocator = allocator(2, start);
+    let policy = Policy { headroom: 0.0, batch_order: BatchOrder::Finish, ..Policy::default() };
+    let mut allocator = Allocator::new(policy, 0, start - Duration::from_secs(10));
+    allocator.set_targets(&[target(0, 2), target(1, 2)], start);
     let item = |due_ms: u32, left_ms: u32| Request {
         due: start + MS * due_ms,
         remaining: MS * left_ms,
--- a/crates/protocol/src/settings/batch_order.rs
+++ b/crates/protocol/src/settings/batch_order.rs
@@ -7,9 +7,9 @@
 pub enum BatchOrder {
     /// One that can't be in time, else the one that is due last; an item that is about to end last,
     /// one that was just started after others.
-    #[default]
     Finish,
     /// One that was late when it started, else the one with most work remaining.
+    #[default]
     Due,
 }
 
--- a/crates/protocol/src/settings/policy.rs
+++ b/crates/protocol/src/settings/policy.rs
@@ -67,7 +67,7 @@
             max_allocators: 4,
             late_last: true,
             started_first: true,
-            batch_order: BatchOrder::Finish,
+            batch_order: BatchOrder::Due,
             slack_factor: 1.25,
             write_delay: Duration::from_secs(3),
             headroom: 0.06,
