--- a/crates/coordination/src/slots/learning.rs
+++ b/crates/coordination/src/slots/learning.rs
@@ -130,16 +130,7 @@
             LeaseOutcome::Unused
             | LeaseOutcome::Rejected
             | LeaseOutcome::Unresponsive
-            | LeaseOutcome::Misdirected => {
-                state.cache.on_not_run(&placed.prompt, placed.expected.kept_parts);
-                let reading_s = placed.expected.copying_s + placed.expected.reading_s;
-                let end_s = placed.expected.wait_s + reading_s;
-                let end = lease.granted + Duration::from_secs_f64(end_s);
-                // What was granted after it is read earlier by what it would still have taken.
-                let unspent =
-                    Duration::from_secs_f64(reading_s).min(end.saturating_duration_since(now));
-                state.reading_until = state.reading_until.and_then(|at| at.checked_sub(unspent));
-            }
+            | LeaseOutcome::Misdirected => state.forget_reading(placed, lease.granted, now),
             LeaseOutcome::Failed | LeaseOutcome::Interrupted => {}
         }
         let Some(pace) = self.paces.get_mut(&state.target.service) else {
@@ -152,19 +143,43 @@
             state.slowness.record(ratio, now);
         }
         if let Some(first) = report.first_event {
-            let before_reading_s = placed.expected.wait_s + placed.expected.copying_s;
-            let first_s = (first.as_secs_f64() - before_reading_s).max(0.0);
-            let mut unread_tokens = placed.expected.unread_tokens;
-            if let Some(is_late) = shows_reading(&placed.expected, first_s, pace, slowness) {
-                state.cache.on_first_event(&placed.prompt, is_late);
-                unread_tokens += if is_late { placed.expected.kept_tokens } else { 0 };
-            }
-            let excess_s = pace.record_first(first_s, unread_tokens, slowness);
-            state.slowness.record_first_excess(excess_s, now);
+            state.learn_first_event(first, placed, pace, slowness, now);
         }
     }
 }
 
+impl TargetState {
+    /// A request that was granted at `granted` was not run, so its prompt wasn't read.
+    fn forget_reading(&mut self, placed: &Placed, granted: Instant, now: Instant) {
+        self.cache.on_not_run(&placed.prompt, placed.expected.kept_parts);
+        let reading_s = placed.expected.copying_s + placed.expected.reading_s;
+        let end = granted + Duration::from_secs_f64(placed.expected.wait_s + reading_s);
+        // What was granted after it is read earlier by what it would still have taken.
+        let unspent = Duration::from_secs_f64(reading_s).min(end.saturating_duration_since(now));
+        self.reading_until = self.reading_until.and_then(|at| at.checked_sub(unspent));
+    }
+
+    /// Learns from the time from sending a request to its first event.
+    fn learn_first_event(
+        &mut self,
+        first: Duration,
+        placed: &Placed,
+        pace: &mut Pace,
+        slowness: f64,
+        now: Instant,
+    ) {
+        let before_reading_s = placed.expected.wait_s + placed.expected.copying_s;
+        let first_s = (first.as_secs_f64() - before_reading_s).max(0.0);
+        let mut unread_tokens = placed.expected.unread_tokens;
+        if let Some(is_late) = shows_reading(&placed.expected, first_s, pace, slowness) {
+            self.cache.on_first_event(&placed.prompt, is_late);
+            unread_tokens += if is_late { placed.expected.kept_tokens } else { 0 };
+        }
+        let excess_s = pace.record_first(first_s, unread_tokens, slowness);
+        self.slowness.record_first_excess(excess_s, now);
+    }
+}
+
 /// Whether a first event came so late that the target must have read the parts that count as kept;
 /// `None` if their reading time is too short to tell.
 fn shows_reading(expected: &Expectation, first_s: f64, pace: &Pace, slowness: f64) -> Option<bool> {
