--- a/crates/coordination/src/fair_share.rs
+++ b/crates/coordination/src/fair_share.rs
@@ -7,8 +7,8 @@
 //! request that waits in several queues counts once. What a workspace doesn't use is free for
 //! others, and it has no debts or savings beyond the window.
 //!
-//! State is kept by whoever grants, and bounded. One that starts knows nothing: all shares are equal
-//! until it has granted some work.
+//! Each allocator keeps its own bounded state in memory. A new one starts without any: all shares are
+//! equal until it has granted some work.
 
 use protocol::WorkspaceId;
 use std::collections::HashMap;
--- a/crates/coordination/src/quota.rs
+++ b/crates/coordination/src/quota.rs
@@ -17,7 +17,7 @@
 //! part is what a new ledger, which doesn't know what ran before it, starts with. The quota of a
 //! workspace that fits into the tolerance as a whole is granted by every data centre alone.
 //!
-//! Under a load far beyond the quota, callers that retry at the time they were told would take the
+//! Under a load far beyond the quota, callers that retry after their Retry-After would take the
 //! tokens of fresh requests, which are then rejected and come late themselves. So a fresh request
 //! may reserve a token that is due shortly, and a retry gets one only if fresh requests leave it.
 //! A reserved token runs when the bucket would have held it. Only a share that shrinks meanwhile
--- a/crates/coordination/src/range_scan.rs
+++ b/crates/coordination/src/range_scan.rs
@@ -3,7 +3,7 @@
 //! A listing is read page by page, which is slow for one reader. Names are split into ranges by
 //! their first character, and a few members each read a run of adjacent ranges. Members with the
 //! same view agree without messages; while views differ, a range may be read twice or not at all.
-//! Therefore a member whose range changes soon after a scan, since it has learnt of other members,
+//! Therefore a member whose range changes soon after a scan, because it has discovered other members,
 //! scans again ([`Schedule`]): once the views agree, every range has been read by its reader.
 
 use crate::InstanceId;
--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -117,7 +117,7 @@
     removed_meters: HashMap<TargetId, Meter>,
     /// Parts of the rate limits that this allocator may use, below 1 in a network partition.
     shares: HashMap<DataCentreId, f64>,
-    /// What is learnt of the speed of each service.
+    /// Learned speed of each service.
     paces: HashMap<ServiceId, Pace>,
     /// The memory of the targets of each service.
     memories: HashMap<ServiceId, TargetMemory>,
--- a/crates/coordination/src/slots/knowledge.rs
+++ b/crates/coordination/src/slots/knowledge.rs
@@ -1,7 +1,7 @@
 //! What senders know of targets, for an allocator that starts without any knowledge.
 //!
-//! An allocator keeps what it has learnt in memory only. Its successor is told by the instances that
-//! sent the requests: which long shared parts each target has read last, and how slow it is.
+//! An allocator keeps its estimates in memory only. The instances that sent the requests report to its
+//! successor which long shared parts each target has read last, and how slow the target is.
 
 use super::Allocator;
 use super::placement::Forecast;
--- a/crates/coordination/src/slots/learning.rs
+++ b/crates/coordination/src/slots/learning.rs
@@ -15,7 +15,7 @@
 /// Limits of the number of parts that are remembered of one target.
 const PARTS_PER_TARGET: [usize; 2] = [16, 4_096];
 /// Reading time of the kept parts from which on a late first event can tell that they weren't kept.
-/// Below, it can't be told from other delays.
+/// A shorter reading time is within the usual variation of first events.
 const MIN_EVIDENCE: Duration = Duration::from_millis(20);
 /// Part of the reading time of the kept parts by which the first event must be late for it.
 const EVIDENCE_RATIO: f64 = 0.75;
--- a/crates/coordination/src/slots/lease.rs
+++ b/crates/coordination/src/slots/lease.rs
@@ -113,7 +113,7 @@
     /// Tokens of the prompt and, at most, of the output.
     #[serde(skip_serializing_if = "is_zero")]
     pub tokens: u32,
-    /// Whether the caller was rejected before and comes again.
+    /// Whether the caller was rejected before and is retrying.
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub is_retry: bool,
 }
@@ -132,8 +132,8 @@
         *self == Workload::default()
     }
 
-    /// The shared part with which the prompt becomes long, by which data centres are chosen, so that
-    /// it is read in few of them; `None` if reading the shared parts takes too little time to matter.
+    /// The first shared part at which the prompt counts as long. Data centres are ordered by it, so
+    /// that the part is read in few of them; `None` if reading the shared parts takes too little time to matter.
     pub fn long_part(&self, token_time: Duration) -> Option<PartKey> {
         self.prompt.long_part(self.min_long_tokens(token_time)?)
     }
--- a/crates/coordination/src/slots/placement.rs
+++ b/crates/coordination/src/slots/placement.rs
@@ -84,7 +84,7 @@
 }
 
 impl Expectation {
-    /// What is told to the holder of the lease.
+    /// The forecast that is sent to the holder of the lease.
     pub(super) fn forecast(&self, pace: &Pace) -> Forecast {
         Forecast {
             first_ms: self.first_s * 1e3,
--- a/crates/protocol/src/settings/policy.rs
+++ b/crates/protocol/src/settings/policy.rs
@@ -36,7 +36,7 @@
     /// keeps it, where that is much faster than reading it.
     pub copies_prompts: bool,
     /// `[policy] fresh_first`: whether requests over the quota of their workspace may wait shortly
-    /// for a token, before callers that come again.
+    /// for a token, before retries.
     pub fresh_first: bool,
     /// `[policy] fair_shares`: whether workspaces that had no more than their share of the slots
     /// lately precede others.
