Log what told the end of a target's stream, and whether it was inside an event

Cause: by the lines there are, an answer whose connection ended can't be told from one whose last chunk came, nor an end between two events from one inside an event.

Change, no logic: `framing` and `inside_event` in `stream ended` and `stream aborted`; the counter `stream.unframed`; `explain` names the fault and the framing of an aborted answer. `EventTracker` follows events of any size and any line ends without buffering them.

--- a/crates/cli/src/explain/verdict.rs
+++ b/crates/cli/src/explain/verdict.rs
@@ -17,7 +17,7 @@
     match message {
         "request failed" => Some(line.failure()),
         "stream ended" => line.lateness().map(|lateness| line.stream(&lateness)),
-        "stream aborted" => Some(line.stream("aborted")),
+        "stream aborted" => Some(line.stream(&line.truncation())),
         _ => None,
     }
 }
@@ -69,6 +69,12 @@
         }
     }
 
+    /// Why a response is incomplete, and what would have told its end.
+    fn truncation(&self) -> String {
+        let (fault, framing) = (self.text("fault", ""), self.text("framing", ""));
+        format!("aborted: {fault}; end told by its {framing}")
+    }
+
     fn stream(&self, outcome: &str) -> String {
         format!(
             "{outcome}; placed on {}: first event from the target expected after {}, came after {}; \
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -53,6 +53,15 @@
     assert!(unknown.contains("slowness unknown"), "{unknown}");
 }
 
+/// Guards against a truncated response that can't be told from a complete one.
+#[test]
+fn truncated_stream_is_explained_by_its_fault_and_framing() {
+    let fields = "\"fault\":\"ended inside an event\",\"framing\":\"connection\"";
+    let aborted = last_line("aborted", &line("stream aborted", fields));
+    let start = "aborted: ended inside an event; end told by its connection; placed on";
+    assert!(aborted.starts_with(start), "{aborted}");
+}
+
 /// Guards against rejections that name neither what was waited for nor the workspace.
 #[test]
 fn rejection_states_what_was_waited_for() {
--- a/crates/daemon/src/gateway/streaming.rs
+++ b/crates/daemon/src/gateway/streaming.rs
@@ -13,9 +13,9 @@
 use hyper::Response;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use transport::event::EventSplitter;
+use transport::event::{EventSplitter, EventTracker};
 use transport::server::{self, Body, BodyAborted, BodySender};
-use transport::upstream::Exchange;
+use transport::upstream::{Exchange, Framing};
 
 /// A resumable stream is idle after this many times the route's maximum gap between events.
 const IDLE_GAP_FACTOR: u32 = 3;
@@ -73,6 +73,8 @@
             sender,
             stats: EventStats::default(),
             target_first: None,
+            tracker: EventTracker::default(),
+            framing: None,
         };
         stream.run(response).await;
         drop(in_flight);
@@ -87,6 +89,10 @@
     stats: EventStats,
     /// Time from sending the request to the first event of the last target.
     target_first: Option<Duration>,
+    /// Where the body of the last target's response stands among its events.
+    tracker: EventTracker,
+    /// Framing of the last target's response.
+    framing: Option<Framing>,
 }
 
 /// Why a target's stream ended.
@@ -152,6 +158,11 @@
     async fn forward_response(&mut self, response: TargetResponse) -> StreamEnd {
         let TargetResponse { mut exchange, mut lease } = response;
         let mut splitter = EventSplitter::default();
+        self.tracker = EventTracker::default();
+        self.framing = Some(exchange.framing());
+        if exchange.framing() == Framing::Connection {
+            self.node().metrics.count("stream.unframed");
+        }
         self.stats = EventStats { started_at: Some(clock::now()), ..EventStats::default() };
         let end = self.forward_events(&mut exchange, &lease, &mut splitter).await;
         // Closes the connection unless the response is complete.
@@ -213,6 +224,7 @@
                 Err(error) => return StreamEnd::Interrupted(error),
             };
             is_overdue = false;
+            self.tracker.push(&bytes);
             let bytes = if is_resumable {
                 match self.complete_events(splitter, &bytes) {
                     Ok(bytes) => bytes,
@@ -298,6 +310,8 @@
             "kept_tokens" => forecast.map(|forecast| forecast.kept_tokens),
             "unread_tokens" => forecast.map(|forecast| forecast.unread_tokens),
             "slowness" => forecast.map(|forecast| forecast.slowness),
+            "framing" => self.framing.map(Framing::name),
+            "inside_event" => self.tracker.is_inside(),
             "fault" => error, "pieces" => self.stats.chunks, "sent" => self.request.attempts,
             "first_ms" => self.stats.first_after(call.started).map(|at| at.as_millis() as u64),
             "slowest_ms" => self.stats.slowest.as_millis() as u64,
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -2,6 +2,7 @@
 //!
 //! Events are forwarded byte for byte, and their ids are needed to resume an
 //! interrupted stream. [`crate::sse`] decodes the data of events instead.
+//! [`EventTracker`] only finds out where events end, and buffers nothing.
 
 use bytes::{Bytes, BytesMut};
 
@@ -30,6 +31,65 @@
     Some(rest.strip_prefix(' ').unwrap_or(rest))
 }
 
+/// The line that a stream is in, as far as it has been received.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Line {
+    #[default]
+    Empty,
+    Comment,
+    Field,
+}
+
+/// Tracks whether a stream is inside an event. Lines end with LF, CR or both.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EventTracker {
+    line: Line,
+    /// Whether the current event has a complete line that isn't a comment.
+    has_fields: bool,
+    /// Whether the last byte was CR, so that LF belongs to the same line end.
+    is_after_cr: bool,
+    events: u64,
+}
+
+impl EventTracker {
+    /// Advances past received bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.advance(*byte);
+        }
+    }
+
+    /// Whether the stream is inside an event or a comment that isn't complete.
+    pub fn is_inside(&self) -> bool {
+        self.has_fields || self.line != Line::Empty
+    }
+
+    /// Number of complete events.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
+    fn advance(&mut self, byte: u8) {
+        let is_second_of_crlf = byte == b'\n' && self.is_after_cr;
+        self.is_after_cr = byte == b'\r';
+        match byte {
+            b'\n' if is_second_of_crlf => {}
+            b'\n' | b'\r' => self.end_line(),
+            b':' if self.line == Line::Empty => self.line = Line::Comment,
+            _ if self.line == Line::Empty => self.line = Line::Field,
+            _ => {}
+        }
+    }
+
+    fn end_line(&mut self) {
+        match std::mem::take(&mut self.line) {
+            Line::Empty => self.events += u64::from(std::mem::take(&mut self.has_fields)),
+            Line::Comment => {}
+            Line::Field => self.has_fields = true,
+        }
+    }
+}
+
 /// Splits a byte stream into events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -24,7 +24,7 @@
 use crate::clock;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
@@ -84,6 +84,42 @@
 
 impl std::error::Error for SendError {}
 
+/// What tells the end of a response's body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// Its length, which may be zero by its status.
+    Length,
+    /// Its last chunk.
+    Chunks,
+    /// The end of the connection, which is also what a process leaves that ends halfway.
+    Connection,
+}
+
+impl Framing {
+    fn of(head: &Parts, body: &Incoming) -> Framing {
+        let codings = head.headers.get_all(TRANSFER_ENCODING).iter().next_back();
+        if body.is_end_stream() {
+            return Framing::Length;
+        }
+        if let Some(codings) = codings {
+            let last = codings.as_bytes().rsplit(|byte| *byte == b',').next().unwrap_or_default();
+            let is_chunked = last.trim_ascii().eq_ignore_ascii_case(b"chunked");
+            return if is_chunked { Framing::Chunks } else { Framing::Connection };
+        }
+        let has_length = head.headers.contains_key(CONTENT_LENGTH);
+        if has_length { Framing::Length } else { Framing::Connection }
+    }
+
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Framing::Length => "length",
+            Framing::Chunks => "chunks",
+            Framing::Connection => "connection",
+        }
+    }
+}
+
 /// Result of a TCP connection attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeResult {
@@ -170,9 +206,11 @@
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     let (head, body) = response.into_parts();
+                    let framing = Framing::of(&head, &body);
                     let pool = self.clone();
                     let connection = Some(connection);
-                    return Ok(Exchange { to, head, body, connection, pool, is_at_end: false });
+                    let is_at_end = false;
+                    return Ok(Exchange { to, head, framing, body, connection, pool, is_at_end });
                 }
                 Err(mut error) => match error.take_message() {
                     // The server closed the idle connection; nothing was sent.
@@ -281,6 +319,7 @@
 pub struct Exchange {
     to: SocketAddr,
     head: Parts,
+    framing: Framing,
     body: Incoming,
     connection: Option<Connection>,
     pool: Pool,
@@ -293,6 +332,11 @@
         &self.head
     }
 
+    /// What tells the end of the body.
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
     /// Whether the end of the body is distinguishable from a connection closed early.
     pub fn has_body_framing(&self) -> bool {
         let headers = &self.head.headers;
