--- a/crates/daemon/tests/util/mod.rs
+++ b/crates/daemon/tests/util/mod.rs
@@ -11,6 +11,8 @@
 pub mod peer;
 pub mod port;
 pub mod proxy;
+pub mod raw_caller;
+pub mod raw_target;
 
 use std::time::{Duration, Instant};
 
