Take a body that ends inside an event for a truncated one, however it was framed

Cause: a body counted as complete when its connection or its chunks ended in order. Only resumable streams and items looked at the text.

Change: `TargetBody` reads all bodies of targets, of streams resumable or not, buffered answers and items, and ends with an error unless the body is complete; an event stream that ends inside an event isn't. Whoever reads a body can't miss it. It is then a failure of the target as any other interruption: lease, ejection, crash check, what quarantine learns. Nothing is held back: events go on as they arrive, of any size. What says in its head that it isn't an event stream is judged by its framing alone, also on resumable routes, which lost such answers and comments after the last event. Splitter and tracker share one definition of the end of an event.

--- a/crates/daemon/src/gateway/items/run.rs
+++ b/crates/daemon/src/gateway/items/run.rs
@@ -7,6 +7,7 @@
 use crate::gateway::node::{Node, unix_millis};
 use crate::gateway::online::{belongs_to_request, is_not_run, rejection_outcome};
 use crate::gateway::quarantine::{self, Admission};
+use crate::gateway::target_body::TargetBody;
 use bytes::Bytes;
 use coordination::hash;
 use coordination::run_time::Sample;
@@ -19,7 +20,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use transport::event::EventSplitter;
-use transport::upstream::{Exchange, SendError};
+use transport::upstream::SendError;
 
 /// Time without data after which a target counts as unresponsive. Leaves room for targets
 /// that run several times slower than normal.
@@ -221,8 +222,9 @@
     }
     let status = head.status;
     if status.is_success() {
-        let run_end = read_events(&mut exchange, partial, times).await;
-        if matches!(run_end, RunEnd::Completed) && exchange.has_body_framing() {
+        let mut body = TargetBody::of_events(exchange);
+        let run_end = read_events(&mut body, partial, times).await;
+        if matches!(run_end, RunEnd::Completed) && body.is_framed() {
             quarantine::on_success(node, || fingerprint_of(held, item));
         }
         return run_end;
@@ -239,22 +241,21 @@
 }
 
 async fn read_events(
-    exchange: &mut Exchange,
+    body: &mut TargetBody,
     partial: &mut PartialOutput,
     times: &mut EventTimes,
 ) -> RunEnd {
-    let interrupted = |error: &str| RunEnd::Stopped(LeaseOutcome::Interrupted, error.to_owned());
+    let interrupted = |error: String| RunEnd::Stopped(LeaseOutcome::Interrupted, error);
     let mut splitter = EventSplitter::default();
     loop {
-        let chunk = match tokio::time::timeout(IDLE_TIMEOUT, exchange.next_chunk()).await {
+        let chunk = match tokio::time::timeout(IDLE_TIMEOUT, body.next_chunk()).await {
             Err(_) => return RunEnd::Stopped(LeaseOutcome::Unresponsive, String::from("idle")),
-            Ok(Err(error)) => return interrupted(&error),
-            Ok(Ok(None)) if !splitter.is_empty() => return interrupted("ended inside an event"),
+            Ok(Err(truncation)) => return interrupted(truncation.to_string()),
             Ok(Ok(None)) => return RunEnd::Completed,
             Ok(Ok(Some(chunk))) => chunk,
         };
         if !splitter.push(&chunk) {
-            return interrupted("event exceeds the size limit");
+            return interrupted(String::from("event exceeds the size limit"));
         }
         while let Some(event) = splitter.next_event() {
             times.on_event(clock::now());
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 //! | [`residency`] | regions in which requests and jobs may be |
 //! | [`evacuation`] | data centres whose targets receive nothing |
 //! | [`peers`], [`message`] | membership; messages between instances |
+//! | `target_body` | bodies of targets' responses, and whether they are complete |
 //! | [`target_page`] | compact form of many registry entries |
 //! | [`broadcast`], [`anti_entropy`] | updates to all instances; repair of lost ones |
 //! | [`store`], [`job_store`] | the platform's store behind a circuit breaker; stored jobs |
@@ -65,6 +66,7 @@
 pub mod submit;
 pub mod suspension;
 pub mod takeover;
+mod target_body;
 pub mod target_page;
 pub mod watch;
 pub mod workload;
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -11,6 +11,7 @@
 use super::node::{Config, Node};
 use super::quarantine::{self, Admission};
 use super::quota::Charge;
+use super::target_body::TargetBody;
 use super::{in_flight, residency, streaming, workload};
 use crate::clock;
 use attempt::{RetryReason, completion_outcome};
@@ -26,7 +27,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use transport::server::{self, Body};
-use transport::upstream::Exchange;
 
 /// Number of unreachable targets after which a request is rejected.
 const MAX_UNREACHABLE_TARGETS: u32 = 3;
@@ -68,7 +68,7 @@
 /// A response of a target whose head has arrived.
 pub struct TargetResponse {
     /// The head, and the body to be read.
-    pub exchange: Exchange,
+    pub body: TargetBody,
     /// Lease on the slot that the response occupies.
     pub lease: Lease,
 }
@@ -129,7 +129,7 @@
     response: TargetResponse,
     in_flight: in_flight::Guard,
 ) -> Result<Response<Body>, server::BodyAborted> {
-    if request.route.class == Class::Stream && response.exchange.head().status.is_success() {
+    if request.route.class == Class::Stream && response.body.head().status.is_success() {
         return Ok(streaming::stream(request, response, in_flight));
     }
     respond_buffered(request, response).await
@@ -143,15 +143,14 @@
 ) -> Result<Response<Body>, server::BodyAborted> {
     let mut response = response;
     loop {
-        let head = forwarded_head(response.exchange.head());
+        let head = forwarded_head(response.body.head());
         let remaining = request.call.remaining(clock::now());
         let read =
-            tokio::time::timeout(remaining, response.exchange.read_to_end(MAX_BUFFERED_BYTES))
-                .await;
+            tokio::time::timeout(remaining, response.body.read_to_end(MAX_BUFFERED_BYTES)).await;
         let error = match read {
             Ok(Ok(body)) => {
                 response.lease.end(completion_outcome(head.status()));
-                request.on_end(response.exchange.has_body_framing());
+                request.on_end(response.body.is_framed());
                 let is_within_objective =
                     clock::since(request.call.started) <= request.route.objective;
                 request.node.metrics.record_request(
@@ -169,7 +168,7 @@
         request.on_interrupted(&response.lease.grant);
         response.lease.end(LeaseOutcome::Interrupted);
         if !request.may_retry() {
-            return Ok(request.fail(&ForwardError::MayHaveRun(error)));
+            return Ok(request.fail(&ForwardError::MayHaveRun(error.to_string())));
         }
         response = match request.forward(None).await {
             Ok(response) => response,
@@ -178,7 +177,8 @@
     }
 }
 
-fn forwarded_head(head: &Parts) -> Response<()> {
+/// Head of a target's response, without hop-by-hop headers.
+pub fn forwarded_head(head: &Parts) -> Response<()> {
     let mut response = Response::new(());
     *response.status_mut() = head.status;
     *response.headers_mut() = header::end_to_end(&head.headers);
@@ -190,11 +190,6 @@
     head.map(|()| body)
 }
 
-/// Head of a target's response, without hop-by-hop headers.
-pub fn response_head(exchange: &Exchange) -> Response<()> {
-    forwarded_head(exchange.head())
-}
-
 impl ProxiedRequest {
     /// Clears the request of crash reports once its response is complete. A response that is
     /// framed by the end of its connection may have been truncated by a crash.
--- a/crates/daemon/src/gateway/online/attempt.rs
+++ b/crates/daemon/src/gateway/online/attempt.rs
@@ -3,12 +3,14 @@
 use super::{ProxiedRequest, TargetResponse};
 use crate::clock;
 use crate::gateway::leases::Lease;
+use crate::gateway::target_body::TargetBody;
 use bytes::Bytes;
 use coordination::slots::LeaseOutcome;
 use http_body_util::Full;
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Request, StatusCode};
 use platform::header;
+use protocol::routing::Class;
 use std::time::Duration;
 use transport::upstream::{Exchange, SendError};
 
@@ -125,7 +127,8 @@
             lease.end(completion_outcome(status));
             return Err(RetryReason::MayHaveRun(format!("target responded with {status}")));
         }
-        Ok(TargetResponse { exchange, lease })
+        let body = TargetBody::new(exchange, self.route.class == Class::Stream);
+        Ok(TargetResponse { body, lease })
     }
 }
 
--- a/crates/daemon/src/gateway/streaming.rs
+++ b/crates/daemon/src/gateway/streaming.rs
@@ -6,16 +6,17 @@
 use super::in_flight;
 use super::leases::{AcquireError, Lease};
 use super::node::Node;
-use super::online::{ForwardError, ProxiedRequest, TargetResponse, response_head, with_body};
+use super::online::{ForwardError, ProxiedRequest, TargetResponse, forwarded_head, with_body};
+use super::target_body::TargetBody;
 use crate::clock;
 use bytes::{Bytes, BytesMut};
 use coordination::slots::LeaseOutcome;
 use hyper::Response;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use transport::event::{EventSplitter, EventTracker};
+use transport::event::EventSplitter;
 use transport::server::{self, Body, BodyAborted, BodySender};
-use transport::upstream::{Exchange, Framing};
+use transport::upstream::Framing;
 
 /// A resumable stream is idle after this many times the route's maximum gap between events.
 const IDLE_GAP_FACTOR: u32 = 3;
@@ -64,7 +65,7 @@
     response: TargetResponse,
     in_flight: in_flight::Guard,
 ) -> Response<Body> {
-    let head = response_head(&response.exchange);
+    let head = forwarded_head(response.body.head());
     let (sender, body) = server::body_channel();
     tokio::task::spawn_local(async move {
         let mut stream = Stream {
@@ -73,8 +74,9 @@
             sender,
             stats: EventStats::default(),
             target_first: None,
-            tracker: EventTracker::default(),
             framing: None,
+            is_inside_event: false,
+            has_sent_other: false,
         };
         stream.run(response).await;
         drop(in_flight);
@@ -89,10 +91,12 @@
     stats: EventStats,
     /// Time from sending the request to the first event of the last target.
     target_first: Option<Duration>,
-    /// Where the body of the last target's response stands among its events.
-    tracker: EventTracker,
     /// Framing of the last target's response.
     framing: Option<Framing>,
+    /// Whether the last target's response ended inside an event.
+    is_inside_event: bool,
+    /// Whether something else than events was sent, after which the stream can't be resumed.
+    has_sent_other: bool,
 }
 
 /// Why a target's stream ended.
@@ -120,7 +124,7 @@
                 StreamEnd::Idle => String::from("idle"),
             };
             self.request.excluded.push(target.clone());
-            if !self.request.may_retry() {
+            if !self.request.may_retry() || self.has_sent_other {
                 return self.abort(&target, &error).await;
             }
             slog::info!(self.request.node.log, "resuming interrupted stream";
@@ -132,9 +136,9 @@
                 () = self.sender.closed() => return self.log("caller disconnected", &target, ""),
             };
             response = match next {
-                Ok(response) if response.exchange.head().status.is_success() => response,
+                Ok(response) if response.body.head().status.is_success() => response,
                 Ok(response) => {
-                    let status = response.exchange.head().status;
+                    let status = response.body.head().status;
                     response.lease.end(LeaseOutcome::Completed);
                     return self
                         .abort(&target, &format!("next target responded with {status}"))
@@ -156,18 +160,17 @@
 
     /// Forwards one target's response.
     async fn forward_response(&mut self, response: TargetResponse) -> StreamEnd {
-        let TargetResponse { mut exchange, mut lease } = response;
-        let mut splitter = EventSplitter::default();
-        self.tracker = EventTracker::default();
-        self.framing = Some(exchange.framing());
-        if exchange.framing() == Framing::Connection {
+        let TargetResponse { mut body, mut lease } = response;
+        self.framing = Some(body.framing());
+        if body.framing() == Framing::Connection {
             self.node().metrics.count("stream.unframed");
         }
         self.stats = EventStats { started_at: Some(clock::now()), ..EventStats::default() };
-        let end = self.forward_events(&mut exchange, &lease, &mut splitter).await;
+        let end = self.forward_body(&mut body, &lease).await;
+        self.is_inside_event = body.is_inside_event();
+        let is_framed = body.is_framed();
         // Closes the connection unless the response is complete.
-        let is_framed = exchange.has_body_framing();
-        drop(exchange);
+        drop(body);
         match end {
             StreamEnd::Interrupted(_) => self.request.on_interrupted(&lease.grant),
             StreamEnd::Completed => {
@@ -188,13 +191,10 @@
         end
     }
 
-    async fn forward_events(
-        &mut self,
-        exchange: &mut Exchange,
-        lease: &Lease,
-        splitter: &mut EventSplitter,
-    ) -> StreamEnd {
-        let is_resumable = self.request.route.resumable;
+    async fn forward_body(&mut self, body: &mut TargetBody, lease: &Lease) -> StreamEnd {
+        // Only complete events are sent if the stream may be resumed after them.
+        let mut splitter =
+            (self.request.route.resumable && body.is_event_stream()).then(EventSplitter::default);
         let mut is_overdue = false;
         loop {
             let max_gap = self.max_gap();
@@ -203,7 +203,7 @@
                 return StreamEnd::DeadlineExceeded;
             }
             let chunk = tokio::select! {
-                chunk = exchange.next_chunk() => chunk,
+                chunk = body.next_chunk() => chunk,
                 () = self.sender.closed() => return StreamEnd::CallerGone,
                 () = tokio::time::sleep(remaining) => return StreamEnd::DeadlineExceeded,
                 () = tokio::time::sleep(max_gap), if !is_overdue => {
@@ -217,21 +217,22 @@
             };
             let bytes = match chunk {
                 Ok(Some(bytes)) => bytes,
-                Ok(None) if is_resumable && !splitter.is_empty() => {
-                    return StreamEnd::Interrupted(String::from("ended inside an event"));
+                Ok(None) => {
+                    let rest = splitter.as_mut().map(EventSplitter::take_rest);
+                    return self.send_last(rest.unwrap_or_default()).await;
                 }
-                Ok(None) => return StreamEnd::Completed,
-                Err(error) => return StreamEnd::Interrupted(error),
+                Err(truncation) => return StreamEnd::Interrupted(truncation.to_string()),
             };
             is_overdue = false;
-            self.tracker.push(&bytes);
-            let bytes = if is_resumable {
-                match self.complete_events(splitter, &bytes) {
+            let bytes = match &mut splitter {
+                Some(splitter) => match self.complete_events(splitter, &bytes) {
                     Ok(bytes) => bytes,
                     Err(error) => return StreamEnd::Interrupted(error),
+                },
+                None => {
+                    self.has_sent_other = true;
+                    bytes
                 }
-            } else {
-                bytes
             };
             if bytes.is_empty() {
                 continue;
@@ -243,6 +244,14 @@
         }
     }
 
+    /// Sends what follows the last event of a complete response.
+    async fn send_last(&self, rest: Bytes) -> StreamEnd {
+        if !rest.is_empty() && self.sender.send(Ok(rest)).await.is_err() {
+            return StreamEnd::CallerGone;
+        }
+        StreamEnd::Completed
+    }
+
     /// Complete events in the received data, without those already sent by an earlier
     /// target.
     fn complete_events(
@@ -311,7 +320,7 @@
             "unread_tokens" => forecast.map(|forecast| forecast.unread_tokens),
             "slowness" => forecast.map(|forecast| forecast.slowness),
             "framing" => self.framing.map(Framing::name),
-            "inside_event" => self.tracker.is_inside(),
+            "inside_event" => self.is_inside_event,
             "fault" => error, "pieces" => self.stats.chunks, "sent" => self.request.attempts,
             "first_ms" => self.stats.first_after(call.started).map(|at| at.as_millis() as u64),
             "slowest_ms" => self.stats.slowest.as_millis() as u64,
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -8,7 +8,7 @@
 
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// One complete event.
+/// One complete event, or comments that an empty line ends.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
     /// Bytes of the event as received, with the empty line that ends it.
@@ -21,13 +21,17 @@
     /// Values of the `data` fields, joined by line feeds; `None` if there are none.
     pub fn data(&self) -> Option<String> {
         let text = String::from_utf8_lossy(&self.raw);
-        let lines: Vec<&str> = text.lines().filter_map(|line| field(line, "data")).collect();
+        let lines: Vec<&str> = lines(&text).filter_map(|line| field(line, "data")).collect();
         if lines.is_empty() { None } else { Some(lines.join("\n")) }
     }
 }
 
+fn lines(text: &str) -> impl Iterator<Item = &str> {
+    text.split(['\n', '\r'])
+}
+
 fn field<'a>(line: &'a str, name: &str) -> Option<&'a str> {
-    let rest = line.trim_end_matches('\r').strip_prefix(name)?.strip_prefix(':')?;
+    let rest = line.strip_prefix(name)?.strip_prefix(':')?;
     Some(rest.strip_prefix(' ').unwrap_or(rest))
 }
 
@@ -69,24 +73,28 @@
         self.events
     }
 
-    fn advance(&mut self, byte: u8) {
+    /// Advances past one byte; returns whether it ends an empty line.
+    fn advance(&mut self, byte: u8) -> bool {
         let is_second_of_crlf = byte == b'\n' && self.is_after_cr;
         self.is_after_cr = byte == b'\r';
         match byte {
             b'\n' if is_second_of_crlf => {}
-            b'\n' | b'\r' => self.end_line(),
+            b'\n' | b'\r' => return self.end_line(),
             b':' if self.line == Line::Empty => self.line = Line::Comment,
             _ if self.line == Line::Empty => self.line = Line::Field,
             _ => {}
         }
+        false
     }
 
-    fn end_line(&mut self) {
-        match std::mem::take(&mut self.line) {
+    fn end_line(&mut self) -> bool {
+        let line = std::mem::take(&mut self.line);
+        match line {
             Line::Empty => self.events += u64::from(std::mem::take(&mut self.has_fields)),
             Line::Comment => {}
             Line::Field => self.has_fields = true,
         }
+        line == Line::Empty
     }
 }
 
@@ -94,7 +102,9 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Number of bytes that `tracker` has passed.
     scanned: usize,
+    tracker: EventTracker,
 }
 
 impl EventSplitter {
@@ -110,28 +120,33 @@
         let raw = self.buffer.split_to(end).freeze();
         self.scanned = 0;
         let text = String::from_utf8_lossy(&raw);
-        let id = text.lines().filter_map(|line| field(line, "id")).next_back();
+        let id = lines(&text).filter_map(|line| field(line, "id")).last();
         let id = id.and_then(|id| id.trim().parse().ok());
         Some(Event { raw, id })
     }
 
-    /// Whether the buffer holds no bytes of an incomplete event.
-    pub fn is_empty(&self) -> bool {
-        self.buffer.is_empty()
+    /// Removes and returns what follows the last event.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.scanned = 0;
+        self.buffer.split().freeze()
     }
 
     fn find_end(&mut self) -> Option<usize> {
-        let bytes = &self.buffer[..];
-        let start = self.scanned.saturating_sub(3);
-        for index in start..bytes.len() {
-            if bytes[index..].starts_with(b"\n\n") {
-                return Some(index + 2);
-            }
-            if bytes[index..].starts_with(b"\n\r\n") {
-                return Some(index + 3);
+        while let Some(byte) = self.buffer.get(self.scanned).copied() {
+            self.scanned += 1;
+            if self.tracker.advance(byte) {
+                return Some(self.scanned + usize::from(self.skip_second_of_crlf()));
             }
         }
-        self.scanned = bytes.len();
         None
     }
+
+    /// Advances past the LF of a line end that began with CR, if it has been received.
+    fn skip_second_of_crlf(&mut self) -> bool {
+        let is_next = self.tracker.is_after_cr && self.buffer.get(self.scanned) == Some(&b'\n');
+        if is_next {
+            self.tracker.advance(b'\n');
+        }
+        is_next
+    }
 }
--- a/crates/transport/tests/event.rs
+++ b/crates/transport/tests/event.rs
@@ -1,7 +1,7 @@
 //! Where events end, whichever way a stream is cut into chunks.
 
 use rstest::rstest;
-use transport::event::EventTracker;
+use transport::event::{EventSplitter, EventTracker};
 
 #[rstest]
 #[case::nothing("", false, 0)]
@@ -26,3 +26,25 @@
     stream.as_bytes().chunks(chunk_bytes).for_each(|chunk| tracker.push(chunk));
     assert_eq!((tracker.is_inside(), tracker.events()), (is_inside, events));
 }
+
+/// Guards against a line end that one of the two sees and the other doesn't.
+#[rstest]
+fn splitter_ends_events_where_the_tracker_does_and_keeps_all_bytes(
+    #[values("\n", "\r", "\r\n")] line_end: &str,
+    #[values(1, 2, 3, 5, 64)] chunk_bytes: usize,
+) {
+    let stream = "id: 1\ndata: x\ndata: y\n\n: idle\n\nid: 2\ndata: z\n\n: last\n";
+    let stream = stream.replace('\n', line_end);
+    let mut splitter = EventSplitter::default();
+    let (mut raw, mut events) = (Vec::new(), Vec::new());
+    for chunk in stream.as_bytes().chunks(chunk_bytes) {
+        assert!(splitter.push(chunk));
+        while let Some(event) = splitter.next_event() {
+            raw.extend_from_slice(&event.raw);
+            events.extend(event.data().map(|data| (event.id, data)));
+        }
+    }
+    raw.extend_from_slice(&splitter.take_rest());
+    assert_eq!(String::from_utf8_lossy(&raw), stream);
+    assert_eq!(events, [(Some(1), String::from("x\ny")), (Some(2), String::from("z"))]);
+}
