Count the items that a resumed holder started only after it has resumed

Seen: `holder_paused_during_cancel_stops_when_it_resumes` failed once in a run of all tests, 157 items where 149 were counted.

Cause, the test's: it counts started items once no stream runs, and the engines may be idle before the holder that it has just thawed runs again. By the lines of that run the holder resumed at 11.536, had its revocation at 11.639, and started 8 items between, one for each slot, which the check above allows.

Change: the count waits until nothing has run for a second, in which the holder reports and learns of the cancel. Both checks and the bound stay.

--- a/crates/daemon/tests/job_cancellation.rs
+++ b/crates/daemon/tests/job_cancellation.rs
@@ -4,11 +4,15 @@
 
 use serde_json::Value;
 use standin::engine::Config;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use util::client::{Response, call};
 use util::cluster::{Cluster, Plan, items};
 use util::{wait_for, wait_until};
 
+/// Time in which a holder that has just resumed reports, and learns from the answer that its job
+/// is cancelled; its engines may be idle until it runs again.
+const HOLDER_REPORT_TIME: Duration = Duration::from_secs(1);
+
 fn start(item_count: usize) -> (Cluster, String) {
     let engine = Config { token_interval: Duration::from_millis(20), ..Config::default() };
     // With large chunks, a holder that ignored the cancel would run for long.
@@ -29,11 +33,23 @@
     cluster.runs().iter().filter(|run| run.prompt.starts_with("summary")).count()
 }
 
+/// Waits until no batch stream has run for [`HOLDER_REPORT_TIME`].
+#[track_caller]
+fn wait_until_idle(cluster: &Cluster) {
+    let mut idle_since = Instant::now();
+    wait_until("running streams stop", || {
+        if cluster.engines.iter().any(|engine| engine.running()[1] > 0) {
+            idle_since = Instant::now();
+        }
+        idle_since.elapsed() >= HOLDER_REPORT_TIME
+    });
+}
+
 /// Checks that no item of the job runs, and that none starts while another job runs to its end.
 /// `at_cancel` is the number of items started when the cancel was acknowledged.
 #[track_caller]
 fn check_stopped(cluster: &Cluster, at_cancel: usize) {
-    wait_until("running streams stop", || cluster.engines.iter().all(|e| e.running()[1] == 0));
+    wait_until_idle(cluster);
     let before = started(cluster);
     let slots = cluster.plan.engines * cluster.plan.engine.slots as usize;
     let started_later = before - at_cancel;
