Take a closed connection for the end of a body only while the target's process runs

What callers saw: a target without lengths and chunks crashed between two events, or before the first, and its answer so far looked complete: a stream with its last chunk, a resumable stream that ended early instead of being resumed, a buffered answer with a length, and an item listed as complete for good with the text so far.

Cause: a process that ends closes its connections in order, just as a target does after a whole answer. The end of a connection was read as the statement that it isn't.

Change: an end that only the connection tells counts if the target's address accepts connections 5 ms later; the connection is kept for the next request, so it costs none. Refused or not reached is a truncated body, but for a target that has announced that it leaves, which may close its port before its last answers are complete. A new stream that is closed before its first event is truncated, too. What states its end is known exactly now: a transfer coding that doesn't end in chunks states none, a status without a body does. The rule is `coordination::presence`, shared with the crash check.

Not changed: a process that lives on and closes in order between two events.

Evidence: gateway_truncation, red before in 7 cases (streams, resumed streams, a buffered answer, an item, before the first event); last streams of a leaving target and resumptions without further events pass before and after. 6 cases each of presence and of framing.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod limit;
 pub mod load;
 pub mod membership;
+pub mod presence;
 pub mod prompt;
 pub mod quarantine;
 pub mod queue;
--- /dev/null
+++ b/crates/coordination/src/presence.rs
@@ -0,0 +1,37 @@
+//! Whether the process of a target still runs, and what that says of its responses.
+//!
+//! A connection that was closed looks the same if the target closed it after a complete response
+//! and if its process ended halfway. Shortly afterwards its address tells the two apart.
+
+use std::time::Duration;
+
+/// Time within which the port and all connections of a process that ends are closed.
+pub const CLOSE_WINDOW: Duration = Duration::from_millis(5);
+
+/// What a connection attempt to a target's address showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// A connection was established.
+    Listening,
+    /// The connection was refused: no process listens on the address.
+    Refused,
+    /// The attempt timed out or failed otherwise.
+    Unknown,
+}
+
+impl Presence {
+    /// Whether the process has crashed. One that `is_leaving` as announced may have ended.
+    pub fn is_crash(self, is_leaving: bool) -> bool {
+        self == Presence::Refused && !is_leaving
+    }
+
+    /// Whether a response that ended with its connection is complete as far as can be known. A
+    /// target that `is_leaving` may close its port before its last responses are complete.
+    pub fn confirms_end(self, is_leaving: bool) -> bool {
+        match self {
+            Presence::Listening => true,
+            Presence::Refused => is_leaving,
+            Presence::Unknown => false,
+        }
+    }
+}
--- a/crates/coordination/tests/decisions.rs
+++ b/crates/coordination/tests/decisions.rs
@@ -7,6 +7,7 @@
 use coordination::leaving::{Notice, Source, Targets};
 use coordination::limit::{ConcurrencyLimit, TokenBucket};
 use coordination::load::{Estimate, Report};
+use coordination::presence::Presence;
 use coordination::queue::{self, Queue};
 use coordination::retry::{self, Budget, Failure};
 use coordination::rollout::{Actual, Desired, Step, step};
@@ -265,3 +266,22 @@
     let desired = Desired { version: "v2".into(), adapters: vec![] };
     assert_eq!(step(&actual, &desired, drained, others), expected);
 }
+
+/// Guards against a crash that passes for the end of a response, and against the last responses of
+/// a target that stops passing for truncated ones.
+#[rstest]
+#[case::present(Presence::Listening, false, true, false)]
+#[case::present_and_leaving(Presence::Listening, true, true, false)]
+#[case::crashed(Presence::Refused, false, false, true)]
+#[case::port_closed_while_leaving(Presence::Refused, true, true, false)]
+#[case::not_reached(Presence::Unknown, false, false, false)]
+#[case::not_reached_while_leaving(Presence::Unknown, true, false, false)]
+fn presence_tells_a_closed_response_from_a_crash(
+    #[case] presence: Presence,
+    #[case] is_leaving: bool,
+    #[case] confirms_end: bool,
+    #[case] is_crash: bool,
+) {
+    assert_eq!(presence.confirms_end(is_leaving), confirms_end);
+    assert_eq!(presence.is_crash(is_leaving), is_crash);
+}
--- a/crates/daemon/src/gateway/crash.rs
+++ b/crates/daemon/src/gateway/crash.rs
@@ -6,6 +6,7 @@
 
 use super::node::Node;
 use super::quarantine;
+use coordination::presence::CLOSE_WINDOW;
 use coordination::quarantine::TargetStart;
 use coordination::slots::Grant;
 use protocol::{RequestFingerprint, TargetId};
@@ -13,13 +14,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::task::spawn_local;
-use transport::upstream::ProbeResult;
-
-/// Interrupted responses of a target within this time share one probe: the connections to a
-/// crashed process break together, within 4 ms in 42 crashes.
-const BATCH_WINDOW: Duration = Duration::from_millis(5);
 
 /// A request or item whose response was interrupted.
 #[derive(Clone, Debug)]
@@ -48,17 +43,18 @@
 }
 
 async fn check_target(node: Rc<Node>, target: TargetId, address: SocketAddr) {
-    tokio::time::sleep(BATCH_WINDOW).await;
-    let probe = node.targets.probe(address).await;
+    // Responses of a process that ends are interrupted within this time, and share one probe.
+    tokio::time::sleep(CLOSE_WINDOW).await;
+    let presence = node.targets.probe(address).await;
     let interrupted = node.crash_checks.0.borrow_mut().remove(&target).unwrap_or_default();
     // A target that has left may close its connections at its end.
     let is_unusable = node.registry.borrow().is_unusable(&target);
     let ids: Vec<&String> = interrupted.iter().map(|request| &request.id).collect();
     let fingerprints: Vec<String> =
         interrupted.iter().map(|request| hex(request.fingerprint)).collect();
-    let is_crash = is_crash(probe, is_unusable);
+    let is_crash = presence.is_crash(is_unusable);
     slog::info!(node.log, "responses interrupted"; "target" => &target, "address" => %address,
-        "presence" => ?probe, "has_left" => is_unusable,
+        "presence" => ?presence, "has_left" => is_unusable,
         "is_crash" => is_crash, "requests" => ?ids, "contents" => ?fingerprints);
     if is_crash {
         let started_at = node.registry.borrow().get(&target).map_or(0, |target| target.started_at);
@@ -68,11 +64,6 @@
     }
 }
 
-/// A refused connection is a crash unless the target has left as announced.
-fn is_crash(probe: ProbeResult, is_unusable: bool) -> bool {
-    probe == ProbeResult::Refused && !is_unusable
-}
-
 /// A fingerprint as written in logs and object names.
 pub fn hex(fingerprint: RequestFingerprint) -> String {
     format!("{fingerprint:016x}")
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -145,8 +145,8 @@
     loop {
         let head = forwarded_head(response.body.head());
         let remaining = request.call.remaining(clock::now());
-        let read =
-            tokio::time::timeout(remaining, response.body.read_to_end(MAX_BUFFERED_BYTES)).await;
+        let body = response.body.read_to_end(&request.node.registry, MAX_BUFFERED_BYTES);
+        let read = tokio::time::timeout(remaining, body).await;
         let error = match read {
             Ok(Ok(body)) => {
                 response.lease.end(completion_outcome(head.status()));
--- a/crates/daemon/src/gateway/online/attempt.rs
+++ b/crates/daemon/src/gateway/online/attempt.rs
@@ -72,7 +72,7 @@
             }
             Ok(exchange) => {
                 self.attempts += 1;
-                self.accept(exchange, lease)
+                self.accept(exchange, lease, last_event.is_some())
             }
         }
     }
@@ -110,7 +110,12 @@
     }
 
     /// Checks whether a response belongs to the request and is to be passed on.
-    fn accept(&self, exchange: Exchange, lease: Lease) -> Result<TargetResponse, RetryReason> {
+    fn accept(
+        &self,
+        exchange: Exchange,
+        lease: Lease,
+        is_resumed: bool,
+    ) -> Result<TargetResponse, RetryReason> {
         let head = exchange.head();
         if is_not_run(head) {
             lease.end(rejection_outcome(head));
@@ -127,7 +132,9 @@
             lease.end(completion_outcome(status));
             return Err(RetryReason::MayHaveRun(format!("target responded with {status}")));
         }
-        let body = TargetBody::new(exchange, self.route.class == Class::Stream);
+        let expects_events = self.route.class == Class::Stream;
+        let body = TargetBody::new(exchange, lease.grant.target.clone(), expects_events);
+        let body = body.resumed(is_resumed);
         Ok(TargetResponse { body, lease })
     }
 }
--- a/crates/daemon/src/gateway/target_body.rs
+++ b/crates/daemon/src/gateway/target_body.rs
@@ -2,10 +2,18 @@
 //!
 //! A target that fails halfway may leave a body that looks complete: its connection or its
 //! chunks may end in order. Whoever reads the body through [`TargetBody`] gets an error instead.
+//!
+//! An event stream must end between two events. An end that nothing but the connection tells
+//! counts only if the target's process still runs, as far as that can be found out; see
+//! [`coordination::presence`].
 
 use bytes::{Bytes, BytesMut};
+use coordination::TargetId;
+use coordination::presence::{CLOSE_WINDOW, Presence};
+use coordination::registry::Registry;
 use hyper::header::CONTENT_TYPE;
 use hyper::http::response::Parts;
+use std::cell::RefCell;
 use std::fmt;
 use transport::event::EventTracker;
 use transport::upstream::{Exchange, Framing};
@@ -21,6 +29,10 @@
     TooLarge(usize),
     /// An event stream ended inside an event.
     InsideEvent,
+    /// A new event stream ended with its connection, before its first event.
+    NoEvent,
+    /// The body ended with its connection, and the target's process wasn't found afterwards.
+    TargetGone(Presence),
 }
 
 impl fmt::Display for Truncation {
@@ -29,6 +41,8 @@
             Truncation::Connection(error) => write!(f, "{error}"),
             Truncation::TooLarge(max_bytes) => write!(f, "exceeds {max_bytes} bytes"),
             Truncation::InsideEvent => write!(f, "ended inside an event"),
+            Truncation::NoEvent => write!(f, "closed before the first event"),
+            Truncation::TargetGone(presence) => write!(f, "closed, and then {presence:?}"),
         }
     }
 }
@@ -36,21 +50,31 @@
 /// Body of a target's response.
 pub struct TargetBody {
     exchange: Exchange,
+    target: TargetId,
     /// Position in an event stream; `None` for any other body.
     events: Option<EventTracker>,
+    /// Whether the stream continues an earlier one, and may have no events left.
+    is_resumed: bool,
 }
 
 impl TargetBody {
-    /// Wraps a body whose response head says whether it is an event stream. If it doesn't, a
-    /// successful response is one if `expects_events`.
-    pub fn new(exchange: Exchange, expects_events: bool) -> TargetBody {
+    /// Wraps the body of a response of `target`, whose head says whether it is an event stream. If
+    /// the head doesn't, a successful response is one if `expects_events`.
+    pub fn new(exchange: Exchange, target: TargetId, expects_events: bool) -> TargetBody {
         let is_event_stream = is_event_stream(exchange.head(), expects_events);
-        TargetBody { exchange, events: is_event_stream.then(EventTracker::default) }
+        let events = is_event_stream.then(EventTracker::default);
+        TargetBody { exchange, target, events, is_resumed: false }
     }
 
     /// Wraps a body that must be an event stream, whatever its head says.
-    pub fn of_events(exchange: Exchange) -> TargetBody {
-        TargetBody { exchange, events: Some(EventTracker::default()) }
+    pub fn of_events(exchange: Exchange, target: TargetId) -> TargetBody {
+        let events = Some(EventTracker::default());
+        TargetBody { exchange, target, events, is_resumed: false }
+    }
+
+    /// Marks the body as the rest of a stream that was interrupted after one of its events.
+    pub fn resumed(self, is_resumed: bool) -> TargetBody {
+        TargetBody { is_resumed, ..self }
     }
 
     /// Status and headers of the response.
@@ -63,9 +87,9 @@
         self.exchange.framing()
     }
 
-    /// Whether the end of the body is distinguishable from a connection closed early.
+    /// Whether the target states the end of the body.
     pub fn is_framed(&self) -> bool {
-        self.exchange.has_body_framing()
+        self.framing() != Framing::Connection
     }
 
     /// Whether the body is an event stream.
@@ -78,16 +102,20 @@
         self.events.is_some_and(|events| events.is_inside())
     }
 
-    /// Returns the next chunk, or `None` at the end of a complete body. May be cancelled.
+    /// Returns the next chunk, or `None` at the end of a complete body. May be cancelled. By the
+    /// registry, a target that is leaving is told from one that has crashed.
     ///
     /// # Errors
     ///
     /// The body is incomplete.
-    pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, Truncation> {
+    pub async fn next_chunk(
+        &mut self,
+        registry: &RefCell<Registry>,
+    ) -> Result<Option<Bytes>, Truncation> {
         let chunk = self.exchange.next_chunk().await.map_err(Truncation::Connection)?;
         match &chunk {
             Some(bytes) => self.events.iter_mut().for_each(|events| events.push(bytes)),
-            None => self.check_end()?,
+            None => self.check_end(registry).await?,
         }
         Ok(chunk)
     }
@@ -97,9 +125,13 @@
     /// # Errors
     ///
     /// The body is incomplete, or the rest exceeds `max_bytes`.
-    pub async fn read_to_end(&mut self, max_bytes: usize) -> Result<Bytes, Truncation> {
+    pub async fn read_to_end(
+        &mut self,
+        registry: &RefCell<Registry>,
+        max_bytes: usize,
+    ) -> Result<Bytes, Truncation> {
         let mut buffer = BytesMut::new();
-        while let Some(chunk) = self.next_chunk().await? {
+        while let Some(chunk) = self.next_chunk(registry).await? {
             if buffer.len() + chunk.len() > max_bytes {
                 return Err(Truncation::TooLarge(max_bytes));
             }
@@ -108,11 +140,27 @@
         Ok(buffer.freeze())
     }
 
-    fn check_end(&self) -> Result<(), Truncation> {
+    async fn check_end(&self, registry: &RefCell<Registry>) -> Result<(), Truncation> {
         if self.is_inside_event() {
             return Err(Truncation::InsideEvent);
         }
-        Ok(())
+        if self.is_framed() {
+            return Ok(());
+        }
+        if !self.is_resumed && self.events.is_some_and(|events| events.events() == 0) {
+            return Err(Truncation::NoEvent);
+        }
+        self.check_presence(registry).await
+    }
+
+    async fn check_presence(&self, registry: &RefCell<Registry>) -> Result<(), Truncation> {
+        tokio::time::sleep(CLOSE_WINDOW).await;
+        let presence = self.exchange.probe().await;
+        let is_leaving = registry.borrow().is_unusable(&self.target);
+        if presence.confirms_end(is_leaving) {
+            return Ok(());
+        }
+        Err(Truncation::TargetGone(presence))
     }
 }
 
--- a/crates/daemon/tests/gateway_truncation.rs
+++ b/crates/daemon/tests/gateway_truncation.rs
@@ -3,6 +3,7 @@
 mod util;
 
 use rstest::rstest;
+use serde_json::Value;
 use std::io::Read;
 use std::time::{Duration, Instant};
 use util::gateway::{Fleet, HOST, Plan};
@@ -97,6 +98,7 @@
 #[case::inside_a_line(&["id: 1\ndata: part-1\n\n", "id: 2\ndata: pa"])]
 #[case::without_the_empty_line(&["id: 1\ndata: part-1\n\n", "id: 2\ndata: part-2\n"])]
 #[case::inside_the_first(&["id: 1\nda"])]
+#[case::before_the_first(&[])]
 #[case::with_carriage_returns(&["id: 1\r\ndata: part-1\r\n\r\n", "id: 2\r\ndata: part-2\r\n"])]
 fn stream_closed_inside_an_event_does_not_look_complete(#[case] pieces: &[&str]) {
     let target = target_with_body(UNFRAMED, pieces, End::Close);
@@ -140,7 +142,7 @@
     }
     let count = broken.requests().iter().filter(|request| request.path == "/ask/some").count();
     assert!(count <= 10, "{count} of 40 requests went to the target that truncates them all");
-    let is_check = |line: &serde_json::Value| line["msg"] == "responses interrupted";
+    let is_check = |line: &Value| line["msg"] == "responses interrupted";
     wait_until("the target is checked", || fleet.log(0).iter().any(is_check));
 }
 
@@ -198,3 +200,97 @@
     }
     assert!(start.elapsed() < Duration::from_millis(500), "{:?}", start.elapsed());
 }
+
+#[rstest]
+fn stream_of_a_target_that_crashes_between_events_does_not_look_complete(
+    #[values(End::Crash, End::CloseThenCrash)] end: End,
+) {
+    let target = target_with_body(UNFRAMED, &[&event(1), &event(2), &event(3)], end);
+    let fleet = fleet_of(&[&target]);
+    let response = call(&fleet, Version::Http11, "/ask/crash", "crash");
+    assert!(!response.looks_complete(), "{response:?}");
+    let is_crash =
+        |line: &Value| line["msg"] == "responses interrupted" && line["is_crash"] == true;
+    wait_until("the crash is noticed", || fleet.log(0).iter().any(is_crash));
+}
+
+#[rstest]
+#[case::inside_an_event(End::Close, "id: 3\ndata: pa")]
+#[case::between_events_in_a_crash(End::Crash, "")]
+fn resumable_stream_that_is_broken_off_continues_on_another_target(
+    #[case] end: End,
+    #[case] rest: &str,
+    #[values(Version::Http10, Version::Http11)] version: Version,
+) {
+    let begun = events(1, 2) + rest;
+    let broken = target_with_body(UNFRAMED, &[&begun], end);
+    let sound = sound_target();
+    let fleet = fleet_of(&[&broken, &sound]);
+    for n in 0..8 {
+        let response = call(&fleet, version, "/talk/on", &format!("on-{n}"));
+        assert!(response.looks_complete(), "{response:?}");
+        assert_eq!(response.body, events(1, 6));
+    }
+    assert!(!broken.requests().is_empty());
+}
+
+#[rstest]
+fn item_of_a_target_that_crashes_between_events_is_completed_elsewhere() {
+    let broken = target_with_body(UNFRAMED, &[&events(1, 2)], End::Crash);
+    let sound = sound_target();
+    let fleet = fleet_of(&[&broken, &sound]);
+    let items = ["item-1", "item-2", "item-3", "item-4", "item-5", "item-6"];
+    assert_eq!(fleet.submit(0, "job", &items).status, 202);
+    let text: Vec<String> = (1..=6).map(|n| format!("part-{n}")).collect();
+    for result in fleet.wait_results(0, "job") {
+        assert_eq!(result["message"], text.join("\n"), "{result}");
+    }
+    assert!(!broken.requests().is_empty());
+}
+
+#[test]
+fn buffered_response_of_a_target_that_crashes_is_retried() {
+    let broken = target_with_body("Content-Type: text/plain", &["half of"], End::Crash);
+    let sound = sound_target();
+    let fleet = fleet_of(&[&broken, &sound]);
+    for n in 0..8 {
+        let response = call(&fleet, Version::Http11, "/plain/x", &format!("plain-{n}"));
+        assert_eq!((response.status, response.end), (200, BodyEnd::Framed));
+        assert_eq!(response.body, events(1, 6));
+    }
+    assert!(!broken.requests().is_empty());
+}
+
+/// Guards against a loop of resumptions after the last event.
+#[test]
+fn resumed_stream_without_further_events_is_complete() {
+    let broken = target_with_body(UNFRAMED, &[&events(1, 6)], End::Reset);
+    let resumed = target(|request| match request.last_event_id {
+        Some(_) => Answer::new(&request.id, UNFRAMED, &[], End::Close),
+        None => Answer::new(&request.id, UNFRAMED, &[&events(1, 6)], End::Close),
+    });
+    let fleet = fleet_of(&[&broken, &resumed]);
+    for n in 0..4 {
+        let response = call(&fleet, Version::Http11, "/talk/all", &format!("all-{n}"));
+        assert!(response.looks_complete(), "{response:?}");
+        assert_eq!(response.body, events(1, 6));
+    }
+    assert!(resumed.requests().iter().any(|request| request.last_event_id == Some(6)));
+}
+
+/// A target that stops may close its port before its last responses are complete.
+#[test]
+fn last_stream_of_a_leaving_target_is_complete() {
+    let target = target(|request| Answer {
+        pause: Duration::from_millis(800),
+        ..Answer::new(&request.id, UNFRAMED, &[&event(1), &event(2)], End::Crash)
+    });
+    let fleet = fleet_of(&[&target]);
+    let front = fleet.gateways[0].front_address;
+    let mut stream = raw_caller::send(front, Version::Http11, "/ask/last", &headers("last"), "x");
+    wait_until("the request runs", || target.requests().iter().any(|r| r.path == "/ask/last"));
+    fleet.set_runner_state(0, "draining");
+    let response = raw_caller::read(&mut stream);
+    assert!(response.looks_complete(), "{response:?}");
+    assert_eq!(response.body, events(1, 2));
+}
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -23,6 +23,7 @@
 
 use crate::clock;
 use bytes::Bytes;
+use coordination::presence::Presence;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -120,17 +121,6 @@
     }
 }
 
-/// Result of a TCP connection attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ProbeResult {
-    /// A connection was established.
-    Listening,
-    /// The connection was refused: no process listens on the address.
-    Refused,
-    /// The attempt timed out or failed otherwise.
-    Unknown,
-}
-
 #[derive(Debug)]
 struct AbortOnDrop(JoinHandle<()>);
 
@@ -247,20 +237,20 @@
 
     /// Checks whether a process listens on an address. An established connection is
     /// kept for the next request.
-    pub async fn probe(&self, to: SocketAddr) -> ProbeResult {
+    pub async fn probe(&self, to: SocketAddr) -> Presence {
         let stream = match self.connect(to).await {
             Ok(stream) => stream,
             Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
-                return ProbeResult::Refused;
+                return Presence::Refused;
             }
-            Err(_) => return ProbeResult::Unknown,
+            Err(_) => return Presence::Unknown,
         };
         match self.handshake(stream).await {
             Ok(connection) => {
                 self.put_idle(to, connection, &HeaderMap::new(), clock::now());
-                ProbeResult::Listening
+                Presence::Listening
             }
-            Err(_) => ProbeResult::Unknown,
+            Err(_) => Presence::Unknown,
         }
     }
 
@@ -337,10 +327,9 @@
         self.framing
     }
 
-    /// Whether the end of the body is distinguishable from a connection closed early.
-    pub fn has_body_framing(&self) -> bool {
-        let headers = &self.head.headers;
-        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    /// Checks whether a process listens on the server's address, as [`Pool::probe`].
+    pub async fn probe(&self) -> Presence {
+        self.pool.probe(self.to).await
     }
 
     /// Returns the next chunk of the body, or `None` at its end, when the connection
--- a/crates/transport/tests/upstream.rs
+++ b/crates/transport/tests/upstream.rs
@@ -2,11 +2,12 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use std::io::{ErrorKind, Read};
+use rstest::rstest;
+use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 use tokio::task::LocalSet;
-use transport::upstream::{Pool, Settings};
+use transport::upstream::{Framing, Pool, Settings};
 
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -49,3 +50,34 @@
     });
     assert_eq!(target.join().expect("target thread"), Err(ErrorKind::ConnectionReset));
 }
+
+/// Guards against the end of a connection that passes for a stated end.
+#[rstest]
+#[case::length("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", Framing::Length)]
+#[case::chunks("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n0\r\n\r\n", Framing::Chunks)]
+#[case::coding_without_chunks(
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: identity\r\n\r\nok",
+    Framing::Connection
+)]
+#[case::neither("HTTP/1.1 200 OK\r\n\r\nok", Framing::Connection)]
+#[case::earlier_version("HTTP/1.0 200 OK\r\n\r\nok", Framing::Connection)]
+#[case::no_body_by_status("HTTP/1.1 204 No Content\r\n\r\n", Framing::Length)]
+fn framing_says_whether_the_server_states_the_end(
+    #[case] response: &'static str,
+    #[case] framing: Framing,
+) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind listener");
+    let address = listener.local_addr().expect("local address");
+    let server = std::thread::spawn(move || {
+        let (mut connection, _) = listener.accept().expect("accept connection");
+        read_request_head(&mut connection);
+        connection.write_all(response.as_bytes()).expect("write response");
+    });
+    block_on(async move {
+        let pool = Pool::new(Settings::default());
+        let request = hyper::Request::get("/").body(Full::new(Bytes::new())).expect("a request");
+        let exchange = pool.send(address, request).await.expect("a response");
+        assert_eq!(exchange.framing(), framing);
+    });
+    server.join().expect("server thread");
+}
