Abort a streamed body whose sender is dropped

What callers would see: a task that forwards a stream and panics, or is cancelled, ends its caller's answer with the last chunk.

Change: `transport::body`, a channel whose body is complete only after `Sender::finish`, for the gateway, the product's own interface and the stand-ins. An abort needs no statement, and can't be forgotten. An error inside a chat stream is still an event with the last chunk after it: it says itself that the answer is broken, and a reset might lose it.

--- a/crates/daemon/src/front/chat.rs
+++ b/crates/daemon/src/front/chat.rs
@@ -16,7 +16,7 @@
 use serde::Serialize;
 use state::record::StoredOutcome;
 use std::time::{Duration, Instant};
-use tokio::sync::mpsc;
+use transport::body;
 use transport::http::{self, BodyStream, RequestHead, Response};
 use transport::target::StreamItem;
 
@@ -205,7 +205,7 @@
     }
 
     fn stream(self, first: StreamItem) -> Response {
-        let (tx, rx) = mpsc::channel(EVENT_BUFFER);
+        let (tx, rx) = body::channel(EVENT_BUFFER);
         let target = self.completion.target().to_owned();
         tokio::spawn(self.send_events(first, tx));
         let mut response = http::stream(200, "text/event-stream", rx);
@@ -215,7 +215,7 @@
 
     /// Sends events until the completion ends. The closing event is sent after the
     /// outcome is recorded, so that a resend returns the same completion.
-    async fn send_events(mut self, first: StreamItem, tx: mpsc::Sender<Result<Bytes, String>>) {
+    async fn send_events(mut self, first: StreamItem, tx: body::Sender) {
         let events = EventWriter { tx, id: id(&self.options), service: self.service.clone() };
         let mut item = first;
         events.send(Delta { role: Some("assistant".into()), content: None }, None).await;
@@ -252,7 +252,7 @@
 
 /// Writes server-sent events to a caller.
 struct EventWriter {
-    tx: mpsc::Sender<Result<Bytes, String>>,
+    tx: body::Sender,
     id: String,
     service: String,
 }
@@ -267,23 +267,28 @@
             model: self.service.clone(),
             choices: vec![ChunkChoice { index: 0, delta, finish_reason }],
         };
-        self.write(&chunk).await
+        self.write_json(&chunk).await
     }
 
-    async fn end(&self, finish: &str) {
+    async fn end(self, finish: &str) {
         self.send(Delta::default(), Some(finish.to_owned())).await;
-        drop(self.tx.send(Ok(Bytes::from(format!("data: {DONE}\n\n")))).await);
+        self.write(DONE).await;
+        self.tx.finish().await;
     }
 
     /// Sends an error event and no closing event, so that no client takes the
     /// partial completion for a complete one.
-    async fn fail(&self, error: &Error) {
-        self.write(&Body::from(error)).await;
+    async fn fail(self, error: &Error) {
+        self.write_json(&Body::from(error)).await;
+        self.tx.finish().await;
     }
 
-    async fn write<T: Serialize>(&self, value: &T) -> bool {
-        let data = serde_json::to_string(value).unwrap_or_default();
-        self.tx.send(Ok(Bytes::from(format!("data: {data}\n\n")))).await.is_ok()
+    async fn write_json<T: Serialize>(&self, value: &T) -> bool {
+        self.write(&serde_json::to_string(value).unwrap_or_default()).await
+    }
+
+    async fn write(&self, data: &str) -> bool {
+        self.tx.send(Bytes::from(format!("data: {data}\n\n"))).await.is_ok()
     }
 }
 
@@ -344,7 +349,7 @@
 }
 
 fn replay_stream(options: &RequestOptions, service: &str, outcome: Outcome) -> Response {
-    let (tx, rx) = mpsc::channel(EVENT_BUFFER);
+    let (tx, rx) = body::channel(EVENT_BUFFER);
     let events = EventWriter { tx, id: id(options), service: service.to_owned() };
     tokio::spawn(async move {
         let delta = Delta { role: Some("assistant".into()), content: Some(outcome.text) };
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -15,7 +15,8 @@
 use protocol::{Error, Kind, RequestFingerprint};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use transport::server::{self, Body, BodyAborted, Handler};
+use transport::body::Aborted;
+use transport::server::{self, Body, Handler};
 
 /// Limit on request heads until a configuration is in force.
 const DEFAULT_MAX_HEAD_BYTES: usize = 64 << 10;
@@ -75,10 +76,7 @@
 }
 
 impl Handler for HttpHandler {
-    async fn handle(
-        self: Rc<Self>,
-        request: Request<Incoming>,
-    ) -> Result<Response<Body>, BodyAborted> {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Result<Response<Body>, Aborted> {
         let started = clock::now();
         let node = &self.node;
         let result = handle(node, request, started).await;
@@ -103,7 +101,7 @@
     node: &Rc<Node>,
     request: Request<Incoming>,
     started: Instant,
-) -> Result<Response<Body>, BodyAborted> {
+) -> Result<Response<Body>, Aborted> {
     let (parts, mut body) = request.into_parts();
     let Some(config) = wait_for_config(node).await else {
         let error = Error::new(Kind::NotReady, "no configuration yet");
@@ -189,7 +187,7 @@
     config: &Config,
     route: Route,
     call: CallerRequest,
-) -> Result<Response<Body>, BodyAborted> {
+) -> Result<Response<Body>, Aborted> {
     if route.class == Class::Batch {
         return Ok(submit::submit(node, &route, &call).await);
     }
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -20,7 +20,8 @@
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use transport::server::{Body, BodyAborted, Handler};
+use transport::body::Aborted;
+use transport::server::{Body, Handler};
 
 /// Largest time that a histogram resolves; longer ones are clamped.
 const MAX_HISTOGRAM_MS: u64 = 120_000;
@@ -161,10 +162,7 @@
 }
 
 impl Handler for StatusHandler {
-    async fn handle(
-        self: Rc<Self>,
-        request: Request<Incoming>,
-    ) -> Result<Response<Body>, BodyAborted> {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Result<Response<Body>, Aborted> {
         let node = &self.node;
         let (status, text) = match request.uri().path() {
             platform::READINESS_PATH if node.config().is_some() && !node.is_stopping() => {
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -26,7 +26,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use transport::server::{self, Body};
+use transport::body::Aborted;
+use transport::server::Body;
 
 /// Number of unreachable targets after which a request is rejected.
 const MAX_UNREACHABLE_TARGETS: u32 = 3;
@@ -93,7 +94,7 @@
     config: &Config,
     route: Rc<Route>,
     call: Rc<CallerRequest>,
-) -> Result<Response<Body>, server::BodyAborted> {
+) -> Result<Response<Body>, Aborted> {
     let in_flight = in_flight::Guard::new(node);
     let random = hash::bytes(call.id.as_bytes());
     let Some(service) = route.service(random).cloned() else {
@@ -128,7 +129,7 @@
     request: ProxiedRequest,
     response: TargetResponse,
     in_flight: in_flight::Guard,
-) -> Result<Response<Body>, server::BodyAborted> {
+) -> Result<Response<Body>, Aborted> {
     if request.route.class == Class::Stream && response.body.head().status.is_success() {
         return Ok(streaming::stream(request, response, in_flight));
     }
@@ -140,7 +141,7 @@
 async fn respond_buffered(
     mut request: ProxiedRequest,
     response: TargetResponse,
-) -> Result<Response<Body>, server::BodyAborted> {
+) -> Result<Response<Body>, Aborted> {
     let mut response = response;
     loop {
         let head = forwarded_head(response.body.head());
--- a/crates/daemon/src/gateway/streaming.rs
+++ b/crates/daemon/src/gateway/streaming.rs
@@ -12,10 +12,12 @@
 use bytes::{Bytes, BytesMut};
 use coordination::slots::LeaseOutcome;
 use hyper::Response;
+use protocol::TargetId;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use transport::body;
 use transport::event::EventSplitter;
-use transport::server::{self, Body, BodyAborted, BodySender};
+use transport::server::{self, Body};
 use transport::upstream::Framing;
 
 /// A resumable stream is idle after this many times the route's maximum gap between events.
@@ -70,6 +72,7 @@
     tokio::task::spawn_local(async move {
         let mut stream = Stream {
             request,
+            target: response.lease.grant.target.clone(),
             last_event: None,
             sender,
             stats: EventStats::default(),
@@ -78,7 +81,12 @@
             is_inside_event: false,
             has_sent_other: false,
         };
-        stream.run(response).await;
+        let result = stream.run(response).await;
+        stream.log_end(&result);
+        // Otherwise the sender is dropped, which aborts the response.
+        if result.is_ok() {
+            stream.sender.finish().await;
+        }
         drop(in_flight);
     });
     with_body(head, body)
@@ -86,8 +94,10 @@
 
 struct Stream {
     request: ProxiedRequest,
+    /// The last target.
+    target: TargetId,
     last_event: Option<u64>,
-    sender: BodySender,
+    sender: body::Sender,
     stats: EventStats,
     /// Time from sending the request to the first event of the last target.
     target_first: Option<Duration>,
@@ -99,6 +109,13 @@
     has_sent_other: bool,
 }
 
+/// Why the response to a caller is incomplete.
+enum Incomplete {
+    CallerGone,
+    /// No target completes it; holds the error.
+    Aborted(String),
+}
+
 /// Why a target's stream ended.
 enum StreamEnd {
     Completed,
@@ -110,51 +127,54 @@
     Idle,
 }
 
+fn aborted(error: &str) -> Incomplete {
+    Incomplete::Aborted(error.to_owned())
+}
+
 impl Stream {
-    async fn run(&mut self, response: TargetResponse) {
+    /// Forwards the response of one target after the other until it is complete.
+    async fn run(&mut self, response: TargetResponse) -> Result<(), Incomplete> {
         let mut response = response;
         loop {
-            let target = response.lease.grant.target.clone();
-            let end = self.forward_response(response).await;
-            let error = match end {
-                StreamEnd::Completed => return self.log("stream ended", &target, ""),
-                StreamEnd::CallerGone => return self.log("caller disconnected", &target, ""),
-                StreamEnd::DeadlineExceeded => return self.abort(&target, "timed out").await,
+            self.target.clone_from(&response.lease.grant.target);
+            let error = match self.forward_response(response).await {
+                StreamEnd::Completed => return Ok(()),
+                StreamEnd::CallerGone => return Err(Incomplete::CallerGone),
+                StreamEnd::DeadlineExceeded => return Err(aborted("timed out")),
                 StreamEnd::Interrupted(error) => error,
                 StreamEnd::Idle => String::from("idle"),
             };
-            self.request.excluded.push(target.clone());
+            self.request.excluded.push(self.target.clone());
             if !self.request.may_retry() || self.has_sent_other {
-                return self.abort(&target, &error).await;
+                return Err(Incomplete::Aborted(error));
             }
             slog::info!(self.request.node.log, "resuming interrupted stream";
                 "request" => &self.call().id, "content" => hex(self.call().fingerprint()),
-                "target" => &target, "fault" => &error, "after" => self.last_event,
+                "target" => &self.target, "fault" => &error, "after" => self.last_event,
                 "sent" => self.request.attempts);
-            let next = tokio::select! {
-                next = self.request.forward(self.last_event) => next,
-                () = self.sender.closed() => return self.log("caller disconnected", &target, ""),
-            };
-            response = match next {
-                Ok(response) if response.body.head().status.is_success() => response,
-                Ok(response) => {
-                    let status = response.body.head().status;
-                    response.lease.end(LeaseOutcome::Completed);
-                    return self
-                        .abort(&target, &format!("next target responded with {status}"))
-                        .await;
-                }
-                Err(ForwardError::NotRun(AcquireError::Quarantined(_))) => {
-                    return self.abort(&target, "request is quarantined").await;
-                }
-                Err(ForwardError::NotRun(_)) => {
-                    return self.abort(&target, "no slot to resume on").await;
-                }
-                Err(ForwardError::MayHaveRun(error)) => return self.abort(&target, &error).await,
-                Err(ForwardError::DeadlineExceeded) => {
-                    return self.abort(&target, "timed out").await;
-                }
-            };
+            response = self.resume().await?;
+        }
+    }
+
+    /// Sends the request to another target, to continue after the last event.
+    async fn resume(&mut self) -> Result<TargetResponse, Incomplete> {
+        let next = tokio::select! {
+            next = self.request.forward(self.last_event) => next,
+            () = self.sender.closed() => return Err(Incomplete::CallerGone),
+        };
+        match next {
+            Ok(response) if response.body.head().status.is_success() => Ok(response),
+            Ok(response) => {
+                let status = response.body.head().status;
+                response.lease.end(LeaseOutcome::Completed);
+                Err(Incomplete::Aborted(format!("next target responded with {status}")))
+            }
+            Err(ForwardError::NotRun(AcquireError::Quarantined(_))) => {
+                Err(aborted("request is quarantined"))
+            }
+            Err(ForwardError::NotRun(_)) => Err(aborted("no slot to resume on")),
+            Err(ForwardError::MayHaveRun(error)) => Err(Incomplete::Aborted(error)),
+            Err(ForwardError::DeadlineExceeded) => Err(aborted("timed out")),
         }
     }
 
@@ -239,7 +259,7 @@
                 continue;
             }
             self.stats.on_chunk(clock::now());
-            if self.sender.send(Ok(bytes)).await.is_err() {
+            if self.sender.send(bytes).await.is_err() {
                 return StreamEnd::CallerGone;
             }
         }
@@ -247,7 +267,7 @@
 
     /// Sends what follows the last event of a complete response.
     async fn send_last(&self, rest: Bytes) -> StreamEnd {
-        if !rest.is_empty() && self.sender.send(Ok(rest)).await.is_err() {
+        if !rest.is_empty() && self.sender.send(rest).await.is_err() {
             return StreamEnd::CallerGone;
         }
         StreamEnd::Completed
@@ -291,14 +311,18 @@
         &self.request.node
     }
 
-    /// Aborts the response so that it can't be taken for a complete one.
-    async fn abort(&self, target: &str, error: &str) {
-        self.node().metrics.count("stream.broken");
-        self.log("stream aborted", target, error);
-        let _gone = self.sender.send(Err(BodyAborted)).await;
+    fn log_end(&self, result: &Result<(), Incomplete>) {
+        match result {
+            Ok(()) => self.log("stream ended", ""),
+            Err(Incomplete::CallerGone) => self.log("caller disconnected", ""),
+            Err(Incomplete::Aborted(error)) => {
+                self.node().metrics.count("stream.broken");
+                self.log("stream aborted", error);
+            }
+        }
     }
 
-    fn log(&self, event: &'static str, target: &str, error: &str) {
+    fn log(&self, event: &'static str, error: &str) {
         let call = self.call();
         let node = self.node();
         let age = clock::since(call.started);
@@ -310,7 +334,7 @@
         let forecast = self.request.forecast;
         let is_good = error.is_empty() && is_in_time && self.stats.slowest <= route.max_event_gap;
         node.metrics.record_request(&route.name, is_good, clock::now());
-        slog::info!(node.log, "{}", event; "request" => &call.id, "target" => target,
+        slog::info!(node.log, "{}", event; "request" => &call.id, "target" => &self.target,
             "content" => hex(call.fingerprint()),
             "workspace" => call.workspace_name(),
             "route" => &self.request.route.name, "config" => self.request.version,
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -9,7 +9,7 @@
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::sync::mpsc;
+use transport::body;
 use transport::http::{self, BodyStream, RequestHead, Response, Service};
 use transport::target::{LEAVING, LoadReport, Order};
 
@@ -173,7 +173,7 @@
             self.record_failed_run(&head, &prompt);
             return http::error(&Error::new(Kind::Internal, "this prompt can't be answered"));
         }
-        let (tx, rx) = mpsc::channel(16);
+        let (tx, rx) = body::channel(16);
         let engine = self.clone();
         let stream = request.stream;
         tokio::spawn(async move { engine.generate(head, request, prompt, tx).await });
@@ -210,7 +210,7 @@
         head: RequestHead,
         request: chat::Request,
         prompt: String,
-        tx: mpsc::Sender<Result<Bytes, String>>,
+        tx: body::Sender,
     ) {
         let priority = if head.header(header::PRIORITY) == "1" { 1 } else { 0 };
         let arrival = Instant::now();
@@ -228,20 +228,24 @@
             state.runs.push(run);
             state.runs.len() - 1
         };
-        tokio::select! {
-            () = self.stream(run_index, &request, &prompt, &tx) => {}
-            () = tx.closed() => {}
+        let is_complete = tokio::select! {
+            is_complete = self.stream(run_index, &request, &prompt, &tx) => is_complete,
+            () = tx.closed() => false,
+        };
+        if is_complete {
+            tx.finish().await;
         }
         drop(slot);
     }
 
+    /// Sends the events of a run; returns whether it is complete.
     async fn stream(
         &self,
         run_index: usize,
         request: &chat::Request,
         prompt: &str,
-        tx: &mpsc::Sender<Result<Bytes, String>>,
-    ) {
+        tx: &body::Sender,
+    ) -> bool {
         self.sleep(self.prefill(prompt)).await;
         let first_position = request.resume.as_ref().map_or(0, |resume| resume.tokens);
         let max_tokens = request.max_tokens.unwrap_or_else(|| text::token_count(prompt));
@@ -251,12 +255,11 @@
                 self.sleep(token_interval).await;
             }
             if position == first_position + 2 && self.take_interruption(prompt) {
-                drop(tx.send(Err(String::from("interrupted"))).await);
-                return;
+                return false;
             }
             let event = event(&request.model, Some(text::token(prompt, position)), None);
-            if tx.send(Ok(event)).await.is_err() {
-                return;
+            if tx.send(event).await.is_err() {
+                return false;
             }
             self.lock().runs[run_index].tokens += 1;
         }
@@ -264,8 +267,7 @@
         let last = event(&request.model, None, Some(reason));
         let done = Bytes::from(format!("data: {DONE}\n\n"));
         self.lock().runs[run_index].is_complete = true;
-        drop(tx.send(Ok(last)).await);
-        drop(tx.send(Ok(done)).await);
+        tx.send(last).await.is_ok() && tx.send(done).await.is_ok()
     }
 
     fn take_interruption(&self, prompt: &str) -> bool {
--- a/crates/standin/src/engine/events.rs
+++ b/crates/standin/src/engine/events.rs
@@ -1,8 +1,9 @@
 //! Events of a streamed response, and the unstreamed response that they make up.
 
 use bytes::Bytes;
+use futures_util::StreamExt;
 use protocol::chat::{self, Chunk, ChunkChoice, Delta};
-use tokio::sync::mpsc;
+use transport::body;
 use transport::http::{self, Response};
 
 /// Encodes one chunk as a server-sent event.
@@ -23,9 +24,9 @@
 }
 
 /// Collects the events of a stream into one completion.
-pub async fn collect_response(mut body: mpsc::Receiver<Result<Bytes, String>>) -> Response {
+pub async fn collect_response(mut body: body::Receiver) -> Response {
     let mut parser = transport::sse::DataParser::default();
-    while let Some(Ok(bytes)) = body.recv().await {
+    while let Some(Ok(bytes)) = body.next().await {
         parser.push(&bytes);
     }
     let mut text = String::new();
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -7,7 +7,8 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::Semaphore;
+use transport::body;
 use transport::http::{self, BodyStream, RequestHead, Response, Service};
 
 const MAX_BODY_BYTES: usize = 8 << 20;
@@ -251,7 +252,7 @@
         let mut response = match failure_status {
             Some(status) => http::bytes(status, "text/plain", Bytes::from_static(b"failed")),
             None => {
-                let (tx, rx) = mpsc::channel(4);
+                let (tx, rx) = body::channel(4);
                 let runner = self.clone();
                 let id = id.clone();
                 drop(tokio::spawn(async move {
@@ -277,7 +278,7 @@
         last_event_id: Option<u64>,
         is_interrupted: bool,
         run_index: usize,
-        tx: mpsc::Sender<Result<Bytes, String>>,
+        tx: body::Sender,
     ) {
         let from = last_event_id.map_or(1, |id| id + 1);
         let event_count = self.lock().event_count.unwrap_or(self.config.event_count);
@@ -286,12 +287,11 @@
             let event = format!("id: {n}\ndata: {id}-{n}\n\n");
             if is_interrupted && n >= from + 2 {
                 let half = Bytes::from(event.as_bytes()[..event.len() / 2].to_vec());
-                let _closed = tx.send(Ok(half)).await;
-                let _closed = tx.send(Err(String::from("interrupted"))).await;
+                let _disconnected = tx.send(half).await;
                 return;
             }
             tokio::select! {
-                sent = tx.send(Ok(Bytes::from(event))) => if sent.is_err() { return },
+                sent = tx.send(Bytes::from(event)) => if sent.is_err() { return },
                 () = tx.closed() => return,
             }
             tokio::select! {
@@ -302,6 +302,7 @@
         if let Some(run) = self.lock().runs.get_mut(run_index) {
             run.is_complete = true;
         }
+        tx.finish().await;
     }
 }
 
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -1,5 +1,6 @@
 //! HTTP server of the product's own API: bounded request bodies, responses and errors.
 
+use crate::body;
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
@@ -10,11 +11,8 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::Pin;
-use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use warp::Filter;
 
@@ -247,24 +245,9 @@
     }
 }
 
-/// Response body whose chunks come from a bounded channel.
-pub struct ChannelBody(mpsc::Receiver<Result<Bytes, String>>);
-
-impl Stream for ChannelBody {
-    type Item = Result<Bytes, String>;
-
-    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        self.0.poll_recv(cx)
-    }
-}
-
 /// Creates a response with a streamed body.
-pub fn stream(
-    status: u16,
-    content_type: &str,
-    chunks: mpsc::Receiver<Result<Bytes, String>>,
-) -> Response {
-    let mut response = warp::reply::Reply::into_response(warp::reply::stream(ChannelBody(chunks)));
+pub fn stream(status: u16, content_type: &str, body: body::Receiver) -> Response {
+    let mut response = warp::reply::Reply::into_response(warp::reply::stream(body));
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
     set_header(&mut response, CONTENT_TYPE.as_str(), content_type);
     response
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,6 +4,7 @@
 //! unknown outcome. Nothing here retries: only the user of this crate knows
 //! whether a request may run twice.
 
+pub mod body;
 pub mod channel;
 pub mod clock;
 pub mod event;
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -5,7 +5,9 @@
 //! If the caller disconnects, the handler's future or the receiving half of its
 //! body channel is dropped.
 
+use crate::body::{self, Aborted};
 use bytes::Bytes;
+use futures_util::Stream as _;
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,7 +19,6 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 /// Avoids a busy loop while the process is out of file descriptors.
@@ -25,49 +26,35 @@
 /// Small, so that a caller that doesn't read is noticed by backpressure.
 const BODY_CHANNEL_CAPACITY: usize = 8;
 
-/// The response was aborted, or the request's body could not be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct BodyAborted;
-
-impl std::fmt::Display for BodyAborted {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "body aborted")
-    }
-}
-
-impl std::error::Error for BodyAborted {}
-
-/// Sends the chunks of a streamed body; an error aborts the response.
-pub type BodySender = mpsc::Sender<Result<Bytes, BodyAborted>>;
-
 /// Body of a response.
 #[derive(Debug)]
 pub enum Body {
     /// The complete body, with a known length.
     Full(Bytes),
     /// Chunks of a streamed body; an error closes the connection.
-    Stream(mpsc::Receiver<Result<Bytes, BodyAborted>>),
+    Stream(body::Receiver),
 }
 
 /// Creates a streamed body and the sender of its chunks.
-pub fn body_channel() -> (BodySender, Body) {
-    let (sender, receiver) = mpsc::channel(BODY_CHANNEL_CAPACITY);
+pub fn body_channel() -> (body::Sender, Body) {
+    let (sender, receiver) = body::channel(BODY_CHANNEL_CAPACITY);
     (sender, Body::Stream(receiver))
 }
 
 impl hyper::body::Body for Body {
     type Data = Bytes;
-    type Error = BodyAborted;
+    type Error = Aborted;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
         match &mut *self {
             Body::Full(bytes) if bytes.is_empty() => Poll::Ready(None),
             Body::Full(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
             Body::Stream(chunks) => {
-                chunks.poll_recv(cx).map(|chunk| chunk.map(|result| result.map(Frame::data)))
+                let chunk = Pin::new(chunks).poll_next(cx);
+                chunk.map(|chunk| chunk.map(|result| result.map(Frame::data)))
             }
         }
     }
@@ -90,7 +77,7 @@
     fn handle(
         self: Rc<Self>,
         request: Request<Incoming>,
-    ) -> impl Future<Output = Result<Response<Body>, BodyAborted>>;
+    ) -> impl Future<Output = Result<Response<Body>, Aborted>>;
 
     /// Maximum size of a request head in bytes; at least 16 KiB are allowed.
     fn max_head_bytes(&self) -> usize;
@@ -136,17 +123,14 @@
 /// # Errors
 ///
 /// The caller disconnected before the end of the body.
-pub async fn read_body(
-    body: &mut Incoming,
-    max_bytes: usize,
-) -> Result<Option<Bytes>, BodyAborted> {
+pub async fn read_body(body: &mut Incoming, max_bytes: usize) -> Result<Option<Bytes>, Aborted> {
     use http_body_util::BodyExt;
     if body.size_hint().lower() > max_bytes as u64 {
         return Ok(None);
     }
     let mut buffer = bytes::BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_| BodyAborted)?.into_data() else {
+        let Ok(data) = frame.map_err(|_| Aborted)?.into_data() else {
             continue;
         };
         if buffer.len() + data.len() > max_bytes {
