Reset callers of HTTP/1.0 unless their response is complete

What callers saw: an answer of unknown length to a caller of HTTP/1.0 ends with its connection, and every aborted one ended in order: a target that was reset, that broke off or crashed, a caller that had closed its writing side, a killed instance. All looked complete.

Cause: an abort was the drop of the socket, which the system closes in order; without chunks nothing else tells the caller.

Change: `transport::socket`: from the first byte of such a response the connection is set to be reset when its socket is closed, whoever closes it, the end of the process included; only the end of a complete body takes that back, before the connection is closed in order. Callers of HTTP/1.1 are aborted as before, by a missing last chunk: a reset could take events from them that had already arrived.

--- a/crates/daemon/tests/gateway_truncation.rs
+++ b/crates/daemon/tests/gateway_truncation.rs
@@ -100,21 +100,26 @@
 #[case::inside_the_first(&["id: 1\nda"])]
 #[case::before_the_first(&[])]
 #[case::with_carriage_returns(&["id: 1\r\ndata: part-1\r\n\r\n", "id: 2\r\ndata: part-2\r\n"])]
-fn stream_closed_inside_an_event_does_not_look_complete(#[case] pieces: &[&str]) {
+fn stream_closed_inside_an_event_does_not_look_complete(
+    #[case] pieces: &[&str],
+    #[values(Version::Http10, Version::Http11)] version: Version,
+) {
     let target = target_with_body(UNFRAMED, pieces, End::Close);
     let fleet = fleet_of(&[&target]);
-    let response = call(&fleet, Version::Http11, "/ask/cut", "cut");
+    let response = call(&fleet, version, "/ask/cut", "cut");
     assert!(response.status != 200 || !response.looks_complete(), "{response:?}");
     assert_eq!(target.requests().iter().filter(|r| r.path == "/ask/cut").count(), 1);
 }
 
-#[test]
-fn chunked_stream_with_its_last_chunk_inside_an_event_does_not_look_complete() {
+#[rstest]
+fn chunked_stream_with_its_last_chunk_inside_an_event_does_not_look_complete(
+    #[values(Version::Http10, Version::Http11)] version: Version,
+) {
     let chunks = chunks(&["id: 1\ndata: part-1\n\n", "id: 2\ndata: pa"]);
     let chunks: Vec<&str> = chunks.iter().map(String::as_str).collect();
     let target = target_with_body(CHUNKED, &chunks, End::KeepAlive);
     let fleet = fleet_of(&[&target]);
-    let response = call(&fleet, Version::Http11, "/ask/cut", "cut");
+    let response = call(&fleet, version, "/ask/cut", "cut");
     assert!(!response.looks_complete(), "{response:?}");
 }
 
@@ -204,10 +209,11 @@
 #[rstest]
 fn stream_of_a_target_that_crashes_between_events_does_not_look_complete(
     #[values(End::Crash, End::CloseThenCrash)] end: End,
+    #[values(Version::Http10, Version::Http11)] version: Version,
 ) {
     let target = target_with_body(UNFRAMED, &[&event(1), &event(2), &event(3)], end);
     let fleet = fleet_of(&[&target]);
-    let response = call(&fleet, Version::Http11, "/ask/crash", "crash");
+    let response = call(&fleet, version, "/ask/crash", "crash");
     assert!(!response.looks_complete(), "{response:?}");
     let is_crash =
         |line: &Value| line["msg"] == "responses interrupted" && line["is_crash"] == true;
@@ -294,3 +300,64 @@
     assert!(response.looks_complete(), "{response:?}");
     assert_eq!(response.body, events(1, 2));
 }
+
+#[rstest]
+fn stream_reset_by_its_target_does_not_look_complete(
+    #[values(UNFRAMED, CHUNKED)] headers: &'static str,
+    #[values(Version::Http10, Version::Http11)] version: Version,
+) {
+    let chunks = chunks(&[&event(1)]);
+    let pieces = if headers == UNFRAMED { vec![event(1)] } else { vec![chunks[0].clone()] };
+    let pieces: Vec<&str> = pieces.iter().map(String::as_str).collect();
+    let target = target_with_body(headers, &pieces, End::Reset);
+    let fleet = fleet_of(&[&target]);
+    let response = call(&fleet, version, "/ask/reset", "reset");
+    assert!(!response.looks_complete(), "{response:?}");
+}
+
+#[test]
+fn killed_instance_leaves_no_http_1_0_response_that_looks_complete() {
+    let target = target(|request| Answer {
+        pause: Duration::from_secs(3),
+        ..Answer::new(&request.id, CHUNKED, &["5\r\nx: 1\n\r\n", "0\r\n\r\n"], End::KeepAlive)
+    });
+    let mut fleet = fleet_of(&[&target]);
+    let front = fleet.gateways[0].front_address;
+    let mut stream = raw_caller::send(front, Version::Http10, "/ask/kill", &headers("kill"), "x");
+    wait_until("the request runs", || target.requests().iter().any(|r| r.path == "/ask/kill"));
+    std::thread::sleep(Duration::from_millis(300));
+    fleet.gateways[0].kill();
+    let response = raw_caller::read(&mut stream);
+    assert!(!response.looks_complete(), "{response:?}");
+}
+
+/// A caller that closes its writing side after the request gets all of the response or a reset.
+#[test]
+fn half_closed_http_1_0_caller_gets_no_part_that_looks_complete() {
+    let target = target(|request| Answer {
+        pause: Duration::from_millis(300),
+        ..Answer::new(&request.id, UNFRAMED, &[&event(1), &event(2)], End::Close)
+    });
+    let fleet = fleet_of(&[&target]);
+    let front = fleet.gateways[0].front_address;
+    let mut stream = raw_caller::send(front, Version::Http10, "/ask/half", &headers("half"), "x");
+    wait_until("the request runs", || target.requests().iter().any(|r| r.path == "/ask/half"));
+    stream.shutdown(std::net::Shutdown::Write).expect("a connection");
+    let response = raw_caller::read(&mut stream);
+    assert!(!response.looks_complete() || response.body == events(1, 2), "{response:?}");
+}
+
+#[test]
+fn keep_alive_caller_of_http_1_0_gets_whole_responses() {
+    let sound = sound_target();
+    let fleet = fleet_of(&[&sound]);
+    for path in ["/plain/x", "/ask/x"] {
+        let headers = format!("{}\nConnection: keep-alive", headers("keep"));
+        let front = fleet.gateways[0].front_address;
+        let mut stream = raw_caller::send(front, Version::Http10, path, &headers, "x");
+        stream.set_read_timeout(Some(Duration::from_secs(1))).expect("a socket");
+        let response = raw_caller::read_available(&mut stream);
+        assert!(response.looks_complete(), "{response:?}");
+        assert_eq!(response.body, events(1, 6));
+    }
+}
--- a/crates/daemon/tests/util/raw_caller.rs
+++ b/crates/daemon/tests/util/raw_caller.rs
@@ -77,18 +77,34 @@
 /// Reads a response to the end of its connection.
 #[track_caller]
 pub fn read(stream: &mut TcpStream) -> RawResponse {
+    let (response, error) = read_bytes(stream);
+    assert!(!is_timeout(error), "the response didn't end: {response:?}");
+    response
+}
+
+/// Reads a response to the end of its connection, or until nothing comes within the read timeout.
+pub fn read_available(stream: &mut TcpStream) -> RawResponse {
+    read_bytes(stream).0
+}
+
+fn is_timeout(error: Option<ErrorKind>) -> bool {
+    matches!(error, Some(ErrorKind::WouldBlock | ErrorKind::TimedOut))
+}
+
+fn read_bytes(stream: &mut TcpStream) -> (RawResponse, Option<ErrorKind>) {
     let mut received = Vec::new();
     let mut buffer = [0; 4096];
-    let is_reset = loop {
+    let error = loop {
         match stream.read(&mut buffer) {
-            Ok(0) => break false,
+            Ok(0) => break None,
             Ok(count) => received.extend_from_slice(&buffer[..count]),
-            Err(error) if error.kind() == ErrorKind::ConnectionReset => break true,
-            Err(error) => panic!("the response didn't end: {error}"),
+            Err(error) => break Some(error.kind()),
         }
     };
     let response = parse(&String::from_utf8_lossy(&received));
-    if is_reset { RawResponse { end: BodyEnd::Reset, ..response } } else { response }
+    let is_reset = error == Some(ErrorKind::ConnectionReset);
+    let end = if is_reset { BodyEnd::Reset } else { response.end };
+    (RawResponse { end, ..response }, error)
 }
 
 fn parse(text: &str) -> RawResponse {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod peer;
 
 pub mod server;
+pub mod socket;
 pub mod sse;
 pub mod target;
 pub mod upstream;
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -6,6 +6,7 @@
 //! body channel is dropped.
 
 use crate::body::{self, Aborted};
+use crate::socket::{OpenResponse, Socket};
 use bytes::Bytes;
 use futures_util::Stream as _;
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
@@ -104,10 +105,16 @@
         return; // The caller has disconnected already.
     }
     let max_head_bytes = handler.max_head_bytes();
-    let service = service_fn(move |request| handler.clone().handle(request));
+    let open = OpenResponse::default();
+    let socket = Socket::new(stream, open.clone());
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (handler, open) = (handler.clone(), open.clone());
+        let version = request.version();
+        async move { Ok::<_, Aborted>(open.track(version, handler.handle(request).await?)) }
+    });
     let connection = http1::Builder::new()
         .max_buf_size(max_head_bytes.max(16 << 10))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     let mut connection = std::pin::pin!(connection);
     // Errors are ignored: the handler notices that its future or body is dropped.
     tokio::select! {
