Reset callers of HTTP/1.0 of the product's own interface, too

What callers saw: a chat stream to a caller of HTTP/1.0 whose instance was killed was closed in order, as a complete one is. It lacks its final event, but its end says otherwise.

Change: the loop that accepts connections is hyper-util's, with warp's routes as before, over `transport::socket`.

Evidence: `stream_of_a_killed_instance_does_not_look_complete_to_an_http_1_0_caller`, red before.

--- a/crates/daemon/tests/response_integrity.rs
+++ b/crates/daemon/tests/response_integrity.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use util::client::{Response, chat};
 use util::cluster::{Cluster, Plan};
+use util::raw_caller::{self, Version};
 use util::wait_until;
 
 fn interrupt_all(cluster: &Cluster, streams: u32) {
@@ -78,6 +79,23 @@
     assert!(!response.streamed_text().1, "a truncated stream has a final event: {response:?}");
 }
 
+/// A response of unknown length to a caller of HTTP/1.0 ends with its connection.
+#[test]
+fn stream_of_a_killed_instance_does_not_look_complete_to_an_http_1_0_caller() {
+    let engine = Config { token_interval: Duration::from_millis(50), ..Config::default() };
+    let mut cluster = Cluster::start(Plan { engine, ..Plan::default() });
+    let front = cluster.daemons[0].front_address;
+    let headers = "Host: a.example\nContent-Type: application/json";
+    let messages = json!([{ "role": "user", "content": "interrupted" }]);
+    let body = json!({ "model": "pustak-llm", "stream": true, "messages": messages }).to_string();
+    let path = "/v1/chat/completions";
+    let mut stream = raw_caller::send(front, Version::Http10, path, headers, &body);
+    wait_until("the stream runs", || cluster.runs().iter().any(|run| run.tokens > 1));
+    cluster.daemons[0].kill();
+    let response = raw_caller::read(&mut stream);
+    assert!(!response.looks_complete(), "{response:?}");
+}
+
 #[test]
 fn responses_are_not_mixed_up_when_engines_are_slow_or_interrupted() {
     let cluster = Cluster::start(Plan::default());
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -1,10 +1,18 @@
 //! HTTP server of the product's own API: bounded request bodies, responses and errors.
 
 use crate::body;
+use crate::server::ACCEPT_RETRY_DELAY;
+use crate::socket::{OpenResponse, Socket};
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
+use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
-use hyper::{HeaderMap, Method, StatusCode};
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Method, Request, StatusCode};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::{GracefulShutdown, Watcher};
+use hyper_util::service::TowerToHyperService;
 use protocol::error::Body;
 use protocol::{Error, Kind};
 use serde::Serialize;
@@ -12,7 +20,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio_util::sync::CancellationToken;
 use warp::Filter;
 
@@ -98,7 +106,41 @@
             Ok(response) => response,
             Err(never) => match never {},
         });
-    warp::serve(routes).incoming(listener).graceful(stop.cancelled_owned()).run().await;
+    let routes = TowerToHyperService::new(warp::service(routes));
+    let connections = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_connection(stream, routes.clone(), connections.watcher()));
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+        }
+    }
+    drop(listener);
+    connections.shutdown().await;
+}
+
+async fn serve_connection<R>(stream: TcpStream, routes: R, watcher: Watcher)
+where
+    R: hyper::service::Service<Request<Incoming>, Response = Response> + Send + 'static,
+    R::Future: Send + 'static,
+    R::Error: std::error::Error + Send + Sync + 'static,
+{
+    let open = OpenResponse::default();
+    let socket = Socket::new(stream, open.clone());
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (version, open) = (request.version(), open.clone());
+        let response = routes.call(request);
+        async move { Ok::<_, R::Error>(open.track(version, response.await?)) }
+    });
+    let builder = Builder::new(TokioExecutor::new());
+    let connection = builder.serve_connection(TokioIo::new(socket), service);
+    // Errors are ignored: the handler notices that its future or body is dropped.
+    let _result = watcher.watch(connection).await;
 }
 
 async fn handle<S, B, D>(service: S, head: RequestHead, body: B) -> Response
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -23,7 +23,7 @@
 use tokio_util::sync::CancellationToken;
 
 /// Avoids a busy loop while the process is out of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Small, so that a caller that doesn't read is noticed by backpressure.
 const BODY_CHANNEL_CAPACITY: usize = 8;
 
