Answer no call of a plain service with a part of its response

What callers saw: on the product's own interface, a plain service without lengths that crashed halfway was answered for with status 200 and what had come, and with a key that part was recorded as the outcome; so was an event stream that ended inside an event.

Cause: as on the gateway, the end of the connection was taken for the end of the response.

Change: an end that only the connection tells is confirmed as on the gateway, by `coordination::presence`; an event stream must end between two events. Otherwise the call may have run: it is repeated where that is allowed, or answered as failed.

Evidence: `plain_call_is_not_answered_with_a_part`, both cases red before (status 200); a whole response without a length passes before and after.

--- a/crates/daemon/src/front/plain.rs
+++ b/crates/daemon/src/front/plain.rs
@@ -6,12 +6,12 @@
 use crate::fleet::{self, Requirements, TargetGuard};
 use bytes::Bytes;
 use coordination::retry::{self, Failure};
-use hyper::StatusCode;
 use protocol::{Error, Kind, header};
 use state::record::{Body, StoredOutcome};
 use std::time::{Duration, Instant};
 use transport::http::{self, BodyStream, RequestHead, Response};
-use transport::target::{AttemptError, AttemptMeta, PlainCall};
+use transport::target::{AttemptError, AttemptMeta, PlainCall, PlainResponse};
+use transport::upstream::Framing;
 
 const MAX_ATTEMPTS: u32 = 3;
 
@@ -60,30 +60,29 @@
     key: IdempotencyKey,
     body: Bytes,
 ) -> Result<Response, Error> {
-    let (status, content_type, body) =
-        match call_targets(&handler, &head, &service, &options, body).await {
-            Ok(response) => response,
-            Err((error, was_sent)) => {
-                if options.repeatable {
-                    return Err(error);
-                }
-                if was_sent {
-                    return Err(keyed::record_undetermined(&handler.shared, &key, &error).await);
-                }
-                keyed::release(&handler.shared, &options, &key);
+    let response = match call_targets(&handler, &head, &service, &options, body).await {
+        Ok(response) => response,
+        Err((error, was_sent)) => {
+            if options.repeatable {
                 return Err(error);
             }
-        };
+            if was_sent {
+                return Err(keyed::record_undetermined(&handler.shared, &key, &error).await);
+            }
+            keyed::release(&handler.shared, &options, &key);
+            return Err(error);
+        }
+    };
     let stored = StoredOutcome::Plain {
-        status: status.as_u16(),
-        content_type: content_type.clone(),
-        body: Body::new(body.to_vec()),
+        status: response.status.as_u16(),
+        content_type: response.content_type.clone(),
+        body: Body::new(response.body.to_vec()),
     };
     let recorded = keyed::finish(&handler.shared, &key, stored).await?;
     if let RecordStatus::Superseded(stored) = recorded {
         return replay(*stored);
     }
-    let mut response = http::bytes(status.as_u16(), &content_type, body);
+    let mut response = forward(response);
     let value = if recorded == RecordStatus::Pending { "later" } else { "now" };
     http::set_header(&mut response, header::RECORDED, value);
     Ok(response)
@@ -97,8 +96,11 @@
     body: Bytes,
 ) -> Result<Response, Error> {
     let response = call_targets(handler, head, service, options, body).await;
-    let (status, content_type, body) = response.map_err(|(error, _)| error)?;
-    Ok(http::bytes(status.as_u16(), &content_type, body))
+    response.map(forward).map_err(|(error, _)| error)
+}
+
+fn forward(response: PlainResponse) -> Response {
+    http::bytes(response.status.as_u16(), &response.content_type, response.body)
 }
 
 /// Calls targets until one responds. The flag beside the error says whether a
@@ -109,7 +111,7 @@
     service: &str,
     options: &RequestOptions,
     body: Bytes,
-) -> Result<(StatusCode, String, Bytes), (Error, bool)> {
+) -> Result<PlainResponse, (Error, bool)> {
     let mut tried = Vec::new();
     let mut sent = false;
     let path = if head.query.is_empty() {
@@ -130,22 +132,25 @@
             priority: 0,
             timeout: options.remaining(now),
         };
-        let error =
-            match handler.client.plain(guard.target.config.address, plain.clone(), &meta).await {
-                // The server accepted the call before it failed: it may have run.
-                Ok((status, ..)) if status.is_server_error() => {
-                    AttemptError::new(Failure::Unknown, format!("target returned status {status}"))
-                }
-                Ok(response) => {
-                    guard.on_success();
-                    return Ok(response);
-                }
-                // A plain service may have run a call that it rejected.
-                Err(error) if error.failure == Failure::Refused && !options.repeatable => {
-                    AttemptError { failure: Failure::Unknown, ..error }
-                }
-                Err(error) => error,
-            };
+        let result = handler.client.plain(guard.target.config.address, plain.clone(), &meta).await;
+        let error = match result {
+            // The server accepted the call before it failed: it may have run.
+            Ok(PlainResponse { status, .. }) if status.is_server_error() => {
+                AttemptError::new(Failure::Unknown, format!("target returned status {status}"))
+            }
+            Ok(response) if !is_complete(handler, &guard, &response).await => {
+                AttemptError::new(Failure::Unknown, "closed by a target that is gone")
+            }
+            Ok(response) => {
+                guard.on_success();
+                return Ok(response);
+            }
+            // A plain service may have run a call that it rejected.
+            Err(error) if error.failure == Failure::Refused && !options.repeatable => {
+                AttemptError { failure: Failure::Unknown, ..error }
+            }
+            Err(error) => error,
+        };
         guard.on_failure(Instant::now());
         tried.push(guard.target.config.name.clone());
         sent |= error.failure == Failure::Unknown;
@@ -159,6 +164,17 @@
     Err((Error::new(Kind::Internal, "no attempt was made"), sent))
 }
 
+/// Whether a response is complete. One that ends with its connection may be a part of what a
+/// target that has crashed would have sent.
+async fn is_complete(handler: &HttpHandler, guard: &TargetGuard, response: &PlainResponse) -> bool {
+    if response.framing != Framing::Connection {
+        return true;
+    }
+    let presence = handler.client.probe(guard.target.config.address).await;
+    let is_leaving = handler.shared.view().leaving.contains(&guard.target.config.name);
+    presence.confirms_end(is_leaving)
+}
+
 fn acquire_target(
     handler: &HttpHandler,
     service: &str,
--- a/crates/daemon/src/gateway/target_body.rs
+++ b/crates/daemon/src/gateway/target_body.rs
@@ -11,15 +11,12 @@
 use coordination::TargetId;
 use coordination::presence::{CLOSE_WINDOW, Presence};
 use coordination::registry::Registry;
-use hyper::header::CONTENT_TYPE;
 use hyper::http::response::Parts;
 use std::cell::RefCell;
 use std::fmt;
-use transport::event::EventTracker;
+use transport::event::{self, EventTracker};
 use transport::upstream::{Exchange, Framing};
 
-const EVENT_STREAM: &str = "text/event-stream";
-
 /// Why a body is incomplete.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Truncation {
@@ -61,7 +58,9 @@
     /// Wraps the body of a response of `target`, whose head says whether it is an event stream. If
     /// the head doesn't, a successful response is one if `expects_events`.
     pub fn new(exchange: Exchange, target: TargetId, expects_events: bool) -> TargetBody {
-        let is_event_stream = is_event_stream(exchange.head(), expects_events);
+        let head = exchange.head();
+        let is_event_stream =
+            event::are_events(&head.headers).unwrap_or(expects_events && head.status.is_success());
         let events = is_event_stream.then(EventTracker::default);
         TargetBody { exchange, target, events, is_resumed: false }
     }
@@ -163,12 +162,3 @@
         Err(Truncation::TargetGone(presence))
     }
 }
-
-fn is_event_stream(head: &Parts, expects_events: bool) -> bool {
-    let Some(content_type) = head.headers.get(CONTENT_TYPE) else {
-        return expects_events && head.status.is_success();
-    };
-    let content_type = content_type.as_bytes();
-    let prefix = content_type.get(..EVENT_STREAM.len()).unwrap_or_default();
-    prefix.eq_ignore_ascii_case(EVENT_STREAM.as_bytes())
-}
--- a/crates/daemon/tests/response_integrity.rs
+++ b/crates/daemon/tests/response_integrity.rs
@@ -2,13 +2,16 @@
 
 mod util;
 
+use protocol::Kind;
+use rstest::rstest;
 use serde_json::json;
 use standin::engine::{Config, Control};
 use standin::text;
 use std::time::Duration;
-use util::client::{Response, chat};
-use util::cluster::{Cluster, Plan};
+use util::client::{Response, chat, post};
+use util::cluster::{Cluster, DATA_CENTRES, Plan};
 use util::raw_caller::{self, Version};
+use util::raw_target::{Answer, End, RawTarget};
 use util::wait_until;
 
 fn interrupt_all(cluster: &Cluster, streams: u32) {
@@ -96,6 +99,47 @@
     assert!(!response.looks_complete(), "{response:?}");
 }
 
+/// Replaces the target of the plain service by one whose responses to calls have this body.
+fn cluster_with_plain_target(headers: &'static str, body: &'static str, end: End) -> Cluster {
+    let cluster = Cluster::start(Plan { daemons: 1, ..Plan::default() });
+    let target = RawTarget::start(move |request| {
+        if request.path == "/load" {
+            let load = "{\"online\":0,\"batch\":0,\"leaving\":false}";
+            let headers = format!("Content-Type: application/json\nContent-Length: {}", load.len());
+            return Answer::new("", &headers, &[load], End::KeepAlive);
+        }
+        Answer::new("", headers, &[body], end)
+    });
+    let target = json!({
+        "object": "target", "name": "p0", "address": target.address.to_string(),
+        "data_centre": DATA_CENTRES[0], "service": "offers", "slots": 64,
+    });
+    let response = cluster.apply(0, 1, &json!({ "put": [target] }));
+    assert_eq!(response.status, 200, "{response:?}");
+    cluster.wait_generation(2);
+    cluster
+}
+
+#[rstest]
+#[case::crash("Content-Type: text/plain", "half of", End::Crash)]
+#[case::inside_an_event("Content-Type: text/event-stream", "data: half of", End::Close)]
+fn plain_call_is_not_answered_with_a_part(
+    #[case] headers: &'static str,
+    #[case] body: &'static str,
+    #[case] end: End,
+) {
+    let cluster = cluster_with_plain_target(headers, body, end);
+    let response = post(cluster.daemons[0].front_address, "/offers/1", &[], &json!({}));
+    assert_eq!(response.error_kind(), Some(Kind::TargetFailed), "{response:?}");
+}
+
+#[test]
+fn plain_call_is_answered_with_a_whole_response_without_a_length() {
+    let cluster = cluster_with_plain_target("Content-Type: text/plain", "all of it", End::Close);
+    let response = post(cluster.daemons[0].front_address, "/offers/1", &[], &json!({}));
+    assert_eq!((response.status, &response.body[..]), (200, &b"all of it"[..]));
+}
+
 #[test]
 fn responses_are_not_mixed_up_when_engines_are_slow_or_interrupted() {
     let cluster = Cluster::start(Plan::default());
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -5,8 +5,18 @@
 //! [`EventTracker`] only finds out where events end, and buffers nothing.
 
 use bytes::{Bytes, BytesMut};
+use hyper::HeaderMap;
+use hyper::header::CONTENT_TYPE;
 
 const MAX_EVENT_BYTES: usize = 1 << 20;
+const CONTENT_TYPE_OF_EVENTS: &str = "text/event-stream";
+
+/// Whether headers announce events; `None` if they name no content type.
+pub fn are_events(headers: &HeaderMap) -> Option<bool> {
+    let content_type = headers.get(CONTENT_TYPE)?.as_bytes();
+    let prefix = content_type.get(..CONTENT_TYPE_OF_EVENTS.len()).unwrap_or_default();
+    Some(prefix.eq_ignore_ascii_case(CONTENT_TYPE_OF_EVENTS.as_bytes()))
+}
 
 /// One complete event, or comments that an empty line ends.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/transport/src/target.rs
+++ b/crates/transport/src/target.rs
@@ -1,8 +1,11 @@
 //! HTTP client for targets: model engines and plain services.
 
+use crate::event::{self, EventTracker};
 use crate::partition::SimulatedPartition;
 use crate::sse::DataParser;
+use crate::upstream::{self, Framing};
 use bytes::Bytes;
+use coordination::presence::{CLOSE_WINDOW, Presence};
 use coordination::retry::Failure;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -99,6 +102,7 @@
 pub struct Client {
     http: Http<HttpConnector, Full<Bytes>>,
     partition: SimulatedPartition,
+    connect_timeout: Duration,
     idle_timeout: Duration,
 }
 
@@ -117,7 +121,7 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from_secs(30))
             .build(connector);
-        Client { http, partition, idle_timeout }
+        Client { http, partition, connect_timeout, idle_timeout }
     }
 
     /// Starts a streamed chat completion.
@@ -147,17 +151,18 @@
         })
     }
 
-    /// Calls a plain service; returns the status, content type and body.
+    /// Calls a plain service.
     ///
     /// # Errors
     ///
-    /// There was no complete response, or the target rejected the request.
+    /// There was no complete response, as far as its body tells, or the target rejected the
+    /// request.
     pub async fn plain(
         &self,
         to: SocketAddr,
         call: PlainCall,
         meta: &AttemptMeta,
-    ) -> Result<(StatusCode, String, Bytes), AttemptError> {
+    ) -> Result<PlainResponse, AttemptError> {
         let mut builder = self.builder(to, call.method, &call.path, meta);
         if let Some(content_type) = call.headers.get("content-type") {
             builder = builder.header("content-type", content_type);
@@ -166,13 +171,30 @@
         if is_rejection(&response) {
             check_status(&response)?;
         }
-        let status = response.status();
-        let content_type = header_text(response.headers(), "content-type");
-        let body = tokio::time::timeout(meta.timeout, response.into_body().collect()).await;
+        let (head, body) = response.into_parts();
+        let framing = Framing::of(&head, &body);
+        let content_type = header_text(&head.headers, "content-type");
+        let body = tokio::time::timeout(meta.timeout, body.collect()).await;
         let body =
             body.map_err(|_| AttemptError::new(Failure::Unknown, "response body timed out"))?;
         let body = body.map_err(|error| AttemptError::new(Failure::Unknown, error.to_string()))?;
-        Ok((status, content_type, body.to_bytes()))
+        let body = body.to_bytes();
+        if event::are_events(&head.headers) == Some(true) && ends_inside_event(&body) {
+            return Err(AttemptError::new(Failure::Unknown, "ended inside an event"));
+        }
+        Ok(PlainResponse { status: head.status, content_type, body, framing })
+    }
+
+    /// Checks whether a process listens on the address of a target that has closed a connection.
+    pub async fn probe(&self, to: SocketAddr) -> Presence {
+        tokio::time::sleep(CLOSE_WINDOW).await;
+        if self.partition.is_unreachable(to, Instant::now()) {
+            return Presence::Unknown;
+        }
+        match upstream::connect(to, self.connect_timeout).await {
+            Ok(_) => Presence::Listening,
+            Err(error) => upstream::presence(&error),
+        }
     }
 
     /// Fetches the load report of a target.
@@ -265,6 +287,25 @@
     pub body: Bytes,
 }
 
+/// Response of a plain service.
+#[derive(Clone, Debug)]
+pub struct PlainResponse {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Content type; empty if the response names none.
+    pub content_type: String,
+    /// Body.
+    pub body: Bytes,
+    /// What tells the end of the body.
+    pub framing: Framing,
+}
+
+fn ends_inside_event(body: &[u8]) -> bool {
+    let mut events = EventTracker::default();
+    events.push(body);
+    events.is_inside()
+}
+
 fn header_text(headers: &HeaderMap, name: &str) -> String {
     headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
 }
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -97,7 +97,8 @@
 }
 
 impl Framing {
-    fn of(head: &Parts, body: &Incoming) -> Framing {
+    /// Framing of a response as received.
+    pub(crate) fn of(head: &Parts, body: &Incoming) -> Framing {
         let codings = head.headers.get_all(TRANSFER_ENCODING).iter().next_back();
         if body.is_end_stream() {
             return Framing::Length;
@@ -238,12 +239,9 @@
     /// Checks whether a process listens on an address. An established connection is
     /// kept for the next request.
     pub async fn probe(&self, to: SocketAddr) -> Presence {
-        let stream = match self.connect(to).await {
+        let stream = match connect(to, self.settings.connect_timeout).await {
             Ok(stream) => stream,
-            Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
-                return Presence::Refused;
-            }
-            Err(_) => return Presence::Unknown,
+            Err(error) => return presence(&error),
         };
         match self.handshake(stream).await {
             Ok(connection) => {
@@ -254,15 +252,8 @@
         }
     }
 
-    async fn connect(&self, to: SocketAddr) -> std::io::Result<TcpStream> {
-        let connect = tokio::time::timeout(self.settings.connect_timeout, TcpStream::connect(to));
-        connect.await.unwrap_or_else(|_| {
-            Err(std::io::Error::new(ErrorKind::TimedOut, "connection timed out"))
-        })
-    }
-
     async fn open(&self, to: SocketAddr) -> Result<Connection, SendError> {
-        match self.connect(to).await {
+        match connect(to, self.settings.connect_timeout).await {
             Ok(stream) => self.handshake(stream).await,
             Err(error) => Err(SendError::NotSent(format!("{to}: {error}"))),
         }
@@ -285,6 +276,22 @@
     }
 }
 
+/// Opens a connection within `timeout`.
+pub(crate) async fn connect(to: SocketAddr, timeout: Duration) -> std::io::Result<TcpStream> {
+    let connect = tokio::time::timeout(timeout, TcpStream::connect(to));
+    connect
+        .await
+        .unwrap_or_else(|_| Err(std::io::Error::new(ErrorKind::TimedOut, "connection timed out")))
+}
+
+/// What a failed connection attempt shows of the process at the address.
+pub(crate) fn presence(error: &std::io::Error) -> Presence {
+    match error.kind() {
+        ErrorKind::ConnectionRefused => Presence::Refused,
+        _ => Presence::Unknown,
+    }
+}
+
 /// Idle timeout of a connection after a response with these headers; `None` if the
 /// server closes it.
 fn idle_timeout(headers: &HeaderMap, settings: Settings) -> Option<Duration> {
