Trust no closed connection of a leaving target whose process is gone

What callers saw: a target that had announced that it leaves crashed 45 ms later, and its streams and an item so far counted as complete.

Cause: the rule that confirms such an end took a refused port of a leaving target for that of one that completes its last responses.

Change: only a process that still accepts connections confirms the end.

`stream_of_a_leaving_target_that_crashes_does_not_look_complete` takes the place of `last_stream_of_a_leaving_target_is_complete`, which asked for the opposite.

--- a/crates/coordination/src/presence.rs
+++ b/crates/coordination/src/presence.rs
@@ -26,12 +26,8 @@
     }
 
     /// Whether a response that ended with its connection is complete as far as can be known. A
-    /// target that `is_leaving` may close its port before its last responses are complete.
-    pub fn confirms_end(self, is_leaving: bool) -> bool {
-        match self {
-            Presence::Listening => true,
-            Presence::Refused => is_leaving,
-            Presence::Unknown => false,
-        }
+    /// target that has announced that it leaves may still end halfway, so that doesn't matter.
+    pub fn confirms_end(self) -> bool {
+        self == Presence::Listening
     }
 }
--- a/crates/coordination/tests/decisions.rs
+++ b/crates/coordination/tests/decisions.rs
@@ -267,13 +267,12 @@
     assert_eq!(step(&actual, &desired, drained, others), expected);
 }
 
-/// Guards against a crash that passes for the end of a response, and against the last responses of
-/// a target that stops passing for truncated ones.
+/// Guards against the end of a process that passes for the end of a response, be it announced.
 #[rstest]
 #[case::present(Presence::Listening, false, true, false)]
 #[case::present_and_leaving(Presence::Listening, true, true, false)]
 #[case::crashed(Presence::Refused, false, false, true)]
-#[case::port_closed_while_leaving(Presence::Refused, true, true, false)]
+#[case::ended_while_leaving(Presence::Refused, true, false, false)]
 #[case::not_reached(Presence::Unknown, false, false, false)]
 #[case::not_reached_while_leaving(Presence::Unknown, true, false, false)]
 fn presence_tells_a_closed_response_from_a_crash(
@@ -282,6 +281,6 @@
     #[case] confirms_end: bool,
     #[case] is_crash: bool,
 ) {
-    assert_eq!(presence.confirms_end(is_leaving), confirms_end);
+    assert_eq!(presence.confirms_end(), confirms_end);
     assert_eq!(presence.is_crash(is_leaving), is_crash);
 }
--- a/crates/daemon/src/front/plain.rs
+++ b/crates/daemon/src/front/plain.rs
@@ -170,9 +170,7 @@
     if response.framing != Framing::Connection {
         return true;
     }
-    let presence = handler.client.probe(guard.target.config.address).await;
-    let is_leaving = handler.shared.view().leaving.contains(&guard.target.config.name);
-    presence.confirms_end(is_leaving)
+    handler.client.probe(guard.target.config.address).await.confirms_end()
 }
 
 fn acquire_target(
--- a/crates/daemon/src/gateway/items/run.rs
+++ b/crates/daemon/src/gateway/items/run.rs
@@ -222,9 +222,9 @@
     }
     let status = head.status;
     if status.is_success() {
-        let body = TargetBody::of_events(exchange, lease.grant.target.clone());
-        let mut body = body.resumed(partial.last_event_id.is_some());
-        let run_end = read_events(node, &mut body, partial, times).await;
+        let is_resumed = partial.last_event_id.is_some();
+        let mut body = TargetBody::of_events(exchange).resumed(is_resumed);
+        let run_end = read_events(&mut body, partial, times).await;
         if matches!(run_end, RunEnd::Completed) && body.is_framed() {
             quarantine::on_success(node, || fingerprint_of(held, item));
         }
@@ -242,7 +242,6 @@
 }
 
 async fn read_events(
-    node: &Node,
     body: &mut TargetBody,
     partial: &mut PartialOutput,
     times: &mut EventTimes,
@@ -250,8 +249,7 @@
     let interrupted = |error: String| RunEnd::Stopped(LeaseOutcome::Interrupted, error);
     let mut splitter = EventSplitter::default();
     loop {
-        let chunk = match tokio::time::timeout(IDLE_TIMEOUT, body.next_chunk(&node.registry)).await
-        {
+        let chunk = match tokio::time::timeout(IDLE_TIMEOUT, body.next_chunk()).await {
             Err(_) => return RunEnd::Stopped(LeaseOutcome::Unresponsive, String::from("idle")),
             Ok(Err(truncation)) => return interrupted(truncation.to_string()),
             Ok(Ok(None)) => return RunEnd::Completed,
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -146,7 +146,7 @@
     loop {
         let head = forwarded_head(response.body.head());
         let remaining = request.call.remaining(clock::now());
-        let body = response.body.read_to_end(&request.node.registry, MAX_BUFFERED_BYTES);
+        let body = response.body.read_to_end(MAX_BUFFERED_BYTES);
         let read = tokio::time::timeout(remaining, body).await;
         let error = match read {
             Ok(Ok(body)) => {
--- a/crates/daemon/src/gateway/online/attempt.rs
+++ b/crates/daemon/src/gateway/online/attempt.rs
@@ -133,8 +133,7 @@
             return Err(RetryReason::MayHaveRun(format!("target responded with {status}")));
         }
         let expects_events = self.route.class == Class::Stream;
-        let body = TargetBody::new(exchange, lease.grant.target.clone(), expects_events);
-        let body = body.resumed(is_resumed);
+        let body = TargetBody::new(exchange, expects_events).resumed(is_resumed);
         Ok(TargetResponse { body, lease })
     }
 }
--- a/crates/daemon/src/gateway/streaming.rs
+++ b/crates/daemon/src/gateway/streaming.rs
@@ -215,7 +215,6 @@
         // Only complete events are sent if the stream may be resumed after them.
         let mut splitter =
             (self.request.route.resumable && body.is_event_stream()).then(EventSplitter::default);
-        let node = self.node().clone();
         let mut is_overdue = false;
         loop {
             let max_gap = self.max_gap();
@@ -224,7 +223,7 @@
                 return StreamEnd::DeadlineExceeded;
             }
             let chunk = tokio::select! {
-                chunk = body.next_chunk(&node.registry) => chunk,
+                chunk = body.next_chunk() => chunk,
                 () = self.sender.closed() => return StreamEnd::CallerGone,
                 () = tokio::time::sleep(remaining) => return StreamEnd::DeadlineExceeded,
                 () = tokio::time::sleep(max_gap), if !is_overdue => {
--- a/crates/daemon/src/gateway/target_body.rs
+++ b/crates/daemon/src/gateway/target_body.rs
@@ -8,11 +8,8 @@
 //! [`coordination::presence`].
 
 use bytes::{Bytes, BytesMut};
-use coordination::TargetId;
 use coordination::presence::{CLOSE_WINDOW, Presence};
-use coordination::registry::Registry;
 use hyper::http::response::Parts;
-use std::cell::RefCell;
 use std::fmt;
 use transport::event::{self, EventTracker};
 use transport::upstream::{Exchange, Framing};
@@ -47,7 +44,6 @@
 /// Body of a target's response.
 pub struct TargetBody {
     exchange: Exchange,
-    target: TargetId,
     /// Position in an event stream; `None` for any other body.
     events: Option<EventTracker>,
     /// Whether the stream continues an earlier one, and may have no events left.
@@ -55,20 +51,20 @@
 }
 
 impl TargetBody {
-    /// Wraps the body of a response of `target`, whose head says whether it is an event stream. If
-    /// the head doesn't, a successful response is one if `expects_events`.
-    pub fn new(exchange: Exchange, target: TargetId, expects_events: bool) -> TargetBody {
+    /// Wraps a body whose response head says whether it is an event stream. If it doesn't, a
+    /// successful response is one if `expects_events`.
+    pub fn new(exchange: Exchange, expects_events: bool) -> TargetBody {
         let head = exchange.head();
         let is_event_stream =
             event::are_events(&head.headers).unwrap_or(expects_events && head.status.is_success());
         let events = is_event_stream.then(EventTracker::default);
-        TargetBody { exchange, target, events, is_resumed: false }
+        TargetBody { exchange, events, is_resumed: false }
     }
 
     /// Wraps a body that must be an event stream, whatever its head says.
-    pub fn of_events(exchange: Exchange, target: TargetId) -> TargetBody {
+    pub fn of_events(exchange: Exchange) -> TargetBody {
         let events = Some(EventTracker::default());
-        TargetBody { exchange, target, events, is_resumed: false }
+        TargetBody { exchange, events, is_resumed: false }
     }
 
     /// Marks the body as the rest of a stream that was interrupted after one of its events.
@@ -101,20 +97,16 @@
         self.events.is_some_and(|events| events.is_inside())
     }
 
-    /// Returns the next chunk, or `None` at the end of a complete body. May be cancelled. By the
-    /// registry, a target that is leaving is told from one that has crashed.
+    /// Returns the next chunk, or `None` at the end of a complete body. May be cancelled.
     ///
     /// # Errors
     ///
     /// The body is incomplete.
-    pub async fn next_chunk(
-        &mut self,
-        registry: &RefCell<Registry>,
-    ) -> Result<Option<Bytes>, Truncation> {
+    pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, Truncation> {
         let chunk = self.exchange.next_chunk().await.map_err(Truncation::Connection)?;
         match &chunk {
             Some(bytes) => self.events.iter_mut().for_each(|events| events.push(bytes)),
-            None => self.check_end(registry).await?,
+            None => self.check_end().await?,
         }
         Ok(chunk)
     }
@@ -124,13 +116,9 @@
     /// # Errors
     ///
     /// The body is incomplete, or the rest exceeds `max_bytes`.
-    pub async fn read_to_end(
-        &mut self,
-        registry: &RefCell<Registry>,
-        max_bytes: usize,
-    ) -> Result<Bytes, Truncation> {
+    pub async fn read_to_end(&mut self, max_bytes: usize) -> Result<Bytes, Truncation> {
         let mut buffer = BytesMut::new();
-        while let Some(chunk) = self.next_chunk(registry).await? {
+        while let Some(chunk) = self.next_chunk().await? {
             if buffer.len() + chunk.len() > max_bytes {
                 return Err(Truncation::TooLarge(max_bytes));
             }
@@ -139,7 +127,7 @@
         Ok(buffer.freeze())
     }
 
-    async fn check_end(&self, registry: &RefCell<Registry>) -> Result<(), Truncation> {
+    async fn check_end(&self) -> Result<(), Truncation> {
         if self.is_inside_event() {
             return Err(Truncation::InsideEvent);
         }
@@ -149,14 +137,13 @@
         if !self.is_resumed && self.events.is_some_and(|events| events.events() == 0) {
             return Err(Truncation::NoEvent);
         }
-        self.check_presence(registry).await
+        self.check_presence().await
     }
 
-    async fn check_presence(&self, registry: &RefCell<Registry>) -> Result<(), Truncation> {
+    async fn check_presence(&self) -> Result<(), Truncation> {
         tokio::time::sleep(CLOSE_WINDOW).await;
         let presence = self.exchange.probe().await;
-        let is_leaving = registry.borrow().is_unusable(&self.target);
-        if presence.confirms_end(is_leaving) {
+        if presence.confirms_end() {
             return Ok(());
         }
         Err(Truncation::TargetGone(presence))
--- a/crates/daemon/tests/gateway_truncation.rs
+++ b/crates/daemon/tests/gateway_truncation.rs
@@ -284,9 +284,9 @@
     assert!(resumed.requests().iter().any(|request| request.last_event_id == Some(6)));
 }
 
-/// A target that stops may close its port before its last responses are complete.
+/// A target that has announced that it leaves serves on for a while, and may crash in it.
 #[test]
-fn last_stream_of_a_leaving_target_is_complete() {
+fn stream_of_a_leaving_target_that_crashes_does_not_look_complete() {
     let target = target(|request| Answer {
         pause: Duration::from_millis(800),
         ..Answer::new(&request.id, UNFRAMED, &[&event(1), &event(2)], End::Crash)
@@ -296,9 +296,10 @@
     let mut stream = raw_caller::send(front, Version::Http11, "/ask/last", &headers("last"), "x");
     wait_until("the request runs", || target.requests().iter().any(|r| r.path == "/ask/last"));
     fleet.set_runner_state(0, "draining");
+    let is_leaving = |line: &Value| line["msg"] == "target" && line["leaving"] == true;
+    wait_until("the gateway knows", || fleet.log(0).iter().any(is_leaving));
     let response = raw_caller::read(&mut stream);
-    assert!(response.looks_complete(), "{response:?}");
-    assert_eq!(response.body, events(1, 2));
+    assert!(!response.looks_complete(), "{response:?}");
 }
 
 #[rstest]
