Soak with targets that answer without a length and crash, and callers of HTTP/1.0

Change: from seed 2000 on runners answer without a length, their processes end in series beside the other faults, and half of the callers of streams use HTTP/1.0. Seeds below keep their schedules. The proxies tell three ends apart that were one: a reset resets now (it closed in order before), and a crash closes the port and then the connections. A runner sends the half event at which it breaks off: its server lost it in half of the cases.

--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -3,7 +3,7 @@
 use super::check::Recorder;
 use super::util::gateway::HOST;
 use http_body_util::{BodyExt, Full};
-use hyper::Request;
+use hyper::{Request, Version};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -25,7 +25,11 @@
 /// Long parts that prompts share, and their length in tokens.
 const PARTS: [(&str, u32); 4] = [("a0", 4_000), ("b1", 4_000), ("c2", 2_000), ("d3", 1_000)];
 
-type HttpClient = Client<HttpConnector, Full<bytes::Bytes>>;
+/// A client and the HTTP version of its requests.
+struct HttpClient {
+    http: Client<HttpConnector, Full<bytes::Bytes>>,
+    version: Version,
+}
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(6);
 const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
@@ -43,10 +47,10 @@
     pub is_complete: bool,
 }
 
-fn client() -> HttpClient {
+fn client(version: Version) -> HttpClient {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
-    Client::builder(TokioExecutor::new()).build(connector)
+    HttpClient { http: Client::builder(TokioExecutor::new()).build(connector), version }
 }
 
 async fn call(
@@ -57,8 +61,8 @@
     id: &str,
     body: String,
 ) -> Response {
-    call_with(http, method, to, path, id, body, &[("authorization", &format!("Bearer {KEY}"))])
-        .await
+    let headers = [("authorization", &*format!("Bearer {KEY}"))];
+    call_with(http, method, to, path, id, body, &headers).await
 }
 
 async fn call_with(
@@ -72,6 +76,7 @@
 ) -> Response {
     let mut request = Request::builder()
         .method(method)
+        .version(http.version)
         .uri(format!("http://{to}{path}"))
         .header("host", HOST)
         .header("x-gatespool-request-id", id)
@@ -82,7 +87,7 @@
     let request = request.body(Full::new(body.into())).expect("a request");
     let mut response = Response { status: 0, body: Vec::new(), is_complete: false };
     let exchange = async {
-        let Ok(head) = http.request(request).await else {
+        let Ok(head) = http.http.request(request).await else {
             return;
         };
         response.status = head.status().as_u16();
@@ -108,11 +113,12 @@
 /// Requests streams until `is_over` is set.
 pub async fn send_streams(
     n: usize,
+    version: Version,
     fronts: Vec<SocketAddr>,
     record: Arc<Recorder>,
     is_over: Arc<AtomicBool>,
 ) {
-    let http = client();
+    let http = client(version);
     let mut count = 0;
     while !is_over.load(Ordering::Relaxed) {
         count += 1;
@@ -141,7 +147,7 @@
     record: Arc<Recorder>,
     is_over: Arc<AtomicBool>,
 ) {
-    let http = client();
+    let http = client(Version::HTTP_11);
     let mut count = 0;
     while !is_over.load(Ordering::Relaxed) {
         count += 1;
@@ -187,7 +193,7 @@
     record: Arc<Recorder>,
     deadline: Instant,
 ) {
-    let http = client();
+    let http = client(Version::HTTP_11);
     let mut count = 0;
     while !record.is_complete() && Instant::now() < deadline {
         for job in record.open_jobs() {
@@ -207,7 +213,7 @@
     newest: Arc<std::sync::atomic::AtomicU64>,
     is_over: Arc<AtomicBool>,
 ) {
-    let http = client();
+    let http = client(Version::HTTP_11);
     let mut count = 0;
     while !is_over.load(Ordering::Relaxed) {
         for (n, front) in fronts.iter().enumerate() {
--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -28,6 +28,8 @@
     PlatformFaults(objects::Faults, Duration),
     /// The platform compacts its change history.
     CompactHistory,
+    /// The end of a runner's process, and a start at the same address after the duration.
+    RunnerCrash(usize, Duration),
     /// Faults of a runner itself.
     RunnerFaults(usize, runner::Faults, Duration),
     /// A runner reports that it is draining, and is ready again after the duration.
@@ -107,3 +109,20 @@
     }
     steps
 }
+
+/// Adds crashes of runners, in series and beside the other faults.
+pub fn with_crashes(steps: Vec<Step>, seed: u64, runners: usize) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let mut all = Vec::new();
+    for (pause, fault) in steps {
+        if rng.random_bool(0.5) {
+            all.push((pause, fault));
+            continue;
+        }
+        let crash =
+            Fault::RunnerCrash(rng.random_range(0..runners), random_millis(&mut rng, 30, 700));
+        all.push((pause / 2, crash));
+        all.push((pause - pause / 2, fault));
+    }
+    all
+}
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -2,8 +2,8 @@
 //!
 //! A seed determines the schedule of faults: processes are killed, stopped, frozen and
 //! restarted; loopback proxies delay, reset or stall connections; the platform is unavailable,
-//! slow, compacts its history or loses responses; runners interrupt streams, respond under another
-//! id or not at all. Meanwhile callers send requests, and `check.rs` checks the observations of
+//! slow, compacts its history or loses responses; runners crash, interrupt streams, respond under
+//! another id or not at all. Meanwhile callers send requests, and `check.rs` checks the observations of
 //! callers and runners against the guarantees of the system.
 //!
 //! `cargo test --release -p gatespoold --test soak` runs [`SEEDS`] and [`REGRESSION_SEEDS`];
@@ -24,9 +24,11 @@
 mod scenario;
 
 /// Seeds of a run without `GATESPOOL_SOAK`, besides [`REGRESSION_SEEDS`].
-const SEEDS: [u64; 3] = [1, 2, FIRST_SUSPENSION_SEED];
+const SEEDS: [u64; 4] = [1, 2, FIRST_SUSPENSION_SEED, FIRST_UNFRAMED_SEED];
 /// From this seed on, freezes are suspensions, during which the monotonic clock stops.
 const FIRST_SUSPENSION_SEED: u64 = 1_000;
+/// From this seed on, runners respond without a length and crash, and some callers use HTTP/1.0.
+const FIRST_UNFRAMED_SEED: u64 = 2_000;
 
 /// Seeds that have failed, each with its cause.
 const REGRESSION_SEEDS: [(u64, &str); 3] = [
--- a/crates/daemon/tests/soak/scenario.rs
+++ b/crates/daemon/tests/soak/scenario.rs
@@ -1,11 +1,12 @@
 //! A scenario of the soak test: a fleet, its callers and the faults of a seed.
 
-use super::FIRST_SUSPENSION_SEED;
 use super::callers;
 use super::check::{EVENTS_PER_RESPONSE, Recorder};
 use super::faults::{self, Fault};
 use super::util::gateway::{Fleet, Plan};
 use super::util::proxy::{Mode, Proxy};
+use super::{FIRST_SUSPENSION_SEED, FIRST_UNFRAMED_SEED};
+use hyper::Version;
 use serde_json::json;
 use standin::objects;
 use standin::prompt_memory::Tokens;
@@ -53,7 +54,8 @@
 
 /// Runs the scenario of a seed and returns the violated guarantees.
 pub fn run(seed: u64) -> Vec<String> {
-    let mut scenario = Scenario::start();
+    let is_unframed = seed >= FIRST_UNFRAMED_SEED;
+    let mut scenario = Scenario::start(is_unframed);
     scenario.suspended_for = (seed >= FIRST_SUSPENSION_SEED)
         .then(|| vec![Duration::ZERO; scenario.fleet.gateways.len()]);
     let is_over = Arc::new(AtomicBool::new(false));
@@ -63,7 +65,9 @@
     let (record, version) = (scenario.record.clone(), scenario.version.clone());
     let mut tasks = Vec::new();
     for n in 0..CALLERS[0] {
-        let task = callers::send_streams(n, fronts.clone(), record.clone(), is_over.clone());
+        let version = if is_unframed && n % 2 == 0 { Version::HTTP_10 } else { Version::HTTP_11 };
+        let task =
+            callers::send_streams(n, version, fronts.clone(), record.clone(), is_over.clone());
         tasks.push(runtime.spawn(task));
     }
     for n in 0..CALLERS[1] {
@@ -72,9 +76,12 @@
     }
     let probe = callers::poll_versions(fronts.clone(), record.clone(), version, is_over.clone());
     tasks.push(runtime.spawn(probe));
-    for (pause, fault) in
-        faults::schedule(seed, fronts.len(), scenario.runner_proxies.len(), FAULT_PERIOD)
-    {
+    let runners = scenario.runner_proxies.len();
+    let mut steps = faults::schedule(seed, fronts.len(), runners, FAULT_PERIOD);
+    if is_unframed {
+        steps = faults::with_crashes(steps, seed, runners);
+    }
+    for (pause, fault) in steps {
         scenario.wait_and_undo(pause);
         scenario.inject(fault);
     }
@@ -99,7 +106,7 @@
 }
 
 impl Scenario {
-    fn start() -> Scenario {
+    fn start(is_unframed: bool) -> Scenario {
         let config = |n: usize| Config {
             id: format!("r{n}"),
             event_count: EVENTS_PER_RESPONSE,
@@ -107,6 +114,7 @@
             token_time: Duration::from_micros(20),
             memory_tokens: MEMORY_TOKENS,
             slowness: SLOWNESS[n],
+            is_unframed,
             ..Config::default()
         };
         let runners = vec![("east", config(0)), ("west", config(1)), ("east", config(2))];
@@ -227,6 +235,10 @@
                 self.runner_proxies[n].set_mode(mode);
                 self.undo_after(period, Undo::RunnerConnection(n));
             }
+            Fault::RunnerCrash(n, down) => {
+                self.runner_proxies[n].set_mode(Mode::Refuse);
+                self.undo_after(down, Undo::RunnerConnection(n));
+            }
             Fault::PeerPartition(n, period) => {
                 let own = self.fleet.gateways[n].peer_address;
                 let gateways = self.fleet.gateways.iter();
--- a/crates/daemon/tests/util/proxy.rs
+++ b/crates/daemon/tests/util/proxy.rs
@@ -1,9 +1,11 @@
 //! A loopback TCP proxy that injects network faults.
 
+use super::port::ReservedPort;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
@@ -14,8 +16,11 @@
     Pass,
     /// Delays each read by this time.
     Delay(Duration),
-    /// Closes all connections, new ones too.
+    /// Resets all connections, new ones too.
     Reset,
+    /// Closes the port and then all connections, in order, as the system does for a process that
+    /// ends.
+    Refuse,
     /// Forwards nothing and keeps the connections open.
     Stall,
     /// Forwards requests, but no responses.
@@ -31,16 +36,24 @@
     pub address: SocketAddr,
     mode: Arc<Mutex<Mode>>,
     changed: Arc<Notify>,
+    /// Notified when the port has been closed.
+    refused: Arc<Notify>,
+    _port: Arc<ReservedPort>,
 }
 
 impl Proxy {
     /// Starts a proxy to `target`.
     pub fn start(target: SocketAddr) -> Proxy {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let port = ReservedPort::any();
+        let listener = std::net::TcpListener::bind(port.address).expect("a port");
         listener.set_nonblocking(true).expect("a socket");
-        let address = listener.local_addr().expect("an address");
-        let proxy =
-            Proxy { address, mode: Arc::new(Mutex::new(Mode::Pass)), changed: Arc::default() };
+        let proxy = Proxy {
+            address: port.address,
+            mode: Arc::new(Mutex::new(Mode::Pass)),
+            changed: Arc::default(),
+            refused: Arc::default(),
+            _port: Arc::new(port),
+        };
         let task = proxy.clone();
         std::thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -60,14 +73,31 @@
     }
 
     async fn serve(self, listener: std::net::TcpListener, target: SocketAddr) {
-        let listener = TcpListener::from_std(listener).expect("a listener");
+        let mut listener = TcpListener::from_std(listener).expect("a listener");
         loop {
-            let Ok((client, _)) = listener.accept().await else {
+            self.accept(listener, target).await;
+            self.refused.notify_waiters();
+            self.wait_while(Mode::Refuse).await;
+            listener = TcpListener::bind(self.address).await.expect("the port again");
+        }
+    }
+
+    /// Accepts connections until the mode is [`Mode::Refuse`].
+    async fn accept(&self, listener: TcpListener, target: SocketAddr) {
+        loop {
+            let accepted = tokio::select! {
+                biased;
+                () = self.wait_for(Mode::Refuse) => return,
+                accepted = listener.accept() => accepted,
+            };
+            let Ok((client, _)) = accepted else {
                 continue;
             };
-            if self.mode() != Mode::Reset {
-                tokio::spawn(self.clone().forward(client, target));
+            if self.mode() == Mode::Reset {
+                client.set_zero_linger().expect("a socket");
+                continue;
             }
+            tokio::spawn(self.clone().forward(client, target));
         }
     }
 
@@ -76,33 +106,41 @@
             return;
         };
         let _nodelay = (client.set_nodelay(true), server.set_nodelay(true));
-        let (client_read, client_write) = client.into_split();
-        let (server_read, server_write) = server.into_split();
-        let requests = self.clone().copy(client_read, server_write, false);
-        let responses = self.clone().copy(server_read, client_write, true);
-        tokio::select! {
-            () = requests => {}
-            () = responses => {}
-            () = self.wait_for_reset() => {}
+        let (mut client_read, mut client_write) = client.into_split();
+        let (mut server_read, mut server_write) = server.into_split();
+        let is_reset = tokio::select! {
+            () = self.copy(&mut client_read, &mut server_write, false) => false,
+            () = self.copy(&mut server_read, &mut client_write, true) => false,
+            () = self.refused.notified() => false,
+            () = self.wait_for(Mode::Reset) => true,
+        };
+        if is_reset {
+            client_read.as_ref().set_zero_linger().expect("a socket");
+            // The half that is dropped first would close its direction in order.
+            client_write.forget();
         }
     }
 
-    async fn wait_for_reset(&self) {
+    async fn wait_for(&self, mode: Mode) {
+        self.wait_until(|current| current == mode).await;
+    }
+
+    async fn wait_while(&self, mode: Mode) {
+        self.wait_until(|current| current != mode).await;
+    }
+
+    async fn wait_until(&self, condition: impl Fn(Mode) -> bool) {
         loop {
-            let changed = self.changed.notified();
-            if self.mode() == Mode::Reset {
+            let mut changed = std::pin::pin!(self.changed.notified());
+            changed.as_mut().enable();
+            if condition(self.mode()) {
                 return;
             }
             changed.await;
         }
     }
 
-    async fn copy(
-        self,
-        mut from: tokio::net::tcp::OwnedReadHalf,
-        mut to: tokio::net::tcp::OwnedWriteHalf,
-        is_response: bool,
-    ) {
+    async fn copy(&self, from: &mut OwnedReadHalf, to: &mut OwnedWriteHalf, is_response: bool) {
         let mut buffer = vec![0_u8; 16 << 10];
         loop {
             let Ok(read) = from.read(&mut buffer).await else {
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -4,6 +4,7 @@
 use crate::prompt_memory::{PromptMemory, Tokens};
 use crate::serve::Process;
 use bytes::Bytes;
+use hyper::Version;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -13,6 +14,8 @@
 
 const MAX_BODY_BYTES: usize = 8 << 20;
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time in which a chunk is sent; one that waits for the socket is lost when its response is aborted.
+const FLUSH_TIME: Duration = Duration::from_millis(10);
 const HANG_TIME: Duration = Duration::from_secs(3_600);
 const REQUEST_ID: &str = "x-gatespool-request-id";
 const DEADLINE_MS: &str = "x-gatespool-deadline-ms";
@@ -46,6 +49,8 @@
     pub memory_tokens: u64,
     /// Factor to the times until and between events, and to read tokens.
     pub slowness: f64,
+    /// Whether its responses have neither a length nor chunks, and end with their connection.
+    pub is_unframed: bool,
 }
 
 impl Default for Config {
@@ -61,6 +66,7 @@
             token_time: Duration::ZERO,
             memory_tokens: u64::MAX,
             slowness: 1.0,
+            is_unframed: false,
         }
     }
 }
@@ -267,6 +273,9 @@
                 http::stream(200, "text/event-stream", rx)
             }
         };
+        if self.config.is_unframed {
+            *response.version_mut() = Version::HTTP_10;
+        }
         http::set_header(&mut response, REQUEST_ID, echoed);
         http::set_header(&mut response, SERVER_STAMP, &format!("{}-{id}", self.config.id));
         response
@@ -288,6 +297,7 @@
             if is_interrupted && n >= from + 2 {
                 let half = Bytes::from(event.as_bytes()[..event.len() / 2].to_vec());
                 let _disconnected = tx.send(half).await;
+                tokio::time::sleep(FLUSH_TIME).await;
                 return;
             }
             tokio::select! {
