Judge an encoded event stream by its framing alone

Cause: the end of an event was looked for in encoded bytes.

Change: a body with a content coding is no event stream for the gateway; its framing, and the target's presence, tell its end.

--- a/crates/daemon/tests/gateway_truncation.rs
+++ b/crates/daemon/tests/gateway_truncation.rs
@@ -157,6 +157,7 @@
 #[case::split_at_the_end(UNFRAMED, &["id: 1\ndata: part-1\n", "\n"])]
 #[case::trailing_comment(UNFRAMED, &["id: 1\ndata: part-1\n\n", ": idle\n"])]
 #[case::no_events("Content-Type: application/json", &["{\"answer\": 1}"])]
+#[case::encoded("Content-Type: text/event-stream\nContent-Encoding: gzip", &["no plain text"])]
 fn whole_unframed_stream_is_passed_on(
     #[case] headers: &'static str,
     #[case] pieces: &[&str],
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -6,13 +6,16 @@
 
 use bytes::{Bytes, BytesMut};
 use hyper::HeaderMap;
-use hyper::header::CONTENT_TYPE;
+use hyper::header::{CONTENT_ENCODING, CONTENT_TYPE};
 
 const MAX_EVENT_BYTES: usize = 1 << 20;
 const CONTENT_TYPE_OF_EVENTS: &str = "text/event-stream";
 
-/// Whether headers announce events; `None` if they name no content type.
+/// Whether headers announce events as plain text; `None` if they name no content type.
 pub fn are_events(headers: &HeaderMap) -> Option<bool> {
+    if headers.get(CONTENT_ENCODING).is_some_and(|coding| coding != "identity") {
+        return Some(false);
+    }
     let content_type = headers.get(CONTENT_TYPE)?.as_bytes();
     let prefix = content_type.get(..CONTENT_TYPE_OF_EVENTS.len()).unwrap_or_default();
     Some(prefix.eq_ignore_ascii_case(CONTENT_TYPE_OF_EVENTS.as_bytes()))
