Log a buffered response that was truncated, with its fault and framing

Cause: a truncated buffered answer that was retried left no line that names its request, target and fault, so `explain` couldn't tell it from a whole one.

No other logic changes.

--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -2,6 +2,7 @@
 //! response on. Failed attempts are retried on other targets where the route allows it.
 
 mod attempt;
+mod buffered;
 
 pub use attempt::{belongs_to_request, is_not_run, rejection_outcome};
 
@@ -14,9 +15,9 @@
 use super::target_body::TargetBody;
 use super::{in_flight, residency, streaming, workload};
 use crate::clock;
-use attempt::{RetryReason, completion_outcome};
+use attempt::RetryReason;
 use coordination::hash;
-use coordination::slots::{Forecast, Grant, LeaseOutcome, Workload};
+use coordination::slots::{Forecast, Grant, Workload};
 use hyper::Response;
 use hyper::http::response::Parts;
 use platform::header;
@@ -31,8 +32,6 @@
 
 /// Number of unreachable targets after which a request is rejected.
 const MAX_UNREACHABLE_TARGETS: u32 = 3;
-/// Largest response body that is buffered before it is passed on.
-const MAX_BUFFERED_BYTES: usize = 8 << 20;
 /// Retry delay sent to the caller when none is known from an allocator.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -133,49 +132,7 @@
     if request.route.class == Class::Stream && response.body.head().status.is_success() {
         return Ok(streaming::stream(request, response, in_flight));
     }
-    respond_buffered(request, response).await
-}
-
-/// Buffers a response before passing it on, so that an interrupted one can be retried or
-/// replaced by an error.
-async fn respond_buffered(
-    mut request: ProxiedRequest,
-    response: TargetResponse,
-) -> Result<Response<Body>, Aborted> {
-    let mut response = response;
-    loop {
-        let head = forwarded_head(response.body.head());
-        let remaining = request.call.remaining(clock::now());
-        let body = response.body.read_to_end(MAX_BUFFERED_BYTES);
-        let read = tokio::time::timeout(remaining, body).await;
-        let error = match read {
-            Ok(Ok(body)) => {
-                response.lease.end(completion_outcome(head.status()));
-                request.on_end(response.body.is_framed());
-                let is_within_objective =
-                    clock::since(request.call.started) <= request.route.objective;
-                request.node.metrics.record_request(
-                    &request.route.name,
-                    is_within_objective,
-                    clock::now(),
-                );
-                return Ok(with_body(head, Body::Full(body)));
-            }
-            Ok(Err(error)) => error,
-            Err(_) => return Ok(request.fail(&ForwardError::DeadlineExceeded)),
-        };
-        request.excluded.push(response.lease.grant.target.clone());
-        request.may_have_run = true;
-        request.on_interrupted(&response.lease.grant);
-        response.lease.end(LeaseOutcome::Interrupted);
-        if !request.may_retry() {
-            return Ok(request.fail(&ForwardError::MayHaveRun(error.to_string())));
-        }
-        response = match request.forward(None).await {
-            Ok(response) => response,
-            Err(error) => return Ok(request.fail(&error)),
-        };
-    }
+    Ok(buffered::respond(request, response).await)
 }
 
 /// Head of a target's response, without hop-by-hop headers.
