State no end of a response to callers that its target doesn't state

What callers see: a target that lives on and closes an answer without a length in order between two events, as a handler that fails does, can't be told from one that has completed it. Its answer was framed as complete all the same.

Cause: the gateway put its own last chunk, or a length, on an end of which it knows only that the connection was closed.

Change: such an answer goes on as it came, with neither: in HTTP/1.0, the only form in which the HTTP library writes one, ending with the connection; broken off, as far as the gateway can tell, it is reset. Weighed against the last chunk after the check of the target's process: that keeps the caller's connection, and a missing last chunk survives what turns resets into closes on the way; but it vouches for what nobody knows. A stream that began with a stated framing and is resumed on a target that states none still gets its last chunk after the check.

Evidence: `response_without_a_stated_end_is_passed_on_without_one`, three cases, red before.

--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -18,8 +18,7 @@
 use attempt::RetryReason;
 use coordination::hash;
 use coordination::slots::{Forecast, Grant, Workload};
-use hyper::Response;
-use hyper::http::response::Parts;
+use hyper::{Response, Version};
 use platform::header;
 use platform::store::Revision;
 use protocol::routing::{Class, Route};
@@ -135,11 +134,16 @@
     Ok(buffered::respond(request, response).await)
 }
 
-/// Head of a target's response, without hop-by-hop headers.
-pub fn forwarded_head(head: &Parts) -> Response<()> {
+/// Head of the response to the caller: the target's without hop-by-hop headers. The end of a body
+/// that the target doesn't state isn't stated to the caller either, so such a response is in
+/// HTTP/1.0 and ends with its connection.
+pub fn forwarded_head(body: &TargetBody) -> Response<()> {
     let mut response = Response::new(());
-    *response.status_mut() = head.status;
-    *response.headers_mut() = header::end_to_end(&head.headers);
+    *response.status_mut() = body.head().status;
+    *response.headers_mut() = header::end_to_end(&body.head().headers);
+    if !body.is_framed() {
+        *response.version_mut() = Version::HTTP_10;
+    }
     response
 }
 
--- a/crates/daemon/src/gateway/online/buffered.rs
+++ b/crates/daemon/src/gateway/online/buffered.rs
@@ -19,7 +19,7 @@
 ) -> Response<Body> {
     let mut response = response;
     loop {
-        let head = forwarded_head(response.body.head());
+        let head = forwarded_head(&response.body);
         let remaining = request.call.remaining(clock::now());
         let body = response.body.read_to_end(MAX_BUFFERED_BYTES);
         let read = tokio::time::timeout(remaining, body).await;
@@ -34,7 +34,11 @@
                     is_within_objective,
                     clock::now(),
                 );
-                return with_body(head, Body::Full(body));
+                let is_framed = response.body.is_framed();
+                return with_body(
+                    head,
+                    if is_framed { Body::Full(body) } else { Body::Unframed(body) },
+                );
             }
             Ok(Err(truncation)) => truncation,
             Err(_) => return request.fail(&ForwardError::DeadlineExceeded),
--- a/crates/daemon/src/gateway/streaming.rs
+++ b/crates/daemon/src/gateway/streaming.rs
@@ -67,7 +67,7 @@
     response: TargetResponse,
     in_flight: in_flight::Guard,
 ) -> Response<Body> {
-    let head = forwarded_head(response.body.head());
+    let head = forwarded_head(&response.body);
     let (sender, body) = server::body_channel();
     tokio::task::spawn_local(async move {
         let mut stream = Stream {
--- a/crates/daemon/tests/gateway_truncation.rs
+++ b/crates/daemon/tests/gateway_truncation.rs
@@ -173,6 +173,20 @@
     }
 }
 
+/// The caller is told no more of the end than the gateway was.
+#[rstest]
+fn response_without_a_stated_end_is_passed_on_without_one(
+    #[values("/ask/open", "/talk/open", "/plain/open")] path: &str,
+) {
+    let target = target_with_body(UNFRAMED, &[&events(1, 6)], End::Close);
+    let stating = sound_target();
+    for (target, end) in [(target, BodyEnd::Closed), (stating, BodyEnd::Framed)] {
+        let fleet = fleet_of(&[&target]);
+        let response = call(&fleet, Version::Http11, path, "open");
+        assert_eq!((response.end, response.body), (end, events(1, 6)));
+    }
+}
+
 #[rstest]
 fn event_larger_than_a_buffer_is_passed_on(
     #[values(Version::Http10, Version::Http11)] version: Version,
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -32,6 +32,8 @@
 pub enum Body {
     /// The complete body, with a known length.
     Full(Bytes),
+    /// The complete body, whose end is told only by that of the connection.
+    Unframed(Bytes),
     /// Chunks of a streamed body; an error closes the connection.
     Stream(body::Receiver),
 }
@@ -51,8 +53,10 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
         match &mut *self {
-            Body::Full(bytes) if bytes.is_empty() => Poll::Ready(None),
-            Body::Full(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Body::Full(bytes) | Body::Unframed(bytes) => {
+                let bytes = std::mem::take(bytes);
+                Poll::Ready((!bytes.is_empty()).then(|| Ok(Frame::data(bytes))))
+            }
             Body::Stream(chunks) => {
                 let chunk = Pin::new(chunks).poll_next(cx);
                 chunk.map(|chunk| chunk.map(|result| result.map(Frame::data)))
@@ -67,7 +71,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Body::Full(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            Body::Stream(_) => SizeHint::default(),
+            Body::Unframed(_) | Body::Stream(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -1,8 +1,8 @@
 //! Sockets of callers, which are reset as long as a response is incomplete.
 //!
-//! A response of unknown length to a caller of HTTP/1.0 ends with its connection. The system
-//! closes the connections of a dropped socket or an ended process in order, so that the caller
-//! would take any part of such a response for the whole.
+//! In HTTP/1.0 a response of unknown length ends with its connection. The system closes the
+//! connections of a dropped socket or an ended process in order, so that the caller would take any
+//! part of such a response for the whole.
 
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::{Response, Version};
@@ -20,13 +20,15 @@
 pub struct OpenResponse(Arc<AtomicBool>);
 
 impl OpenResponse {
-    /// Follows the body of a response to a request of HTTP `version`.
+    /// Follows the body of a response to a request of HTTP `version`. The response is in the earlier
+    /// of this version and its own.
     pub fn track<B: Body>(
         &self,
         version: Version,
         response: Response<B>,
     ) -> Response<TrackedBody<B>> {
         let has_length = response.body().size_hint().exact().is_some();
+        let version = version.min(response.version());
         let ends_with_connection = version < Version::HTTP_11 && !has_length;
         let open = ends_with_connection.then(|| self.clone());
         self.set(ends_with_connection);
