--- a/crates/transport/src/target.rs
+++ b/crates/transport/src/target.rs
@@ -1,8 +1,11 @@
 //! HTTP client for targets: model engines and plain services.
 
+mod stream;
+
+pub use stream::{Stream, StreamItem};
+
 use crate::event::{self, EventTracker};
 use crate::partition::SimulatedPartition;
-use crate::sse::DataParser;
 use crate::upstream::{self, Framing};
 use bytes::Bytes;
 use coordination::presence::{CLOSE_WINDOW, Presence};
@@ -12,7 +15,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::{Client as Http, connect::HttpConnector};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use protocol::chat::{self, Chunk, DONE};
+use protocol::chat;
 use protocol::header;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -88,15 +91,6 @@
     pub adapters: Vec<String>,
 }
 
-/// One item of a streamed response.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum StreamItem {
-    /// Text of one token.
-    Token(String),
-    /// End of a complete response, with its finish reason.
-    End(String),
-}
-
 /// HTTP client shared by all targets.
 #[derive(Clone)]
 pub struct Client {
@@ -141,14 +135,8 @@
         let builder = builder.header("content-type", "application/json");
         let response = self.send(to, builder.body(Full::from(body)), meta.timeout).await?;
         check_status(&response)?;
-        Ok(Stream {
-            body: response.into_body(),
-            parser: DataParser::default(),
-            idle_timeout: self.idle_timeout,
-            finish_reason: None,
-            partition: self.partition.clone(),
-            from: to,
-        })
+        let partition = self.partition.clone();
+        Ok(Stream::new(response.into_body(), to, self.idle_timeout, partition))
     }
 
     /// Calls a plain service.
@@ -327,79 +315,3 @@
     let message = format!("the target responded with {status}");
     Err(AttemptError { leaving, ..AttemptError::new(failure, message) })
 }
-
-/// A streamed response.
-#[derive(Debug)]
-pub struct Stream {
-    body: Incoming,
-    parser: DataParser,
-    idle_timeout: Duration,
-    finish_reason: Option<String>,
-    partition: SimulatedPartition,
-    from: SocketAddr,
-}
-
-impl Stream {
-    /// Returns the next item. A response is complete only after a finish reason and
-    /// the terminating event; a connection that closes earlier is an error, even if
-    /// the text looks complete.
-    ///
-    /// # Errors
-    ///
-    /// The stream was interrupted.
-    pub async fn next(&mut self) -> Result<StreamItem, AttemptError> {
-        loop {
-            while let Some(data) = self.parser.next_data() {
-                if let Some(item) = self.decode(&data)? {
-                    return Ok(item);
-                }
-            }
-            if self.partition.is_unreachable(self.from, Instant::now()) {
-                return Err(AttemptError::new(
-                    Failure::Unknown,
-                    "unreachable (simulated partition)",
-                ));
-            }
-            self.read_frame().await?;
-        }
-    }
-
-    fn decode(&mut self, data: &str) -> Result<Option<StreamItem>, AttemptError> {
-        if data == DONE {
-            let finish_reason = self.finish_reason.take();
-            let finish_reason = finish_reason
-                .ok_or_else(|| AttemptError::new(Failure::Unknown, "no finish reason"))?;
-            return Ok(Some(StreamItem::End(finish_reason)));
-        }
-        let chunk: Chunk = serde_json::from_str(data)
-            .map_err(|error| AttemptError::new(Failure::Unknown, error.to_string()))?;
-        let Some(choice) = chunk.choices.into_iter().next() else {
-            return Ok(None);
-        };
-        if choice.finish_reason.is_some() {
-            self.finish_reason = choice.finish_reason;
-        }
-        Ok(choice.delta.content.filter(|text| !text.is_empty()).map(StreamItem::Token))
-    }
-
-    async fn read_frame(&mut self) -> Result<(), AttemptError> {
-        let frame = tokio::time::timeout(self.idle_timeout, self.body.frame()).await;
-        let frame = frame.map_err(|_| {
-            AttemptError::new(Failure::Unknown, format!("no data for {:?}", self.idle_timeout))
-        })?;
-        let Some(frame) = frame else {
-            return Err(AttemptError::new(
-                Failure::Unknown,
-                "the stream ended before its last event",
-            ));
-        };
-        let frame =
-            frame.map_err(|error| AttemptError::new(Failure::Unknown, error.to_string()))?;
-        let is_within_limit = frame.data_ref().is_none_or(|bytes| self.parser.push(bytes));
-        if is_within_limit {
-            Ok(())
-        } else {
-            Err(AttemptError::new(Failure::Unknown, "an event is too long"))
-        }
-    }
-}
