Count work in flight without the node

Cause: the gateway's circle of files was to grow by none, and the module of buffered responses joined it.

Change: `in_flight::Counter` holds the count; its guards no longer hold the node, so that module leaves the circle. A function of buffered responses is shorter.

--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -2,7 +2,7 @@
 //! requests, batch submissions and job calls.
 
 use super::node::{Config, Node};
-use super::{access, in_flight, jobs, online, submit};
+use super::{access, jobs, online, submit};
 use crate::clock;
 use bytes::Bytes;
 use coordination::hash;
@@ -118,7 +118,7 @@
                 let is_public = access::has_public_jobs(&config.table, &host);
                 match access::authenticate(&config.table, is_public, &parts.headers) {
                     Ok(workspace) => {
-                        let _in_flight = in_flight::Guard::new(node);
+                        let _in_flight = node.in_flight.start();
                         Ok(jobs::call(node, call, &parts.headers, workspace.as_deref()).await)
                     }
                     Err(access::Unauthorized) => Ok(unauthorized(node, &id, &config)),
--- a/crates/daemon/src/gateway/handoff.rs
+++ b/crates/daemon/src/gateway/handoff.rs
@@ -2,7 +2,6 @@
 //!
 //! What a holder knows and has not written would be lost with it, and its items would run again.
 
-use super::in_flight;
 use super::job_table::HeldJob;
 use super::job_writer;
 use super::message::{PeerReply, PeerRequest};
@@ -43,7 +42,7 @@
 /// Hands off some held jobs, including partial output of their runs. Retries until all are
 /// taken over or no instance is left that could.
 pub async fn hand_off_held(node: &Rc<Node>, jobs: Vec<Rc<HeldJob>>) {
-    let _in_flight = in_flight::Guard::new(node);
+    let _in_flight = node.in_flight.start();
     let mut remaining = release_all(node, jobs).await;
     // During a network partition no other instance can be reached, and none may know the jobs
     // that were accepted since it began. The time limit of the shutdown ends this loop.
@@ -131,7 +130,7 @@
 /// Hands a job off, retrying until an instance takes it over or none is left that could. The
 /// time limit of the shutdown ends the retries.
 pub async fn hand_off_with_retry(node: &Rc<Node>, id: &str, handoff: &Handoff) {
-    let _in_flight = in_flight::Guard::new(node);
+    let _in_flight = node.in_flight.start();
     while !hand_off(node, id, handoff).await {
         if node.members.borrow().is_fleet_leaving() {
             slog::warn!(node.log, "job left to the next scan"; "job" => id);
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -4,6 +4,7 @@
 
 use super::broadcast::Outbox;
 use super::crash::CrashChecks;
+use super::in_flight;
 use super::job_table::JobTable;
 use super::leases::Leases;
 use super::message::{Connectivity, StateDigest, Uptime};
@@ -136,8 +137,8 @@
     /// Data centres that have had a reachable member; `Some` is the time since which they have
     /// none.
     unreachable_since: RefCell<HashMap<DataCentreId, Option<Instant>>>,
-    /// Number of calls and tasks that a stop waits for; see [`in_flight`].
-    pub in_flight: Cell<usize>,
+    /// Calls and tasks that a stop waits for.
+    pub in_flight: in_flight::Counter,
     /// Cancelled when a stop is requested.
     pub stopping: CancellationToken,
 }
@@ -193,7 +194,7 @@
             unreachable_since: RefCell::default(),
             metrics: Metrics::default(),
             started: now,
-            in_flight: Cell::new(0),
+            in_flight: in_flight::Counter::default(),
             stopping: CancellationToken::new(),
             peers,
             settings,
--- a/crates/daemon/src/gateway/node/calls.rs
+++ b/crates/daemon/src/gateway/node/calls.rs
@@ -2,7 +2,6 @@
 
 use super::Node;
 use crate::clock;
-use crate::gateway::in_flight;
 use crate::gateway::message::{PeerReply, PeerRequest, decode, encode};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -72,7 +71,7 @@
         to: impl Fn() -> SocketAddr,
         request: &PeerRequest,
     ) -> bool {
-        let _in_flight = in_flight::Guard::new(self);
+        let _in_flight = self.in_flight.start();
         let until = clock::now() + DELIVERY_TIMEOUT;
         while clock::now() < until {
             let reply = self.request(to(), request, DELIVERY_ATTEMPT_TIMEOUT).await;
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -93,7 +93,7 @@
     route: Rc<Route>,
     call: Rc<CallerRequest>,
 ) -> Result<Response<Body>, Aborted> {
-    let in_flight = in_flight::Guard::new(node);
+    let in_flight = node.in_flight.start();
     let random = hash::bytes(call.id.as_bytes());
     let Some(service) = route.service(random).cloned() else {
         let error = Error::new(Kind::NoTarget, "the route has no service");
--- a/crates/daemon/src/gateway/online/buffered.rs
+++ b/crates/daemon/src/gateway/online/buffered.rs
@@ -27,18 +27,10 @@
             Ok(Ok(body)) => {
                 response.lease.end(completion_outcome(head.status()));
                 request.on_end(response.body.is_framed());
-                let is_within_objective =
-                    clock::since(request.call.started) <= request.route.objective;
-                request.node.metrics.record_request(
-                    &request.route.name,
-                    is_within_objective,
-                    clock::now(),
-                );
+                request.record_buffered();
                 let is_framed = response.body.is_framed();
-                return with_body(
-                    head,
-                    if is_framed { Body::Full(body) } else { Body::Unframed(body) },
-                );
+                let body = if is_framed { Body::Full(body) } else { Body::Unframed(body) };
+                return with_body(head, body);
             }
             Ok(Err(truncation)) => truncation,
             Err(_) => return request.fail(&ForwardError::DeadlineExceeded),
@@ -61,3 +53,11 @@
         };
     }
 }
+
+impl ProxiedRequest {
+    /// Records whether a response that is complete by now meets the objective of its route.
+    fn record_buffered(&self) {
+        let is_within_objective = clock::since(self.call.started) <= self.route.objective;
+        self.node.metrics.record_request(&self.route.name, is_within_objective, clock::now());
+    }
+}
--- a/crates/daemon/src/gateway/submit.rs
+++ b/crates/daemon/src/gateway/submit.rs
@@ -6,7 +6,7 @@
 use super::job_store::{self, StoredJob};
 use super::message::{PeerReply, PeerRequest, SubmitOutcome};
 use super::node::{Node, unix_millis};
-use super::{access, handoff, in_flight, job_table, platform_health, residency, takeover};
+use super::{access, handoff, job_table, platform_health, residency, takeover};
 use crate::clock;
 use bytes::Bytes;
 use coordination::membership::Member;
@@ -41,7 +41,7 @@
 
 /// Serves a submission. A stop waits for it, and hands off the job that it accepts.
 pub async fn submit(node: &Rc<Node>, route: &Route, call: &CallerRequest) -> Response<Body> {
-    let _in_flight = in_flight::Guard::new(node);
+    let _in_flight = node.in_flight.start();
     let until = call.started + call.remaining(call.started).mul_f64(CONFIRM_TIME_RATIO);
     let mut outcome = accept(node, route, call, until).await;
     if outcome == SubmitOutcome::Rejected && !node.is_stopping() || node.store.last_call_failed() {
@@ -99,7 +99,7 @@
     };
     let is_anonymous = workspace.is_none();
     let workspace = workspace.map(|name| Rc::new(Workspace { name, ..Workspace::default() }));
-    let _in_flight = in_flight::Guard::new(node);
+    let _in_flight = node.in_flight.start();
     let now = clock::now();
     let call = CallerRequest {
         id: job,
@@ -290,7 +290,7 @@
 /// Guards against a job that has no results because its holder couldn't read it at that moment;
 /// with a platform that was three hundred times slower, one had none for 41 s.
 async fn notify_holder(node: Rc<Node>, id: JobId) {
-    let _in_flight = in_flight::Guard::new(&node);
+    let _in_flight = node.in_flight.start();
     while let Err(error) = try_notify_holder(&node, &id).await {
         slog::info!(node.log, "holder not notified of its job"; "job" => &id, "fault" => error,
             "again" => !node.is_stopping());
--- a/crates/daemon/src/gateway/takeover.rs
+++ b/crates/daemon/src/gateway/takeover.rs
@@ -6,7 +6,6 @@
 
 use super::call_reason::CallReason;
 use super::handoff;
-use super::in_flight;
 use super::job_store::{self, LoadError, StoredJob};
 use super::job_table::{self, HeldJob};
 use super::job_writer;
@@ -153,7 +152,7 @@
         slog::info!(node.log, "takeover declined"; "job" => id);
         return PeerReply::Stopping;
     }
-    let in_flight = in_flight::Guard::new(node);
+    let in_flight = node.in_flight.start();
     let node = node.clone();
     spawn_local(async move {
         take_over_with_retry(&node, &id, handoff).await;
