Keep the software version of targets, and log it with each stream

Cause: no line tells the incident's hypotheses apart: none names the version of a target, none says that a request takes a stream up. The registry's `version` was checked for its type and dropped.

Change: `routing::Target::software`, from the entry to every instance; a target that an earlier build told of lacks it, which shows in the digest, so the entry is fetched again from an instance that knows it. No logic: nothing is decided by it yet. Stand-in runners have a version that each event names as its type.

--- a/crates/coordination/src/registry.rs
+++ b/crates/coordination/src/registry.rs
@@ -26,6 +26,16 @@
     missing_until: Option<Instant>,
 }
 
+impl Entry {
+    /// Whether `target` is the same entry without its software version, from an earlier build.
+    fn lacks_only_software(&self, target: &Target) -> bool {
+        let software = &self.target.software;
+        software.is_some()
+            && target.software.is_none()
+            && Target { software: software.clone(), ..target.clone() } == self.target
+    }
+}
+
 /// A change that instances exchange.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Change {
@@ -86,6 +96,13 @@
     hash::weight(id.as_bytes(), revision << 1 | u64::from(is_present))
 }
 
+/// Hash of a target. It differs if the software version is missing, so that an instance which
+/// learned of the target from an earlier build fetches it again.
+fn digest_of_target(target: &Target) -> u64 {
+    let digest = digest_of(&target.id, target.revision, true);
+    if target.software.is_some() { digest } else { !digest }
+}
+
 impl Registry {
     /// Incremented whenever a target changes.
     pub fn version(&self) -> u64 {
@@ -221,7 +238,7 @@
     /// A target's part of its bucket's digest.
     fn contribution(&self, id: &str) -> u64 {
         let entry = self.entries.get(id);
-        let present = entry.map_or(0, |entry| digest_of(id, entry.target.revision, true));
+        let present = entry.map_or(0, |entry| digest_of_target(&entry.target));
         let removal = self.removed.get(id).map_or(0, |revision| digest_of(id, *revision, false));
         present.wrapping_add(removal)
     }
@@ -259,6 +276,10 @@
         match self.entries.get_mut(&target.id) {
             Some(entry) if entry.target.revision > target.revision => false,
             Some(entry) if entry.target == target && entry.missing_until.is_none() => false,
+            Some(entry) if entry.lacks_only_software(&target) => {
+                entry.missing_until = None;
+                false
+            }
             _ => {
                 self.removed.remove(&target.id);
                 self.entries.insert(target.id.clone(), Entry { target, missing_until: None });
--- a/crates/coordination/tests/common/mod.rs
+++ b/crates/coordination/tests/common/mod.rs
@@ -15,6 +15,7 @@
         leaving: false,
         revision: 1,
         cold_left_ms: 0,
+        software: None,
     };
     (0..count).map(target).collect()
 }
--- a/crates/coordination/tests/evacuation.rs
+++ b/crates/coordination/tests/evacuation.rs
@@ -109,6 +109,7 @@
         leaving: false,
         revision: 1,
         cold_left_ms: 0,
+        software: None,
     }
 }
 
--- a/crates/coordination/tests/registry.rs
+++ b/crates/coordination/tests/registry.rs
@@ -17,6 +17,7 @@
         leaving,
         revision,
         cold_left_ms: 0,
+        software: None,
     }
 }
 
--- a/crates/coordination/tests/slots/main.rs
+++ b/crates/coordination/tests/slots/main.rs
@@ -28,6 +28,7 @@
         leaving: false,
         revision: 1,
         cold_left_ms: 0,
+        software: None,
     }
 }
 
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -63,6 +63,12 @@
         self.workspace.as_ref().map(|workspace| workspace.name.as_str())
     }
 
+    /// The attempt that brought the first event, if the request takes a stream up again and names
+    /// it.
+    pub fn resumes(&self) -> Option<&str> {
+        Some(header::text(&self.headers, header::RESUMES)).filter(|attempt| !attempt.is_empty())
+    }
+
     /// Time until the deadline; zero afterwards.
     pub fn remaining(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/crates/daemon/src/gateway/leases/lease.rs
+++ b/crates/daemon/src/gateway/leases/lease.rs
@@ -7,7 +7,7 @@
 use coordination::slots::rate::MAX_GRANT_AGE;
 use coordination::slots::{Grant, HeldLease, LeaseOutcome, LeaseReport, Purpose};
 use platform::store::Revision;
-use protocol::TargetId;
+use protocol::{SoftwareVersion, TargetId};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -40,6 +40,8 @@
     pub report: LeaseReport,
     /// Revision of the registry at this instance when the lease was granted.
     pub registry: Revision,
+    /// Software version of the target according to the registry then; `None` if unknown.
+    pub software: Option<SoftwareVersion>,
     /// When the request was sent; `None` before.
     pub sent_at: Option<Instant>,
     granted_at: Instant,
@@ -116,7 +118,11 @@
     node.leases.active.borrow_mut().insert(grant.lease, lease);
     // A lease that is dropped without an outcome counts as unused.
     let report = LeaseReport { outcome: LeaseOutcome::Unused, ..LeaseReport::default() };
-    let registry = node.registry.borrow().revision();
+    let (registry, software) = {
+        let registry = node.registry.borrow();
+        let target = registry.get(&grant.target);
+        (registry.revision(), target.and_then(|target| target.software.clone()))
+    };
     let earliest_grant = requested_at + Duration::from_millis(grant.queued_ms);
     let granted_at = clock::now();
     if let Some(forecast) = &grant.forecast {
@@ -128,6 +134,7 @@
         stop,
         report,
         registry,
+        software,
         sent_at: None,
         granted_at,
         earliest_grant,
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -322,6 +322,7 @@
             self.node.metrics.record_request(&self.route.name, false, clock::now());
         }
         slog::info!(self.node.log, "request failed"; "request" => &call.id, "cause" => cause,
+            "resumes" => call.resumes(),
             "workspace" => call.workspace_name(),
             "content" => hex(call.fingerprint()),
             "status" => status, "route" => &self.route.name, "service" => &self.service,
--- a/crates/daemon/src/gateway/streaming.rs
+++ b/crates/daemon/src/gateway/streaming.rs
@@ -12,7 +12,7 @@
 use bytes::{Bytes, BytesMut};
 use coordination::slots::LeaseOutcome;
 use hyper::Response;
-use protocol::TargetId;
+use protocol::{SoftwareVersion, TargetId};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use transport::body;
@@ -73,6 +73,7 @@
         let mut stream = Stream {
             request,
             target: response.lease.grant.target.clone(),
+            software: response.lease.software.clone(),
             last_event: None,
             sender,
             stats: EventStats::default(),
@@ -96,6 +97,8 @@
     request: ProxiedRequest,
     /// The last target.
     target: TargetId,
+    /// Its software version.
+    software: Option<SoftwareVersion>,
     last_event: Option<u64>,
     sender: body::Sender,
     stats: EventStats,
@@ -137,6 +140,7 @@
         let mut response = response;
         loop {
             self.target.clone_from(&response.lease.grant.target);
+            self.software.clone_from(&response.lease.software);
             let error = match self.forward_response(response).await {
                 StreamEnd::Completed => return Ok(()),
                 StreamEnd::CallerGone => return Err(Incomplete::CallerGone),
@@ -150,7 +154,8 @@
             }
             slog::info!(self.request.node.log, "resuming interrupted stream";
                 "request" => &self.call().id, "content" => hex(self.call().fingerprint()),
-                "target" => &self.target, "fault" => &error, "after" => self.last_event,
+                "target" => &self.target, "software" => &self.software, "fault" => &error,
+                "after" => self.last_event,
                 "sent" => self.request.attempts);
             response = self.resume().await?;
         }
@@ -334,6 +339,7 @@
         let is_good = error.is_empty() && is_in_time && self.stats.slowest <= route.max_event_gap;
         node.metrics.record_request(&route.name, is_good, clock::now());
         slog::info!(node.log, "{}", event; "request" => &call.id, "target" => &self.target,
+            "software" => &self.software, "resumes" => call.resumes(),
             "content" => hex(call.fingerprint()),
             "workspace" => call.workspace_name(),
             "route" => &self.request.route.name, "config" => self.request.version,
--- a/crates/daemon/src/gateway/target_page.rs
+++ b/crates/daemon/src/gateway/target_page.rs
@@ -1,11 +1,12 @@
 //! Compact form of registry entries, for instances that fetch many of them.
 //!
-//! A page holds each name of a service or data centre once, and its fields have names of one letter.
+//! A page holds each name of a service, data centre or software version once, and its fields have
+//! names of one letter.
 //! An entry therefore takes half of the bytes of a [`Change`].
 
 use coordination::registry::{Change, Page};
 use protocol::routing::Target;
-use protocol::{DataCentreId, Millis, ServiceId, TargetId};
+use protocol::{DataCentreId, Millis, ServiceId, SoftwareVersion, TargetId};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -15,6 +16,9 @@
 pub struct TargetPage {
     services: Vec<ServiceId>,
     data_centres: Vec<DataCentreId>,
+    /// Empty from an earlier build.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    software: Vec<SoftwareVersion>,
     targets: Vec<Entry>,
     removed: Vec<Removal>,
     /// From where the next page continues, a bucket or a revision; `None` after the last one.
@@ -23,7 +27,7 @@
     pub complete_through: u64,
 }
 
-/// A target; its service and data centre are indexes into the page's lists.
+/// A target; its service, data centre and software version are indexes into the page's lists.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Entry {
     #[serde(rename = "i")]
@@ -44,6 +48,8 @@
     revision: u64,
     #[serde(rename = "c", default, skip_serializing_if = "is_zero")]
     cold_left_ms: Millis,
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    software: Option<usize>,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -82,6 +88,7 @@
     /// The page of an instance that knows all changes up to `complete_through`.
     pub fn new(page: Page, complete_through: u64) -> TargetPage {
         let (mut services, mut data_centres) = (Names::default(), Names::default());
+        let mut software = Names::default();
         let mut packed = TargetPage { next: page.next, complete_through, ..TargetPage::default() };
         for change in page.changes {
             match change {
@@ -95,16 +102,22 @@
                     leaving: target.leaving,
                     revision: target.revision,
                     cold_left_ms: target.cold_left_ms,
+                    software: target.software.map(|version| software.index(version)),
                 }),
                 Change::Gone { id, revision } => packed.removed.push(Removal { id, revision }),
             }
         }
-        TargetPage { services: services.list, data_centres: data_centres.list, ..packed }
+        TargetPage {
+            services: services.list,
+            data_centres: data_centres.list,
+            software: software.list,
+            ..packed
+        }
     }
 
     /// The changes of the page, without entries that name no service or data centre of it.
     pub fn into_changes(self) -> Vec<Change> {
-        let TargetPage { services, data_centres, targets, removed, .. } = self;
+        let TargetPage { services, data_centres, software, targets, removed, .. } = self;
         let unpack = |entry: Entry| {
             Some(Change::Present(Target {
                 id: entry.id,
@@ -116,6 +129,7 @@
                 leaving: entry.leaving,
                 revision: entry.revision,
                 cold_left_ms: entry.cold_left_ms,
+                software: entry.software.and_then(|index| software.get(index).cloned()),
             }))
         };
         let removal = |Removal { id, revision }| Change::Gone { id, revision };
--- a/crates/daemon/tests/util/gateway.rs
+++ b/crates/daemon/tests/util/gateway.rs
@@ -351,7 +351,18 @@
     pub fn touch_runner_entry(&self, n: usize) {
         let (data_centre, config) = &self.plan.runners[n];
         let mut entry = runner_entry(self.runner_addresses[n], data_centre, config, "ready");
-        entry["version"] = json!("v2");
+        entry["seq"] = json!(2);
+        self.objects.put("servers", &config.id, entry);
+    }
+
+    /// Rewrites the entry of a runner with this software version; null leaves the field out.
+    pub fn set_software(&self, n: usize, version: Value) {
+        let (data_centre, config) = &self.plan.runners[n];
+        let mut entry = runner_entry(self.runner_addresses[n], data_centre, config, "ready");
+        entry["version"] = version;
+        if let Some(fields) = entry.as_object_mut() {
+            fields.retain(|_, value| !value.is_null());
+        }
         self.objects.put("servers", &config.id, entry);
     }
 
@@ -408,8 +419,8 @@
     state: &str,
 ) -> Value {
     json!({
-        "service": "llm", "addr": address.to_string(), "zone": data_centre, "version": "v1",
-        "slots": config.slots, "state": state, "cold_left_ms": 0, "seq": 1,
+        "service": "llm", "addr": address.to_string(), "zone": data_centre,
+        "version": config.software, "slots": config.slots, "state": state, "cold_left_ms": 0, "seq": 1,
     })
 }
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -37,6 +37,10 @@
 pub type DataCentreId = String;
 /// Name of a region, which has several data centres.
 pub type RegionId = String;
+/// Version of a target's software, not of the weights that it has loaded. Versions have no order.
+pub type SoftwareVersion = String;
+/// Id of one attempt of a caller at a request; each attempt has its own.
+pub type AttemptId = String;
 /// Name of a workspace in the configuration.
 pub type WorkspaceId = String;
 /// Hash of a request's method, host, path and body; the same for every caller and retry.
--- a/crates/protocol/src/routing.rs
+++ b/crates/protocol/src/routing.rs
@@ -13,7 +13,7 @@
 //! ```
 
 use crate::workspace::Directory;
-use crate::{DataCentreId, Millis, RegionId, ServiceId, TargetId};
+use crate::{DataCentreId, Millis, RegionId, ServiceId, SoftwareVersion, TargetId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -273,6 +273,10 @@
     /// Milliseconds for which it was still cold when it wrote its entry; 0 if it was warm.
     #[serde(default, skip_serializing_if = "is_zero", rename = "cold_ms")]
     pub cold_left_ms: Millis,
+    /// Version of the software that it runs; `None` if its entry states none, or from an earlier
+    /// build.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
 }
 
 fn is_zero(value: &Millis) -> bool {
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -31,6 +31,8 @@
 pub struct Config {
     /// Target name.
     pub id: String,
+    /// Version of its software, which each of its events names as its type.
+    pub software: String,
     /// Maximum number of concurrent requests.
     pub slots: usize,
     /// Maximum number of waiting requests; more are rejected.
@@ -57,6 +59,7 @@
     fn default() -> Config {
         Config {
             id: String::from("runner"),
+            software: String::from("v1"),
             slots: 4,
             queue_size: 12,
             first_event_delay: Duration::from_millis(10),
@@ -97,6 +100,8 @@
     pub authorization: String,
     /// Event after which it resumed; `None` for a new stream.
     pub last_event_id: Option<u64>,
+    /// Version of the runner's software.
+    pub software: String,
     /// Remaining time, as the sender stated it.
     pub remaining: Option<Duration>,
     /// Arrival, when it was queued.
@@ -231,6 +236,7 @@
                 workspace: head.header(WORKSPACE).to_owned(),
                 authorization: head.header("authorization").to_owned(),
                 last_event_id,
+                software: self.config.software.clone(),
                 remaining,
                 arrived,
                 started,
@@ -293,7 +299,8 @@
         let event_count = self.lock().event_count.unwrap_or(self.config.event_count);
         let event_interval = self.config.event_interval.mul_f64(self.config.slowness);
         for n in from..=event_count {
-            let event = format!("id: {n}\ndata: {id}-{n}\n\n");
+            let software = &self.config.software;
+            let event = format!("id: {n}\nevent: {software}\ndata: {id}-{n}\n\n");
             if is_interrupted && n >= from + 2 {
                 let half = Bytes::from(event.as_bytes()[..event.len() / 2].to_vec());
                 let _disconnected = tx.send(half).await;
