Resume a broken stream only at the software version that began it

What callers saw: one answer with events of two versions, after its target had broken it off (the users' record: v1.2, then v1.1).

Cause: a stream that is resumed within its answer asked for any target of its service but the excluded ones. Nothing knew versions.

Change: `ProxiedRequest::origin` holds what began the stream, service and version of the run, from its first event on. The version is that of the entry when the slot was granted; it is unknown if the entry states another one at the first event or at the break, as either process may have run it. Slot requests name the version; an allocator grants, counts and queues by it (`competes_with`: a request that waits for its version delays none that may go elsewhere); the sender checks the grant by its own registry, as an allocator of an earlier build ignores the field. No target of the version left: the answer is cut at once. Where no target of a service states a version, streams go on anywhere as before.

--- /dev/null
+++ b/crates/coordination/src/continuation.rs
@@ -0,0 +1,61 @@
+//! Where a stream that has begun may go on.
+//!
+//! Targets of several software versions may serve side by side, and what two versions generate
+//! doesn't fit together. A stream whose version is unknown goes on only where no target of its
+//! service states a version.
+//!
+//! ```
+//! use coordination::continuation::{Continuation, of_stream};
+//! use coordination::registry::Registry;
+//! use protocol::routing::Origin;
+//!
+//! let origin = Origin { service: "llm".into(), software: Some("v1".into()) };
+//! let continuation = of_stream(&origin, &Registry::default());
+//! assert_eq!(continuation, Continuation::AtVersion("v1".into()));
+//! ```
+
+use crate::registry::Registry;
+use protocol::SoftwareVersion;
+use protocol::routing::{Origin, Target};
+
+/// Where a stream may go on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Continuation {
+    /// At any target of its service.
+    Anywhere,
+    /// At the targets of a software version.
+    AtVersion(SoftwareVersion),
+    /// Nowhere, as it isn't known which version began it.
+    Nowhere,
+}
+
+impl Continuation {
+    /// Whether the stream may go on at a target of its service.
+    pub fn allows(&self, software: Option<&str>) -> bool {
+        match self {
+            Continuation::Anywhere => true,
+            Continuation::AtVersion(version) => software == Some(version),
+            Continuation::Nowhere => false,
+        }
+    }
+}
+
+/// Where a stream may go on by what is known of its beginning and of the targets.
+pub fn of_stream(origin: &Origin, registry: &Registry) -> Continuation {
+    match &origin.software {
+        Some(version) => Continuation::AtVersion(version.clone()),
+        None if registry.states_software(&origin.service) => Continuation::Nowhere,
+        None => Continuation::Anywhere,
+    }
+}
+
+/// Version of a run on `target`, which stated `at_grant` when the run was granted. `None` if it
+/// states another version now: the process that runs may be of either. A target that is gone can't
+/// have started again.
+pub fn version_of_run(
+    at_grant: Option<&SoftwareVersion>,
+    target: Option<&Target>,
+) -> Option<SoftwareVersion> {
+    let is_unchanged = target.is_none_or(|target| target.software.as_ref() == at_grant);
+    at_grant.filter(|_| is_unchanged).cloned()
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod burn_rate;
 pub mod capacity;
 pub mod connectivity;
+pub mod continuation;
 pub mod drain;
 pub mod ejection;
 pub mod evacuation;
--- a/crates/coordination/src/registry.rs
+++ b/crates/coordination/src/registry.rs
@@ -134,6 +134,12 @@
         self.entries.values().map(|entry| &entry.target).filter(|target| !target.leaving)
     }
 
+    /// Whether any target of a service states its software version.
+    pub fn states_software(&self, service: &str) -> bool {
+        let mut targets = self.entries.values().map(|entry| &entry.target);
+        targets.any(|target| target.service == service && target.software.is_some())
+    }
+
     /// Whether a target is known to be leaving, evacuated or removed; `false` if it is unknown.
     pub fn is_unusable(&self, id: &str) -> bool {
         let Some(entry) = self.entries.get(id) else {
--- a/crates/coordination/src/slots/holders.rs
+++ b/crates/coordination/src/slots/holders.rs
@@ -89,6 +89,7 @@
                 expires: now,
                 total_slots: 0,
                 excluded: Vec::new(),
+                software: None,
                 may_wait: false,
                 workload: Workload::default(),
             };
--- a/crates/coordination/src/slots/lease.rs
+++ b/crates/coordination/src/slots/lease.rs
@@ -6,7 +6,7 @@
 use crate::run_time::Sample;
 use crate::{InstanceId, TargetId};
 use protocol::settings::BatchOrder;
-use protocol::{DataCentreId, Millis, WorkspaceId};
+use protocol::{DataCentreId, Millis, SoftwareVersion, WorkspaceId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -197,6 +197,9 @@
     pub total_slots: u32,
     /// Targets that must not be used.
     pub excluded: Vec<TargetId>,
+    /// Version of the only software that may be used, by which a stream was begun; `None` if any
+    /// may.
+    pub software: Option<SoftwareVersion>,
     /// Whether the request may be queued.
     pub may_wait: bool,
     /// What is known of the work.
@@ -236,9 +239,16 @@
         self.workload.workspace.as_ref().map(|workspace| &workspace.name)
     }
 
-    /// Whether both requests compete for the same slots.
+    /// Whether targets of a software version may be used; `None` for an unknown version.
+    pub fn allows_software(&self, software: Option<&str>) -> bool {
+        self.software.is_none() || self.software.as_deref() == software
+    }
+
+    /// Whether this request may use every slot that `other` may.
     pub(super) fn competes_with(&self, other: &Request) -> bool {
-        self.service == other.service && self.data_centre == other.data_centre
+        self.service == other.service
+            && self.data_centre == other.data_centre
+            && (self.software.is_none() || self.software == other.software)
     }
 
     /// Whether `other`, of lower priority, can't be granted a slot either if there was none for
--- a/crates/coordination/src/slots/target_state.rs
+++ b/crates/coordination/src/slots/target_state.rs
@@ -127,10 +127,14 @@
         self.used() >= self.target.slots
     }
 
-    /// Whether the target serves the request's service and data centre, and isn't leaving.
+    /// Whether the target serves the request's service and data centre by software that may be
+    /// used, and isn't leaving.
     pub(super) fn serves(&self, request: &Request) -> bool {
-        let Target { service, data_centre, leaving, .. } = &self.target;
-        *service == request.service && *data_centre == request.data_centre && !leaving
+        let Target { service, data_centre, leaving, software, .. } = &self.target;
+        *service == request.service
+            && *data_centre == request.data_centre
+            && !leaving
+            && request.allows_software(software.as_deref())
     }
 
     /// Rank for a request; `None` if the target can't be used.
--- a/crates/coordination/src/slots/waiters.rs
+++ b/crates/coordination/src/slots/waiters.rs
@@ -84,12 +84,13 @@
     pub fn take_unserviceable(&mut self, now: Instant) -> Vec<(WaiterId, Duration)> {
         self.drop_unresponsive(now);
         let mut rejected = Vec::new();
-        let mut ahead: HashMap<(&str, &str), usize> = HashMap::new();
+        let mut ahead: HashMap<(&str, &str, Option<&str>), usize> = HashMap::new();
         for id in self.online_by_priority(now) {
             let Some(request) = self.waiters.get(&id).map(|waiter| &waiter.request) else {
                 continue;
             };
-            let ahead = ahead.entry((&request.service, &request.data_centre)).or_default();
+            let slots = (&*request.service, &*request.data_centre, request.software.as_deref());
+            let ahead = ahead.entry(slots).or_default();
             let wait = self.expected_wait(request, *ahead, now);
             if now + wait > request.expires {
                 rejected.push((id, wait.clamp(RETRY_AFTER[0], RETRY_AFTER[1])));
--- a/crates/coordination/tests/fair_share.rs
+++ b/crates/coordination/tests/fair_share.rs
@@ -50,6 +50,7 @@
         expires: now + CALLER_TIMEOUT,
         total_slots: 0,
         excluded: Vec::new(),
+        software: None,
         may_wait: true,
         workload: Workload { workspace: Some(weight), tokens: 200, ..Workload::default() },
     }
--- a/crates/coordination/tests/overload.rs
+++ b/crates/coordination/tests/overload.rs
@@ -74,6 +74,7 @@
             expires: now + CALLER_TIMEOUT,
             total_slots: 0,
             excluded: Vec::new(),
+            software: None,
             may_wait: true,
             workload: Workload::default(),
         };
--- a/crates/coordination/tests/shortage.rs
+++ b/crates/coordination/tests/shortage.rs
@@ -169,6 +169,7 @@
             expires: now + Duration::from_secs(2),
             total_slots: 0,
             excluded: Vec::new(),
+            software: None,
             may_wait: true,
             workload: Workload::default(),
         }
--- a/crates/coordination/tests/slots/main.rs
+++ b/crates/coordination/tests/slots/main.rs
@@ -6,6 +6,7 @@
 mod order;
 mod prompts;
 mod rate;
+mod software;
 mod speeds;
 mod summary;
 mod waits;
@@ -55,6 +56,7 @@
         expires: now + MS * 2_000,
         total_slots: 0,
         excluded: Vec::new(),
+        software: None,
         may_wait: false,
         workload: Workload::default(),
     }
--- a/crates/daemon/src/gateway/allocator.rs
+++ b/crates/daemon/src/gateway/allocator.rs
@@ -75,6 +75,7 @@
         expires: after(request.expires_ms),
         total_slots: request.total_slots,
         excluded: request.excluded.clone(),
+        software: request.software.clone(),
         may_wait,
         workload: request.workload.clone(),
     };
--- a/crates/daemon/src/gateway/leases.rs
+++ b/crates/daemon/src/gateway/leases.rs
@@ -25,7 +25,8 @@
 };
 use coordination::{capacity, hash};
 use lease::{ActiveLease, Grantor, activate};
-use protocol::{DataCentreId, InstanceId, TargetId};
+use protocol::routing::Target;
+use protocol::{DataCentreId, InstanceId, SoftwareVersion, TargetId};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
@@ -52,6 +53,8 @@
     pub expires: Instant,
     /// Targets that must not be granted.
     pub excluded: Vec<String>,
+    /// Software version of the targets that qualify; `None` for any.
+    pub software: Option<SoftwareVersion>,
     /// Regions in which the request may be served.
     pub residency: Residency,
     /// What is known of the request.
@@ -65,12 +68,25 @@
     Full(Duration),
     /// No usable target of the service is known.
     NoTarget,
+    /// No target of the software version that began the stream is left.
+    NoTargetOfVersion,
+    /// Which version began the stream is unknown.
+    UnknownVersion,
     /// The request has crashed targets and is quarantined for this much longer.
     Quarantined(Duration),
     /// The request exceeds the quota of its workspace; its turn is after this delay.
     OverQuota(Duration),
 }
 
+impl SlotQuery {
+    /// Whether a target qualifies, wherever it is.
+    fn admits(&self, target: &Target) -> bool {
+        target.service == self.service
+            && (self.software.is_none() || self.software == target.software)
+            && !self.excluded.contains(&target.id)
+    }
+}
+
 /// Leases held by this instance, and the slot allocators that it owns.
 pub struct Leases {
     pub(super) allocator: RefCell<Allocator>,
@@ -181,9 +197,14 @@
 /// differs between instances to spread their load. Recently unreachable data centres are
 /// left out unless there are no others.
 pub fn data_centres(node: &Node, service: &str) -> Vec<DataCentreId> {
+    data_centres_of(node, |target| target.service == service)
+}
+
+/// As [`data_centres`], for the targets that `fits` selects.
+fn data_centres_of(node: &Node, fits: impl Fn(&Target) -> bool) -> Vec<DataCentreId> {
     let registry = node.registry.borrow();
-    let of_service = registry.usable().filter(|target| target.service == service);
-    let names: BTreeSet<&DataCentreId> = of_service.map(|target| &target.data_centre).collect();
+    let selected = registry.usable().filter(|target| fits(target));
+    let names: BTreeSet<&DataCentreId> = selected.map(|target| &target.data_centre).collect();
     let mut names: Vec<DataCentreId> = names.into_iter().cloned().collect();
     let now = clock::now();
     if names.iter().any(|name| !node.is_recently_unreachable(name, now)) {
@@ -229,10 +250,14 @@
 }
 
 async fn acquire_once(node: &Rc<Node>, query: &SlotQuery, charge: &mut Charge) -> Outcome {
-    let mut names = data_centres(node, &query.service);
+    let mut names = match query.software {
+        // Few targets may be of the version: no wait for one that failed before.
+        Some(_) => data_centres_of(node, |target| query.admits(target)),
+        None => data_centres(node, &query.service),
+    };
     names.retain(|name| residency::allows(node, &query.residency, name));
     if names.is_empty() {
-        return Outcome::Rejected(AcquireError::NoTarget);
+        return Outcome::Rejected(no_target(node, query));
     }
     if node.settings.policy.places_by_delay {
         prefer_home(&mut names, &query.workload, node.leases.token_time.get());
@@ -279,6 +304,22 @@
     }
 }
 
+/// Why no target qualifies. A version without any target is gone, unless the registry may be out
+/// of date.
+fn no_target(node: &Node, query: &SlotQuery) -> AcquireError {
+    let Some(version) = &query.software else {
+        return AcquireError::NoTarget;
+    };
+    let is_of_version = |target: &&Target| {
+        target.service == query.service && target.software.as_ref() == Some(version)
+    };
+    let is_left = node.registry.borrow().staying().any(|target| is_of_version(&target));
+    if is_left || node.store.is_disconnected() {
+        return AcquireError::NoTarget;
+    }
+    AcquireError::NoTargetOfVersion
+}
+
 /// Orders data centres so that the long parts of a prompt are read in as few of them as possible.
 fn prefer_home(names: &mut [DataCentreId], workload: &Workload, token_time: Duration) {
     if let Some(part) = workload.long_part(token_time) {
@@ -297,13 +338,12 @@
     let mut self_granted_at = node.leases.self_granted_at.borrow_mut();
     self_granted_at.retain(|_, at| now.saturating_duration_since(*at) < SELF_GRANT_INTERVAL);
     let is_rate_limited = node.is_rate_limited(&query.service);
-    let fits = |target: &&protocol::routing::Target| {
-        target.service == query.service
-            && !query.excluded.contains(&target.id)
+    let fits = |target: &&Target| {
+        query.admits(target)
             && !self_granted_at.contains_key(&target.id)
             && residency::allows(node, &query.residency, &target.data_centre)
     };
-    let rank = |target: &&protocol::routing::Target| {
+    let rank = |target: &&Target| {
         let is_remote = target.data_centre != *node.data_centre();
         (is_remote, local_leases(&target.id), rand::random::<u32>())
     };
--- a/crates/daemon/src/gateway/leases/batch.rs
+++ b/crates/daemon/src/gateway/leases/batch.rs
@@ -67,6 +67,7 @@
         wait_ms: wait.as_millis() as u64,
         limit,
         excluded: Vec::new(),
+        software: None,
         charge: None,
         accepts_reservation: false,
         workload,
--- a/crates/daemon/src/gateway/leases/call.rs
+++ b/crates/daemon/src/gateway/leases/call.rs
@@ -50,6 +50,7 @@
             expires: query.expires,
             total_slots: 0,
             excluded: query.excluded.clone(),
+            software: query.software.clone(),
             may_wait: false,
             workload: Workload { read_at: read_at(node, query), ..query.workload.clone() },
         };
@@ -87,6 +88,7 @@
             wait_ms: self.wait.as_millis() as u64,
             limit: 1,
             excluded: self.request.excluded.clone(),
+            software: self.request.software.clone(),
             charge: self.charge.clone(),
             accepts_reservation: self.charge.is_some(),
             workload: self.request.workload.clone(),
@@ -138,8 +140,7 @@
         return match allocator::acquire_local(node, data_centre, request.clone(), *id, *wait).await
         {
             allocator::AcquireOutcome::Grant(grant) => {
-                let lease = activate(node, grant, Purpose::Online, Grantor::Local, now);
-                AllocatorReply::Lease(Box::new(lease))
+                accept(request, activate(node, grant, Purpose::Online, Grantor::Local, now))
             }
             allocator::AcquireOutcome::Full(after) => AllocatorReply::Full(after),
             allocator::AcquireOutcome::Pending => AllocatorReply::Pending,
@@ -163,7 +164,7 @@
         Ok(PeerReply::Slots(grants, _)) => match grants.into_iter().next() {
             Some(grant) => match accept_remote_grant(node, grant, Purpose::Online, owner.peer, now)
             {
-                Ok(lease) => AllocatorReply::Lease(Box::new(lease)),
+                Ok(lease) => accept(&call.request, lease),
                 Err(target) => AllocatorReply::UnusableTarget(target),
             },
             None => AllocatorReply::Pending,
@@ -178,6 +179,15 @@
     }
 }
 
+/// Checks the software version of a granted target by the registry here: the allocator may be of
+/// an earlier build, or know less of the target.
+fn accept(request: &slots::Request, lease: Lease) -> AllocatorReply {
+    if request.allows_software(lease.software.as_deref()) {
+        return AllocatorReply::Lease(Box::new(lease));
+    }
+    AllocatorReply::UnusableTarget(lease.grant.target.clone())
+}
+
 /// Address of a target in an allowed region that has read the long shared parts of the prompt for
 /// this instance.
 fn read_at(node: &Node, query: &SlotQuery) -> Option<SocketAddr> {
--- a/crates/daemon/src/gateway/leases/wait.rs
+++ b/crates/daemon/src/gateway/leases/wait.rs
@@ -57,7 +57,9 @@
 fn total_slots(node: &Node, query: &SlotQuery, names: &[DataCentreId]) -> u32 {
     let registry = node.registry.borrow();
     let fits = |target: &&protocol::routing::Target| {
-        target.service == query.service && names.contains(&target.data_centre)
+        target.service == query.service
+            && (query.software.is_none() || query.software == target.software)
+            && names.contains(&target.data_centre)
     };
     registry.usable().filter(fits).map(|target| target.slots).sum()
 }
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -13,7 +13,9 @@
 use coordination::slots::{Grant, HeldLease, Knowledge, LeaseId, LeaseReport, Purpose, Workload};
 use protocol::routing::Version;
 use protocol::secret::Secret;
-use protocol::{DataCentreId, InstanceId, RequestFingerprint, ServiceId, TargetId, WorkspaceId};
+use protocol::{
+    DataCentreId, InstanceId, RequestFingerprint, ServiceId, SoftwareVersion, TargetId, WorkspaceId,
+};
 use serde::{Deserialize, Serialize};
 use state::progress::{Handoff, Holder, ItemId, JobId, Outcome};
 use std::net::SocketAddr;
@@ -64,6 +66,9 @@
     /// Targets that must not be granted.
     #[serde(rename = "avoid")]
     pub excluded: Vec<TargetId>,
+    /// Software version of the targets that qualify; `None` for any. An earlier build grants any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
     /// Workspace to whose quota the request is charged; `None` if that isn't needed, or done.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub charge: Option<WorkspaceId>,
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -16,12 +16,13 @@
 use super::{in_flight, residency, streaming, workload};
 use crate::clock;
 use attempt::RetryReason;
+use coordination::continuation::{self, Continuation};
 use coordination::hash;
 use coordination::slots::{Forecast, Grant, Workload};
 use hyper::{Response, Version};
 use platform::header;
 use platform::store::Revision;
-use protocol::routing::{Class, Route};
+use protocol::routing::{Class, Origin, Route};
 use protocol::{Error, Kind};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -56,6 +57,8 @@
     pub registry: Revision,
     /// Targets of failed attempts.
     pub excluded: Vec<String>,
+    /// What began the stream that the request goes on with; `None` before its first event.
+    pub origin: Option<Origin>,
     /// Charge to the quota of the caller's workspace.
     pub charge: Charge,
     /// What slot requests tell of the request.
@@ -113,6 +116,7 @@
         slot_wait: Cell::default(),
         registry: 0,
         excluded: Vec::new(),
+        origin: None,
         charge,
         workload,
         forecast: None,
@@ -291,12 +295,22 @@
     }
 
     async fn acquire_lease(&mut self, last_event: Option<u64>) -> Result<Lease, AcquireError> {
+        let software = match &self.origin {
+            Some(origin) => continuation::of_stream(origin, &self.node.registry.borrow()),
+            None => Continuation::Anywhere,
+        };
+        let software = match software {
+            Continuation::Anywhere => None,
+            Continuation::AtVersion(version) => Some(version),
+            Continuation::Nowhere => return Err(AcquireError::UnknownVersion),
+        };
         let (latest_start, expires) = self.slot_deadlines(last_event.is_some(), clock::now());
         let query = SlotQuery {
             service: self.service.clone(),
             latest_start,
             expires,
             excluded: self.excluded.clone(),
+            software,
             residency: residency::of_request(&self.route, self.call.workspace.as_deref()),
             workload: self.workload.clone(),
         };
@@ -312,6 +326,12 @@
         let (status, cause) = match error {
             ForwardError::NotRun(AcquireError::Full(_)) => (503, "no slot"),
             ForwardError::NotRun(AcquireError::NoTarget) => (503, "no target"),
+            ForwardError::NotRun(AcquireError::NoTargetOfVersion) => {
+                (410, "no target of the version that began the stream")
+            }
+            ForwardError::NotRun(AcquireError::UnknownVersion) => {
+                (410, "the version that began the stream is unknown")
+            }
             ForwardError::NotRun(AcquireError::Quarantined(_)) => (503, "crashes its targets"),
             ForwardError::NotRun(AcquireError::OverQuota(_)) => (429, "over the quota"),
             ForwardError::MayHaveRun(_) => (502, "no whole answer"),
@@ -333,20 +353,16 @@
             "age_ms" => age.as_millis() as u64, "repeatable" => is_repeatable);
         match error {
             ForwardError::NotRun(rejection) => {
-                let after = match rejection {
-                    AcquireError::Full(after)
-                    | AcquireError::Quarantined(after)
-                    | AcquireError::OverQuota(after) => *after,
-                    AcquireError::NoTarget => RETRY_AFTER,
-                };
-                let kind = match rejection {
-                    AcquireError::Full(_) => Kind::Overloaded,
-                    AcquireError::NoTarget => Kind::NoTarget,
-                    AcquireError::Quarantined(_) => Kind::Quarantined,
-                    AcquireError::OverQuota(_) => Kind::CallerLimit,
+                let (kind, retry_after) = match rejection {
+                    AcquireError::Full(after) => (Kind::Overloaded, Some(*after)),
+                    AcquireError::NoTarget => (Kind::NoTarget, Some(RETRY_AFTER)),
+                    AcquireError::Quarantined(after) => (Kind::Quarantined, Some(*after)),
+                    AcquireError::OverQuota(after) => (Kind::CallerLimit, Some(*after)),
+                    AcquireError::NoTargetOfVersion | AcquireError::UnknownVersion => {
+                        (Kind::StreamGone, None)
+                    }
                 };
-                let mut error = Error::new(kind, cause);
-                error.retry_after = Some(after);
+                let error = Error { retry_after, ..Error::new(kind, cause) };
                 error_response(&self.node, &call.id, &error)
             }
             ForwardError::MayHaveRun(_) | ForwardError::DeadlineExceeded => {
--- a/crates/daemon/src/gateway/streaming.rs
+++ b/crates/daemon/src/gateway/streaming.rs
@@ -10,8 +10,10 @@
 use super::target_body::TargetBody;
 use crate::clock;
 use bytes::{Bytes, BytesMut};
+use coordination::continuation;
 use coordination::slots::LeaseOutcome;
 use hyper::Response;
+use protocol::routing::Origin;
 use protocol::{SoftwareVersion, TargetId};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -177,6 +179,12 @@
             Err(ForwardError::NotRun(AcquireError::Quarantined(_))) => {
                 Err(aborted("request is quarantined"))
             }
+            Err(ForwardError::NotRun(AcquireError::NoTargetOfVersion)) => {
+                Err(aborted("no target of the version that began the stream"))
+            }
+            Err(ForwardError::NotRun(AcquireError::UnknownVersion)) => {
+                Err(aborted("the version that began the stream is unknown"))
+            }
             Err(ForwardError::NotRun(_)) => Err(aborted("no slot to resume on")),
             Err(ForwardError::MayHaveRun(error)) => Err(Incomplete::Aborted(error)),
             Err(ForwardError::DeadlineExceeded) => Err(aborted("timed out")),
@@ -196,6 +204,7 @@
         let is_framed = body.is_framed();
         // Closes the connection unless the response is complete.
         drop(body);
+        self.check_origin(&lease);
         match end {
             StreamEnd::Interrupted(_) => self.request.on_interrupted(&lease.grant),
             StreamEnd::Completed => {
@@ -263,12 +272,37 @@
                 continue;
             }
             self.stats.on_chunk(clock::now());
+            if splitter.is_some() && self.request.origin.is_none() {
+                self.request.origin = Some(self.origin(lease));
+            }
             if self.sender.send(bytes).await.is_err() {
                 return StreamEnd::CallerGone;
             }
         }
     }
 
+    /// What began the stream, at its first event.
+    fn origin(&self, lease: &Lease) -> Origin {
+        let service = self.request.service.clone();
+        Origin { service, software: self.version_of_run(lease) }
+    }
+
+    fn version_of_run(&self, lease: &Lease) -> Option<SoftwareVersion> {
+        let registry = self.node().registry.borrow();
+        let target = registry.get(&lease.grant.target);
+        continuation::version_of_run(lease.software.as_ref(), target)
+    }
+
+    /// Forgets the version of the stream if the target turned out to have started again.
+    fn check_origin(&mut self, lease: &Lease) {
+        let software = self.version_of_run(lease);
+        if let Some(origin) = &mut self.request.origin
+            && software.is_none()
+        {
+            origin.software = None;
+        }
+    }
+
     /// Sends what follows the last event of a complete response.
     async fn send_last(&self, rest: Bytes) -> StreamEnd {
         if !rest.is_empty() && self.sender.send(rest).await.is_err() {
--- a/crates/daemon/tests/gateway_versions.rs
+++ b/crates/daemon/tests/gateway_versions.rs
@@ -50,8 +50,8 @@
 
 impl Begun {
     fn last_event_id(&self) -> String {
-        let ids = self.body.lines().filter_map(|line| line.strip_prefix("id: "));
-        ids.last().expect("an event").to_owned()
+        let mut ids = self.body.lines().filter_map(|line| line.strip_prefix("id: "));
+        ids.next_back().expect("an event").to_owned()
     }
 
     /// Headers by which attempt `id` takes the stream up.
@@ -275,14 +275,14 @@
 
 #[test]
 fn instance_that_cannot_ask_the_others_runs_nothing_and_says_when_to_return() {
-    let fleet = fleet(&["east", "east", "east"], &["v1", "v2"]);
-    let begun = at_once(4, |n| begin(fleet.gateways[0].front_address, &format!("cut-{n}"), 2));
+    let fleet = fleet(&["east", "east", "east"], &["v1", "v2", "v1", "v2"]);
+    let begun = at_once(12, |n| begin(fleet.gateways[0].front_address, &format!("cut-{n}"), 2));
     let peers: Vec<SocketAddr> = fleet.gateways.iter().map(|g| g.peer_address).collect();
     fleet.gateways[2].set_unreachable(&peers[..2]);
     fleet.gateways[0].set_unreachable(&peers[2..]);
     fleet.gateways[1].set_unreachable(&peers[2..]);
     // The instance that is cut off has a copy of some.
-    let responses = at_once(4, |n| begun[n].0.take_up(fleet.gateways[2].front_address));
+    let responses = at_once(12, |n| begun[n].0.take_up(fleet.gateways[2].front_address));
     complete(&responses);
     assert!(responses.iter().all(|r| matches!(r.status, 200 | 503)), "{responses:?}");
 }
--- a/crates/protocol/src/kind.rs
+++ b/crates/protocol/src/kind.rs
@@ -71,6 +71,9 @@
     NoTarget,
     /// The request is quarantined because it crashed the targets that ran it.
     Quarantined,
+    /// The stream can't go on: no target of the software version that began it is left, or the
+    /// version is unknown.
+    StreamGone,
     /// The instance is stopping.
     Draining,
     /// The instance has no usable configuration.
@@ -109,7 +112,7 @@
 
 impl Kind {
     /// All kinds, in the order of the published table.
-    pub const ALL: [Kind; 30] = [
+    pub const ALL: [Kind; 31] = [
         Kind::Malformed,
         Kind::TooLarge,
         Kind::SlowCaller,
@@ -125,6 +128,7 @@
         Kind::Overloaded,
         Kind::NoTarget,
         Kind::Quarantined,
+        Kind::StreamGone,
         Kind::Draining,
         Kind::NotReady,
         Kind::PlatformUnavailable,
@@ -162,6 +166,7 @@
             Kind::Overloaded => (503, NotRun, RETRY_SOON),
             Kind::NoTarget => (503, NotRun, RETRY_SOON),
             Kind::Quarantined => (503, NotRun, RETRY_LATER),
+            Kind::StreamGone => (410, NotRun, Never),
             Kind::Draining => (503, NotRun, RETRY_SOON),
             Kind::NotReady => (503, NotRun, RETRY_SOON),
             Kind::PlatformUnavailable => (503, NotRun, RETRY_LATER),
--- a/crates/protocol/src/routing.rs
+++ b/crates/protocol/src/routing.rs
@@ -279,6 +279,16 @@
     pub software: Option<SoftwareVersion>,
 }
 
+/// What began a stream. The outputs of two software versions don't fit together, so a stream goes
+/// on only at targets of the service and the version by which it began.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// Service of the target.
+    pub service: ServiceId,
+    /// Version of the target's software; `None` if unknown.
+    pub software: Option<SoftwareVersion>,
+}
+
 fn is_zero(value: &Millis) -> bool {
     *value == 0
 }
