Let a stream that is taken up go on only at the software version that began it

What callers saw: after a broken connection, a kill or a reset they took a stream up at another instance, and got events of another version.

Cause: to the instance that they reach, a request with a Last-Event-Id is one like any other; nothing tells it what began the stream, and `Resumes` wasn't read.

Change: the instance that forwards the first event of a stream stores its origin (service, version) under the caller's attempt, here and at three others by rendezvous hashing: two of its data centre, one elsewhere (`coordination::origins`). Sent before the first event, nothing waits for it. Who takes a stream up is served at that version; an instance that doesn't know the origin asks the members that may have it, 150 ms at most, and the first that knows is enough. None knows it, or the caller names none: 410 at once. Some that may know it don't reply, or this instance has just started or is cut off: 503 with Retry-After, not run. No target of the version left: 410, unless the registry may be out of date. Origins are kept until the caller's deadline. Where no target of the service states a version, streams are taken up as before.

Why not otherwise: derived from the attempt's id, a new stream would have to wait for a slot of its derived version, and views of the versions differ; in the allocator of the data centre, the record dies with it and holds grants that were never used; told to all, 400 messages a stream. Nothing in what the caller sends back is the system's to write.

The test of an unknown attempt waits 2.2 s first: until then an instance that has just started can't tell, and says so.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod limit;
 pub mod load;
 pub mod membership;
+pub mod origins;
 pub mod presence;
 pub mod prompt;
 pub mod quarantine;
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -69,6 +69,17 @@
         Some(header::text(&self.headers, header::RESUMES)).filter(|attempt| !attempt.is_empty())
     }
 
+    /// Whether the request takes a stream up after its last event.
+    pub fn takes_up_stream(&self) -> bool {
+        !header::text(&self.headers, header::LAST_EVENT_ID).is_empty()
+    }
+
+    /// How long the caller waits for the whole request, over all its attempts from this one on;
+    /// `None` if it doesn't say.
+    pub fn timeout(&self) -> Option<Duration> {
+        header::millis(&self.headers, header::DEADLINE_MS)
+    }
+
     /// Time until the deadline; zero afterwards.
     pub fn remaining(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/crates/daemon/src/gateway/leases.rs
+++ b/crates/daemon/src/gateway/leases.rs
@@ -72,6 +72,8 @@
     NoTargetOfVersion,
     /// Which version began the stream is unknown.
     UnknownVersion,
+    /// Which version began the stream is unknown here, and instances that may know it don't reply.
+    NoReply,
     /// The request has crashed targets and is quarantined for this much longer.
     Quarantined(Duration),
     /// The request exceeds the quota of its workspace; its turn is after this delay.
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -11,10 +11,11 @@
 use coordination::registry::Change;
 use coordination::run_time::Estimate;
 use coordination::slots::{Grant, HeldLease, Knowledge, LeaseId, LeaseReport, Purpose, Workload};
-use protocol::routing::Version;
+use protocol::routing::{Origin, Version};
 use protocol::secret::Secret;
 use protocol::{
-    DataCentreId, InstanceId, RequestFingerprint, ServiceId, SoftwareVersion, TargetId, WorkspaceId,
+    AttemptId, DataCentreId, InstanceId, RequestFingerprint, ServiceId, SoftwareVersion, TargetId,
+    WorkspaceId,
 };
 use serde::{Deserialize, Serialize};
 use state::progress::{Handoff, Holder, ItemId, JobId, Outcome};
@@ -268,6 +269,17 @@
     Demand(Report),
     /// Gives the next keeper of a ledger what it needs to continue from.
     LedgerSnapshot(Snapshot),
+    /// Stores what began a stream, in case its caller takes it up elsewhere.
+    StoreOrigin {
+        /// The attempt that brought the first event.
+        attempt: AttemptId,
+        /// What began the stream.
+        origin: Origin,
+        /// Milliseconds for which the caller may return.
+        lifetime_ms: u64,
+    },
+    /// Requests what began the stream of an attempt.
+    Origin(AttemptId),
     /// Tells an allocator that has just started what the sender knows of its targets.
     Knowledge(Vec<Knowledge>),
 }
@@ -327,6 +339,8 @@
     Members(Vec<Member>),
     /// All evacuations that the receiver knows, also withdrawn ones.
     Evacuations(Vec<evacuation::Change>),
+    /// What began the stream of an attempt; `None` if the receiver doesn't know.
+    Origin(Option<Origin>),
     /// The receiver is unable to serve the request now.
     #[serde(rename = "Away")]
     Unavailable,
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 //! | [`front`] | HTTP requests of callers: routes and calls |
 //! | [`access`] | API keys and workspaces |
 //! | [`online`], [`streaming`] | online requests; event streams and their resumption |
+//! | [`origins`] | what began the streams that callers take up again |
 //! | [`leases`], [`allocator`] | leases of slots; the slot allocator of a data centre |
 //! | [`workload`] | what slot requests tell of the work behind them |
 //! | [`quota`] | quotas of workspaces: ledgers, charges and refunds |
@@ -54,6 +55,7 @@
 pub mod metrics;
 pub mod node;
 pub mod online;
+pub mod origins;
 pub mod peers;
 pub mod platform_health;
 pub mod quarantine;
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -14,6 +14,7 @@
 use crate::clock;
 use coordination::evacuation;
 use coordination::membership::{Member, MemberTable, Policy};
+use coordination::origins;
 use coordination::quarantine;
 use coordination::registry::Registry;
 use coordination::slots;
@@ -112,6 +113,8 @@
     pub peers: Peers,
     /// Leases held, and the slot allocators owned by this instance.
     pub leases: Leases,
+    /// What began the streams that callers may take up here, beside those forwarded here.
+    pub origins: RefCell<origins::Table>,
     /// Batch jobs known to this instance.
     pub jobs: JobTable,
     /// Updates to be forwarded by this instance.
@@ -178,6 +181,7 @@
             evacuations_read: Cell::default(),
             starts: RefCell::default(),
             jobs: JobTable::default(),
+            origins: RefCell::default(),
             outbox: Outbox::default(),
             quarantine: RefCell::new(quarantine::Table::new(
                 quarantine_policy(&settings.policy),
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -13,7 +13,7 @@
 use super::quarantine::{self, Admission};
 use super::quota::Charge;
 use super::target_body::TargetBody;
-use super::{in_flight, residency, streaming, workload};
+use super::{in_flight, origins, residency, streaming, workload};
 use crate::clock;
 use attempt::RetryReason;
 use coordination::continuation::{self, Continuation};
@@ -121,6 +121,9 @@
         workload,
         forecast: None,
     };
+    if let Err(error) = request.find_origin().await {
+        return Ok(request.fail(&ForwardError::NotRun(error)));
+    }
     match request.forward(None).await {
         Ok(response) => respond(request, response, in_flight).await,
         Err(error) => Ok(request.fail(&error)),
@@ -172,6 +175,43 @@
         crash::on_interrupted(&self.node, grant, broken);
     }
 
+    /// Finds out what began the stream that the caller takes up, if it does.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream can't go on.
+    async fn find_origin(&mut self) -> Result<(), AcquireError> {
+        if self.route.class != Class::Stream || !self.call.takes_up_stream() {
+            return Ok(());
+        }
+        let states_software = {
+            let registry = self.node.registry.borrow();
+            self.route.services.iter().any(|(service, _)| registry.states_software(service))
+        };
+        if !states_software {
+            return Ok(());
+        }
+        let attempt = self.call.resumes().ok_or(AcquireError::UnknownVersion)?;
+        let origin = origins::find(&self.node, attempt).await?;
+        // A service that the route no longer leads to is another one's software to its callers.
+        if !self.route.services.iter().any(|(service, _)| *service == origin.service) {
+            return Err(AcquireError::NoTargetOfVersion);
+        }
+        self.service.clone_from(&origin.service);
+        self.origin = Some(origin);
+        Ok(())
+    }
+
+    /// Records what began the stream, for resumptions here and at other instances.
+    pub fn set_origin(&mut self, origin: Origin) {
+        if self.node.registry.borrow().states_software(&origin.service) {
+            let resumed = self.call.resumes().filter(|_| self.call.takes_up_stream());
+            let attempt = resumed.unwrap_or(&self.call.id);
+            origins::store(&self.node, attempt, &origin, self.call.timeout());
+        }
+        self.origin = Some(origin);
+    }
+
     /// Whether the request may be sent to another target after one may have run it.
     pub fn may_retry(&self) -> bool {
         self.route.is_repeatable() && self.attempts < self.route.max_attempts
@@ -332,6 +372,9 @@
             ForwardError::NotRun(AcquireError::UnknownVersion) => {
                 (410, "the version that began the stream is unknown")
             }
+            ForwardError::NotRun(AcquireError::NoReply) => {
+                (503, "instances that may know the stream don't reply")
+            }
             ForwardError::NotRun(AcquireError::Quarantined(_)) => (503, "crashes its targets"),
             ForwardError::NotRun(AcquireError::OverQuota(_)) => (429, "over the quota"),
             ForwardError::MayHaveRun(_) => (502, "no whole answer"),
@@ -355,7 +398,9 @@
             ForwardError::NotRun(rejection) => {
                 let (kind, retry_after) = match rejection {
                     AcquireError::Full(after) => (Kind::Overloaded, Some(*after)),
-                    AcquireError::NoTarget => (Kind::NoTarget, Some(RETRY_AFTER)),
+                    AcquireError::NoTarget | AcquireError::NoReply => {
+                        (Kind::NoTarget, Some(RETRY_AFTER))
+                    }
                     AcquireError::Quarantined(after) => (Kind::Quarantined, Some(*after)),
                     AcquireError::OverQuota(after) => (Kind::CallerLimit, Some(*after)),
                     AcquireError::NoTargetOfVersion | AcquireError::UnknownVersion => {
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -8,7 +8,8 @@
 use super::node::Node;
 use super::target_page::TargetPage;
 use super::{
-    allocator, broadcast, job_table, jobs, platform_health, quarantine, quota, submit, takeover,
+    allocator, broadcast, job_table, jobs, origins, platform_health, quarantine, quota, submit,
+    takeover,
 };
 use crate::clock;
 use coordination::membership::{Member, MemberTable, State, Update};
@@ -165,6 +166,11 @@
             allocator::on_knowledge(node, &knowledge);
             PeerReply::Acknowledged
         }
+        PeerRequest::StoreOrigin { attempt, origin, lifetime_ms } => {
+            origins::on_store(node, &attempt, origin, Duration::from_millis(lifetime_ms));
+            PeerReply::Acknowledged
+        }
+        PeerRequest::Origin(attempt) => PeerReply::Origin(origins::known(node, &attempt)),
         PeerRequest::LedgerSnapshot(snapshot) => {
             quota::on_snapshot(node, snapshot);
             PeerReply::Acknowledged
--- a/crates/daemon/src/gateway/streaming.rs
+++ b/crates/daemon/src/gateway/streaming.rs
@@ -273,7 +273,8 @@
             }
             self.stats.on_chunk(clock::now());
             if splitter.is_some() && self.request.origin.is_none() {
-                self.request.origin = Some(self.origin(lease));
+                let origin = self.origin(lease);
+                self.request.set_origin(origin);
             }
             if self.sender.send(bytes).await.is_err() {
                 return StreamEnd::CallerGone;
@@ -295,11 +296,12 @@
 
     /// Forgets the version of the stream if the target turned out to have started again.
     fn check_origin(&mut self, lease: &Lease) {
-        let software = self.version_of_run(lease);
-        if let Some(origin) = &mut self.request.origin
-            && software.is_none()
-        {
-            origin.software = None;
+        let Some(origin) = &self.request.origin else {
+            return;
+        };
+        if origin.software.is_some() && self.version_of_run(lease).is_none() {
+            let origin = Origin { software: None, ..origin.clone() };
+            self.request.set_origin(origin);
         }
     }
 
--- a/crates/daemon/src/gateway/target_page.rs
+++ b/crates/daemon/src/gateway/target_page.rs
@@ -9,6 +9,7 @@
 use protocol::{DataCentreId, Millis, ServiceId, SoftwareVersion, TargetId};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::net::SocketAddr;
 
 /// A page of registry entries.
@@ -16,9 +17,9 @@
 pub struct TargetPage {
     services: Vec<ServiceId>,
     data_centres: Vec<DataCentreId>,
-    /// Empty from an earlier build.
+    /// With `None` for targets that state no version; empty from an earlier build.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    software: Vec<SoftwareVersion>,
+    software: Vec<Option<SoftwareVersion>>,
     targets: Vec<Entry>,
     removed: Vec<Removal>,
     /// From where the next page continues, a bucket or a revision; `None` after the last one.
@@ -48,8 +49,8 @@
     revision: u64,
     #[serde(rename = "c", default, skip_serializing_if = "is_zero")]
     cold_left_ms: Millis,
-    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
-    software: Option<usize>,
+    #[serde(rename = "v", default, skip_serializing_if = "is_first")]
+    software: usize,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -64,19 +65,23 @@
     *value == 0
 }
 
+fn is_first(index: &usize) -> bool {
+    *index == 0
+}
+
 fn is_false(value: &bool) -> bool {
     !*value
 }
 
 /// Names in the order of their first use.
 #[derive(Default)]
-struct Names {
-    list: Vec<String>,
-    indexes: HashMap<String, usize>,
+struct Names<T> {
+    list: Vec<T>,
+    indexes: HashMap<T, usize>,
 }
 
-impl Names {
-    fn index(&mut self, name: String) -> usize {
+impl<T: Clone + Eq + Hash> Names<T> {
+    fn index(&mut self, name: T) -> usize {
         *self.indexes.entry(name).or_insert_with_key(|name| {
             self.list.push(name.clone());
             self.list.len() - 1
@@ -102,7 +107,7 @@
                     leaving: target.leaving,
                     revision: target.revision,
                     cold_left_ms: target.cold_left_ms,
-                    software: target.software.map(|version| software.index(version)),
+                    software: software.index(target.software),
                 }),
                 Change::Gone { id, revision } => packed.removed.push(Removal { id, revision }),
             }
@@ -129,7 +134,7 @@
                 leaving: entry.leaving,
                 revision: entry.revision,
                 cold_left_ms: entry.cold_left_ms,
-                software: entry.software.and_then(|index| software.get(index).cloned()),
+                software: software.get(entry.software).cloned().flatten(),
             }))
         };
         let removal = |Removal { id, revision }| Change::Gone { id, revision };
--- a/crates/daemon/tests/gateway_versions.rs
+++ b/crates/daemon/tests/gateway_versions.rs
@@ -18,6 +18,8 @@
 const EVENTS: u64 = 8;
 /// Longest time until the registry is up to date at all instances.
 const REGISTRY_DELAY: Duration = Duration::from_millis(500);
+/// Time after its start within which an instance may not know all others that it could ask.
+const JOIN_PERIOD: Duration = Duration::from_millis(2_200);
 /// Time within which a request is rejected that can't be served.
 const AT_ONCE: Duration = Duration::from_millis(600);
 
@@ -264,6 +266,7 @@
 #[case::unnamed(None)]
 fn stream_of_an_unknown_attempt_is_rejected_at_once(#[case] resumes: Option<&str>) {
     let fleet = fleet(&["east", "east"], &["v1", "v2"]);
+    std::thread::sleep(JOIN_PERIOD);
     let mut extra = vec![("last-event-id", "2")];
     extra.extend(resumes.map(|attempt| ("resumes", attempt)));
     let sent_at = Instant::now();
--- a/crates/daemon/tests/message_versions.rs
+++ b/crates/daemon/tests/message_versions.rs
@@ -1,7 +1,11 @@
 //! Messages and stored jobs of the version before workspaces are understood, and the other way
 //! round.
 
-use daemon::gateway::message::{JobStatus, PeerReply, PeerRequest, SlotRequest, decode, encode};
+use coordination::registry::{Change, Registry};
+use daemon::gateway::message::{
+    JobStatus, PeerReply, PeerRequest, SlotRequest, Update, decode, encode,
+};
+use protocol::routing::Target;
 use serde::Deserialize;
 use serde_json::{Value, json};
 use state::progress::Job;
@@ -84,6 +88,41 @@
     assert_eq!(earlier.job, "j");
 }
 
+/// A target as the version before software versions sends it, and one with a version.
+#[test]
+fn targets_of_earlier_versions_have_no_software_version() {
+    const EARLIER: &str = r#"{"News":["127.0.0.1:7",{"Targets":[{"Present":{"id":"t","born":0,
+      "service":"llm","address":"127.0.0.1:9","data_centre":"east","slots":4,"leaving":false,
+      "revision":3}}]}]}"#;
+    let Some(PeerRequest::Update(_, Update::Targets(changes))) = decode(EARLIER.as_bytes()) else {
+        panic!("an update");
+    };
+    let Change::Present(target) = &changes[0] else { panic!("a target") };
+    assert_eq!(target.software, None);
+}
+
+/// An entry that an earlier build passes on is known to lack its version, and takes none away.
+#[test]
+fn target_without_its_software_version_is_fetched_again_and_replaces_none() {
+    let target = |software: Option<&str>| {
+        let text = r#"{"id":"t","born":0,"service":"llm","address":"127.0.0.1:9",
+          "data_centre":"east","slots":4,"leaving":false,"revision":3}"#;
+        let target: Target = serde_json::from_str(text).expect("a target");
+        Change::Present(Target { software: software.map(str::to_owned), ..target })
+    };
+    let mut complete = Registry::default();
+    complete.on_change(target(Some("v1")));
+    let mut told = Registry::default();
+    told.on_change(target(None));
+    assert_ne!(told.digest(), complete.digest());
+    assert!(!complete.on_change(target(None)));
+    assert!(complete.states_software("llm"));
+    complete.changes_in_differing_buckets(&told.digests()).into_iter().for_each(|change| {
+        assert!(told.on_change(change));
+    });
+    assert_eq!(told.digest(), complete.digest());
+}
+
 /// An allocator that knows of no quotas replies without saying that it charged the request.
 #[test]
 fn reply_of_an_earlier_allocator_is_not_taken_for_a_charge() {
--- a/crates/daemon/tests/target_page.rs
+++ b/crates/daemon/tests/target_page.rs
@@ -21,7 +21,7 @@
         leaving: n.is_multiple_of(7),
         revision: 10_000 + u64::from(n),
         cold_left_ms: u64::from(n % 2) * 900,
-        software: None,
+        software: (n % 5 > 0).then(|| format!("v{}", n % 5)),
     }
 }
 
@@ -50,7 +50,8 @@
 fn entry_takes_few_bytes() {
     let mut registry = Registry::default();
     for n in 0..2_000 {
-        let plain = Target { leaving: false, cold_left_ms: 0, ..target(n) };
+        let software = Some(String::from("v1"));
+        let plain = Target { leaving: false, cold_left_ms: 0, software, ..target(n) };
         registry.on_change(Change::Present(plain));
     }
     let reply = PeerReply::TargetPage(TargetPage::new(registry.page(&[], 0, 10_000), 7));
