Continue a job's item only at the software version that generated its output

What callers saw: results of items joined from events of two versions.

Cause: the output of a stopped run was continued on whichever slot came next; `PartialOutput` knew no version, in memory and in what is handed to another holder.

Change: it names its origin. A slot is given to items that can go on there or haven't begun; one whose output is of another version comes last and begins anew, and the longer output is kept, in case its version is free later. Output of an earlier build names no origin and isn't continued where targets state versions.

--- a/crates/coordination/src/continuation.rs
+++ b/crates/coordination/src/continuation.rs
@@ -49,6 +49,21 @@
     }
 }
 
+/// Whether a run at a target of this service and version may go on with a stream. `None` stands for
+/// an unknown origin, or an unknown version.
+pub fn allows(
+    origin: Option<&Origin>,
+    service: &str,
+    software: Option<&str>,
+    registry: &Registry,
+) -> bool {
+    match origin {
+        Some(origin) if origin.service == service => of_stream(origin, registry).allows(software),
+        Some(_) => false,
+        None => !registry.states_software(service),
+    }
+}
+
 /// Version of a run on `target`, which stated `at_grant` when the run was granted. `None` if it
 /// states another version now: the process that runs may be of either. A target that is gone can't
 /// have started again.
--- a/crates/daemon/src/gateway/items.rs
+++ b/crates/daemon/src/gateway/items.rs
@@ -9,7 +9,7 @@
 use coordination::hash;
 use coordination::slots::{BatchPriority, BatchWork};
 use protocol::ServiceId;
-use state::progress::{JobState, Millis};
+use state::progress::{JobState, Millis, PartialOutput};
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -178,9 +178,11 @@
         return;
     }
     for held in waiting(node, service, data_centre) {
-        let item = held.state.borrow_mut().start_next();
+        let can_continue =
+            |partial: &PartialOutput| run::can_continue(node, service, &lease, partial);
+        let item = held.state.borrow_mut().start_next_where(can_continue);
         if let Some(item) = item {
-            spawn_local(run::run_item(node.clone(), held, item, lease));
+            spawn_local(run::run_item(node.clone(), held, item, service.to_owned(), lease));
             return;
         }
     }
--- a/crates/daemon/src/gateway/items/run.rs
+++ b/crates/daemon/src/gateway/items/run.rs
@@ -9,13 +9,15 @@
 use crate::gateway::quarantine::{self, Admission};
 use crate::gateway::target_body::TargetBody;
 use bytes::Bytes;
+use coordination::continuation;
 use coordination::hash;
 use coordination::run_time::Sample;
 use coordination::slots::LeaseOutcome;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use platform::{header, job};
-use protocol::RequestFingerprint;
+use protocol::routing::Origin;
+use protocol::{RequestFingerprint, ServiceId};
 use state::progress::{Failure, Item, Job, Outcome, PartialOutput};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -64,9 +66,38 @@
     }
 }
 
-/// Runs an item unless it is quarantined.
-pub(super) async fn run_item(node: Rc<Node>, held: Rc<HeldJob>, item: Item, lease: Lease) {
+/// Whether a run on a leased slot may go on with the output of earlier runs: only targets of one
+/// software version generate one item.
+pub(super) fn can_continue(
+    node: &Node,
+    service: &str,
+    lease: &Lease,
+    partial: &PartialOutput,
+) -> bool {
+    let registry = node.registry.borrow();
+    let software = lease.software.as_deref();
+    continuation::allows(partial.origin.as_ref(), service, software, &registry)
+}
+
+/// What generated the output of a run that has ended.
+fn origin(node: &Node, service: ServiceId, lease: &Lease) -> Origin {
+    let registry = node.registry.borrow();
+    let target = registry.get(&lease.grant.target);
+    Origin { service, software: continuation::version_of_run(lease.software.as_ref(), target) }
+}
+
+/// Runs an item of `service` unless it is quarantined.
+pub(super) async fn run_item(
+    node: Rc<Node>,
+    held: Rc<HeldJob>,
+    item: Item,
+    service: ServiceId,
+    lease: Lease,
+) {
     let mut partial = held.state.borrow().partial(&item.id);
+    if !can_continue(&node, &service, &lease, &partial) {
+        partial = PartialOutput::default();
+    }
     let events_before = partial.events.len();
     let started = clock::now();
     held.first_started.borrow_mut().entry(item.id.clone()).or_insert(started);
@@ -103,6 +134,7 @@
     slog::info!(node.log, "item run"; "item" => &item.id, "content" => hex(fingerprint),
         "job" => &held.state.borrow().job().id, "target" => target, "how" => how,
         "fault" => &error, "events" => partial.events.len(), "resumed_at" => events_before,
+        "software" => &lease.software,
         "registry" => lease.registry,
         "ran_ms" => clock::since(started).as_millis() as u64);
     let mut delay = Duration::ZERO;
@@ -140,6 +172,7 @@
                     BrokenRequest { id: item.id.clone(), fingerprint },
                 );
             }
+            partial.origin = Some(origin(&node, service, &lease));
             lease.end(end);
             if end != LeaseOutcome::Unused {
                 delay = ITEM_RETRY_DELAY;
--- a/crates/daemon/tests/target_page.rs
+++ b/crates/daemon/tests/target_page.rs
@@ -21,7 +21,7 @@
         leaving: n.is_multiple_of(7),
         revision: 10_000 + u64::from(n),
         cold_left_ms: u64::from(n % 2) * 900,
-        software: (n % 5 > 0).then(|| format!("v{}", n % 5)),
+        software: (!n.is_multiple_of(5)).then(|| format!("v{}", n % 5)),
     }
 }
 
--- a/crates/state/src/progress.rs
+++ b/crates/state/src/progress.rs
@@ -165,7 +165,22 @@
 
     /// Marks the next item as running and returns it; `None` if no item can run.
     pub fn start_next(&mut self) -> Option<Item> {
-        let item = self.next_item()?.clone();
+        self.start_next_where(|_| true)
+    }
+
+    /// As [`JobState::start_next`], but items whose output `can_continue` rejects come last, since
+    /// they have to begin anew.
+    pub fn start_next_where(
+        &mut self,
+        can_continue: impl Fn(&PartialOutput) -> bool,
+    ) -> Option<Item> {
+        let order = |item: &&Item| {
+            let partial = self.partials.get(&item.id);
+            let is_useless = partial.is_some_and(|partial| !can_continue(partial));
+            (is_useless, Reverse(self.event_count(&item.id)))
+        };
+        let runnable = self.runnable_items().filter(|_| !self.ended);
+        let item = runnable.min_by_key(order)?.clone();
         self.running.insert(item.id.clone());
         Some(item)
     }
@@ -186,10 +201,12 @@
         self.withheld.remove(item);
     }
 
-    /// Records a run that was preempted or interrupted, with its output so far.
+    /// Records a run that was preempted or interrupted, with its output so far. One that began anew
+    /// replaces longer output of an earlier run only once it is as long.
     pub fn on_stopped(&mut self, item: &str, partial: PartialOutput) {
         self.running.remove(item);
-        if !partial.events.is_empty() && !self.done.contains(item) {
+        let is_longest = partial.events.len() >= self.event_count(item);
+        if !partial.events.is_empty() && is_longest && !self.done.contains(item) {
             self.partials.insert(item.to_owned(), partial);
         }
     }
--- a/crates/state/src/progress/handoff.rs
+++ b/crates/state/src/progress/handoff.rs
@@ -1,6 +1,7 @@
 //! State that isn't durable, handed off to a job's next holder.
 
 use super::{FailureCount, ItemId, JobState, Outcome};
+use protocol::routing::Origin;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 
@@ -13,6 +14,9 @@
     /// The data of the events so far, in order.
     #[serde(rename = "texts")]
     pub events: Vec<String>,
+    /// What generated the events; `None` without events, or from an earlier build.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub origin: Option<Origin>,
 }
 
 /// How a run of an item failed.
--- a/crates/state/tests/progress.rs
+++ b/crates/state/tests/progress.rs
@@ -2,6 +2,7 @@
 //! lost responses of the store, failed runs and ends.
 
 use proptest::prelude::*;
+use protocol::routing::Origin;
 use state::progress::{Failure, FailureCount, Job, JobState, Outcome, PartialOutput, Progress};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -43,17 +44,43 @@
     let partial = |count: usize| PartialOutput {
         last_event_id: Some(count as u64),
         events: vec![String::from("x"); count],
+        origin: None,
     };
     state.merge_partials([("a".to_owned(), partial(3)), ("b".to_owned(), partial(9))].into());
     assert_eq!(state.next_event_count(), Some(9));
     assert_eq!(state.start_next().map(|item| item.id), Some(String::from("b")));
 }
 
+/// What a run at another software version can't continue comes after what has not begun, and is
+/// kept until the run that began anew has come as far.
+#[test]
+fn output_of_another_version_is_continued_last_and_kept() {
+    let mut state = JobState::new(Job::example("j", &["a", "b"]), Progress::default(), 3);
+    let partial = |version: &str, count: usize| PartialOutput {
+        last_event_id: Some(count as u64),
+        events: vec![String::from(version); count],
+        origin: origin(version),
+    };
+    state.merge_partials([("a".to_owned(), partial("v1", 9))].into());
+    let is_v2 = |partial: &PartialOutput| partial.origin == origin("v2");
+    let started = [state.start_next_where(is_v2), state.start_next_where(is_v2)];
+    assert_eq!(started.map(|item| item.expect("an item").id), ["b", "a"]);
+    state.on_stopped("a", partial("v2", 3));
+    assert_eq!(state.partial("a"), partial("v1", 9));
+    state.on_stopped("a", partial("v2", 9));
+    assert_eq!(state.partial("a"), partial("v2", 9));
+}
+
+fn origin(version: &str) -> Option<Origin> {
+    Some(Origin { service: String::from("llm"), software: Some(version.to_owned()) })
+}
+
 #[test]
 fn preempted_item_resumes_with_its_partial_output() {
     let mut state = JobState::new(Job::example("j", &["a", "b"]), Progress::default(), 3);
     let item = state.start_next().expect("an item").id;
-    let partial = PartialOutput { last_event_id: Some(3), events: vec!["x".into(); 3] };
+    let partial =
+        PartialOutput { last_event_id: Some(3), events: vec!["x".into(); 3], origin: None };
     state.on_stopped(&item, partial.clone());
     assert_eq!(state.start_next().expect("the same item").id, item);
     assert_eq!(state.partial(&item), partial);
@@ -233,7 +260,8 @@
     while first.start_next().is_some() {}
     first.on_failed("never", Failure::Permanent);
     first.on_done("done", outcome("done", "first"));
-    let partial = PartialOutput { last_event_id: Some(3), events: vec!["x".into(); 3] };
+    let partial =
+        PartialOutput { last_event_id: Some(3), events: vec!["x".into(); 3], origin: None };
     first.on_stopped("preempted", partial.clone());
     first.on_failed("failed", Failure::Retryable);
     first.on_failed("failed", Failure::Retryable);
