Copy the memory of prompts only between targets of one software version

What callers could see: a stream whose prompt one version had read and another went on from.

Cause: the allocator named the target that keeps most of a prompt as the source of a copy, whatever its version; so did a sender that knows of one in another data centre. A target that came back under its id at another version kept what was known of the earlier process.

Change: one source for each version; a sender tells the version along with the address (`read_by`), and without it nothing is copied from there where targets state versions. An entry with another version is another start of its target (`Target::is_same_start`).

Evidence: prompt_is_copied_only_between_targets_of_one_version and restarted_target_keeps_nothing, at_another_version, fail without the change: the source was taken whatever its version, and the start went by its time alone.

--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -233,9 +233,12 @@
             preempted = self.cheapest_to_preempt(|id| equivalent.contains(id), now);
             target = self.leases.get(&preempted?)?.target.clone();
         }
-        let address = self.targets.get(&target)?.target.address;
         let revocation = preempted.and_then(|lease| self.revoke(lease));
-        let source = self.pace_for(request).and_then(|pace| self.source(request, pace, now));
+        let pace = self.pace_for(request);
+        let sources = pace.map(|pace| self.sources(request, pace, now)).unwrap_or_default();
+        let state = self.targets.get(&target)?;
+        let address = state.target.address;
+        let source = state.source(&sources).cloned();
         let placed = self.place(request, &target, source.as_ref(), now);
         let forecast = self.forecast(request, placed.as_ref());
         let is_copied = placed.as_ref().is_some_and(|placed| placed.expected.copied_tokens > 0);
@@ -276,8 +279,8 @@
     fn ranking(&self, request: &Request, now: Instant) -> Ranking<'_> {
         let pace = self.pace_for(request);
         let median = if pace.is_some() { 0.0 } else { self.median_event_interval() };
-        let source = pace.and_then(|pace| self.source(request, pace, now));
-        Ranking { policy: &self.policy, median, pace, source, now }
+        let sources = pace.map(|pace| self.sources(request, pace, now)).unwrap_or_default();
+        Ranking { policy: &self.policy, median, pace, sources, now }
     }
 
     fn median_event_interval(&self) -> f64 {
--- a/crates/coordination/src/slots/learning.rs
+++ b/crates/coordination/src/slots/learning.rs
@@ -7,7 +7,7 @@
 use super::{Allocator, Lease, Placed};
 use crate::TargetId;
 use protocol::ServiceId;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
 /// Number of parts that are remembered of all targets together; some 32 MB.
@@ -82,9 +82,25 @@
         Some(Placed { expected, running: state.used() + 1, prompt })
     }
 
-    /// The target that keeps most of a request's prompt, if copying that is much faster than reading
-    /// it and what is read matters to the caller.
-    pub(super) fn source(&self, request: &Request, pace: &Pace, now: Instant) -> Option<Source> {
+    /// Where targets of each software version copy a request's prompt from, if anywhere.
+    pub(super) fn sources(&self, request: &Request, pace: &Pace, now: Instant) -> Vec<Source> {
+        let serving = self.targets.values().filter(|state| state.serves(request));
+        let versions: BTreeSet<Option<&str>> =
+            serving.map(|state| state.target.software.as_deref()).collect();
+        let source = |software| self.source(request, software, pace, now);
+        versions.into_iter().filter_map(source).collect()
+    }
+
+    /// The target of a software version that keeps most of a request's prompt, if copying that is
+    /// much faster than reading it and what is read matters to the caller. What another version
+    /// keeps may not fit.
+    fn source(
+        &self,
+        request: &Request,
+        software: Option<&str>,
+        pace: &Pace,
+        now: Instant,
+    ) -> Option<Source> {
         let token_time_s = self.memories.get(&request.service)?.copy_token_time_s?;
         let read_time = Duration::from_secs_f64(pace.token_time_s());
         if token_time_s > read_time.as_secs_f64() * MAX_COPY_RATIO {
@@ -94,6 +110,7 @@
         request.workload.prompt.long_part(min_tokens)?;
         let can_serve = |state: &&TargetState| {
             state.serves(request)
+                && state.target.software.as_deref() == software
                 && state.is_available(now)
                 && !request.excluded.contains(&state.target.id)
         };
@@ -104,10 +121,12 @@
         let best = kept.max_by_key(|(kept_tokens, _)| *kept_tokens);
         let best = best.filter(|(kept_tokens, _)| *kept_tokens >= min_tokens);
         // Most likely in another data centre: the targets of this one are known here.
-        let told = request.workload.read_at;
+        let is_same_version = request.workload.read_by.as_deref() == software;
+        let told = request.workload.read_at.filter(|_| is_same_version);
         let told = told.map(|address| (request.workload.prompt.shared_tokens(), address));
         let (kept_tokens, address) = best.or(told)?;
-        Some(Source { address, kept_tokens, token_time_s, min_tokens })
+        let software = software.map(str::to_owned);
+        Some(Source { address, software, kept_tokens, token_time_s, min_tokens })
     }
 
     pub(super) fn forecast(&self, request: &Request, placed: Option<&Placed>) -> Option<Forecast> {
--- a/crates/coordination/src/slots/lease.rs
+++ b/crates/coordination/src/slots/lease.rs
@@ -110,6 +110,9 @@
     /// none. It may be in another data centre.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub read_at: Option<SocketAddr>,
+    /// Software version of that target; `None` if unknown.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub read_by: Option<SoftwareVersion>,
     /// Tokens of the prompt and, at most, of the output.
     #[serde(skip_serializing_if = "is_zero")]
     pub tokens: u32,
--- a/crates/coordination/src/slots/limited.rs
+++ b/crates/coordination/src/slots/limited.rs
@@ -36,7 +36,7 @@
         for target in targets {
             let before = previous.remove(&target.id);
             let (known, restarted): (Option<TargetState>, Option<TargetState>) = match before {
-                Some(state) if state.target.started_at == target.started_at => (Some(state), None),
+                Some(state) if state.target.is_same_start(target) => (Some(state), None),
                 before => (None, before),
             };
             if let Some(state) = restarted {
--- a/crates/coordination/src/slots/placement.rs
+++ b/crates/coordination/src/slots/placement.rs
@@ -10,6 +10,7 @@
 use super::lease::{Policy, Request, Workload};
 use super::speed::Pace;
 use super::target_state::{Rank, TargetState};
+use protocol::SoftwareVersion;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -71,10 +72,12 @@
     pub(super) slowness: f64,
 }
 
-/// The target that keeps most of a prompt, from which others may copy it.
+/// The target that keeps most of a prompt, from which others of its software version may copy it.
 #[derive(Clone, Debug)]
 pub(super) struct Source {
     pub(super) address: SocketAddr,
+    /// `None` if unknown.
+    pub(super) software: Option<SoftwareVersion>,
     /// Tokens of the leading parts that it keeps.
     pub(super) kept_tokens: u64,
     /// Time to copy the memory of a token, in seconds.
--- a/crates/coordination/src/slots/target_state.rs
+++ b/crates/coordination/src/slots/target_state.rs
@@ -87,8 +87,9 @@
     pub(super) median: f64,
     /// Pace of the request's service; `None` if requests aren't placed by expected delays.
     pub(super) pace: Option<&'a Pace>,
-    /// Where the prompt may be copied from; `None` if nowhere, or if reading it is as good.
-    pub(super) source: Option<Source>,
+    /// Where the prompt may be copied from, one for each software version; none if reading it is
+    /// as good.
+    pub(super) sources: Vec<Source>,
     pub(super) now: Instant,
 }
 
@@ -139,7 +140,7 @@
 
     /// Rank for a request; `None` if the target can't be used.
     pub(super) fn rank(&self, request: &Request, ranking: &Ranking<'_>) -> Option<Rank> {
-        let Ranking { policy, median, pace, ref source, now } = *ranking;
+        let Ranking { policy, median, pace, ref sources, now } = *ranking;
         if !self.serves(request) || request.excluded.contains(&self.target.id) {
             return None;
         }
@@ -160,7 +161,8 @@
         let is_overdue =
             policy.overdue_last && self.last_overdue.is_some_and(|at| now < at + OVERDUE_PENALTY);
         let doubts = 4 * u32::from(is_overdue || is_failing) + 8 * probation_rank;
-        let expected = pace.map(|pace| self.expect(&request.workload, pace, source.as_ref(), now));
+        let source = self.source(sources);
+        let expected = pace.map(|pace| self.expect(&request.workload, pace, source, now));
         let (class, cost) = match expected {
             Some(expected) => self.rank_by_delay(&expected, request, policy),
             None => (self.rank_by_speed(median, policy), 0),
@@ -170,6 +172,11 @@
         Some(Rank { class: class + doubts, cost, load, is_full: self.is_full() })
     }
 
+    /// Where this target may copy a prompt from.
+    pub(super) fn source<'a>(&self, sources: &'a [Source]) -> Option<&'a Source> {
+        sources.iter().find(|source| source.software == self.target.software)
+    }
+
     /// Class and cost by the delays that are expected.
     fn rank_by_delay(
         &self,
--- a/crates/coordination/tests/slots/prompts.rs
+++ b/crates/coordination/tests/slots/prompts.rs
@@ -110,13 +110,19 @@
 }
 
 /// Guards against sending requests where their prompt was kept by an earlier start.
-#[test]
-fn restarted_target_keeps_nothing() {
+#[rstest]
+#[case::by_its_start_time(7, "v1")]
+#[case::at_another_version(0, "v2")]
+fn restarted_target_keeps_nothing(#[case] started_at: u64, #[case] version: &str) {
     let now = Instant::now();
     let mut allocator = allocator(Policy::default(), 1, 2, now);
+    let at_version = |version: &str| Some(version.to_owned());
+    allocator.set_targets(&[Target { software: at_version("v1"), ..target(0, 2) }], now);
     complete(&mut allocator, prompted("manual", LONG, now), READ, now);
     let later = now + READ * 2;
-    allocator.set_targets(&[Target { started_at: 7, revision: 2, ..target(0, 2) }], later);
+    let software = at_version(version);
+    let restarted = Target { started_at, revision: 2, software, ..target(0, 2) };
+    allocator.set_targets(&[restarted], later);
     let next = grant(&mut allocator, prompted("manual", LONG, later), later);
     assert_eq!(forecast(&next).kept_tokens, 0);
 }
@@ -244,3 +250,39 @@
         .collect();
     assert_eq!(others, ["t0", "t1", "t3"]);
 }
+
+/// Guards against a target that goes on with what another software version keeps of a prompt.
+#[rstest]
+#[case::of_the_same_version("v1", true)]
+#[case::of_another_version("v2", false)]
+fn prompt_is_copied_only_between_targets_of_one_version(
+    #[case] other: &str,
+    #[case] is_copied: bool,
+    #[values(false, true)] is_told: bool,
+) {
+    let now = Instant::now();
+    let mut allocator = allocator(Policy::default(), 2, 1, now);
+    let at_version = |n: u16, version: &str| Target {
+        software: Some(version.to_owned()),
+        revision: 2,
+        ..target(n, 1)
+    };
+    let targets = [at_version(0, "v1"), at_version(1, other)];
+    // A sender may know of the prompt at a target that this allocator doesn't have.
+    allocator.set_targets(if is_told { &targets[1..] } else { &targets }, now);
+    let memory = TargetMemory { tokens: u64::MAX, copy_token_time_s: Some(1e-7) };
+    allocator.set_memory(HashMap::from([(String::from("llm"), memory)]));
+    // The pace of a service is known from its first request on.
+    complete(&mut allocator, prompted("other", 1, now), MS * 10, now);
+    let mut prompted = prompted("manual", LONG, now + READ);
+    if is_told {
+        prompted.workload.read_at = Some(targets[0].address);
+        prompted.workload.read_by.clone_from(&targets[0].software);
+    } else {
+        let first = Request { software: Some(String::from("v1")), ..prompted.clone() };
+        assert_eq!(grant(&mut allocator, first, now).target, "t0");
+    }
+    let grant = grant(&mut allocator, prompted, now + READ);
+    assert_eq!(grant.target, "t1");
+    assert_eq!(grant.copy_from, is_copied.then_some(targets[0].address));
+}
--- a/crates/daemon/src/gateway/leases/batch.rs
+++ b/crates/daemon/src/gateway/leases/batch.rs
@@ -79,7 +79,9 @@
     } else if node.is_unresponsive(address, now) {
         return None;
     } else {
-        node.request(address, &PeerRequest::Slots(request), wait + REPLY_TIMEOUT * 4).await.ok()?
+        node.request(address, &PeerRequest::Slots(Box::new(request)), wait + REPLY_TIMEOUT * 4)
+            .await
+            .ok()?
     };
     let PeerReply::Slots(grants, run_time) = reply else {
         return None;
--- a/crates/daemon/src/gateway/leases/call.rs
+++ b/crates/daemon/src/gateway/leases/call.rs
@@ -9,7 +9,7 @@
 use crate::gateway::quota::{self, Keeper};
 use crate::gateway::residency;
 use coordination::slots::{self, Purpose, Workload};
-use protocol::{DataCentreId, TargetId, WorkspaceId};
+use protocol::{DataCentreId, SoftwareVersion, TargetId, WorkspaceId};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -37,6 +37,8 @@
 impl AllocatorCall {
     /// A request for a slot that is free now.
     pub(super) fn immediate(node: &Node, query: &SlotQuery, data_centre: &str) -> AllocatorCall {
+        let reader = reader(node, query);
+        let (read_at, read_by) = reader.map_or((None, None), |(at, by)| (Some(at), by));
         let request = slots::Request {
             holder: node.id(),
             data_centre: data_centre.to_owned(),
@@ -52,7 +54,7 @@
             excluded: query.excluded.clone(),
             software: query.software.clone(),
             may_wait: false,
-            workload: Workload { read_at: read_at(node, query), ..query.workload.clone() },
+            workload: Workload { read_at, read_by, ..query.workload.clone() },
         };
         let id = node.leases.next_request_id();
         AllocatorCall {
@@ -151,8 +153,9 @@
         return AllocatorReply::Unresponsive;
     }
     let message = call.to_message(now);
-    let reply =
-        node.request(owner.peer, &PeerRequest::Slots(message), call.wait + REPLY_TIMEOUT).await;
+    let reply = node
+        .request(owner.peer, &PeerRequest::Slots(Box::new(message)), call.wait + REPLY_TIMEOUT)
+        .await;
     let reply = match reply {
         Ok(PeerReply::Charged(reply)) => {
             call.on_charged(Keeper::Remote(call.data_centre.clone(), owner.peer));
@@ -188,16 +191,16 @@
     AllocatorReply::UnusableTarget(lease.grant.target.clone())
 }
 
-/// Address of a target in an allowed region that has read the long shared parts of the prompt for
-/// this instance.
-fn read_at(node: &Node, query: &SlotQuery) -> Option<SocketAddr> {
+/// Address and software version of a target in an allowed region that has read the long shared
+/// parts of the prompt for this instance.
+fn reader(node: &Node, query: &SlotQuery) -> Option<(SocketAddr, Option<SoftwareVersion>)> {
     let registry = node.registry.borrow();
     let sent_prompts = node.leases.sent_prompts.borrow();
     let targets = sent_prompts.readers(&query.workload.prompt);
     let usable = targets.filter(|id| !registry.is_unusable(id)).filter_map(|id| registry.get(id));
     let mut allowed =
         usable.filter(|target| residency::allows(node, &query.residency, &target.data_centre));
-    allowed.next().map(|target| target.address)
+    allowed.next().map(|target| (target.address, target.software.clone()))
 }
 
 /// Charges a call to the ledger that is kept here; the reply if no slot is to be requested now.
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -181,7 +181,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerRequest {
     /// Requests slots.
-    Slots(SlotRequest),
+    Slots(Box<SlotRequest>),
     /// Cancels a waiting slot request of this instance.
     #[serde(rename = "Withdraw")]
     CancelSlots(InstanceId, SlotRequestId),
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -80,7 +80,7 @@
 
 async fn handle(node: &Rc<Node>, request: PeerRequest) -> PeerReply {
     match request {
-        PeerRequest::Slots(request) => allocator::on_slot_request(node, request).await,
+        PeerRequest::Slots(request) => allocator::on_slot_request(node, *request).await,
         PeerRequest::CancelSlots(from, id) => {
             allocator::on_cancelled(node, (from, id));
             PeerReply::Acknowledged
--- a/crates/daemon/src/gateway/workload.rs
+++ b/crates/daemon/src/gateway/workload.rs
@@ -26,6 +26,7 @@
         tokens: header::token_count(text(header::TOKEN_COUNT)),
         is_retry: call.is_retry,
         read_at: None,
+        read_by: None,
     }
 }
 
--- a/crates/daemon/tests/message_versions.rs
+++ b/crates/daemon/tests/message_versions.rs
@@ -77,7 +77,7 @@
         panic!("a slot request");
     };
     let charge = Some(String::from("press"));
-    let slots = SlotRequest { charge, accepts_reservation: true, ..slots };
+    let slots = SlotRequest { charge, accepts_reservation: true, ..*slots };
     let earlier: EarlierSlotRequest = decode(&encode(&slots)).expect("a slot request");
     assert_eq!(earlier.ticket, 3);
     let Some(PeerRequest::Statuses(statuses)) = decode(STATUSES.as_bytes()) else {
--- a/crates/protocol/src/routing.rs
+++ b/crates/protocol/src/routing.rs
@@ -279,6 +279,18 @@
     pub software: Option<SoftwareVersion>,
 }
 
+impl Target {
+    /// Whether another entry under the same id is of the same start of the target, as far as they
+    /// tell: a process keeps its software version.
+    pub fn is_same_start(&self, other: &Target) -> bool {
+        let is_same_version = match (&self.software, &other.software) {
+            (Some(version), Some(other)) => version == other,
+            _ => true,
+        };
+        self.started_at == other.started_at && is_same_version
+    }
+}
+
 /// What began a stream. The outputs of two software versions don't fit together, so a stream goes
 /// on only at targets of the service and the version by which it began.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
