Don't pass the length of one target's event stream on as that of the answer

What callers saw: an event stream that ended inside an event by its target's own length was framed as whole; a resumed one was cut at the length that the first target had stated, inside an event, and framed as whole.

Cause: the head of the first target's response was forwarded with its Content-Length, so the HTTP library counted the answer as complete after that many bytes, whatever `TargetBody` found.

Change: a streamed answer goes on without a length, in chunks; its end is stated once the body is complete.

--- a/crates/daemon/src/gateway/streaming.rs
+++ b/crates/daemon/src/gateway/streaming.rs
@@ -13,6 +13,7 @@
 use coordination::continuation;
 use coordination::slots::LeaseOutcome;
 use hyper::Response;
+use hyper::header::CONTENT_LENGTH;
 use protocol::routing::Origin;
 use protocol::{SoftwareVersion, TargetId};
 use std::rc::Rc;
@@ -69,7 +70,9 @@
     response: TargetResponse,
     in_flight: in_flight::Guard,
 ) -> Response<Body> {
-    let head = forwarded_head(&response.body);
+    let mut head = forwarded_head(&response.body);
+    // The length is that of this target's response, which may end inside an event or be resumed.
+    head.headers_mut().remove(CONTENT_LENGTH);
     let (sender, body) = server::body_channel();
     tokio::task::spawn_local(async move {
         let mut stream = Stream {
--- a/crates/daemon/tests/gateway_truncation.rs
+++ b/crates/daemon/tests/gateway_truncation.rs
@@ -123,6 +123,41 @@
     assert!(!response.looks_complete(), "{response:?}");
 }
 
+/// Headers of a stream with the length of this body.
+fn with_length(body: &str) -> String {
+    format!("{UNFRAMED}\nContent-Length: {}", body.len())
+}
+
+#[rstest]
+fn stream_whose_length_ends_inside_an_event_does_not_look_complete(
+    #[values(Version::Http10, Version::Http11)] version: Version,
+) {
+    let body = "id: 1\ndata: part-1\n\nid: 2\ndata: pa";
+    let target = target(move |request| {
+        Answer::new(&request.id, &with_length(body), &[body], End::KeepAlive)
+    });
+    let fleet = fleet_of(&[&target]);
+    let response = call(&fleet, version, "/ask/cut", "cut");
+    assert!(!response.looks_complete(), "{response:?}");
+}
+
+#[rstest]
+fn resumed_stream_does_not_end_at_the_length_of_its_first_target(
+    #[values(Version::Http10, Version::Http11)] version: Version,
+) {
+    let body = format!("{}id: 4\ndata: pa", events(1, 3));
+    let broken = target(move |request| {
+        Answer::new(&request.id, &with_length(&body), &[&body], End::KeepAlive)
+    });
+    let sound = sound_target();
+    let fleet = fleet_of(&[&broken, &sound]);
+    for n in 0..8 {
+        let response = call(&fleet, version, "/talk/x", &format!("talk-{n}"));
+        assert!(response.looks_complete(), "{response:?}");
+        assert_eq!(response.body, events(1, 6));
+    }
+}
+
 #[rstest]
 #[case::inside_an_event(UNFRAMED, "id: 1\ndata: part-1\n\nid: 2\nda", End::Close)]
 #[case::in_a_crash("Content-Type: text/plain", "half of", End::Crash)]
