Take no close that this instance noticed late for the end of a body

Cause: an end that only the connection tells counts if the target's process is found running 5 ms after the close. An instance that was frozen while the target crashed notices the close when it resumes; by then another process may serve at the address.

Change: while such a body is read, the reader wakes every 50 ms; if it was held up for over 250 ms, what has arrived meanwhile is read, but a close that follows it isn't taken for the end. Answers with a length or chunks aren't concerned.

--- a/crates/coordination/src/presence.rs
+++ b/crates/coordination/src/presence.rs
@@ -8,6 +8,13 @@
 /// Time within which the port and all connections of a process that ends are closed.
 pub const CLOSE_WINDOW: Duration = Duration::from_millis(5);
 
+/// Interval at which the reader of a response that ends with its connection checks that it isn't
+/// held up.
+pub const AWAKE_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest time from one of these checks to the next in which a close counts as noticed when it
+/// happened. A reader that was suspended for longer may find that the target runs again.
+pub const MAX_NOTICE_DELAY: Duration = Duration::from_millis(250);
+
 /// What a connection attempt to a target's address showed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Presence {
--- a/crates/daemon/src/gateway/target_body.rs
+++ b/crates/daemon/src/gateway/target_body.rs
@@ -7,10 +7,12 @@
 //! counts only if the target's process still runs, as far as that can be found out; see
 //! [`coordination::presence`].
 
+use crate::clock;
 use bytes::{Bytes, BytesMut};
-use coordination::presence::{CLOSE_WINDOW, Presence};
+use coordination::presence::{AWAKE_INTERVAL, CLOSE_WINDOW, MAX_NOTICE_DELAY, Presence};
 use hyper::http::response::Parts;
 use std::fmt;
+use std::time::Instant;
 use transport::event::{self, EventTracker};
 use transport::upstream::{Exchange, Framing};
 
@@ -27,6 +29,9 @@
     NoEvent,
     /// The body ended with its connection, and the target's process wasn't found afterwards.
     TargetGone(Presence),
+    /// The body ended with its connection, which was noticed too late to find out whether the
+    /// target's process was running.
+    NoticedLate,
 }
 
 impl fmt::Display for Truncation {
@@ -36,6 +41,7 @@
             Truncation::TooLarge(max_bytes) => write!(f, "exceeds {max_bytes} bytes"),
             Truncation::InsideEvent => write!(f, "ended inside an event"),
             Truncation::NoEvent => write!(f, "closed before the first event"),
+            Truncation::NoticedLate => write!(f, "closed while this instance was held up"),
             Truncation::TargetGone(presence) => write!(f, "closed, and then {presence:?}"),
         }
     }
@@ -48,6 +54,11 @@
     events: Option<EventTracker>,
     /// Whether the stream continues an earlier one, and may have no events left.
     is_resumed: bool,
+    /// Whether this instance was held up, and since then has only read what had arrived: then the
+    /// connection may have been closed long before its end is read.
+    is_behind: bool,
+    /// When this instance was last awake during a read in progress; `None` between reads.
+    waiting_since: Option<Instant>,
 }
 
 impl TargetBody {
@@ -58,13 +69,16 @@
         let is_event_stream =
             event::are_events(&head.headers).unwrap_or(expects_events && head.status.is_success());
         let events = is_event_stream.then(EventTracker::default);
-        TargetBody { exchange, events, is_resumed: false }
+        TargetBody::with_events(exchange, events)
     }
 
     /// Wraps a body that must be an event stream, whatever its head says.
     pub fn of_events(exchange: Exchange) -> TargetBody {
-        let events = Some(EventTracker::default());
-        TargetBody { exchange, events, is_resumed: false }
+        TargetBody::with_events(exchange, Some(EventTracker::default()))
+    }
+
+    fn with_events(exchange: Exchange, events: Option<EventTracker>) -> TargetBody {
+        TargetBody { exchange, events, is_resumed: false, is_behind: false, waiting_since: None }
     }
 
     /// Marks the body as the rest of a stream that was interrupted after one of its events.
@@ -103,7 +117,7 @@
     ///
     /// The body is incomplete.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, Truncation> {
-        let chunk = self.exchange.next_chunk().await.map_err(Truncation::Connection)?;
+        let chunk = self.read_chunk().await.map_err(Truncation::Connection)?;
         match &chunk {
             Some(bytes) => self.events.iter_mut().for_each(|events| events.push(bytes)),
             None => self.check_end().await?,
@@ -111,6 +125,26 @@
         Ok(chunk)
     }
 
+    async fn read_chunk(&mut self) -> Result<Option<Bytes>, String> {
+        if self.is_framed() {
+            return self.exchange.next_chunk().await;
+        }
+        loop {
+            // A read that was cancelled has been waiting since it began.
+            let awake_at = *self.waiting_since.get_or_insert_with(clock::now);
+            let read = tokio::time::timeout(AWAKE_INTERVAL, self.exchange.next_chunk()).await;
+            let is_late = clock::since(awake_at) > MAX_NOTICE_DELAY;
+            self.waiting_since = None;
+            match read {
+                Ok(chunk) => {
+                    self.is_behind |= is_late;
+                    return chunk;
+                }
+                Err(_) => self.is_behind = is_late,
+            }
+        }
+    }
+
     /// Reads the rest of the body.
     ///
     /// # Errors
@@ -137,6 +171,9 @@
         if !self.is_resumed && self.events.is_some_and(|events| events.events() == 0) {
             return Err(Truncation::NoEvent);
         }
+        if self.is_behind {
+            return Err(Truncation::NoticedLate);
+        }
         self.check_presence().await
     }
 
--- a/crates/daemon/tests/gateway_truncation.rs
+++ b/crates/daemon/tests/gateway_truncation.rs
@@ -123,6 +123,28 @@
     assert!(!response.looks_complete(), "{response:?}");
 }
 
+/// After a suspension a crashed target may run again, and its address says nothing.
+#[rstest]
+fn close_that_a_frozen_gateway_missed_does_not_look_complete(
+    #[values(Version::Http10, Version::Http11)] version: Version,
+) {
+    let target = target(|request| Answer {
+        pause: Duration::from_millis(300),
+        ..Answer::new(&request.id, UNFRAMED, &[&event(1), &event(2)], End::Close)
+    });
+    let fleet = fleet_of(&[&target]);
+    let response = std::thread::scope(|scope| {
+        let caller = scope.spawn(|| call(&fleet, version, "/ask/frozen", "frozen"));
+        wait_until("it runs", || target.requests().iter().any(|r| r.path == "/ask/frozen"));
+        std::thread::sleep(Duration::from_millis(100));
+        fleet.gateways[0].freeze();
+        std::thread::sleep(Duration::from_millis(1_000));
+        fleet.gateways[0].thaw();
+        caller.join().expect("a response")
+    });
+    assert!(response.status != 200 || !response.looks_complete(), "{response:?}");
+}
+
 /// Headers of a stream with the length of this body.
 fn with_length(body: &str) -> String {
     format!("{UNFRAMED}\nContent-Length: {}", body.len())
