Soak with targets of two versions, and callers that take streams up elsewhere

Checked: no stream over all attempts of its caller and no item has events of two versions, and the events are in order, each once.

--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -26,14 +26,23 @@
 const PARTS: [(&str, u32); 4] = [("a0", 4_000), ("b1", 4_000), ("c2", 2_000), ("d3", 1_000)];
 
 /// A client and the HTTP version of its requests.
+#[derive(Clone)]
 struct HttpClient {
     http: Client<HttpConnector, Full<bytes::Bytes>>,
     version: Version,
+    /// Time after which it leaves.
+    timeout: Duration,
 }
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(6);
 const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
 const READ_INTERVAL: Duration = Duration::from_millis(80);
+/// Attempts of a caller to take up one stream.
+const MAX_TAKE_UPS: usize = 3;
+/// Of the streams of a caller that takes them up, each so-many-th is left halfway.
+const LEAVING_EVERY: usize = 5;
+/// Time after which a stream is left halfway.
+const LEAVES_AFTER: Duration = Duration::from_millis(120);
 /// Items per job; one of them always fails.
 pub const ITEMS_PER_JOB: usize = 6;
 
@@ -50,7 +59,11 @@
 fn client(version: Version) -> HttpClient {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
-    HttpClient { http: Client::builder(TokioExecutor::new()).build(connector), version }
+    HttpClient {
+        http: Client::builder(TokioExecutor::new()).build(connector),
+        version,
+        timeout: CALL_TIMEOUT,
+    }
 }
 
 async fn call(
@@ -101,7 +114,7 @@
         response.is_complete = true;
     };
     // On a timeout the connection is dropped, and the response stays incomplete.
-    let _timeout = tokio::time::timeout(CALL_TIMEOUT, exchange).await;
+    let _timeout = tokio::time::timeout(http.timeout, exchange).await;
     response
 }
 
@@ -110,14 +123,61 @@
     call(http, "GET", front, &path, "", String::new()).await
 }
 
+/// Takes a stream up at other gateways until it is complete, and returns what arrived in all.
+async fn take_up(
+    http: &HttpClient,
+    fronts: &[SocketAddr],
+    id: &str,
+    headers: &[(&str, &str)],
+    begun: Response,
+    record: &Recorder,
+) -> Response {
+    let mut whole = begun;
+    for attempt in 1..=MAX_TAKE_UPS {
+        // What is after the last whole event was cut off.
+        let text = String::from_utf8_lossy(&whole.body);
+        let end = text.rfind("\n\n").map_or(0, |end| end + 2);
+        whole.body.truncate(end);
+        let text = String::from_utf8_lossy(&whole.body);
+        let last = text.lines().filter_map(|line| line.strip_prefix("id: ")).next_back();
+        let Some(last) = last.map(str::to_owned) else {
+            break;
+        };
+        if whole.is_complete {
+            break;
+        }
+        let mut headers = headers.to_vec();
+        headers.extend([("resumes", id), ("last-event-id", &*last)]);
+        let front = fronts[(attempt + last.len() + id.len()) % fronts.len()];
+        let path = format!("/talk/{id}");
+        let attempt_id = format!("{id}~{attempt}");
+        let next = call_with(http, "POST", front, &path, &attempt_id, "x".into(), &headers).await;
+        record.on_taken_up(next.status);
+        if next.status == 200 {
+            whole.body.extend(next.body);
+            whole.is_complete = next.is_complete;
+        } else {
+            tokio::time::sleep(REQUEST_INTERVAL * 10).await;
+        }
+    }
+    whole
+}
+
+/// A caller of streams.
+pub struct StreamCaller {
+    /// Its number.
+    pub n: usize,
+    /// HTTP version of its requests.
+    pub version: Version,
+    /// Whether it takes up streams that broke off.
+    pub is_patient: bool,
+    /// Addresses of the gateways.
+    pub fronts: Vec<SocketAddr>,
+}
+
 /// Requests streams until `is_over` is set.
-pub async fn send_streams(
-    n: usize,
-    version: Version,
-    fronts: Vec<SocketAddr>,
-    record: Arc<Recorder>,
-    is_over: Arc<AtomicBool>,
-) {
+pub async fn send_streams(caller: StreamCaller, record: Arc<Recorder>, is_over: Arc<AtomicBool>) {
+    let StreamCaller { n, version, is_patient, fronts } = caller;
     let http = client(version);
     let mut count = 0;
     while !is_over.load(Ordering::Relaxed) {
@@ -133,8 +193,16 @@
             ("x-gatespool-prompt-prefix", &*format!("{part}:{tokens},{n}{count:x}:20")),
         ];
         let path = format!("/{kind}/{id}");
+        let leaves = is_patient && count % LEAVING_EVERY == 0;
+        let timeout = if leaves { LEAVES_AFTER } else { CALL_TIMEOUT };
+        let http = HttpClient { timeout, ..http.clone() };
         let response = call_with(&http, "POST", front, &path, &id, "x".into(), &headers).await;
         record.on_stream(kind, &id, &response);
+        if is_patient && kind == "talk" && response.status == 200 && !response.is_complete {
+            let http = HttpClient { timeout: CALL_TIMEOUT, ..http };
+            let whole = take_up(&http, &fronts, &id, &headers, response, &record).await;
+            record.on_joined(&id, &whole);
+        }
         let pause = if n < FIRST_QUIET { 1 } else { HOT_RATIO };
         tokio::time::sleep(REQUEST_INTERVAL * pause).await;
     }
--- a/crates/daemon/tests/soak/check.rs
+++ b/crates/daemon/tests/soak/check.rs
@@ -30,6 +30,8 @@
     versions: HashMap<usize, u64>,
     /// Numbers of completed, rejected and failed streams.
     stream_counts: [u64; 3],
+    /// Numbers of attempts to take a stream up, by status.
+    taken_up: BTreeMap<u16, u64>,
 }
 
 /// Records observations and finds violations of the guarantees.
@@ -41,7 +43,39 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records the status of an attempt to take a stream up.
+    pub fn on_taken_up(&self, status: u16) {
+        *self.lock().taken_up.entry(status).or_default() += 1;
+    }
+
+    /// Records the events of a stream over all attempts of its caller.
+    pub fn on_joined(&self, id: &str, whole: &Response) {
+        let text = String::from_utf8_lossy(&whole.body);
+        let ids: Vec<u64> = text
+            .lines()
+            .filter_map(|line| line.strip_prefix("id: "))
+            .filter_map(|id| id.parse().ok())
+            .collect();
+        let expected: Vec<u64> = (1..=EVENTS_PER_RESPONSE).take(ids.len()).collect();
+        let is_short = whole.is_complete && ids.len() as u64 != EVENTS_PER_RESPONSE;
+        if ids != expected || is_short {
+            self.lock().violations.push(format!("{id}: taken up with wrong events: {ids:?}"));
+        }
+        self.check_versions(id, &text);
+    }
+
+    /// Checks that only one software version has generated a stream.
+    fn check_versions(&self, id: &str, text: &str) {
+        let mut versions: Vec<&str> =
+            text.lines().filter_map(|line| line.strip_prefix("event: ")).collect();
+        versions.dedup();
+        if versions.len() > 1 {
+            self.lock().violations.push(format!("{id}: events of the versions {versions:?}"));
+        }
+    }
+
     pub fn on_stream(&self, kind: &str, id: &str, response: &Response) {
+        self.check_versions(id, &String::from_utf8_lossy(&response.body));
         let mut observed = self.lock();
         match response.status {
             200 if response.is_complete => {
@@ -151,7 +185,11 @@
         let observed = self.lock();
         let accepted = observed.jobs.values().filter(|job| job.is_accepted).count();
         let [completed, rejected, failed] = observed.stream_counts;
-        format!("{completed} completed, {rejected} rejected, {failed} failed; {accepted} jobs")
+        let taken_up = &observed.taken_up;
+        format!(
+            "{completed} completed, {rejected} rejected, {failed} failed; {accepted} jobs; \
+             taken up, by status: {taken_up:?}"
+        )
     }
 
     /// All violations, including those that only the runs of the runners show.
@@ -170,6 +208,7 @@
         let rejected_runs =
             observed.rejected.iter().filter(|id| run_counts.contains_key(id.as_str()));
         violations.extend(rejected_runs.map(|id| format!("{id}: rejected as not run, but it ran")));
+        violations.extend(check_items(runs));
         for (id, job) in &observed.jobs {
             violations.extend(check_job(id, job, runs));
         }
@@ -177,6 +216,23 @@
     }
 }
 
+/// Checks that each run of an item that goes on does so at a version that began the item before.
+fn check_items(runs: &[Run]) -> Vec<String> {
+    let mut runs: Vec<&Run> = runs.iter().filter(|run| run.path.starts_with("/batch/")).collect();
+    runs.sort_by_key(|run| run.started);
+    let mut began: HashMap<&str, Vec<&str>> = HashMap::new();
+    let mut violations = Vec::new();
+    for run in runs {
+        let versions = began.entry(&run.id).or_default();
+        if run.last_event_id.is_none() {
+            versions.push(&run.software);
+        } else if !versions.contains(&run.software.as_str()) {
+            violations.push(format!("{}: goes on at {}, not {versions:?}", run.id, run.software));
+        }
+    }
+    violations
+}
+
 fn check_job(id: &str, job: &Job, runs: &[Run]) -> Vec<String> {
     let mut violations = Vec::new();
     let prefix = format!("{id}-");
--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -30,6 +30,9 @@
     CompactHistory,
     /// The end of a runner's process, and a start at the same address after the duration.
     RunnerCrash(usize, Duration),
+    /// The end of a runner's process, and after the duration a start of another one at its address,
+    /// with another id and the other of two software versions.
+    RunnerReplacement(usize, Duration),
     /// Faults of a runner itself.
     RunnerFaults(usize, runner::Faults, Duration),
     /// A runner reports that it is draining, and is ready again after the duration.
@@ -112,6 +115,20 @@
 
 /// Adds crashes of runners, in series and beside the other faults.
 pub fn with_crashes(steps: Vec<Step>, seed: u64, runners: usize) -> Vec<Step> {
+    with_faults(steps, seed, runners, Fault::RunnerCrash)
+}
+
+/// Adds replacements of runners, in series and beside the other faults.
+pub fn with_replacements(steps: Vec<Step>, seed: u64, runners: usize) -> Vec<Step> {
+    with_faults(steps, seed, runners, Fault::RunnerReplacement)
+}
+
+fn with_faults(
+    steps: Vec<Step>,
+    seed: u64,
+    runners: usize,
+    fault_of: fn(usize, Duration) -> Fault,
+) -> Vec<Step> {
     let mut rng = StdRng::seed_from_u64(!seed);
     let mut all = Vec::new();
     for (pause, fault) in steps {
@@ -119,9 +136,8 @@
             all.push((pause, fault));
             continue;
         }
-        let crash =
-            Fault::RunnerCrash(rng.random_range(0..runners), random_millis(&mut rng, 30, 700));
-        all.push((pause / 2, crash));
+        let added = fault_of(rng.random_range(0..runners), random_millis(&mut rng, 30, 700));
+        all.push((pause / 2, added));
         all.push((pause - pause / 2, fault));
     }
     all
--- a/crates/daemon/tests/soak/scenario.rs
+++ b/crates/daemon/tests/soak/scenario.rs
@@ -5,7 +5,7 @@
 use super::faults::{self, Fault};
 use super::util::gateway::{Fleet, Plan};
 use super::util::proxy::{Mode, Proxy};
-use super::{FIRST_SUSPENSION_SEED, FIRST_UNFRAMED_SEED};
+use super::{FIRST_SUSPENSION_SEED, FIRST_UNFRAMED_SEED, FIRST_VERSIONS_SEED};
 use hyper::Version;
 use serde_json::json;
 use standin::objects;
@@ -25,6 +25,8 @@
 const CALLERS: [usize; 2] = [callers::STREAM_KEYS.len(), 3];
 /// Factors to the times of the runners.
 const SLOWNESS: [f64; 3] = [1.0, 0.5, 2.0];
+/// Software versions of the runners.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Tokens that a runner keeps: not all shared parts.
 const MEMORY_TOKENS: u64 = 9_000;
 
@@ -37,6 +39,8 @@
     PeerPartition,
     PlatformFaults,
     RunnerFaults(usize),
+    /// Holds the id of the runner that was replaced.
+    RunnerReplacement(usize, String),
     Ready(usize),
 }
 
@@ -55,7 +59,8 @@
 /// Runs the scenario of a seed and returns the violated guarantees.
 pub fn run(seed: u64) -> Vec<String> {
     let is_unframed = seed >= FIRST_UNFRAMED_SEED;
-    let mut scenario = Scenario::start(is_unframed);
+    let has_versions = seed >= FIRST_VERSIONS_SEED;
+    let mut scenario = Scenario::start(is_unframed, has_versions);
     scenario.suspended_for = (seed >= FIRST_SUSPENSION_SEED)
         .then(|| vec![Duration::ZERO; scenario.fleet.gateways.len()]);
     let is_over = Arc::new(AtomicBool::new(false));
@@ -64,10 +69,11 @@
         scenario.fleet.gateways.iter().map(|gateway| gateway.front_address).collect();
     let (record, version) = (scenario.record.clone(), scenario.version.clone());
     let mut tasks = Vec::new();
+    let is_patient = has_versions;
     for n in 0..CALLERS[0] {
         let version = if is_unframed && n % 2 == 0 { Version::HTTP_10 } else { Version::HTTP_11 };
-        let task =
-            callers::send_streams(n, version, fronts.clone(), record.clone(), is_over.clone());
+        let caller = callers::StreamCaller { n, version, is_patient, fronts: fronts.clone() };
+        let task = callers::send_streams(caller, record.clone(), is_over.clone());
         tasks.push(runtime.spawn(task));
     }
     for n in 0..CALLERS[1] {
@@ -81,6 +87,9 @@
     if is_unframed {
         steps = faults::with_crashes(steps, seed, runners);
     }
+    if has_versions {
+        steps = faults::with_replacements(steps, seed, runners);
+    }
     for (pause, fault) in steps {
         scenario.wait_and_undo(pause);
         scenario.inject(fault);
@@ -106,18 +115,22 @@
 }
 
 impl Scenario {
-    fn start(is_unframed: bool) -> Scenario {
+    fn start(is_unframed: bool, has_versions: bool) -> Scenario {
         let config = |n: usize| Config {
             id: format!("r{n}"),
+            software: String::from(if has_versions { VERSIONS[n % 2] } else { VERSIONS[0] }),
             event_count: EVENTS_PER_RESPONSE,
             event_interval: Duration::from_millis(15),
             token_time: Duration::from_micros(20),
             memory_tokens: MEMORY_TOKENS,
-            slowness: SLOWNESS[n],
+            slowness: SLOWNESS[n % SLOWNESS.len()],
             is_unframed,
             ..Config::default()
         };
-        let runners = vec![("east", config(0)), ("west", config(1)), ("east", config(2))];
+        let mut runners = vec![("east", config(0)), ("west", config(1)), ("east", config(2))];
+        if has_versions {
+            runners.extend([("west", config(3)), ("east", config(4)), ("east", config(5))]);
+        }
         let workspace = |key: &&str| json!({ "name": key, "api_keys": [key], "rate_per_s": 1_000, "burst": 1_000 });
         let mut keys: Vec<&str> = callers::STREAM_KEYS.to_vec();
         keys.push(callers::KEY);
@@ -239,6 +252,13 @@
                 self.runner_proxies[n].set_mode(Mode::Refuse);
                 self.undo_after(down, Undo::RunnerConnection(n));
             }
+            Fault::RunnerReplacement(n, down) => {
+                self.runner_proxies[n].set_mode(Mode::Refuse);
+                let before = self.fleet.runners[n].identity().software;
+                let other = VERSIONS.iter().find(|version| **version != before);
+                let earlier = self.fleet.replace_runner(n, other.expect("two versions"));
+                self.undo_after(down, Undo::RunnerReplacement(n, earlier));
+            }
             Fault::PeerPartition(n, period) => {
                 let own = self.fleet.gateways[n].peer_address;
                 let gateways = self.fleet.gateways.iter();
@@ -297,6 +317,10 @@
             Undo::PeerPartition => self.fleet.gateways.iter().for_each(|g| g.set_unreachable(&[])),
             Undo::PlatformFaults => self.fleet.objects.set_faults(objects::Faults::default()),
             Undo::RunnerFaults(n) => self.fleet.runners[n].set_faults(runner::Faults::default()),
+            Undo::RunnerReplacement(n, earlier) => {
+                self.runner_proxies[n].set_mode(Mode::Pass);
+                self.fleet.register_replacement(n, &earlier);
+            }
             Undo::Ready(n) => self.fleet.set_runner_state(n, "ready"),
         }
     }
--- a/crates/daemon/tests/util/gateway.rs
+++ b/crates/daemon/tests/util/gateway.rs
@@ -7,7 +7,7 @@
 use super::{wait_for, wait_until};
 use serde_json::{Value, json};
 use standin::objects::Objects;
-use standin::runner::{self, Run, Runner};
+use standin::runner::{self, Identity, Run, Runner};
 use standin::serve::{self, Server};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -124,7 +124,11 @@
             let server = serve::start_process(any_port(), runner.clone(), runner.process())
                 .expect("a runner");
             let address = proxy(server.address);
-            objects.put("servers", &config.id, runner_entry(address, data_centre, config, "ready"));
+            objects.put(
+                "servers",
+                &config.id,
+                runner_entry(address, data_centre, &runner, config.slots, "ready"),
+            );
             runner_addresses.push(address);
             servers.push(server);
             runners.push(runner);
@@ -349,39 +353,53 @@
 
     /// Changes the entry of a runner in a field that doesn't affect its use.
     pub fn touch_runner_entry(&self, n: usize) {
-        let (data_centre, config) = &self.plan.runners[n];
-        let mut entry = runner_entry(self.runner_addresses[n], data_centre, config, "ready");
+        let mut entry = self.runner_entry(n, "ready");
         entry["seq"] = json!(2);
-        self.objects.put("servers", &config.id, entry);
+        self.objects.put("servers", &self.runners[n].identity().id, entry);
     }
 
     /// Rewrites the entry of a runner with this software version; null leaves the field out.
     pub fn set_software(&self, n: usize, version: Value) {
-        let (data_centre, config) = &self.plan.runners[n];
-        let mut entry = runner_entry(self.runner_addresses[n], data_centre, config, "ready");
+        let mut entry = self.runner_entry(n, "ready");
         entry["version"] = version;
         if let Some(fields) = entry.as_object_mut() {
             fields.retain(|_, value| !value.is_null());
         }
-        self.objects.put("servers", &config.id, entry);
+        self.objects.put("servers", &self.runners[n].identity().id, entry);
     }
 
     /// Writes the entry that a runner registers after a restart under the same id.
     pub fn reregister(&self, n: usize, started_at: u64) {
-        let (data_centre, config) = &self.plan.runners[n];
-        let mut entry = runner_entry(self.runner_addresses[n], data_centre, config, "ready");
+        let mut entry = self.runner_entry(n, "ready");
         entry["born"] = json!(started_at);
-        self.objects.put("servers", &config.id, entry);
+        self.objects.put("servers", &self.runners[n].identity().id, entry);
     }
 
     /// Rewrites the entry of a runner with this state.
     pub fn set_runner_state(&self, n: usize, state: &str) {
+        let entry = self.runner_entry(n, state);
+        self.objects.put("servers", &self.runners[n].identity().id, entry);
+    }
+
+    /// Replaces a runner by another start at its address: the entry of the earlier one stays until
+    /// [`Fleet::register_replacement`].
+    pub fn replace_runner(&self, n: usize, software: &str) -> String {
+        let earlier = self.runners[n].identity().id;
+        let identity = Identity { id: format!("{earlier}x"), software: software.to_owned() };
+        self.runners[n].restart_as(identity);
+        earlier
+    }
+
+    /// Writes the entry of a runner that has replaced the one named `earlier`.
+    pub fn register_replacement(&self, n: usize, earlier: &str) {
+        self.objects.remove("servers", earlier);
+        self.set_runner_state(n, "ready");
+    }
+
+    fn runner_entry(&self, n: usize, state: &str) -> Value {
         let (data_centre, config) = &self.plan.runners[n];
-        self.objects.put(
-            "servers",
-            &config.id,
-            runner_entry(self.runner_addresses[n], data_centre, config, state),
-        );
+        let address = self.runner_addresses[n];
+        runner_entry(address, data_centre, &self.runners[n], config.slots, state)
     }
 }
 
@@ -415,12 +433,13 @@
 fn runner_entry(
     address: SocketAddr,
     data_centre: &str,
-    config: &runner::Config,
+    runner: &Runner,
+    slots: usize,
     state: &str,
 ) -> Value {
     json!({
         "service": "llm", "addr": address.to_string(), "zone": data_centre,
-        "version": config.software, "slots": config.slots, "state": state, "cold_left_ms": 0, "seq": 1,
+        "version": runner.identity().software, "slots": slots, "state": state, "cold_left_ms": 0, "seq": 1,
     })
 }
 
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -112,8 +112,19 @@
     pub is_complete: bool,
 }
 
+/// What a start of a runner is known by.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Identity {
+    /// Target name.
+    pub id: String,
+    /// Version of its software.
+    pub software: String,
+}
+
 #[derive(Default)]
 struct State {
+    /// `None` until [`Runner::restart_as`].
+    identity: Option<Identity>,
     faults: Faults,
     runs: Vec<Run>,
     failing_ids: HashMap<String, u16>,
@@ -149,6 +160,18 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What the current start is known by.
+    pub fn identity(&self) -> Identity {
+        let Config { id, software, .. } = &self.config;
+        let first = || Identity { id: id.clone(), software: software.clone() };
+        self.lock().identity.clone().unwrap_or_else(first)
+    }
+
+    /// Serves further requests as another start. Its user breaks the connections of the earlier one.
+    pub fn restart_as(&self, identity: Identity) {
+        self.lock().identity = Some(identity);
+    }
+
     /// Replaces all faults.
     pub fn set_faults(&self, faults: Faults) {
         self.lock().faults = faults;
@@ -202,7 +225,7 @@
 
     fn rejection(&self, head: &RequestHead) -> Option<Response> {
         let expected = head.header(EXPECTED_TARGET);
-        if !expected.is_empty() && expected != self.config.id {
+        if !expected.is_empty() && expected != self.identity().id {
             return Some(http::bytes(421, "text/plain", Bytes::new()));
         }
         if self.lock().faults.rejects_all {
@@ -225,6 +248,7 @@
         };
         let id = head.header(REQUEST_ID).to_owned();
         let last_event_id = head.header("last-event-id").parse().ok();
+        let Identity { id: runner_id, software } = self.identity();
         let (run_index, is_interrupted, wrong_id, failure_status, will_crash, unread) = {
             let mut state = self.lock();
             let started = Instant::now();
@@ -236,7 +260,7 @@
                 workspace: head.header(WORKSPACE).to_owned(),
                 authorization: head.header("authorization").to_owned(),
                 last_event_id,
-                software: self.config.software.clone(),
+                software: software.clone(),
                 remaining,
                 arrived,
                 started,
@@ -273,7 +297,8 @@
                         runner.process.crash.notify_one();
                         std::future::pending::<()>().await;
                     }
-                    runner.stream_events(&id, last_event_id, is_interrupted, run_index, tx).await;
+                    let stream = EventStream { id, software, last_event_id, is_interrupted };
+                    runner.stream_events(stream, run_index, tx).await;
                     drop((admitted, slot));
                 }));
                 http::stream(200, "text/event-stream", rx)
@@ -283,23 +308,16 @@
             *response.version_mut() = Version::HTTP_10;
         }
         http::set_header(&mut response, REQUEST_ID, echoed);
-        http::set_header(&mut response, SERVER_STAMP, &format!("{}-{id}", self.config.id));
+        http::set_header(&mut response, SERVER_STAMP, &format!("{runner_id}-{id}"));
         response
     }
 
-    async fn stream_events(
-        &self,
-        id: &str,
-        last_event_id: Option<u64>,
-        is_interrupted: bool,
-        run_index: usize,
-        tx: body::Sender,
-    ) {
+    async fn stream_events(&self, stream: EventStream, run_index: usize, tx: body::Sender) {
+        let EventStream { id, software, last_event_id, is_interrupted } = stream;
         let from = last_event_id.map_or(1, |id| id + 1);
         let event_count = self.lock().event_count.unwrap_or(self.config.event_count);
         let event_interval = self.config.event_interval.mul_f64(self.config.slowness);
         for n in from..=event_count {
-            let software = &self.config.software;
             let event = format!("id: {n}\nevent: {software}\ndata: {id}-{n}\n\n");
             if is_interrupted && n >= from + 2 {
                 let half = Bytes::from(event.as_bytes()[..event.len() / 2].to_vec());
@@ -323,6 +341,17 @@
     }
 }
 
+/// The events of one response.
+struct EventStream {
+    /// Id of the request.
+    id: String,
+    /// Version of the start that generates them.
+    software: String,
+    last_event_id: Option<u64>,
+    /// Whether it is truncated inside an event.
+    is_interrupted: bool,
+}
+
 impl Service for Runner {
     async fn call<B: BodyStream>(&self, head: RequestHead, mut body: B) -> Response {
         if http::read_body(&mut body, MAX_BODY_BYTES, BODY_TIMEOUT).await.is_err() {
