Split origins and failures of requests, statistics of streams and changes of the registry from large files

Change: online/origin.rs, online/failure.rs, streaming/stats.rs, registry/change.rs; code moved, and `required_software` from the middle of a function to one of its own.

--- a/crates/coordination/src/registry.rs
+++ b/crates/coordination/src/registry.rs
@@ -4,6 +4,10 @@
 //! so an entry that is missing then may still be valid. Changes from several instances are merged
 //! by revision, so their order doesn't matter.
 
+mod change;
+
+pub use change::{Change, Delta, Page};
+
 use crate::{TargetId, hash};
 use protocol::DataCentreId;
 use protocol::routing::Target;
@@ -36,41 +40,6 @@
     }
 }
 
-/// A change that instances exchange.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub enum Change {
-    /// The target as registered.
-    Present(Target),
-    /// The target was removed at a revision.
-    Gone {
-        /// Name of the target.
-        id: TargetId,
-        /// Revision of the removal.
-        revision: u64,
-    },
-}
-
-/// Changes by one reading of the platform's registry.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Delta {
-    /// Changes that are new, for a broadcast.
-    pub changes: Vec<Change>,
-    /// Targets that were unknown before. Nothing goes wrong while others don't know them.
-    pub added: Vec<Change>,
-    /// Targets whose entries were just found missing, possibly by expiry; they remain until
-    /// [`Registry::remove_expired`] removes them.
-    pub missing: Vec<TargetId>,
-}
-
-/// Latest changes of some buckets, for an instance that fetches many.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Page {
-    /// Changes in the buckets of the page.
-    pub changes: Vec<Change>,
-    /// From where the next page continues, a bucket or a revision; `None` after the last one.
-    pub next: Option<u64>,
-}
-
 /// All known targets.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -3,20 +3,21 @@
 
 mod attempt;
 mod buffered;
+mod failure;
+mod origin;
 
 pub use attempt::{belongs_to_request, is_not_run, rejection_outcome};
 
 use super::crash::{self, BrokenRequest, hex};
-use super::front::{CallerRequest, error_response, text_response};
+use super::front::{CallerRequest, error_response};
 use super::leases::{self, AcquireError, Lease, SlotQuery};
 use super::node::{Config, Node};
 use super::quarantine::{self, Admission};
 use super::quota::Charge;
 use super::target_body::TargetBody;
-use super::{in_flight, origins, residency, streaming, workload};
+use super::{in_flight, residency, streaming, workload};
 use crate::clock;
 use attempt::RetryReason;
-use coordination::continuation::{self, Continuation};
 use coordination::hash;
 use coordination::slots::{Forecast, Grant, Workload};
 use hyper::{Response, Version};
@@ -175,43 +176,6 @@
         crash::on_interrupted(&self.node, grant, broken);
     }
 
-    /// Finds out what began the stream that the caller takes up, if it does.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the stream can't go on.
-    async fn find_origin(&mut self) -> Result<(), AcquireError> {
-        if self.route.class != Class::Stream || !self.call.takes_up_stream() {
-            return Ok(());
-        }
-        let states_software = {
-            let registry = self.node.registry.borrow();
-            self.route.services.iter().any(|(service, _)| registry.states_software(service))
-        };
-        if !states_software {
-            return Ok(());
-        }
-        let attempt = self.call.resumes().ok_or(AcquireError::UnknownVersion)?;
-        let origin = origins::find(&self.node, attempt).await?;
-        // A service that the route no longer leads to is another one's software to its callers.
-        if !self.route.services.iter().any(|(service, _)| *service == origin.service) {
-            return Err(AcquireError::NoTargetOfVersion);
-        }
-        self.service.clone_from(&origin.service);
-        self.origin = Some(origin);
-        Ok(())
-    }
-
-    /// Records what began the stream, for resumptions here and at other instances.
-    pub fn set_origin(&mut self, origin: Origin) {
-        if self.node.registry.borrow().states_software(&origin.service) {
-            let resumed = self.call.resumes().filter(|_| self.call.takes_up_stream());
-            let attempt = resumed.unwrap_or(&self.call.id);
-            origins::store(&self.node, attempt, &origin, self.call.timeout());
-        }
-        self.origin = Some(origin);
-    }
-
     /// Whether the request may be sent to another target after one may have run it.
     pub fn may_retry(&self) -> bool {
         self.route.is_repeatable() && self.attempts < self.route.max_attempts
@@ -335,15 +299,7 @@
     }
 
     async fn acquire_lease(&mut self, last_event: Option<u64>) -> Result<Lease, AcquireError> {
-        let software = match &self.origin {
-            Some(origin) => continuation::of_stream(origin, &self.node.registry.borrow()),
-            None => Continuation::Anywhere,
-        };
-        let software = match software {
-            Continuation::Anywhere => None,
-            Continuation::AtVersion(version) => Some(version),
-            Continuation::Nowhere => return Err(AcquireError::UnknownVersion),
-        };
+        let software = self.required_software()?;
         let (latest_start, expires) = self.slot_deadlines(last_event.is_some(), clock::now());
         let query = SlotQuery {
             service: self.service.clone(),
@@ -358,62 +314,4 @@
         self.slot_wait.set(clock::since(self.call.started));
         result
     }
-
-    /// The response to a request that got none from a target.
-    pub fn fail(&self, error: &ForwardError) -> Response<Body> {
-        let call = &self.call;
-        let age = clock::since(call.started);
-        let (status, cause) = match error {
-            ForwardError::NotRun(AcquireError::Full(_)) => (503, "no slot"),
-            ForwardError::NotRun(AcquireError::NoTarget) => (503, "no target"),
-            ForwardError::NotRun(AcquireError::NoTargetOfVersion) => {
-                (410, "no target of the version that began the stream")
-            }
-            ForwardError::NotRun(AcquireError::UnknownVersion) => {
-                (410, "the version that began the stream is unknown")
-            }
-            ForwardError::NotRun(AcquireError::NoReply) => {
-                (503, "instances that may know the stream don't reply")
-            }
-            ForwardError::NotRun(AcquireError::Quarantined(_)) => (503, "crashes its targets"),
-            ForwardError::NotRun(AcquireError::OverQuota(_)) => (429, "over the quota"),
-            ForwardError::MayHaveRun(_) => (502, "no whole answer"),
-            ForwardError::DeadlineExceeded => (504, "time over"),
-        };
-        let is_repeatable = self.route.is_repeatable();
-        if status != 429 {
-            self.node.metrics.record_request(&self.route.name, false, clock::now());
-        }
-        slog::info!(self.node.log, "request failed"; "request" => &call.id, "cause" => cause,
-            "resumes" => call.resumes(),
-            "workspace" => call.workspace_name(),
-            "content" => hex(call.fingerprint()),
-            "status" => status, "route" => &self.route.name, "service" => &self.service,
-            "config" => self.version, "registry" => self.registry, "sent" => self.attempts,
-            "avoided" => ?self.excluded,
-            "slot_ms" => self.slot_wait.get().as_millis() as u64,
-            "quota_ms" => self.charge.waited().as_millis() as u64, "again" => call.is_retry,
-            "age_ms" => age.as_millis() as u64, "repeatable" => is_repeatable);
-        match error {
-            ForwardError::NotRun(rejection) => {
-                let (kind, retry_after) = match rejection {
-                    AcquireError::Full(after) => (Kind::Overloaded, Some(*after)),
-                    AcquireError::NoTarget | AcquireError::NoReply => {
-                        (Kind::NoTarget, Some(RETRY_AFTER))
-                    }
-                    AcquireError::Quarantined(after) => (Kind::Quarantined, Some(*after)),
-                    AcquireError::OverQuota(after) => (Kind::CallerLimit, Some(*after)),
-                    AcquireError::NoTargetOfVersion | AcquireError::UnknownVersion => {
-                        (Kind::StreamGone, None)
-                    }
-                };
-                let error = Error { retry_after, ..Error::new(kind, cause) };
-                error_response(&self.node, &call.id, &error)
-            }
-            ForwardError::MayHaveRun(_) | ForwardError::DeadlineExceeded => {
-                self.node.metrics.count(&format!("failed.{status}"));
-                text_response(status, cause)
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/daemon/src/gateway/online/origin.rs
@@ -0,0 +1,63 @@
+//! What began the stream that a request goes on with, and where it may therefore be sent.
+
+use super::ProxiedRequest;
+use crate::gateway::leases::AcquireError;
+use crate::gateway::origins;
+use coordination::continuation::{self, Continuation};
+use protocol::SoftwareVersion;
+use protocol::routing::{Class, Origin};
+
+impl ProxiedRequest {
+    /// Finds out what began the stream that the caller takes up, if it does.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream can't go on.
+    pub(super) async fn find_origin(&mut self) -> Result<(), AcquireError> {
+        if self.route.class != Class::Stream || !self.call.takes_up_stream() {
+            return Ok(());
+        }
+        let states_software = {
+            let registry = self.node.registry.borrow();
+            self.route.services.iter().any(|(service, _)| registry.states_software(service))
+        };
+        if !states_software {
+            return Ok(());
+        }
+        let attempt = self.call.resumes().ok_or(AcquireError::UnknownVersion)?;
+        let origin = origins::find(&self.node, attempt).await?;
+        // A service that the route no longer leads to is another one's software to its callers.
+        if !self.route.services.iter().any(|(service, _)| *service == origin.service) {
+            return Err(AcquireError::NoTargetOfVersion);
+        }
+        self.service.clone_from(&origin.service);
+        self.origin = Some(origin);
+        Ok(())
+    }
+
+    /// Records what began the stream, for resumptions here and at other instances.
+    pub fn set_origin(&mut self, origin: Origin) {
+        if self.node.registry.borrow().states_software(&origin.service) {
+            let resumed = self.call.resumes().filter(|_| self.call.takes_up_stream());
+            let attempt = resumed.unwrap_or(&self.call.id);
+            origins::store(&self.node, attempt, &origin, self.call.timeout());
+        }
+        self.origin = Some(origin);
+    }
+
+    /// Software version of the targets that may run the request; `None` if any may.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stream can't go on, because its version is unknown.
+    pub(super) fn required_software(&self) -> Result<Option<SoftwareVersion>, AcquireError> {
+        let Some(origin) = &self.origin else {
+            return Ok(None);
+        };
+        match continuation::of_stream(origin, &self.node.registry.borrow()) {
+            Continuation::Anywhere => Ok(None),
+            Continuation::AtVersion(version) => Ok(Some(version)),
+            Continuation::Nowhere => Err(AcquireError::UnknownVersion),
+        }
+    }
+}
--- a/crates/daemon/src/gateway/streaming.rs
+++ b/crates/daemon/src/gateway/streaming.rs
@@ -1,6 +1,8 @@
 //! Proxies event streams. A resumable stream that is interrupted continues on another
 //! target.
 
+mod stats;
+
 use super::crash::hex;
 use super::front::CallerRequest;
 use super::in_flight;
@@ -16,8 +18,9 @@
 use hyper::header::CONTENT_LENGTH;
 use protocol::routing::Origin;
 use protocol::{SoftwareVersion, TargetId};
+use stats::EventStats;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use transport::body;
 use transport::event::EventSplitter;
 use transport::server::{self, Body};
@@ -26,44 +29,6 @@
 /// A resumable stream is idle after this many times the route's maximum gap between events.
 const IDLE_GAP_FACTOR: u32 = 3;
 
-/// Timing of the events received from one target.
-#[derive(Debug, Default)]
-struct EventStats {
-    started_at: Option<Instant>,
-    first: Option<Duration>,
-    last: Option<Instant>,
-    chunks: u32,
-    slowest: Duration,
-}
-
-impl EventStats {
-    fn on_chunk(&mut self, now: Instant) {
-        let started_at = *self.started_at.get_or_insert(now);
-        self.first.get_or_insert(now.saturating_duration_since(started_at));
-        if let Some(last) = self.last {
-            self.slowest = self.slowest.max(now.saturating_duration_since(last));
-        }
-        self.last = Some(now);
-        self.chunks += 1;
-    }
-
-    /// Time from `started` to the first event of the last target.
-    fn first_after(&self, started: Instant) -> Option<Duration> {
-        Some(self.started_at?.saturating_duration_since(started) + self.first?)
-    }
-
-    /// Time from sending the request to the first event of the last target.
-    fn first_since(&self, sent_at: Option<Instant>) -> Option<Duration> {
-        Some((self.started_at? + self.first?).saturating_duration_since(sent_at?))
-    }
-
-    fn event_interval(&self) -> Option<Duration> {
-        let first_at = self.started_at? + self.first?;
-        let gaps = self.chunks.checked_sub(1).filter(|gaps| *gaps > 0)?;
-        Some(self.last?.saturating_duration_since(first_at) / gaps)
-    }
-}
-
 /// Starts the response to a streaming request; a separate task forwards the events.
 pub fn stream(
     request: ProxiedRequest,
