--- a/crates/coordination/tests/origins.rs
+++ b/crates/coordination/tests/origins.rs
@@ -24,8 +24,8 @@
 }
 
 proptest! {
-    /// The instance that began the stream is killed, another has joined: whoever is asked, all
-    /// that still store the origin are among the candidates.
+    /// After the first instance of a stream was killed and another member has joined, every other
+    /// member asks all the members that store the origin.
     #[test]
     fn killed_and_joined_members_hide_no_origin(
         ids in prop::collection::btree_set(1_u64..10_000, 2..40),
--- a/crates/daemon/src/gateway/online/origin.rs
+++ b/crates/daemon/src/gateway/online/origin.rs
@@ -26,7 +26,7 @@
         }
         let attempt = self.call.resumes().ok_or(AcquireError::UnknownVersion)?;
         let origin = origins::find(&self.node, attempt).await?;
-        // A service that the route no longer leads to is another one's software to its callers.
+        // The route was moved to another service, whose targets run other software.
         if !self.route.services.iter().any(|(service, _)| *service == origin.service) {
             return Err(AcquireError::NoTargetOfVersion);
         }
--- a/crates/daemon/src/gateway/target_page.rs
+++ b/crates/daemon/src/gateway/target_page.rs
@@ -1,7 +1,7 @@
 //! Compact form of registry entries, for instances that fetch many of them.
 //!
-//! A page holds each name of a service, data centre or software version once, and its fields have
-//! names of one letter.
+//! A page lists each service, data centre and software version once, and entries refer to them by
+//! index. The keys of an entry have one letter.
 //! An entry therefore takes half of the bytes of a [`Change`].
 
 use coordination::registry::{Change, Page};
--- a/crates/daemon/tests/gateway_versions.rs
+++ b/crates/daemon/tests/gateway_versions.rs
@@ -213,7 +213,7 @@
         runs.retain(|run| run.id == item);
         runs.sort_by_key(|run| run.started);
         assert!(runs.iter().any(|run| run.is_complete), "{runs:?}");
-        // A run that goes on is at the version of the last one that began anew.
+        // A resumed run has the version of the last run that started from the first event.
         let mut version = String::new();
         for Run { last_event_id, software, .. } in &runs {
             if last_event_id.is_none() {
--- a/crates/state/src/progress.rs
+++ b/crates/state/src/progress.rs
@@ -169,7 +169,7 @@
     }
 
     /// As [`JobState::start_next`], but items whose output `can_continue` rejects come last, since
-    /// they have to begin anew.
+    /// they must run again from the first event.
     pub fn start_next_where(
         &mut self,
         can_continue: impl Fn(&PartialOutput) -> bool,
@@ -201,8 +201,8 @@
         self.withheld.remove(item);
     }
 
-    /// Records a run that was preempted or interrupted, with its output so far. One that began anew
-    /// replaces longer output of an earlier run only once it is as long.
+    /// Records a run that was preempted or interrupted, with its output so far. Output that is
+    /// shorter than that of an earlier run is dropped.
     pub fn on_stopped(&mut self, item: &str, partial: PartialOutput) {
         self.running.remove(item);
         let is_longest = partial.events.len() >= self.event_count(item);
--- a/crates/state/tests/progress.rs
+++ b/crates/state/tests/progress.rs
@@ -51,8 +51,8 @@
     assert_eq!(state.start_next().map(|item| item.id), Some(String::from("b")));
 }
 
-/// What a run at another software version can't continue comes after what has not begun, and is
-/// kept until the run that began anew has come as far.
+/// An item whose output is of another software version runs after items without output, and keeps
+/// that output until a new run has produced as much.
 #[test]
 fn output_of_another_version_is_continued_last_and_kept() {
     let mut state = JobState::new(Job::example("j", &["a", "b"]), Progress::default(), 3);
