--- a/crates/daemon/benches/slopes.rs
+++ b/crates/daemon/benches/slopes.rs
@@ -4,12 +4,14 @@
 //! `cargo bench -p gatespoold --bench slopes`
 
 use coordination::membership::{Member, MemberTable, Policy as MemberPolicy, State, Update};
+use coordination::origins;
 use coordination::quarantine;
 use coordination::quota::{Attempt, Ledger, Policy as QuotaPolicy, Report};
 use coordination::route::{self, Candidate, Policy as RoutePolicy};
 use daemon::fleet::{Fleet, ViewContext};
 use protocol::chat::Outcome;
 use protocol::config::{Change, Document};
+use protocol::routing::Origin;
 use protocol::workspace::Quota;
 use serde_json::json;
 use state::command::{Command, Reply};
@@ -40,6 +42,8 @@
     keys();
     target_selection();
     crash_reports();
+    origins();
+    origin_places();
 }
 
 fn stored_outcome() -> StoredOutcome {
@@ -339,3 +343,54 @@
         std::mem::forget(ledger);
     }
 }
+
+fn origin() -> Origin {
+    Origin { service: String::from("pustak-llm"), software: Some(String::from("v1.2")) }
+}
+
+/// Origins of streams, stored one after the other, and then replaced as they expire.
+fn origins() {
+    println!(
+        "{:>10} {:>16} {:>12} {:>14}",
+        "origins", "bytes an origin", "us a store", "us replacing"
+    );
+    for count in [4_000u32, 16_000, 64_000] {
+        let before = resident_bytes();
+        let now = Instant::now();
+        let mut table = origins::Table::default();
+        let lifetime = Duration::from_secs(30);
+        let mut store_all = |at: Instant| {
+            let start = Instant::now();
+            for n in 0..count {
+                table.store(format!("{n:016x}"), origin(), lifetime, at);
+            }
+            start.elapsed().as_secs_f64() * 1e6 / f64::from(count)
+        };
+        let first = store_all(now);
+        let bytes = (resident_bytes() - before) / f64::from(count);
+        let replacing = store_all(now + lifetime);
+        println!("{count:>10} {bytes:>16.0} {first:>12.2} {replacing:>14.2}");
+        std::mem::forget(table);
+    }
+}
+
+/// The members that store the origin of a stream, and those that are asked for it.
+fn origin_places() {
+    println!("{:>10} {:>12} {:>14} {:>8}", "members", "us to store", "us to ask", "asked");
+    let data_centres: Vec<String> = (0..4).map(|n| format!("hall-{n}")).collect();
+    for members in [50u64, 100, 200, 400] {
+        let places: Vec<origins::Place<'_>> =
+            (0..members).map(|n| (n, &data_centres[n as usize % 4])).collect();
+        let mean = |choose: &dyn Fn(&str) -> usize| {
+            let start = Instant::now();
+            for n in 0..1_000 {
+                black_box(choose(&format!("{n:016x}")));
+            }
+            start.elapsed().as_secs_f64() * 1e3
+        };
+        let store = mean(&|attempt| origins::keepers(attempt, "hall-0", &places).len());
+        let ask = mean(&|attempt| origins::candidates(attempt, &places).len());
+        let asked = origins::candidates("attempt", &places).len();
+        println!("{members:>10} {store:>12.1} {ask:>14.1} {asked:>8}");
+    }
+}
