Take no close beside a failed connection to the same target for the end of a body

Cause: a gateway that waits for the processor looks for the target's process late, and finds the next one.

Change: the pool remembers when a connection to each address last failed: refused, reset, or with an interrupted response. Not mended: a crash of which the one closed connection is all that an instance sees.

--- a/crates/coordination/src/presence.rs
+++ b/crates/coordination/src/presence.rs
@@ -33,8 +33,11 @@
     }
 
     /// Whether a response that ended with its connection is complete as far as can be known. A
-    /// target that has announced that it leaves may still end halfway, so that doesn't matter.
-    pub fn confirms_end(self) -> bool {
-        self == Presence::Listening
+    /// target that has announced that it leaves may still end halfway, so that doesn't matter. If
+    /// another connection to it failed just before, its process may have crashed, and the one that
+    /// listens now may be the next.
+    pub fn confirms_end(self, time_since_failure: Option<Duration>) -> bool {
+        let has_failed = time_since_failure.is_some_and(|time| time < MAX_NOTICE_DELAY);
+        self == Presence::Listening && !has_failed
     }
 }
--- a/crates/daemon/src/gateway/target_body.rs
+++ b/crates/daemon/src/gateway/target_body.rs
@@ -27,7 +27,8 @@
     InsideEvent,
     /// A new event stream ended with its connection, before its first event.
     NoEvent,
-    /// The body ended with its connection, and the target's process wasn't found afterwards.
+    /// The body ended with its connection, and the target's process wasn't found afterwards, or
+    /// another connection to it had just failed.
     TargetGone(Presence),
     /// The body ended with its connection, which was noticed too late to find out whether the
     /// target's process was running.
@@ -163,6 +164,7 @@
 
     async fn check_end(&self) -> Result<(), Truncation> {
         if self.is_inside_event() {
+            self.exchange.record_failure();
             return Err(Truncation::InsideEvent);
         }
         if self.is_framed() {
@@ -180,7 +182,7 @@
     async fn check_presence(&self) -> Result<(), Truncation> {
         tokio::time::sleep(CLOSE_WINDOW).await;
         let presence = self.exchange.probe().await;
-        if presence.confirms_end() {
+        if presence.confirms_end(self.exchange.time_since_failure(clock::now())) {
             return Ok(());
         }
         Err(Truncation::TargetGone(presence))
--- a/crates/daemon/tests/gateway_truncation.rs
+++ b/crates/daemon/tests/gateway_truncation.rs
@@ -145,6 +145,37 @@
     assert!(response.status != 200 || !response.looks_complete(), "{response:?}");
 }
 
+/// The target that listens may be the next process already; another response shows the crash.
+#[rstest]
+#[case::ended_inside_an_event(UNFRAMED, "id: 2\nda", End::Close, 300)]
+#[case::reset(CHUNKED, "", End::Reset, 190)]
+fn close_beside_an_interrupted_response_does_not_look_complete(
+    #[case] headers: &'static str,
+    #[case] rest: &'static str,
+    #[case] end: End,
+    #[case] pause_ms: u64,
+) {
+    let target = target(move |request| {
+        let (headers, rest, end, pause_ms) = match &*request.path {
+            "/ask/broken" => (headers, rest, end, pause_ms),
+            _ => (UNFRAMED, "", End::Close, 300),
+        };
+        let first = if headers == CHUNKED { chunks(&[&event(1)]).remove(0) } else { event(1) };
+        let pause = Duration::from_millis(pause_ms);
+        Answer { pause, ..Answer::new(&request.id, headers, &[&first, rest], end) }
+    });
+    let fleet = fleet_of(&[&target]);
+    let fleet = &fleet;
+    let responses = std::thread::scope(|scope| {
+        let calls = ["broken", "closed"]
+            .map(|id| scope.spawn(move || call(fleet, Version::Http11, &format!("/ask/{id}"), id)));
+        calls.map(|call| call.join().expect("a response"))
+    });
+    for response in responses {
+        assert!(response.status != 200 || !response.looks_complete(), "{response:?}");
+    }
+}
+
 /// Headers of a stream with the length of this body.
 fn with_length(body: &str) -> String {
     format!("{UNFRAMED}\nContent-Length: {}", body.len())
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -21,9 +21,12 @@
 //! # }
 //! ```
 
+mod failures;
+
 use crate::clock;
 use bytes::Bytes;
 use coordination::presence::Presence;
+use failures::Failures;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -152,12 +155,18 @@
     settings: Settings,
     idle: IdleConnections,
     opened: Rc<Cell<u64>>,
+    failures: Rc<RefCell<Failures>>,
 }
 
 impl Pool {
     /// Creates an empty pool.
     pub fn new(settings: Settings) -> Pool {
-        Pool { settings, idle: IdleConnections::default(), opened: Rc::default() }
+        Pool {
+            settings,
+            idle: IdleConnections::default(),
+            opened: Rc::default(),
+            failures: Rc::default(),
+        }
     }
 
     /// Number of connections opened since the pool was created.
@@ -207,7 +216,10 @@
                     // The server closed the idle connection; nothing was sent.
                     Some(unsent) if is_reused => request = unsent,
                     Some(_) => return Err(SendError::NotSent(error.error().to_string())),
-                    None => return Err(SendError::OutcomeUnknown(error.error().to_string())),
+                    None => {
+                        self.record_failure(to);
+                        return Err(SendError::OutcomeUnknown(error.error().to_string()));
+                    }
                 },
             }
         }
@@ -241,7 +253,10 @@
     pub async fn probe(&self, to: SocketAddr) -> Presence {
         let stream = match connect(to, self.settings.connect_timeout).await {
             Ok(stream) => stream,
-            Err(error) => return presence(&error),
+            Err(error) => {
+                self.record_failure(to);
+                return presence(&error);
+            }
         };
         match self.handshake(stream).await {
             Ok(connection) => {
@@ -255,10 +270,17 @@
     async fn open(&self, to: SocketAddr) -> Result<Connection, SendError> {
         match connect(to, self.settings.connect_timeout).await {
             Ok(stream) => self.handshake(stream).await,
-            Err(error) => Err(SendError::NotSent(format!("{to}: {error}"))),
+            Err(error) => {
+                self.record_failure(to);
+                Err(SendError::NotSent(format!("{to}: {error}")))
+            }
         }
     }
 
+    fn record_failure(&self, address: SocketAddr) {
+        self.failures.borrow_mut().record(address, clock::now());
+    }
+
     async fn handshake(&self, stream: TcpStream) -> Result<Connection, SendError> {
         stream.set_nodelay(true).map_err(|error| SendError::NotSent(error.to_string()))?;
         // Close with a reset: an orderly close would still deliver buffered data, so an
@@ -339,6 +361,17 @@
         self.pool.probe(self.to).await
     }
 
+    /// Records that the response was interrupted, though its connection was closed in order.
+    pub fn record_failure(&self) {
+        self.pool.record_failure(self.to);
+    }
+
+    /// Time since a connection to the server's address failed, was refused, or carried a response
+    /// that was interrupted; `None` if that was seconds ago or never.
+    pub fn time_since_failure(&self, now: Instant) -> Option<Duration> {
+        self.pool.failures.borrow().age(self.to, now)
+    }
+
     /// Returns the next chunk of the body, or `None` at its end, when the connection
     /// is returned to the pool.
     ///
@@ -352,7 +385,10 @@
             }
             match self.body.frame().await {
                 None => self.finish(),
-                Some(Err(error)) => return Err(error.to_string()),
+                Some(Err(error)) => {
+                    self.record_failure();
+                    return Err(error.to_string());
+                }
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) if data.is_empty() => {}
                     Ok(data) => return Ok(Some(data)),
