Test streams taken up beside killed, frozen and cut off instances, items handed off, and targets that change their version meanwhile

Cause: the tests held the case of each kind, not the class: the instance that began a stream was killed or healthy, items stayed at one holder, and no target changed its entry while a stream ran.

Change: the test of take-ups runs for four losses of the first instance, in its data centre and in another, and a third attempt names the first; items are broken off, or handed off by a stop; a stream whose target states another version while it runs isn't taken up. The callers are one type, with all their attempts. As strict as before: at least half go on of 16 where an instance is lost, none mixed.

--- a/crates/daemon/tests/gateway_versions.rs
+++ b/crates/daemon/tests/gateway_versions.rs
@@ -8,8 +8,8 @@
 use standin::runner::{Config, Faults, Run, Runner};
 use std::collections::BTreeSet;
 use std::io::Read;
-use std::net::SocketAddr;
-use std::sync::Barrier;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 use util::gateway::{Fleet, HOST, Plan, event_data};
 use util::raw_caller::{self, RawResponse, Version};
@@ -44,56 +44,85 @@
     body.lines().filter_map(|line| line.strip_prefix("event: ")).collect()
 }
 
-/// What a caller has received of a stream that it left.
-struct Begun {
+/// A caller of one stream, over all its attempts.
+struct Caller {
     id: String,
+    attempts: u32,
+    /// Whole events of all attempts.
     body: String,
 }
 
-impl Begun {
-    fn last_event_id(&self) -> String {
+impl Caller {
+    /// Reads a new stream up to event `count`; dropping the connection leaves it.
+    fn begin(front: SocketAddr, id: &str, count: u64) -> (Caller, TcpStream) {
+        let mut caller = Caller { id: id.to_owned(), attempts: 0, body: String::new() };
+        let stream = caller.read_to(front, count);
+        (caller, stream)
+    }
+
+    fn last_event_id(&self) -> Option<u64> {
         let mut ids = self.body.lines().filter_map(|line| line.strip_prefix("id: "));
-        ids.next_back().expect("an event").to_owned()
+        ids.next_back()?.parse().ok()
+    }
+
+    /// Path and headers of the next attempt, which takes the stream up after its first event.
+    fn next_attempt(&mut self) -> (String, String) {
+        self.attempts += 1;
+        let (id, attempts) = (&self.id, self.attempts);
+        let mut headers = headers(&format!("{id}~{attempts}"));
+        if let Some(last) = self.last_event_id() {
+            headers.push_str(&format!("\nResumes: {id}~1\nLast-Event-Id: {last}"));
+        }
+        (format!("/talk/{id}"), headers)
     }
 
-    /// Headers by which attempt `id` takes the stream up.
-    fn take_up_headers(&self, id: &str) -> String {
-        let last = self.last_event_id();
-        format!("{}\nResumes: {}\nLast-Event-Id: {last}", headers(id), self.id)
+    /// Reads up to event `count` in another attempt.
+    fn read_to(&mut self, front: SocketAddr, count: u64) -> TcpStream {
+        let (path, headers) = self.next_attempt();
+        let mut stream = raw_caller::send(front, Version::Http10, &path, &headers, "a prompt");
+        let mut received = String::new();
+        let mut buffer = [0; 1024];
+        let before = self.body.clone();
+        while self.last_event_id().is_none_or(|last| last < count) {
+            let length = stream.read(&mut buffer).expect("events");
+            assert!(length > 0, "the stream ended: {received}");
+            received.push_str(&String::from_utf8_lossy(&buffer[..length]));
+            let body = received.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+            let end = body.rfind("\n\n").map_or(0, |end| end + 2);
+            self.body = format!("{before}{}", &body[..end]);
+        }
+        stream
     }
 
-    /// Takes the stream up; the response has the events of both attempts.
-    fn take_up(&self, front: SocketAddr) -> RawResponse {
-        let id = format!("{}-again", self.id);
-        let headers = self.take_up_headers(&id);
-        let path = format!("/talk/{}", self.id);
+    /// Reads the rest in another attempt; the response has the events of all attempts.
+    fn finish(&mut self, front: SocketAddr) -> RawResponse {
+        let (path, headers) = self.next_attempt();
         let response = raw_caller::call(front, Version::Http11, &path, &headers, "a prompt");
         RawResponse { body: format!("{}{}", self.body, response.body), ..response }
     }
+
+    /// As [`Caller::finish`], and returns as long as it is told to, for 2 s at most: until a lost
+    /// instance counts as dead, the others may be unable to tell.
+    fn finish_patiently(&mut self, front: SocketAddr) -> RawResponse {
+        let started = Instant::now();
+        loop {
+            let response = self.finish(front);
+            if response.status != 503 || started.elapsed() > Duration::from_secs(2) {
+                return response;
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    }
+
+    fn began_at(&self, version: &str) -> bool {
+        versions(&self.body).contains(version)
+    }
 }
 
 fn headers(id: &str) -> String {
     format!("Host: {HOST}\nX-Gatespool-Request-Id: {id}\nX-Gatespool-Deadline-Ms: 5000")
 }
 
-/// Reads whole events of a stream until there are `count`.
-fn begin(front: SocketAddr, id: &str, count: usize) -> (Begun, std::net::TcpStream) {
-    let path = format!("/talk/{id}");
-    let mut stream = raw_caller::send(front, Version::Http10, &path, &headers(id), "a prompt");
-    let mut received = String::new();
-    let mut buffer = [0; 1024];
-    loop {
-        let length = stream.read(&mut buffer).expect("events");
-        assert!(length > 0, "the stream ended: {received}");
-        received.push_str(&String::from_utf8_lossy(&buffer[..length]));
-        let body = received.split_once("\r\n\r\n").map_or("", |(_, body)| body);
-        if body.matches("\n\n").count() >= count {
-            let end = body.rfind("\n\n").expect("an event") + 2;
-            return (Begun { id: id.to_owned(), body: body[..end].to_owned() }, stream);
-        }
-    }
-}
-
 /// Calls `each` for the numbers up to `count` at once, and returns the results in their order.
 fn at_once<T: Send>(count: usize, each: impl Fn(usize) -> T + Sync) -> Vec<T> {
     let each = &each;
@@ -117,111 +146,109 @@
     responses.iter().filter(is_complete).count()
 }
 
+/// Whole responses to `count` streams that are requested at once, alternately from two gateways.
+fn call_at_once(fleet: &Fleet, count: usize) -> Vec<RawResponse> {
+    at_once(count, |n| {
+        let front = fleet.gateways[n % fleet.gateways.len()].front_address;
+        let headers = headers(&format!("call-{n}"));
+        raw_caller::call(front, Version::Http11, &format!("/talk/{n}"), &headers, "a prompt")
+    })
+}
+
+fn interrupt(fleet: &Fleet, count: u32) {
+    for runner in &fleet.runners {
+        runner.set_faults(Faults { interrupted: count, ..Faults::default() });
+    }
+}
+
 #[test]
 fn stream_broken_off_by_its_target_goes_on_at_the_same_version() {
     let fleet = fleet(&["east", "east"], &["v1", "v2", "v1", "v2", "v1", "v2"]);
-    for runner in &fleet.runners {
-        runner.set_faults(Faults { interrupted: 2, ..Faults::default() });
-    }
-    let responses = at_once(18, |n| {
-        let id = format!("broken-{n}");
-        let front = fleet.gateways[n % 2].front_address;
-        let path = format!("/talk/{id}");
-        raw_caller::call(front, Version::Http11, &path, &headers(&id), "a prompt")
-    });
+    interrupt(&fleet, 2);
     // A second break ends the two attempts of the route.
-    assert!(complete(&responses) >= 9, "{responses:?}");
+    assert!(complete(&call_at_once(&fleet, 18)) >= 9);
 }
 
-#[test]
-fn stream_taken_up_at_another_instance_goes_on_at_the_same_version() {
-    let fleet = fleet(&["east", "east", "east"], &["v1", "v2", "v1", "v2", "v1", "v2"]);
-    let all_begun = Barrier::new(20);
-    let responses = at_once(20, |n| {
-        let (begun, stream) = begin(fleet.gateways[0].front_address, &format!("left-{n}"), 2);
-        all_begun.wait();
-        drop(stream);
-        std::thread::sleep(Duration::from_millis((20 - n as u64) * 5));
-        begun.take_up(fleet.gateways[1 + n % 2].front_address)
-    });
-    assert!(complete(&responses) >= 18, "{responses:?}");
+/// What happens to the instance that began the streams.
+#[derive(Clone, Copy, Debug)]
+enum Loss {
+    None,
+    Killed,
+    Frozen,
+    CutOff,
 }
 
 #[rstest]
-#[case::in_the_same_data_centre(&["east", "east", "east"])]
-#[case::in_another_data_centre(&["east", "west", "west"])]
-fn stream_of_a_killed_instance_goes_on_at_the_same_version(#[case] gateways: &[&'static str]) {
-    let mut fleet = fleet(gateways, &["v1", "v2", "v1", "v2", "v1", "v2"]);
-    let front = fleet.gateways[0].front_address;
-    let begun = at_once(12, |n| begin(front, &format!("killed-{n}"), 2));
-    fleet.gateways[0].kill();
-    let responses = at_once(12, |n| {
-        let id = format!("killed-{n}-again");
-        // Until the instance counts as dead, the others may be unable to tell.
-        let began_at = Instant::now();
-        loop {
-            let response = begun[n].0.take_up(fleet.gateways[1 + n % 2].front_address);
-            if response.status != 503 || began_at.elapsed() > Duration::from_secs(2) {
-                return response;
-            }
-            assert!(fleet.runs(&format!("/talk/{id}")).is_empty());
-            std::thread::sleep(Duration::from_millis(100));
+fn stream_taken_up_at_other_instances_goes_on_at_the_same_version(
+    #[values(Loss::None, Loss::Killed, Loss::Frozen, Loss::CutOff)] loss: Loss,
+    #[values("east", "west")] elsewhere: &'static str,
+) {
+    let gateways = ["east", elsewhere, elsewhere];
+    let mut fleet = fleet(&gateways, &["v1", "v2", "v1", "v2", "v1", "v2"]);
+    let fronts = [0, 1, 2].map(|n| fleet.gateways[n].front_address);
+    let callers = at_once(16, |n| Caller::begin(fronts[0], &format!("left-{n}"), 2));
+    match loss {
+        Loss::None => {}
+        Loss::Killed => fleet.gateways[0].kill(),
+        Loss::Frozen => fleet.gateways[0].freeze(),
+        Loss::CutOff => cut_off(&fleet, 0),
+    }
+    let callers: Vec<_> = callers.into_iter().map(|(caller, _)| Mutex::new(caller)).collect();
+    let responses = at_once(16, |n| {
+        let mut caller = callers[15 - n].lock().expect("no panic");
+        if matches!(loss, Loss::None) {
+            // The third attempt names the first.
+            drop(caller.read_to(fronts[2 - n % 2], 4));
         }
+        caller.finish_patiently(fronts[1 + n % 2])
     });
-    assert!(complete(&responses) >= 6, "{responses:?}");
+    assert!(complete(&responses) >= 8, "{responses:?}");
 }
 
-#[test]
-fn third_attempt_goes_on_at_the_version_of_the_first() {
-    let fleet = fleet(&["east", "east", "east"], &["v2", "v1", "v2", "v1", "v2"]);
-    let responses = at_once(10, |n| {
-        let (mut begun, stream) = begin(fleet.gateways[0].front_address, &format!("first-{n}"), 1);
-        drop(stream);
-        let path = format!("/talk/{}", begun.id);
-        let second = begun.take_up_headers(&format!("second-{n}"));
-        let to = fleet.gateways[1].front_address;
-        let mut stream = raw_caller::send(to, Version::Http10, &path, &second, "a prompt");
-        let mut buffer = [0; 1024];
-        while !begun.body.contains("id: 3\n") || !begun.body.ends_with("\n\n") {
-            let length = stream.read(&mut buffer).expect("events");
-            assert!(length > 0, "the stream ended: {}", begun.body);
-            let text = String::from_utf8_lossy(&buffer[..length]).into_owned();
-            begun.body.push_str(text.split_once("\r\n\r\n").map_or(&*text, |(_, body)| body));
-        }
-        drop(stream);
-        begun.take_up(fleet.gateways[2].front_address)
-    });
-    assert!(complete(&responses) >= 9, "{responses:?}");
+/// Cuts a gateway off from the others, in both directions.
+fn cut_off(fleet: &Fleet, n: usize) {
+    let peers: Vec<SocketAddr> = fleet.gateways.iter().map(|g| g.peer_address).collect();
+    for (other, gateway) in fleet.gateways.iter().enumerate() {
+        let is_hidden = |hidden: &usize| (other == n) != (*hidden == n);
+        let hidden: Vec<SocketAddr> =
+            (0..peers.len()).filter(is_hidden).map(|h| peers[h]).collect();
+        gateway.set_unreachable(&hidden);
+    }
 }
 
-#[test]
-fn broken_item_never_joins_events_of_two_versions() {
+#[rstest]
+#[case::by_one_holder(false)]
+#[case::handed_off_to_another_holder(true)]
+fn broken_item_never_joins_events_of_two_versions(#[case] is_handed_off: bool) {
     let fleet = fleet(&["east", "east"], &["v1", "v2", "v1", "v2", "v1", "v2"]);
-    for runner in &fleet.runners {
-        runner.set_faults(Faults { interrupted: 10, ..Faults::default() });
-    }
+    interrupt(&fleet, if is_handed_off { 0 } else { 10 });
     let items: Vec<String> = (0..40).map(|n| format!("item-{n}")).collect();
     let items: Vec<&str> = items.iter().map(String::as_str).collect();
     assert_eq!(fleet.submit(0, "job", &items).status, 202);
-    let results = fleet.wait_results(1, "job");
-    for result in &results {
+    if is_handed_off {
+        wait_until("items run", || fleet.runs("/batch/").len() >= 12);
+        fleet.gateways[0].terminate();
+    }
+    for result in &fleet.wait_results(1, "job") {
         let id = result["id"].as_str().expect("an id");
         assert_eq!(result["message"], Runner::text(id, EVENTS), "{result}");
     }
+    let mut resumed = 0;
     for item in items {
         let mut runs = fleet.runs(&format!("/batch/{item}"));
         runs.retain(|run| run.id == item);
         runs.sort_by_key(|run| run.started);
-        assert!(runs.iter().any(|run| run.is_complete), "{runs:?}");
         // A resumed run has the version of the last run that started from the first event.
         let mut version = String::new();
         for Run { last_event_id, software, .. } in &runs {
             if last_event_id.is_none() {
                 version.clone_from(software);
             }
+            resumed += usize::from(last_event_id.is_some());
             assert_eq!(*software, version, "{runs:?}");
         }
     }
+    assert!(resumed > 0, "no item was resumed");
 }
 
 #[rstest]
@@ -230,31 +257,46 @@
 fn stream_is_not_taken_up_when_no_target_of_its_version_is_left(#[case] other: Value) {
     let fleet = fleet(&["east", "east"], &["v1", "v1", "v2"]);
     let fronts = [0, 1].map(|n| fleet.gateways[n].front_address);
-    let begun = at_once(6, |n| begin(fronts[0], &format!("left-{n}"), 2));
-    let of_v1 = |(begun, _): &&(Begun, _)| versions(&begun.body).contains("v1");
-    let begun: Vec<_> = begun.iter().filter(of_v1).collect();
-    assert!(!begun.is_empty());
-    fleet.set_software(0, other.clone());
-    fleet.set_software(1, other);
+    let mut callers = at_once(6, |n| Caller::begin(fronts[0], &format!("left-{n}"), 2));
+    callers.retain(|(caller, _)| caller.began_at("v1"));
+    assert!(!callers.is_empty());
+    (0..2).for_each(|n| fleet.set_software(n, other.clone()));
     std::thread::sleep(REGISTRY_DELAY);
-    for (begun, _) in begun {
+    for (caller, _) in &mut callers {
         let sent_at = Instant::now();
-        let response = begun.take_up(fronts[1]);
+        let response = caller.finish(fronts[1]);
         assert_eq!(response.status, 410, "{response:?}");
         assert!(sent_at.elapsed() < AT_ONCE, "{:?}", sent_at.elapsed());
     }
 }
 
+/// Either process may have run the stream, so its version is unknown.
+#[test]
+fn stream_whose_target_changed_its_version_meanwhile_is_not_taken_up() {
+    let fleet = fleet(&["east", "east"], &["v1", "v1", "v2"]);
+    fleet.runners.iter().for_each(|runner| runner.set_event_count(200));
+    let fronts = [0, 1].map(|n| fleet.gateways[n].front_address);
+    let mut callers = at_once(9, |n| Caller::begin(fronts[0], &format!("left-{n}"), 2));
+    let unchanged = fleet.runners[1].runs();
+    callers.retain(|(caller, _)| !unchanged.iter().any(|run| run.path.ends_with(&caller.id)));
+    assert!(!callers.is_empty());
+    fleet.set_software(0, json!("v2"));
+    fleet.set_software(2, json!("v1"));
+    std::thread::sleep(REGISTRY_DELAY);
+    let callers: Vec<Caller> = callers.into_iter().map(|(caller, _)| caller).collect();
+    // The gateway notices at the next event that its callers have left.
+    std::thread::sleep(REGISTRY_DELAY);
+    for mut caller in callers {
+        let response = caller.finish(fronts[1]);
+        assert_eq!(response.status, 410, "{response:?}");
+    }
+}
+
 #[test]
 fn broken_stream_is_cut_at_once_when_no_target_of_its_version_is_left() {
     let fleet = fleet(&["east"], &["v1", "v2", "v2"]);
     fleet.runners[0].set_faults(Faults { interrupted: 8, ..Faults::default() });
-    let responses = at_once(8, |n| {
-        let id = format!("alone-{n}");
-        let front = fleet.gateways[0].front_address;
-        let path = format!("/talk/{id}");
-        raw_caller::call(front, Version::Http11, &path, &headers(&id), "a prompt")
-    });
+    let responses = call_at_once(&fleet, 8);
     complete(&responses);
     let is_cut = |response: &&RawResponse| !response.looks_complete();
     let cut: Vec<_> = responses.iter().filter(is_cut).collect();
@@ -279,35 +321,34 @@
 #[test]
 fn instance_that_cannot_ask_the_others_runs_nothing_and_says_when_to_return() {
     let fleet = fleet(&["east", "east", "east"], &["v1", "v2", "v1", "v2"]);
-    let begun = at_once(12, |n| begin(fleet.gateways[0].front_address, &format!("cut-{n}"), 2));
-    let peers: Vec<SocketAddr> = fleet.gateways.iter().map(|g| g.peer_address).collect();
-    fleet.gateways[2].set_unreachable(&peers[..2]);
-    fleet.gateways[0].set_unreachable(&peers[2..]);
-    fleet.gateways[1].set_unreachable(&peers[2..]);
-    // The instance that is cut off has a copy of some.
-    let responses = at_once(12, |n| begun[n].0.take_up(fleet.gateways[2].front_address));
+    let fronts = [0, 2].map(|n| fleet.gateways[n].front_address);
+    let mut callers = at_once(12, |n| Caller::begin(fronts[0], &format!("cut-{n}"), 2));
+    cut_off(&fleet, 2);
+    // The instance that is cut off stores the origins of some.
+    let responses: Vec<_> =
+        callers.iter_mut().map(|(caller, _)| caller.finish(fronts[1])).collect();
     complete(&responses);
     assert!(responses.iter().all(|r| matches!(r.status, 200 | 503)), "{responses:?}");
 }
 
 #[test]
 fn stream_taken_up_waits_for_a_slot_of_its_version() {
-    let slots = |slots| Config { slots, event_count: EVENTS, ..Config::default() };
-    let interval = Duration::from_millis(30);
-    let v1 = Config { event_interval: interval, ..slots(1) };
-    let v2 = Config { id: String::from("r1"), software: String::from("v2"), ..slots(8) };
-    let plan = Plan {
-        gateways: vec!["east", "east"],
-        runners: vec![("east", Config { id: String::from("r0"), ..v1 }), ("east", v2)],
-        ..Plan::default()
+    let config = |id: &str, software: &str, slots| Config {
+        id: id.to_owned(),
+        software: software.to_owned(),
+        slots,
+        event_count: EVENTS,
+        event_interval: Duration::from_millis(30),
+        ..Config::default()
     };
-    let fleet = Fleet::start(plan);
+    let runners = vec![("east", config("r0", "v1", 1)), ("east", config("r1", "v2", 8))];
+    let fleet = Fleet::start(Plan { gateways: vec!["east", "east"], runners, ..Plan::default() });
     let fronts = [0, 1].map(|n| fleet.gateways[n].front_address);
-    let begun = at_once(4, |n| begin(fronts[0], &format!("busy-{n}"), 2));
-    let of_v1 = |(begun, _): &(Begun, _)| versions(&begun.body).contains("v1");
-    let (begun, stream) = begun.into_iter().find(of_v1).expect("a stream of v1");
+    let callers = at_once(4, |n| Caller::begin(fronts[0], &format!("busy-{n}"), 2));
+    let of_v1 = |(caller, _): &(Caller, TcpStream)| caller.began_at("v1");
+    let (mut caller, stream) = callers.into_iter().find(of_v1).expect("a stream of v1");
     // The second attempt comes while the first still has the only slot.
-    let response = begun.take_up(fronts[1]);
+    let response = caller.finish(fronts[1]);
     drop(stream);
     assert_eq!(complete(&[response]), 1);
 }
@@ -317,14 +358,13 @@
     let fleet = fleet(&["east", "east"], &["v1", "v1", "v1"]);
     (0..3).for_each(|n| fleet.set_software(n, Value::Null));
     std::thread::sleep(REGISTRY_DELAY);
-    let (begun, stream) = begin(fleet.gateways[0].front_address, "left", 2);
+    let (mut caller, stream) = Caller::begin(fleet.gateways[0].front_address, "left", 2);
     drop(stream);
-    assert_eq!(complete(&[begun.take_up(fleet.gateways[1].front_address)]), 1);
-    let is_resumed = |run: &Run| run.last_event_id.is_some();
+    assert_eq!(complete(&[caller.finish(fleet.gateways[1].front_address)]), 1);
     wait_until("a broken stream is resumed", || {
         fleet.runners[0].set_faults(Faults { interrupted: 1, ..Faults::default() });
         let response = fleet.send(0, "/talk/broken", "broken");
         assert_eq!(event_data(&response), Runner::text("broken", EVENTS));
-        fleet.runs("/talk/broken").iter().any(is_resumed)
+        fleet.runs("/talk/broken").iter().any(|run| run.last_event_id.is_some())
     });
 }
