--- a/crates/daemon/tests/gateway_truncation.rs
+++ b/crates/daemon/tests/gateway_truncation.rs
@@ -6,84 +6,14 @@
 use serde_json::Value;
 use std::io::Read;
 use std::time::{Duration, Instant};
-use util::gateway::{Fleet, HOST, Plan};
+use util::gateway::{Fleet, HOST};
 use util::raw_caller::{self, BodyEnd, RawResponse, Version};
-use util::raw_target::{Answer, End, RawTarget, Request};
+use util::raw_streams::{
+    CHUNKED, UNFRAMED, chunks, event, events, fleet_of, sound_target, target, target_with_body,
+};
+use util::raw_target::{Answer, End};
 use util::wait_until;
 
-/// Headers of a stream that ends with its connection.
-const UNFRAMED: &str = "Content-Type: text/event-stream";
-/// Headers of a stream in chunks.
-const CHUNKED: &str = "Content-Type: text/event-stream\nTransfer-Encoding: chunked";
-
-fn event(n: u64) -> String {
-    format!("id: {n}\ndata: part-{n}\n\n")
-}
-
-/// Events `from..=to`, joined.
-fn events(from: u64, to: u64) -> String {
-    (from..=to).map(event).collect()
-}
-
-/// Pieces of a body, one chunk each, and the last chunk.
-fn chunks(pieces: &[&str]) -> Vec<String> {
-    let chunk = |piece: &&str| format!("{:x}\r\n{piece}\r\n", piece.len());
-    pieces.iter().map(chunk).chain([String::from("0\r\n\r\n")]).collect()
-}
-
-/// Starts a target that answers the fleet's readiness checks, and other requests with `answer`.
-fn target(answer: impl Fn(&Request) -> Answer + Send + 'static) -> RawTarget {
-    RawTarget::start(move |request| {
-        if request.path.starts_with("/open/") {
-            return Answer::new(&request.id, "Content-Length: 2", &["ok"], End::KeepAlive);
-        }
-        answer(request)
-    })
-}
-
-/// Starts a target that answers each request with the same body.
-fn target_with_body(headers: &'static str, pieces: &[&str], end: End) -> RawTarget {
-    let pieces: Vec<String> = pieces.iter().map(ToString::to_string).collect();
-    target(move |request| {
-        let pieces: Vec<&str> = pieces.iter().map(String::as_str).collect();
-        Answer::new(&request.id, headers, &pieces, end)
-    })
-}
-
-/// A target that completes streams in chunks, whichever event they begin with.
-fn sound_target() -> RawTarget {
-    target(|request| {
-        let body = events(request.last_event_id.map_or(1, |id| id + 1), 6);
-        let pieces = if body.is_empty() { Vec::new() } else { vec![body.as_str()] };
-        let chunks = chunks(&pieces);
-        let chunks: Vec<&str> = chunks.iter().map(String::as_str).collect();
-        Answer::new(&request.id, CHUNKED, &chunks, End::KeepAlive)
-    })
-}
-
-/// A fleet of one gateway in front of these targets.
-fn fleet_of(targets: &[&RawTarget]) -> Fleet {
-    let runner = |n: usize| {
-        let id = format!("r{n}");
-        ("east", standin::runner::Config { id, ..Default::default() })
-    };
-    let plan = Plan {
-        gateways: vec!["east"],
-        runners: (0..targets.len()).map(runner).collect(),
-        ..Plan::default()
-    };
-    // The first address is the platform's.
-    let mut addresses = targets.iter().map(|target| target.address);
-    let mut count = 0;
-    let fleet = Fleet::start_behind_proxies(plan, |address| {
-        count += 1;
-        if count == 1 { address } else { addresses.next().expect("a target") }
-    });
-    fleet.configure(7);
-    fleet.wait_ready();
-    fleet
-}
-
 fn call(fleet: &Fleet, version: Version, path: &str, id: &str) -> RawResponse {
     let headers = headers(id);
     raw_caller::call(fleet.gateways[0].front_address, version, path, &headers, "a prompt")
--- a/crates/daemon/tests/util/gateway.rs
+++ b/crates/daemon/tests/util/gateway.rs
@@ -1,13 +1,16 @@
 //! A fleet of gateway processes with stand-ins for the platform and the targets.
 
+mod entries;
+
 use super::client::{self, Response};
 use super::daemon::Daemon;
 use super::port::ReservedPort;
 use super::proxy::Proxy;
 use super::{wait_for, wait_until};
+use entries::runner_entry;
 use serde_json::{Value, json};
 use standin::objects::Objects;
-use standin::runner::{self, Identity, Run, Runner};
+use standin::runner::{self, Run, Runner};
 use standin::serve::{self, Server};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -350,57 +353,6 @@
         let runs = self.runners.iter().flat_map(Runner::runs);
         runs.filter(|run| run.path.starts_with(prefix)).collect()
     }
-
-    /// Changes the entry of a runner in a field that doesn't affect its use.
-    pub fn touch_runner_entry(&self, n: usize) {
-        let mut entry = self.runner_entry(n, "ready");
-        entry["seq"] = json!(2);
-        self.objects.put("servers", &self.runners[n].identity().id, entry);
-    }
-
-    /// Rewrites the entry of a runner with this software version; null leaves the field out.
-    pub fn set_software(&self, n: usize, version: Value) {
-        let mut entry = self.runner_entry(n, "ready");
-        entry["version"] = version;
-        if let Some(fields) = entry.as_object_mut() {
-            fields.retain(|_, value| !value.is_null());
-        }
-        self.objects.put("servers", &self.runners[n].identity().id, entry);
-    }
-
-    /// Writes the entry that a runner registers after a restart under the same id.
-    pub fn reregister(&self, n: usize, started_at: u64) {
-        let mut entry = self.runner_entry(n, "ready");
-        entry["born"] = json!(started_at);
-        self.objects.put("servers", &self.runners[n].identity().id, entry);
-    }
-
-    /// Rewrites the entry of a runner with this state.
-    pub fn set_runner_state(&self, n: usize, state: &str) {
-        let entry = self.runner_entry(n, state);
-        self.objects.put("servers", &self.runners[n].identity().id, entry);
-    }
-
-    /// Replaces a runner by another start at its address: the entry of the earlier one stays until
-    /// [`Fleet::register_replacement`].
-    pub fn replace_runner(&self, n: usize, software: &str) -> String {
-        let earlier = self.runners[n].identity().id;
-        let identity = Identity { id: format!("{earlier}x"), software: software.to_owned() };
-        self.runners[n].restart_as(identity);
-        earlier
-    }
-
-    /// Writes the entry of a runner that has replaced the one named `earlier`.
-    pub fn register_replacement(&self, n: usize, earlier: &str) {
-        self.objects.remove("servers", earlier);
-        self.set_runner_state(n, "ready");
-    }
-
-    fn runner_entry(&self, n: usize, state: &str) -> Value {
-        let (data_centre, config) = &self.plan.runners[n];
-        let address = self.runner_addresses[n];
-        runner_entry(address, data_centre, &self.runners[n], config.slots, state)
-    }
 }
 
 /// Sends a request with a deadline of 5 s to the gateway at `to`.
@@ -430,19 +382,6 @@
     client::post(to, &format!("/batch/{job}"), &headers, &json!({ "items": items }))
 }
 
-fn runner_entry(
-    address: SocketAddr,
-    data_centre: &str,
-    runner: &Runner,
-    slots: usize,
-    state: &str,
-) -> Value {
-    json!({
-        "service": "llm", "addr": address.to_string(), "zone": data_centre,
-        "version": runner.identity().software, "slots": slots, "state": state, "cold_left_ms": 0, "seq": 1,
-    })
-}
-
 /// Data of all events of a stream, joined by newlines.
 pub fn event_data(response: &Response) -> String {
     let text = String::from_utf8_lossy(&response.body);
--- a/crates/daemon/tests/util/mod.rs
+++ b/crates/daemon/tests/util/mod.rs
@@ -12,6 +12,7 @@
 pub mod port;
 pub mod proxy;
 pub mod raw_caller;
+pub mod raw_streams;
 pub mod raw_target;
 
 use std::time::{Duration, Instant};
