Tell by a connection opened beforehand whether a target's process ran to the end of its response

What callers saw: the first events of a stream or an item passed for whole where targets state no end and run again soon after a crash.

Cause: the address was tried after the close.

Change: while a body without a stated end is read, an idle connection to its target is open, shared by all bodies of that address. A process that ends closes it, and nothing that listens later opens it again; so it doesn't matter when the gateway looks. Costs one connection to a target while such bodies are read, instead of one after each.

Tests: close_that_a_frozen_gateway_missed and close_beside_an_interrupted_response stood for a crash by a target that lives on; they are replaced by stream_of_a_target_that_crashes_and_runs_again, frozen or not, whose target closes all its connections and listens on, and by a case of items.

--- a/crates/coordination/tests/decisions.rs
+++ b/crates/coordination/tests/decisions.rs
@@ -7,7 +7,7 @@
 use coordination::leaving::{Notice, Source, Targets};
 use coordination::limit::{ConcurrencyLimit, TokenBucket};
 use coordination::load::{Estimate, Report};
-use coordination::presence::{MAX_NOTICE_DELAY, Presence};
+use coordination::presence::Presence;
 use coordination::queue::{self, Queue};
 use coordination::retry::{self, Budget, Failure};
 use coordination::rollout::{Actual, Desired, Step, step};
@@ -281,8 +281,6 @@
     #[case] confirms_end: bool,
     #[case] is_crash: bool,
 ) {
-    assert_eq!(presence.confirms_end(None), confirms_end);
-    assert_eq!(presence.confirms_end(Some(MAX_NOTICE_DELAY)), confirms_end);
-    assert!(!presence.confirms_end(Some(MAX_NOTICE_DELAY / 2)), "another connection failed");
+    assert_eq!(presence.confirms_end(), confirms_end);
     assert_eq!(presence.is_crash(is_leaving), is_crash);
 }
--- a/crates/daemon/src/front/plain.rs
+++ b/crates/daemon/src/front/plain.rs
@@ -170,7 +170,7 @@
     if response.framing != Framing::Connection {
         return true;
     }
-    handler.client.probe(guard.target.config.address).await.confirms_end(None)
+    handler.client.probe(guard.target.config.address).await.confirms_end()
 }
 
 fn acquire_target(
--- a/crates/daemon/src/gateway/target_body.rs
+++ b/crates/daemon/src/gateway/target_body.rs
@@ -4,17 +4,18 @@
 //! chunks may end in order. Whoever reads the body through [`TargetBody`] gets an error instead.
 //!
 //! An event stream must end between two events. An end that nothing but the connection tells
-//! counts only if the target's process still runs, as far as that can be found out; see
-//! [`coordination::presence`].
+//! counts only if the target's process still runs: an idle connection to it, opened when the
+//! response began, must still be open; see [`coordination::presence`].
 
 use crate::clock;
 use bytes::{Bytes, BytesMut};
-use coordination::presence::{AWAKE_INTERVAL, CLOSE_WINDOW, MAX_NOTICE_DELAY, Presence};
+use coordination::presence::{CLOSE_WINDOW, Presence, WITNESS_INTERVAL};
 use hyper::http::response::Parts;
 use std::fmt;
+use std::rc::Rc;
 use std::time::Instant;
 use transport::event::{self, EventTracker};
-use transport::upstream::{Exchange, Framing};
+use transport::upstream::{Exchange, Framing, Witness};
 
 /// Why a body is incomplete.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,12 +28,8 @@
     InsideEvent,
     /// A new event stream ended with its connection, before its first event.
     NoEvent,
-    /// The body ended with its connection, and the target's process wasn't found afterwards, or
-    /// another connection to it had just failed.
+    /// The body ended with its connection, and the target's process wasn't found afterwards.
     TargetGone(Presence),
-    /// The body ended with its connection, which was noticed too late to find out whether the
-    /// target's process was running.
-    NoticedLate,
 }
 
 impl fmt::Display for Truncation {
@@ -42,7 +39,6 @@
             Truncation::TooLarge(max_bytes) => write!(f, "exceeds {max_bytes} bytes"),
             Truncation::InsideEvent => write!(f, "ended inside an event"),
             Truncation::NoEvent => write!(f, "closed before the first event"),
-            Truncation::NoticedLate => write!(f, "closed while this instance was held up"),
             Truncation::TargetGone(presence) => write!(f, "closed, and then {presence:?}"),
         }
     }
@@ -55,11 +51,10 @@
     events: Option<EventTracker>,
     /// Whether the stream continues an earlier one, and may have no events left.
     is_resumed: bool,
-    /// Whether this instance was held up, and since then has only read what had arrived: then the
-    /// connection may have been closed long before its end is read.
-    is_behind: bool,
-    /// When this instance was last awake during a read in progress; `None` between reads.
-    waiting_since: Option<Instant>,
+    /// Shows whether the target's process runs; `None` if the target states the end of the body.
+    witness: Option<Rc<Witness>>,
+    /// When the witness replaced one that the target had closed.
+    witness_replaced: Option<Instant>,
 }
 
 impl TargetBody {
@@ -79,7 +74,9 @@
     }
 
     fn with_events(exchange: Exchange, events: Option<EventTracker>) -> TargetBody {
-        TargetBody { exchange, events, is_resumed: false, is_behind: false, waiting_since: None }
+        let is_framed = exchange.framing() != Framing::Connection;
+        let witness = (!is_framed).then(|| exchange.witness());
+        TargetBody { exchange, events, is_resumed: false, witness, witness_replaced: None }
     }
 
     /// Marks the body as the rest of a stream that was interrupted after one of its events.
@@ -127,21 +124,17 @@
     }
 
     async fn read_chunk(&mut self) -> Result<Option<Bytes>, String> {
-        if self.is_framed() {
-            return self.exchange.next_chunk().await;
-        }
         loop {
-            // A read that was cancelled has been waiting since it began.
-            let awake_at = *self.waiting_since.get_or_insert_with(clock::now);
-            let read = tokio::time::timeout(AWAKE_INTERVAL, self.exchange.next_chunk()).await;
-            let is_late = clock::since(awake_at) > MAX_NOTICE_DELAY;
-            self.waiting_since = None;
-            match read {
-                Ok(chunk) => {
-                    self.is_behind |= is_late;
-                    return chunk;
-                }
-                Err(_) => self.is_behind = is_late,
+            let Some(witness) = &self.witness else {
+                return self.exchange.next_chunk().await;
+            };
+            let chunk = self.exchange.next_chunk();
+            if let Ok(chunk) = tokio::time::timeout(WITNESS_INTERVAL, chunk).await {
+                return chunk;
+            }
+            if witness.is_closed() {
+                self.witness = Some(self.exchange.witness());
+                self.witness_replaced = Some(clock::now());
             }
         }
     }
@@ -164,7 +157,6 @@
 
     async fn check_end(&self) -> Result<(), Truncation> {
         if self.is_inside_event() {
-            self.exchange.record_failure();
             return Err(Truncation::InsideEvent);
         }
         if self.is_framed() {
@@ -173,18 +165,23 @@
         if !self.is_resumed && self.events.is_some_and(|events| events.events() == 0) {
             return Err(Truncation::NoEvent);
         }
-        if self.is_behind {
-            return Err(Truncation::NoticedLate);
-        }
         self.check_presence().await
     }
 
     async fn check_presence(&self) -> Result<(), Truncation> {
         tokio::time::sleep(CLOSE_WINDOW).await;
-        let presence = self.exchange.probe().await;
-        if presence.confirms_end(self.exchange.time_since_failure(clock::now())) {
+        let presence = match &self.witness {
+            Some(_) if self.is_witness_new() => Presence::Closed,
+            Some(witness) => witness.presence().await,
+            None => Presence::Unknown,
+        };
+        if presence.confirms_end() {
             return Ok(());
         }
         Err(Truncation::TargetGone(presence))
     }
+
+    fn is_witness_new(&self) -> bool {
+        self.witness_replaced.is_some_and(|at| clock::since(at) < WITNESS_INTERVAL)
+    }
 }
--- a/crates/daemon/tests/gateway_truncation.rs
+++ b/crates/daemon/tests/gateway_truncation.rs
@@ -53,59 +53,31 @@
     assert!(!response.looks_complete(), "{response:?}");
 }
 
-/// After a suspension a crashed target may run again, and its address says nothing.
+/// The address of a target that runs again says nothing, however late the gateway looks.
 #[rstest]
-fn close_that_a_frozen_gateway_missed_does_not_look_complete(
+fn stream_of_a_target_that_crashes_and_runs_again_does_not_look_complete(
+    #[values(false, true)] is_frozen: bool,
     #[values(Version::Http10, Version::Http11)] version: Version,
 ) {
     let target = target(|request| Answer {
         pause: Duration::from_millis(300),
-        ..Answer::new(&request.id, UNFRAMED, &[&event(1), &event(2)], End::Close)
+        ..Answer::new(&request.id, UNFRAMED, &[&event(1), &event(2)], End::Restart)
     });
     let fleet = fleet_of(&[&target]);
     let response = std::thread::scope(|scope| {
-        let caller = scope.spawn(|| call(&fleet, version, "/ask/frozen", "frozen"));
-        wait_until("it runs", || target.requests().iter().any(|r| r.path == "/ask/frozen"));
-        std::thread::sleep(Duration::from_millis(100));
-        fleet.gateways[0].freeze();
-        std::thread::sleep(Duration::from_millis(1_000));
-        fleet.gateways[0].thaw();
+        let caller = scope.spawn(|| call(&fleet, version, "/ask/again", "again"));
+        wait_until("it runs", || target.requests().iter().any(|r| r.path == "/ask/again"));
+        if is_frozen {
+            std::thread::sleep(Duration::from_millis(100));
+            fleet.gateways[0].freeze();
+            std::thread::sleep(Duration::from_secs(1));
+            fleet.gateways[0].thaw();
+        }
         caller.join().expect("a response")
     });
     assert!(response.status != 200 || !response.looks_complete(), "{response:?}");
 }
 
-/// The target that listens may be the next process already; another response shows the crash.
-#[rstest]
-#[case::ended_inside_an_event(UNFRAMED, "id: 2\nda", End::Close, 300)]
-#[case::reset(CHUNKED, "", End::Reset, 190)]
-fn close_beside_an_interrupted_response_does_not_look_complete(
-    #[case] headers: &'static str,
-    #[case] rest: &'static str,
-    #[case] end: End,
-    #[case] pause_ms: u64,
-) {
-    let target = target(move |request| {
-        let (headers, rest, end, pause_ms) = match &*request.path {
-            "/ask/broken" => (headers, rest, end, pause_ms),
-            _ => (UNFRAMED, "", End::Close, 300),
-        };
-        let first = if headers == CHUNKED { chunks(&[&event(1)]).remove(0) } else { event(1) };
-        let pause = Duration::from_millis(pause_ms);
-        Answer { pause, ..Answer::new(&request.id, headers, &[&first, rest], end) }
-    });
-    let fleet = fleet_of(&[&target]);
-    let fleet = &fleet;
-    let responses = std::thread::scope(|scope| {
-        let calls = ["broken", "closed"]
-            .map(|id| scope.spawn(move || call(fleet, Version::Http11, &format!("/ask/{id}"), id)));
-        calls.map(|call| call.join().expect("a response"))
-    });
-    for response in responses {
-        assert!(response.status != 200 || !response.looks_complete(), "{response:?}");
-    }
-}
-
 /// Headers of a stream with the length of this body.
 fn with_length(body: &str) -> String {
     format!("{UNFRAMED}\nContent-Length: {}", body.len())
@@ -278,9 +250,11 @@
     assert!(!broken.requests().is_empty());
 }
 
-#[test]
-fn item_of_a_target_that_crashes_between_events_is_completed_elsewhere() {
-    let broken = target_with_body(UNFRAMED, &[&events(1, 2)], End::Crash);
+#[rstest]
+fn item_of_a_target_that_crashes_between_events_is_completed_elsewhere(
+    #[values(End::Crash, End::Restart)] end: End,
+) {
+    let broken = target_with_body(UNFRAMED, &[&event(1), &event(2)], end);
     let sound = sound_target();
     let fleet = fleet_of(&[&broken, &sound]);
     let items = ["item-1", "item-2", "item-3", "item-4", "item-5", "item-6"];
--- a/crates/daemon/tests/util/raw_target.rs
+++ b/crates/daemon/tests/util/raw_target.rs
@@ -22,6 +22,8 @@
     Crash,
     /// As [`End::Crash`], but the connection of the response is closed 2 ms before the port.
     CloseThenCrash,
+    /// The process ends and another one listens on its port at once.
+    Restart,
 }
 
 /// Time from the close to the crash of [`End::CloseThenCrash`].
@@ -102,6 +104,7 @@
     ) {
         let listener = TcpListener::from_std(listener).expect("a socket");
         let (answer, crash) = (Rc::new(answer), Rc::new(Notify::new()));
+        let restart = Rc::new(Notify::new());
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
@@ -110,16 +113,27 @@
             let (stream, _) = accepted.expect("a connection");
             stream.set_nodelay(true).expect("a socket");
             let (target, answer, crash) = (self.clone(), answer.clone(), crash.clone());
-            spawn_local(async move { target.serve_connection(stream, &*answer, &crash).await });
+            let restart = restart.clone();
+            spawn_local(async move {
+                tokio::select! {
+                    has_crashed = target.serve_connection(stream, &*answer, &crash) => {
+                        if has_crashed {
+                            restart.notify_waiters();
+                        }
+                    }
+                    () = restart.notified() => {}
+                }
+            });
         }
     }
 
+    /// Serves a connection; `true` if all others of the process end with it.
     async fn serve_connection(
         &self,
         stream: TcpStream,
         answer: &impl Fn(&Request) -> Answer,
         crash: &Notify,
-    ) {
+    ) -> bool {
         let mut stream = BufReader::new(stream);
         while let Some(request) = read_request(&mut stream).await {
             self.lock().push(request.clone());
@@ -129,15 +143,17 @@
                     tokio::time::sleep(answer.pause).await;
                 }
                 if stream.write_all(piece).await.is_err() {
-                    return;
+                    return false;
                 }
             }
             match answer.end {
                 End::KeepAlive => {}
-                End::Close => return,
+                End::Close => return false,
+                End::Restart => return true,
                 End::Reset => {
                     tokio::time::sleep(RESET_DELAY).await;
-                    return stream.get_ref().set_zero_linger().expect("a socket");
+                    stream.get_ref().set_zero_linger().expect("a socket");
+                    return false;
                 }
                 End::Crash => {
                     crash.notify_one();
@@ -146,10 +162,12 @@
                 End::CloseThenCrash => {
                     drop(stream);
                     tokio::time::sleep(CRASH_DELAY).await;
-                    return crash.notify_one();
+                    crash.notify_one();
+                    return false;
                 }
             }
         }
+        false
     }
 }
 
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -21,12 +21,13 @@
 //! # }
 //! ```
 
-mod failures;
+mod witness;
+
+pub use witness::Witness;
 
 use crate::clock;
 use bytes::Bytes;
 use coordination::presence::Presence;
-use failures::Failures;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -38,7 +39,7 @@
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -155,7 +156,7 @@
     settings: Settings,
     idle: IdleConnections,
     opened: Rc<Cell<u64>>,
-    failures: Rc<RefCell<Failures>>,
+    witnesses: Rc<RefCell<HashMap<SocketAddr, Weak<Witness>>>>,
 }
 
 impl Pool {
@@ -165,7 +166,7 @@
             settings,
             idle: IdleConnections::default(),
             opened: Rc::default(),
-            failures: Rc::default(),
+            witnesses: Rc::default(),
         }
     }
 
@@ -216,10 +217,7 @@
                     // The server closed the idle connection; nothing was sent.
                     Some(unsent) if is_reused => request = unsent,
                     Some(_) => return Err(SendError::NotSent(error.error().to_string())),
-                    None => {
-                        self.record_failure(to);
-                        return Err(SendError::OutcomeUnknown(error.error().to_string()));
-                    }
+                    None => return Err(SendError::OutcomeUnknown(error.error().to_string())),
                 },
             }
         }
@@ -253,10 +251,7 @@
     pub async fn probe(&self, to: SocketAddr) -> Presence {
         let stream = match connect(to, self.settings.connect_timeout).await {
             Ok(stream) => stream,
-            Err(error) => {
-                self.record_failure(to);
-                return presence(&error);
-            }
+            Err(error) => return presence(&error),
         };
         match self.handshake(stream).await {
             Ok(connection) => {
@@ -267,20 +262,27 @@
         }
     }
 
+    /// A connection that shows whether the process at an address goes on running; its users share
+    /// it, and it is closed with the last of them.
+    fn witness(&self, to: SocketAddr) -> Rc<Witness> {
+        let mut witnesses = self.witnesses.borrow_mut();
+        let known = witnesses.get(&to).and_then(Weak::upgrade);
+        if let Some(witness) = known.filter(|witness| !witness.is_closed()) {
+            return witness;
+        }
+        witnesses.retain(|_, witness| witness.strong_count() > 0);
+        let witness = Witness::open(to, self.settings.connect_timeout);
+        witnesses.insert(to, Rc::downgrade(&witness));
+        witness
+    }
+
     async fn open(&self, to: SocketAddr) -> Result<Connection, SendError> {
         match connect(to, self.settings.connect_timeout).await {
             Ok(stream) => self.handshake(stream).await,
-            Err(error) => {
-                self.record_failure(to);
-                Err(SendError::NotSent(format!("{to}: {error}")))
-            }
+            Err(error) => Err(SendError::NotSent(format!("{to}: {error}"))),
         }
     }
 
-    fn record_failure(&self, address: SocketAddr) {
-        self.failures.borrow_mut().record(address, clock::now());
-    }
-
     async fn handshake(&self, stream: TcpStream) -> Result<Connection, SendError> {
         stream.set_nodelay(true).map_err(|error| SendError::NotSent(error.to_string()))?;
         // Close with a reset: an orderly close would still deliver buffered data, so an
@@ -356,20 +358,9 @@
         self.framing
     }
 
-    /// Checks whether a process listens on the server's address, as [`Pool::probe`].
-    pub async fn probe(&self) -> Presence {
-        self.pool.probe(self.to).await
-    }
-
-    /// Records that the response was interrupted, though its connection was closed in order.
-    pub fn record_failure(&self) {
-        self.pool.record_failure(self.to);
-    }
-
-    /// Time since a connection to the server's address failed, was refused, or carried a response
-    /// that was interrupted; `None` if that was seconds ago or never.
-    pub fn time_since_failure(&self, now: Instant) -> Option<Duration> {
-        self.pool.failures.borrow().age(self.to, now)
+    /// A connection that shows whether the server's process goes on running.
+    pub fn witness(&self) -> Rc<Witness> {
+        self.pool.witness(self.to)
     }
 
     /// Returns the next chunk of the body, or `None` at its end, when the connection
@@ -385,10 +376,7 @@
             }
             match self.body.frame().await {
                 None => self.finish(),
-                Some(Err(error)) => {
-                    self.record_failure();
-                    return Err(error.to_string());
-                }
+                Some(Err(error)) => return Err(error.to_string()),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) if data.is_empty() => {}
                     Ok(data) => return Ok(Some(data)),
