Check the results of broken items for events of two versions, and hand items off that have some

Cause, by the logs of the failed run: the test stopped the first instance as soon as 12 items had started. All 22 had run for 17 to 30 ms and none had brought an event, so there was nothing to resume; every item ran anew and was complete. The product did as designed. Two more faults of the test came out: with the same targets at the next holder each item returned to its own target, so the case passed with the version check switched off; and the check that a resumed run has the version of the last run from the first event is wrong where the longer output is kept (v1 with 4 events, anew at v2 with 2, on at v1).

Change: items of over a second, stopped once 12 have run for five events; one target leaves at that moment. Runners may name their version in the data of their events, so the check is of the result itself: all events of one version. The soak checks the results of its items so, too.

--- a/crates/daemon/tests/gateway_versions.rs
+++ b/crates/daemon/tests/gateway_versions.rs
@@ -16,6 +16,8 @@
 use util::wait_until;
 
 const EVENTS: u64 = 8;
+/// Time between two events of a runner.
+const EVENT_INTERVAL: Duration = Duration::from_millis(30);
 /// Longest time until the registry is up to date at all instances.
 const REGISTRY_DELAY: Duration = Duration::from_millis(500);
 /// Time after its start within which an instance may not know all others that it could ask.
@@ -25,13 +27,17 @@
 
 /// A fleet of gateways in these data centres, with a runner in `east` for each version.
 fn fleet(gateways: &[&'static str], versions: &[&str]) -> Fleet {
+    fleet_of(gateways, versions, &Config { event_count: EVENTS, ..Config::default() })
+}
+
+/// As [`fleet`], with this configuration of all runners.
+fn fleet_of(gateways: &[&'static str], versions: &[&str], config: &Config) -> Fleet {
     let runner = |(n, software): (usize, &&str)| {
         let config = Config {
             id: format!("r{n}"),
             software: (*software).to_owned(),
-            event_count: EVENTS,
-            event_interval: Duration::from_millis(30),
-            ..Config::default()
+            event_interval: EVENT_INTERVAL,
+            ..config.clone()
         };
         ("east", config)
     };
@@ -220,35 +226,45 @@
 #[case::by_one_holder(false)]
 #[case::handed_off_to_another_holder(true)]
 fn broken_item_never_joins_events_of_two_versions(#[case] is_handed_off: bool) {
-    let fleet = fleet(&["east", "east"], &["v1", "v2", "v1", "v2", "v1", "v2"]);
+    // The instance is stopped while items of over a second run.
+    let event_count = if is_handed_off { 40 } else { EVENTS };
+    let config = Config { event_count, names_software: true, ..Config::default() };
+    let fleet = fleet_of(&["east", "east"], &["v1", "v2", "v1", "v2", "v1", "v2"], &config);
     interrupt(&fleet, if is_handed_off { 0 } else { 10 });
     let items: Vec<String> = (0..40).map(|n| format!("item-{n}")).collect();
     let items: Vec<&str> = items.iter().map(String::as_str).collect();
     assert_eq!(fleet.submit(0, "job", &items).status, 202);
     if is_handed_off {
-        wait_until("items run", || fleet.runs("/batch/").len() >= 12);
+        wait_until("items have generated events", || {
+            let runs = fleet.runs("/batch/");
+            runs.iter().filter(|run| run.started.elapsed() > EVENT_INTERVAL * 5).count() >= 12
+        });
+        // The items would return to the same targets if these were the same.
+        fleet.set_runner_state(0, "draining");
         fleet.gateways[0].terminate();
     }
     for result in &fleet.wait_results(1, "job") {
         let id = result["id"].as_str().expect("an id");
-        assert_eq!(result["message"], Runner::text(id, EVENTS), "{result}");
+        let is_by =
+            |software: &str| result["message"] == Runner::text_by(software, id, event_count);
+        assert!(is_by("v1") || is_by("v2"), "{result}");
     }
-    let mut resumed = 0;
-    for item in items {
-        let mut runs = fleet.runs(&format!("/batch/{item}"));
-        runs.retain(|run| run.id == item);
-        runs.sort_by_key(|run| run.started);
-        // A resumed run has the version of the last run that started from the first event.
-        let mut version = String::new();
-        for Run { last_event_id, software, .. } in &runs {
-            if last_event_id.is_none() {
-                version.clone_from(software);
-            }
-            resumed += usize::from(last_event_id.is_some());
-            assert_eq!(*software, version, "{runs:?}");
-        }
+    check_resumed_items(&fleet.runs("/batch/"));
+}
+
+/// Checks that some items were resumed, and each at a version at which it had begun.
+#[track_caller]
+fn check_resumed_items(runs: &[Run]) {
+    let began_before = |resumed: &Run| {
+        let begins = runs.iter().filter(|run| run.last_event_id.is_none());
+        let mut earlier = begins.filter(|run| run.started < resumed.started);
+        earlier.any(|run| run.id == resumed.id && run.software == resumed.software)
+    };
+    let resumed: Vec<&Run> = runs.iter().filter(|run| run.last_event_id.is_some()).collect();
+    assert!(!resumed.is_empty(), "no item was resumed");
+    for run in resumed {
+        assert!(began_before(run), "{run:?}");
     }
-    assert!(resumed > 0, "no item was resumed");
 }
 
 #[rstest]
@@ -338,7 +354,7 @@
         software: software.to_owned(),
         slots,
         event_count: EVENTS,
-        event_interval: Duration::from_millis(30),
+        event_interval: EVENT_INTERVAL,
         ..Config::default()
     };
     let runners = vec![("east", config("r0", "v1", 1)), ("east", config("r1", "v2", 8))];
--- a/crates/daemon/tests/soak/check.rs
+++ b/crates/daemon/tests/soak/check.rs
@@ -1,6 +1,7 @@
 //! Checks the observations of callers and runners against the guarantees of the system.
 
 use super::callers::{ITEMS_PER_JOB, Response};
+use super::scenario::VERSIONS;
 use serde_json::Value;
 use standin::runner::{Run, Runner};
 use std::collections::{BTreeMap, HashMap};
@@ -83,7 +84,7 @@
                 let text = String::from_utf8_lossy(&response.body);
                 let events: Vec<&str> =
                     text.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
-                if events.join("\n") != Runner::text(id, EVENTS_PER_RESPONSE) {
+                if !is_text_of(id, &events.join("\n")) {
                     observed
                         .violations
                         .push(format!("{id}: a complete response with wrong events: {events:?}"));
@@ -216,6 +217,12 @@
     }
 }
 
+/// Whether one software version has generated a text, from its first event to the last.
+fn is_text_of(id: &str, text: &str) -> bool {
+    text == Runner::text(id, EVENTS_PER_RESPONSE)
+        || VERSIONS.iter().any(|by| text == Runner::text_by(by, id, EVENTS_PER_RESPONSE))
+}
+
 /// Checks that each run of an item that goes on does so at a version that began the item before.
 fn check_items(runs: &[Run]) -> Vec<String> {
     let mut runs: Vec<&Run> = runs.iter().filter(|run| run.path.starts_with("/batch/")).collect();
@@ -260,7 +267,7 @@
         let is_failing = item.ends_with("-poison");
         let is_valid = match result["state"].as_str() {
             Some("complete") => {
-                !is_failing && result["message"] == Runner::text(item, EVENTS_PER_RESPONSE)
+                !is_failing && result["message"].as_str().is_some_and(|text| is_text_of(item, text))
             }
             Some("errored") => is_failing || job.is_end_requested,
             _ => false,
--- a/crates/daemon/tests/soak/scenario.rs
+++ b/crates/daemon/tests/soak/scenario.rs
@@ -28,7 +28,7 @@
 /// Factors to the times of the runners.
 const SLOWNESS: [f64; 3] = [1.0, 0.5, 2.0];
 /// Software versions of the runners.
-const VERSIONS: [&str; 2] = ["v1", "v2"];
+pub(super) const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Tokens that a runner keeps: not all shared parts.
 const MEMORY_TOKENS: u64 = 9_000;
 
@@ -127,6 +127,7 @@
             memory_tokens: MEMORY_TOKENS,
             slowness: SLOWNESS[n % SLOWNESS.len()],
             is_unframed,
+            names_software: has_versions,
             ..Config::default()
         };
         let mut runners = vec![("east", config(0)), ("west", config(1)), ("east", config(2))];
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -53,6 +53,8 @@
     pub slowness: f64,
     /// Whether its responses have neither a length nor chunks, and end with their connection.
     pub is_unframed: bool,
+    /// Whether the data of each event names the version of its software, too.
+    pub names_software: bool,
 }
 
 impl Default for Config {
@@ -70,6 +72,7 @@
             memory_tokens: u64::MAX,
             slowness: 1.0,
             is_unframed: false,
+            names_software: false,
         }
     }
 }
@@ -219,10 +222,16 @@
 
     /// Joined data of all events of the response to `id`.
     pub fn text(id: &str, event_count: u64) -> String {
-        let data: Vec<String> = (1..=event_count).map(|n| format!("{id}-{n}")).collect();
+        let data: Vec<String> = (1..=event_count).map(|n| event_data(id, n)).collect();
         data.join("\n")
     }
 
+    /// As [`Runner::text`], of a runner with [`Config::names_software`].
+    pub fn text_by(software: &str, id: &str, event_count: u64) -> String {
+        let data = (1..=event_count).map(|n| versioned_event_data(id, n, software));
+        data.collect::<Vec<String>>().join("\n")
+    }
+
     fn rejection(&self, head: &RequestHead) -> Option<Response> {
         let expected = head.header(EXPECTED_TARGET);
         if !expected.is_empty() && expected != self.identity().id {
@@ -318,7 +327,12 @@
         let event_count = self.lock().event_count.unwrap_or(self.config.event_count);
         let event_interval = self.config.event_interval.mul_f64(self.config.slowness);
         for n in from..=event_count {
-            let event = format!("id: {n}\nevent: {software}\ndata: {id}-{n}\n\n");
+            let data = if self.config.names_software {
+                versioned_event_data(&id, n, &software)
+            } else {
+                event_data(&id, n)
+            };
+            let event = format!("id: {n}\nevent: {software}\ndata: {data}\n\n");
             if is_interrupted && n >= from + 2 {
                 let half = Bytes::from(event.as_bytes()[..event.len() / 2].to_vec());
                 let _disconnected = tx.send(half).await;
@@ -341,6 +355,14 @@
     }
 }
 
+fn event_data(id: &str, n: u64) -> String {
+    format!("{id}-{n}")
+}
+
+fn versioned_event_data(id: &str, n: u64, software: &str) -> String {
+    format!("{id}-{n} {software}")
+}
+
 /// The events of one response.
 struct EventStream {
     /// Id of the request.
