Open the connection that shows whether a target runs on before the request, where responses ended with their connections before

A stream whose target crashes and runs again passes for whole if the gateway reads its head, its events and its end at once, as after a freeze.

Cause: the connection that tells the process of the response from the next one was opened when the head had been read; by then the next one may listen.

Change: the pool remembers for 30 s which servers end responses with their connections, and has such a connection open before it sends them a request. The first such response of a server is as before: nothing tells beforehand that it will come.

--- a/crates/daemon/src/gateway/target_body.rs
+++ b/crates/daemon/src/gateway/target_body.rs
@@ -133,7 +133,7 @@
                 return chunk;
             }
             if witness.is_closed() {
-                self.witness = Some(self.exchange.witness());
+                self.witness = Some(self.exchange.replace_witness());
                 self.witness_replaced = Some(clock::now());
             }
         }
--- a/crates/daemon/tests/gateway_truncation.rs
+++ b/crates/daemon/tests/gateway_truncation.rs
@@ -78,6 +78,32 @@
     assert!(response.status != 200 || !response.looks_complete(), "{response:?}");
 }
 
+#[rstest]
+fn stream_read_after_its_target_crashed_and_runs_again_does_not_look_complete(
+    #[values(Version::Http10, Version::Http11)] version: Version,
+) {
+    let target = target(|request| {
+        let is_first = request.path == "/ask/first";
+        if !is_first {
+            std::thread::sleep(Duration::from_millis(500));
+        }
+        let end = if is_first { End::Close } else { End::Restart };
+        Answer::new(&request.id, UNFRAMED, &[&event(1), &event(2)], end)
+    });
+    let fleet = fleet_of(&[&target]);
+    assert!(call(&fleet, version, "/ask/first", "first").looks_complete());
+    let response = std::thread::scope(|scope| {
+        let caller = scope.spawn(|| call(&fleet, version, "/ask/again", "again"));
+        wait_until("it runs", || target.requests().iter().any(|r| r.path == "/ask/again"));
+        // The gateway reads the whole response at once.
+        fleet.gateways[0].freeze();
+        std::thread::sleep(Duration::from_secs(1));
+        fleet.gateways[0].thaw();
+        caller.join().expect("a response")
+    });
+    assert!(response.status != 200 || !response.looks_complete(), "{response:?}");
+}
+
 /// Headers of a stream with the length of this body.
 fn with_length(body: &str) -> String {
     format!("{UNFRAMED}\nContent-Length: {}", body.len())
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -24,6 +24,7 @@
 mod witness;
 
 pub use witness::Witness;
+use witness::Witnesses;
 
 use crate::clock;
 use bytes::Bytes;
@@ -39,7 +40,7 @@
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -156,7 +157,7 @@
     settings: Settings,
     idle: IdleConnections,
     opened: Rc<Cell<u64>>,
-    witnesses: Rc<RefCell<HashMap<SocketAddr, Weak<Witness>>>>,
+    witnesses: Rc<RefCell<Witnesses>>,
 }
 
 impl Pool {
@@ -178,6 +179,7 @@
     /// Closes idle connections to addresses for which `keep` returns `false`.
     pub fn retain_idle(&self, keep: impl Fn(SocketAddr) -> bool) {
         self.idle.borrow_mut().retain(|address, _| keep(*address));
+        self.witnesses.borrow_mut().retain(keep);
     }
 
     /// Closes idle connections to an address, such as after a restart of its process.
@@ -197,6 +199,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Exchange, SendError> {
         let mut request = request;
+        let witness = self.witness_of_known(to);
         loop {
             let idle = self.take_idle(to, clock::now());
             let is_reused = idle.is_some();
@@ -209,9 +212,16 @@
                     let (head, body) = response.into_parts();
                     let framing = Framing::of(&head, &body);
                     let pool = self.clone();
-                    let connection = Some(connection);
-                    let is_at_end = false;
-                    return Ok(Exchange { to, head, framing, body, connection, pool, is_at_end });
+                    return Ok(Exchange {
+                        to,
+                        head,
+                        framing,
+                        body,
+                        connection: Some(connection),
+                        pool,
+                        witness,
+                        is_at_end: false,
+                    });
                 }
                 Err(mut error) => match error.take_message() {
                     // The server closed the idle connection; nothing was sent.
@@ -263,17 +273,16 @@
     }
 
     /// A connection that shows whether the process at an address goes on running; its users share
-    /// it, and it is closed with the last of them.
+    /// it.
     fn witness(&self, to: SocketAddr) -> Rc<Witness> {
-        let mut witnesses = self.witnesses.borrow_mut();
-        let known = witnesses.get(&to).and_then(Weak::upgrade);
-        if let Some(witness) = known.filter(|witness| !witness.is_closed()) {
-            return witness;
-        }
-        witnesses.retain(|_, witness| witness.strong_count() > 0);
-        let witness = Witness::open(to, self.settings.connect_timeout);
-        witnesses.insert(to, Rc::downgrade(&witness));
-        witness
+        let timeout = self.settings.connect_timeout;
+        self.witnesses.borrow_mut().get_or_open(to, timeout, clock::now())
+    }
+
+    /// As [`Pool::witness`], if responses from there have ended with their connections.
+    fn witness_of_known(&self, to: SocketAddr) -> Option<Rc<Witness>> {
+        let timeout = self.settings.connect_timeout;
+        self.witnesses.borrow_mut().reopen(to, timeout, clock::now())
     }
 
     async fn open(&self, to: SocketAddr) -> Result<Connection, SendError> {
@@ -344,6 +353,8 @@
     body: Incoming,
     connection: Option<Connection>,
     pool: Pool,
+    /// Opened before the request was sent; `None` if it wasn't known to be needed.
+    witness: Option<Rc<Witness>>,
     is_at_end: bool,
 }
 
@@ -358,8 +369,14 @@
         self.framing
     }
 
-    /// A connection that shows whether the server's process goes on running.
+    /// A connection that shows whether the server's process goes on running: from before the
+    /// response if earlier ones ended with their connections, else from now on.
     pub fn witness(&self) -> Rc<Witness> {
+        self.witness.clone().unwrap_or_else(|| self.pool.witness(self.to))
+    }
+
+    /// A connection in place of one that the server has closed.
+    pub fn replace_witness(&self) -> Rc<Witness> {
         self.pool.witness(self.to)
     }
 
--- a/crates/transport/src/upstream/witness.rs
+++ b/crates/transport/src/upstream/witness.rs
@@ -3,12 +3,61 @@
 use super::{connect, presence};
 use coordination::presence::Presence;
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
+/// Time for which a witness stays open after its last use.
+const LIFETIME: Duration = Duration::from_secs(30);
+
+/// Witnesses of the servers whose responses have ended with their connections, by address.
+#[derive(Debug, Default)]
+pub(super) struct Witnesses(HashMap<SocketAddr, Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    witness: Rc<Witness>,
+    expires: Instant,
+}
+
+impl Witnesses {
+    /// An open witness of a server, or one that is being opened.
+    pub(super) fn get_or_open(
+        &mut self,
+        to: SocketAddr,
+        timeout: Duration,
+        now: Instant,
+    ) -> Rc<Witness> {
+        self.0.retain(|_, shared| now < shared.expires);
+        let known = self.0.get(&to).filter(|shared| !shared.witness.is_closed());
+        let witness =
+            known.map_or_else(|| Witness::open(to, timeout), |shared| shared.witness.clone());
+        let expires = now + LIFETIME;
+        self.0.insert(to, Shared { witness: witness.clone(), expires });
+        witness
+    }
+
+    /// As [`Witnesses::get_or_open`] for a server that had a witness a short time ago; `None` for
+    /// any other.
+    pub(super) fn reopen(
+        &mut self,
+        to: SocketAddr,
+        timeout: Duration,
+        now: Instant,
+    ) -> Option<Rc<Witness>> {
+        let is_known = self.0.get(&to).is_some_and(|shared| now < shared.expires);
+        is_known.then(|| self.get_or_open(to, timeout, now))
+    }
+
+    /// Closes the witnesses of servers for which `keep` returns `false`, once they aren't in use.
+    pub(super) fn retain(&mut self, keep: impl Fn(SocketAddr) -> bool) {
+        self.0.retain(|address, _| keep(*address));
+    }
+}
+
 /// An idle connection to a server. It is closed when the server's process ends, even if another
 /// process listens on the address by the time that anybody looks.
 #[derive(Debug, Default)]
