Check a lease again before a stream goes on, in case the first versioned target became known during the wait

What callers would see: events of two software versions in one stream, where a service changes from entries without a version to entries with one.

Cause: whether a stream has to go on at a version was decided before the wait for a slot. While no target states one it may go on anywhere, and a request that waits then takes the first slot, also of a target whose version has been stated meanwhile.

Change: with the lease in hand the origin is looked up if it wasn't needed before, and the lease is given back unless it is of the version.

--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -299,19 +299,24 @@
     }
 
     async fn acquire_lease(&mut self, last_event: Option<u64>) -> Result<Lease, AcquireError> {
-        let software = self.required_software()?;
-        let (latest_start, expires) = self.slot_deadlines(last_event.is_some(), clock::now());
-        let query = SlotQuery {
-            service: self.service.clone(),
-            latest_start,
-            expires,
-            excluded: self.excluded.clone(),
-            software,
-            residency: residency::of_request(&self.route, self.call.workspace.as_deref()),
-            workload: self.workload.clone(),
-        };
-        let result = leases::acquire(&self.node, &query, &mut self.charge).await;
-        self.slot_wait.set(clock::since(self.call.started));
-        result
+        loop {
+            let software = self.required_software()?;
+            let (latest_start, expires) = self.slot_deadlines(last_event.is_some(), clock::now());
+            let query = SlotQuery {
+                service: self.service.clone(),
+                latest_start,
+                expires,
+                excluded: self.excluded.clone(),
+                software,
+                residency: residency::of_request(&self.route, self.call.workspace.as_deref()),
+                workload: self.workload.clone(),
+            };
+            let result = leases::acquire(&self.node, &query, &mut self.charge).await;
+            self.slot_wait.set(clock::since(self.call.started));
+            let lease = result?;
+            if self.confirm(&lease).await? {
+                return Ok(lease);
+            }
+        }
     }
 }
--- a/crates/daemon/src/gateway/online/origin.rs
+++ b/crates/daemon/src/gateway/online/origin.rs
@@ -1,7 +1,7 @@
 //! What began the stream that a request goes on with, and where it may therefore be sent.
 
 use super::ProxiedRequest;
-use crate::gateway::leases::AcquireError;
+use crate::gateway::leases::{AcquireError, Lease};
 use crate::gateway::origins;
 use coordination::continuation::{self, Continuation};
 use protocol::SoftwareVersion;
@@ -14,7 +14,8 @@
     ///
     /// Returns why the stream can't go on.
     pub(super) async fn find_origin(&mut self) -> Result<(), AcquireError> {
-        if self.route.class != Class::Stream || !self.call.takes_up_stream() {
+        let takes_up_stream = self.route.class == Class::Stream && self.call.takes_up_stream();
+        if !takes_up_stream || self.origin.is_some() {
             return Ok(());
         }
         let states_software = {
@@ -35,6 +36,18 @@
         Ok(())
     }
 
+    /// Whether a stream that goes on may be sent to a leased target. The first target that states a
+    /// version may have become known during the wait for the lease.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream can't go on.
+    pub(super) async fn confirm(&mut self, lease: &Lease) -> Result<bool, AcquireError> {
+        self.find_origin().await?;
+        let required = self.required_software()?;
+        Ok(required.is_none() || required == lease.software)
+    }
+
     /// Records what began the stream, for resumptions here and at other instances.
     pub fn set_origin(&mut self, origin: Origin) {
         if self.node.registry.borrow().states_software(&origin.service) {
--- a/crates/daemon/tests/gateway_versions.rs
+++ b/crates/daemon/tests/gateway_versions.rs
@@ -286,6 +286,30 @@
     }
 }
 
+#[test]
+fn stream_without_a_version_does_not_go_on_once_a_target_states_one() {
+    let config = Config { slots: 1, ..Config::default() };
+    let fleet = fleet_of(&["east", "east"], &["v1", "v2"], &config);
+    fleet.runners.iter().for_each(|runner| runner.set_event_count(100));
+    (0..2).for_each(|n| fleet.set_software(n, Value::Null));
+    std::thread::sleep(REGISTRY_DELAY);
+    let fronts = [0, 1].map(|n| fleet.gateways[n].front_address);
+    let callers = at_once(2, |n| Caller::begin(fronts[0], &format!("busy-{n}"), 2));
+    let (began_at_v1, others): (Vec<_>, Vec<_>) =
+        callers.into_iter().partition(|(caller, _)| caller.began_at("v1"));
+    let (mut caller, _stream) = began_at_v1.into_iter().next().expect("a stream of v1");
+    let response = std::thread::scope(|scope| {
+        let returned = scope.spawn(|| caller.finish(fronts[1]));
+        // It waits, as both slots are taken.
+        std::thread::sleep(REGISTRY_DELAY);
+        fleet.set_software(1, json!("v2"));
+        std::thread::sleep(REGISTRY_DELAY);
+        drop(others);
+        returned.join().expect("a response")
+    });
+    assert_eq!(response.status, 410, "{response:?}");
+}
+
 /// Either process may have run the stream, so its version is unknown.
 #[test]
 fn stream_whose_target_changed_its_version_meanwhile_is_not_taken_up() {
