Replace a witness that couldn't be opened

Change: a failed witness is replaced like a closed one, and one that had failed before the response says nothing of it.

--- a/crates/daemon/src/gateway/target_body.rs
+++ b/crates/daemon/src/gateway/target_body.rs
@@ -132,7 +132,7 @@
             if let Ok(chunk) = tokio::time::timeout(WITNESS_INTERVAL, chunk).await {
                 return chunk;
             }
-            if witness.is_closed() {
+            if witness.is_lost() {
                 self.witness = Some(self.exchange.replace_witness());
                 self.witness_replaced = Some(clock::now());
             }
--- a/crates/transport/src/upstream/exchange.rs
+++ b/crates/transport/src/upstream/exchange.rs
@@ -75,7 +75,8 @@
     /// A connection that shows whether the server's process goes on running: from before the
     /// response if earlier ones ended with their connections, else from now on.
     pub fn witness(&self) -> Rc<Witness> {
-        self.witness.clone().unwrap_or_else(|| self.pool.witness(self.to))
+        let earlier = self.witness.clone().filter(|witness| !witness.has_failed());
+        earlier.unwrap_or_else(|| self.pool.witness(self.to))
     }
 
     /// A connection in place of one that the server has closed.
--- a/crates/transport/src/upstream/witness.rs
+++ b/crates/transport/src/upstream/witness.rs
@@ -32,7 +32,7 @@
         now: Instant,
     ) -> Rc<Witness> {
         self.0.retain(|_, shared| now < shared.expires);
-        let known = self.0.get(&to).filter(|shared| !shared.witness.is_closed());
+        let known = self.0.get(&to).filter(|shared| !shared.witness.is_lost());
         let witness =
             known.map_or_else(|| Witness::open(to, timeout), |shared| shared.witness.clone());
         let expires = now + LIFETIME;
@@ -105,9 +105,18 @@
         }
     }
 
-    /// Whether the connection was open and has been closed.
-    pub fn is_closed(&self) -> bool {
-        matches!(&*self.state.borrow(), State::Connected(stream) if !is_open(stream))
+    /// Whether there is no connection any more, or none could be opened.
+    pub fn is_lost(&self) -> bool {
+        match &*self.state.borrow() {
+            State::Connecting => false,
+            State::Connected(stream) => !is_open(stream),
+            State::Failed(_) => true,
+        }
+    }
+
+    /// Whether no connection could be opened.
+    pub(super) fn has_failed(&self) -> bool {
+        matches!(&*self.state.borrow(), State::Failed(_))
     }
 }
 
--- a/crates/transport/tests/upstream.rs
+++ b/crates/transport/tests/upstream.rs
@@ -1,12 +1,14 @@
 //! The client pool as seen from the server's end of a connection.
 
 use bytes::Bytes;
+use coordination::presence::Presence;
 use http_body_util::Full;
 use rstest::rstest;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
-use tokio::task::LocalSet;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::task::{JoinSet, LocalSet};
 use transport::upstream::{Framing, Pool, Settings};
 
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
@@ -81,3 +83,42 @@
     });
     server.join().expect("server thread");
 }
+
+/// Answers requests without a stated end until it is aborted, which closes all connections.
+async fn serve_unframed(listener: tokio::net::TcpListener) {
+    let mut connections = JoinSet::new();
+    loop {
+        let (mut connection, _) = listener.accept().await.expect("accept connection");
+        connections.spawn_local(async move {
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") && connection.read_buf(&mut head).await? > 0 {}
+            connection.write_all(b"HTTP/1.1 200 OK\r\n\r\nok").await
+        });
+    }
+}
+
+/// Guards against whole responses that count as truncated for as long as a witness is kept.
+#[test]
+fn witness_that_could_not_be_opened_is_replaced() {
+    block_on(async {
+        let pool = Pool::new(Settings::default());
+        let get = || hyper::Request::get("/").body(Full::new(Bytes::new())).expect("a request");
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("bind listener");
+        let address = listener.local_addr().expect("local address");
+        let server = tokio::task::spawn_local(serve_unframed(listener));
+        let exchange = pool.send(address, get()).await.expect("a response");
+        let witness = exchange.witness();
+        assert_eq!(witness.presence().await, Presence::Listening);
+        server.abort();
+        assert!(server.await.is_err_and(|error| error.is_cancelled()));
+        assert_eq!(witness.presence().await, Presence::Closed);
+        assert!(pool.send(address, get()).await.is_err(), "nobody listens");
+        // The attempt to open a witness ends.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let listener = tokio::net::TcpListener::bind(address).await.expect("bind listener again");
+        let server = tokio::task::spawn_local(serve_unframed(listener));
+        let exchange = pool.send(address, get()).await.expect("a response");
+        assert_eq!(exchange.witness().presence().await, Presence::Listening);
+        server.abort();
+    });
+}
