Give a lease back if the stream turns out to have begun at another service of its route

Cause, by reading: the check of the lease compares versions, and a lookup after the wait may also change the service. Two services of a route whose targets state the same version name would fit.

--- a/crates/daemon/src/gateway/online/origin.rs
+++ b/crates/daemon/src/gateway/online/origin.rs
@@ -43,9 +43,11 @@
     ///
     /// Returns why the stream can't go on.
     pub(super) async fn confirm(&mut self, lease: &Lease) -> Result<bool, AcquireError> {
+        let leased_service = self.service.clone();
         self.find_origin().await?;
         let required = self.required_software()?;
-        Ok(required.is_none() || required == lease.software)
+        let fits = required.is_none() || required == lease.software;
+        Ok(fits && self.service == leased_service)
     }
 
     /// Records what began the stream, for resumptions here and at other instances.
