Let a stream of an unknown attempt go on where its service has had only one software version

Cause: who doesn't know the version of a stream may not guess it, and any service whose targets state a version counted as one of several versions.

Change: where all targets of a service state the same version, and those that were removed within the last minute did, too, the stream can only have begun at it. Removals carry what the target ran, so that an instance that has just started knows it as well; a removal from an earlier build leaves the version open. An instance that has just started, is cut off or is without the platform says when to return instead.

Evidence: stream_of_an_unknown_attempt_goes_on_where_there_is_one_version, two cases, failed before; it also holds that two instances, one of them restarted, refuse a stream while a version has just ended. version_of_a_removed_target_is_known_for_as_long_as_callers_return for the registry.

--- a/crates/coordination/src/registry.rs
+++ b/crates/coordination/src/registry.rs
@@ -5,12 +5,14 @@
 //! by revision, so their order doesn't matter.
 
 mod change;
+mod ended;
 
 pub use change::{Change, Delta, Page};
 
 use crate::{TargetId, hash};
-use protocol::DataCentreId;
-use protocol::routing::Target;
+use ended::Ended;
+use protocol::routing::{Origin, Target};
+use protocol::{DataCentreId, SoftwareVersion};
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
@@ -31,6 +33,12 @@
 }
 
 impl Entry {
+    /// What the target runs.
+    fn ran(&self) -> Origin {
+        let Target { service, software, .. } = &self.target;
+        Origin { service: service.clone(), software: software.clone() }
+    }
+
     /// Whether `target` is the same entry without its software version, from an earlier build.
     fn lacks_only_software(&self, target: &Target) -> bool {
         let software = &self.target.software;
@@ -40,11 +48,26 @@
     }
 }
 
+/// A target that was removed.
+#[derive(Clone, Debug)]
+struct Removal {
+    revision: u64,
+    /// What the target ran; `None` if unknown.
+    ran: Option<Origin>,
+}
+
+impl Removal {
+    fn to_change(&self, id: &str) -> Change {
+        Change::Gone { id: id.to_owned(), revision: self.revision, ran: self.ran.clone() }
+    }
+}
+
 /// All known targets.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     entries: HashMap<TargetId, Entry>,
-    removed: HashMap<TargetId, u64>,
+    removed: HashMap<TargetId, Removal>,
+    ended: Ended,
     /// Earliest [`Entry::missing_until`]; `None` if no entry is missing.
     first_expiry: Option<Instant>,
     revision: u64,
@@ -109,6 +132,22 @@
         targets.any(|target| target.service == service && target.software.is_some())
     }
 
+    /// The version of a service's software if all its targets state the same, those that were
+    /// removed within the last minute included.
+    pub fn only_software(&self, service: &str) -> Option<&SoftwareVersion> {
+        let present = self.entries.values().map(|entry| &entry.target);
+        let present = present.filter(|target| target.service == service);
+        let present = present.map(|target| target.software.as_ref());
+        let mut versions = present.chain(self.ended.versions(service));
+        let first = versions.next()??;
+        versions.all(|version| version == Some(first)).then_some(first)
+    }
+
+    /// What a known target runs.
+    fn ran(&self, id: &str) -> Option<Origin> {
+        self.entries.get(id).map(Entry::ran)
+    }
+
     /// Whether a target is known to be leaving, evacuated or removed; `false` if it is unknown.
     pub fn is_unusable(&self, id: &str) -> bool {
         let Some(entry) = self.entries.get(id) else {
@@ -125,9 +164,8 @@
 
     /// Latest change of a target, for an instance that is out of date; `None` if it is unknown.
     pub fn change(&self, id: &str) -> Option<Change> {
-        let removal = |revision: &u64| Change::Gone { id: id.to_owned(), revision: *revision };
         let present = self.entries.get(id).map(|entry| Change::Present(entry.target.clone()));
-        present.or_else(|| self.removed.get(id).map(removal))
+        present.or_else(|| self.removed.get(id).map(|removal| removal.to_change(id)))
     }
 
     /// A known target, leaving or not.
@@ -181,7 +219,8 @@
     /// The oldest changes after `revision`, at least `limit` of them if there are so many.
     pub fn changes_since(&self, revision: u64, limit: usize) -> Page {
         let present = self.entries.values().map(|entry| entry.target.revision);
-        let mut revisions: Vec<u64> = present.chain(self.removed.values().copied()).collect();
+        let removed = self.removed.values().map(|removal| removal.revision);
+        let mut revisions: Vec<u64> = present.chain(removed).collect();
         revisions.retain(|known| *known > revision);
         let last = if revisions.len() > limit {
             Some(*revisions.select_nth_unstable(limit.saturating_sub(1)).1)
@@ -192,9 +231,8 @@
         let present = self.entries.values().map(|entry| &entry.target);
         let present = present.filter(|target| is_included(target.revision));
         let present = present.map(|target| Change::Present(target.clone()));
-        let removals = self.removed.iter().filter(|(_, known)| is_included(**known));
-        let removals =
-            removals.map(|(id, revision)| Change::Gone { id: id.clone(), revision: *revision });
+        let removals = self.removed.iter().filter(|(_, known)| is_included(known.revision));
+        let removals = removals.map(|(id, removal)| removal.to_change(id));
         Page { changes: present.chain(removals).collect(), next: last }
     }
 
@@ -205,8 +243,7 @@
         let present = present.filter(|target| differs(&target.id));
         let present = present.map(|target| Change::Present(target.clone()));
         let removals = self.removed.iter().filter(|(id, _)| differs(id));
-        let removals =
-            removals.map(|(id, revision)| Change::Gone { id: id.clone(), revision: *revision });
+        let removals = removals.map(|(id, removal)| removal.to_change(id));
         present.chain(removals).collect()
     }
 
@@ -214,7 +251,8 @@
     fn contribution(&self, id: &str) -> u64 {
         let entry = self.entries.get(id);
         let present = entry.map_or(0, |entry| digest_of_target(&entry.target));
-        let removal = self.removed.get(id).map_or(0, |revision| digest_of(id, *revision, false));
+        let removal = self.removed.get(id);
+        let removal = removal.map_or(0, |removal| digest_of(id, removal.revision, false));
         present.wrapping_add(removal)
     }
 
@@ -236,7 +274,7 @@
         let before = self.contribution(&id);
         let is_new = match change {
             Change::Present(target) => self.on_present(target),
-            Change::Gone { id, revision } => self.on_gone(&id, revision),
+            Change::Gone { id, revision, ran } => self.on_gone(&id, revision, ran),
         };
         self.update_digest(&id, before);
         self.version += u64::from(is_new);
@@ -245,7 +283,7 @@
 
     fn on_present(&mut self, target: Target) -> bool {
         self.revision = self.revision.max(target.revision);
-        if self.removed.get(&target.id).is_some_and(|removed| *removed >= target.revision) {
+        if self.removed.get(&target.id).is_some_and(|removed| removed.revision >= target.revision) {
             return false;
         }
         match self.entries.get_mut(&target.id) {
@@ -257,13 +295,17 @@
             }
             _ => {
                 self.removed.remove(&target.id);
-                self.entries.insert(target.id.clone(), Entry { target, missing_until: None });
+                let software = target.software.clone();
+                let entry = Entry { target, missing_until: None };
+                let before = self.entries.insert(entry.target.id.clone(), entry);
+                let before = before.filter(|before| before.target.software != software);
+                before.into_iter().for_each(|before| self.ended.insert(Some(before.ran())));
                 true
             }
         }
     }
 
-    fn on_gone(&mut self, id: &str, revision: u64) -> bool {
+    fn on_gone(&mut self, id: &str, revision: u64, ran: Option<Origin>) -> bool {
         self.revision = self.revision.max(revision);
         if self.entries.get(id).is_some_and(|entry| entry.target.revision > revision) {
             return false;
@@ -271,14 +313,22 @@
         if self.removed.len() >= MAX_REMOVED {
             self.evict_oldest_removal();
         }
+        let entry = self.entries.remove(id);
+        let known = self.removed.get(id).cloned();
+        let is_new = entry.is_some() || known.is_none();
+        let ran = entry.map(|entry| entry.ran()).or(ran);
+        let ran = ran.or_else(|| known.as_ref()?.ran.clone());
+        if is_new {
+            self.ended.insert(ran.clone());
+        }
         // Of several removals the latest counts, whatever their order.
-        let known = self.removed.get(id).copied();
-        self.removed.insert(id.to_owned(), revision.max(known.unwrap_or(0)));
-        self.entries.remove(id).is_some() || known.is_none()
+        let revision = known.map_or(revision, |known| known.revision.max(revision));
+        self.removed.insert(id.to_owned(), Removal { revision, ran });
+        is_new
     }
 
     fn evict_oldest_removal(&mut self) {
-        let oldest = self.removed.iter().min_by_key(|(_, revision)| **revision);
+        let oldest = self.removed.iter().min_by_key(|(_, removal)| removal.revision);
         if let Some(id) = oldest.map(|(id, _)| id.clone()) {
             let before = self.contribution(&id);
             self.removed.remove(&id);
@@ -323,7 +373,7 @@
 
     /// An entry was read that describes no usable target, as of `revision`.
     pub fn on_invalid(&mut self, id: &str, revision: u64, delta: &mut Delta) {
-        let change = Change::Gone { id: id.to_owned(), revision };
+        let change = Change::Gone { id: id.to_owned(), revision, ran: self.ran(id) };
         if self.entries.contains_key(id) && self.on_change(change.clone()) {
             delta.changes.push(change);
         }
@@ -356,14 +406,16 @@
             }
             return;
         }
-        let change = Change::Gone { id: id.to_owned(), revision };
+        let change = Change::Gone { id: id.to_owned(), revision, ran: self.ran(id) };
         if self.on_change(change.clone()) {
             delta.changes.push(change);
         }
     }
 
-    /// Removes entries that have been missing for too long; returns the new changes.
+    /// Removes entries that have been missing for too long; returns the new changes. To be called
+    /// regularly.
     pub fn remove_expired(&mut self, now: Instant) -> Vec<Change> {
+        self.ended.remove_expired(now);
         if self.first_expiry.is_none_or(|first| now < first) {
             return Vec::new();
         }
@@ -374,7 +426,8 @@
         for target in expired {
             // Removed at the revision of its last known entry: a renewed entry has a higher one
             // and remains.
-            let change = Change::Gone { id: target.id, revision: target.revision };
+            let Target { id, revision, .. } = target;
+            let change = Change::Gone { revision, ran: self.ran(&id), id };
             if self.on_change(change.clone()) {
                 changes.push(change);
             }
--- a/crates/coordination/src/registry/change.rs
+++ b/crates/coordination/src/registry/change.rs
@@ -1,7 +1,7 @@
 //! Changes of the registry, as instances exchange them.
 
 use crate::TargetId;
-use protocol::routing::Target;
+use protocol::routing::{Origin, Target};
 
 /// A change that instances exchange.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -14,6 +14,9 @@
         id: TargetId,
         /// Revision of the removal.
         revision: u64,
+        /// What it ran; `None` if unknown, or from an earlier build.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        ran: Option<Origin>,
     },
 }
 
--- a/crates/coordination/tests/registry.rs
+++ b/crates/coordination/tests/registry.rs
@@ -2,7 +2,7 @@
 
 use coordination::registry::{Change, DIGEST_BUCKETS, Delta, Page, REREGISTRATION_GRACE, Registry};
 use proptest::prelude::*;
-use protocol::routing::Target;
+use protocol::routing::{Origin, Target};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -34,7 +34,8 @@
     registry.on_list(vec![target("a", 1, false), target("b", 2, false)], 2, None, now);
     let mut delta = Delta::default();
     registry.on_removed("a", 3, None, now, &mut delta);
-    assert_eq!(delta.changes, [Change::Gone { id: "a".into(), revision: 3 }]);
+    let ran = Some(Origin { service: target("a", 1, false).service, software: None });
+    assert_eq!(delta.changes, [Change::Gone { id: "a".into(), revision: 3, ran }]);
     assert_eq!(usable(&registry), ["b"]);
 }
 
@@ -66,7 +67,7 @@
     assert!(usable(&registry).is_empty());
     assert!(!registry.on_change(Change::Present(target("a", 4, false))));
     assert!(usable(&registry).is_empty());
-    registry.on_change(Change::Gone { id: "a".into(), revision: 6 });
+    registry.on_change(Change::Gone { id: "a".into(), revision: 6, ran: None });
     assert!(!registry.on_change(Change::Present(target("a", 5, false))));
     // The same target registers again after an expiry.
     assert!(registry.on_change(Change::Present(target("a", 8, false))));
@@ -82,7 +83,8 @@
     registry.on_change(Change::Present(target("a", 6, true)));
     assert!(registry.is_unusable("a"));
     assert_eq!(registry.change("a"), Some(Change::Present(target("a", 6, true))));
-    let removed = Change::Gone { id: "a".into(), revision: 7 };
+    let ran = Some(Origin { service: target("a", 1, false).service, software: None });
+    let removed = Change::Gone { id: "a".into(), revision: 7, ran };
     registry.on_change(removed.clone());
     assert!(registry.is_unusable("a"));
     assert_eq!(registry.change("a"), Some(removed));
@@ -94,7 +96,7 @@
     let change = (0..4_u8, 1..40_u64, 0..4_u8).prop_map(|(id, revision, what)| {
         let id = format!("t{id}");
         match what {
-            0 => Change::Gone { id, revision },
+            0 => Change::Gone { id, revision, ran: None },
             // An entry's content is a function of its revision.
             _ => Change::Present(target(&id, revision, revision.is_multiple_of(3))),
         }
@@ -111,7 +113,7 @@
             matches!(change, Change::Present(t) if t.id == id && t.revision == at)
         });
         let clear = |change: &&Change| match change {
-            Change::Gone { id, revision } => !written(id, *revision),
+            Change::Gone { id, revision, .. } => !written(id, *revision),
             Change::Present(_) => true,
         };
         let changes: Vec<Change> = changes.iter().filter(clear).cloned().collect();
@@ -231,3 +233,38 @@
     registry.on_entry(target("b", 9, false), &mut delta);
     assert_eq!(ids(&delta.changes), ["b"]);
 }
+
+/// Guards against a guess at the version of a stream that began at a target which is gone.
+#[test]
+fn version_of_a_removed_target_is_known_for_as_long_as_callers_return() {
+    let of_version = |id: &str, revision, software: &str| Target {
+        software: Some(String::from(software)),
+        ..target(id, revision, false)
+    };
+    let service = target("a", 1, false).service;
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    registry.on_change(Change::Present(of_version("a", 1, "v1")));
+    assert_eq!(registry.only_software(&service), Some(&String::from("v1")));
+    registry.on_change(Change::Present(of_version("b", 2, "v2")));
+    assert_eq!(registry.only_software(&service), None);
+    registry.on_removed("a", 3, None, now, &mut Delta::default());
+    assert_eq!(registry.only_software(&service), None);
+    // An instance that has just started learns of the removal from another one.
+    let mut other = Registry::default();
+    registry.changes_since(0, 10).changes.into_iter().for_each(|change| {
+        other.on_change(change);
+    });
+    for registry in [&mut registry, &mut other] {
+        registry.remove_expired(now);
+        registry.remove_expired(now + Duration::from_secs(59));
+        assert_eq!(registry.only_software(&service), None);
+        registry.remove_expired(now + Duration::from_secs(60));
+        assert_eq!(registry.only_software(&service), Some(&String::from("v2")));
+    }
+    // An entry that states another version replaces a start that is gone.
+    registry.on_change(Change::Present(of_version("b", 4, "v3")));
+    assert_eq!(registry.only_software(&service), None);
+    registry.on_change(Change::Present(target("c", 5, false)));
+    assert_eq!(registry.only_software(&service), None);
+}
--- a/crates/daemon/src/gateway/discovery.rs
+++ b/crates/daemon/src/gateway/discovery.rs
@@ -94,7 +94,7 @@
                 "address" => %target.address, "leaving" => target.leaving,
                 "software" => &target.software,
                 "revision" => target.revision, "from" => from),
-            Change::Gone { id, revision } => slog::info!(node.log, "target gone";
+            Change::Gone { id, revision, .. } => slog::info!(node.log, "target gone";
                 "target" => id, "revision" => revision, "from" => from),
         }
     }
--- a/crates/daemon/src/gateway/online/origin.rs
+++ b/crates/daemon/src/gateway/online/origin.rs
@@ -25,8 +25,13 @@
         if !states_software {
             return Ok(());
         }
-        let attempt = self.call.resumes().ok_or(AcquireError::UnknownVersion)?;
-        let origin = origins::find(&self.node, attempt).await?;
+        let origin = match self.call.resumes() {
+            Some(attempt) => {
+                let found = origins::find(&self.node, attempt).await;
+                found.or_else(|error| self.only_origin().map_err(|_| error))?
+            }
+            None => self.only_origin()?,
+        };
         // The route was moved to another service, whose targets run other software.
         if !self.route.services.iter().any(|(service, _)| *service == origin.service) {
             return Err(AcquireError::NoTargetOfVersion);
@@ -36,6 +41,14 @@
         Ok(())
     }
 
+    /// What began a stream of the route that isn't known, if that leaves no choice.
+    fn only_origin(&self) -> Result<Origin, AcquireError> {
+        match &self.route.services[..] {
+            [(service, _)] => origins::only(&self.node, service),
+            _ => Err(AcquireError::UnknownVersion),
+        }
+    }
+
     /// Whether a stream that goes on may be sent to a leased target. The first target that states a
     /// version may have become known during the wait for the lease.
     ///
--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -77,13 +77,33 @@
             None => has_all_replies = false,
         }
     }
-    let may_lack_members = clock::since(node.started) < JOIN_PERIOD || node.is_isolated();
-    if !has_all_replies || may_lack_members || node.store.is_disconnected() {
+    if !has_all_replies || may_be_outdated(node) {
         return Err(AcquireError::NoReply);
     }
     Err(AcquireError::UnknownVersion)
 }
 
+/// What began each stream of a service, as far as it may be taken up: all its targets are of one
+/// version, also those that are gone since.
+///
+/// # Errors
+///
+/// Returns [`AcquireError::UnknownVersion`] if there are several versions or an unstated one, and
+/// [`AcquireError::NoReply`] if there may be some that this instance doesn't know.
+pub fn only(node: &Node, service: &str) -> Result<Origin, AcquireError> {
+    let software = node.registry.borrow().only_software(service).cloned();
+    let software = software.ok_or(AcquireError::UnknownVersion)?;
+    if may_be_outdated(node) {
+        return Err(AcquireError::NoReply);
+    }
+    Ok(Origin { service: service.to_owned(), software: Some(software) })
+}
+
+/// Whether this instance may lack members or targets that others know.
+fn may_be_outdated(node: &Node) -> bool {
+    clock::since(node.started) < JOIN_PERIOD || node.is_isolated() || node.store.is_disconnected()
+}
+
 /// Asks an instance for an origin; `None` if it doesn't reply, `Some(None)` if it doesn't know it.
 async fn ask(node: &Rc<Node>, to: SocketAddr, attempt: &str) -> Option<Option<Origin>> {
     if node.is_unresponsive(to, clock::now()) {
--- a/crates/daemon/src/gateway/target_page.rs
+++ b/crates/daemon/src/gateway/target_page.rs
@@ -5,7 +5,7 @@
 //! An entry therefore takes half of the bytes of a [`Change`].
 
 use coordination::registry::{Change, Page};
-use protocol::routing::Target;
+use protocol::routing::{Origin, Target};
 use protocol::{DataCentreId, Millis, ServiceId, SoftwareVersion, TargetId};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -59,6 +59,8 @@
     id: TargetId,
     #[serde(rename = "r")]
     revision: u64,
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    ran: Option<Origin>,
 }
 
 fn is_zero(value: &Millis) -> bool {
@@ -109,7 +111,9 @@
                     cold_left_ms: target.cold_left_ms,
                     software: software.index(target.software),
                 }),
-                Change::Gone { id, revision } => packed.removed.push(Removal { id, revision }),
+                Change::Gone { id, revision, ran } => {
+                    packed.removed.push(Removal { id, revision, ran });
+                }
             }
         }
         TargetPage {
@@ -137,7 +141,7 @@
                 software: software.get(entry.software).cloned().flatten(),
             }))
         };
-        let removal = |Removal { id, revision }| Change::Gone { id, revision };
+        let removal = |Removal { id, revision, ran }| Change::Gone { id, revision, ran };
         targets.into_iter().filter_map(unpack).chain(removed.into_iter().map(removal)).collect()
     }
 }
--- a/crates/daemon/tests/gateway_versions.rs
+++ b/crates/daemon/tests/gateway_versions.rs
@@ -273,6 +273,33 @@
     assert!(fleet.runs("/talk/").is_empty());
 }
 
+#[rstest]
+#[case::unknown(&[("resumes", "nobody")])]
+#[case::unnamed(&[])]
+fn stream_of_an_unknown_attempt_goes_on_where_there_is_one_version(
+    #[case] resumes: &[(&str, &str)],
+) {
+    let mut fleet = fleet(&["east", "east"], &["v1", "v1", "v2"]);
+    let headers = [&[("last-event-id", "2")], resumes].concat();
+    let take_up =
+        |fleet: &Fleet, n: usize| fleet.send_with(n, "/talk/unknown", "unknown", &headers);
+    // The targets of v1 are gone, and callers of their streams may return.
+    (0..2).for_each(|n| fleet.remove_runner(n));
+    std::thread::sleep(REGISTRY_DELAY);
+    fleet.restart(1);
+    fleet.wait_ready();
+    std::thread::sleep(JOIN_PERIOD);
+    assert_eq!([0, 1].map(|n| take_up(&fleet, n).status), [410, 410]);
+    drop(fleet);
+    let fleet = self::fleet(&["east", "east"], &["v1", "v1"]);
+    std::thread::sleep(JOIN_PERIOD);
+    let response = take_up(&fleet, 0);
+    assert_eq!(
+        event_data(&response),
+        "unknown-3\nunknown-4\nunknown-5\nunknown-6\nunknown-7\nunknown-8"
+    );
+}
+
 #[test]
 fn instance_that_cannot_ask_the_others_runs_nothing_and_says_when_to_return() {
     let fleet = fleet(&["east", "east", "east"], &["v1", "v2", "v1", "v2"]);
--- a/crates/daemon/tests/target_page.rs
+++ b/crates/daemon/tests/target_page.rs
@@ -31,7 +31,7 @@
     for n in 0..500 {
         registry.on_change(Change::Present(target(n)));
     }
-    registry.on_change(Change::Gone { id: target(3).id, revision: 99_999 });
+    registry.on_change(Change::Gone { id: target(3).id, revision: 99_999, ran: None });
     let page = registry.page(&[], 0, 10_000);
     let expected = page.changes.clone();
     let reply = PeerReply::TargetPage(TargetPage::new(page, 7));
--- a/crates/daemon/tests/util/gateway/entries.rs
+++ b/crates/daemon/tests/util/gateway/entries.rs
@@ -36,6 +36,11 @@
         self.objects.put("servers", &self.runners[n].identity().id, entry);
     }
 
+    /// Removes the entry of a runner.
+    pub fn remove_runner(&self, n: usize) {
+        self.objects.remove("servers", &self.runners[n].identity().id);
+    }
+
     /// Replaces a runner by another start at its address: the entry of the earlier one stays until
     /// [`Fleet::register_replacement`].
     pub fn replace_runner(&self, n: usize, software: &str) -> String {
--- a/crates/protocol/src/routing.rs
+++ b/crates/protocol/src/routing.rs
@@ -293,7 +293,7 @@
 
 /// What began a stream. The outputs of two software versions don't fit together, so a stream goes
 /// on only at targets of the service and the version by which it began.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Origin {
     /// Service of the target.
     pub service: ServiceId,
