Don't derive a stream's version while an instance that may know it doesn't reply

Cause, by reading: whoever can't ask may also lack the newest targets, where its platform lags beside a cut; then the one version that it knows needn't be that of the stream.

Only what no instance knows, or no caller names, is derived.

--- a/crates/daemon/src/gateway/online/origin.rs
+++ b/crates/daemon/src/gateway/online/origin.rs
@@ -25,12 +25,13 @@
         if !states_software {
             return Ok(());
         }
-        let origin = match self.call.resumes() {
-            Some(attempt) => {
-                let found = origins::find(&self.node, attempt).await;
-                found.or_else(|error| self.only_origin().map_err(|_| error))?
-            }
-            None => self.only_origin()?,
+        let found = match self.call.resumes() {
+            Some(attempt) => origins::find(&self.node, attempt).await,
+            None => Err(AcquireError::UnknownVersion),
+        };
+        let origin = match found {
+            Err(AcquireError::UnknownVersion) => self.only_origin()?,
+            found => found?,
         };
         // The route was moved to another service, whose targets run other software.
         if !self.route.services.iter().any(|(service, _)| *service == origin.service) {
