--- a/crates/coordination/src/continuation.rs
+++ b/crates/coordination/src/continuation.rs
@@ -2,7 +2,8 @@
 //!
 //! Targets of several software versions may serve side by side, and what two versions generate
 //! doesn't fit together. A stream whose version is unknown goes on only where no target of its
-//! service states a version.
+//! service states a version, or where all that it may have begun at state the same one; see
+//! [`Registry::only_software`].
 //!
 //! ```
 //! use coordination::continuation::{Continuation, of_stream};
--- a/crates/coordination/src/presence.rs
+++ b/crates/coordination/src/presence.rs
@@ -11,7 +11,7 @@
 /// Interval at which the connection that shows whether a process runs is checked and, if the target
 /// has closed it, replaced. One that is younger says nothing: if the process has crashed, it is a
 /// connection to the next one.
-pub const WITNESS_INTERVAL: Duration = Duration::from_millis(50);
+pub const MONITOR_INTERVAL: Duration = Duration::from_millis(50);
 
 /// What a connection to a target's address showed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/daemon/src/gateway/target_body.rs
+++ b/crates/daemon/src/gateway/target_body.rs
@@ -9,13 +9,13 @@
 
 use crate::clock;
 use bytes::{Bytes, BytesMut};
-use coordination::presence::{CLOSE_WINDOW, Presence, WITNESS_INTERVAL};
+use coordination::presence::{CLOSE_WINDOW, MONITOR_INTERVAL, Presence};
 use hyper::http::response::Parts;
 use std::fmt;
 use std::rc::Rc;
 use std::time::Instant;
 use transport::event::{self, EventTracker};
-use transport::upstream::{Exchange, Framing, Witness};
+use transport::upstream::{Exchange, Framing, Monitor};
 
 /// Why a body is incomplete.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -52,9 +52,9 @@
     /// Whether the stream continues an earlier one, and may have no events left.
     is_resumed: bool,
     /// Shows whether the target's process runs; `None` if the target states the end of the body.
-    witness: Option<Rc<Witness>>,
-    /// When the witness replaced one that the target had closed.
-    witness_replaced: Option<Instant>,
+    monitor: Option<Rc<Monitor>>,
+    /// When the monitor replaced one that the target had closed.
+    monitor_replaced: Option<Instant>,
 }
 
 impl TargetBody {
@@ -75,8 +75,8 @@
 
     fn with_events(exchange: Exchange, events: Option<EventTracker>) -> TargetBody {
         let is_framed = exchange.framing() != Framing::Connection;
-        let witness = (!is_framed).then(|| exchange.witness());
-        TargetBody { exchange, events, is_resumed: false, witness, witness_replaced: None }
+        let monitor = (!is_framed).then(|| exchange.monitor());
+        TargetBody { exchange, events, is_resumed: false, monitor, monitor_replaced: None }
     }
 
     /// Marks the body as the rest of a stream that was interrupted after one of its events.
@@ -125,16 +125,16 @@
 
     async fn read_chunk(&mut self) -> Result<Option<Bytes>, String> {
         loop {
-            let Some(witness) = &self.witness else {
+            let Some(monitor) = &self.monitor else {
                 return self.exchange.next_chunk().await;
             };
             let chunk = self.exchange.next_chunk();
-            if let Ok(chunk) = tokio::time::timeout(WITNESS_INTERVAL, chunk).await {
+            if let Ok(chunk) = tokio::time::timeout(MONITOR_INTERVAL, chunk).await {
                 return chunk;
             }
-            if witness.is_lost() {
-                self.witness = Some(self.exchange.replace_witness());
-                self.witness_replaced = Some(clock::now());
+            if monitor.is_lost() {
+                self.monitor = Some(self.exchange.replace_monitor());
+                self.monitor_replaced = Some(clock::now());
             }
         }
     }
@@ -170,9 +170,9 @@
 
     async fn check_presence(&self) -> Result<(), Truncation> {
         tokio::time::sleep(CLOSE_WINDOW).await;
-        let presence = match &self.witness {
-            Some(_) if self.is_witness_new() => Presence::Closed,
-            Some(witness) => witness.presence().await,
+        let presence = match &self.monitor {
+            Some(_) if self.is_monitor_new() => Presence::Closed,
+            Some(monitor) => monitor.presence().await,
             None => Presence::Unknown,
         };
         if presence.confirms_end() {
@@ -181,7 +181,7 @@
         Err(Truncation::TargetGone(presence))
     }
 
-    fn is_witness_new(&self) -> bool {
-        self.witness_replaced.is_some_and(|at| clock::since(at) < WITNESS_INTERVAL)
+    fn is_monitor_new(&self) -> bool {
+        self.monitor_replaced.is_some_and(|at| clock::since(at) < MONITOR_INTERVAL)
     }
 }
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -22,11 +22,11 @@
 //! ```
 
 mod exchange;
-mod witness;
+mod monitor;
 
 pub use exchange::{Exchange, Framing};
-pub use witness::Witness;
-use witness::Witnesses;
+pub use monitor::Monitor;
+use monitor::Monitors;
 
 use crate::clock;
 use bytes::Bytes;
@@ -119,7 +119,7 @@
     settings: Settings,
     idle: IdleConnections,
     opened: Rc<Cell<u64>>,
-    witnesses: Rc<RefCell<Witnesses>>,
+    monitors: Rc<RefCell<Monitors>>,
 }
 
 impl Pool {
@@ -129,7 +129,7 @@
             settings,
             idle: IdleConnections::default(),
             opened: Rc::default(),
-            witnesses: Rc::default(),
+            monitors: Rc::default(),
         }
     }
 
@@ -141,7 +141,7 @@
     /// Closes idle connections to addresses for which `keep` returns `false`.
     pub fn retain_idle(&self, keep: impl Fn(SocketAddr) -> bool) {
         self.idle.borrow_mut().retain(|address, _| keep(*address));
-        self.witnesses.borrow_mut().retain(keep);
+        self.monitors.borrow_mut().retain(keep);
     }
 
     /// Closes idle connections to an address, such as after a restart of its process.
@@ -161,7 +161,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Exchange, SendError> {
         let mut request = request;
-        let witness = self.witness_of_known(to);
+        let monitor = self.monitor_of_known(to);
         loop {
             let idle = self.take_idle(to, clock::now());
             let is_reused = idle.is_some();
@@ -181,7 +181,7 @@
                         body,
                         connection: Some(connection),
                         pool,
-                        witness,
+                        monitor,
                         is_at_end: false,
                     });
                 }
@@ -236,15 +236,15 @@
 
     /// A connection that shows whether the process at an address goes on running; its users share
     /// it.
-    fn witness(&self, to: SocketAddr) -> Rc<Witness> {
+    fn monitor(&self, to: SocketAddr) -> Rc<Monitor> {
         let timeout = self.settings.connect_timeout;
-        self.witnesses.borrow_mut().get_or_open(to, timeout, clock::now())
+        self.monitors.borrow_mut().get_or_open(to, timeout, clock::now())
     }
 
-    /// As [`Pool::witness`], if responses from there have ended with their connections.
-    fn witness_of_known(&self, to: SocketAddr) -> Option<Rc<Witness>> {
+    /// As [`Pool::monitor`], if responses from there have ended with their connections.
+    fn monitor_of_known(&self, to: SocketAddr) -> Option<Rc<Monitor>> {
         let timeout = self.settings.connect_timeout;
-        self.witnesses.borrow_mut().reopen(to, timeout, clock::now())
+        self.monitors.borrow_mut().reopen(to, timeout, clock::now())
     }
 
     async fn open(&self, to: SocketAddr) -> Result<Connection, SendError> {
--- a/crates/transport/src/upstream/exchange.rs
+++ b/crates/transport/src/upstream/exchange.rs
@@ -1,6 +1,6 @@
 //! Requests in progress and the bodies of their responses.
 
-use super::{Connection, Pool, Witness};
+use super::{Connection, Monitor, Pool};
 use crate::clock;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -57,7 +57,7 @@
     pub(super) connection: Option<Connection>,
     pub(super) pool: Pool,
     /// Opened before the request was sent; `None` if it wasn't known to be needed.
-    pub(super) witness: Option<Rc<Witness>>,
+    pub(super) monitor: Option<Rc<Monitor>>,
     pub(super) is_at_end: bool,
 }
 
@@ -74,14 +74,14 @@
 
     /// A connection that shows whether the server's process goes on running: from before the
     /// response if earlier ones ended with their connections, else from now on.
-    pub fn witness(&self) -> Rc<Witness> {
-        let earlier = self.witness.clone().filter(|witness| !witness.has_failed());
-        earlier.unwrap_or_else(|| self.pool.witness(self.to))
+    pub fn monitor(&self) -> Rc<Monitor> {
+        let earlier = self.monitor.clone().filter(|monitor| !monitor.has_failed());
+        earlier.unwrap_or_else(|| self.pool.monitor(self.to))
     }
 
     /// A connection in place of one that the server has closed.
-    pub fn replace_witness(&self) -> Rc<Witness> {
-        self.pool.witness(self.to)
+    pub fn replace_monitor(&self) -> Rc<Monitor> {
+        self.pool.monitor(self.to)
     }
 
     /// Returns the next chunk of the body, or `None` at its end, when the connection
--- a/crates/transport/src/upstream/witness.rs
+++ b/crates/transport/src/upstream/monitor.rs
@@ -10,49 +10,49 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
-/// Time for which a witness stays open after its last use.
+/// Time for which a monitor stays open after its last use.
 const LIFETIME: Duration = Duration::from_secs(30);
 
-/// Witnesses of the servers whose responses have ended with their connections, by address.
+/// Monitors of the servers whose responses have ended with their connections, by address.
 #[derive(Debug, Default)]
-pub(super) struct Witnesses(HashMap<SocketAddr, Shared>);
+pub(super) struct Monitors(HashMap<SocketAddr, Shared>);
 
 #[derive(Debug)]
 struct Shared {
-    witness: Rc<Witness>,
+    monitor: Rc<Monitor>,
     expires: Instant,
 }
 
-impl Witnesses {
-    /// An open witness of a server, or one that is being opened.
+impl Monitors {
+    /// An open monitor of a server, or one that is being opened.
     pub(super) fn get_or_open(
         &mut self,
         to: SocketAddr,
         timeout: Duration,
         now: Instant,
-    ) -> Rc<Witness> {
+    ) -> Rc<Monitor> {
         self.0.retain(|_, shared| now < shared.expires);
-        let known = self.0.get(&to).filter(|shared| !shared.witness.is_lost());
-        let witness =
-            known.map_or_else(|| Witness::open(to, timeout), |shared| shared.witness.clone());
+        let known = self.0.get(&to).filter(|shared| !shared.monitor.is_lost());
+        let monitor =
+            known.map_or_else(|| Monitor::open(to, timeout), |shared| shared.monitor.clone());
         let expires = now + LIFETIME;
-        self.0.insert(to, Shared { witness: witness.clone(), expires });
-        witness
+        self.0.insert(to, Shared { monitor: monitor.clone(), expires });
+        monitor
     }
 
-    /// As [`Witnesses::get_or_open`] for a server that had a witness a short time ago; `None` for
+    /// As [`Monitors::get_or_open`] for a server that had a monitor a short time ago; `None` for
     /// any other.
     pub(super) fn reopen(
         &mut self,
         to: SocketAddr,
         timeout: Duration,
         now: Instant,
-    ) -> Option<Rc<Witness>> {
+    ) -> Option<Rc<Monitor>> {
         let is_known = self.0.get(&to).is_some_and(|shared| now < shared.expires);
         is_known.then(|| self.get_or_open(to, timeout, now))
     }
 
-    /// Closes the witnesses of servers for which `keep` returns `false`, once they aren't in use.
+    /// Closes the monitors of servers for which `keep` returns `false`, once they aren't in use.
     pub(super) fn retain(&mut self, keep: impl Fn(SocketAddr) -> bool) {
         self.0.retain(|address, _| keep(*address));
     }
@@ -61,7 +61,7 @@
 /// An idle connection to a server. It is closed when the server's process ends, even if another
 /// process listens on the address by the time that anybody looks.
 #[derive(Debug, Default)]
-pub struct Witness {
+pub struct Monitor {
     state: RefCell<State>,
     connected: Notify,
 }
@@ -75,11 +75,11 @@
     Failed(Presence),
 }
 
-impl Witness {
+impl Monitor {
     /// Opens a connection in a task of its own.
-    pub(super) fn open(to: SocketAddr, timeout: Duration) -> Rc<Witness> {
-        let witness = Rc::new(Witness::default());
-        let opened = witness.clone();
+    pub(super) fn open(to: SocketAddr, timeout: Duration) -> Rc<Monitor> {
+        let monitor = Rc::new(Monitor::default());
+        let opened = monitor.clone();
         tokio::task::spawn_local(async move {
             let stream = connect(to, timeout).await.and_then(tokio::net::TcpStream::into_std);
             *opened.state.borrow_mut() = match stream {
@@ -88,7 +88,7 @@
             };
             opened.connected.notify_waiters();
         });
-        witness
+        monitor
     }
 
     /// Whether the process to which the connection was opened still runs. Waits until it is open.
--- a/crates/transport/tests/upstream.rs
+++ b/crates/transport/tests/upstream.rs
@@ -97,9 +97,9 @@
     }
 }
 
-/// Guards against whole responses that count as truncated for as long as a witness is kept.
+/// Guards against whole responses that count as truncated for as long as a monitor is kept.
 #[test]
-fn witness_that_could_not_be_opened_is_replaced() {
+fn monitor_that_could_not_be_opened_is_replaced() {
     block_on(async {
         let pool = Pool::new(Settings::default());
         let get = || hyper::Request::get("/").body(Full::new(Bytes::new())).expect("a request");
@@ -107,18 +107,18 @@
         let address = listener.local_addr().expect("local address");
         let server = tokio::task::spawn_local(serve_unframed(listener));
         let exchange = pool.send(address, get()).await.expect("a response");
-        let witness = exchange.witness();
-        assert_eq!(witness.presence().await, Presence::Listening);
+        let monitor = exchange.monitor();
+        assert_eq!(monitor.presence().await, Presence::Listening);
         server.abort();
         assert!(server.await.is_err_and(|error| error.is_cancelled()));
-        assert_eq!(witness.presence().await, Presence::Closed);
+        assert_eq!(monitor.presence().await, Presence::Closed);
         assert!(pool.send(address, get()).await.is_err(), "nobody listens");
-        // The attempt to open a witness ends.
+        // The attempt to open a monitor ends.
         tokio::time::sleep(Duration::from_millis(50)).await;
         let listener = tokio::net::TcpListener::bind(address).await.expect("bind listener again");
         let server = tokio::task::spawn_local(serve_unframed(listener));
         let exchange = pool.send(address, get()).await.expect("a response");
-        assert_eq!(exchange.witness().presence().await, Presence::Listening);
+        assert_eq!(exchange.monitor().presence().await, Presence::Listening);
         server.abort();
     });
 }
