Start as many streams as there are slots where a test needs one at the target with one slot

Cause: the test took for granted that one of four streams goes to a target with one slot beside one with eight.

Change: nine streams at once for nine slots, three times as long.

--- a/crates/daemon/tests/gateway_versions.rs
+++ b/crates/daemon/tests/gateway_versions.rs
@@ -320,13 +320,14 @@
         software: software.to_owned(),
         slots,
         event_count: EVENTS,
-        event_interval: EVENT_INTERVAL,
+        event_interval: EVENT_INTERVAL * 3,
         ..Config::default()
     };
     let runners = vec![("east", config("r0", "v1", 1)), ("east", config("r1", "v2", 8))];
     let fleet = Fleet::start(Plan { gateways: vec!["east", "east"], runners, ..Plan::default() });
     let fronts = [0, 1].map(|n| fleet.gateways[n].front_address);
-    let callers = at_once(4, |n| Caller::begin(fronts[0], &format!("busy-{n}"), 2));
+    // As many streams as there are slots.
+    let callers = at_once(9, |n| Caller::begin(fronts[0], &format!("busy-{n}"), 2));
     let of_v1 = |(caller, _): &(Caller, TcpStream)| caller.began_at("v1");
     let (mut caller, stream) = callers.into_iter().find(of_v1).expect("a stream of v1");
     // The second attempt comes while the first still has the only slot.
