Reword two comments that a newcomer would stumble over

Cause: keys of one letter, and a caller that returns as long as it is told to. Change: what the wire holds, and when the caller retries.

Evidence: comments only.

--- a/crates/daemon/src/gateway/target_page.rs
+++ b/crates/daemon/src/gateway/target_page.rs
@@ -1,8 +1,8 @@
 //! Compact form of registry entries, for instances that fetch many of them.
 //!
 //! A page lists each service, data centre and software version once, and entries refer to them by
-//! index. The keys of an entry have one letter.
-//! An entry therefore takes half of the bytes of a [`Change`].
+//! their index in these lists. Field names have one letter on the wire. Both halve the bytes of an
+//! entry compared with a [`Change`].
 
 use coordination::registry::{Change, Page};
 use protocol::routing::{Origin, Target};
--- a/crates/daemon/tests/util/stream_caller.rs
+++ b/crates/daemon/tests/util/stream_caller.rs
@@ -64,8 +64,8 @@
         RawResponse { body: format!("{}{}", self.body, response.body), ..response }
     }
 
-    /// As [`Caller::finish`], and returns as long as it is told to, for 2 s at most: until a lost
-    /// instance counts as dead, the others may be unable to tell.
+    /// As [`Caller::finish`], but retries after a 503 for up to 2 s. Other instances reply with 503
+    /// until they have noticed that an instance is lost.
     pub fn finish_patiently(&mut self, front: SocketAddr) -> RawResponse {
         let started = Instant::now();
         loop {
