--- a/crates/coordination/src/registry.rs
+++ b/crates/coordination/src/registry.rs
@@ -5,12 +5,16 @@
 //! by revision, so their order doesn't matter.
 
 mod change;
+mod digest;
 mod ended;
+mod entry;
 
 pub use change::{Change, Delta, Page};
 
-use crate::{TargetId, hash};
+use crate::TargetId;
+use digest::{bucket, digest_of, digest_of_target};
 use ended::Ended;
+use entry::{Entry, Removal};
 use protocol::routing::{Origin, Target};
 use protocol::{DataCentreId, SoftwareVersion};
 use std::collections::{BTreeSet, HashMap, HashSet};
@@ -25,43 +29,6 @@
 /// Cap on remembered removals, which keep late updates from restoring a target.
 const MAX_REMOVED: usize = 4_096;
 
-#[derive(Clone, Debug)]
-struct Entry {
-    target: Target,
-    /// Until when its absence from the registry may be an expiry; `None` while it is present.
-    missing_until: Option<Instant>,
-}
-
-impl Entry {
-    /// What the target runs.
-    fn ran(&self) -> Origin {
-        let Target { service, software, .. } = &self.target;
-        Origin { service: service.clone(), software: software.clone() }
-    }
-
-    /// Whether `target` is the same entry without its software version, from an earlier build.
-    fn lacks_only_software(&self, target: &Target) -> bool {
-        let software = &self.target.software;
-        software.is_some()
-            && target.software.is_none()
-            && Target { software: software.clone(), ..target.clone() } == self.target
-    }
-}
-
-/// A target that was removed.
-#[derive(Clone, Debug)]
-struct Removal {
-    revision: u64,
-    /// What the target ran; `None` if unknown.
-    ran: Option<Origin>,
-}
-
-impl Removal {
-    fn to_change(&self, id: &str) -> Change {
-        Change::Gone { id: id.to_owned(), revision: self.revision, ran: self.ran.clone() }
-    }
-}
-
 /// All known targets.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
@@ -79,22 +46,6 @@
     evacuated: BTreeSet<DataCentreId>,
 }
 
-fn bucket(id: &str) -> usize {
-    (hash::bytes(id.as_bytes()) % DIGEST_BUCKETS as u64) as usize
-}
-
-/// Hash of an entry, whose content is a function of its revision.
-fn digest_of(id: &str, revision: u64, is_present: bool) -> u64 {
-    hash::weight(id.as_bytes(), revision << 1 | u64::from(is_present))
-}
-
-/// Hash of a target. It differs if the software version is missing, so that an instance which
-/// learned of the target from an earlier build fetches it again.
-fn digest_of_target(target: &Target) -> u64 {
-    let digest = digest_of(&target.id, target.revision, true);
-    if target.software.is_some() { digest } else { !digest }
-}
-
 impl Registry {
     /// Incremented whenever a target changes.
     pub fn version(&self) -> u64 {
