Keep the exchange with a silent target until another one has the request

Callers saw streams broken off and 502 beside targets that fell silent for about a second and went on: of 23 streams at six sound targets, all silent for 1.2 s, 20 to 22 were lost, depending on where in the response the silence began; with one target of its version, each stream was.

Cause: a request whose target sent nothing for the objective, or for three gaps, dropped its exchange with the target first and then asked for another one. Where no slot, target or target of its version was left, the answer was given up, although it could still come. The same held for buffered requests before the head.

Now the exchange stays open while a replacement is looked for, and whichever sends something first is used. Without a replacement the silent target is waited for until the deadline.

--- a/crates/daemon/src/gateway/leases/lease.rs
+++ b/crates/daemon/src/gateway/leases/lease.rs
@@ -44,6 +44,8 @@
     pub software: Option<SoftwareVersion>,
     /// When the request was sent; `None` before.
     pub sent_at: Option<Instant>,
+    /// When the target last sent something; `None` before.
+    pub heard_at: Option<Instant>,
     granted_at: Instant,
     /// Earliest time at which the allocator may have granted the lease.
     earliest_grant: Instant,
@@ -72,6 +74,16 @@
         self.report.outcome = outcome;
     }
 
+    /// Time since the target last sent something, or was sent the request.
+    pub fn silence(&self) -> Duration {
+        self.heard_at.or(self.sent_at).map(clock::since).unwrap_or_default()
+    }
+
+    /// Releases the lease because its target is silent.
+    pub fn end_silent(self) {
+        self.end(LeaseOutcome::Unresponsive);
+    }
+
     /// Reports to the allocator that the first event of the target is overdue.
     pub fn report_overdue(&self) {
         let target = self.grant.target.clone();
@@ -136,6 +148,7 @@
         registry,
         software,
         sent_at: None,
+        heard_at: None,
         granted_at,
         earliest_grant,
     }
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -5,8 +5,11 @@
 mod buffered;
 mod failure;
 mod origin;
+mod replacement;
 
+pub use attempt::Pending;
 pub use attempt::{belongs_to_request, is_not_run, rejection_outcome};
+pub use replacement::{Replaced, Replacement};
 
 use super::crash::{self, BrokenRequest, hex};
 use super::front::{CallerRequest, error_response};
@@ -17,7 +20,7 @@
 use super::target_body::TargetBody;
 use super::{in_flight, residency, streaming, workload};
 use crate::clock;
-use attempt::RetryReason;
+use attempt::{FailedAttempt, RetryReason};
 use coordination::hash;
 use coordination::slots::{Forecast, Grant, Workload};
 use hyper::{Response, Version};
@@ -56,7 +59,11 @@
     pub slot_wait: Cell<Duration>,
     /// Revision of the registry at this instance when the last slot was granted; 0 before.
     pub registry: Revision,
-    /// Targets of failed attempts.
+    /// Number of targets that couldn't be reached since the last start of [`ProxiedRequest::forward`].
+    pub unreachable: u32,
+    /// Whether the caller has the head of the response, which only success can complete.
+    pub has_begun: bool,
+    /// Targets of failed attempts, and silent ones.
     pub excluded: Vec<String>,
     /// What began the stream that the request goes on with; `None` before its first event.
     pub origin: Option<Origin>,
@@ -116,6 +123,8 @@
         may_have_run: false,
         slot_wait: Cell::default(),
         registry: 0,
+        unreachable: 0,
+        has_begun: false,
         excluded: Vec::new(),
         origin: None,
         charge,
@@ -191,54 +200,76 @@
         &mut self,
         last_event: Option<u64>,
     ) -> Result<TargetResponse, ForwardError> {
-        let mut unreachable = 0;
+        self.unreachable = 0;
         loop {
-            let lease =
-                self.acquire_admitted(last_event).await.map_err(|error| self.reject(error))?;
-            if !lease.is_usable(clock::now()) {
-                self.node.metrics.count("lease.unusable");
-                continue;
-            }
-            let target = lease.grant.target.clone();
-            self.registry = lease.registry;
-            self.forecast = lease.grant.forecast;
-            self.count_prompt_tokens();
-            self.charge.set_may_have_run(true);
-            let result = self.send(lease, last_event).await;
-            let reason = match result {
-                Ok(response) => return Ok(response),
-                Err(reason) => reason,
+            let lease = self.acquire_next(last_event).await.map_err(|error| self.reject(error))?;
+            let result = match self.start(lease, last_event) {
+                Ok(pending) => self.response(pending, last_event).await,
+                Err(failed) => Err(failed),
             };
-            slog::info!(self.node.log, "try failed"; "request" => &self.call.id,
-                "content" => hex(self.call.fingerprint()),
-                "target" => &target, "how" => reason.name(), "text" => reason.text(),
-                "sent" => self.attempts, "attempts" => self.route.max_attempts,
-                "registry" => self.registry,
-                "age_ms" => clock::since(self.call.started).as_millis() as u64);
-            self.excluded.push(target);
-            let is_not_run = matches!(reason, RetryReason::NotSent(_) | RetryReason::NotRun);
-            self.charge.set_may_have_run(self.may_have_run || !is_not_run);
-            match reason {
-                RetryReason::NotSent(_) => {
-                    unreachable += 1;
-                    if unreachable >= MAX_UNREACHABLE_TARGETS {
-                        return Err(self.reject(AcquireError::Full(RETRY_AFTER)));
-                    }
+            match result {
+                Ok(response) => return Ok(response),
+                Err(failed) => self.on_failed(failed)?,
+            }
+        }
+    }
+
+    /// As [`ProxiedRequest::forward`], for a request that was sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there will be no response.
+    pub async fn forward_sent(
+        &mut self,
+        pending: Pending,
+        last_event: Option<u64>,
+    ) -> Result<TargetResponse, ForwardError> {
+        match self.response(pending, last_event).await {
+            Ok(response) => Ok(response),
+            Err(failed) => {
+                self.on_failed(failed)?;
+                self.forward(last_event).await
+            }
+        }
+    }
+
+    /// Records an attempt that failed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there may be no other one.
+    fn on_failed(&mut self, failed: FailedAttempt) -> Result<(), ForwardError> {
+        let FailedAttempt { target, reason } = failed;
+        slog::info!(self.node.log, "try failed"; "request" => &self.call.id,
+            "content" => hex(self.call.fingerprint()),
+            "target" => &target, "how" => reason.name(), "text" => reason.text(),
+            "sent" => self.attempts, "attempts" => self.route.max_attempts,
+            "registry" => self.registry,
+            "age_ms" => clock::since(self.call.started).as_millis() as u64);
+        self.excluded.push(target);
+        let is_not_run = matches!(reason, RetryReason::NotSent(_) | RetryReason::NotRun);
+        self.charge.set_may_have_run(self.may_have_run || !is_not_run);
+        match reason {
+            RetryReason::NotSent(_) => {
+                self.unreachable += 1;
+                if self.unreachable >= MAX_UNREACHABLE_TARGETS {
+                    return Err(self.reject(AcquireError::Full(RETRY_AFTER)));
                 }
-                RetryReason::NotRun => {
-                    if self.attempts >= self.route.max_attempts {
-                        return Err(self.reject(AcquireError::Full(RETRY_AFTER)));
-                    }
+            }
+            RetryReason::NotRun => {
+                if self.attempts >= self.route.max_attempts {
+                    return Err(self.reject(AcquireError::Full(RETRY_AFTER)));
                 }
-                RetryReason::MayHaveRun(text) => {
-                    self.may_have_run = true;
-                    if !self.may_retry() {
-                        return Err(ForwardError::MayHaveRun(text));
-                    }
+            }
+            RetryReason::MayHaveRun(text) => {
+                self.may_have_run = true;
+                if !self.may_retry() {
+                    return Err(ForwardError::MayHaveRun(text));
                 }
-                RetryReason::DeadlineExceeded => return Err(ForwardError::DeadlineExceeded),
             }
+            RetryReason::DeadlineExceeded => return Err(ForwardError::DeadlineExceeded),
         }
+        Ok(())
     }
 
     /// Counts the tokens of a prompt that is sent, by whether its target probably keeps them.
@@ -280,6 +311,21 @@
         (start + route.objective.mul_f64(1.0 - target_share), expires(start))
     }
 
+    /// Acquires a lease for the next attempt.
+    async fn acquire_next(&mut self, last_event: Option<u64>) -> Result<Lease, AcquireError> {
+        loop {
+            let lease = self.acquire_admitted(last_event).await?;
+            if !lease.is_usable(clock::now()) {
+                self.node.metrics.count("lease.unusable");
+                continue;
+            }
+            self.registry = lease.registry;
+            self.forecast = lease.grant.forecast;
+            self.count_prompt_tokens();
+            return Ok(lease);
+        }
+    }
+
     /// Acquires a lease, unless the request is quarantined.
     async fn acquire_admitted(&mut self, last_event: Option<u64>) -> Result<Lease, AcquireError> {
         let call = self.call.clone();
--- a/crates/daemon/src/gateway/online/attempt.rs
+++ b/crates/daemon/src/gateway/online/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to send a request to a target, and the classification of its response.
 
+use super::replacement::{Replaced, Replacement};
 use super::{ProxiedRequest, TargetResponse};
 use crate::clock;
 use crate::gateway::leases::Lease;
@@ -10,73 +11,117 @@
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Request, StatusCode};
 use platform::header;
+use protocol::TargetId;
 use protocol::routing::Class;
 use std::time::Duration;
+use tokio::task::{JoinError, spawn_local};
+use tokio_util::task::AbortOnDropHandle;
 use transport::upstream::{Exchange, SendError};
 
+/// An exchange with a target that runs as a task; dropping it resets its connection.
+pub(super) type Sending = AbortOnDropHandle<Result<Exchange, SendError>>;
+
+/// A request that was sent to a target, whose response has not begun.
+pub struct Pending {
+    pub(super) sending: Sending,
+    pub(super) lease: Lease,
+}
+
+/// An attempt that failed.
+pub(super) struct FailedAttempt {
+    pub(super) target: TargetId,
+    pub(super) reason: RetryReason,
+}
+
+/// What came of waiting for the head of a response.
+enum Head {
+    Received(Result<Exchange, SendError>, Lease),
+    /// The target has sent nothing for so long that another one may be faster.
+    Silent(Pending),
+    /// The deadline has passed.
+    Expired,
+}
+
 impl ProxiedRequest {
-    pub(super) async fn send(
+    /// Sends the request to the target of a lease.
+    pub(super) fn start(
         &mut self,
         lease: Lease,
         last_event: Option<u64>,
-    ) -> Result<TargetResponse, RetryReason> {
+    ) -> Result<Pending, FailedAttempt> {
         let now = clock::now();
+        let failed = |reason| FailedAttempt { target: lease.grant.target.clone(), reason };
         let remaining = self.call.remaining(now);
         if remaining.is_zero() {
-            return Err(RetryReason::DeadlineExceeded);
+            return Err(failed(RetryReason::DeadlineExceeded));
         }
-        let request = self.request(&lease, remaining, last_event).map_err(RetryReason::NotSent)?;
-        let policy = &self.node.settings.policy;
-        let overdue_after = self.route.objective.mul_f64(policy.overdue_factor);
-        let reroute_after = self.route.objective.mul_f64(policy.reroute_factor);
+        let request = self
+            .request(&lease, remaining, last_event)
+            .map_err(|text| failed(RetryReason::NotSent(text)))?;
+        let (node, address) = (self.node.clone(), lease.grant.address);
+        let sending = spawn_local(async move { node.targets.send(address, request).await });
+        self.attempts += 1;
+        self.charge.set_may_have_run(true);
         let mut lease = lease;
         lease.sent_at = Some(now);
-        let sending = self.node.targets.send(lease.grant.address, request);
-        let mut sending = std::pin::pin!(sending);
-        let mut timeout = remaining;
-        if self.route.is_repeatable() && self.attempts + 1 < self.route.max_attempts {
-            timeout = timeout.min(reroute_after);
-        }
-        let response = tokio::time::timeout(overdue_after.min(timeout), sending.as_mut()).await;
-        let result = match response {
-            Ok(result) => result,
-            Err(_) => {
-                lease.report_overdue();
-                let rest = timeout.saturating_sub(clock::since(now));
-                match tokio::time::timeout(rest, sending).await {
-                    Ok(result) => result,
-                    Err(_) => {
-                        self.attempts += 1;
-                        lease.end(LeaseOutcome::Unresponsive);
-                        let is_expired = self.call.remaining(clock::now()).is_zero();
-                        let text = String::from("response timed out");
-                        return Err(if is_expired {
-                            RetryReason::DeadlineExceeded
-                        } else {
-                            RetryReason::MayHaveRun(text)
-                        });
+        Ok(Pending { sending: AbortOnDropHandle::new(sending), lease })
+    }
+
+    /// Waits for the response to a request that was sent, or for that of a target that replaces a
+    /// silent one.
+    pub(super) async fn response(
+        &mut self,
+        pending: Pending,
+        last_event: Option<u64>,
+    ) -> Result<TargetResponse, FailedAttempt> {
+        let mut pending = pending;
+        loop {
+            let target = pending.lease.grant.target.clone();
+            let failed = |reason| FailedAttempt { target, reason };
+            let (result, lease) = match self.head(pending).await {
+                Head::Received(result, lease) => (result, lease),
+                Head::Expired => return Err(failed(RetryReason::DeadlineExceeded)),
+                Head::Silent(Pending { sending, lease }) => {
+                    match self.replace(sending, lease, last_event).await {
+                        Replaced::Kept(result, lease) => (flatten(result), lease),
+                        Replaced::By(Replacement::Response(response)) => return Ok(response),
+                        Replaced::By(Replacement::Pending(other)) => {
+                            pending = other;
+                            continue;
+                        }
+                        Replaced::Expired => return Err(failed(RetryReason::DeadlineExceeded)),
                     }
                 }
-            }
-        };
-        match result {
-            Err(SendError::NotSent(text)) => {
-                lease.end(LeaseOutcome::Unresponsive);
-                Err(RetryReason::NotSent(text))
-            }
-            Err(SendError::OutcomeUnknown(text)) => {
-                self.attempts += 1;
-                self.on_interrupted(&lease.grant);
-                lease.end(LeaseOutcome::Interrupted);
-                Err(RetryReason::MayHaveRun(text))
-            }
-            Ok(exchange) => {
-                self.attempts += 1;
-                self.accept(exchange, lease, last_event.is_some())
-            }
+            };
+            return self.accept(result, lease, last_event.is_some()).map_err(failed);
         }
     }
 
+    /// Waits for the head of a response, as long as no other target may be faster.
+    async fn head(&self, pending: Pending) -> Head {
+        let Pending { mut sending, lease } = pending;
+        let waited = clock::since(lease.sent_at.unwrap_or_else(clock::now));
+        let remaining = self.call.remaining(clock::now());
+        let policy = &self.node.settings.policy;
+        let after = |factor| self.route.objective.mul_f64(factor).saturating_sub(waited);
+        let overdue_after = after(policy.overdue_factor).min(remaining);
+        let reroute_after = after(policy.reroute_factor).min(remaining);
+        let timeout = if self.may_retry() { reroute_after } else { remaining };
+        if let Ok(result) = tokio::time::timeout(overdue_after, &mut sending).await {
+            return Head::Received(flatten(result), lease);
+        }
+        lease.report_overdue();
+        let rest = timeout.saturating_sub(overdue_after);
+        if let Ok(result) = tokio::time::timeout(rest, &mut sending).await {
+            return Head::Received(flatten(result), lease);
+        }
+        if self.call.remaining(clock::now()).is_zero() {
+            lease.end_silent();
+            return Head::Expired;
+        }
+        Head::Silent(Pending { sending, lease })
+    }
+
     fn request(
         &self,
         lease: &Lease,
@@ -109,8 +154,29 @@
         builder.body(Full::new(call.body.clone())).map_err(|error| error.to_string())
     }
 
-    /// Checks whether a response belongs to the request and is to be passed on.
-    fn accept(
+    /// Checks whether there is a response that belongs to the request and is to be passed on.
+    pub(super) fn accept(
+        &mut self,
+        result: Result<Exchange, SendError>,
+        lease: Lease,
+        is_resumed: bool,
+    ) -> Result<TargetResponse, RetryReason> {
+        match result {
+            Err(SendError::NotSent(text)) => {
+                self.attempts -= 1;
+                lease.end(LeaseOutcome::Unresponsive);
+                Err(RetryReason::NotSent(text))
+            }
+            Err(SendError::OutcomeUnknown(text)) => {
+                self.on_interrupted(&lease.grant);
+                lease.end(LeaseOutcome::Interrupted);
+                Err(RetryReason::MayHaveRun(text))
+            }
+            Ok(exchange) => self.accept_head(exchange, lease, is_resumed),
+        }
+    }
+
+    fn accept_head(
         &self,
         exchange: Exchange,
         lease: Lease,
@@ -127,8 +193,9 @@
                 "response belongs to another request",
             )));
         }
-        if head.status.is_server_error() && self.may_retry() {
-            let status = head.status;
+        let status = head.status;
+        let must_succeed = self.has_begun || (status.is_server_error() && self.may_retry());
+        if must_succeed && !status.is_success() {
             lease.end(completion_outcome(status));
             return Err(RetryReason::MayHaveRun(format!("target responded with {status}")));
         }
@@ -138,6 +205,13 @@
     }
 }
 
+/// The result of an exchange; one whose task failed may have been sent.
+pub(super) fn flatten(
+    result: Result<Result<Exchange, SendError>, JoinError>,
+) -> Result<Exchange, SendError> {
+    result.unwrap_or_else(|error| Err(SendError::OutcomeUnknown(error.to_string())))
+}
+
 /// Whether a response says that the target did not run the request.
 pub fn is_not_run(head: &Parts) -> bool {
     head.headers.contains_key(header::NOT_RUN) || head.status == StatusCode::MISDIRECTED_REQUEST
--- a/crates/daemon/src/gateway/streaming.rs
+++ b/crates/daemon/src/gateway/streaming.rs
@@ -8,8 +8,11 @@
 use super::in_flight;
 use super::leases::{AcquireError, Lease};
 use super::node::Node;
-use super::online::{ForwardError, ProxiedRequest, TargetResponse, forwarded_head, with_body};
-use super::target_body::TargetBody;
+use super::online::{
+    ForwardError, Pending, ProxiedRequest, Replaced, Replacement, TargetResponse, forwarded_head,
+    with_body,
+};
+use super::target_body::{TargetBody, Truncation};
 use crate::clock;
 use bytes::{Bytes, BytesMut};
 use coordination::continuation;
@@ -26,8 +29,8 @@
 use transport::server::{self, Body};
 use transport::upstream::Framing;
 
-/// A resumable stream is idle after this many times the route's maximum gap between events.
-const IDLE_GAP_FACTOR: u32 = 3;
+/// The target of a stream is silent after this many times the route's maximum gap between events.
+const SILENCE_GAP_FACTOR: u32 = 3;
 
 /// Starts the response to a streaming request; a separate task forwards the events.
 pub fn stream(
@@ -96,8 +99,35 @@
     DeadlineExceeded,
     /// The target's response was interrupted; holds the error.
     Interrupted(String),
-    /// No event within the allowed gap.
-    Idle,
+    /// The target was silent, and another one has the request.
+    Replaced(Replacement),
+}
+
+type Chunk = Result<Option<Bytes>, Truncation>;
+
+/// What came of a read from a target.
+enum Read {
+    Chunk(Chunk),
+    CallerGone,
+    TimedOut,
+}
+
+/// What comes next of a response.
+enum Next {
+    /// A chunk, and the response that it is from.
+    Chunk(Chunk, TargetResponse),
+    /// The end, and the response unless it was dropped.
+    End(StreamEnd, Option<TargetResponse>),
+}
+
+impl Next {
+    fn of(read: Read, response: TargetResponse) -> Next {
+        match read {
+            Read::Chunk(chunk) => Next::Chunk(chunk, response),
+            Read::CallerGone => Next::End(StreamEnd::CallerGone, Some(response)),
+            Read::TimedOut => Next::End(StreamEnd::DeadlineExceeded, Some(response)),
+        }
+    }
 }
 
 fn aborted(error: &str) -> Incomplete {
@@ -107,43 +137,55 @@
 impl Stream {
     /// Forwards the response of one target after the other until it is complete.
     async fn run(&mut self, response: TargetResponse) -> Result<(), Incomplete> {
+        self.request.has_begun = true;
         let mut response = response;
         loop {
             self.target.clone_from(&response.lease.grant.target);
             self.software.clone_from(&response.lease.software);
-            let error = match self.forward_response(response).await {
+            response = match self.forward_response(response).await {
                 StreamEnd::Completed => return Ok(()),
                 StreamEnd::CallerGone => return Err(Incomplete::CallerGone),
                 StreamEnd::DeadlineExceeded => return Err(aborted("timed out")),
-                StreamEnd::Interrupted(error) => error,
-                StreamEnd::Idle => String::from("idle"),
+                StreamEnd::Replaced(Replacement::Response(response)) => response,
+                StreamEnd::Replaced(Replacement::Pending(pending)) => {
+                    self.resume(Some(pending)).await?
+                }
+                StreamEnd::Interrupted(error) => {
+                    self.on_interrupted(error)?;
+                    self.resume(None).await?
+                }
             };
-            self.request.excluded.push(self.target.clone());
-            if !self.request.may_retry() || self.has_sent_other {
-                return Err(Incomplete::Aborted(error));
-            }
-            slog::info!(self.request.node.log, "resuming interrupted stream";
-                "request" => &self.call().id, "content" => hex(self.call().fingerprint()),
-                "target" => &self.target, "software" => &self.software, "fault" => &error,
-                "after" => self.last_event,
-                "sent" => self.request.attempts);
-            response = self.resume().await?;
         }
     }
 
-    /// Sends the request to another target, to continue after the last event.
-    async fn resume(&mut self) -> Result<TargetResponse, Incomplete> {
+    fn on_interrupted(&mut self, error: String) -> Result<(), Incomplete> {
+        self.request.excluded.push(self.target.clone());
+        if !self.request.may_retry() || self.has_sent_other {
+            return Err(Incomplete::Aborted(error));
+        }
+        slog::info!(self.request.node.log, "resuming interrupted stream";
+            "request" => &self.call().id, "content" => hex(self.call().fingerprint()),
+            "target" => &self.target, "software" => &self.software, "fault" => &error,
+            "after" => self.last_event,
+            "sent" => self.request.attempts);
+        Ok(())
+    }
+
+    /// Waits for another target to continue after the last event; `pending` if one has been sent
+    /// the request.
+    async fn resume(&mut self, pending: Option<Pending>) -> Result<TargetResponse, Incomplete> {
+        let forward = async {
+            match pending {
+                Some(pending) => self.request.forward_sent(pending, self.last_event).await,
+                None => self.request.forward(self.last_event).await,
+            }
+        };
         let next = tokio::select! {
-            next = self.request.forward(self.last_event) => next,
+            next = forward => next,
             () = self.sender.closed() => return Err(Incomplete::CallerGone),
         };
         match next {
-            Ok(response) if response.body.head().status.is_success() => Ok(response),
-            Ok(response) => {
-                let status = response.body.head().status;
-                response.lease.end(LeaseOutcome::Completed);
-                Err(Incomplete::Aborted(format!("next target responded with {status}")))
-            }
+            Ok(response) => Ok(response),
             Err(ForwardError::NotRun(AcquireError::Quarantined(_))) => {
                 Err(aborted("request is quarantined"))
             }
@@ -161,13 +203,15 @@
 
     /// Forwards one target's response.
     async fn forward_response(&mut self, response: TargetResponse) -> StreamEnd {
-        let TargetResponse { mut body, mut lease } = response;
-        self.framing = Some(body.framing());
-        if body.framing() == Framing::Connection {
+        self.framing = Some(response.body.framing());
+        if response.body.framing() == Framing::Connection {
             self.node().metrics.count("stream.unframed");
         }
         self.stats = EventStats { started_at: Some(clock::now()), ..EventStats::default() };
-        let end = self.forward_body(&mut body, &lease).await;
+        let (end, response) = self.forward_body(response).await;
+        let Some(TargetResponse { body, mut lease }) = response else {
+            return end;
+        };
         self.is_inside_event = body.is_inside_event();
         let is_framed = body.is_framed();
         // Closes the connection unless the response is complete.
@@ -179,75 +223,135 @@
                 self.node().leases.on_completed(&lease.grant, &self.request.workload);
                 self.request.on_end(is_framed);
             }
-            StreamEnd::CallerGone | StreamEnd::DeadlineExceeded | StreamEnd::Idle => {}
+            StreamEnd::CallerGone | StreamEnd::DeadlineExceeded | StreamEnd::Replaced(_) => {}
         }
-        self.target_first = self.stats.first_since(lease.sent_at);
-        lease.report.first_event = self.target_first;
-        lease.report.event_interval = self.stats.event_interval();
+        self.report_events(&mut lease);
         lease.end(match end {
             StreamEnd::Completed => LeaseOutcome::Completed,
-            StreamEnd::CallerGone | StreamEnd::DeadlineExceeded => LeaseOutcome::Unused,
             StreamEnd::Interrupted(_) => LeaseOutcome::Interrupted,
-            StreamEnd::Idle => LeaseOutcome::Unresponsive,
+            StreamEnd::CallerGone | StreamEnd::DeadlineExceeded | StreamEnd::Replaced(_) => {
+                LeaseOutcome::Unused
+            }
         });
         end
     }
 
-    async fn forward_body(&mut self, body: &mut TargetBody, lease: &Lease) -> StreamEnd {
+    fn report_events(&mut self, lease: &mut Lease) {
+        self.target_first = self.stats.first_since(lease.sent_at);
+        lease.report.first_event = self.target_first;
+        lease.report.event_interval = self.stats.event_interval();
+    }
+
+    /// Forwards a response until it ends; returns it unless it was dropped.
+    async fn forward_body(
+        &mut self,
+        response: TargetResponse,
+    ) -> (StreamEnd, Option<TargetResponse>) {
         // Only complete events are sent if the stream may be resumed after them.
-        let mut splitter =
-            (self.request.route.resumable && body.is_event_stream()).then(EventSplitter::default);
-        let mut is_overdue = false;
+        let mut splitter = (self.request.route.resumable && response.body.is_event_stream())
+            .then(EventSplitter::default);
+        let mut response = response;
         loop {
-            let max_gap = self.max_gap();
-            let remaining = self.call().remaining(clock::now());
-            if remaining.is_zero() {
-                return StreamEnd::DeadlineExceeded;
-            }
-            let chunk = tokio::select! {
-                chunk = body.next_chunk() => chunk,
-                () = self.sender.closed() => return StreamEnd::CallerGone,
-                () = tokio::time::sleep(remaining) => return StreamEnd::DeadlineExceeded,
-                () = tokio::time::sleep(max_gap), if !is_overdue => {
-                    lease.report_overdue();
-                    is_overdue = true;
-                    if self.request.may_retry() {
-                        return StreamEnd::Idle;
-                    }
-                    continue;
+            let chunk = match self.next_chunk(response, splitter.is_some()).await {
+                Next::Chunk(chunk, from) => {
+                    response = from;
+                    chunk
                 }
+                Next::End(end, response) => return (end, response),
             };
-            let bytes = match chunk {
-                Ok(Some(bytes)) => bytes,
-                Ok(None) => {
-                    let rest = splitter.as_mut().map(EventSplitter::take_rest);
-                    return self.send_last(rest.unwrap_or_default()).await;
-                }
-                Err(truncation) => return StreamEnd::Interrupted(truncation.to_string()),
-            };
-            is_overdue = false;
-            let bytes = match &mut splitter {
-                Some(splitter) => match self.complete_events(splitter, &bytes) {
-                    Ok(bytes) => bytes,
-                    Err(error) => return StreamEnd::Interrupted(error),
-                },
-                None => {
-                    self.has_sent_other = true;
-                    bytes
-                }
-            };
-            if bytes.is_empty() {
-                continue;
+            if let Err(end) = self.forward_chunk(chunk, &mut splitter, &mut response.lease).await {
+                return (end, Some(response));
             }
-            self.stats.on_chunk(clock::now());
-            if splitter.is_some() && self.request.origin.is_none() {
-                let origin = self.origin(lease);
-                self.request.set_origin(origin);
+        }
+    }
+
+    /// Sends on what a chunk completes; fails at the end of the response.
+    async fn forward_chunk(
+        &mut self,
+        chunk: Result<Option<Bytes>, Truncation>,
+        splitter: &mut Option<EventSplitter>,
+        lease: &mut Lease,
+    ) -> Result<(), StreamEnd> {
+        let bytes = match chunk {
+            Ok(Some(bytes)) => bytes,
+            Ok(None) => {
+                let rest = splitter.as_mut().map(EventSplitter::take_rest);
+                return Err(self.send_last(rest.unwrap_or_default()).await);
             }
-            if self.sender.send(bytes).await.is_err() {
-                return StreamEnd::CallerGone;
+            Err(truncation) => return Err(StreamEnd::Interrupted(truncation.to_string())),
+        };
+        lease.heard_at = Some(clock::now());
+        let bytes = match splitter {
+            Some(splitter) => {
+                self.complete_events(splitter, &bytes).map_err(StreamEnd::Interrupted)?
             }
+            None => {
+                self.has_sent_other = true;
+                bytes
+            }
+        };
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        self.stats.on_chunk(clock::now());
+        if splitter.is_some() && self.request.origin.is_none() {
+            let origin = self.origin(lease);
+            self.request.set_origin(origin);
         }
+        self.sender.send(bytes).await.map_err(|_| StreamEnd::CallerGone)
+    }
+
+    /// Reads the next chunk. A target that is silent for too long may be replaced if the stream can
+    /// be resumed.
+    async fn next_chunk(&mut self, response: TargetResponse, can_resume: bool) -> Next {
+        let mut response = response;
+        let (max_gap, remaining) = (self.max_gap(), self.remaining());
+        let read = self.read(&mut response.body, max_gap.min(remaining)).await;
+        if !matches!(read, Read::TimedOut) || remaining <= max_gap {
+            return Next::of(read, response);
+        }
+        response.lease.report_overdue();
+        if can_resume && self.request.may_retry() {
+            return self.replace(response).await;
+        }
+        let remaining = self.remaining();
+        let read = self.read(&mut response.body, remaining).await;
+        Next::of(read, response)
+    }
+
+    async fn read(&self, body: &mut TargetBody, timeout: Duration) -> Read {
+        tokio::select! {
+            biased;
+            chunk = body.next_chunk() => Read::Chunk(chunk),
+            () = self.sender.closed() => Read::CallerGone,
+            () = tokio::time::sleep(timeout) => Read::TimedOut,
+        }
+    }
+
+    async fn replace(&mut self, response: TargetResponse) -> Next {
+        let TargetResponse { mut body, mut lease } = response;
+        self.is_inside_event = body.is_inside_event();
+        self.check_origin(&lease);
+        self.report_events(&mut lease);
+        let silent = Box::pin(async move {
+            let chunk = body.next_chunk().await;
+            (chunk, body)
+        });
+        let replaced = tokio::select! {
+            replaced = self.request.replace(silent, lease, self.last_event) => replaced,
+            () = self.sender.closed() => return Next::End(StreamEnd::CallerGone, None),
+        };
+        match replaced {
+            Replaced::Kept((chunk, body), lease) => {
+                Next::Chunk(chunk, TargetResponse { body, lease })
+            }
+            Replaced::By(replacement) => Next::End(StreamEnd::Replaced(replacement), None),
+            Replaced::Expired => Next::End(StreamEnd::DeadlineExceeded, None),
+        }
+    }
+
+    fn remaining(&self) -> Duration {
+        self.call().remaining(clock::now())
     }
 
     /// What began the stream, at its first event.
@@ -308,7 +412,11 @@
 
     fn max_gap(&self) -> Duration {
         let route = &self.request.route;
-        if self.stats.chunks == 0 { route.objective } else { route.max_event_gap * IDLE_GAP_FACTOR }
+        if self.stats.chunks == 0 {
+            route.objective
+        } else {
+            route.max_event_gap * SILENCE_GAP_FACTOR
+        }
     }
 
     fn call(&self) -> &Rc<CallerRequest> {
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 use transport::body;
 use transport::http::{self, BodyStream, RequestHead, Response, Service};
 
@@ -90,6 +90,17 @@
     pub rejects_all: bool,
 }
 
+/// What a runner doesn't write while it is silent. It goes on afterwards as if nothing had happened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Silence {
+    /// Anything.
+    Everything,
+    /// Events; heads of responses are written.
+    Events,
+    /// The second half of an event, and all that follows.
+    HalfEvents,
+}
+
 /// Record of a run.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -111,6 +122,8 @@
     pub arrived: Instant,
     /// When it got a slot.
     pub started: Instant,
+    /// When its last event was sent or its caller was gone; `None` while it runs.
+    pub ended: Option<Instant>,
     /// Whether all events were sent.
     pub is_complete: bool,
 }
@@ -143,6 +156,7 @@
     config: Config,
     process: Process,
     state: Arc<Mutex<State>>,
+    silence: Arc<watch::Sender<Option<Silence>>>,
     slots: Arc<Semaphore>,
     admission: Arc<Semaphore>,
 }
@@ -154,6 +168,7 @@
             slots: Arc::new(Semaphore::new(config.slots)),
             admission: Arc::new(Semaphore::new(config.slots + config.queue_size)),
             state: Arc::default(),
+            silence: Arc::new(watch::Sender::new(None)),
             process: Process { restart_delay: config.restart_delay, ..Process::default() },
             config,
         }
@@ -180,6 +195,18 @@
         self.lock().faults = faults;
     }
 
+    /// Starts or ends a silence.
+    pub fn set_silence(&self, silence: Option<Silence>) {
+        self.silence.send_replace(silence);
+    }
+
+    /// Waits for the end of a silence that `holds` what is to be written.
+    async fn wait_while_silent(&self, holds: impl Fn(Silence) -> bool) {
+        let mut silence = self.silence.subscribe();
+        // The sender lives as long as `self`, so the wait can't fail.
+        drop(silence.wait_for(|silence| !silence.is_some_and(&holds)).await);
+    }
+
     /// Makes requests with this id fail with `status`.
     pub fn fail_id(&self, id: &str, status: u16) {
         self.lock().failing_ids.insert(id.to_owned(), status);
@@ -273,6 +300,7 @@
                 remaining,
                 arrived,
                 started,
+                ended: None,
                 is_complete: false,
             };
             state.runs.push(run);
@@ -293,6 +321,7 @@
         let reading = self.config.token_time.mul_f64(unread as f64);
         let first_event_delay = self.config.first_event_delay + reading;
         tokio::time::sleep(first_event_delay.mul_f64(self.config.slowness)).await;
+        self.wait_while_silent(|silence| silence == Silence::Everything).await;
         let echoed = if wrong_id { "another" } else { id.as_str() };
         let mut response = match failure_status {
             Some(status) => http::bytes(status, "text/plain", Bytes::from_static(b"failed")),
@@ -307,7 +336,14 @@
                         std::future::pending::<()>().await;
                     }
                     let stream = EventStream { id, software, last_event_id, is_interrupted };
-                    runner.stream_events(stream, run_index, tx).await;
+                    let is_complete = runner.send_events(stream, &tx).await;
+                    if let Some(run) = runner.lock().runs.get_mut(run_index) {
+                        run.ended = Some(Instant::now());
+                        run.is_complete = is_complete;
+                    }
+                    if is_complete {
+                        tx.finish().await;
+                    }
                     drop((admitted, slot));
                 }));
                 http::stream(200, "text/event-stream", rx)
@@ -321,7 +357,8 @@
         response
     }
 
-    async fn stream_events(&self, stream: EventStream, run_index: usize, tx: body::Sender) {
+    /// Sends the events of a stream; whether all were sent.
+    async fn send_events(&self, stream: EventStream, tx: &body::Sender) -> bool {
         let EventStream { id, software, last_event_id, is_interrupted } = stream;
         let from = last_event_id.map_or(1, |id| id + 1);
         let event_count = self.lock().event_count.unwrap_or(self.config.event_count);
@@ -337,21 +374,32 @@
                 let half = Bytes::from(event.as_bytes()[..event.len() / 2].to_vec());
                 let _disconnected = tx.send(half).await;
                 tokio::time::sleep(FLUSH_TIME).await;
-                return;
+                return false;
             }
             tokio::select! {
-                sent = tx.send(Bytes::from(event)) => if sent.is_err() { return },
-                () = tx.closed() => return,
+                is_sent = self.send_event(Bytes::from(event), tx) => if !is_sent { return false },
+                () = tx.closed() => return false,
             }
             tokio::select! {
                 () = tokio::time::sleep(event_interval) => {}
-                () = tx.closed() => return,
+                () = tx.closed() => return false,
             }
         }
-        if let Some(run) = self.lock().runs.get_mut(run_index) {
-            run.is_complete = true;
+        true
+    }
+
+    /// Sends an event, after or around a silence; whether it was sent.
+    async fn send_event(&self, event: Bytes, tx: &body::Sender) -> bool {
+        self.wait_while_silent(|silence| silence != Silence::HalfEvents).await;
+        if *self.silence.borrow() != Some(Silence::HalfEvents) {
+            return tx.send(event).await.is_ok();
+        }
+        let (half, rest) = (event.slice(..event.len() / 2), event.slice(event.len() / 2..));
+        if tx.send(half).await.is_err() {
+            return false;
         }
-        tx.finish().await;
+        self.wait_while_silent(|_| true).await;
+        tx.send(rest).await.is_ok()
     }
 }
 
@@ -382,6 +430,7 @@
         if self.lock().faults.unresponsive {
             tokio::time::sleep(HANG_TIME).await;
         }
+        self.wait_while_silent(|silence| silence == Silence::Everything).await;
         match self.rejection(&head) {
             Some(response) => response,
             None => self.run(&head).await,
