Don't take a pause of a whole service for a failure of each target

Cause: one silence ejected a target at once, and each request in flight doubled the time, so a pause that most targets of a service shared left callers refused for seconds with the slots free and the targets sound.

A lease report now says how long the target had been silent. All requests in flight during a silence count as one failure. While more than half of the targets that serve a request fell silent for the first time since they last responded, none of them counts as ejected or on probation; they are used last. A target that falls silent again without a response in between is ejected as before, and one that can't be reached at all, too. Reports of earlier builds have no such field and count as before.

--- a/crates/coordination/src/ejection.rs
+++ b/crates/coordination/src/ejection.rs
@@ -15,6 +15,8 @@
     ejections: u32,
     ejected_until: Option<Instant>,
     probation_remaining: u32,
+    /// Whether a silence, before which the target had responded, is all that is known against it.
+    is_first_silence: bool,
 }
 
 /// How much a target may be used.
@@ -38,8 +40,18 @@
         }
     }
 
+    /// Whether the target is in doubt only because it fell silent for the first time since it last
+    /// responded. A pause of all targets of a service looks like this at each of them.
+    pub fn is_first_silence(&self) -> bool {
+        self.is_first_silence
+    }
+
     /// A request succeeded.
     pub fn on_success(&mut self) {
+        if self.is_first_silence {
+            *self = Health::default();
+            return;
+        }
         self.failures = 0;
         self.ejected_until = None;
         self.probation_remaining = self.probation_remaining.saturating_sub(1);
@@ -54,8 +66,16 @@
         self.on_failure(now);
     }
 
+    /// The target accepted a request and sent nothing for too long: ejects it at once.
+    pub fn on_silent(&mut self, now: Instant) {
+        let is_first = self.ejections == 0;
+        self.on_unresponsive(now);
+        self.is_first_silence = is_first;
+    }
+
     /// A request failed because of the target.
     pub fn on_failure(&mut self, now: Instant) {
+        self.is_first_silence = false;
         self.failures += 1;
         let on_probation = self.probation_remaining > 0;
         if self.failures < FAILURE_LIMIT && !on_probation {
--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -92,6 +92,9 @@
 /// Bounds of the delay after which a rejected caller should retry.
 const RETRY_AFTER: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(1_500)];
 
+/// Share of the targets of a service beyond which a silence counts as a pause of all of them.
+const MAX_SILENT_SHARE: f64 = 0.5;
+
 /// Leases of a data centre's slots, and the queue for them.
 #[derive(Clone, Debug)]
 pub struct Allocator {
@@ -213,8 +216,11 @@
         let is_match = |state: &&TargetState| state.serves(request);
         let local_slots: u32 =
             self.targets.values().filter(is_match).map(|state| state.target.slots).sum();
-        let available =
-            self.targets.values().filter(is_match).filter(|state| state.is_available(now));
+        let is_common_silence = self.is_common_silence(request);
+        let is_available = |state: &&TargetState| {
+            state.is_available(now) || is_common_silence && state.is_first_silence()
+        };
+        let available = self.targets.values().filter(is_match).filter(is_available);
         let available: u32 = available.map(|state| state.target.slots).sum();
         let available_ratio = f64::from(available) / f64::from(local_slots.max(1));
         let slots = (f64::from(local_slots.max(request.total_slots)) * available_ratio).max(1.0);
@@ -280,7 +286,17 @@
         let pace = self.pace_for(request);
         let median = if pace.is_some() { 0.0 } else { self.median_event_interval() };
         let sources = pace.map(|pace| self.sources(request, pace, now)).unwrap_or_default();
-        Ranking { policy: &self.policy, median, pace, sources, now }
+        let is_common_silence = self.is_common_silence(request);
+        Ranking { policy: &self.policy, median, pace, is_common_silence, sources, now }
+    }
+
+    /// Whether more than [`MAX_SILENT_SHARE`] of the targets that serve the request fell silent.
+    fn is_common_silence(&self, request: &Request) -> bool {
+        let serving = self.targets.values().filter(|state| state.serves(request));
+        let (silent, all) = serving.fold((0, 0), |(silent, all), state| {
+            (silent + u32::from(state.is_first_silence()), all + 1)
+        });
+        f64::from(silent) > f64::from(all) * MAX_SILENT_SHARE
     }
 
     fn median_event_interval(&self) -> f64 {
--- a/crates/coordination/src/slots/lease.rs
+++ b/crates/coordination/src/slots/lease.rs
@@ -339,6 +339,10 @@
     /// Run time of the batch item, if it completed.
     #[serde(rename = "done")]
     pub completed: Option<Sample>,
+    /// How long a target that is [`LeaseOutcome::Unresponsive`] had sent nothing; `None` if it
+    /// couldn't be reached.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub silence: Option<Duration>,
 }
 
 /// How the use of a lease ended.
--- a/crates/coordination/src/slots/target_state.rs
+++ b/crates/coordination/src/slots/target_state.rs
@@ -59,6 +59,8 @@
     last_overdue: Option<Instant>,
     /// When a response was last interrupted.
     last_interrupted: Option<Instant>,
+    /// When a silence was last reported.
+    last_silent: Option<Instant>,
     /// Rate of grants, if the service has a limit.
     pub(super) meter: Meter,
     /// What it probably keeps of the prompts that it has read.
@@ -87,6 +89,8 @@
     pub(super) median: f64,
     /// Pace of the request's service; `None` if requests aren't placed by expected delays.
     pub(super) pace: Option<&'a Pace>,
+    /// Whether so many targets fell silent that this is no evidence against any of them.
+    pub(super) is_common_silence: bool,
     /// Where the prompt may be copied from, one for each software version; none if reading it is
     /// as good.
     pub(super) sources: Vec<Source>,
@@ -105,6 +109,7 @@
             event_interval: 0.0,
             last_overdue: None,
             last_interrupted: None,
+            last_silent: None,
             meter: Meter::default(),
             cache: PromptCache::new(u64::MAX, 0),
             slowness: Slowness::default(),
@@ -140,7 +145,7 @@
 
     /// Rank for a request; `None` if the target can't be used.
     pub(super) fn rank(&self, request: &Request, ranking: &Ranking<'_>) -> Option<Rank> {
-        let Ranking { policy, median, pace, ref sources, now } = *ranking;
+        let Ranking { policy, median, pace, is_common_silence, ref sources, now } = *ranking;
         if !self.serves(request) || request.excluded.contains(&self.target.id) {
             return None;
         }
@@ -155,6 +160,7 @@
         }
         let probation_rank = match self.health.availability(now) {
             Availability::Full => 0,
+            _ if is_common_silence && self.health.is_first_silence() => 2,
             Availability::Probation if self.used() == 0 => 1,
             Availability::Probation | Availability::Ejected => return None,
         };
@@ -195,6 +201,18 @@
         2 * u32::from(self.is_full()) + u32::from(is_slow)
     }
 
+    /// Records that a request which was granted at `granted` was given up in a silence. All
+    /// requests in flight then are one failure, as those that a reset interrupts.
+    fn on_silent(&mut self, granted: Instant, now: Instant) {
+        self.last_overdue = Some(now);
+        if self.last_silent.is_some_and(|at| granted < at) {
+            return;
+        }
+        self.last_silent = Some(now);
+        self.health.on_silent(now);
+        self.failures.record(true, now);
+    }
+
     /// A request is overdue for its first event.
     pub(super) fn on_overdue(&mut self, now: Instant) {
         self.last_overdue = Some(now);
@@ -205,6 +223,11 @@
         self.health.availability(now) != Availability::Ejected
     }
 
+    /// Whether the target is used less, or not at all, only because it fell silent.
+    pub(super) fn is_first_silence(&self) -> bool {
+        self.health.is_first_silence()
+    }
+
     /// Records the end of a lease that was granted at `granted`; `smoothing` is the weight of the
     /// newest event interval.
     pub(super) fn on_report(
@@ -237,6 +260,9 @@
                 self.health.on_failure(now);
                 self.failures.record(true, now);
             }
+            LeaseOutcome::Unresponsive if report.silence.is_some() => {
+                self.on_silent(granted, now);
+            }
             // Guards against targets that are gone: they fail each request at once and would
             // attract all load (840 runs of items in 7 s at 12 such targets).
             LeaseOutcome::Unresponsive | LeaseOutcome::Misdirected => {
--- a/crates/coordination/tests/slots/health.rs
+++ b/crates/coordination/tests/slots/health.rs
@@ -137,3 +137,78 @@
     let decision = allocator.on_request(request(Purpose::Online, now), now);
     assert!(matches!(decision, Decision::Full(_)), "{decision:?}");
 }
+
+/// Grants slots of the targets that aren't excluded, and reports each as given up in a silence.
+fn fall_silent(allocator: &mut Allocator, slots: usize, excluded: &[&str], now: Instant) {
+    let excluded: Vec<String> = excluded.iter().map(ToString::to_string).collect();
+    let request = Request { excluded, ..request(Purpose::Online, now) };
+    let leases: Vec<Grant> = (0..slots).map(|_| grant(allocator, request.clone(), now)).collect();
+    for (n, lease) in leases.iter().enumerate() {
+        let silence = Some(Duration::from_secs(1));
+        let report =
+            LeaseReport { outcome: LeaseOutcome::Unresponsive, silence, ..LeaseReport::default() };
+        allocator.on_release(lease.lease, report, now + MS * (500 + n as u32));
+    }
+}
+
+/// Number of slots that are granted at once.
+fn free_slots(allocator: &mut Allocator, now: Instant) -> usize {
+    let is_granted = |decision| matches!(decision, Decision::Granted(..));
+    let decisions =
+        std::iter::repeat_with(|| allocator.on_request(request(Purpose::Online, now), now));
+    decisions.take_while(|decision| is_granted(decision.clone())).count()
+}
+
+/// Regression: a pause of all targets ejected all of them, with all slots free.
+#[test]
+fn common_silence_ejects_no_target() {
+    let now = Instant::now();
+    let mut allocator = allocator(4, now);
+    fall_silent(&mut allocator, 8, &[], now);
+    assert_eq!(free_slots(&mut allocator, now + MS * 600), 8);
+}
+
+#[test]
+fn target_that_is_silent_alone_is_ejected() {
+    let now = Instant::now();
+    let mut allocator = allocator(4, now);
+    fall_silent(&mut allocator, 1, &["t1", "t2", "t3"], now);
+    assert_eq!(free_slots(&mut allocator, now + MS * 600), 6);
+}
+
+/// Regression: each request in flight doubled the ejection.
+#[test]
+fn requests_in_one_silence_count_as_one_failure() {
+    let now = Instant::now();
+    let policy = Policy { headroom: 0.0, ..Policy::default() };
+    let mut allocator = Allocator::new(policy, 0, now - Duration::from_secs(10));
+    allocator.set_targets(&[target(0, 8), target(1, 8), target(2, 8)], now);
+    fall_silent(&mut allocator, 8, &["t1", "t2"], now);
+    let on_probation = 1;
+    assert_eq!(free_slots(&mut allocator, now + MS * 1_600), 16 + on_probation);
+}
+
+#[test]
+fn target_that_responds_after_a_silence_is_used_as_before() {
+    let now = Instant::now();
+    let mut allocator = allocator(3, now);
+    fall_silent(&mut allocator, 1, &["t1", "t2", "t3"], now);
+    let later = now + MS * 1_700;
+    let others = Request {
+        excluded: vec![String::from("t1"), String::from("t2")],
+        ..request(Purpose::Online, later)
+    };
+    let lease = grant(&mut allocator, others, later);
+    allocator.on_release(lease.lease, LeaseReport::default(), later + MS);
+    assert_eq!(free_slots(&mut allocator, later + MS * 2), 6);
+}
+
+#[test]
+fn targets_that_stay_silent_are_ejected_however_many_they_are() {
+    let now = Instant::now();
+    let mut allocator = allocator(4, now);
+    fall_silent(&mut allocator, 8, &[], now);
+    let later = now + MS * 1_000;
+    fall_silent(&mut allocator, 8, &[], later);
+    assert_eq!(free_slots(&mut allocator, later + MS * 600), 0);
+}
--- a/crates/daemon/src/gateway/leases/lease.rs
+++ b/crates/daemon/src/gateway/leases/lease.rs
@@ -80,7 +80,8 @@
     }
 
     /// Releases the lease because its target is silent.
-    pub fn end_silent(self) {
+    pub fn end_silent(mut self) {
+        self.report.silence = Some(self.silence());
         self.end(LeaseOutcome::Unresponsive);
     }
 
