Record the end of stand-in runs whose caller leaves before the head

stream_of_a_silent_target_is_not_broken_off failed once (1 of 37 cases, beside four other test runs, load 18): a run counted as never ended. The stand-in's response was dropped in a silence before its head, and only runs with a head recorded their end.

--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -318,6 +318,7 @@
             let run_index = state.runs.len() - 1;
             (run_index, is_interrupted, wrong_id, failure_status, will_crash, unread)
         };
+        let end = RunEnd { runner: self.clone(), run_index };
         let reading = self.config.token_time.mul_f64(unread as f64);
         let first_event_delay = self.config.first_event_delay + reading;
         tokio::time::sleep(first_event_delay.mul_f64(self.config.slowness)).await;
@@ -338,9 +339,9 @@
                     let stream = EventStream { id, software, last_event_id, is_interrupted };
                     let is_complete = runner.send_events(stream, &tx).await;
                     if let Some(run) = runner.lock().runs.get_mut(run_index) {
-                        run.ended = Some(Instant::now());
                         run.is_complete = is_complete;
                     }
+                    drop(end);
                     if is_complete {
                         tx.finish().await;
                     }
@@ -411,6 +412,20 @@
     format!("{id}-{n} {software}")
 }
 
+/// Records the end of a run when dropped.
+struct RunEnd {
+    runner: Runner,
+    run_index: usize,
+}
+
+impl Drop for RunEnd {
+    fn drop(&mut self) {
+        if let Some(run) = self.runner.lock().runs.get_mut(self.run_index) {
+            run.ended = Some(Instant::now());
+        }
+    }
+}
+
 /// The events of one response.
 struct EventStream {
     /// Id of the request.
