--- a/crates/daemon/src/gateway/online/attempt.rs
+++ b/crates/daemon/src/gateway/online/attempt.rs
@@ -27,17 +27,25 @@
     pub(super) lease: Lease,
 }
 
+impl Pending {
+    /// Drops the exchange with a silent target.
+    fn end_silent(self) {
+        let Pending { sending, lease } = self;
+        drop(sending);
+        lease.end_silent();
+    }
+}
+
 /// An attempt that failed.
 pub(super) struct FailedAttempt {
     pub(super) target: TargetId,
     pub(super) reason: RetryReason,
 }
 
-/// What came of waiting for the head of a response.
-enum Head {
-    Received(Result<Exchange, SendError>, Lease),
+/// Why there is no head of a response yet.
+enum NoHead {
     /// The target has sent nothing for so long that another one may be faster.
-    Silent(Pending),
+    Silent,
     /// The deadline has passed.
     Expired,
 }
@@ -78,48 +86,56 @@
         loop {
             let target = pending.lease.grant.target.clone();
             let failed = |reason| FailedAttempt { target, reason };
-            let (result, lease) = match self.head(pending).await {
-                Head::Received(result, lease) => (result, lease),
-                Head::Expired => return Err(failed(RetryReason::DeadlineExceeded)),
-                Head::Silent(Pending { sending, lease }) => {
+            let result = match self.head(&mut pending).await {
+                Ok(result) => result,
+                Err(NoHead::Expired) => {
+                    pending.end_silent();
+                    return Err(failed(RetryReason::DeadlineExceeded));
+                }
+                Err(NoHead::Silent) => {
+                    let Pending { sending, lease } = &mut pending;
                     match self.replace(sending, lease, last_event).await {
-                        Replaced::Kept(result, lease) => (flatten(result), lease),
-                        Replaced::By(Replacement::Response(response)) => return Ok(response),
+                        Replaced::Kept(result) => flatten(result),
+                        Replaced::By(Replacement::Response(response)) => {
+                            pending.end_silent();
+                            return Ok(*response);
+                        }
                         Replaced::By(Replacement::Pending(other)) => {
-                            pending = other;
+                            pending.end_silent();
+                            pending = *other;
                             continue;
                         }
-                        Replaced::Expired => return Err(failed(RetryReason::DeadlineExceeded)),
+                        Replaced::Expired => {
+                            pending.end_silent();
+                            return Err(failed(RetryReason::DeadlineExceeded));
+                        }
                     }
                 }
             };
-            return self.accept(result, lease, last_event.is_some()).map_err(failed);
+            return self.accept(result, pending.lease, last_event.is_some()).map_err(failed);
         }
     }
 
     /// Waits for the head of a response, as long as no other target may be faster.
-    async fn head(&self, pending: Pending) -> Head {
-        let Pending { mut sending, lease } = pending;
-        let waited = clock::since(lease.sent_at.unwrap_or_else(clock::now));
+    async fn head(&self, pending: &mut Pending) -> Result<Result<Exchange, SendError>, NoHead> {
+        let Pending { sending, lease } = pending;
+        let waited = lease.silence();
         let remaining = self.call.remaining(clock::now());
         let policy = &self.node.settings.policy;
         let after = |factor| self.route.objective.mul_f64(factor).saturating_sub(waited);
         let overdue_after = after(policy.overdue_factor).min(remaining);
         let reroute_after = after(policy.reroute_factor).min(remaining);
         let timeout = if self.may_retry() { reroute_after } else { remaining };
-        if let Ok(result) = tokio::time::timeout(overdue_after, &mut sending).await {
-            return Head::Received(flatten(result), lease);
+        if let Ok(result) = tokio::time::timeout(overdue_after, &mut *sending).await {
+            return Ok(flatten(result));
         }
         lease.report_overdue();
         let rest = timeout.saturating_sub(overdue_after);
-        if let Ok(result) = tokio::time::timeout(rest, &mut sending).await {
-            return Head::Received(flatten(result), lease);
-        }
-        if self.call.remaining(clock::now()).is_zero() {
-            lease.end_silent();
-            return Head::Expired;
+        match tokio::time::timeout(rest, sending).await {
+            Ok(result) => Ok(flatten(result)),
+            Err(_) if self.call.remaining(clock::now()).is_zero() => Err(NoHead::Expired),
+            Err(_) => Err(NoHead::Silent),
         }
-        Head::Silent(Pending { sending, lease })
     }
 
     fn request(
--- a/crates/daemon/src/gateway/online/replacement.rs
+++ b/crates/daemon/src/gateway/online/replacement.rs
@@ -15,57 +15,55 @@
 /// Another target that has the request.
 pub enum Replacement {
     /// It has begun its response.
-    Response(TargetResponse),
+    Response(Box<TargetResponse>),
     /// It has been sent the request.
-    Pending(Pending),
+    Pending(Box<Pending>),
 }
 
 /// What became of a request whose target was silent.
 pub enum Replaced<T> {
     /// The target went on first; holds what it sent.
-    Kept(T, Lease),
-    /// Another target has the request, and the exchange with the silent one was dropped.
+    Kept(T),
+    /// Another target has the request, so the exchange with the silent one is to be dropped.
     By(Replacement),
     /// The deadline has passed.
     Expired,
 }
 
+impl<T> Replaced<T> {
+    fn name(&self) -> &'static str {
+        match self {
+            Replaced::Kept(_) => "kept",
+            Replaced::By(_) => "replaced",
+            Replaced::Expired => "expired",
+        }
+    }
+}
+
 impl ProxiedRequest {
     /// Looks for a target that replaces the silent one of `lease`, while `silent` waits for what
     /// it sends next.
     pub async fn replace<F>(
         &mut self,
         silent: F,
-        lease: Lease,
+        lease: &Lease,
         last_event: Option<u64>,
     ) -> Replaced<F::Output>
     where
         F: Future + Unpin,
     {
-        let mut silent = silent;
         let remaining = self.call.remaining(clock::now());
-        self.on_silent(&lease, last_event);
+        self.on_silent(lease, last_event);
         let replaced = tokio::select! {
             biased;
-            value = &mut silent => return self.keep(value, lease),
+            value = silent => Replaced::Kept(value),
             replacement = self.find_replacement(last_event) => Replaced::By(replacement),
             () = tokio::time::sleep(remaining) => Replaced::Expired,
         };
-        drop(silent);
-        let outcome = match replaced {
-            Replaced::Expired => "expired",
-            Replaced::Kept(..) | Replaced::By(_) => "replaced",
-        };
-        self.log_outcome(outcome, &lease);
-        lease.end_silent();
+        self.log_end_of_silence(replaced.name(), lease);
         replaced
     }
 
-    fn keep<T>(&self, value: T, lease: Lease) -> Replaced<T> {
-        self.log_outcome("kept", &lease);
-        Replaced::Kept(value, lease)
-    }
-
     /// Sends the request to another target. Waits as long as there is none.
     async fn find_replacement(&mut self, last_event: Option<u64>) -> Replacement {
         loop {
@@ -100,11 +98,11 @@
         let target = lease.grant.target.clone();
         let mut other = self.start(lease, last_event)?;
         let Ok(result) = tokio::time::timeout(MAX_OVERLAP, &mut other.sending).await else {
-            return Ok(Replacement::Pending(other));
+            return Ok(Replacement::Pending(Box::new(other)));
         };
         let response = self.accept(flatten(result), other.lease, last_event.is_some());
         let response = response.map_err(|reason| FailedAttempt { target, reason })?;
-        Ok(Replacement::Response(response))
+        Ok(Replacement::Response(Box::new(response)))
     }
 
     fn on_silent(&mut self, lease: &Lease, last_event: Option<u64>) {
@@ -118,7 +116,7 @@
             "age_ms" => clock::since(self.call.started).as_millis() as u64);
     }
 
-    fn log_outcome(&self, outcome: &'static str, lease: &Lease) {
+    fn log_end_of_silence(&self, outcome: &'static str, lease: &Lease) {
         self.node.metrics.count(&format!("silence.{outcome}"));
         slog::info!(self.node.log, "silence ended"; "request" => &self.call.id,
             "target" => &lease.grant.target, "how" => outcome,
--- a/crates/daemon/src/gateway/streaming.rs
+++ b/crates/daemon/src/gateway/streaming.rs
@@ -12,7 +12,7 @@
     ForwardError, Pending, ProxiedRequest, Replaced, Replacement, TargetResponse, forwarded_head,
     with_body,
 };
-use super::target_body::{TargetBody, Truncation};
+use super::target_body::Truncation;
 use crate::clock;
 use bytes::{Bytes, BytesMut};
 use coordination::continuation;
@@ -105,31 +105,6 @@
 
 type Chunk = Result<Option<Bytes>, Truncation>;
 
-/// What came of a read from a target.
-enum Read {
-    Chunk(Chunk),
-    CallerGone,
-    TimedOut,
-}
-
-/// What comes next of a response.
-enum Next {
-    /// A chunk, and the response that it is from.
-    Chunk(Chunk, TargetResponse),
-    /// The end, and the response unless it was dropped.
-    End(StreamEnd, Option<TargetResponse>),
-}
-
-impl Next {
-    fn of(read: Read, response: TargetResponse) -> Next {
-        match read {
-            Read::Chunk(chunk) => Next::Chunk(chunk, response),
-            Read::CallerGone => Next::End(StreamEnd::CallerGone, Some(response)),
-            Read::TimedOut => Next::End(StreamEnd::DeadlineExceeded, Some(response)),
-        }
-    }
-}
-
 fn aborted(error: &str) -> Incomplete {
     Incomplete::Aborted(error.to_owned())
 }
@@ -146,9 +121,9 @@
                 StreamEnd::Completed => return Ok(()),
                 StreamEnd::CallerGone => return Err(Incomplete::CallerGone),
                 StreamEnd::DeadlineExceeded => return Err(aborted("timed out")),
-                StreamEnd::Replaced(Replacement::Response(response)) => response,
+                StreamEnd::Replaced(Replacement::Response(response)) => *response,
                 StreamEnd::Replaced(Replacement::Pending(pending)) => {
-                    self.resume(Some(pending)).await?
+                    self.resume(Some(*pending)).await?
                 }
                 StreamEnd::Interrupted(error) => {
                     self.on_interrupted(error)?;
@@ -208,10 +183,9 @@
             self.node().metrics.count("stream.unframed");
         }
         self.stats = EventStats { started_at: Some(clock::now()), ..EventStats::default() };
-        let (end, response) = self.forward_body(response).await;
-        let Some(TargetResponse { body, mut lease }) = response else {
-            return end;
-        };
+        let mut response = response;
+        let end = self.forward_body(&mut response).await;
+        let TargetResponse { body, mut lease } = response;
         self.is_inside_event = body.is_inside_event();
         let is_framed = body.is_framed();
         // Closes the connection unless the response is complete.
@@ -225,42 +199,30 @@
             }
             StreamEnd::CallerGone | StreamEnd::DeadlineExceeded | StreamEnd::Replaced(_) => {}
         }
-        self.report_events(&mut lease);
-        lease.end(match end {
-            StreamEnd::Completed => LeaseOutcome::Completed,
-            StreamEnd::Interrupted(_) => LeaseOutcome::Interrupted,
-            StreamEnd::CallerGone | StreamEnd::DeadlineExceeded | StreamEnd::Replaced(_) => {
-                LeaseOutcome::Unused
-            }
-        });
-        end
-    }
-
-    fn report_events(&mut self, lease: &mut Lease) {
         self.target_first = self.stats.first_since(lease.sent_at);
         lease.report.first_event = self.target_first;
         lease.report.event_interval = self.stats.event_interval();
+        match end {
+            StreamEnd::Completed => lease.end(LeaseOutcome::Completed),
+            StreamEnd::CallerGone | StreamEnd::DeadlineExceeded => lease.end(LeaseOutcome::Unused),
+            StreamEnd::Interrupted(_) => lease.end(LeaseOutcome::Interrupted),
+            StreamEnd::Replaced(_) => lease.end_silent(),
+        }
+        end
     }
 
-    /// Forwards a response until it ends; returns it unless it was dropped.
-    async fn forward_body(
-        &mut self,
-        response: TargetResponse,
-    ) -> (StreamEnd, Option<TargetResponse>) {
+    /// Forwards a response until it ends or its target is replaced.
+    async fn forward_body(&mut self, response: &mut TargetResponse) -> StreamEnd {
         // Only complete events are sent if the stream may be resumed after them.
         let mut splitter = (self.request.route.resumable && response.body.is_event_stream())
             .then(EventSplitter::default);
-        let mut response = response;
         loop {
             let chunk = match self.next_chunk(response, splitter.is_some()).await {
-                Next::Chunk(chunk, from) => {
-                    response = from;
-                    chunk
-                }
-                Next::End(end, response) => return (end, response),
+                Ok(chunk) => chunk,
+                Err(end) => return end,
             };
             if let Err(end) = self.forward_chunk(chunk, &mut splitter, &mut response.lease).await {
-                return (end, Some(response));
+                return end;
             }
         }
     }
@@ -303,50 +265,48 @@
 
     /// Reads the next chunk. A target that is silent for too long may be replaced if the stream can
     /// be resumed.
-    async fn next_chunk(&mut self, response: TargetResponse, can_resume: bool) -> Next {
-        let mut response = response;
-        let (max_gap, remaining) = (self.max_gap(), self.remaining());
-        let read = self.read(&mut response.body, max_gap.min(remaining)).await;
-        if !matches!(read, Read::TimedOut) || remaining <= max_gap {
-            return Next::of(read, response);
+    async fn next_chunk(
+        &mut self,
+        response: &mut TargetResponse,
+        can_resume: bool,
+    ) -> Result<Chunk, StreamEnd> {
+        let remaining = self.remaining();
+        let max_gap = self.max_gap().min(remaining);
+        let is_overdue = tokio::select! {
+            biased;
+            chunk = response.body.next_chunk() => return Ok(chunk),
+            () = self.sender.closed() => return Err(StreamEnd::CallerGone),
+            () = tokio::time::sleep(max_gap) => max_gap < remaining,
+        };
+        if !is_overdue {
+            return Err(StreamEnd::DeadlineExceeded);
         }
         response.lease.report_overdue();
         if can_resume && self.request.may_retry() {
             return self.replace(response).await;
         }
         let remaining = self.remaining();
-        let read = self.read(&mut response.body, remaining).await;
-        Next::of(read, response)
-    }
-
-    async fn read(&self, body: &mut TargetBody, timeout: Duration) -> Read {
         tokio::select! {
             biased;
-            chunk = body.next_chunk() => Read::Chunk(chunk),
-            () = self.sender.closed() => Read::CallerGone,
-            () = tokio::time::sleep(timeout) => Read::TimedOut,
+            chunk = response.body.next_chunk() => Ok(chunk),
+            () = self.sender.closed() => Err(StreamEnd::CallerGone),
+            () = tokio::time::sleep(remaining) => Err(StreamEnd::DeadlineExceeded),
         }
     }
 
-    async fn replace(&mut self, response: TargetResponse) -> Next {
-        let TargetResponse { mut body, mut lease } = response;
-        self.is_inside_event = body.is_inside_event();
-        self.check_origin(&lease);
-        self.report_events(&mut lease);
-        let silent = Box::pin(async move {
-            let chunk = body.next_chunk().await;
-            (chunk, body)
-        });
+    /// Reads the next chunk of a silent target, unless another one replaces it first.
+    async fn replace(&mut self, response: &mut TargetResponse) -> Result<Chunk, StreamEnd> {
+        let TargetResponse { body, lease } = response;
+        self.check_origin(lease);
+        let chunk = std::pin::pin!(body.next_chunk());
         let replaced = tokio::select! {
-            replaced = self.request.replace(silent, lease, self.last_event) => replaced,
-            () = self.sender.closed() => return Next::End(StreamEnd::CallerGone, None),
+            replaced = self.request.replace(chunk, lease, self.last_event) => replaced,
+            () = self.sender.closed() => return Err(StreamEnd::CallerGone),
         };
         match replaced {
-            Replaced::Kept((chunk, body), lease) => {
-                Next::Chunk(chunk, TargetResponse { body, lease })
-            }
-            Replaced::By(replacement) => Next::End(StreamEnd::Replaced(replacement), None),
-            Replaced::Expired => Next::End(StreamEnd::DeadlineExceeded, None),
+            Replaced::Kept(chunk) => Ok(chunk),
+            Replaced::By(replacement) => Err(StreamEnd::Replaced(replacement)),
+            Replaced::Expired => Err(StreamEnd::DeadlineExceeded),
         }
     }
 
