Count each request given up in a silence as a failure for batch

Two causes by reading: the ratio of failures, which keeps batch from failing targets, counted one of all requests in flight, and batch was granted slots of targets that fell silent together. The ratio counts each again, and batch waits until one of them has responded; the ejection itself counts a silence once, as before.

--- a/crates/coordination/src/slots/target_state.rs
+++ b/crates/coordination/src/slots/target_state.rs
@@ -160,7 +160,7 @@
         }
         let probation_rank = match self.health.availability(now) {
             Availability::Full => 0,
-            _ if is_common_silence && self.health.is_first_silence() => 2,
+            _ if is_online && is_common_silence && self.health.is_first_silence() => 2,
             Availability::Probation if self.used() == 0 => 1,
             Availability::Probation | Availability::Ejected => return None,
         };
@@ -202,15 +202,15 @@
     }
 
     /// Records that a request which was granted at `granted` was given up in a silence. All
-    /// requests in flight then are one failure, as those that a reset interrupts.
+    /// requests in flight then eject the target once, as those that a reset interrupts.
     fn on_silent(&mut self, granted: Instant, now: Instant) {
         self.last_overdue = Some(now);
+        self.failures.record(true, now);
         if self.last_silent.is_some_and(|at| granted < at) {
             return;
         }
         self.last_silent = Some(now);
         self.health.on_silent(now);
-        self.failures.record(true, now);
     }
 
     /// A request is overdue for its first event.
--- a/crates/coordination/tests/slots/health.rs
+++ b/crates/coordination/tests/slots/health.rs
@@ -165,7 +165,10 @@
     let now = Instant::now();
     let mut allocator = allocator(4, now);
     fall_silent(&mut allocator, 8, &[], now);
-    assert_eq!(free_slots(&mut allocator, now + MS * 600), 8);
+    let later = now + MS * 600;
+    let item = allocator.on_request(request(Purpose::Batch, later), later);
+    assert!(matches!(item, Decision::Full(_)), "items wait until a target responds: {item:?}");
+    assert_eq!(free_slots(&mut allocator, later), 8);
 }
 
 #[test]
