Let sound runners fall silent beside planned work in the soak

Cause: runners of the soak failed or worked; none fell silent and went on. Unplanned faults overlapped everything, so no check could say that a broken-off answer was the gateways' doing.

Seeds from 5000 on: some, half or all runners fall silent for 0.6 to 1.6 s, in each part of a response, again and again, beside series of configuration changes (timeouts, objectives, gaps, idle timeouts, routes), drains, rollouts to the other version, SIGHUP and SIGTERM, for 6 s without and 2 s with unplanned faults, and 6 s without again. 18 callers make slots scarce, with buffered requests, too.

New checks for requests with no unplanned fault from 3 s before them to their end: a runner that wasn't replaced and runs a request leaves it no answer that is broken off, nor a caller with nothing; jobs' calls that were read get an answer; no request runs at two runners for longer than 400 ms at once. GATESPOOL_SOAK_GATEWAYS sets the number of gateways.

The injection of faults moved to its own file. The schedules of earlier seeds are as before.

--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -34,7 +34,7 @@
     timeout: Duration,
 }
 
-const CALL_TIMEOUT: Duration = Duration::from_secs(6);
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(6);
 const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
 const READ_INTERVAL: Duration = Duration::from_millis(80);
 /// Attempts of a caller to take up one stream.
@@ -54,6 +54,10 @@
     pub body: Vec<u8>,
     /// Whether the body was received to its end.
     pub is_complete: bool,
+    /// Whether the caller left before [`CALL_TIMEOUT`], or couldn't connect.
+    pub is_callers_end: bool,
+    pub sent: Instant,
+    pub ended: Instant,
 }
 
 fn client(version: Version) -> HttpClient {
@@ -98,10 +102,22 @@
         request = request.header(*name, *value);
     }
     let request = request.body(Full::new(body.into())).expect("a request");
-    let mut response = Response { status: 0, body: Vec::new(), is_complete: false };
+    let sent = Instant::now();
+    let mut response = Response {
+        status: 0,
+        body: Vec::new(),
+        is_complete: false,
+        is_callers_end: false,
+        sent,
+        ended: sent,
+    };
     let exchange = async {
-        let Ok(head) = http.http.request(request).await else {
-            return;
+        let head = match http.http.request(request).await {
+            Ok(head) => head,
+            Err(error) => {
+                response.is_callers_end = error.is_connect();
+                return;
+            }
         };
         response.status = head.status().as_u16();
         let mut body = head.into_body();
@@ -114,7 +130,9 @@
         response.is_complete = true;
     };
     // On a timeout the connection is dropped, and the response stays incomplete.
-    let _timeout = tokio::time::timeout(http.timeout, exchange).await;
+    let is_timeout = tokio::time::timeout(http.timeout, exchange).await.is_err();
+    response.is_callers_end |= is_timeout && http.timeout < CALL_TIMEOUT;
+    response.ended = Instant::now();
     response
 }
 
@@ -152,6 +170,7 @@
         let path = format!("/talk/{id}");
         let attempt_id = format!("{id}~{attempt}");
         let next = call_with(http, "POST", front, &path, &attempt_id, "x".into(), &headers).await;
+        record.on_answer(&attempt_id, &next);
         record.on_taken_up(next.status);
         if next.status == 200 {
             whole.body.extend(next.body);
@@ -171,24 +190,27 @@
     pub version: Version,
     /// Whether it takes up streams that broke off.
     pub is_patient: bool,
+    /// Kinds of its requests in turn.
+    pub kinds: &'static [&'static str],
     /// Addresses of the gateways.
     pub fronts: Vec<SocketAddr>,
 }
 
 /// Requests streams until `is_over` is set.
 pub async fn send_streams(caller: StreamCaller, record: Arc<Recorder>, is_over: Arc<AtomicBool>) {
-    let StreamCaller { n, version, is_patient, fronts } = caller;
+    let StreamCaller { n, version, is_patient, kinds, fronts } = caller;
+    let workspace = n % STREAM_KEYS.len();
     let http = client(version);
     let mut count = 0;
     while !is_over.load(Ordering::Relaxed) {
         count += 1;
-        let kind = if count % 2 == 0 { "ask" } else { "talk" };
+        let kind = kinds[count % kinds.len()];
         let id = format!("{kind}-{n}-{count}");
         // Three consecutive requests go to the same gateway, so that connections are reused.
         let front = fronts[(n + count / 3) % fronts.len()];
         let (part, tokens) = PARTS[(n + count / 2) % PARTS.len()];
         let headers = [
-            ("authorization", &*format!("Bearer {}", STREAM_KEYS[n])),
+            ("authorization", &*format!("Bearer {}", STREAM_KEYS[workspace])),
             ("x-gatespool-model", "m"),
             ("x-gatespool-prompt-prefix", &*format!("{part}:{tokens},{n}{count:x}:20")),
         ];
@@ -197,13 +219,14 @@
         let timeout = if leaves { LEAVES_AFTER } else { CALL_TIMEOUT };
         let http = HttpClient { timeout, ..http.clone() };
         let response = call_with(&http, "POST", front, &path, &id, "x".into(), &headers).await;
+        record.on_answer(&id, &response);
         record.on_stream(kind, &id, &response);
         if is_patient && kind == "talk" && response.status == 200 && !response.is_complete {
             let http = HttpClient { timeout: CALL_TIMEOUT, ..http };
             let whole = take_up(&http, &fronts, &id, &headers, response, &record).await;
             record.on_joined(&id, &whole);
         }
-        let pause = if n < FIRST_QUIET { 1 } else { HOT_RATIO };
+        let pause = if workspace < FIRST_QUIET { 1 } else { HOT_RATIO };
         tokio::time::sleep(REQUEST_INTERVAL * pause).await;
     }
 }
@@ -231,6 +254,7 @@
             let front = fronts[(n + count + attempt) % fronts.len()];
             let response =
                 call(&http, "POST", front, &format!("/batch/{job}"), &job, body.clone()).await;
+            record.on_answer(&job, &response);
             statuses.push(response.status);
             if response.status == 202 {
                 break;
@@ -241,7 +265,9 @@
         for read in 0..6 {
             tokio::time::sleep(READ_INTERVAL).await;
             let front = fronts[(n + read) % fronts.len()];
-            record.on_read(&job, &read_all(&http, front, &job).await);
+            let response = read_all(&http, front, &job).await;
+            record.on_answer(&job, &response);
+            record.on_read(&job, &response);
         }
         if count % 4 == 0 {
             let front = fronts[count % fronts.len()];
@@ -291,6 +317,7 @@
                 let path = format!("/at-{version}/x");
                 let id = format!("probe-{count}");
                 let response = call(&http, "POST", *front, &path, &id, "x".into()).await;
+                record.on_answer(&id, &response);
                 if response.status == 200 {
                     record.on_version(n, version);
                 }
--- a/crates/daemon/tests/soak/check.rs
+++ b/crates/daemon/tests/soak/check.rs
@@ -1,6 +1,7 @@
 //! Checks the observations of callers and runners against the guarantees of the system.
 
 use super::callers::{ITEMS_PER_JOB, Response};
+use super::calm::Answer;
 use super::scenario::VERSIONS;
 use serde_json::Value;
 use standin::runner::{Run, Runner};
@@ -29,6 +30,8 @@
     rejected: Vec<String>,
     jobs: BTreeMap<String, Job>,
     versions: HashMap<usize, u64>,
+    /// Answers to all requests.
+    answers: Vec<Answer>,
     /// Numbers of completed, rejected and failed streams.
     stream_counts: [u64; 3],
     /// Numbers of attempts to take a stream up, by status.
@@ -181,6 +184,16 @@
         self.open_jobs().is_empty()
     }
 
+    /// Records how an exchange ended.
+    pub fn on_answer(&self, id: &str, response: &Response) {
+        self.lock().answers.push(Answer::new(id, response));
+    }
+
+    /// Takes the answers to all requests.
+    pub fn take_answers(&self) -> Vec<Answer> {
+        std::mem::take(&mut self.lock().answers)
+    }
+
     /// Summary of the streams and jobs.
     pub fn counts(&self) -> String {
         let observed = self.lock();
--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -4,7 +4,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use standin::objects;
-use standin::runner;
+use standin::runner::{self, Silence};
 use std::time::Duration;
 
 /// A fault; the number is the index of a gateway or a runner, the duration how long it lasts.
@@ -37,6 +37,12 @@
     RunnerFaults(usize, runner::Faults, Duration),
     /// A runner reports that it is draining, and is ready again after the duration.
     Drain(usize, Duration),
+    /// These runners don't write a part of their responses for the duration, and then go on.
+    Silence(Vec<usize>, Silence, Duration),
+    /// A runner drains, and is then replaced as with [`Fault::RunnerReplacement`].
+    Rollout(usize, Duration),
+    /// SIGHUP.
+    Reload(usize),
     /// The next version of the configuration is written.
     Configure,
 }
@@ -44,7 +50,7 @@
 /// A fault and the delay before it.
 pub type Step = (Duration, Fault);
 
-fn random_millis(rng: &mut StdRng, from: u64, to: u64) -> Duration {
+pub(super) fn random_millis(rng: &mut StdRng, from: u64, to: u64) -> Duration {
     Duration::from_millis(rng.random_range(from..to))
 }
 
--- /dev/null
+++ b/crates/daemon/tests/soak/inject.rs
@@ -0,0 +1,185 @@
+//! Injects faults into a fleet and undoes them.
+
+use super::faults::Fault;
+use super::scenario::{Scenario, VERSIONS};
+use super::util::proxy::Mode;
+use standin::objects;
+use standin::runner;
+use std::time::{Duration, Instant};
+
+/// How to undo a fault.
+pub(super) enum Undo {
+    Restart(usize),
+    Thaw(usize),
+    PlatformConnection(usize),
+    RunnerConnection(usize),
+    PeerPartition,
+    PlatformFaults,
+    RunnerFaults(usize),
+    /// The end of a silence of these runners.
+    Silence(Vec<usize>),
+    /// The replacement of a runner that drains, for the duration; at this time at the latest.
+    Rollout(usize, Duration, Instant),
+    /// Holds the id of the runner that was replaced.
+    RunnerReplacement(usize, String),
+    Ready(usize),
+}
+
+/// How long a runner may drain before it is replaced.
+const MAX_DRAIN_TIME: Duration = Duration::from_secs(3);
+/// Least time between the state of a draining runner and its replacement, and how often it is checked.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(300);
+
+impl Scenario {
+    pub(super) fn inject(&mut self, fault: Fault) {
+        match fault {
+            Fault::Kill(n, down) => {
+                self.fleet.gateways[n].kill();
+                self.undo_after(down, Undo::Restart(n));
+            }
+            Fault::KillAll(down) => {
+                for n in 0..self.fleet.gateways.len() {
+                    self.fleet.gateways[n].kill();
+                    self.undo_after(down, Undo::Restart(n));
+                }
+            }
+            Fault::Terminate(n) => {
+                if self.fleet.gateways[n].is_running() {
+                    self.fleet.gateways[n].thaw();
+                    self.fleet.gateways[n].terminate();
+                    self.undo_after(Duration::from_millis(400), Undo::Restart(n));
+                }
+            }
+            Fault::Freeze(n, period) => {
+                if self.fleet.gateways[n].is_running() {
+                    self.fleet.gateways[n].freeze();
+                    if let Some(suspended_for) = &mut self.suspended_for {
+                        suspended_for[n] += period;
+                        self.fleet.gateways[n].simulate_suspension(suspended_for[n]);
+                    }
+                    self.undo_after(period, Undo::Thaw(n));
+                }
+            }
+            Fault::PlatformConnection(n, mode, period) => {
+                self.platform_proxies[n].set_mode(mode);
+                self.undo_after(period, Undo::PlatformConnection(n));
+            }
+            Fault::RunnerConnection(n, mode, period) => {
+                self.runner_proxies[n].set_mode(mode);
+                self.undo_after(period, Undo::RunnerConnection(n));
+            }
+            Fault::RunnerCrash(n, down) => {
+                self.runner_proxies[n].set_mode(Mode::Refuse);
+                self.undo_after(down, Undo::RunnerConnection(n));
+            }
+            Fault::RunnerReplacement(n, down) => self.replace_runner(n, down),
+            Fault::PeerPartition(n, period) => {
+                let own = self.fleet.gateways[n].peer_address;
+                let gateways = self.fleet.gateways.iter();
+                let others: Vec<_> =
+                    gateways.map(|g| g.peer_address).filter(|peer| *peer != own).collect();
+                self.fleet.gateways[n].set_unreachable(&others);
+                for (other, gateway) in self.fleet.gateways.iter().enumerate() {
+                    if other != n {
+                        gateway.set_unreachable(&[own]);
+                    }
+                }
+                self.undo_after(period, Undo::PeerPartition);
+            }
+            Fault::PlatformFaults(faults, period) => {
+                self.fleet.objects.set_faults(faults);
+                self.undo_after(period, Undo::PlatformFaults);
+            }
+            Fault::CompactHistory => self.fleet.objects.compact_history(),
+            Fault::RunnerFaults(n, faults, period) => {
+                self.fleet.runners[n].set_faults(faults);
+                self.undo_after(period, Undo::RunnerFaults(n));
+            }
+            Fault::Drain(n, period) => {
+                self.fleet.set_runner_state(n, "draining");
+                self.undo_after(period, Undo::Ready(n));
+            }
+            Fault::Silence(silent, silence, period) => {
+                silent.iter().for_each(|n| self.fleet.runners[*n].set_silence(Some(silence)));
+                self.undo_after(period, Undo::Silence(silent));
+            }
+            Fault::Rollout(n, down) => {
+                self.fleet.set_runner_state(n, "draining");
+                let deadline = Instant::now() + MAX_DRAIN_TIME;
+                self.undo_after(DRAIN_INTERVAL, Undo::Rollout(n, down, deadline));
+            }
+            Fault::Reload(n) => {
+                if self.fleet.gateways[n].is_running() {
+                    self.fleet.gateways[n].reload();
+                }
+            }
+            Fault::Configure => self.configure(),
+        }
+    }
+
+    fn replace_runner(&mut self, n: usize, down: Duration) {
+        self.disturbances.replaced.push((n, Instant::now()));
+        self.runner_proxies[n].set_mode(Mode::Refuse);
+        let before = self.fleet.runners[n].identity().software;
+        let other = VERSIONS.iter().find(|version| **version != before);
+        let earlier = self.fleet.replace_runner(n, other.expect("two versions"));
+        self.undo_after(down, Undo::RunnerReplacement(n, earlier));
+    }
+
+    pub(super) fn undo(&mut self, undo: Undo) {
+        match undo {
+            Undo::Restart(n) => {
+                let is_running = self.fleet.gateways[n].is_running();
+                if is_running && !self.fleet.gateways[n].is_stopping() {
+                    return; // Restarted by an earlier undo.
+                }
+                if is_running {
+                    self.undo_after(Duration::from_millis(200), Undo::Restart(n));
+                    return;
+                }
+                self.record.on_start(n);
+                self.suspended_for
+                    .iter_mut()
+                    .for_each(|suspended_for| suspended_for[n] = Duration::ZERO);
+                self.fleet.restart(n);
+                self.record.on_start(n);
+            }
+            Undo::Thaw(n) => {
+                if self.fleet.gateways[n].is_running() {
+                    self.fleet.gateways[n].thaw();
+                }
+            }
+            Undo::PlatformConnection(n) => self.platform_proxies[n].set_mode(Mode::Pass),
+            Undo::RunnerConnection(n) => self.runner_proxies[n].set_mode(Mode::Pass),
+            Undo::PeerPartition => self.fleet.gateways.iter().for_each(|g| g.set_unreachable(&[])),
+            Undo::PlatformFaults => self.fleet.objects.set_faults(objects::Faults::default()),
+            Undo::RunnerFaults(n) => self.fleet.runners[n].set_faults(runner::Faults::default()),
+            Undo::Silence(silent) => {
+                silent.iter().for_each(|n| self.fleet.runners[*n].set_silence(None));
+            }
+            Undo::Rollout(n, down, deadline) => {
+                let is_busy = self.fleet.runners[n].runs().iter().any(|run| run.ended.is_none());
+                if is_busy && Instant::now() < deadline {
+                    self.undo_after(DRAIN_INTERVAL, Undo::Rollout(n, down, deadline));
+                } else {
+                    self.replace_runner(n, down);
+                }
+            }
+            Undo::RunnerReplacement(n, earlier) => {
+                self.runner_proxies[n].set_mode(Mode::Pass);
+                self.fleet.register_replacement(n, &earlier);
+            }
+            Undo::Ready(n) => self.fleet.set_runner_state(n, "ready"),
+        }
+    }
+
+    /// Undoes all remaining faults.
+    pub(super) fn undo_all(&mut self) {
+        while let Some((_, undo)) = self.scheduled.pop_first() {
+            self.undo(undo);
+            if self.scheduled.values().all(|undo| matches!(undo, Undo::Restart(_))) {
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        }
+    }
+}
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -3,7 +3,7 @@
 //! A seed determines the schedule of faults: processes are killed, stopped, frozen and
 //! restarted; loopback proxies delay, reset or stall connections; the platform is unavailable,
 //! slow, compacts its history or loses responses; runners crash, interrupt streams, respond under
-//! another id or not at all. Meanwhile callers send requests, and `check.rs` checks the observations of
+//! another id or not at all. Sound runners fall silent and go on beside planned work. Meanwhile callers send requests, and `check.rs` checks the observations of
 //! callers and runners against the guarantees of the system.
 //!
 //! `cargo test --release -p gatespoold --test soak` runs [`SEEDS`] and [`REGRESSION_SEEDS`];
@@ -12,20 +12,30 @@
 //! added to [`REGRESSION_SEEDS`].
 //!
 //! With the path of an earlier `gatespoold` in `GATESPOOL_EARLIER_BUILD`, all gateways start with
-//! that build, and each restart replaces it by the current one or the other way round.
+//! that build, and each restart replaces it by the current one or the other way round. `GATESPOOL_SOAK_GATEWAYS` sets the number of gateways, and of runners if it is larger.
 
 #[path = "../util/mod.rs"]
 mod util;
 
 mod callers;
+mod calm;
 mod check;
 mod crashing_request;
 mod faults;
+mod inject;
+mod planned;
 mod scenario;
 
 /// Seeds of a run without `GATESPOOL_SOAK`, besides [`REGRESSION_SEEDS`].
-const SEEDS: [u64; 5] =
-    [1, 2, FIRST_SUSPENSION_SEED, FIRST_UNFRAMED_SEED, FIRST_FRAMED_VERSIONS_SEED];
+const SEEDS: [u64; 7] = [
+    1,
+    2,
+    FIRST_SUSPENSION_SEED,
+    FIRST_UNFRAMED_SEED,
+    FIRST_FRAMED_VERSIONS_SEED,
+    FIRST_SILENCE_SEED + 1,
+    FIRST_SILENCE_SEED + 2,
+];
 /// From this seed on, freezes are suspensions, during which the monotonic clock stops.
 const FIRST_SUSPENSION_SEED: u64 = 1_000;
 /// From this seed on, runners respond without a length and crash, and some callers use HTTP/1.0.
@@ -35,6 +45,9 @@
 const FIRST_VERSIONS_SEED: u64 = 3_000;
 /// From this seed on the same, with responses in chunks.
 const FIRST_FRAMED_VERSIONS_SEED: u64 = 4_000;
+/// From this seed on the same, but sound runners fall silent beside planned work, and unplanned
+/// faults overlap them in the middle only.
+const FIRST_SILENCE_SEED: u64 = 5_000;
 
 /// Seeds that have failed, each with its cause.
 const REGRESSION_SEEDS: [(u64, &str); 3] = [
--- a/crates/daemon/tests/soak/scenario.rs
+++ b/crates/daemon/tests/soak/scenario.rs
@@ -1,23 +1,29 @@
 //! A scenario of the soak test: a fleet, its callers and the faults of a seed.
 
 use super::callers;
+use super::calm::{Disturbances, PlacedRun};
 use super::check::{EVENTS_PER_RESPONSE, Recorder};
-use super::faults::{self, Fault};
+use super::faults;
+use super::inject::Undo;
+use super::planned::{self, Phase};
 use super::util::gateway::{Fleet, Plan};
-use super::util::proxy::{Mode, Proxy};
+use super::util::proxy::Proxy;
 use super::{
-    FIRST_FRAMED_VERSIONS_SEED, FIRST_SUSPENSION_SEED, FIRST_UNFRAMED_SEED, FIRST_VERSIONS_SEED,
+    FIRST_FRAMED_VERSIONS_SEED, FIRST_SILENCE_SEED, FIRST_SUSPENSION_SEED, FIRST_UNFRAMED_SEED,
+    FIRST_VERSIONS_SEED,
 };
 use hyper::Version;
 use serde_json::json;
-use standin::objects;
 use standin::prompt_memory::Tokens;
-use standin::runner::{self, Config, Runner};
+use standin::runner::{Config, Runner};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
+use tokio::runtime::Runtime;
+use tokio::task::JoinHandle;
 
 /// How long faults are injected.
 const FAULT_PERIOD: Duration = Duration::from_secs(8);
@@ -25,76 +31,97 @@
 const COMPLETION_TIMEOUT: Duration = Duration::from_secs(40);
 /// Numbers of callers of streams and of jobs.
 const CALLERS: [usize; 2] = [callers::STREAM_KEYS.len(), 3];
+/// Number of callers of streams that make slots scarce.
+const MANY_CALLERS: usize = 18;
 /// Factors to the times of the runners.
 const SLOWNESS: [f64; 3] = [1.0, 0.5, 2.0];
+const EVENT_INTERVAL: Duration = Duration::from_millis(15);
+/// Time between events where runners fall silent, which they then do in the middle of responses.
+const LONG_EVENT_INTERVAL: Duration = Duration::from_millis(40);
+/// Data centres of gateways and of runners, in turn.
+const DATA_CENTRES: [&str; 3] = ["east", "east", "west"];
+const RUNNER_DATA_CENTRES: [&str; 6] = ["east", "west", "east", "west", "east", "east"];
 /// Software versions of the runners.
 pub(super) const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Tokens that a runner keeps: not all shared parts.
 const MEMORY_TOKENS: u64 = 9_000;
 
-/// How to undo a fault.
-enum Undo {
-    Restart(usize),
-    Thaw(usize),
-    PlatformConnection(usize),
-    RunnerConnection(usize),
-    PeerPartition,
-    PlatformFaults,
-    RunnerFaults(usize),
-    /// Holds the id of the runner that was replaced.
-    RunnerReplacement(usize, String),
-    Ready(usize),
+/// What the seeds of a class have in common.
+#[derive(Clone, Copy)]
+struct Class {
+    is_unframed: bool,
+    has_versions: bool,
+    has_silences: bool,
+    has_suspensions: bool,
 }
 
-struct Scenario {
-    fleet: Fleet,
-    platform_proxies: Vec<Proxy>,
-    runner_proxies: Vec<Proxy>,
-    record: Arc<Recorder>,
+impl Class {
+    fn of(seed: u64) -> Class {
+        Class {
+            is_unframed: (FIRST_UNFRAMED_SEED..FIRST_FRAMED_VERSIONS_SEED).contains(&seed),
+            has_versions: seed >= FIRST_VERSIONS_SEED,
+            has_silences: seed >= FIRST_SILENCE_SEED,
+            has_suspensions: seed >= FIRST_SUSPENSION_SEED,
+        }
+    }
+
+    fn phases(self, seed: u64, gateways: usize, runners: usize) -> Vec<Phase> {
+        if self.has_silences {
+            return planned::phases(seed, gateways, runners);
+        }
+        let mut steps = faults::schedule(seed, gateways, runners, FAULT_PERIOD);
+        if self.is_unframed {
+            steps = faults::with_crashes(steps, seed, runners);
+        }
+        if self.has_versions {
+            steps = faults::with_replacements(steps, seed, runners);
+        }
+        vec![Phase { is_planned: false, steps }]
+    }
+
+    fn runner_config(self, n: usize) -> Config {
+        let interval = if self.has_silences { LONG_EVENT_INTERVAL } else { EVENT_INTERVAL };
+        Config {
+            id: format!("r{n}"),
+            software: String::from(if self.has_versions { VERSIONS[n % 2] } else { VERSIONS[0] }),
+            event_count: EVENTS_PER_RESPONSE,
+            event_interval: interval,
+            token_time: Duration::from_micros(20),
+            memory_tokens: MEMORY_TOKENS,
+            slowness: SLOWNESS[n % SLOWNESS.len()],
+            is_unframed: self.is_unframed,
+            names_software: self.has_versions,
+            ..Config::default()
+        }
+    }
+}
+
+pub(super) struct Scenario {
+    pub(super) fleet: Fleet,
+    pub(super) platform_proxies: Vec<Proxy>,
+    pub(super) runner_proxies: Vec<Proxy>,
+    pub(super) record: Arc<Recorder>,
+    /// Time that each gateway was suspended since its start; `None` without suspensions.
+    pub(super) suspended_for: Option<Vec<Duration>>,
+    pub(super) disturbances: Disturbances,
+    pub(super) scheduled: BTreeMap<(Instant, usize), Undo>,
+    class: Class,
     version: Arc<AtomicU64>,
-    scheduled: BTreeMap<(Instant, usize), Undo>,
     next_id: usize,
-    /// Time that each gateway was suspended since its start; `None` without suspensions.
-    suspended_for: Option<Vec<Duration>>,
 }
 
 /// Runs the scenario of a seed and returns the violated guarantees.
 pub fn run(seed: u64) -> Vec<String> {
-    let is_unframed = (FIRST_UNFRAMED_SEED..FIRST_FRAMED_VERSIONS_SEED).contains(&seed);
-    let has_versions = seed >= FIRST_VERSIONS_SEED;
-    let mut scenario = Scenario::start(is_unframed, has_versions);
-    scenario.suspended_for = (seed >= FIRST_SUSPENSION_SEED)
-        .then(|| vec![Duration::ZERO; scenario.fleet.gateways.len()]);
+    let class = Class::of(seed);
+    let mut scenario = Scenario::start(class);
     let is_over = Arc::new(AtomicBool::new(false));
-    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let runtime = Runtime::new().expect("a runtime");
     let fronts: Vec<_> =
         scenario.fleet.gateways.iter().map(|gateway| gateway.front_address).collect();
-    let (record, version) = (scenario.record.clone(), scenario.version.clone());
-    let mut tasks = Vec::new();
-    let is_patient = has_versions;
-    for n in 0..CALLERS[0] {
-        let version = if is_unframed && n % 2 == 0 { Version::HTTP_10 } else { Version::HTTP_11 };
-        let caller = callers::StreamCaller { n, version, is_patient, fronts: fronts.clone() };
-        let task = callers::send_streams(caller, record.clone(), is_over.clone());
-        tasks.push(runtime.spawn(task));
-    }
-    for n in 0..CALLERS[1] {
-        let task = callers::submit_jobs(n, fronts.clone(), record.clone(), is_over.clone());
-        tasks.push(runtime.spawn(task));
-    }
-    let probe = callers::poll_versions(fronts.clone(), record.clone(), version, is_over.clone());
-    tasks.push(runtime.spawn(probe));
-    let runners = scenario.runner_proxies.len();
-    let mut steps = faults::schedule(seed, fronts.len(), runners, FAULT_PERIOD);
-    if is_unframed {
-        steps = faults::with_crashes(steps, seed, runners);
-    }
-    if has_versions {
-        steps = faults::with_replacements(steps, seed, runners);
-    }
-    for (pause, fault) in steps {
-        scenario.wait_and_undo(pause);
-        scenario.inject(fault);
+    let record = scenario.record.clone();
+    let tasks = scenario.spawn_callers(&runtime, &fronts, &is_over);
+    for phase in class.phases(seed, fronts.len(), scenario.runner_proxies.len()) {
+        scenario.play(phase);
     }
     scenario.undo_all();
     is_over.store(true, Ordering::Relaxed);
@@ -108,6 +135,12 @@
     println!("seed {seed}: {}; logs in {}", record.counts(), scenario.fleet.dir.display());
     let runs = scenario.fleet.runs("/");
     let mut violations = record.violations(&runs);
+    if class.has_silences {
+        let (lost, summary) =
+            scenario.disturbances.check(&record.take_answers(), &scenario.placed_runs());
+        println!("seed {seed}: {summary}");
+        violations.extend(lost);
+    }
     let tokens: Vec<Tokens> = scenario.fleet.runners.iter().map(Runner::tokens).collect();
     println!("seed {seed}: {tokens:?}");
     if tokens.iter().all(|tokens| tokens.found == 0) {
@@ -116,24 +149,18 @@
     violations
 }
 
+/// Number of gateways: 3 unless the environment says otherwise.
+fn gateway_count() -> usize {
+    let count = std::env::var("GATESPOOL_SOAK_GATEWAYS");
+    count.map_or(DATA_CENTRES.len(), |count| count.parse().expect("a number"))
+}
+
 impl Scenario {
-    fn start(is_unframed: bool, has_versions: bool) -> Scenario {
-        let config = |n: usize| Config {
-            id: format!("r{n}"),
-            software: String::from(if has_versions { VERSIONS[n % 2] } else { VERSIONS[0] }),
-            event_count: EVENTS_PER_RESPONSE,
-            event_interval: Duration::from_millis(15),
-            token_time: Duration::from_micros(20),
-            memory_tokens: MEMORY_TOKENS,
-            slowness: SLOWNESS[n % SLOWNESS.len()],
-            is_unframed,
-            names_software: has_versions,
-            ..Config::default()
-        };
-        let mut runners = vec![("east", config(0)), ("west", config(1)), ("east", config(2))];
-        if has_versions {
-            runners.extend([("west", config(3)), ("east", config(4)), ("east", config(5))]);
-        }
+    fn start(class: Class) -> Scenario {
+        let gateways = gateway_count();
+        let least = if class.has_versions { 6 } else { 3 };
+        let runners = (0..gateways.max(least))
+            .map(|n| (RUNNER_DATA_CENTRES[n % RUNNER_DATA_CENTRES.len()], class.runner_config(n)));
         let workspace = |key: &&str| json!({ "name": key, "api_keys": [key], "rate_per_s": 1_000, "burst": 1_000 });
         let mut keys: Vec<&str> = callers::STREAM_KEYS.to_vec();
         keys.push(callers::KEY);
@@ -141,13 +168,13 @@
         let workspaces = json!(keys.iter().map(workspace).collect::<Vec<_>>());
         let earlier_build = std::env::var_os("GATESPOOL_EARLIER_BUILD").map(PathBuf::from);
         let plan = Plan {
-            runners,
+            gateways: DATA_CENTRES.into_iter().cycle().take(gateways).collect(),
+            runners: runners.collect(),
             workspaces,
             earlier_build,
             memory_tokens: MEMORY_TOKENS,
             ..Plan::default()
         };
-        let gateways = plan.gateways.len();
         let mut proxies = Vec::new();
         let fleet = Fleet::start_behind_proxies(plan, |address| {
             let proxy = Proxy::start(address);
@@ -160,27 +187,80 @@
         for runner in &fleet.runners {
             runner.fail_suffix("-poison", 422);
         }
-        let version = Arc::new(AtomicU64::new(10));
-        let record = Arc::new(Recorder::default());
         let mut scenario = Scenario {
             fleet,
             platform_proxies,
             runner_proxies,
-            record,
-            version,
+            record: Arc::default(),
+            suspended_for: class.has_suspensions.then(|| vec![Duration::ZERO; gateways]),
+            disturbances: Disturbances::default(),
             scheduled: BTreeMap::new(),
+            class,
+            version: Arc::new(AtomicU64::new(10)),
             next_id: 0,
-            suspended_for: None,
         };
         scenario.configure();
         scenario.fleet.wait_ready();
         scenario
     }
 
+    fn spawn_callers(
+        &self,
+        runtime: &Runtime,
+        fronts: &[SocketAddr],
+        is_over: &Arc<AtomicBool>,
+    ) -> Vec<JoinHandle<()>> {
+        let Class { is_unframed, has_versions, has_silences, .. } = self.class;
+        let mut tasks = Vec::new();
+        let callers = if has_silences { MANY_CALLERS } else { CALLERS[0] };
+        for n in 0..callers.max(fronts.len()) {
+            let is_old = is_unframed && n % 2 == 0;
+            let caller = callers::StreamCaller {
+                n,
+                version: if is_old { Version::HTTP_10 } else { Version::HTTP_11 },
+                is_patient: has_versions,
+                kinds: if has_silences { &["ask", "talk", "plain"] } else { &["ask", "talk"] },
+                fronts: fronts.to_vec(),
+            };
+            let task = callers::send_streams(caller, self.record.clone(), is_over.clone());
+            tasks.push(runtime.spawn(task));
+        }
+        for n in 0..CALLERS[1] {
+            let record = self.record.clone();
+            let task = callers::submit_jobs(n, fronts.to_vec(), record, is_over.clone());
+            tasks.push(runtime.spawn(task));
+        }
+        let (record, newest) = (self.record.clone(), self.version.clone());
+        let probe = callers::poll_versions(fronts.to_vec(), record, newest, is_over.clone());
+        tasks.push(runtime.spawn(probe));
+        tasks
+    }
+
+    /// Injects the faults of a phase. The faults of an unplanned one end with it.
+    fn play(&mut self, phase: Phase) {
+        let started = Instant::now();
+        for (pause, fault) in phase.steps {
+            self.wait_and_undo(pause);
+            self.inject(fault);
+        }
+        if !phase.is_planned {
+            self.undo_all();
+            self.disturbances.periods.push((started, Instant::now()));
+        }
+    }
+
+    fn placed_runs(&self) -> Vec<PlacedRun> {
+        let runners = self.fleet.runners.iter().enumerate();
+        runners.flat_map(|(n, runner)| runner.runs().into_iter().map(move |run| (n, run))).collect()
+    }
+
     /// Writes the next version of the configuration, with a route that no other version has.
-    fn configure(&mut self) {
+    pub(super) fn configure(&mut self) {
         let version = self.version.load(Ordering::Relaxed) + 1;
         let mut config = self.fleet.config(version);
+        if self.class.has_silences {
+            planned::vary(&mut config, version);
+        }
         let mut marker = config["routes"][3].clone();
         marker["name"] = json!(format!("at-{version}"));
         marker["path_prefix"] = json!(format!("/at-{version}/"));
@@ -191,7 +271,7 @@
         self.version.store(version, Ordering::Relaxed);
     }
 
-    fn undo_after(&mut self, delay: Duration, undo: Undo) {
+    pub(super) fn undo_after(&mut self, delay: Duration, undo: Undo) {
         self.next_id += 1;
         self.scheduled.insert((Instant::now() + delay, self.next_id), undo);
     }
@@ -213,128 +293,4 @@
             }
         }
     }
-
-    fn inject(&mut self, fault: Fault) {
-        match fault {
-            Fault::Kill(n, down) => {
-                self.fleet.gateways[n].kill();
-                self.undo_after(down, Undo::Restart(n));
-            }
-            Fault::KillAll(down) => {
-                for n in 0..self.fleet.gateways.len() {
-                    self.fleet.gateways[n].kill();
-                    self.undo_after(down, Undo::Restart(n));
-                }
-            }
-            Fault::Terminate(n) => {
-                if self.fleet.gateways[n].is_running() {
-                    self.fleet.gateways[n].thaw();
-                    self.fleet.gateways[n].terminate();
-                    self.undo_after(Duration::from_millis(400), Undo::Restart(n));
-                }
-            }
-            Fault::Freeze(n, period) => {
-                if self.fleet.gateways[n].is_running() {
-                    self.fleet.gateways[n].freeze();
-                    if let Some(suspended_for) = &mut self.suspended_for {
-                        suspended_for[n] += period;
-                        self.fleet.gateways[n].simulate_suspension(suspended_for[n]);
-                    }
-                    self.undo_after(period, Undo::Thaw(n));
-                }
-            }
-            Fault::PlatformConnection(n, mode, period) => {
-                self.platform_proxies[n].set_mode(mode);
-                self.undo_after(period, Undo::PlatformConnection(n));
-            }
-            Fault::RunnerConnection(n, mode, period) => {
-                self.runner_proxies[n].set_mode(mode);
-                self.undo_after(period, Undo::RunnerConnection(n));
-            }
-            Fault::RunnerCrash(n, down) => {
-                self.runner_proxies[n].set_mode(Mode::Refuse);
-                self.undo_after(down, Undo::RunnerConnection(n));
-            }
-            Fault::RunnerReplacement(n, down) => {
-                self.runner_proxies[n].set_mode(Mode::Refuse);
-                let before = self.fleet.runners[n].identity().software;
-                let other = VERSIONS.iter().find(|version| **version != before);
-                let earlier = self.fleet.replace_runner(n, other.expect("two versions"));
-                self.undo_after(down, Undo::RunnerReplacement(n, earlier));
-            }
-            Fault::PeerPartition(n, period) => {
-                let own = self.fleet.gateways[n].peer_address;
-                let gateways = self.fleet.gateways.iter();
-                let others: Vec<_> =
-                    gateways.map(|g| g.peer_address).filter(|peer| *peer != own).collect();
-                self.fleet.gateways[n].set_unreachable(&others);
-                for (other, gateway) in self.fleet.gateways.iter().enumerate() {
-                    if other != n {
-                        gateway.set_unreachable(&[own]);
-                    }
-                }
-                self.undo_after(period, Undo::PeerPartition);
-            }
-            Fault::PlatformFaults(faults, period) => {
-                self.fleet.objects.set_faults(faults);
-                self.undo_after(period, Undo::PlatformFaults);
-            }
-            Fault::CompactHistory => self.fleet.objects.compact_history(),
-            Fault::RunnerFaults(n, faults, period) => {
-                self.fleet.runners[n].set_faults(faults);
-                self.undo_after(period, Undo::RunnerFaults(n));
-            }
-            Fault::Drain(n, period) => {
-                self.fleet.set_runner_state(n, "draining");
-                self.undo_after(period, Undo::Ready(n));
-            }
-            Fault::Configure => self.configure(),
-        }
-    }
-
-    fn undo(&mut self, undo: Undo) {
-        match undo {
-            Undo::Restart(n) => {
-                let is_running = self.fleet.gateways[n].is_running();
-                if is_running && !self.fleet.gateways[n].is_stopping() {
-                    return; // Restarted by an earlier undo.
-                }
-                if is_running {
-                    self.undo_after(Duration::from_millis(200), Undo::Restart(n));
-                    return;
-                }
-                self.record.on_start(n);
-                self.suspended_for
-                    .iter_mut()
-                    .for_each(|suspended_for| suspended_for[n] = Duration::ZERO);
-                self.fleet.restart(n);
-                self.record.on_start(n);
-            }
-            Undo::Thaw(n) => {
-                if self.fleet.gateways[n].is_running() {
-                    self.fleet.gateways[n].thaw();
-                }
-            }
-            Undo::PlatformConnection(n) => self.platform_proxies[n].set_mode(Mode::Pass),
-            Undo::RunnerConnection(n) => self.runner_proxies[n].set_mode(Mode::Pass),
-            Undo::PeerPartition => self.fleet.gateways.iter().for_each(|g| g.set_unreachable(&[])),
-            Undo::PlatformFaults => self.fleet.objects.set_faults(objects::Faults::default()),
-            Undo::RunnerFaults(n) => self.fleet.runners[n].set_faults(runner::Faults::default()),
-            Undo::RunnerReplacement(n, earlier) => {
-                self.runner_proxies[n].set_mode(Mode::Pass);
-                self.fleet.register_replacement(n, &earlier);
-            }
-            Undo::Ready(n) => self.fleet.set_runner_state(n, "ready"),
-        }
-    }
-
-    /// Undoes all remaining faults.
-    fn undo_all(&mut self) {
-        while let Some((_, undo)) = self.scheduled.pop_first() {
-            self.undo(undo);
-            if self.scheduled.values().all(|undo| matches!(undo, Undo::Restart(_))) {
-                std::thread::sleep(Duration::from_millis(20));
-            }
-        }
-    }
 }
