Keep a completion at a silent target until another target has it

Callers of the own interface saw completions fail or end without their last event beside engines that fell silent for 1.5 s and went on.

Cause: two unanswered load reports ended the exchange, and only then another target was looked for. The silent ones were ejected by then, so there was none, or no attempt or retry was left. Each such request also counted as a failure of the target, which made its ejection longer.

Now the exchange stays open while another target is looked for, and whichever sends something first is used. Once the other target has had the request for 250 ms, the silent one is dropped. Only a target that answers its load reports replaces another, within the attempts and the retry budget as before. Without one, the silent target is waited for until the deadline. A target that leaves its load reports unanswered but goes on sending isn't silent. Log lines "target is silent" and "silence ended"; metrics front.silence_kept, _replaced and _expired.

--- a/crates/coordination/src/retry.rs
+++ b/crates/coordination/src/retry.rs
@@ -26,9 +26,14 @@
         self.tokens = (self.tokens + BUDGET_RATIO).min(MAX_BUDGET);
     }
 
+    /// Whether no retry is left.
+    pub fn is_used_up(&self) -> bool {
+        self.tokens < 1.0
+    }
+
     /// Takes one retry; `false` if the budget is used up.
     pub fn try_take(&mut self) -> bool {
-        if self.tokens < 1.0 {
+        if self.is_used_up() {
             return false;
         }
         self.tokens -= 1.0;
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// Whether its load reports go unanswered.
+    pub fn is_unresponsive(&self) -> bool {
+        *self.unresponsive.borrow()
+    }
+
     /// Waits until the target is unresponsive.
     pub async fn wait_unresponsive(&self) {
         let mut unresponsive = self.unresponsive.subscribe();
--- a/crates/daemon/src/front/completion_stream.rs
+++ b/crates/daemon/src/front/completion_stream.rs
@@ -1,6 +1,8 @@
 //! Obtains one completion from the targets: selects a target, queues, retries and
 //! resumes an interrupted stream on another target.
 
+use super::attempt::Attempt;
+use super::replacement::Replaced;
 use super::request_options::{Class, RequestOptions};
 use crate::clock;
 use crate::fleet::{self, Requirements, ServiceTargets, TargetGuard, lock};
@@ -13,25 +15,26 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
-use transport::target::{AttemptError, AttemptMeta, Client, Stream, StreamItem};
+use transport::target::{AttemptError, AttemptMeta, Client, StreamItem};
 
-const MAX_ATTEMPTS: u32 = 4;
+/// Maximum number of targets that a request is sent to.
+pub(super) const MAX_ATTEMPTS: u32 = 4;
 
 /// A completion in progress.
 pub struct CompletionStream {
-    shared: Arc<Shared>,
+    pub(super) shared: Arc<Shared>,
     client: Client,
-    options: RequestOptions,
-    requirements: Requirements,
-    service: String,
+    pub(super) options: RequestOptions,
+    pub(super) requirements: Requirements,
+    pub(super) service: String,
     request: Request,
-    stream: Option<(TargetGuard, Stream)>,
-    tried: Vec<TargetId>,
-    attempts: u32,
-    sent: bool,
+    attempt: Option<Attempt>,
+    pub(super) tried: Vec<TargetId>,
+    pub(super) attempts: u32,
+    pub(super) sent: bool,
     text: String,
-    tokens: u32,
-    target: TargetId,
+    pub(super) tokens: u32,
+    pub(super) target: TargetId,
 }
 
 impl CompletionStream {
@@ -51,7 +54,7 @@
             requirements,
             service,
             request,
-            stream: None,
+            attempt: None,
             tried: Vec::new(),
             attempts: 0,
             sent: false,
@@ -88,52 +91,90 @@
     /// Why the completion can't be finished.
     pub async fn next(&mut self) -> Result<StreamItem, Error> {
         loop {
-            if self.stream.is_none() {
-                self.open().await?;
-            }
-            let Some((guard, stream)) = &mut self.stream else {
-                continue;
-            };
-            let remaining = self.options.remaining(Instant::now());
-            let repeatable = self.options.repeatable;
-            let item = tokio::time::timeout(
-                remaining,
-                until_unresponsive(guard, repeatable, stream.next()),
-            );
-            match item.await {
-                Err(_) => {
-                    return Err(Error::new(Kind::TimedOut, "the completion exceeded its deadline"));
-                }
-                Ok(Ok(StreamItem::Token(text))) => {
-                    self.text.push_str(&text);
-                    self.tokens += 1;
-                    return Ok(StreamItem::Token(text));
-                }
-                Ok(Ok(end)) => {
-                    guard.on_success();
-                    self.stream = None;
-                    return Ok(end);
-                }
-                Ok(Err(error)) => {
-                    if self.shared.settings.is_guard_disabled("whole") {
-                        return Ok(StreamItem::End("stop".into()));
-                    }
-                    let guard = self.stream.take().map(|(guard, _)| guard);
-                    self.on_error(guard, &error)?;
+            let attempt = match self.attempt.take() {
+                Some(attempt) => attempt,
+                None => {
+                    let guard = self.acquire_target().await?;
+                    self.start(guard, Instant::now())
                 }
+            };
+            if let Some(item) = self.advance(attempt).await? {
+                return Ok(item);
             }
         }
     }
 
-    async fn open(&mut self) -> Result<(), Error> {
-        let guard = self.acquire_target().await?;
-        let now = Instant::now();
-        let remaining = self.options.remaining(now);
+    /// Waits until the attempt brings an item, fails or falls silent; `None` if another attempt
+    /// is to go on.
+    async fn advance(&mut self, attempt: Attempt) -> Result<Option<StreamItem>, Error> {
+        let mut attempt = attempt;
+        let remaining = self.options.remaining(Instant::now());
+        let silence = attempt.silence();
+        let item = tokio::select! {
+            biased;
+            item = attempt.next() => item,
+            () = silence, if self.options.repeatable => return self.on_silence(attempt).await,
+            () = tokio::time::sleep(remaining) => return self.on_deadline(&attempt).map(|()| None),
+        };
+        match item {
+            Ok(item) => Ok(Some(self.accept(attempt, item))),
+            Err(error) => self.on_interruption(attempt, &error),
+        }
+    }
+
+    async fn on_silence(&mut self, silent: Attempt) -> Result<Option<StreamItem>, Error> {
+        match self.replace(silent).await {
+            Replaced::By(attempt, Some(item)) => Ok(Some(self.accept(attempt, item))),
+            Replaced::By(attempt, None) => {
+                self.attempt = Some(attempt);
+                Ok(None)
+            }
+            Replaced::Failed(attempt, error) => self.on_interruption(attempt, &error),
+            Replaced::Expired => Err(deadline_exceeded()),
+        }
+    }
+
+    fn on_deadline(&mut self, attempt: &Attempt) -> Result<(), Error> {
+        self.sent = true;
+        if attempt.has_begun() {
+            return Err(deadline_exceeded());
+        }
+        let error = AttemptError::new(Failure::Unknown, "no response before the deadline");
+        self.on_error(&attempt.guard, &AttemptError { is_timeout: true, ..error })
+    }
+
+    fn accept(&mut self, attempt: Attempt, item: StreamItem) -> StreamItem {
+        self.sent = true;
+        if let StreamItem::Token(text) = &item {
+            self.text.push_str(text);
+            self.tokens += 1;
+            self.attempt = Some(attempt);
+        } else {
+            attempt.guard.on_success();
+        }
+        item
+    }
+
+    fn on_interruption(
+        &mut self,
+        attempt: Attempt,
+        error: &AttemptError,
+    ) -> Result<Option<StreamItem>, Error> {
+        self.sent |= attempt.has_begun();
+        if attempt.has_begun() && self.shared.settings.is_guard_disabled("whole") {
+            return Ok(Some(StreamItem::End("stop".into())));
+        }
+        self.on_error(&attempt.guard, error)?;
+        Ok(None)
+    }
+
+    /// Sends the request to a target, with what has been received so far.
+    pub(super) fn start(&mut self, guard: TargetGuard, now: Instant) -> Attempt {
         let meta = AttemptMeta {
             attempt: rand::random(),
-            key: self.options.key.as_ref().map_or(String::new(), |key| key.scoped.clone()),
+            key: self.key().to_owned(),
             priority: u8::from(self.options.class == Class::Batch),
-            timeout: remaining,
+            timeout: self.options.remaining(now),
         };
         self.request.stream = true;
         self.request.resume =
@@ -143,16 +184,12 @@
             lock(&self.shared.budget).on_request();
         }
         self.target.clone_from(&guard.target.config.name);
-        let address = guard.target.config.address;
-        let chat = self.client.chat(address, &self.request, &meta);
-        match until_unresponsive(&guard, self.options.repeatable, chat).await {
-            Ok(stream) => {
-                self.sent = true;
-                self.stream = Some((guard, stream));
-                Ok(())
-            }
-            Err(error) => self.on_error(Some(guard), &error),
-        }
+        Attempt::start(&self.client, guard, self.request.clone(), meta, now)
+    }
+
+    /// Scoped idempotency key; empty if the caller sent none.
+    pub(super) fn key(&self) -> &str {
+        self.options.key.as_ref().map_or("", |key| key.scoped.as_str())
     }
 
     /// Selects a free target, or waits for one in the queue.
@@ -217,19 +254,21 @@
         Error::new(Kind::Overloaded, text).with_retry_after(after)
     }
 
+    /// Records that a target failed.
+    pub(super) fn on_failure(&mut self, guard: &TargetGuard, error: &AttemptError, now: Instant) {
+        guard.on_failure(now);
+        self.tried.push(guard.target.config.name.clone());
+        self.sent |= error.failure == Failure::Unknown;
+        if error.leaving {
+            let notice = Notice { leaving: true, stamp: clock::millis() };
+            self.shared.report_leaving(&guard.target.config.name, Source::Target, notice);
+        }
+    }
+
     /// Returns `Ok` if the request should be retried, otherwise the final error.
-    fn on_error(&mut self, guard: Option<TargetGuard>, error: &AttemptError) -> Result<(), Error> {
+    fn on_error(&mut self, guard: &TargetGuard, error: &AttemptError) -> Result<(), Error> {
         let now = Instant::now();
-        if let Some(guard) = guard {
-            guard.on_failure(now);
-            self.tried.push(guard.target.config.name.clone());
-            if error.leaving {
-                let notice = Notice { leaving: true, stamp: clock::millis() };
-                self.shared.report_leaving(&guard.target.config.name, Source::Target, notice);
-            }
-        }
-        let may_have_run = error.failure == Failure::Unknown;
-        self.sent |= may_have_run;
+        self.on_failure(guard, error, now);
         let guard_disabled = self.shared.settings.is_guard_disabled("retry");
         let may_retry = retry::may_retry(self.options.repeatable || guard_disabled, error.failure);
         let in_time = !self.options.remaining(now).is_zero();
@@ -238,9 +277,9 @@
             && self.attempts < MAX_ATTEMPTS
             && lock(&self.shared.budget).try_take()
         {
-            let key = self.options.key.as_ref().map_or("", |key| key.scoped.as_str());
-            slog::info!(self.shared.log, "retrying request"; "service" => &self.service, "key" => key,
-                "target" => &self.target, "reason" => &error.message, "tokens" => self.tokens);
+            slog::info!(self.shared.log, "retrying request"; "service" => &self.service,
+                "key" => self.key(), "target" => &self.target, "reason" => &error.message,
+                "tokens" => self.tokens);
             return Ok(());
         }
         Err(self.final_error(error))
@@ -262,20 +301,6 @@
     Error::new(Kind::UnknownService, format!("no service `{service}`"))
 }
 
-/// Fails when the target becomes unresponsive, so that another target can continue
-/// a repeatable request. A request that may run at most once waits for its target.
-async fn until_unresponsive<T>(
-    guard: &TargetGuard,
-    repeatable: bool,
-    response: impl Future<Output = Result<T, AttemptError>>,
-) -> Result<T, AttemptError> {
-    if !repeatable {
-        return response.await;
-    }
-    tokio::select! {
-        response = response => response,
-        () = guard.target.wait_unresponsive() => {
-            Err(AttemptError::new(Failure::Unknown, "the target is unresponsive"))
-        }
-    }
+fn deadline_exceeded() -> Error {
+    Error::new(Kind::TimedOut, "the completion exceeded its deadline")
 }
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -12,11 +12,13 @@
 use transport::target::Client;
 
 mod admin;
+mod attempt;
 mod chat;
 mod completion_stream;
 mod jobs;
 mod keyed;
 mod plain;
+mod replacement;
 mod request_options;
 
 /// Description of the HTTP API, served to callers.
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -19,10 +19,12 @@
 
 use events::{collect_response, event};
 use slot::Waiter;
-pub use types::{Config, Control, Run};
+pub use types::{Config, Control, Run, Silence};
 
 const MAX_BODY_BYTES: usize = 1 << 20;
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How often a paused engine checks whether it goes on.
+const PAUSE_STEP: Duration = Duration::from_millis(5);
 
 /// Marker of prompts that fail on every engine.
 pub const POISON: &str = "[poison]";
@@ -36,6 +38,7 @@
     reports: VecDeque<(Instant, LoadReport)>,
     prefixes: VecDeque<u64>,
     control: Control,
+    silence: Option<Silence>,
     fencing_token: u64,
     version: String,
     adapters: Vec<String>,
@@ -76,6 +79,17 @@
         current.token_ms = control.token_ms.or(current.token_ms);
     }
 
+    /// Starts or ends a silence.
+    pub fn set_silence(&self, silence: Option<Silence>) {
+        self.lock().silence = silence;
+    }
+
+    async fn wait_while_heads_are_withheld(&self) {
+        while self.lock().silence == Some(Silence::Everything) {
+            tokio::time::sleep(PAUSE_STEP).await;
+        }
+    }
+
     /// Requests that got a slot or failed at once, in that order.
     pub fn runs(&self) -> Vec<Run> {
         self.lock().runs.clone()
@@ -130,7 +144,7 @@
         (
             token_interval,
             state.control.slow_factor.unwrap_or(1.0),
-            state.control.frozen == Some(true),
+            state.control.frozen == Some(true) || state.silence.is_some(),
         )
     }
 
@@ -138,7 +152,7 @@
         let (_, slow_factor, _) = self.timing();
         tokio::time::sleep(time.mul_f64(slow_factor)).await;
         while self.timing().2 {
-            tokio::time::sleep(Duration::from_millis(5)).await;
+            tokio::time::sleep(PAUSE_STEP).await;
         }
     }
 
@@ -177,6 +191,7 @@
         let engine = self.clone();
         let stream = request.stream;
         tokio::spawn(async move { engine.generate(head, request, prompt, tx).await });
+        self.wait_while_heads_are_withheld().await;
         if stream {
             return http::stream(200, "text/event-stream", rx);
         }
--- a/crates/standin/src/engine/types.rs
+++ b/crates/standin/src/engine/types.rs
@@ -69,6 +69,15 @@
     pub token_ms: Option<u64>,
 }
 
+/// What an engine doesn't write while it is silent. It goes on afterwards as if nothing had happened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Silence {
+    /// Anything.
+    Everything,
+    /// Tokens and load reports; heads of responses are written.
+    Tokens,
+}
+
 /// Record of a request that got a slot, or failed at once.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Run {
