Don't hold a pause against the targets of the own interface

Items of jobs weren't started any more at all: two jobs of 24 items stood still at 16 until the test gave up after 30 s.

Cause: each unanswered load report from the second on ejected the target, for twice as long each time, and an answered one changed nothing. Probation after it ends only through successful requests, and no item is started during it, so that without online requests a job waited for ever.

One silence now counts once, and once more from the fifth unanswered report on. While more than half of the targets that serve a request fell silent for the first time since they last responded, they are used, but last; one that is silent beside others that respond gets no requests. The first response after such a silence leaves nothing against the target. A plain service without load reports counts as responding when it answers anything; before, its missed reports were never forgotten.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -342,7 +342,7 @@
         }
         Err(error) if error.is_timeout => target.on_unresponsive(Instant::now()),
         // It responded, though not with a report: a plain service needn't have one.
-        Err(_) => {}
+        Err(_) => target.on_response(),
     }
 }
 
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -28,6 +28,8 @@
 /// tolerate one pause of the target; a third would delay each waiting request by another
 /// second.
 const MISSED_REPORTS_UNTIL_UNRESPONSIVE: u32 = 2;
+/// Unanswered load reports in a row after which a silence is no longer taken for a pause.
+const MISSED_REPORTS_UNTIL_GONE: u32 = 5;
 
 /// Targets whose online load changed since it was last sent to their owners.
 #[derive(Debug, Default)]
@@ -105,11 +107,25 @@
 
     /// Counts a load report that wasn't answered in time.
     pub fn on_unresponsive(&self, now: Instant) {
-        if self.missed_reports.fetch_add(1, Ordering::Relaxed) + 1
-            >= MISSED_REPORTS_UNTIL_UNRESPONSIVE
-        {
-            self.unresponsive.send_replace(true);
-            lock(&self.state).health.on_unresponsive(now);
+        let missed = self.missed_reports.fetch_add(1, Ordering::Relaxed) + 1;
+        match missed {
+            MISSED_REPORTS_UNTIL_UNRESPONSIVE => {
+                lock(&self.state).health.on_silent(now);
+                self.unresponsive.send_replace(true);
+            }
+            MISSED_REPORTS_UNTIL_GONE => lock(&self.state).health.on_unresponsive(now),
+            // One silence counts once, and once more if it is no pause.
+            _ => {}
+        }
+    }
+
+    /// Ends a silence: the target responds again. A pause leaves nothing against it.
+    pub fn on_response(&self) {
+        self.missed_reports.store(0, Ordering::Relaxed);
+        self.unresponsive.send_replace(false);
+        let health = &mut lock(&self.state).health;
+        if health.is_first_silence() {
+            health.on_success();
         }
     }
 
@@ -127,8 +143,7 @@
 
     /// Records a load report that was requested at `now`.
     pub fn on_report(&self, report: LoadReport, now: Instant) {
-        self.missed_reports.store(0, Ordering::Relaxed);
-        self.unresponsive.send_replace(false);
+        self.on_response();
         let mut state = lock(&self.state);
         state.load.on_report(load::Report { online: report.online, batch: report.batch, at: now });
         state.report = Some(report);
@@ -147,16 +162,25 @@
         lock(&self.state).report.as_ref().map(|report| report.version.clone())
     }
 
-    fn candidate(&self, data_centre: &str, now: Instant) -> Candidate {
+    /// Whether a first silence is all that is known against the target.
+    fn is_first_silence(&self) -> bool {
+        lock(&self.state).health.is_first_silence()
+    }
+
+    /// The target as a candidate for a request. A first silence excludes it only if `is_strict`.
+    fn candidate(&self, data_centre: &str, is_strict: bool, now: Instant) -> Candidate {
         let state = lock(&self.state);
         let online = state.load.online(now);
         let own = state.load.own();
         let slots = self.config.slots;
-        let capacity = match state.health.availability(now) {
+        let most = match state.health.availability(now) {
+            _ if !is_strict && state.health.is_first_silence() => state.concurrency.limit(),
+            _ if self.is_unresponsive() => 0,
             Availability::Ejected => 0,
-            Availability::Probation => 1u32.saturating_sub(own),
-            Availability::Full => state.concurrency.limit().saturating_sub(own),
+            Availability::Probation => 1,
+            Availability::Full => state.concurrency.limit(),
         };
+        let capacity = most.saturating_sub(own);
         // One and a half times the slots keep the engine's queue short, and a request ready
         // for the next free slot.
         let queue = (slots + slots.div_ceil(2)).saturating_sub(online);
--- a/crates/daemon/src/fleet/selection.rs
+++ b/crates/daemon/src/fleet/selection.rs
@@ -93,12 +93,16 @@
     let suitable =
         |target: &&Arc<FleetTarget>| requirements.is_met_by(target, &service_targets.service);
     let not_excluded = |target: &&Arc<FleetTarget>| !excluded.contains(&target.config.name);
-    let targets: Vec<&Arc<FleetTarget>> =
-        service_targets.targets.iter().filter(suitable).filter(not_excluded).collect();
-    let candidates: Vec<Candidate> =
-        targets.iter().map(|target| target.candidate(data_centre, now)).collect();
-    let draws = [rand::random(), rand::random()];
-    let selected = route::pick(requirements.prefix, &candidates, Policy::default(), draws)?;
+    let all: Vec<&Arc<FleetTarget>> = service_targets.targets.iter().filter(suitable).collect();
+    let targets: Vec<&Arc<FleetTarget>> = all.iter().copied().filter(not_excluded).collect();
+    let select = |is_strict| {
+        let candidate = |target: &&Arc<FleetTarget>| target.candidate(data_centre, is_strict, now);
+        let candidates: Vec<Candidate> = targets.iter().map(candidate).collect();
+        let draws = [rand::random(), rand::random()];
+        route::pick(requirements.prefix, &candidates, Policy::default(), draws)
+    };
+    let selected =
+        select(true).or_else(|| if is_common_silence(&all) { select(false) } else { None })?;
     let target = targets[selected].clone();
     {
         let mut state = lock(&target.state);
@@ -110,3 +114,10 @@
     service_targets.counts.running.fetch_add(1, Ordering::Relaxed);
     Some(TargetGuard { target, counts: service_targets.counts.clone(), started: now })
 }
+
+/// Whether most of the targets fell silent since they last responded, which is no evidence against
+/// each of them.
+fn is_common_silence(targets: &[&Arc<FleetTarget>]) -> bool {
+    let silent = targets.iter().filter(|target| target.is_first_silence()).count();
+    silent * 2 > targets.len()
+}
--- a/crates/daemon/tests/silent_engine.rs
+++ b/crates/daemon/tests/silent_engine.rs
@@ -7,8 +7,8 @@
 use standin::engine::{Config, Engine, Silence};
 use standin::text;
 use std::time::Duration;
-use util::client::{Response, chat};
-use util::cluster::{Cluster, Plan};
+use util::client::{Response, chat, post};
+use util::cluster::{Cluster, Plan, items};
 use util::wait_until;
 
 const ENGINES: usize = 4;
@@ -115,3 +115,77 @@
     assert_whole(&responses, true);
     assert_eq!(cluster.runs().len(), 3, "a request ran twice at its only target");
 }
+
+/// Regression: a common pause ejected every target, and each request in flight doubled the time.
+#[rstest]
+fn targets_serve_again_after_a_common_silence(
+    #[values(Position::Head, Position::BetweenTokens)] position: Position,
+) {
+    let cluster = cluster_of(ENGINES);
+    let front = cluster.daemons[0].front_address;
+    for wave in 0..3 {
+        call_in_silence(&cluster, &cluster.engines, position, ENGINES, ("wave", true));
+        std::thread::scope(|scope| {
+            let call = |n: usize| {
+                let prompt = format!("after {wave} {n}");
+                move || {
+                    (prompt.clone(), chat(front, &prompt, &[DEADLINE], json!({ "stream": true })))
+                }
+            };
+            let calls: Vec<_> = (0..CALLERS).map(|n| scope.spawn(call(n))).collect();
+            let responses: Vec<_> =
+                calls.into_iter().map(|call| call.join().expect("a response")).collect();
+            assert_whole(&responses, true);
+        });
+    }
+}
+
+#[test]
+fn target_that_is_silent_alone_gets_no_requests() {
+    let cluster = cluster_of(ENGINES);
+    let front = cluster.daemons[0].front_address;
+    cluster.engines[0].set_silence(Some(Silence::Tokens));
+    std::thread::sleep(SILENCE);
+    for n in 0..12 {
+        let prompt = format!("elsewhere {n}");
+        assert_whole(&[(prompt.clone(), chat(front, &prompt, &[], json!({})))], false);
+    }
+    assert!(cluster.engines[0].runs().is_empty());
+}
+
+#[rstest]
+fn plain_call_waits_for_its_silent_target(#[values("GET", "POST")] method: &str) {
+    let cluster = cluster_of(1);
+    let front = cluster.daemons[0].front_address;
+    cluster.plain.set_silent(true);
+    std::thread::scope(|scope| {
+        let call = || util::client::call(method, front, "/offers/1", &[DEADLINE], "{}");
+        let first = scope.spawn(call);
+        std::thread::sleep(SILENCE - Duration::from_millis(200));
+        let late = scope.spawn(call);
+        std::thread::sleep(Duration::from_millis(200));
+        cluster.plain.set_silent(false);
+        assert_eq!(first.join().expect("a response").status, 200);
+        assert_eq!(late.join().expect("a response").status, 200);
+    });
+    assert_eq!(post(front, "/offers/2", &[], &json!({})).status, 200);
+}
+
+/// Regression: after a common pause no item was started until online requests had succeeded.
+#[rstest]
+fn items_of_silent_targets_finish(
+    #[values(Silence::Everything, Silence::Tokens)] silence: Silence,
+) {
+    let cluster = cluster_of(ENGINES);
+    let mut list = items("describe", 24);
+    list.iter_mut().step_by(2).for_each(|item| item["repeatable"] = json!(false));
+    let accepted = cluster.submit(0, "night", &list);
+    let job = accepted.json()["job"].as_str().expect("job id").to_owned();
+    wait_until("items run", || cluster.runs().len() >= ENGINES);
+    cluster.engines.iter().for_each(|engine| engine.set_silence(Some(silence)));
+    std::thread::sleep(SILENCE);
+    cluster.engines.iter().for_each(|engine| engine.set_silence(None));
+    let status = cluster.wait_job(0, &job, "finished");
+    assert_eq!((&status["done"], &status["failed"]), (&json!(24), &json!(0)), "{status}");
+    assert_eq!(cluster.runs().len(), 24, "an item ran again");
+}
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -10,6 +10,8 @@
 
 const MAX_BODY_BYTES: usize = 1 << 20;
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How often a silent service checks whether it goes on.
+const PAUSE_STEP: Duration = Duration::from_millis(5);
 
 /// Record of a call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,6 +32,7 @@
     calls: Vec<Call>,
     lost_replies: u32,
     delay: Duration,
+    is_silent: bool,
 }
 
 /// A service that returns path, body and the number of calls so far; clones share its state.
@@ -57,11 +60,23 @@
     pub fn set_delay(&self, delay: Duration) {
         self.lock().delay = delay;
     }
+
+    /// Starts or ends a silence, in which the service writes nothing.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.lock().is_silent = is_silent;
+    }
+
+    async fn wait_while_silent(&self) {
+        while self.lock().is_silent {
+            tokio::time::sleep(PAUSE_STEP).await;
+        }
+    }
 }
 
 impl Service for PlainService {
     async fn call<B: BodyStream>(&self, head: RequestHead, mut body: B) -> Response {
         if head.method == Method::GET && head.path == "/load" {
+            self.wait_while_silent().await;
             return http::json(200, &LoadReport::default());
         }
         if head.method == Method::GET && head.path == "/record" {
@@ -82,6 +97,7 @@
             (state.calls.len(), lost, state.delay)
         };
         tokio::time::sleep(delay).await;
+        self.wait_while_silent().await;
         if lost {
             return http::error(&Error::new(Kind::Internal, "the answer is lost"));
         }
