Run items on targets on probation, one at a time

A job stood still for good after a failure of all targets, unless online requests came: after a silence of 4.5 s, 0 of 48 items were done when the test gave up 30 s later.

Cause: a target on probation needs successes to be used in full again, and no item was started there, so that only online requests could bring them.

Now one item at a time is started on a target on probation, as it is with online requests, and none while its load reports go unanswered.

--- a/crates/daemon/src/batch/run.rs
+++ b/crates/daemon/src/batch/run.rs
@@ -179,12 +179,14 @@
         let name = &target.config.name;
         let is_staying = |s: &&Stream| s.target == *name && !s.preempt.is_cancelled();
         let count = self.streams.values().filter(is_staying).count() as u32;
+        let availability = target.availability(now);
         let is_usable = !view.leaving.contains(name)
             && runs_version_in_force(view, target)
-            && lock(&target.state).health.availability(now) == Availability::Full;
+            && availability != Availability::Ejected;
         if !is_usable || !view.ready {
             return None;
         }
+        let most_starts = most_starts(target, availability, count);
         let capacity = self.capacity(target, count, now);
         let starts = match admission::decide(capacity) {
             Decision::Hold => 0,
@@ -193,7 +195,7 @@
                 self.preempt(name, count);
                 0
             }
-            Decision::Start(most) => self.start(target, most as usize),
+            Decision::Start(most) => self.start(target, most.min(most_starts) as usize),
         };
         Some(starts)
     }
@@ -366,6 +368,16 @@
     }
 }
 
+/// How many items may start on a target with `count` running ones, whatever its free slots.
+fn most_starts(target: &FleetTarget, availability: Availability, count: u32) -> u32 {
+    match availability {
+        Availability::Ejected => 0,
+        // One at a time shows whether the target is sound.
+        Availability::Probation => 1u32.saturating_sub(count + lock(&target.state).load.own()),
+        Availability::Full => u32::MAX,
+    }
+}
+
 /// Whether a target runs the version in force. During a rollout the previous version still
 /// serves online requests; batch items wait.
 fn runs_version_in_force(view: &View, target: &FleetTarget) -> bool {
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -162,6 +162,14 @@
         lock(&self.state).report.as_ref().map(|report| report.version.clone())
     }
 
+    /// How much the target may be used; not at all while its load reports go unanswered.
+    pub fn availability(&self, now: Instant) -> Availability {
+        if self.is_unresponsive() {
+            return Availability::Ejected;
+        }
+        lock(&self.state).health.availability(now)
+    }
+
     /// Whether a first silence is all that is known against the target.
     fn is_first_silence(&self) -> bool {
         lock(&self.state).health.is_first_silence()
@@ -169,13 +177,13 @@
 
     /// The target as a candidate for a request. A first silence excludes it only if `is_strict`.
     fn candidate(&self, data_centre: &str, is_strict: bool, now: Instant) -> Candidate {
+        let availability = self.availability(now);
         let state = lock(&self.state);
         let online = state.load.online(now);
         let own = state.load.own();
         let slots = self.config.slots;
-        let most = match state.health.availability(now) {
+        let most = match availability {
             _ if !is_strict && state.health.is_first_silence() => state.concurrency.limit(),
-            _ if self.is_unresponsive() => 0,
             Availability::Ejected => 0,
             Availability::Probation => 1,
             Availability::Full => state.concurrency.limit(),
--- a/crates/daemon/tests/silent_engine.rs
+++ b/crates/daemon/tests/silent_engine.rs
@@ -189,3 +189,18 @@
     assert_eq!((&status["done"], &status["failed"]), (&json!(24), &json!(0)), "{status}");
     assert_eq!(cluster.runs().len(), 24, "an item ran again");
 }
+
+/// Regression: no item was started on a target on probation, so that without online requests it
+/// stayed on probation.
+#[test]
+fn job_goes_on_when_targets_respond_after_a_long_silence() {
+    let cluster = cluster_of(ENGINES);
+    let accepted = cluster.submit(0, "night", &items("describe", 48));
+    let job = accepted.json()["job"].as_str().expect("job id").to_owned();
+    wait_until("items run", || cluster.runs().len() >= ENGINES);
+    cluster.engines.iter().for_each(|engine| engine.set_silence(Some(Silence::Tokens)));
+    std::thread::sleep(SILENCE * 3);
+    cluster.engines.iter().for_each(|engine| engine.set_silence(None));
+    let status = cluster.wait_job(0, &job, "finished");
+    assert_eq!((&status["done"], &status["failed"]), (&json!(48), &json!(0)), "{status}");
+}
