Don't end an online stream because it brings no data for targets.idle_ms

Cause: the idle time counted as an interruption of the stream.

Whoever sets it wants a hung stream to move on, which needs another target. So it now means the same as unanswered load reports: another target is looked for beside the silent one, and without one the stream lasts until its deadline. A request that may run at most once waits for its target. A target that is given up for it, though it answers its load reports, counts as failed, as before. Items of jobs have no deadline; their runs end after the idle time as before.

--- a/crates/daemon/src/front/attempt.rs
+++ b/crates/daemon/src/front/attempt.rs
@@ -61,14 +61,33 @@
                     self.response = Response::Begun(stream?);
                 }
                 Response::Begun(stream) => {
-                    let item = stream.next().await;
+                    let item = stream.next().await?;
                     self.active_at = Instant::now();
-                    return item;
+                    return Ok(item);
                 }
             }
         }
     }
 
+    /// Whether the error says only that the response has brought no data for a while.
+    pub fn is_idle(&self, error: &AttemptError) -> bool {
+        error.is_timeout && self.has_begun()
+    }
+
+    /// Like [`Attempt::next`], but waits as long as the response brings no data.
+    ///
+    /// # Errors
+    ///
+    /// The request failed, or its response was interrupted.
+    pub async fn next_despite_idle(&mut self) -> Result<StreamItem, AttemptError> {
+        loop {
+            match self.next().await {
+                Err(error) if self.is_idle(&error) => {}
+                result => return result,
+            }
+        }
+    }
+
     /// Waits until the target is silent: it leaves its load reports unanswered and sends nothing.
     pub fn silence(&self) -> impl Future<Output = ()> + use<> {
         let (target, earliest) = (self.guard.target.clone(), self.active_at + MIN_SILENCE);
--- a/crates/daemon/src/front/completion_stream.rs
+++ b/crates/daemon/src/front/completion_stream.rs
@@ -118,10 +118,20 @@
         };
         match item {
             Ok(item) => Ok(Some(self.accept(attempt, item))),
+            Err(error) if attempt.is_idle(&error) => self.on_idle(attempt).await,
             Err(error) => self.on_interruption(attempt, &error),
         }
     }
 
+    /// A request that may run at most once waits for its target.
+    async fn on_idle(&mut self, attempt: Attempt) -> Result<Option<StreamItem>, Error> {
+        if self.options.repeatable {
+            return self.on_silence(attempt).await;
+        }
+        self.attempt = Some(attempt);
+        Ok(None)
+    }
+
     async fn on_silence(&mut self, silent: Attempt) -> Result<Option<StreamItem>, Error> {
         match self.replace(silent).await {
             Replaced::By(attempt, Some(item)) => Ok(Some(self.accept(attempt, item))),
--- a/crates/daemon/src/front/replacement.rs
+++ b/crates/daemon/src/front/replacement.rs
@@ -44,7 +44,7 @@
             let remaining = self.options.remaining(Instant::now());
             let event = tokio::select! {
                 biased;
-                item = silent.next() => Event::Silent(item),
+                item = silent.next_despite_idle() => Event::Silent(item),
                 item = next_of(&mut other) => Event::Other(item),
                 () = sleep_until(due.into()) => Event::Due,
                 () = sleep(remaining) => Event::Expired,
@@ -61,7 +61,7 @@
                     return Replaced::By(other, None);
                 }
                 (Event::Other(Ok(item)), Some(other)) => {
-                    self.log_end("replaced", &silent);
+                    self.on_given_up("replaced", &silent);
                     return Replaced::By(other, Some(item));
                 }
                 (Event::Other(Err(error)), Some(other)) => {
@@ -69,7 +69,7 @@
                     due = Instant::now() + RETRY_INTERVAL;
                 }
                 (Event::Due, Some(other)) => {
-                    self.log_end("replaced", &silent);
+                    self.on_given_up("replaced", &silent);
                     return Replaced::By(other, None);
                 }
                 (Event::Due | Event::Other(_), None) => {
@@ -78,7 +78,7 @@
                     due = now + if other.is_some() { MAX_OVERLAP } else { RETRY_INTERVAL };
                 }
                 (Event::Expired, _) => {
-                    self.log_end("expired", &silent);
+                    self.on_given_up("expired", &silent);
                     return Replaced::Expired;
                 }
             }
@@ -117,6 +117,15 @@
             "tokens" => self.tokens, "attempts" => self.attempts);
     }
 
+    /// Counts a failure of a target that was silent only to this request. Missed load reports have
+    /// been counted.
+    fn on_given_up(&self, outcome: &'static str, silent: &Attempt) {
+        if !silent.guard.target.is_unresponsive() {
+            silent.guard.on_failure(Instant::now());
+        }
+        self.log_end(outcome, silent);
+    }
+
     fn log_end(&self, outcome: &'static str, silent: &Attempt) {
         self.shared.telemetry.count(&format!("front.silence_{outcome}"));
         slog::info!(self.shared.log, "silence ended"; "service" => &self.service,
@@ -127,7 +136,7 @@
 
 async fn next_of(attempt: &mut Option<Attempt>) -> Result<StreamItem, AttemptError> {
     match attempt {
-        Some(attempt) => attempt.next().await,
+        Some(attempt) => attempt.next_despite_idle().await,
         None => std::future::pending().await,
     }
 }
--- a/crates/daemon/tests/silent_engine.rs
+++ b/crates/daemon/tests/silent_engine.rs
@@ -140,6 +140,33 @@
     }
 }
 
+/// Regression: `targets.idle_ms` ended streams that went on before their deadline.
+#[rstest]
+fn stream_outlasts_the_idle_time_without_another_target(
+    #[values(Position::FirstToken, Position::BetweenTokens)] position: Position,
+    #[values("true", "false")] repeatable: &str,
+) {
+    let engine = Config { token_interval: TOKEN_INTERVAL, ..Config::default() };
+    let settings = vec![String::from("targets.idle_ms = 300")];
+    let cluster =
+        Cluster::start(Plan { daemons: 1, engines: 1, engine, settings, ..Plan::default() });
+    let (front, engine) = (cluster.daemons[0].front_address, &cluster.engines[0]);
+    let headers = [DEADLINE, ("gatespool-repeatable", repeatable), ("idempotency-key", "idle")];
+    std::thread::scope(|scope| {
+        if position == Position::FirstToken {
+            engine.set_silence(Some(Silence::Tokens));
+        }
+        let call = scope.spawn(|| chat(front, "idle", &headers, json!({ "stream": true })));
+        wait_until("it runs", || !engine.runs().is_empty());
+        std::thread::sleep(TOKEN_INTERVAL * 3);
+        engine.set_silence(Some(Silence::Tokens));
+        std::thread::sleep(SILENCE);
+        engine.set_silence(None);
+        assert_whole(&[(String::from("idle"), call.join().expect("a response"))], true);
+    });
+    assert_eq!(engine.runs().len(), 1, "the request ran again");
+}
+
 #[test]
 fn target_that_is_silent_alone_gets_no_requests() {
     let cluster = cluster_of(ENGINES);
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -120,7 +120,8 @@
     pub target_poll_interval: Duration,
     /// `[targets] connect_ms`: timeout for a connection to a target.
     pub connect_timeout: Duration,
-    /// `[targets] idle_ms`: time without data after which a stream counts as interrupted.
+    /// `[targets] idle_ms`: time without data after which another target is looked for to go on
+    /// with a stream, and the run of a batch item ends.
     pub stream_idle_timeout: Duration,
     /// `[orders] lease_ms`: duration of a controller's lease on a target.
     pub controller_lease: Duration,
--- a/crates/transport/src/target.rs
+++ b/crates/transport/src/target.rs
@@ -101,8 +101,8 @@
 }
 
 impl Client {
-    /// Creates a client. `idle_timeout` is the maximum time between two chunks of a
-    /// stream.
+    /// Creates a client. `idle_timeout` is the time without data after which reading a stream
+    /// fails with a timeout.
     pub fn new(
         connect_timeout: Duration,
         idle_timeout: Duration,
--- a/crates/transport/src/target/stream.rs
+++ b/crates/transport/src/target/stream.rs
@@ -54,7 +54,8 @@
     ///
     /// # Errors
     ///
-    /// The stream was interrupted.
+    /// The stream was interrupted, or, if the error is a timeout, brought no data for too long. It
+    /// may be read on after a timeout.
     pub async fn next(&mut self) -> Result<StreamItem, AttemptError> {
         loop {
             while let Some(data) = self.parser.next_data() {
@@ -93,7 +94,8 @@
     async fn read_frame(&mut self) -> Result<(), AttemptError> {
         let frame = tokio::time::timeout(self.idle_timeout, self.body.frame()).await;
         let frame = frame.map_err(|_| {
-            AttemptError::new(Failure::Unknown, format!("no data for {:?}", self.idle_timeout))
+            let message = format!("no data for {:?}", self.idle_timeout);
+            AttemptError { is_timeout: true, ..AttemptError::new(Failure::Unknown, message) }
         })?;
         let Some(frame) = frame else {
             return Err(AttemptError::new(
