--- a/crates/daemon/tests/silent_engine.rs
+++ b/crates/daemon/tests/silent_engine.rs
@@ -140,6 +140,25 @@
     }
 }
 
+#[test]
+fn silent_target_is_dropped_once_another_has_the_request() {
+    let cluster = cluster_of(2);
+    let (front, silent) = (cluster.daemons[0].front_address, &cluster.engines[0]);
+    std::thread::scope(|scope| {
+        let calls: Vec<_> = ["a", "b", "c", "d"]
+            .map(|prompt| {
+                scope.spawn(move || chat(front, prompt, &[DEADLINE], json!({ "max_tokens": 60 })))
+            })
+            .into_iter()
+            .collect();
+        wait_until("all run", || cluster.runs().len() >= 4);
+        assert!(silent.running()[0] > 0, "no request runs at the target");
+        silent.set_silence(Some(Silence::Tokens));
+        calls.into_iter().for_each(|call| assert_eq!(call.join().expect("a response").status, 200));
+        assert_eq!(silent.running(), [0, 0]);
+    });
+}
+
 /// Regression: `targets.idle_ms` ended streams that went on before their deadline.
 #[rstest]
 fn stream_outlasts_the_idle_time_without_another_target(
