Let a failed attempt replace nothing that may still come

A silent target that failed while another one had the request cancelled that one; a replacement's 500 was passed on while the silent target could still answer; a replacement that couldn't be connected to counted as one that had the request; and after a silent target had been dropped, the first refusal of a slot was final.

Now only what goes on keeps a silent target: if it fails, its replacement is waited for. A response with a server error replaces nothing, a target is connected to before the request is sent to it, and after a drop slots are waited for until the deadline. A deadline that comes early says nothing against a target.

By reading only: the connection and the wait for slots.

--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -201,9 +201,19 @@
         last_event: Option<u64>,
     ) -> Result<TargetResponse, ForwardError> {
         self.unreachable = 0;
+        let lease = self.acquire_next(last_event).await;
+        self.forward_on(lease, last_event).await
+    }
+
+    async fn forward_on(
+        &mut self,
+        lease: Result<Lease, AcquireError>,
+        last_event: Option<u64>,
+    ) -> Result<TargetResponse, ForwardError> {
+        let mut lease = lease;
         loop {
-            let lease = self.acquire_next(last_event).await.map_err(|error| self.reject(error))?;
-            let result = match self.start(lease, last_event) {
+            let acquired = lease.map_err(|error| self.reject(error))?;
+            let result = match self.start(acquired, last_event) {
                 Ok(pending) => self.response(pending, last_event).await,
                 Err(failed) => Err(failed),
             };
@@ -211,10 +221,12 @@
                 Ok(response) => return Ok(response),
                 Err(failed) => self.on_failed(failed)?,
             }
+            lease = self.acquire_next(last_event).await;
         }
     }
 
-    /// As [`ProxiedRequest::forward`], for a request that was sent.
+    /// As [`ProxiedRequest::forward`], for a request that was sent to the replacement of a silent
+    /// target.
     ///
     /// # Errors
     ///
@@ -228,7 +240,8 @@
             Ok(response) => Ok(response),
             Err(failed) => {
                 self.on_failed(failed)?;
-                self.forward(last_event).await
+                let lease = self.acquire_patiently(last_event).await;
+                self.forward_on(lease, last_event).await
             }
         }
     }
--- a/crates/daemon/src/gateway/online/attempt.rs
+++ b/crates/daemon/src/gateway/online/attempt.rs
@@ -12,7 +12,8 @@
 use hyper::{HeaderMap, Request, StatusCode};
 use platform::header;
 use protocol::TargetId;
-use protocol::routing::Class;
+use protocol::routing::{Class, Route};
+use protocol::settings::Policy;
 use std::time::Duration;
 use tokio::task::{JoinError, spawn_local};
 use tokio_util::task::AbortOnDropHandle;
@@ -21,6 +22,8 @@
 /// An exchange with a target that runs as a task; dropping it resets its connection.
 pub(super) type Sending = AbortOnDropHandle<Result<Exchange, SendError>>;
 
+type SendingResult = Result<Result<Exchange, SendError>, JoinError>;
+
 /// A request that was sent to a target, whose response has not begun.
 pub struct Pending {
     pub(super) sending: Sending,
@@ -28,11 +31,13 @@
 }
 
 impl Pending {
-    /// Drops the exchange with a silent target.
-    fn end_silent(self) {
+    /// Drops the exchange at the deadline. One that came early says nothing about the target.
+    fn end(self, route: &Route, policy: &Policy) {
         let Pending { sending, lease } = self;
         drop(sending);
-        lease.end_silent();
+        if lease.silence() >= route.objective.mul_f64(policy.reroute_factor) {
+            lease.end_silent();
+        }
     }
 }
 
@@ -86,33 +91,41 @@
         loop {
             let target = pending.lease.grant.target.clone();
             let failed = |reason| FailedAttempt { target, reason };
-            let result = match self.head(&mut pending).await {
-                Ok(result) => result,
-                Err(NoHead::Expired) => {
-                    pending.end_silent();
-                    return Err(failed(RetryReason::DeadlineExceeded));
-                }
+            let replaced = match self.head(&mut pending).await {
+                Ok(result) => Replaced::Kept(Ok(result)),
+                Err(NoHead::Expired) => Replaced::Expired,
                 Err(NoHead::Silent) => {
                     let Pending { sending, lease } = &mut pending;
-                    match self.replace(sending, lease, last_event).await {
-                        Replaced::Kept(result) => flatten(result),
-                        Replaced::By(Replacement::Response(response)) => {
-                            pending.end_silent();
-                            return Ok(*response);
-                        }
-                        Replaced::By(Replacement::Pending(other)) => {
-                            pending.end_silent();
-                            pending = *other;
-                            continue;
-                        }
-                        Replaced::Expired => {
-                            pending.end_silent();
-                            return Err(failed(RetryReason::DeadlineExceeded));
-                        }
-                    }
+                    self.replace(sending, has_failed, lease, last_event).await
                 }
             };
-            return self.accept(result, pending.lease, last_event.is_some()).map_err(failed);
+            let (replacement, failure) = match replaced {
+                Replaced::Kept(result) => {
+                    let is_resumed = last_event.is_some();
+                    return self.accept(flatten(result), pending.lease, is_resumed).map_err(failed);
+                }
+                Replaced::Expired => {
+                    pending.end(&self.route, &self.node.settings.policy);
+                    return Err(failed(RetryReason::DeadlineExceeded));
+                }
+                Replaced::By(replacement, failure) => (replacement, failure),
+            };
+            self.end_replaced(pending, failure);
+            match replacement {
+                Replacement::Response(response) => return Ok(*response),
+                Replacement::Pending(other) => pending = *other,
+            }
+        }
+    }
+
+    /// Drops the exchange with a target that was replaced; `failure` is how it failed, if it did.
+    fn end_replaced(&mut self, pending: Pending, failure: Option<SendingResult>) {
+        let Pending { sending, lease } = pending;
+        drop(sending);
+        match failure {
+            // The request goes on elsewhere, whatever the reason.
+            Some(result) => drop(self.accept(flatten(result), lease, false)),
+            None => lease.end_silent(),
         }
     }
 
@@ -133,7 +146,7 @@
         let rest = timeout.saturating_sub(overdue_after);
         match tokio::time::timeout(rest, sending).await {
             Ok(result) => Ok(flatten(result)),
-            Err(_) if self.call.remaining(clock::now()).is_zero() => Err(NoHead::Expired),
+            Err(_) if timeout == remaining => Err(NoHead::Expired),
             Err(_) => Err(NoHead::Silent),
         }
     }
@@ -222,12 +235,18 @@
 }
 
 /// The result of an exchange; one whose task failed may have been sent.
-pub(super) fn flatten(
-    result: Result<Result<Exchange, SendError>, JoinError>,
-) -> Result<Exchange, SendError> {
+pub(super) fn flatten(result: SendingResult) -> Result<Exchange, SendError> {
     result.unwrap_or_else(|error| Err(SendError::OutcomeUnknown(error.to_string())))
 }
 
+/// Whether an exchange brought no response that could be passed on.
+fn has_failed(result: &SendingResult) -> bool {
+    match result {
+        Ok(Ok(exchange)) => is_not_run(exchange.head()) || exchange.head().status.is_server_error(),
+        _ => true,
+    }
+}
+
 /// Whether a response says that the target did not run the request.
 pub fn is_not_run(head: &Parts) -> bool {
     head.headers.contains_key(header::NOT_RUN) || head.status == StatusCode::MISDIRECTED_REQUEST
--- a/crates/daemon/src/gateway/online/replacement.rs
+++ b/crates/daemon/src/gateway/online/replacement.rs
@@ -1,11 +1,13 @@
 //! Replaces a target that has fallen silent. It may be slow, dead or about to go on, so its
 //! exchange is kept until another target has the request.
 
-use super::attempt::{FailedAttempt, Pending, flatten};
+use super::attempt::{FailedAttempt, Pending, RetryReason, flatten};
 use super::{ProxiedRequest, RETRY_AFTER, TargetResponse};
 use crate::clock;
 use crate::gateway::crash::hex;
 use crate::gateway::leases::{AcquireError, Lease};
+use coordination::presence::Presence;
+use coordination::slots::LeaseOutcome;
 use std::future::Future;
 use std::time::Duration;
 
@@ -22,10 +24,11 @@
 
 /// What became of a request whose target was silent.
 pub enum Replaced<T> {
-    /// The target went on first; holds what it sent.
+    /// The target went on, or failed and there is no other; holds what it sent.
     Kept(T),
-    /// Another target has the request, so the exchange with the silent one is to be dropped.
-    By(Replacement),
+    /// Another target has the request, so the exchange with the silent one is to be dropped. Holds
+    /// how that one failed, if it did first.
+    By(Replacement, Option<T>),
     /// The deadline has passed.
     Expired,
 }
@@ -34,7 +37,7 @@
     fn name(&self) -> &'static str {
         match self {
             Replaced::Kept(_) => "kept",
-            Replaced::By(_) => "replaced",
+            Replaced::By(..) => "replaced",
             Replaced::Expired => "expired",
         }
     }
@@ -42,10 +45,11 @@
 
 impl ProxiedRequest {
     /// Looks for a target that replaces the silent one of `lease`, while `silent` waits for what
-    /// it sends next.
+    /// it sends next; `has_failed` tells whether that is a failure.
     pub async fn replace<F>(
         &mut self,
         silent: F,
+        has_failed: impl Fn(&F::Output) -> bool,
         lease: &Lease,
         last_event: Option<u64>,
     ) -> Replaced<F::Output>
@@ -54,54 +58,65 @@
     {
         let remaining = self.call.remaining(clock::now());
         self.on_silent(lease, last_event);
-        let replaced = tokio::select! {
-            biased;
-            value = silent => Replaced::Kept(value),
-            replacement = self.find_replacement(last_event) => Replaced::By(replacement),
-            () = tokio::time::sleep(remaining) => Replaced::Expired,
-        };
+        let search = self.find_replacement(last_event);
+        let replaced = tokio::time::timeout(remaining, race(silent, has_failed, search)).await;
+        let replaced = replaced.unwrap_or(Replaced::Expired);
         self.log_end_of_silence(replaced.name(), lease);
         replaced
     }
 
-    /// Sends the request to another target. Waits as long as there is none.
-    async fn find_replacement(&mut self, last_event: Option<u64>) -> Replacement {
+    /// Sends the request to another target. Waits while there is none; `None` if there may be no
+    /// other attempt.
+    async fn find_replacement(&mut self, last_event: Option<u64>) -> Option<Replacement> {
+        self.unreachable = 0;
         loop {
-            let lease = match self.acquire_next(last_event).await {
-                Ok(lease) => lease,
-                Err(AcquireError::Full(delay)) => {
-                    tokio::time::sleep(delay).await;
-                    continue;
-                }
-                Err(AcquireError::NoTarget | AcquireError::NoReply) => {
-                    tokio::time::sleep(RETRY_AFTER).await;
-                    continue;
-                }
-                Err(_) => return std::future::pending().await,
-            };
+            let lease = self.acquire_patiently(last_event).await.ok()?;
             match self.try_replacement(lease, last_event).await {
-                Ok(replacement) => return replacement,
-                Err(failed) => {
-                    if self.on_failed(failed).is_err() {
-                        return std::future::pending().await;
-                    }
-                }
+                Ok(replacement) => return Some(replacement),
+                Err(failed) => self.on_failed(failed).ok()?,
             }
         }
     }
 
+    /// As [`ProxiedRequest::acquire_next`], but waits as long as there may be a target later.
+    pub(super) async fn acquire_patiently(
+        &mut self,
+        last_event: Option<u64>,
+    ) -> Result<Lease, AcquireError> {
+        loop {
+            let delay = match self.acquire_next(last_event).await {
+                Err(AcquireError::Full(delay)) => delay,
+                Err(AcquireError::NoTarget | AcquireError::NoReply) => RETRY_AFTER,
+                result => return result,
+            };
+            tokio::time::sleep(delay).await;
+        }
+    }
+
     async fn try_replacement(
         &mut self,
         lease: Lease,
         last_event: Option<u64>,
     ) -> Result<Replacement, FailedAttempt> {
         let target = lease.grant.target.clone();
+        let failed = |reason| FailedAttempt { target: target.clone(), reason };
+        // The connection is kept for the request, so that the overlap begins with its run.
+        if self.node.targets.probe(lease.grant.address).await != Presence::Listening {
+            lease.end(LeaseOutcome::Unresponsive);
+            return Err(failed(RetryReason::NotSent(String::from("can't be reached"))));
+        }
         let mut other = self.start(lease, last_event)?;
         let Ok(result) = tokio::time::timeout(MAX_OVERLAP, &mut other.sending).await else {
             return Ok(Replacement::Pending(Box::new(other)));
         };
         let response = self.accept(flatten(result), other.lease, last_event.is_some());
-        let response = response.map_err(|reason| FailedAttempt { target, reason })?;
+        let response = response.map_err(&failed)?;
+        let status = response.body.head().status;
+        if status.is_server_error() {
+            response.lease.end(LeaseOutcome::Failed);
+            let text = format!("target responded with {status}");
+            return Err(failed(RetryReason::MayHaveRun(text)));
+        }
         Ok(Replacement::Response(Box::new(response)))
     }
 
@@ -124,3 +139,31 @@
             "age_ms" => clock::since(self.call.started).as_millis() as u64);
     }
 }
+
+/// Waits for the silent target and for its replacement, whichever has the request first.
+async fn race<F>(
+    silent: F,
+    has_failed: impl Fn(&F::Output) -> bool,
+    search: impl Future<Output = Option<Replacement>>,
+) -> Replaced<F::Output>
+where
+    F: Future + Unpin,
+{
+    let mut silent = silent;
+    let mut search = std::pin::pin!(search);
+    let value = tokio::select! {
+        biased;
+        value = &mut silent => value,
+        found = &mut search => return match found {
+            Some(replacement) => Replaced::By(replacement, None),
+            None => Replaced::Kept(silent.await),
+        },
+    };
+    if !has_failed(&value) {
+        return Replaced::Kept(value);
+    }
+    match search.await {
+        Some(replacement) => Replaced::By(replacement, Some(value)),
+        None => Replaced::Kept(value),
+    }
+}
--- a/crates/daemon/src/gateway/streaming.rs
+++ b/crates/daemon/src/gateway/streaming.rs
@@ -100,10 +100,10 @@
                 StreamEnd::Completed => return Ok(()),
                 StreamEnd::CallerGone => return Err(Incomplete::CallerGone),
                 StreamEnd::DeadlineExceeded => return Err(aborted("timed out")),
-                StreamEnd::Replaced(Replacement::Response(response)) => *response,
-                StreamEnd::Replaced(Replacement::Pending(pending)) => {
-                    self.resume(Some(*pending)).await?
-                }
+                StreamEnd::Replaced { replacement, .. } => match replacement {
+                    Replacement::Response(response) => *response,
+                    Replacement::Pending(pending) => self.resume(Some(*pending)).await?,
+                },
                 StreamEnd::Interrupted(error) => {
                     self.on_interrupted(error)?;
                     self.resume(None).await?
--- a/crates/daemon/src/gateway/streaming/response.rs
+++ b/crates/daemon/src/gateway/streaming/response.rs
@@ -25,8 +25,11 @@
     DeadlineExceeded,
     /// The target's response was interrupted; holds the error.
     Interrupted(String),
-    /// The target was silent, and another one has the request.
-    Replaced(Replacement),
+    /// The target was silent, and another one has the request; it may have failed meanwhile.
+    Replaced {
+        replacement: Replacement,
+        has_failed: bool,
+    },
 }
 
 type Chunk = Result<Option<Bytes>, Truncation>;
@@ -48,12 +51,14 @@
         drop(body);
         self.check_origin(&lease);
         match end {
-            StreamEnd::Interrupted(_) => self.request.on_interrupted(&lease.grant),
+            StreamEnd::Interrupted(_) | StreamEnd::Replaced { has_failed: true, .. } => {
+                self.request.on_interrupted(&lease.grant);
+            }
             StreamEnd::Completed => {
                 self.node().leases.on_completed(&lease.grant, &self.request.workload);
                 self.request.on_end(is_framed);
             }
-            StreamEnd::CallerGone | StreamEnd::DeadlineExceeded | StreamEnd::Replaced(_) => {}
+            StreamEnd::CallerGone | StreamEnd::DeadlineExceeded | StreamEnd::Replaced { .. } => {}
         }
         self.target_first = self.stats.first_since(lease.sent_at);
         lease.report.first_event = self.target_first;
@@ -61,8 +66,10 @@
         match end {
             StreamEnd::Completed => lease.end(LeaseOutcome::Completed),
             StreamEnd::CallerGone | StreamEnd::DeadlineExceeded => lease.end(LeaseOutcome::Unused),
-            StreamEnd::Interrupted(_) => lease.end(LeaseOutcome::Interrupted),
-            StreamEnd::Replaced(_) => lease.end_silent(),
+            StreamEnd::Interrupted(_) | StreamEnd::Replaced { has_failed: true, .. } => {
+                lease.end(LeaseOutcome::Interrupted);
+            }
+            StreamEnd::Replaced { .. } => lease.end_silent(),
         }
         end
     }
@@ -86,7 +93,7 @@
     /// Sends on what a chunk completes; fails at the end of the response.
     async fn forward_chunk(
         &mut self,
-        chunk: Result<Option<Bytes>, Truncation>,
+        chunk: Chunk,
         splitter: &mut Option<EventSplitter>,
         lease: &mut Lease,
     ) -> Result<(), StreamEnd> {
@@ -156,12 +163,14 @@
         self.check_origin(lease);
         let chunk = std::pin::pin!(body.next_chunk());
         let replaced = tokio::select! {
-            replaced = self.request.replace(chunk, lease, self.last_event) => replaced,
+            replaced = self.request.replace(chunk, Chunk::is_err, lease, self.last_event) => replaced,
             () = self.sender.closed() => return Err(StreamEnd::CallerGone),
         };
         match replaced {
             Replaced::Kept(chunk) => Ok(chunk),
-            Replaced::By(replacement) => Err(StreamEnd::Replaced(replacement)),
+            Replaced::By(replacement, failure) => {
+                Err(StreamEnd::Replaced { replacement, has_failed: failure.is_some() })
+            }
             Replaced::Expired => Err(StreamEnd::DeadlineExceeded),
         }
     }
--- a/crates/daemon/tests/gateway_silence.rs
+++ b/crates/daemon/tests/gateway_silence.rs
@@ -3,7 +3,7 @@
 mod util;
 
 use rstest::rstest;
-use standin::runner::{Config, Run, Runner, Silence};
+use standin::runner::{Config, Faults, Run, Runner, Silence};
 use std::time::{Duration, Instant};
 use util::client::Response;
 use util::gateway::{Fleet, Plan, event_data};
@@ -140,6 +140,45 @@
     assert_whole(&responses);
 }
 
+#[rstest]
+#[case::responds_with_an_error(|other: &Runner| other.fail_id("silent-0", 500))]
+#[case::rejects_it(|other: &Runner| {
+    other.set_faults(Faults { rejects_all: true, ..Faults::default() });
+})]
+fn silent_target_is_kept_if_its_replacement_fails(
+    #[case] fail: fn(&Runner),
+    #[values("/talk/silent", "/plain/silent")] path: &str,
+) {
+    let fleet = fleet_of(&["v1", "v1"]);
+    fail(&fleet.runners[1]);
+    let silent = &fleet.runners[..1];
+    let responses = call_in_silence(&fleet, silent, Position::Head, path, 1);
+    assert_whole(&responses);
+}
+
+#[test]
+fn replacement_is_kept_if_the_silent_target_fails_first() {
+    let runner = |id: &str| Config {
+        id: id.to_owned(),
+        first_event_delay: Duration::from_millis(200),
+        ..Config::default()
+    };
+    let runners = vec![("east", runner("r0")), ("east", runner("r1"))];
+    let fleet = Fleet::start(Plan { gateways: vec!["east"], runners, ..Plan::default() });
+    fleet.runners.iter().for_each(|runner| runner.set_silence(Some(Silence::Events)));
+    let response = std::thread::scope(|scope| {
+        let call = scope.spawn(|| fleet.send(0, "/talk/silent", "silent-0"));
+        wait_until("it runs", || !fleet.runs("/talk/").is_empty());
+        let (silent, others): (Vec<&Runner>, Vec<&Runner>) =
+            fleet.runners.iter().partition(|runner| !runner.runs().is_empty());
+        others.iter().for_each(|other| other.set_silence(None));
+        wait_until("another has it", || fleet.runs("/talk/").len() > 1);
+        silent.iter().for_each(|silent| silent.process().crash.notify_one());
+        call.join().expect("a response")
+    });
+    assert_whole(&[(String::from("silent-0"), response)]);
+}
+
 /// Regression: a common pause ejected every target, and each one longer than the one before.
 #[rstest]
 fn targets_serve_again_after_a_common_silence(
