Take only silences of the last seconds for a common one, and items' too

By review: silences of different hours added up to a common pause, a data centre's only target counted as most of them, and items that were given up after 1.5 s of silence ejected their target once each, for twice as long each time, which undid what online requests are spared.

A silence counts towards a common one for 3 s, two targets at least are needed, and runs of items report how long their target was silent.

Two tests of the slot allocator; both fail without the window and the count (by their arithmetic, not run). No test of items in a gateway.

--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -216,9 +216,9 @@
         let is_match = |state: &&TargetState| state.serves(request);
         let local_slots: u32 =
             self.targets.values().filter(is_match).map(|state| state.target.slots).sum();
-        let is_common_silence = self.is_common_silence(request);
+        let is_common_silence = self.is_common_silence(request, now);
         let is_available = |state: &&TargetState| {
-            state.is_available(now) || is_common_silence && state.is_first_silence()
+            state.is_available(now) || is_common_silence && state.is_first_silence(now)
         };
         let available = self.targets.values().filter(is_match).filter(is_available);
         let available: u32 = available.map(|state| state.target.slots).sum();
@@ -286,17 +286,18 @@
         let pace = self.pace_for(request);
         let median = if pace.is_some() { 0.0 } else { self.median_event_interval() };
         let sources = pace.map(|pace| self.sources(request, pace, now)).unwrap_or_default();
-        let is_common_silence = self.is_common_silence(request);
+        let is_common_silence = self.is_common_silence(request, now);
         Ranking { policy: &self.policy, median, pace, is_common_silence, sources, now }
     }
 
-    /// Whether more than [`MAX_SILENT_SHARE`] of the targets that serve the request fell silent.
-    fn is_common_silence(&self, request: &Request) -> bool {
+    /// Whether several targets that serve the request, and more than [`MAX_SILENT_SHARE`] of them,
+    /// fell silent lately.
+    fn is_common_silence(&self, request: &Request, now: Instant) -> bool {
         let serving = self.targets.values().filter(|state| state.serves(request));
         let (silent, all) = serving.fold((0, 0), |(silent, all), state| {
-            (silent + u32::from(state.is_first_silence()), all + 1)
+            (silent + u32::from(state.is_first_silence(now)), all + 1)
         });
-        f64::from(silent) > f64::from(all) * MAX_SILENT_SHARE
+        silent > 1 && f64::from(silent) > f64::from(all) * MAX_SILENT_SHARE
     }
 
     fn median_event_interval(&self) -> f64 {
--- a/crates/coordination/src/slots/target_state.rs
+++ b/crates/coordination/src/slots/target_state.rs
@@ -11,6 +11,8 @@
 
 /// How long a target with an overdue first event is used last.
 const OVERDUE_PENALTY: Duration = Duration::from_millis(1_000);
+/// How long a silence may be a part of a common one.
+const SILENCE_WINDOW: Duration = Duration::from_secs(3);
 /// Weight of the newest outcome in the failure ratio: two failures in the last six or seven
 /// requests reach [`MAX_FAILURE_RATIO`], one doesn't.
 const FAILURE_WEIGHT: f64 = 0.15;
@@ -160,7 +162,7 @@
         }
         let probation_rank = match self.health.availability(now) {
             Availability::Full => 0,
-            _ if is_online && is_common_silence && self.health.is_first_silence() => 2,
+            _ if is_online && is_common_silence && self.is_first_silence(now) => 2,
             Availability::Probation if self.used() == 0 => 1,
             Availability::Probation | Availability::Ejected => return None,
         };
@@ -224,8 +226,9 @@
     }
 
     /// Whether the target is used less, or not at all, only because it fell silent.
-    pub(super) fn is_first_silence(&self) -> bool {
+    pub(super) fn is_first_silence(&self, now: Instant) -> bool {
         self.health.is_first_silence()
+            && self.last_silent.is_some_and(|at| now < at + SILENCE_WINDOW)
     }
 
     /// Records the end of a lease that was granted at `granted`; `smoothing` is the weight of the
--- a/crates/coordination/tests/slots/health.rs
+++ b/crates/coordination/tests/slots/health.rs
@@ -215,3 +215,24 @@
     fall_silent(&mut allocator, 8, &[], later);
     assert_eq!(free_slots(&mut allocator, later + MS * 600), 0);
 }
+
+/// Regression: silences of hours ago counted as one with the newest.
+#[test]
+fn silences_at_different_times_are_not_common() {
+    let now = Instant::now();
+    let mut allocator = allocator(4, now);
+    fall_silent(&mut allocator, 1, &["t1", "t2", "t3"], now);
+    let later = now + Duration::from_secs(60);
+    fall_silent(&mut allocator, 1, &["t0", "t2", "t3"], later);
+    fall_silent(&mut allocator, 1, &["t0", "t1", "t3"], later);
+    let on_probation = 1;
+    assert_eq!(free_slots(&mut allocator, later + MS * 600), 2 + on_probation);
+}
+
+#[test]
+fn only_target_of_a_data_centre_is_ejected_when_silent() {
+    let now = Instant::now();
+    let mut allocator = allocator(1, now);
+    fall_silent(&mut allocator, 1, &[], now);
+    assert_eq!(free_slots(&mut allocator, now + MS * 600), 0);
+}
--- a/crates/daemon/src/gateway/items/run.rs
+++ b/crates/daemon/src/gateway/items/run.rs
@@ -37,7 +37,27 @@
     Completed,
     Failed(Failure),
     /// Interrupted; a later run resumes after the last event received.
-    Stopped(LeaseOutcome, String),
+    Stopped {
+        outcome: LeaseOutcome,
+        /// How long the target had sent nothing, if that is why.
+        silence: Option<Duration>,
+        error: String,
+    },
+}
+
+impl RunEnd {
+    fn stopped(outcome: LeaseOutcome, error: impl Into<String>) -> RunEnd {
+        RunEnd::Stopped { outcome, silence: None, error: error.into() }
+    }
+
+    /// The target has sent nothing for [`IDLE_TIMEOUT`].
+    fn silent() -> RunEnd {
+        RunEnd::Stopped {
+            outcome: LeaseOutcome::Unresponsive,
+            silence: Some(IDLE_TIMEOUT),
+            error: String::from("idle"),
+        }
+    }
 }
 
 /// When the events of a run arrived.
@@ -112,14 +132,14 @@
     let run_end = tokio::select! {
         biased;
         () = std::future::ready(()), if !lease.is_usable(clock::now()) =>
-            RunEnd::Stopped(LeaseOutcome::Unused, String::from("target is unusable")),
+            RunEnd::stopped(LeaseOutcome::Unused, "target is unusable"),
         run_end = attempt(&node, &held, &item, &lease, &mut partial, &mut times) => run_end,
         () = lease.stop.cancelled() =>
-            RunEnd::Stopped(LeaseOutcome::Unused, String::from("revoked")),
+            RunEnd::stopped(LeaseOutcome::Unused, "revoked"),
         () = held.released.cancelled() =>
-            RunEnd::Stopped(LeaseOutcome::Unused, String::from("released")),
+            RunEnd::stopped(LeaseOutcome::Unused, "released"),
         () = held.ended.cancelled() =>
-            RunEnd::Stopped(LeaseOutcome::Unused, String::from("job ended")),
+            RunEnd::stopped(LeaseOutcome::Unused, "job ended"),
     };
     let mut lease = lease;
     let new_events = partial.events.len() - events_before.min(partial.events.len());
@@ -129,7 +149,7 @@
     let (how, error) = match &run_end {
         RunEnd::Completed => ("complete", String::new()),
         RunEnd::Failed(failure) => ("failed", format!("{failure:?}")),
-        RunEnd::Stopped(_, error) => ("stopped", error.clone()),
+        RunEnd::Stopped { error, .. } => ("stopped", error.clone()),
     };
     slog::info!(node.log, "item run"; "item" => &item.id, "content" => hex(fingerprint),
         "job" => &held.state.borrow().job().id, "target" => target, "how" => how,
@@ -164,8 +184,8 @@
             lease.end(if is_evidence { LeaseOutcome::Failed } else { LeaseOutcome::Unused });
             held.state.borrow_mut().on_failed(&item.id, failure);
         }
-        RunEnd::Stopped(end, _) => {
-            if end == LeaseOutcome::Interrupted {
+        RunEnd::Stopped { outcome, silence, .. } => {
+            if outcome == LeaseOutcome::Interrupted {
                 crash::on_interrupted(
                     &node,
                     &lease.grant,
@@ -173,8 +193,9 @@
                 );
             }
             partial.origin = Some(origin(&node, service, &lease));
-            lease.end(end);
-            if end != LeaseOutcome::Unused {
+            lease.report.silence = silence;
+            lease.end(outcome);
+            if outcome != LeaseOutcome::Unused {
                 delay = ITEM_RETRY_DELAY;
             }
             held.state.borrow_mut().on_stopped(&item.id, partial);
@@ -228,30 +249,24 @@
     let mut exchange = match tokio::time::timeout(IDLE_TIMEOUT, sent).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(SendError::NotSent(error))) => {
-            return RunEnd::Stopped(LeaseOutcome::Unresponsive, error);
+            return RunEnd::stopped(LeaseOutcome::Unresponsive, error);
         }
         Ok(Err(SendError::OutcomeUnknown(error))) => {
-            return RunEnd::Stopped(LeaseOutcome::Interrupted, error);
+            return RunEnd::stopped(LeaseOutcome::Interrupted, error);
         }
         Err(_) => {
-            return RunEnd::Stopped(
-                LeaseOutcome::Unresponsive,
-                String::from("no response within the idle timeout"),
-            );
+            return RunEnd::silent();
         }
     };
     let head = exchange.head();
     if is_not_run(head) {
-        return RunEnd::Stopped(
+        return RunEnd::stopped(
             rejection_outcome(head),
             format!("rejected with status {}", head.status),
         );
     }
     if !belongs_to_request(&head.headers, &item.id) {
-        return RunEnd::Stopped(
-            LeaseOutcome::Interrupted,
-            String::from("response to a different request"),
-        );
+        return RunEnd::stopped(LeaseOutcome::Interrupted, "response to a different request");
     }
     let status = head.status;
     if status.is_success() {
@@ -270,7 +285,7 @@
     match status {
         StatusCode::UNPROCESSABLE_ENTITY => RunEnd::Failed(Failure::Permanent),
         StatusCode::INTERNAL_SERVER_ERROR => RunEnd::Failed(Failure::Retryable),
-        _ => RunEnd::Stopped(LeaseOutcome::Interrupted, format!("unexpected status {status}")),
+        _ => RunEnd::stopped(LeaseOutcome::Interrupted, format!("unexpected status {status}")),
     }
 }
 
@@ -279,11 +294,11 @@
     partial: &mut PartialOutput,
     times: &mut EventTimes,
 ) -> RunEnd {
-    let interrupted = |error: String| RunEnd::Stopped(LeaseOutcome::Interrupted, error);
+    let interrupted = |error: String| RunEnd::stopped(LeaseOutcome::Interrupted, error);
     let mut splitter = EventSplitter::default();
     loop {
         let chunk = match tokio::time::timeout(IDLE_TIMEOUT, body.next_chunk()).await {
-            Err(_) => return RunEnd::Stopped(LeaseOutcome::Unresponsive, String::from("idle")),
+            Err(_) => return RunEnd::silent(),
             Ok(Err(truncation)) => return interrupted(truncation.to_string()),
             Ok(Ok(None)) => return RunEnd::Completed,
             Ok(Ok(Some(chunk))) => chunk,
