Wait at a stop until the responses of callers are written

Callers saw truncated responses: of 7 MB read from 0.9 s after a SIGTERM on (grace period 0.3 s), 0.1 to 4.0 MB came. Requests whose head or body was on its way were closed without an answer.

Cause: a stop counted calls, and a call ended with its handler, or with the last chunk handed to the connection. What the caller hadn't taken by then was lost with the process; a body being read wasn't counted at all.

A stop now also counts the connections of callers. Idle ones are closed once no new requests are accepted, so what remains carries a request or a response. The limit on the duration of a stop is as before.

--- a/crates/coordination/src/drain.rs
+++ b/crates/coordination/src/drain.rs
@@ -22,8 +22,8 @@
     Exit,
 }
 
-/// Phase at `now` of a shutdown that began at `since`, with `running` requests; `rejects_new` says
-/// whether new calls were already rejected when these were counted.
+/// Phase at `now` of a shutdown that began at `since`, with `running` requests and connections that
+/// carry one; `rejects_new` says whether new calls were already rejected when these were counted.
 ///
 /// A call may arrive just as the last one ends, so the process exits only after a count that was
 /// taken while new calls are rejected.
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -23,6 +23,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use transport::partition::SimulatedPartition;
 use transport::peer::{Pool, Traffic, serve};
 use transport::{http, server};
@@ -64,7 +65,6 @@
         "front" => front.local_addr()?.to_string(), "peers" => peer.local_addr()?.to_string(),
         "platform" => %node.settings.platform_address);
     let stop = CancellationToken::new();
-    let front_stop = CancellationToken::new();
     spawn_local(serve(peer, PeerHandler { node: node.clone() }, traffic, stop.clone()));
     spawn_local(peers::run(node.clone(), stop.clone()));
     watch::start(&node, &stop);
@@ -80,17 +80,18 @@
     spawn_local(job_scan::run(node.clone(), stop.clone()));
     for listener in ready.into_iter().chain(metrics) {
         let handler = Rc::new(StatusHandler { node: node.clone() });
-        spawn_local(server::serve(listener, handler, stop.clone()));
+        spawn_local(server::serve(listener, handler, TaskTracker::new(), stop.clone()));
     }
     let handler = Rc::new(HttpHandler { node: node.clone() });
-    spawn_local(server::serve(front, handler, front_stop.clone()));
+    let callers = Callers { stop: CancellationToken::new(), connections: TaskTracker::new() };
+    spawn_local(server::serve(front, handler, callers.connections.clone(), callers.stop.clone()));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = reload.recv() => reload_settings(&node, file),
         }
     }
-    drain(&node, &front_stop, &stop).await;
+    drain(&node, &callers, &stop).await;
     slog::info!(node.log, "stopped"; "running" => node.in_flight.get());
     stop.cancel();
     Ok(())
@@ -111,9 +112,17 @@
     }
 }
 
+/// The server of callers.
+struct Callers {
+    /// Cancelled to accept no more requests.
+    stop: CancellationToken,
+    /// Open connections.
+    connections: TaskTracker,
+}
+
 /// Stops gracefully: reports not ready, hands off jobs, and completes requests in flight, within
 /// the time limit of the settings. `stop` ends the hand-off of jobs.
-async fn drain(node: &Rc<Node>, front: &CancellationToken, stop: &CancellationToken) {
+async fn drain(node: &Rc<Node>, callers: &Callers, stop: &CancellationToken) {
     let since = clock::now();
     slog::info!(node.log, "stop ordered"; "running" => node.in_flight.get(),
         "jobs" => node.jobs.held_count());
@@ -125,14 +134,15 @@
     spawn_local(handoff::hand_off_jobs(node.clone(), stop.clone()));
     loop {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
-        let remaining = node.in_flight.get() + node.jobs.open_jobs().len();
-        let is_closed = front.is_cancelled();
+        let connections = callers.connections.len();
+        let remaining = node.in_flight.get() + node.jobs.open_jobs().len() + connections;
+        let is_closed = callers.stop.is_cancelled();
         match drain::phase(plan, since, remaining, is_closed, clock::now()) {
             Phase::Exit => break,
             Phase::Grace => {}
-            Phase::Draining => front.cancel(),
+            Phase::Draining => callers.stop.cancel(),
         }
     }
-    front.cancel();
+    callers.stop.cancel();
     tokio::time::sleep(STOP_POLL_INTERVAL).await;
 }
--- /dev/null
+++ b/crates/daemon/tests/gateway_ends.rs
@@ -0,0 +1,95 @@
+//! Requests that a gateway has read get a whole answer, whatever it is told meanwhile.
+
+mod util;
+
+use rstest::rstest;
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread::sleep;
+use std::time::Duration;
+use util::gateway::{Fleet, HOST};
+use util::raw_caller::{self, RawResponse, Version};
+use util::raw_streams::{fleet_of, target_with_body};
+use util::raw_target::{End, RawTarget};
+use util::wait_until;
+
+/// More than the sockets between a gateway and a caller that doesn't read hold.
+const BODY_BYTES: usize = 7_000_000;
+const BODY_HEADERS: &str = "Content-Length: 7000000";
+const EVENT_END: &str = "\n\n";
+/// Longer than the grace period of a stop.
+const PAUSE: Duration = Duration::from_millis(900);
+
+fn headers(id: &str) -> String {
+    format!("Host: {HOST}\nX-Gatespool-Request-Id: {id}\nX-Gatespool-Deadline-Ms: 5000")
+}
+
+fn send(fleet: &Fleet, version: Version, path: &str, body: &str) -> TcpStream {
+    raw_caller::send(fleet.gateways[0].front_address, version, path, &headers("end"), body)
+}
+
+fn wait_run(target: &RawTarget, path: &str) {
+    wait_until("it runs", || target.requests().iter().any(|request| request.path == path));
+}
+
+#[track_caller]
+fn assert_whole(response: &RawResponse, bytes: usize) {
+    let RawResponse { status, body, end } = response;
+    assert!(response.looks_complete(), "{status}, {} of {bytes} bytes, {end:?}", body.len());
+    assert_eq!((*status, body.len()), (200, bytes));
+}
+
+/// Regression: a request counted as done before its response was written.
+#[rstest]
+fn stop_waits_until_a_slow_caller_has_the_response(
+    #[values("/plain/slow", "/ask/slow")] path: &str,
+    #[values(Version::Http10, Version::Http11)] version: Version,
+) {
+    let body = "x".repeat(BODY_BYTES - EVENT_END.len()) + EVENT_END;
+    let target = target_with_body(BODY_HEADERS, &[&body], End::KeepAlive);
+    let fleet = fleet_of(&[&target]);
+    let mut caller = send(&fleet, version, path, "a prompt");
+    wait_run(&target, path);
+    fleet.gateways[0].terminate();
+    sleep(PAUSE);
+    assert_whole(&raw_caller::read(&mut caller), BODY_BYTES);
+}
+
+/// Regression: a stop didn't wait for requests whose body was on its way.
+#[rstest]
+#[case::in_the_head("POST /plain/parts HTTP/1.1\r\nHost: a.exa")]
+#[case::before_the_body(
+    "POST /plain/parts HTTP/1.1\r\nHost: a.example\r\nContent-Length: 8\r\n\r\n"
+)]
+#[case::in_the_body(
+    "POST /plain/parts HTTP/1.1\r\nHost: a.example\r\nContent-Length: 8\r\n\r\na pr"
+)]
+fn request_that_arrives_in_parts_beside_a_stop_is_answered(#[case] first: &str) {
+    let whole =
+        "POST /plain/parts HTTP/1.1\r\nHost: a.example\r\nContent-Length: 8\r\n\r\na prompt";
+    let target = target_with_body("Content-Length: 2", &["ok"], End::KeepAlive);
+    let fleet = fleet_of(&[&target]);
+    let mut caller = TcpStream::connect(fleet.gateways[0].front_address).expect("a connection");
+    caller.write_all(first.as_bytes()).expect("sent");
+    sleep(Duration::from_millis(100));
+    fleet.gateways[0].terminate();
+    sleep(PAUSE);
+    caller.write_all(whole[first.len()..].as_bytes()).expect("sent");
+    assert_whole(&raw_caller::read(&mut caller), 2);
+}
+
+#[rstest]
+#[case::without_a_request("")]
+#[case::after_an_answer(
+    "POST /plain/idle HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n\r\n"
+)]
+fn stop_does_not_wait_for_idle_connections(#[case] request: &str) {
+    let target = target_with_body("Content-Length: 2", &["ok"], End::KeepAlive);
+    let mut fleet = fleet_of(&[&target]);
+    let mut caller = TcpStream::connect(fleet.gateways[0].front_address).expect("a connection");
+    caller.write_all(request.as_bytes()).expect("sent");
+    sleep(Duration::from_millis(100));
+    fleet.gateways[0].terminate();
+    sleep(PAUSE);
+    assert!(!fleet.gateways[0].is_running());
+}
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -21,6 +21,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 /// Avoids a busy loop while the process is out of file descriptors.
 pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -89,7 +90,13 @@
 }
 
 /// Serves until `stop` is cancelled; open connections complete their request in progress.
-pub async fn serve<H: Handler>(listener: TcpListener, handler: Rc<H>, stop: CancellationToken) {
+/// `connections` counts those that are open: a response is written once its connection has ended.
+pub async fn serve<H: Handler>(
+    listener: TcpListener,
+    handler: Rc<H>,
+    connections: TaskTracker,
+    stop: CancellationToken,
+) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -97,7 +104,8 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(stream, handler.clone(), stop.clone()));
+                let connection = serve_connection(stream, handler.clone(), stop.clone());
+                connections.spawn_local(connection);
             }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
