Answer what a stop can't wait for

Callers whose requests were with a target when the time of a stop ran out got no answer: their connections ended with the process.

Cause: a stop gave up whatever was left without a word. Now each request whose response hasn't begun gets 502 then, which promises nothing. Responses that have begun are broken off as before.

--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -96,10 +96,10 @@
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Result<Response<Body>, Aborted> {
         let started = clock::now();
         let node = &self.node;
-        let result = handle(node, request, started).await;
-        let mut response = match result {
-            Ok(response) => response,
-            Err(aborted) => return Err(aborted),
+        let mut response = tokio::select! {
+            biased;
+            response = handle(node, request, started) => response?,
+            () = node.ending.cancelled() => text_response(502, "the instance stops"),
         };
         if node.is_stopping() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -144,6 +144,8 @@
     pub in_flight: in_flight::Counter,
     /// Cancelled when a stop is requested.
     pub stopping: CancellationToken,
+    /// Cancelled when a stop has no time left.
+    pub ending: CancellationToken,
 }
 
 impl Node {
@@ -200,6 +202,7 @@
             started: now,
             in_flight: in_flight::Counter::default(),
             stopping: CancellationToken::new(),
+            ending: CancellationToken::new(),
             peers,
             settings,
             log,
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -144,5 +144,6 @@
         }
     }
     callers.stop.cancel();
+    node.ending.cancel();
     tokio::time::sleep(STOP_POLL_INTERVAL).await;
 }
--- a/crates/daemon/tests/gateway_ends.rs
+++ b/crates/daemon/tests/gateway_ends.rs
@@ -3,11 +3,12 @@
 mod util;
 
 use rstest::rstest;
+use standin::runner::Config;
 use std::io::Write;
 use std::net::TcpStream;
 use std::thread::sleep;
 use std::time::Duration;
-use util::gateway::{Fleet, HOST};
+use util::gateway::{Fleet, HOST, Plan};
 use util::raw_caller::{self, RawResponse, Version};
 use util::raw_streams::{fleet_of, target_with_body};
 use util::raw_target::{End, RawTarget};
@@ -25,8 +26,8 @@
     format!("Host: {HOST}\nX-Gatespool-Request-Id: {id}\nX-Gatespool-Deadline-Ms: 5000")
 }
 
-fn send(fleet: &Fleet, version: Version, path: &str, body: &str) -> TcpStream {
-    raw_caller::send(fleet.gateways[0].front_address, version, path, &headers("end"), body)
+fn send(fleet: &Fleet, version: Version, path: &str, id: &str) -> TcpStream {
+    raw_caller::send(fleet.gateways[0].front_address, version, path, &headers(id), "a prompt")
 }
 
 fn wait_run(target: &RawTarget, path: &str) {
@@ -49,7 +50,7 @@
     let body = "x".repeat(BODY_BYTES - EVENT_END.len()) + EVENT_END;
     let target = target_with_body(BODY_HEADERS, &[&body], End::KeepAlive);
     let fleet = fleet_of(&[&target]);
-    let mut caller = send(&fleet, version, path, "a prompt");
+    let mut caller = send(&fleet, version, path, "slow");
     wait_run(&target, path);
     fleet.gateways[0].terminate();
     sleep(PAUSE);
@@ -75,7 +76,7 @@
     sleep(Duration::from_millis(100));
     fleet.gateways[0].terminate();
     sleep(PAUSE);
-    caller.write_all(whole[first.len()..].as_bytes()).expect("sent");
+    caller.write_all(&whole.as_bytes()[first.len()..]).expect("sent");
     assert_whole(&raw_caller::read(&mut caller), 2);
 }
 
@@ -123,3 +124,29 @@
     let lost = answers.iter().filter(|answer| answer.status != 200).count();
     assert_eq!(lost, 0, "{answers:?}");
 }
+
+/// Regression: requests that were still waiting when a stop ran out of time got no answer.
+#[rstest]
+fn requests_that_outlast_a_stop_are_answered(
+    #[values("/plain/late", "/ask/late", "/talk/late")] path: &str,
+) {
+    // Longer than the stop.
+    let first_event_delay = Duration::from_secs(4);
+    let fleet = Fleet::start(Plan {
+        gateways: vec!["east"],
+        runners: vec![("east", Config { slots: 2, first_event_delay, ..Config::default() })],
+        settings: vec![String::from("stop.bound_s = 2")],
+        ..Plan::default()
+    });
+    let ids: Vec<String> = (0..12).map(|n| format!("late-{n}")).collect();
+    let mut callers: Vec<_> =
+        ids.iter().map(|id| send(&fleet, Version::Http11, path, id)).collect();
+    sleep(Duration::from_millis(200));
+    fleet.gateways[0].terminate();
+    let answers: Vec<_> = callers.iter_mut().map(raw_caller::read).collect();
+    assert!(answers.iter().all(RawResponse::looks_complete), "{answers:?}");
+    let statuses: Vec<u16> = answers.iter().map(|answer| answer.status).collect();
+    let has_run = |id: &String| fleet.runs(path).iter().any(|run| run.id == *id);
+    let is_true = |(id, status): (&String, &u16)| *status == 502 || *status == 503 && !has_run(id);
+    assert!(ids.iter().zip(&statuses).all(is_true), "{statuses:?}");
+}
