Read on after the last response until its caller has it

Callers that had sent their next request already, with more than was read of it, got 4.0 to 5.1 of 7 MB of the response before it and a reset when a stop closed their connection.

Cause: the system resets a connection that is closed with unread data, and drops what it hasn't sent yet. Now such data is read and discarded for up to 2 s, until the caller closes. Connections without unread data are closed as before.

--- a/crates/daemon/tests/gateway_ends.rs
+++ b/crates/daemon/tests/gateway_ends.rs
@@ -9,7 +9,7 @@
 use std::thread::sleep;
 use std::time::Duration;
 use util::gateway::{Fleet, HOST, Plan};
-use util::raw_caller::{self, RawResponse, Version};
+use util::raw_caller::{self, BodyEnd, RawResponse, Version};
 use util::raw_streams::{fleet_of, target_with_body};
 use util::raw_target::{End, RawTarget};
 use util::wait_until;
@@ -150,3 +150,63 @@
     let is_true = |(id, status): (&String, &u16)| *status == 502 || *status == 503 && !has_run(id);
     assert!(ids.iter().zip(&statuses).all(is_true), "{statuses:?}");
 }
+
+/// Regression: a close with unread data reset the connection before the response was sent.
+#[rstest]
+fn response_before_a_request_that_a_stop_does_not_read_is_whole(
+    #[values(0, 100_000)] next_body_bytes: usize,
+) {
+    let body = "x".repeat(BODY_BYTES - EVENT_END.len()) + EVENT_END;
+    let target = target_with_body(BODY_HEADERS, &[&body], End::KeepAlive);
+    let fleet = fleet_of(&[&target]);
+    let mut caller = connect(&fleet);
+    let length = format!("Content-Length: {next_body_bytes}");
+    let next = KEPT.replace("Content-Length: 0", &length) + &"x".repeat(next_body_bytes);
+    caller.write_all((KEPT.to_owned() + &next).as_bytes()).expect("sent");
+    wait_run(&target, "/plain/kept");
+    fleet.gateways[0].terminate();
+    sleep(PAUSE);
+    assert_whole(&raw_caller::read(&mut caller), BODY_BYTES);
+}
+
+/// Calls on one connection after the other until none is accepted; the paths without an answer.
+fn call_until_stopped(fleet: &Fleet, caller: usize) -> Vec<String> {
+    let mut lost = Vec::new();
+    let mut paths = (0..).map(|n| format!("/plain/{caller}-{n}"));
+    while let Ok(mut stream) = TcpStream::connect(fleet.gateways[0].front_address) {
+        for path in paths.by_ref() {
+            let request = KEPT.replace("/plain/kept", &path);
+            let answer = raw_caller::exchange(&mut stream, &request);
+            if answer.end != BodyEnd::Framed {
+                lost.push(path);
+                break;
+            }
+            sleep(Duration::from_millis(5));
+        }
+    }
+    lost
+}
+
+#[test]
+fn callers_of_kept_connections_lose_no_request_that_was_passed_on() {
+    let target = target_with_body("Content-Length: 2", &["ok"], End::KeepAlive);
+    let fleet = fleet_of(&[&target]);
+    let lost: Vec<String> = std::thread::scope(|scope| {
+        let callers: Vec<_> = (0..8)
+            .map(|n| {
+                scope.spawn({
+                    let fleet = &fleet;
+                    move || call_until_stopped(fleet, n)
+                })
+            })
+            .collect();
+        for _ in 0..20 {
+            fleet.gateways[0].reload();
+            sleep(Duration::from_millis(30));
+        }
+        fleet.gateways[0].terminate();
+        callers.into_iter().flat_map(|caller| caller.join().expect("a caller")).collect()
+    });
+    let passed_on = |path: &&String| target.requests().iter().any(|run| run.path == **path);
+    assert_eq!(lost.iter().filter(passed_on).count(), 0, "{lost:?}");
+}
--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -7,13 +7,19 @@
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::{Response, Version};
 use rustix::net::sockopt;
+use std::future::Future;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
+
+/// How long a caller that goes on sending may take to read its last response.
+const MAX_LINGER_TIME: Duration = Duration::from_secs(2);
 
 /// Whether a response that ends with its connection is incomplete; clones share it.
 #[derive(Clone, Debug, Default)]
@@ -88,12 +94,14 @@
     open: OpenResponse,
     /// Whether the system resets the connection when the socket is dropped or the process ends.
     is_reset_on_close: bool,
+    /// When the connection is closed at the latest; `None` if its caller has sent nothing further.
+    lingering: Option<Pin<Box<Sleep>>>,
 }
 
 impl Socket {
     /// Wraps a connection. `open` follows the responses that are sent on it.
     pub fn new(stream: TcpStream, open: OpenResponse) -> Socket {
-        Socket { stream, open, is_reset_on_close: false }
+        Socket { stream, open, is_reset_on_close: false, lingering: None }
     }
 
     /// Before any part of a response that ends with the connection is sent.
@@ -115,6 +123,25 @@
     }
 }
 
+impl Socket {
+    /// Discards what the caller sends after its last response. Unread data would make the system
+    /// reset the connection, and drop what of the response is still to be sent.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut discarded = [0; 4096];
+        loop {
+            let mut buffer = ReadBuf::new(&mut discarded);
+            match Pin::new(&mut self.stream).poll_read(cx, &mut buffer) {
+                Poll::Ready(Ok(())) if !buffer.filled().is_empty() => {
+                    self.lingering.get_or_insert_with(|| Box::pin(sleep(MAX_LINGER_TIME)));
+                }
+                Poll::Ready(_) => return Poll::Ready(()),
+                Poll::Pending => break,
+            }
+        }
+        self.lingering.as_mut().map_or(Poll::Ready(()), |end| end.as_mut().poll(cx))
+    }
+}
+
 impl AsyncRead for Socket {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -157,6 +184,7 @@
             return Poll::Ready(Ok(())); // Dropping the socket resets the connection.
         }
         self.prepare_close()?;
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+        self.poll_discard(cx).map(Ok)
     }
 }
