--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -21,9 +21,12 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 /// Avoids a busy loop while the process is out of file descriptors.
 pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// After it, the runtime has looked for what had arrived before.
+const ARRIVAL_DELAY: Duration = Duration::from_millis(1);
 /// Small, so that a caller that doesn't read is noticed by backpressure.
 const BODY_CHANNEL_CAPACITY: usize = 8;
 
@@ -89,21 +92,36 @@
 }
 
 /// Serves until `stop` is cancelled; open connections complete their request in progress.
-pub async fn serve<H: Handler>(listener: TcpListener, handler: Rc<H>, stop: CancellationToken) {
+/// `connections` counts those that are open: a response is written once its connection has ended.
+pub async fn serve<H: Handler>(
+    listener: TcpListener,
+    handler: Rc<H>,
+    connections: TaskTracker,
+    stop: CancellationToken,
+) {
+    let mut closed = std::pin::pin!(closed(&stop));
     loop {
         let accepted = tokio::select! {
+            biased; // What has arrived is served.
             accepted = listener.accept() => accepted,
-            () = stop.cancelled() => return,
+            () = closed.as_mut() => return,
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(stream, handler.clone(), stop.clone()));
+                let connection = serve_connection(stream, handler.clone(), stop.clone());
+                connections.spawn_local(connection);
             }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
 }
 
+/// Returns once the server stops and what had arrived by then can be read.
+async fn closed(stop: &CancellationToken) {
+    stop.cancelled().await;
+    tokio::time::sleep(ARRIVAL_DELAY).await;
+}
+
 async fn serve_connection<H: Handler>(stream: TcpStream, handler: Rc<H>, stop: CancellationToken) {
     if stream.set_nodelay(true).is_err() {
         return; // The caller has disconnected already.
@@ -122,8 +140,9 @@
     let mut connection = std::pin::pin!(connection);
     // Errors are ignored: the handler notices that its future or body is dropped.
     tokio::select! {
+        biased; // A request that has arrived is read.
         _result = connection.as_mut() => return,
-        () = stop.cancelled() => {}
+        () = closed(&stop) => {}
     }
     connection.as_mut().graceful_shutdown();
     let _result = connection.await;
