Let stand-in targets state the id of their start, as the protocol says

Each start of a target is another one, with another id, and its health check states it. The stand-in runner had no health check, and the soak's crashed runners came back under the id that they had had, as did raw targets that restart. The health check of the stand-in waits for a slot or is rejected like a request; the soak's RunnerCrash is a replacement by the same software version; a raw target states the id that it is registered under, and another one after a restart. No check was changed.

--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -28,7 +28,8 @@
     PlatformFaults(objects::Faults, Duration),
     /// The platform compacts its change history.
     CompactHistory,
-    /// The end of a runner's process, and a start at the same address after the duration.
+    /// The end of a runner's process, and a start at the same address, with another id, after the
+    /// duration.
     RunnerCrash(usize, Duration),
     /// The end of a runner's process, and after the duration a start of another one at its address,
     /// with another id and the other of two software versions.
--- a/crates/daemon/tests/soak/scenario.rs
+++ b/crates/daemon/tests/soak/scenario.rs
@@ -252,15 +252,13 @@
                 self.undo_after(period, Undo::RunnerConnection(n));
             }
             Fault::RunnerCrash(n, down) => {
-                self.runner_proxies[n].set_mode(Mode::Refuse);
-                self.undo_after(down, Undo::RunnerConnection(n));
+                let software = self.fleet.runners[n].identity().software;
+                self.restart_runner(n, &software, down);
             }
             Fault::RunnerReplacement(n, down) => {
-                self.runner_proxies[n].set_mode(Mode::Refuse);
                 let before = self.fleet.runners[n].identity().software;
                 let other = VERSIONS.iter().find(|version| **version != before);
-                let earlier = self.fleet.replace_runner(n, other.expect("two versions"));
-                self.undo_after(down, Undo::RunnerReplacement(n, earlier));
+                self.restart_runner(n, other.expect("two versions"), down);
             }
             Fault::PeerPartition(n, period) => {
                 let own = self.fleet.gateways[n].peer_address;
@@ -292,6 +290,13 @@
         }
     }
 
+    /// Ends a runner's process, and starts another one with another id after `down`.
+    fn restart_runner(&mut self, n: usize, software: &str, down: Duration) {
+        self.runner_proxies[n].set_mode(Mode::Refuse);
+        let earlier = self.fleet.replace_runner(n, software);
+        self.undo_after(down, Undo::RunnerReplacement(n, earlier));
+    }
+
     fn undo(&mut self, undo: Undo) {
         match undo {
             Undo::Restart(n) => {
--- a/crates/daemon/tests/util/raw_streams.rs
+++ b/crates/daemon/tests/util/raw_streams.rs
@@ -58,6 +58,7 @@
 pub fn fleet_of(targets: &[&RawTarget]) -> Fleet {
     let runner = |n: usize| {
         let id = format!("r{n}");
+        targets[n].set_id(Some(&id));
         ("east", standin::runner::Config { id, ..Default::default() })
     };
     let plan = Plan {
--- a/crates/daemon/tests/util/raw_target.rs
+++ b/crates/daemon/tests/util/raw_target.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -22,10 +23,13 @@
     Crash,
     /// As [`End::Crash`], but the connection of the response is closed 2 ms before the port.
     CloseThenCrash,
-    /// The process ends and another one listens on its port at once.
+    /// The process ends and another one, with another id, listens on its port at once.
     Restart,
 }
 
+/// Path of the health check, which tells the id of the process.
+pub const HEALTH_PATH: &str = "/healthz";
+
 /// Time from the close to the crash of [`End::CloseThenCrash`].
 const CRASH_DELAY: Duration = Duration::from_millis(2);
 /// Time between the last byte and a reset, so that the reset doesn't overtake it.
@@ -70,6 +74,9 @@
 pub struct RawTarget {
     pub address: SocketAddr,
     requests: Arc<Mutex<Vec<Request>>>,
+    /// Id of the running process; `None` if its health check doesn't tell it.
+    id: Arc<Mutex<Option<String>>>,
+    connections: Arc<AtomicUsize>,
 }
 
 impl RawTarget {
@@ -78,7 +85,12 @@
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
         listener.set_nonblocking(true).expect("a socket");
         let address = listener.local_addr().expect("an address");
-        let target = RawTarget { address, requests: Arc::default() };
+        let target = RawTarget {
+            address,
+            requests: Arc::default(),
+            id: Arc::default(),
+            connections: Arc::default(),
+        };
         let served = target.clone();
         std::thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -87,6 +99,20 @@
         target
     }
 
+    /// Sets the id that its health check tells.
+    pub fn set_id(&self, id: Option<&str>) {
+        *self.lock_id() = id.map(str::to_owned);
+    }
+
+    fn lock_id(&self) -> MutexGuard<'_, Option<String>> {
+        self.id.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Number of connections accepted so far.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
     /// Requests received so far.
     pub fn requests(&self) -> Vec<Request> {
         self.lock().clone()
@@ -96,6 +122,12 @@
         self.requests.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn health(&self) -> Answer {
+        let id = self.lock_id().clone();
+        let id = id.map(|id| format!("X-Gatespool-Instance-Id: {id}\n")).unwrap_or_default();
+        Answer::new("", &format!("{id}Content-Length: 0"), &[], End::KeepAlive)
+    }
+
     /// Serves until a crash.
     async fn serve(
         self,
@@ -111,6 +143,7 @@
                 () = crash.notified() => return,
             };
             let (stream, _) = accepted.expect("a connection");
+            self.connections.fetch_add(1, Ordering::Relaxed);
             stream.set_nodelay(true).expect("a socket");
             let (target, answer, crash) = (self.clone(), answer.clone(), crash.clone());
             let restart = restart.clone();
@@ -137,7 +170,10 @@
         let mut stream = BufReader::new(stream);
         while let Some(request) = read_request(&mut stream).await {
             self.lock().push(request.clone());
-            let answer = answer(&request);
+            let answer = match request.path.as_str() {
+                HEALTH_PATH => self.health(),
+                _ => answer(&request),
+            };
             for (n, piece) in answer.pieces.iter().enumerate() {
                 if n > 1 {
                     tokio::time::sleep(answer.pause).await;
@@ -149,7 +185,10 @@
             match answer.end {
                 End::KeepAlive => {}
                 End::Close => return false,
-                End::Restart => return true,
+                End::Restart => {
+                    self.lock_id().iter_mut().for_each(|id| id.push('x'));
+                    return true;
+                }
                 End::Reset => {
                     tokio::time::sleep(RESET_DELAY).await;
                     stream.get_ref().set_zero_linger().expect("a socket");
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -12,6 +12,8 @@
 use transport::body;
 use transport::http::{self, BodyStream, RequestHead, Response, Service};
 
+/// Path of the health check, which states the id of the current start.
+const HEALTH_PATH: &str = "/healthz";
 const MAX_BODY_BYTES: usize = 8 << 20;
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time in which a chunk is sent; one that waits for the socket is lost when its response is aborted.
@@ -21,6 +23,7 @@
 const DEADLINE_MS: &str = "x-gatespool-deadline-ms";
 const EXPECTED_TARGET: &str = "x-gatespool-expect-instance";
 const WORKSPACE: &str = "x-gatespool-tenant";
+const TARGET_ID: &str = "x-gatespool-instance-id";
 const NOT_RUN: &str = "x-gatespool-not-run";
 const MODEL: &str = "x-gatespool-model";
 const PROMPT_PREFIX: &str = "x-gatespool-prompt-prefix";
@@ -264,19 +267,23 @@
         if !expected.is_empty() && expected != self.identity().id {
             return Some(http::bytes(421, "text/plain", Bytes::new()));
         }
-        if self.lock().faults.rejects_all {
-            let mut response = http::bytes(503, "text/plain", Bytes::new());
-            http::set_header(&mut response, NOT_RUN, "1");
-            return Some(response);
-        }
-        None
+        self.lock().faults.rejects_all.then(not_run)
+    }
+
+    /// Answers a health check, which waits for a slot or is rejected like a request.
+    async fn health(&self) -> Response {
+        let Ok(_admitted) = self.admission.clone().try_acquire_owned() else {
+            return not_run();
+        };
+        let _slot = self.slots.acquire().await;
+        let mut response = http::bytes(200, "text/plain", Bytes::new());
+        http::set_header(&mut response, TARGET_ID, &self.identity().id);
+        response
     }
 
     async fn run(&self, head: &RequestHead) -> Response {
         let Ok(admitted) = self.admission.clone().try_acquire_owned() else {
-            let mut response = http::bytes(503, "text/plain", Bytes::new());
-            http::set_header(&mut response, NOT_RUN, "1");
-            return response;
+            return not_run();
         };
         let arrived = Instant::now();
         let Ok(slot) = self.slots.clone().acquire_owned().await else {
@@ -403,6 +410,13 @@
     }
 }
 
+/// Response to a request that was not run.
+fn not_run() -> Response {
+    let mut response = http::bytes(503, "text/plain", Bytes::new());
+    http::set_header(&mut response, NOT_RUN, "1");
+    response
+}
+
 fn event_data(id: &str, n: u64) -> String {
     format!("{id}-{n}")
 }
@@ -433,6 +447,7 @@
         self.wait_while_silent(|silence| silence == Silence::Everything).await;
         match self.rejection(&head) {
             Some(response) => response,
+            None if head.path == HEALTH_PATH => self.health().await,
             None => self.run(&head).await,
         }
     }
