Ask a target for its id where no connection tells whether the process that responded still runs

Cause: an end that only the connection tells counts if a connection that shows whether the process runs is open afterwards. For the first such response of an address there was none from before the request, so it was opened when the head had been read, which may be after the crash: it was to the next process. The same held, by reading, for a connection that the target had closed and that was replaced while the body was read: it counted after 50 ms.

Why the fix works: only a connection that was open before the request was sent counts, since what listens later can't open it again. Where there is none, or the target has closed it, the process at the address is asked for its id in the service's health check, up to three times within 1 s. Each start of a target has another id, and only the target with the id that the request names runs it, so who states this id is who responded. The sender still holds the slot of the request, so the check has one.

Changed checks: monitor_that_could_not_be_opened_is_replaced looks at the second response, as the first has no monitor any more, and asserts that.

--- a/crates/coordination/tests/decisions.rs
+++ b/crates/coordination/tests/decisions.rs
@@ -273,6 +273,8 @@
 #[case::present_and_leaving(Presence::Listening, true, true, false)]
 #[case::crashed(Presence::Refused, false, false, true)]
 #[case::ended_while_leaving(Presence::Refused, true, false, false)]
+#[case::identified(Presence::Identified, false, true, false)]
+#[case::replaced(Presence::Replaced, false, false, false)]
 #[case::not_reached(Presence::Unknown, false, false, false)]
 #[case::not_reached_while_leaving(Presence::Unknown, true, false, false)]
 fn presence_tells_a_closed_response_from_a_crash(
--- a/crates/daemon/src/gateway/items/run.rs
+++ b/crates/daemon/src/gateway/items/run.rs
@@ -8,6 +8,7 @@
 use crate::gateway::online::{belongs_to_request, is_not_run, rejection_outcome};
 use crate::gateway::quarantine::{self, Admission};
 use crate::gateway::target_body::TargetBody;
+use crate::gateway::target_process::TargetProcess;
 use bytes::Bytes;
 use coordination::continuation;
 use coordination::hash;
@@ -113,7 +114,7 @@
         biased;
         () = std::future::ready(()), if !lease.is_usable(clock::now()) =>
             RunEnd::Stopped(LeaseOutcome::Unused, String::from("target is unusable")),
-        run_end = attempt(&node, &held, &item, &lease, &mut partial, &mut times) => run_end,
+        run_end = attempt(&node, &service, &held, &item, &lease, &mut partial, &mut times) => run_end,
         () = lease.stop.cancelled() =>
             RunEnd::Stopped(LeaseOutcome::Unused, String::from("revoked")),
         () = held.released.cancelled() =>
@@ -210,6 +211,7 @@
 
 async fn attempt(
     node: &Rc<Node>,
+    service: &str,
     held: &HeldJob,
     item: &Item,
     lease: &Lease,
@@ -256,7 +258,8 @@
     let status = head.status;
     if status.is_success() {
         let is_resumed = partial.last_event_id.is_some();
-        let mut body = TargetBody::of_events(exchange).resumed(is_resumed);
+        let process = TargetProcess::of(&exchange, node, service, &lease.grant);
+        let mut body = TargetBody::of_events(exchange, process).resumed(is_resumed);
         let run_end = read_events(&mut body, partial, times).await;
         if matches!(run_end, RunEnd::Completed) && body.is_framed() {
             quarantine::on_success(node, || fingerprint_of(held, item));
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -70,6 +70,7 @@
 pub mod takeover;
 mod target_body;
 pub mod target_page;
+mod target_process;
 pub mod watch;
 pub mod workload;
 
--- a/crates/daemon/src/gateway/online/attempt.rs
+++ b/crates/daemon/src/gateway/online/attempt.rs
@@ -5,6 +5,7 @@
 use crate::clock;
 use crate::gateway::leases::Lease;
 use crate::gateway::target_body::TargetBody;
+use crate::gateway::target_process::TargetProcess;
 use bytes::Bytes;
 use coordination::slots::LeaseOutcome;
 use http_body_util::Full;
@@ -200,7 +201,8 @@
             return Err(RetryReason::MayHaveRun(format!("target responded with {status}")));
         }
         let expects_events = self.route.class == Class::Stream;
-        let body = TargetBody::new(exchange, expects_events).resumed(is_resumed);
+        let process = TargetProcess::of(&exchange, &self.node, &self.service, &lease.grant);
+        let body = TargetBody::new(exchange, process, expects_events).resumed(is_resumed);
         Ok(TargetResponse { body, lease })
     }
 }
--- a/crates/daemon/src/gateway/target_body.rs
+++ b/crates/daemon/src/gateway/target_body.rs
@@ -4,18 +4,16 @@
 //! chunks may end in order. Whoever reads the body through [`TargetBody`] gets an error instead.
 //!
 //! An event stream must end between two events. An end that nothing but the connection tells
-//! counts only if the target's process still runs: an idle connection to it, opened when the
-//! response began, must still be open; see [`coordination::presence`].
+//! counts only if the process that responded still runs: an idle connection to it, opened before
+//! the request was sent, must still be open, or the process must state its id.
 
-use crate::clock;
+use super::target_process::TargetProcess;
 use bytes::{Bytes, BytesMut};
-use coordination::presence::{CLOSE_WINDOW, MONITOR_INTERVAL, Presence};
+use coordination::presence::{CLOSE_WINDOW, Presence};
 use hyper::http::response::Parts;
 use std::fmt;
-use std::rc::Rc;
-use std::time::Instant;
 use transport::event::{self, EventTracker};
-use transport::upstream::{Exchange, Framing, Monitor};
+use transport::upstream::{Exchange, Framing};
 
 /// Why a body is incomplete.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,7 +26,7 @@
     InsideEvent,
     /// A new event stream ended with its connection, before its first event.
     NoEvent,
-    /// The body ended with its connection, and the target's process wasn't found afterwards.
+    /// The body ended with its connection, and the process that sent it wasn't found afterwards.
     TargetGone(Presence),
 }
 
@@ -51,32 +49,39 @@
     events: Option<EventTracker>,
     /// Whether the stream continues an earlier one, and may have no events left.
     is_resumed: bool,
-    /// Shows whether the target's process runs; `None` if the target states the end of the body.
-    monitor: Option<Rc<Monitor>>,
-    /// When the monitor replaced one that the target had closed.
-    monitor_replaced: Option<Instant>,
+    /// The process that sends the body; `None` if the target states the end of the body.
+    process: Option<Box<TargetProcess>>,
 }
 
 impl TargetBody {
     /// Wraps a body whose response head says whether it is an event stream. If it doesn't, a
     /// successful response is one if `expects_events`.
-    pub fn new(exchange: Exchange, expects_events: bool) -> TargetBody {
+    pub fn new(
+        exchange: Exchange,
+        process: Option<Box<TargetProcess>>,
+        expects_events: bool,
+    ) -> TargetBody {
         let head = exchange.head();
         let is_event_stream =
             event::are_events(&head.headers).unwrap_or(expects_events && head.status.is_success());
         let events = is_event_stream.then(EventTracker::default);
-        TargetBody::with_events(exchange, events)
+        TargetBody::with_events(exchange, process, events)
     }
 
     /// Wraps a body that must be an event stream, whatever its head says.
-    pub fn of_events(exchange: Exchange) -> TargetBody {
-        TargetBody::with_events(exchange, Some(EventTracker::default()))
+    pub fn of_events(exchange: Exchange, process: Option<Box<TargetProcess>>) -> TargetBody {
+        TargetBody::with_events(exchange, process, Some(EventTracker::default()))
     }
 
-    fn with_events(exchange: Exchange, events: Option<EventTracker>) -> TargetBody {
-        let is_framed = exchange.framing() != Framing::Connection;
-        let monitor = (!is_framed).then(|| exchange.monitor());
-        TargetBody { exchange, events, is_resumed: false, monitor, monitor_replaced: None }
+    fn with_events(
+        exchange: Exchange,
+        process: Option<Box<TargetProcess>>,
+        events: Option<EventTracker>,
+    ) -> TargetBody {
+        if process.is_some() {
+            exchange.monitor_later();
+        }
+        TargetBody { exchange, events, is_resumed: false, process }
     }
 
     /// Marks the body as the rest of a stream that was interrupted after one of its events.
@@ -115,7 +120,7 @@
     ///
     /// The body is incomplete.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, Truncation> {
-        let chunk = self.read_chunk().await.map_err(Truncation::Connection)?;
+        let chunk = self.exchange.next_chunk().await.map_err(Truncation::Connection)?;
         match &chunk {
             Some(bytes) => self.events.iter_mut().for_each(|events| events.push(bytes)),
             None => self.check_end().await?,
@@ -123,22 +128,6 @@
         Ok(chunk)
     }
 
-    async fn read_chunk(&mut self) -> Result<Option<Bytes>, String> {
-        loop {
-            let Some(monitor) = &self.monitor else {
-                return self.exchange.next_chunk().await;
-            };
-            let chunk = self.exchange.next_chunk();
-            if let Ok(chunk) = tokio::time::timeout(MONITOR_INTERVAL, chunk).await {
-                return chunk;
-            }
-            if monitor.is_lost() {
-                self.monitor = Some(self.exchange.replace_monitor());
-                self.monitor_replaced = Some(clock::now());
-            }
-        }
-    }
-
     /// Reads the rest of the body.
     ///
     /// # Errors
@@ -170,9 +159,14 @@
 
     async fn check_presence(&self) -> Result<(), Truncation> {
         tokio::time::sleep(CLOSE_WINDOW).await;
-        let presence = match &self.monitor {
-            Some(_) if self.is_monitor_new() => Presence::Closed,
-            Some(monitor) => monitor.presence().await,
+        if let Some(monitor) = self.exchange.monitor()
+            && monitor.presence().await.confirms_end()
+        {
+            return Ok(());
+        }
+        // There was no connection in time, or the target has closed an idle one.
+        let presence = match &self.process {
+            Some(process) => process.presence().await,
             None => Presence::Unknown,
         };
         if presence.confirms_end() {
@@ -180,8 +174,4 @@
         }
         Err(Truncation::TargetGone(presence))
     }
-
-    fn is_monitor_new(&self) -> bool {
-        self.monitor_replaced.is_some_and(|at| clock::since(at) < MONITOR_INTERVAL)
-    }
 }
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -44,6 +44,9 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+/// Maximum time that a request waits for its monitor, whose connection is opened beside its own.
+const MONITOR_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// Settings of a connection pool.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -161,7 +164,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Exchange, SendError> {
         let mut request = request;
-        let monitor = self.monitor_of_known(to);
+        let mut monitor = self.monitor_of_known(to);
         loop {
             let idle = self.take_idle(to, clock::now());
             let is_reused = idle.is_some();
@@ -169,6 +172,11 @@
                 Some(connection) => connection,
                 None => self.open(to).await?,
             };
+            if let Some(opened) = &monitor
+                && !opened.is_open_within(MONITOR_TIMEOUT).await
+            {
+                monitor = None;
+            }
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     let (head, body) = response.into_parts();
@@ -234,14 +242,14 @@
         }
     }
 
-    /// A connection that shows whether the process at an address goes on running; its users share
-    /// it.
-    fn monitor(&self, to: SocketAddr) -> Rc<Monitor> {
+    /// Opens a connection that shows whether the process at an address goes on running; its users
+    /// share it.
+    fn monitor(&self, to: SocketAddr) {
         let timeout = self.settings.connect_timeout;
-        self.monitors.borrow_mut().get_or_open(to, timeout, clock::now())
+        self.monitors.borrow_mut().get_or_open(to, timeout, clock::now());
     }
 
-    /// As [`Pool::monitor`], if responses from there have ended with their connections.
+    /// The connection of [`Pool::monitor`], if responses from there have ended with theirs.
     fn monitor_of_known(&self, to: SocketAddr) -> Option<Rc<Monitor>> {
         let timeout = self.settings.connect_timeout;
         self.monitors.borrow_mut().reopen(to, timeout, clock::now())
--- a/crates/transport/src/upstream/exchange.rs
+++ b/crates/transport/src/upstream/exchange.rs
@@ -56,7 +56,8 @@
     pub(super) body: Incoming,
     pub(super) connection: Option<Connection>,
     pub(super) pool: Pool,
-    /// Opened before the request was sent; `None` if it wasn't known to be needed.
+    /// Open before the request was sent; `None` if it wasn't known to be needed, or couldn't be
+    /// opened.
     pub(super) monitor: Option<Rc<Monitor>>,
     pub(super) is_at_end: bool,
 }
@@ -72,16 +73,16 @@
         self.framing
     }
 
-    /// A connection that shows whether the server's process goes on running: from before the
-    /// response if earlier ones ended with their connections, else from now on.
-    pub fn monitor(&self) -> Rc<Monitor> {
-        let earlier = self.monitor.clone().filter(|monitor| !monitor.has_failed());
-        earlier.unwrap_or_else(|| self.pool.monitor(self.to))
+    /// A connection that shows whether the process that responds goes on running; `None` if there
+    /// was none before the request was sent. One opened later might be to another process.
+    pub fn monitor(&self) -> Option<&Monitor> {
+        self.monitor.as_deref()
     }
 
-    /// A connection in place of one that the server has closed.
-    pub fn replace_monitor(&self) -> Rc<Monitor> {
-        self.pool.monitor(self.to)
+    /// Notes that responses from there end with their connections, so that later requests have a
+    /// monitor.
+    pub fn monitor_later(&self) {
+        self.pool.monitor(self.to);
     }
 
     /// Returns the next chunk of the body, or `None` at its end, when the connection
--- a/crates/transport/src/upstream/monitor.rs
+++ b/crates/transport/src/upstream/monitor.rs
@@ -114,9 +114,10 @@
         }
     }
 
-    /// Whether no connection could be opened.
-    pub(super) fn has_failed(&self) -> bool {
-        matches!(&*self.state.borrow(), State::Failed(_))
+    /// Whether there is a connection, or will be within `timeout`.
+    pub(super) async fn is_open_within(&self, timeout: Duration) -> bool {
+        let presence = tokio::time::timeout(timeout, self.presence()).await;
+        presence.is_ok_and(|presence| presence == Presence::Listening)
     }
 }
 
--- a/crates/transport/tests/upstream.rs
+++ b/crates/transport/tests/upstream.rs
@@ -107,7 +107,10 @@
         let address = listener.local_addr().expect("local address");
         let server = tokio::task::spawn_local(serve_unframed(listener));
         let exchange = pool.send(address, get()).await.expect("a response");
-        let monitor = exchange.monitor();
+        assert!(exchange.monitor().is_none(), "nothing was known of the server");
+        exchange.monitor_later();
+        let exchange = pool.send(address, get()).await.expect("a response");
+        let monitor = exchange.monitor().expect("a monitor from before the request");
         assert_eq!(monitor.presence().await, Presence::Listening);
         server.abort();
         assert!(server.await.is_err_and(|error| error.is_cancelled()));
@@ -118,7 +121,8 @@
         let listener = tokio::net::TcpListener::bind(address).await.expect("bind listener again");
         let server = tokio::task::spawn_local(serve_unframed(listener));
         let exchange = pool.send(address, get()).await.expect("a response");
-        assert_eq!(exchange.monitor().presence().await, Presence::Listening);
+        let monitor = exchange.monitor().expect("another monitor");
+        assert_eq!(monitor.presence().await, Presence::Listening);
         server.abort();
     });
 }
