--- a/crates/daemon/tests/soak/inject.rs
+++ b/crates/daemon/tests/soak/inject.rs
@@ -70,8 +70,8 @@
                 self.undo_after(period, Undo::RunnerConnection(n));
             }
             Fault::RunnerCrash(n, down) => {
-                self.runner_proxies[n].set_mode(Mode::Refuse);
-                self.undo_after(down, Undo::RunnerConnection(n));
+                let software = self.fleet.runners[n].identity().software;
+                self.restart_runner(n, &software, down);
             }
             Fault::RunnerReplacement(n, down) => self.replace_runner(n, down),
             Fault::PeerPartition(n, period) => {
@@ -118,12 +118,18 @@
         }
     }
 
+    /// Replaces a runner by one of the other software version.
     fn replace_runner(&mut self, n: usize, down: Duration) {
-        self.disturbances.replaced.push((n, Instant::now()));
-        self.runner_proxies[n].set_mode(Mode::Refuse);
         let before = self.fleet.runners[n].identity().software;
         let other = VERSIONS.iter().find(|version| **version != before);
-        let earlier = self.fleet.replace_runner(n, other.expect("two versions"));
+        self.restart_runner(n, other.expect("two versions"), down);
+    }
+
+    /// Ends a runner's process, and starts another one with another id after `down`.
+    fn restart_runner(&mut self, n: usize, software: &str, down: Duration) {
+        self.disturbances.replaced.push((n, Instant::now()));
+        self.runner_proxies[n].set_mode(Mode::Refuse);
+        let earlier = self.fleet.replace_runner(n, software);
         self.undo_after(down, Undo::RunnerReplacement(n, earlier));
     }
 
