Split the acquisition of leases and the stand-in's events from their files

Code moved; the wait for a head or a replacement is a function of its own; comments reworded by review. Behaviour as before.

--- a/crates/coordination/src/presence.rs
+++ b/crates/coordination/src/presence.rs
@@ -44,7 +44,8 @@
     }
 
     /// Whether a response that ended with its connection is complete as far as can be known, if a
-    /// connection that was open before the request, or an id, showed this. A target that has announced that it leaves may still end halfway, so that doesn't matter.
+    /// connection that was open before the request, or an id, showed this. A target that has
+    /// announced that it leaves may still end halfway, so that doesn't matter.
     pub fn confirms_end(self) -> bool {
         matches!(self, Presence::Listening | Presence::Identified)
     }
--- a/crates/coordination/src/slots/lease.rs
+++ b/crates/coordination/src/slots/lease.rs
@@ -340,7 +340,7 @@
     #[serde(rename = "done")]
     pub completed: Option<Sample>,
     /// How long a target that is [`LeaseOutcome::Unresponsive`] had sent nothing; `None` if it
-    /// couldn't be reached.
+    /// couldn't be reached, and from earlier builds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub silence: Option<Duration>,
 }
--- a/crates/daemon/src/gateway/leases/lease.rs
+++ b/crates/daemon/src/gateway/leases/lease.rs
@@ -44,7 +44,7 @@
     pub software: Option<SoftwareVersion>,
     /// When the request was sent; `None` before.
     pub sent_at: Option<Instant>,
-    /// When the target last sent something; `None` before.
+    /// When the target of a stream last sent something; `None` before.
     pub heard_at: Option<Instant>,
     granted_at: Instant,
     /// Earliest time at which the allocator may have granted the lease.
@@ -74,7 +74,7 @@
         self.report.outcome = outcome;
     }
 
-    /// Time since the target last sent something, or was sent the request.
+    /// Time since the target of an online request last sent something, or was sent the request.
     pub fn silence(&self) -> Duration {
         self.heard_at.or(self.sent_at).map(clock::since).unwrap_or_default()
     }
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -1,6 +1,7 @@
 //! Forwards one online request: acquires a slot, sends the request to its target, and passes the
 //! response on. Failed attempts are retried on other targets where the route allows it.
 
+mod acquire;
 mod attempt;
 mod buffered;
 mod failure;
@@ -13,12 +14,12 @@
 
 use super::crash::{self, BrokenRequest, hex};
 use super::front::{CallerRequest, error_response};
-use super::leases::{self, AcquireError, Lease, SlotQuery};
+use super::leases::{AcquireError, Lease};
 use super::node::{Config, Node};
-use super::quarantine::{self, Admission};
+use super::quarantine;
 use super::quota::Charge;
 use super::target_body::TargetBody;
-use super::{in_flight, residency, streaming, workload};
+use super::{in_flight, streaming, workload};
 use crate::clock;
 use attempt::{FailedAttempt, RetryReason};
 use coordination::hash;
@@ -30,7 +31,7 @@
 use protocol::{Error, Kind};
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use transport::body::Aborted;
 use transport::server::Body;
 
@@ -51,7 +52,7 @@
     pub service: String,
     /// Version of the configuration that matched the route.
     pub version: u64,
-    /// Number of targets that it was sent to.
+    /// Number of targets that it was sent to, without those that couldn't be reached.
     pub attempts: u32,
     /// Whether a target may have run the request.
     pub may_have_run: bool,
@@ -300,82 +301,4 @@
         }
         ForwardError::NotRun(error)
     }
-
-    /// The latest start with which the response meets its objective, and when the caller stops
-    /// waiting.
-    fn slot_deadlines(&self, is_resumed: bool, now: Instant) -> (Instant, Instant) {
-        let route = &self.route;
-        let start = self.call.started;
-        let deadline = self.call.deadline.min(start + route.timeout);
-        let expires = |since: Instant| {
-            route
-                .caller_idle_timeout
-                .map_or(deadline, |idle_timeout| deadline.min(since + idle_timeout))
-        };
-        if is_resumed {
-            // The caller waits for the next event of its stream.
-            return (now + route.max_event_gap, expires(now));
-        }
-        if self.call.is_retry {
-            // The objective counts from the first attempt of the caller and is missed already.
-            return (start, expires(start));
-        }
-        let target_share = self.node.settings.policy.target_share;
-        (start + route.objective.mul_f64(1.0 - target_share), expires(start))
-    }
-
-    /// Acquires a lease for the next attempt.
-    async fn acquire_next(&mut self, last_event: Option<u64>) -> Result<Lease, AcquireError> {
-        loop {
-            let lease = self.acquire_admitted(last_event).await?;
-            if !lease.is_usable(clock::now()) {
-                self.node.metrics.count("lease.unusable");
-                continue;
-            }
-            self.registry = lease.registry;
-            self.forecast = lease.grant.forecast;
-            self.count_prompt_tokens();
-            return Ok(lease);
-        }
-    }
-
-    /// Acquires a lease, unless the request is quarantined.
-    async fn acquire_admitted(&mut self, last_event: Option<u64>) -> Result<Lease, AcquireError> {
-        let call = self.call.clone();
-        let fingerprint = || call.fingerprint();
-        let admission = quarantine::admit(&self.node, fingerprint).await;
-        if let Admission::Quarantined(remaining) = admission {
-            return Err(AcquireError::Quarantined(remaining));
-        }
-        let lease = self.acquire_lease(last_event).await?;
-        // Equal requests may have crashed further targets during the wait.
-        match quarantine::remaining_quarantine(&self.node, fingerprint) {
-            Some(remaining) if admission == Admission::Allowed => {
-                Err(AcquireError::Quarantined(remaining))
-            }
-            _ => Ok(lease),
-        }
-    }
-
-    async fn acquire_lease(&mut self, last_event: Option<u64>) -> Result<Lease, AcquireError> {
-        loop {
-            let software = self.required_software()?;
-            let (latest_start, expires) = self.slot_deadlines(last_event.is_some(), clock::now());
-            let query = SlotQuery {
-                service: self.service.clone(),
-                latest_start,
-                expires,
-                excluded: self.excluded.clone(),
-                software,
-                residency: residency::of_request(&self.route, self.call.workspace.as_deref()),
-                workload: self.workload.clone(),
-            };
-            let result = leases::acquire(&self.node, &query, &mut self.charge).await;
-            self.slot_wait.set(clock::since(self.call.started));
-            let lease = result?;
-            if self.confirm(&lease).await? {
-                return Ok(lease);
-            }
-        }
-    }
 }
--- a/crates/daemon/src/gateway/online/attempt.rs
+++ b/crates/daemon/src/gateway/online/attempt.rs
@@ -92,15 +92,7 @@
         loop {
             let target = pending.lease.grant.target.clone();
             let failed = |reason| FailedAttempt { target, reason };
-            let replaced = match self.head(&mut pending).await {
-                Ok(result) => Replaced::Kept(Ok(result)),
-                Err(NoHead::Expired) => Replaced::Expired,
-                Err(NoHead::Silent) => {
-                    let Pending { sending, lease } = &mut pending;
-                    self.replace(sending, has_failed, lease, last_event).await
-                }
-            };
-            let (replacement, failure) = match replaced {
+            match self.head_or_replacement(&mut pending, last_event).await {
                 Replaced::Kept(result) => {
                     let is_resumed = last_event.is_some();
                     return self.accept(flatten(result), pending.lease, is_resumed).map_err(failed);
@@ -109,12 +101,28 @@
                     pending.end(&self.route, &self.node.settings.policy);
                     return Err(failed(RetryReason::DeadlineExceeded));
                 }
-                Replaced::By(replacement, failure) => (replacement, failure),
-            };
-            self.end_replaced(pending, failure);
-            match replacement {
-                Replacement::Response(response) => return Ok(*response),
-                Replacement::Pending(other) => pending = *other,
+                Replaced::By(replacement, failure) => {
+                    self.end_replaced(pending, failure);
+                    match replacement {
+                        Replacement::Response(response) => return Ok(*response),
+                        Replacement::Pending(other) => pending = *other,
+                    }
+                }
+            }
+        }
+    }
+
+    async fn head_or_replacement(
+        &mut self,
+        pending: &mut Pending,
+        last_event: Option<u64>,
+    ) -> Replaced<SendingResult> {
+        match self.head(pending).await {
+            Ok(result) => Replaced::Kept(Ok(result)),
+            Err(NoHead::Expired) => Replaced::Expired,
+            Err(NoHead::Silent) => {
+                let Pending { sending, lease } = pending;
+                self.replace(sending, has_failed, lease, last_event).await
             }
         }
     }
--- a/crates/daemon/src/gateway/online/replacement.rs
+++ b/crates/daemon/src/gateway/online/replacement.rs
@@ -2,16 +2,17 @@
 //! exchange is kept until another target has the request.
 
 use super::attempt::{FailedAttempt, Pending, RetryReason, flatten};
-use super::{ProxiedRequest, RETRY_AFTER, TargetResponse};
+use super::{ProxiedRequest, TargetResponse};
 use crate::clock;
 use crate::gateway::crash::hex;
-use crate::gateway::leases::{AcquireError, Lease};
+use crate::gateway::leases::Lease;
 use coordination::presence::Presence;
 use coordination::slots::LeaseOutcome;
 use std::future::Future;
 use std::time::Duration;
 
-/// How long a silent target may go on running a request that was also sent to another one.
+/// How long a request may run at a silent target and at another one at once. Operators allow
+/// 400 ms.
 const MAX_OVERLAP: Duration = Duration::from_millis(250);
 
 /// Another target that has the request.
@@ -78,21 +79,6 @@
         }
     }
 
-    /// As [`ProxiedRequest::acquire_next`], but waits as long as there may be a target later.
-    pub(super) async fn acquire_patiently(
-        &mut self,
-        last_event: Option<u64>,
-    ) -> Result<Lease, AcquireError> {
-        loop {
-            let delay = match self.acquire_next(last_event).await {
-                Err(AcquireError::Full(delay)) => delay,
-                Err(AcquireError::NoTarget | AcquireError::NoReply) => RETRY_AFTER,
-                result => return result,
-            };
-            tokio::time::sleep(delay).await;
-        }
-    }
-
     async fn try_replacement(
         &mut self,
         lease: Lease,
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -3,8 +3,9 @@
 //! A seed determines the schedule of faults: processes are killed, stopped, frozen and
 //! restarted; loopback proxies delay, reset or stall connections; the platform is unavailable,
 //! slow, compacts its history or loses responses; runners crash, interrupt streams, respond under
-//! another id or not at all. Sound runners fall silent and go on beside planned work. Meanwhile callers send requests, and `check.rs` checks the observations of
-//! callers and runners against the guarantees of the system.
+//! another id or not at all. Sound runners fall silent and go on beside planned work. Meanwhile
+//! callers send requests, and `check.rs` and `calm.rs` check the observations of callers and
+//! runners against the guarantees of the system.
 //!
 //! `cargo test --release -p gatespoold --test soak` runs [`SEEDS`] and [`REGRESSION_SEEDS`];
 //! the environment variable `GATESPOOL_SOAK=100..150` runs a range of seeds instead. A seed
@@ -12,7 +13,8 @@
 //! added to [`REGRESSION_SEEDS`].
 //!
 //! With the path of an earlier `gatespoold` in `GATESPOOL_EARLIER_BUILD`, all gateways start with
-//! that build, and each restart replaces it by the current one or the other way round. `GATESPOOL_SOAK_GATEWAYS` sets the number of gateways, and of runners if it is larger.
+//! that build, and each restart replaces it by the current one or the other way round.
+//! `GATESPOOL_SOAK_GATEWAYS` sets the number of gateways, and of runners if it is larger.
 
 #[path = "../util/mod.rs"]
 mod util;
