--- a/crates/daemon/tests/gateway_silence.rs
+++ b/crates/daemon/tests/gateway_silence.rs
@@ -215,3 +215,25 @@
     assert_whole(&responses);
     assert_one_run_at_a_time(&fleet, "/plain/silent");
 }
+
+/// A silent target was dropped for a replacement that had sent nothing, and that failed.
+#[test]
+fn stream_of_a_silent_target_outlives_a_replacement_that_fails() {
+    let fleet = fleet_of(&["v1"; 2]);
+    let set = |silence| fleet.runners.iter().for_each(|runner| runner.set_silence(silence));
+    let path = "/talk/outlived";
+    let response = std::thread::scope(|scope| {
+        let call = scope.spawn(|| fleet.send(0, path, "outlived"));
+        wait_until("it runs", || fleet.runs(path).len() == 1);
+        std::thread::sleep(Duration::from_millis(100));
+        set(Some(Silence::Everything));
+        // The replacement has had the request for longer than two targets may have it.
+        std::thread::sleep(SILENCE);
+        let replacement = fleet.runners.iter().find(|runner| runner.runs().is_empty());
+        replacement.expect("another target").process().crash.notify_one();
+        std::thread::sleep(Duration::from_millis(100));
+        set(None);
+        call.join().expect("a response")
+    });
+    assert_whole(&[(String::from("outlived"), response)]);
+}
