Let the soak's rollout wait for requests that a runner hasn't answered yet

Cause: a rollout took a runner for idle while requests waited in its silence, and ended it under them. That is no planned work: a runner that drains completes what it has accepted, and the check for planned periods called the runner sound.

--- a/crates/daemon/tests/soak/inject.rs
+++ b/crates/daemon/tests/soak/inject.rs
@@ -166,8 +166,9 @@
             }
             Undo::Rollout(n, down, deadline) => {
                 let is_recent = |at: Instant| at.elapsed() < DRAIN_INTERVAL;
-                let runs = self.fleet.runners[n].runs();
-                let is_busy = runs.iter().any(|run| run.ended.is_none_or(is_recent));
+                let runner = &self.fleet.runners[n];
+                let is_busy = !runner.is_idle()
+                    || runner.runs().iter().any(|run| run.ended.is_some_and(is_recent));
                 if is_busy && Instant::now() < deadline {
                     self.undo_after(DRAIN_INTERVAL, Undo::Rollout(n, down, deadline));
                 } else {
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -146,6 +146,8 @@
     identity: Option<Identity>,
     faults: Faults,
     runs: Vec<Run>,
+    /// Number of requests that were received and have no head of a response.
+    open_calls: usize,
     failing_ids: HashMap<String, u16>,
     failing_suffix: Option<(String, u16)>,
     crash_path: Option<String>,
@@ -240,6 +242,12 @@
         self.lock().runs.clone()
     }
 
+    /// Whether it has responded to all requests that it received, in full.
+    pub fn is_idle(&self) -> bool {
+        let state = self.lock();
+        state.open_calls == 0 && state.runs.iter().all(|run| run.ended.is_some())
+    }
+
     /// Tokens of prompts that it read and that it had kept.
     pub fn tokens(&self) -> Tokens {
         self.lock().memory.tokens()
@@ -440,6 +448,22 @@
     }
 }
 
+/// A request that has no head of a response, until dropped.
+struct OpenCall(Runner);
+
+impl OpenCall {
+    fn new(runner: &Runner) -> OpenCall {
+        runner.lock().open_calls += 1;
+        OpenCall(runner.clone())
+    }
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.0.lock().open_calls -= 1;
+    }
+}
+
 /// The events of one response.
 struct EventStream {
     /// Id of the request.
@@ -453,6 +477,7 @@
 
 impl Service for Runner {
     async fn call<B: BodyStream>(&self, head: RequestHead, mut body: B) -> Response {
+        let _open_call = OpenCall::new(self);
         if http::read_body(&mut body, MAX_BODY_BYTES, BODY_TIMEOUT).await.is_err() {
             return http::bytes(400, "text/plain", Bytes::new());
         }
