Test that releases of earlier builds name no silence

Asked for by review: an allocator of this build takes them as before, and a report without a silence is written as before.

--- a/crates/daemon/tests/message_versions.rs
+++ b/crates/daemon/tests/message_versions.rs
@@ -2,6 +2,7 @@
 //! round.
 
 use coordination::registry::{Change, Registry};
+use coordination::slots::LeaseOutcome;
 use daemon::gateway::message::{
     JobStatus, PeerReply, PeerRequest, SlotRequest, Update, decode, encode,
 };
@@ -161,3 +162,17 @@
     assert!(matches!(decode_earlier(PeerReply::NotOwner), Some(EarlierReply::NotHere)));
     assert!(matches!(decode_earlier(PeerReply::Unavailable), Some(EarlierReply::Away)));
 }
+
+/// A release as the version before silences were reported sends it.
+const RELEASE: &str = r#"{"Release":[5,{"end":"Silent","first":null,"pace":null,"done":null}]}"#;
+
+#[test]
+fn release_of_the_earlier_version_names_no_silence() {
+    let request: PeerRequest = decode(RELEASE.as_bytes()).expect("a request");
+    let PeerRequest::Release(_, report) = &request else {
+        panic!("a release");
+    };
+    assert_eq!((report.outcome, report.silence), (LeaseOutcome::Unresponsive, None));
+    let written: Value = serde_json::from_slice(&encode(&request)).expect("JSON");
+    assert_eq!(written, serde_json::from_str::<Value>(RELEASE).expect("JSON"));
+}
