--- a/crates/daemon/tests/gateway_ends.rs
+++ b/crates/daemon/tests/gateway_ends.rs
@@ -1,4 +1,4 @@
-//! Requests that a gateway has read get a whole answer, whatever it is told meanwhile.
+//! Requests that a gateway has read get a whole answer, also beside a planned stop.
 
 mod util;
 
