Tell in the log which parts the requests without an event had at a crash

Cause: a line on interrupted responses named the contents of requests, which are never alike in this incident. Nothing told which parts of their prompts they share, nor which runs had had an event before.

Change: `responses interrupted` carries `parts_without_event`, the fingerprints of the shared parts of each run that had no event. No change of logic; compiled, no test.

--- a/crates/coordination/src/hash.rs
+++ b/crates/coordination/src/hash.rs
@@ -1,6 +1,6 @@
 //! Hashes that are the same on every instance and in every version.
 
-use protocol::RequestFingerprint;
+use protocol::{PartFingerprint, RequestFingerprint};
 use xxhash_rust::xxh3::{Xxh3Default, xxh3_64, xxh3_64_with_seed};
 
 /// Hash of a byte string (XXH3, 64 bits).
@@ -24,6 +24,11 @@
     hasher.digest()
 }
 
+/// Fingerprint of a part of prompts, whatever the model and the parts beside it.
+pub fn part_fingerprint(id: &str) -> PartFingerprint {
+    xxh3_64(id.as_bytes())
+}
+
 /// Shard of a key, in `0..shards`.
 pub fn shard(key: &str, shards: u32) -> u32 {
     (bytes(key.as_bytes()) % u64::from(shards.max(1))) as u32
--- a/crates/coordination/src/prompt.rs
+++ b/crates/coordination/src/prompt.rs
@@ -15,6 +15,7 @@
 //! ```
 
 use crate::hash;
+use protocol::PartFingerprint;
 use serde::{Deserialize, Serialize};
 
 /// Identifies a part together with the model and all parts before it.
@@ -108,6 +109,15 @@
     }
 }
 
+/// Fingerprints of the first [`MAX_PARTS`] parts that other prompts may have too, in any place and for
+/// any model: all but the last, which belongs to the request or its session.
+pub fn shared_parts<'a>(parts: impl IntoIterator<Item = (&'a str, u32)>) -> Vec<PartFingerprint> {
+    let ids = parts.into_iter().map(|(id, _)| id).take(MAX_PARTS + 1);
+    let mut fingerprints: Vec<PartFingerprint> = ids.map(hash::part_fingerprint).collect();
+    fingerprints.pop();
+    fingerprints
+}
+
 fn sum(parts: &[Part]) -> u64 {
     parts.iter().map(|part| u64::from(part.tokens)).sum()
 }
--- a/crates/daemon/src/gateway/crash.rs
+++ b/crates/daemon/src/gateway/crash.rs
@@ -9,7 +9,7 @@
 use coordination::presence::CLOSE_WINDOW;
 use coordination::quarantine::TargetStart;
 use coordination::slots::Grant;
-use protocol::{RequestFingerprint, TargetId};
+use protocol::{PartFingerprint, RequestFingerprint, TargetId};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -23,6 +23,10 @@
     pub id: String,
     /// Fingerprint, by which it is quarantined.
     pub fingerprint: RequestFingerprint,
+    /// Parts of its prompt that other requests may have too.
+    pub parts: Vec<PartFingerprint>,
+    /// Whether the target had sent an event of this run.
+    pub has_event: bool,
 }
 
 /// Targets with a check in progress, and the requests interrupted there.
@@ -52,10 +56,15 @@
     let ids: Vec<&String> = interrupted.iter().map(|request| &request.id).collect();
     let fingerprints: Vec<String> =
         interrupted.iter().map(|request| hex(request.fingerprint)).collect();
+    let without_event = interrupted.iter().filter(|request| !request.has_event);
+    let parts_without_event: Vec<Vec<String>> = without_event
+        .map(|request| request.parts.iter().map(|part| hex(*part)).collect())
+        .collect();
     let is_crash = presence.is_crash(is_unusable);
     slog::info!(node.log, "responses interrupted"; "target" => &target, "address" => %address,
         "presence" => ?presence, "has_left" => is_unusable,
-        "is_crash" => is_crash, "requests" => ?ids, "contents" => ?fingerprints);
+        "is_crash" => is_crash, "requests" => ?ids, "contents" => ?fingerprints,
+        "parts_without_event" => ?parts_without_event);
     if is_crash {
         let started_at = node.registry.borrow().get(&target).map_or(0, |target| target.started_at);
         let fingerprints: Vec<RequestFingerprint> =
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -5,14 +5,14 @@
 use super::{access, jobs, online, submit};
 use crate::clock;
 use bytes::Bytes;
-use coordination::hash;
+use coordination::{hash, prompt};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use platform::{header, job};
 use protocol::routing::{Class, Route};
 use protocol::workspace::Workspace;
-use protocol::{Error, Kind, RequestFingerprint};
+use protocol::{Error, Kind, PartFingerprint, RequestFingerprint};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use transport::body::Aborted;
@@ -42,6 +42,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// Parts of the prompt that other requests may have too.
+    pub parts: Vec<PartFingerprint>,
     /// Workspace of the caller; `None` if the request needs no API key and has none.
     pub workspace: Option<Rc<Workspace>>,
     /// Whether the request is assumed to be a retry, since its timeout is shorter than usual.
@@ -174,6 +176,8 @@
     let mut headers = header::end_to_end(&parts.headers);
     access::remove_reserved(&config.table, &mut headers);
     let is_retry = timeout.is_some_and(|timeout| node.is_retry(&route.name, timeout));
+    let shared_parts =
+        prompt::shared_parts(header::prompt_parts(header::text(&headers, header::PROMPT_PREFIX)));
     let method = parts.method;
     let call = CallerRequest {
         id,
@@ -182,6 +186,7 @@
         host,
         headers,
         body,
+        parts: shared_parts,
         workspace,
         is_retry,
         started,
--- a/crates/daemon/src/gateway/items/run.rs
+++ b/crates/daemon/src/gateway/items/run.rs
@@ -10,15 +10,14 @@
 use crate::gateway::target_body::TargetBody;
 use crate::gateway::target_process::TargetProcess;
 use bytes::Bytes;
-use coordination::continuation;
-use coordination::hash;
+use coordination::{continuation, hash, prompt};
 use coordination::run_time::Sample;
 use coordination::slots::LeaseOutcome;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use platform::{header, job};
 use protocol::routing::Origin;
-use protocol::{RequestFingerprint, ServiceId};
+use protocol::{PartFingerprint, RequestFingerprint, ServiceId};
 use state::progress::{Failure, Item, Job, Outcome, PartialOutput};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -187,11 +186,13 @@
         }
         RunEnd::Stopped { outcome, silence, .. } => {
             if outcome == LeaseOutcome::Interrupted {
-                crash::on_interrupted(
-                    &node,
-                    &lease.grant,
-                    BrokenRequest { id: item.id.clone(), fingerprint },
-                );
+                let broken = BrokenRequest {
+                    id: item.id.clone(),
+                    fingerprint,
+                    parts: shared_parts(&item),
+                    has_event: times.count > 0,
+                };
+                crash::on_interrupted(&node, &lease.grant, broken);
             }
             partial.origin = Some(origin(&node, service, &lease));
             lease.report.silence = silence;
@@ -230,6 +231,13 @@
     hash::request_fingerprint("POST", &state.job().host, &item.path, &body)
 }
 
+/// Parts of an item's prompt that other requests may have too.
+fn shared_parts(item: &Item) -> Vec<PartFingerprint> {
+    let is_prefix = |(name, _): &&(String, String)| name.eq_ignore_ascii_case(header::PROMPT_PREFIX);
+    let value = item.headers.iter().find(is_prefix).map_or("", |(_, value)| value.as_str());
+    prompt::shared_parts(header::prompt_parts(value))
+}
+
 async fn attempt(
     node: &Rc<Node>,
     service: &str,
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -179,10 +179,16 @@
         }
     }
 
-    /// Starts a crash check after a response was interrupted.
-    pub fn on_interrupted(&self, grant: &Grant) {
-        let broken =
-            BrokenRequest { id: self.call.id.clone(), fingerprint: self.call.fingerprint() };
+    /// Starts a crash check after a response was interrupted; `has_event` tells whether the target
+    /// had sent an event of it.
+    pub fn on_interrupted(&self, grant: &Grant, has_event: bool) {
+        let call = &self.call;
+        let broken = BrokenRequest {
+            id: call.id.clone(),
+            fingerprint: call.fingerprint(),
+            parts: call.parts.clone(),
+            has_event,
+        };
         crash::on_interrupted(&self.node, grant, broken);
     }
 
--- a/crates/daemon/src/gateway/online/attempt.rs
+++ b/crates/daemon/src/gateway/online/attempt.rs
@@ -206,7 +206,7 @@
                 Err(RetryReason::NotSent(text))
             }
             Err(SendError::OutcomeUnknown(text)) => {
-                self.on_interrupted(&lease.grant);
+                self.on_interrupted(&lease.grant, false);
                 lease.end(LeaseOutcome::Interrupted);
                 Err(RetryReason::MayHaveRun(text))
             }
--- a/crates/daemon/src/gateway/online/buffered.rs
+++ b/crates/daemon/src/gateway/online/buffered.rs
@@ -42,7 +42,7 @@
             "age_ms" => clock::since(request.call.started).as_millis() as u64);
         request.excluded.push(response.lease.grant.target.clone());
         request.may_have_run = true;
-        request.on_interrupted(&response.lease.grant);
+        request.on_interrupted(&response.lease.grant, response.body.has_event());
         response.lease.end(LeaseOutcome::Interrupted);
         if !request.may_retry() {
             return request.fail(&ForwardError::MayHaveRun(truncation.to_string()));
--- a/crates/daemon/src/gateway/streaming/response.rs
+++ b/crates/daemon/src/gateway/streaming/response.rs
@@ -47,12 +47,13 @@
         let TargetResponse { body, mut lease } = response;
         self.is_inside_event = body.is_inside_event();
         let is_framed = body.is_framed();
+        let has_event = body.has_event();
         // Closes the connection unless the response is complete.
         drop(body);
         self.check_origin(&lease);
         match end {
             StreamEnd::Interrupted(_) | StreamEnd::Replaced { has_failed: true, .. } => {
-                self.request.on_interrupted(&lease.grant);
+                self.request.on_interrupted(&lease.grant, has_event);
             }
             StreamEnd::Completed => {
                 self.node().leases.on_completed(&lease.grant, &self.request.workload);
--- a/crates/daemon/src/gateway/submit.rs
+++ b/crates/daemon/src/gateway/submit.rs
@@ -108,6 +108,7 @@
         host,
         headers: HeaderMap::new(),
         body: Bytes::from(body),
+        parts: Vec::new(),
         workspace,
         is_retry: false,
         started: now,
--- a/crates/daemon/src/gateway/target_body.rs
+++ b/crates/daemon/src/gateway/target_body.rs
@@ -114,6 +114,11 @@
         self.events.is_some_and(|events| events.is_inside())
     }
 
+    /// Whether an event stream, as far as it was read, has a complete event.
+    pub fn has_event(&self) -> bool {
+        self.events.is_some_and(|events| events.events() > 0)
+    }
+
     /// Returns the next chunk, or `None` at the end of a complete body. May be cancelled.
     ///
     /// # Errors
@@ -151,7 +156,7 @@
         if self.is_framed() {
             return Ok(());
         }
-        if !self.is_resumed && self.events.is_some_and(|events| events.events() == 0) {
+        if !self.is_resumed && self.is_event_stream() && !self.has_event() {
             return Err(Truncation::NoEvent);
         }
         self.check_presence().await
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -45,6 +45,8 @@
 pub type WorkspaceId = String;
 /// Hash of a request's method, host, path and body; the same for every caller and retry.
 pub type RequestFingerprint = u64;
+/// Hash of the id of a part of prompts; the same in every prompt that has the part.
+pub type PartFingerprint = u64;
 /// Identifies an accepted batch job across all instances.
 pub type JobId = String;
 /// Shard of the durable log, numbered from 0.
