--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -152,6 +152,7 @@
     failing_ids: HashMap<String, u16>,
     failing_suffix: Option<(String, u16)>,
     crash_path: Option<String>,
+    crash_part: Option<String>,
     event_count: Option<u64>,
     memory: PromptMemory,
 }
@@ -228,6 +229,11 @@
         self.lock().crash_path = Some(prefix.to_owned());
     }
 
+    /// Makes requests whose prompt has the part with this id crash the runner while they run.
+    pub fn crash_on_part(&self, id: &str) {
+        self.lock().crash_part = Some(id.to_owned());
+    }
+
     /// Its process, for [`crate::serve::start_process`] and for crashing it.
     pub fn process(&self) -> Process {
         self.process.clone()
@@ -327,9 +333,12 @@
             let by_suffix = state.failing_suffix.as_ref().filter(|(end, _)| id.ends_with(end));
             let failure_status =
                 state.failing_ids.get(&id).copied().or(by_suffix.map(|(_, status)| *status));
-            let will_crash =
-                state.crash_path.as_ref().is_some_and(|path| head.path.starts_with(path));
             let (model, prompt) = (head.header(MODEL), head.header(PROMPT_PREFIX));
+            let has_crash_path =
+                state.crash_path.as_ref().is_some_and(|path| head.path.starts_with(path));
+            let has_crash_part =
+                state.crash_part.as_ref().is_some_and(|part| has_part(prompt, part));
+            let will_crash = has_crash_path || has_crash_part;
             let unread = state.memory.read(model, prompt, self.config.memory_tokens);
             let run_index = state.runs.len() - 1;
             (run_index, is_interrupted, wrong_id, failure_status, will_crash, unread)
@@ -375,6 +384,11 @@
     }
 }
 
+/// Whether one of the parts of a prompt, each as id and tokens, has this id.
+fn has_part(prompt: &str, id: &str) -> bool {
+    prompt.split(',').filter_map(|part| part.split_once(':')).any(|(known, _)| known == id)
+}
+
 /// Response to a request that was not run.
 fn not_run() -> Response {
     let mut response = http::bytes(503, "text/plain", Bytes::new());
