Test items whose targets crashed, and which then have to wait

An item counts as a request that crashes its targets after three crashes, whatever the reason of these: it completed 24.8 s after the third crash, and not at all within the test after a fourth (one run each).

--- a/crates/daemon/src/gateway/items/run.rs
+++ b/crates/daemon/src/gateway/items/run.rs
@@ -10,9 +10,9 @@
 use crate::gateway::target_body::TargetBody;
 use crate::gateway::target_process::TargetProcess;
 use bytes::Bytes;
-use coordination::{continuation, hash, prompt};
 use coordination::run_time::Sample;
 use coordination::slots::LeaseOutcome;
+use coordination::{continuation, hash, prompt};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use platform::{header, job};
@@ -233,7 +233,8 @@
 
 /// Parts of an item's prompt that other requests may have too.
 fn shared_parts(item: &Item) -> Vec<PartFingerprint> {
-    let is_prefix = |(name, _): &&(String, String)| name.eq_ignore_ascii_case(header::PROMPT_PREFIX);
+    let is_prefix =
+        |(name, _): &&(String, String)| name.eq_ignore_ascii_case(header::PROMPT_PREFIX);
     let value = item.headers.iter().find(is_prefix).map_or("", |(_, value)| value.as_str());
     prompt::shared_parts(header::prompt_parts(value))
 }
--- a/crates/daemon/tests/gateway_crash.rs
+++ b/crates/daemon/tests/gateway_crash.rs
@@ -2,9 +2,10 @@
 
 mod util;
 
+use rstest::rstest;
 use serde_json::Value;
 use standin::objects::Faults;
-use standin::runner::{Config, Runner};
+use standin::runner::{Config, Run, Runner};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use util::gateway::{Fleet, Plan, event_data};
@@ -215,3 +216,34 @@
     wait_until("another instance withholds the item", || is_withheld(1) || is_withheld(2));
     assert_eq!(fleet.runs("/batch/deadly").len(), 3);
 }
+
+/// Crashes the target that runs an item.
+fn crash_target_of(fleet: &Fleet, path: &str) {
+    let is_running = |run: &Run| run.path == path && run.ended.is_none();
+    let runner = wait_for("the item runs", || {
+        fleet.runners.iter().find(|runner| runner.runs().iter().any(is_running))
+    });
+    runner.process().crash.notify_one();
+    wait_until("its target has crashed", || !runner.runs().iter().any(is_running));
+}
+
+/// Regression: an item whose targets crashed whatever they ran was withheld for 12 s, then 10 min.
+#[rstest]
+#[case::three(3)]
+#[case::four(4)]
+fn item_whose_targets_crashed_completes_soon_after_the_last_crash(#[case] crashes: usize) {
+    let config = |n: u32| Config {
+        id: format!("r{n}"),
+        event_interval: Duration::from_millis(20),
+        event_count: 30,
+        ..Config::default()
+    };
+    let runners = (0..RUNNERS).map(|n| ("east", config(n))).collect();
+    let fleet = Fleet::start(Plan { runners, ..Plan::default() });
+    assert_eq!(fleet.submit(0, "job", &["sound"]).status, 202);
+    (0..crashes).for_each(|_| crash_target_of(&fleet, "/batch/sound"));
+    let calm_since = Instant::now();
+    let results = fleet.wait_results(0, "job");
+    assert!(calm_since.elapsed() < Duration::from_secs(5), "{:?}", calm_since.elapsed());
+    assert_eq!(results[0]["state"], "complete", "{results:?}");
+}
