Quarantine parts of prompts that crash the targets that begin to respond

Cause: crash reports counted by a fingerprint of method, host, path and body.

Change: a report names a suspect, a request or a part. Parts (all but the last) of requests without an event at the crash are suspected, unless a target has responded to a request with them in the last 5 to 10 s; any response clears a part everywhere. Three crashes quarantine it on all instances; requests that wait for slots are rejected at once. Parts with the same crashes hold a request only together, so that the next outcome tells them apart. Reports are compared, stored and read at a start as those of requests.

Why it works: a part that crashes targets is never responded to, and what sound requests share with it is.

--- a/crates/coordination/src/quarantine/types.rs
+++ b/crates/coordination/src/quarantine/types.rs
@@ -1,7 +1,7 @@
 //! Crash reports, and the settings and decisions of the quarantine.
 
 use crate::{TargetId, hash};
-use protocol::{Millis, RequestFingerprint};
+use protocol::{Millis, PartFingerprint, RequestFingerprint};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -15,26 +15,90 @@
     pub started_at: Millis,
 }
 
-/// Report that a request was running on a target that crashed.
+/// What may crash the targets that run it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(from = "SuspectFields", into = "SuspectFields")]
+pub enum Suspect {
+    /// A request, with all that it holds.
+    Request(RequestFingerprint),
+    /// A part of prompts, whatever else a request holds.
+    Part(PartFingerprint),
+}
+
+impl Suspect {
+    /// Its fingerprint.
+    pub fn fingerprint(self) -> u64 {
+        match self {
+            Suspect::Request(fingerprint) | Suspect::Part(fingerprint) => fingerprint,
+        }
+    }
+
+    /// Whether it is a part of prompts.
+    pub fn is_part(self) -> bool {
+        matches!(self, Suspect::Part(_))
+    }
+}
+
+/// The encoding of a [`Suspect`]; earlier versions take parts for requests, which they never see.
+#[derive(Serialize, Deserialize)]
+struct SuspectFields {
+    content: u64,
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    is_part: bool,
+}
+
+impl From<SuspectFields> for Suspect {
+    fn from(fields: SuspectFields) -> Suspect {
+        match fields.is_part {
+            true => Suspect::Part(fields.content),
+            false => Suspect::Request(fields.content),
+        }
+    }
+}
+
+impl From<Suspect> for SuspectFields {
+    fn from(suspect: Suspect) -> SuspectFields {
+        SuspectFields { content: suspect.fingerprint(), is_part: suspect.is_part() }
+    }
+}
+
+/// All that a request may crash its targets by.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Contents {
+    /// Fingerprint of the whole request.
+    pub request: RequestFingerprint,
+    /// Parts of its prompt that other requests may have too.
+    pub parts: Vec<PartFingerprint>,
+}
+
+impl Contents {
+    /// The request and its parts.
+    pub fn suspects(&self) -> impl Iterator<Item = Suspect> {
+        let parts = self.parts.iter().map(|part| Suspect::Part(*part));
+        std::iter::once(Suspect::Request(self.request)).chain(parts)
+    }
+}
+
+/// Report that a suspect was running on a target that crashed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
-    /// Fingerprint of the request.
-    #[serde(rename = "content")]
-    pub fingerprint: RequestFingerprint,
+    /// What was running.
+    #[serde(flatten)]
+    pub suspect: Suspect,
     /// The start of the target that crashed.
     #[serde(rename = "boot")]
     pub start: TargetStart,
     /// Time since the crash, in milliseconds.
     pub age_ms: u64,
-    /// Whether the request has run completely since.
+    /// Whether the suspect is known not to have caused the crash.
     #[serde(rename = "is_acquitted")]
     pub is_cleared: bool,
 }
 
 impl CrashReport {
     /// A report of a crash that was just observed.
-    pub fn new(content: RequestFingerprint, start: TargetStart) -> CrashReport {
-        CrashReport { fingerprint: content, start, age_ms: 0, is_cleared: false }
+    pub fn new(suspect: Suspect, start: TargetStart) -> CrashReport {
+        CrashReport { suspect, start, age_ms: 0, is_cleared: false }
     }
 
     /// The same report `elapsed_ms` later.
@@ -44,8 +108,8 @@
 
     /// The report's part of a table's digest.
     pub(super) fn digest(&self) -> u64 {
-        let seed =
-            self.fingerprint ^ self.start.started_at.rotate_left(32) ^ u64::from(self.is_cleared);
+        let fingerprint = self.suspect.fingerprint();
+        let seed = fingerprint ^ self.start.started_at.rotate_left(32) ^ u64::from(self.is_cleared);
         hash::weight(self.start.target.as_bytes(), seed)
     }
 }
@@ -59,6 +123,9 @@
     /// one. The first frees most requests that were quarantined wrongly; the long last one limits
     /// the crashes that a harmful request causes in a day.
     pub durations: [Duration; 3],
+    /// The same for a part of prompts. The first trial comes early, since the quarantine of a part
+    /// rejects more requests; each further crash of a trial leads to the next time.
+    pub part_durations: [Duration; 4],
     /// Number of trials with an unreported outcome that don't lengthen the quarantine: a trial may
     /// be preempted or find no slot, and its sender may be lost.
     pub unreported_trials: usize,
@@ -67,7 +134,7 @@
     pub shared_margin: usize,
     /// Lifetime of a crash report.
     pub retention: Duration,
-    /// Maximum of requests with crash reports; a mass crash reports thousands.
+    /// Maximum of suspects with crash reports; a mass crash reports thousands.
     pub max_entries: usize,
 }
 
@@ -77,6 +144,12 @@
         Policy {
             max_crashes: 3,
             durations: [Duration::from_secs(12), Duration::from_secs(600), DAY],
+            part_durations: [
+                Duration::from_secs(2),
+                Duration::from_secs(12),
+                Duration::from_secs(600),
+                DAY,
+            ],
             unreported_trials: 2,
             shared_margin: 2,
             retention: DAY,
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -1,26 +1,38 @@
 //! Quarantine of requests that crash their targets.
 
-use coordination::quarantine::{CrashReport, Decision, Policy, Table, TargetStart};
+use coordination::quarantine::{
+    AnsweredParts, Contents, CrashReport, Decision, Policy, Suspect, Table, TargetStart,
+};
 use proptest::prelude::*;
 use std::time::{Duration, Instant};
 
-const HARMFUL: u64 = 7;
-const HARMLESS: u64 = 8;
+const HARMFUL: Suspect = Suspect::Request(7);
+const HARMLESS: Suspect = Suspect::Request(8);
+const HARMFUL_PART: u64 = 7;
+const PART: u64 = 9;
+const SUSPECTS: [Suspect; 6] = [
+    Suspect::Request(0),
+    Suspect::Request(1),
+    Suspect::Request(2),
+    Suspect::Part(0),
+    Suspect::Part(1),
+    Suspect::Part(2),
+];
 
 fn start(n: u64) -> TargetStart {
     TargetStart { target: format!("t{n}"), started_at: 0 }
 }
 
-fn report(fingerprint: u64, n: u64) -> CrashReport {
-    CrashReport::new(fingerprint, start(n))
+fn report(suspect: Suspect, n: u64) -> CrashReport {
+    CrashReport::new(suspect, start(n))
 }
 
 fn table() -> Table {
     Table::new(Policy::default(), Instant::now())
 }
 
-fn is_quarantined(table: &Table, fingerprint: u64, now: Instant) -> bool {
-    table.decide(fingerprint, now) != Decision::Allowed
+fn is_quarantined(table: &Table, suspect: Suspect, now: Instant) -> bool {
+    table.decide(suspect, now) != Decision::Allowed
 }
 
 #[test]
@@ -164,7 +176,7 @@
         table.on_crash_report(report(HARMFUL, n), now);
     }
     for n in 0..1_000 {
-        table.on_crash_report(report(1_000 + n, 10 + n % 20), now);
+        table.on_crash_report(report(Suspect::Request(1_000 + n), 10 + n % 20), now);
     }
     assert!(is_quarantined(&table, HARMFUL, now));
     assert_eq!(table.quarantined(), 1);
@@ -182,6 +194,90 @@
     assert_eq!(table.decide(HARMFUL, now), Decision::Allowed);
 }
 
+/// Reports that requests with these parts crashed target `n`.
+fn crash_with_parts(table: &mut Table, parts: &[u64], n: u64, now: Instant) {
+    for part in parts {
+        table.on_crash_report(report(Suspect::Part(*part), n), now);
+    }
+}
+
+fn decide_parts(table: &Table, parts: &[u64], now: Instant) -> Decision {
+    table.decide_request(&Contents { request: 1_000, parts: parts.to_vec() }, now)
+}
+
+#[test]
+fn part_is_quarantined_whatever_else_the_request_holds() {
+    let (mut table, now) = (table(), Instant::now());
+    for n in 0..3 {
+        assert_eq!(decide_parts(&table, &[HARMFUL_PART], now), Decision::Allowed);
+        crash_with_parts(&mut table, &[HARMFUL_PART, 20 + n], n, now);
+    }
+    let quarantined = Decision::Quarantined(Duration::from_secs(2));
+    for parts in [vec![HARMFUL_PART], vec![1, HARMFUL_PART], vec![20, 2, HARMFUL_PART, 3]] {
+        assert_eq!(decide_parts(&table, &parts, now), quarantined, "{parts:?}");
+    }
+    assert_eq!(decide_parts(&table, &[20, 21, 22], now), Decision::Allowed);
+    assert_eq!(table.decide(HARMFUL, now), Decision::Allowed, "a request is no part");
+}
+
+/// Parts that always come together can't be told apart, so each of them alone is allowed.
+#[test]
+fn part_beside_the_harmful_one_is_allowed_without_it() {
+    let (mut table, now) = (table(), Instant::now());
+    for n in 0..3 {
+        crash_with_parts(&mut table, &[HARMFUL_PART, PART], n, now);
+    }
+    assert_ne!(decide_parts(&table, &[PART, HARMFUL_PART], now), Decision::Allowed);
+    assert_eq!(decide_parts(&table, &[PART], now), Decision::Allowed);
+    assert_eq!(decide_parts(&table, &[HARMFUL_PART], now), Decision::Allowed);
+    // The next crash tells them apart.
+    crash_with_parts(&mut table, &[HARMFUL_PART], 3, now);
+    assert_ne!(decide_parts(&table, &[HARMFUL_PART], now), Decision::Allowed);
+    assert_eq!(decide_parts(&table, &[PART], now), Decision::Allowed);
+}
+
+#[test]
+fn response_to_a_request_clears_its_parts() {
+    let (mut table, now) = (table(), Instant::now());
+    for n in 0..3 {
+        crash_with_parts(&mut table, &[HARMFUL_PART, PART], n, now);
+    }
+    assert_eq!(table.on_success(Suspect::Part(PART), now).len(), 3);
+    assert_ne!(decide_parts(&table, &[HARMFUL_PART], now), Decision::Allowed);
+    assert_eq!(decide_parts(&table, &[PART], now), Decision::Allowed);
+}
+
+/// Requests that are on their way crash further targets, which says nothing of trials.
+#[rstest::rstest]
+#[case::three(3)]
+#[case::twelve(12)]
+fn trials_of_a_part_become_rare_whatever_the_first_crashes(#[case] first_crashes: u64) {
+    let (mut table, start) = (table(), Instant::now());
+    for n in 0..first_crashes {
+        crash_with_parts(&mut table, &[HARMFUL_PART], n, start);
+    }
+    let mut crashes = Vec::new();
+    for second in 0..24 * 3_600 {
+        let now = start + Duration::from_secs(second);
+        if table.on_trial(Suspect::Part(HARMFUL_PART), now) {
+            crashes.push(second);
+            crash_with_parts(&mut table, &[HARMFUL_PART], 100 + second, now);
+        }
+    }
+    assert_eq!(crashes, [2, 14, 614]);
+}
+
+#[test]
+fn answered_parts_are_remembered_for_a_while() {
+    let start = Instant::now();
+    let mut answered = AnsweredParts::new(start);
+    answered.record(&[PART], start);
+    assert!(answered.contains(PART, start + Duration::from_millis(4_900)));
+    assert!(answered.contains(PART, start + Duration::from_millis(5_100)));
+    assert!(!answered.contains(PART, start + Duration::from_millis(10_200)));
+    assert!(!answered.contains(HARMFUL_PART, start));
+}
+
 fn take_in(table: &mut Table, reports: Vec<CrashReport>, now: Instant) {
     for report in reports {
         table.on_crash_report(report, now);
@@ -189,8 +285,8 @@
 }
 
 prop_compose! {
-    fn any_report()(fingerprint in 0..4_u64, n in 0..8_u64, is_cleared in any::<bool>()) -> CrashReport {
-        CrashReport { is_cleared, ..report(fingerprint, n) }
+    fn any_report()(n in 0..8_u64, index in 0..SUSPECTS.len(), is_cleared in any::<bool>()) -> CrashReport {
+        CrashReport { is_cleared, ..report(SUSPECTS[index], n) }
     }
 }
 
@@ -213,9 +309,9 @@
             second.on_crash_report(index.get(&reports).clone(), now);
         }
         prop_assert_eq!(first.digest(), second.digest());
-        for fingerprint in 0..4 {
-            prop_assert_eq!(first.decide(fingerprint, now), second.decide(fingerprint, now));
-            prop_assert_eq!(first.crashes(fingerprint), second.crashes(fingerprint));
+        for suspect in SUSPECTS {
+            prop_assert_eq!(first.decide(suspect, now), second.decide(suspect, now));
+            prop_assert_eq!(first.crashes(suspect), second.crashes(suspect));
         }
     }
 
@@ -229,18 +325,18 @@
         let mut table = table();
         for (report, is_success) in steps {
             if is_success {
-                table.on_success(report.fingerprint, now);
+                table.on_success(report.suspect, now);
             } else {
                 table.on_crash_report(report, now);
             }
         }
         let mut whole = Table::new(Policy::default(), Instant::now());
-        for fingerprint in 0..4 {
-            take_in(&mut whole, table.crash_reports_of(fingerprint, now), now);
+        for suspect in SUSPECTS {
+            take_in(&mut whole, table.crash_reports_of(suspect, now), now);
         }
         prop_assert_eq!(table.digest(), whole.digest());
-        for fingerprint in 0..4 {
-            prop_assert_eq!(table.decide(fingerprint, now), whole.decide(fingerprint, now));
+        for suspect in SUSPECTS {
+            prop_assert_eq!(table.decide(suspect, now), whole.decide(suspect, now));
         }
     }
 
--- a/crates/daemon/src/gateway/anti_entropy.rs
+++ b/crates/daemon/src/gateway/anti_entropy.rs
@@ -174,13 +174,13 @@
 }
 
 /// Fetches crash reports from an instance that has them if the digests differ.
-async fn compare_crash_reports(node: &Node, other: &Member, digest: u64) {
-    if node.quarantine.borrow().digest() != digest {
+async fn compare_crash_reports(node: &Rc<Node>, other: &Member, digest: u64) {
+    if node.quarantine.table.borrow().digest() != digest {
         let reply = node.request(other.peer, &PeerRequest::CrashReports, SYNC_TIMEOUT).await;
         let Ok(PeerReply::CrashReports(reports)) = reply else {
             return;
         };
         quarantine::on_crash_reports(node, reports, "compared");
     }
-    node.has_crash_reports.set(true);
+    node.quarantine.is_known.set(true);
 }
--- a/crates/daemon/src/gateway/crash.rs
+++ b/crates/daemon/src/gateway/crash.rs
@@ -7,9 +7,9 @@
 use super::node::Node;
 use super::quarantine;
 use coordination::presence::CLOSE_WINDOW;
-use coordination::quarantine::TargetStart;
+use coordination::quarantine::{Contents, Suspect, TargetStart};
 use coordination::slots::Grant;
-use protocol::{PartFingerprint, RequestFingerprint, TargetId};
+use protocol::TargetId;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -21,12 +21,20 @@
 pub struct BrokenRequest {
     /// Id of the request or item.
     pub id: String,
-    /// Fingerprint, by which it is quarantined.
-    pub fingerprint: RequestFingerprint,
-    /// Parts of its prompt that other requests may have too.
-    pub parts: Vec<PartFingerprint>,
+    /// What it may have crashed the target by.
+    pub contents: Contents,
     /// Whether the target had sent an event of this run.
     pub has_event: bool,
+    /// Whether it is an item of a job. Items never crash targets.
+    pub is_item: bool,
+}
+
+impl BrokenRequest {
+    /// What the crash may be due to. A part of a prompt crashes a target before the first event.
+    fn suspects(&self) -> impl Iterator<Item = Suspect> {
+        let suspects = self.contents.suspects().filter(|_| !self.is_item);
+        suspects.filter(|suspect| !(suspect.is_part() && self.has_event))
+    }
 }
 
 /// Targets with a check in progress, and the requests interrupted there.
@@ -55,10 +63,10 @@
     let is_unusable = node.registry.borrow().is_unusable(&target);
     let ids: Vec<&String> = interrupted.iter().map(|request| &request.id).collect();
     let fingerprints: Vec<String> =
-        interrupted.iter().map(|request| hex(request.fingerprint)).collect();
+        interrupted.iter().map(|request| hex(request.contents.request)).collect();
     let without_event = interrupted.iter().filter(|request| !request.has_event);
     let parts_without_event: Vec<Vec<String>> = without_event
-        .map(|request| request.parts.iter().map(|part| hex(*part)).collect())
+        .map(|request| request.contents.parts.iter().map(|part| hex(*part)).collect())
         .collect();
     let is_crash = presence.is_crash(is_unusable);
     slog::info!(node.log, "responses interrupted"; "target" => &target, "address" => %address,
@@ -67,13 +75,12 @@
         "parts_without_event" => ?parts_without_event);
     if is_crash {
         let started_at = node.registry.borrow().get(&target).map_or(0, |target| target.started_at);
-        let fingerprints: Vec<RequestFingerprint> =
-            interrupted.iter().map(|request| request.fingerprint).collect();
-        quarantine::on_crash(&node, &TargetStart { target, started_at }, &fingerprints);
+        let suspects = interrupted.iter().flat_map(BrokenRequest::suspects);
+        quarantine::on_crash(&node, &TargetStart { target, started_at }, suspects);
     }
 }
 
 /// A fingerprint as written in logs and object names.
-pub fn hex(fingerprint: RequestFingerprint) -> String {
+pub fn hex(fingerprint: u64) -> String {
     format!("{fingerprint:016x}")
 }
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -5,6 +5,7 @@
 use super::{access, jobs, online, submit};
 use crate::clock;
 use bytes::Bytes;
+use coordination::quarantine::Contents;
 use coordination::{hash, prompt};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -60,6 +61,11 @@
         hash::request_fingerprint(self.method.as_str(), &self.host, &self.target, &self.body)
     }
 
+    /// What of the request may crash its targets.
+    pub fn contents(&self) -> Contents {
+        Contents { request: self.fingerprint(), parts: self.parts.clone() }
+    }
+
     /// Name of the caller's workspace.
     pub fn workspace_name(&self) -> Option<&str> {
         self.workspace.as_ref().map(|workspace| workspace.name.as_str())
--- a/crates/daemon/src/gateway/items/run.rs
+++ b/crates/daemon/src/gateway/items/run.rs
@@ -9,7 +9,9 @@
 use crate::gateway::quarantine::{self, Admission};
 use crate::gateway::target_body::TargetBody;
 use crate::gateway::target_process::TargetProcess;
+use crate::gateway::workload;
 use bytes::Bytes;
+use coordination::quarantine::Contents;
 use coordination::run_time::Sample;
 use coordination::slots::LeaseOutcome;
 use coordination::{continuation, hash, prompt};
@@ -123,9 +125,11 @@
     held.first_started.borrow_mut().entry(item.id.clone()).or_insert(started);
     let target = lease.grant.target.clone();
     let fingerprint = fingerprint_of(&held, &item);
-    if let Admission::Quarantined(remaining) = quarantine::admit(&node, || fingerprint).await {
+    let contents = || Contents { request: fingerprint, parts: shared_parts(&item) };
+    if let Admission::Quarantined(remaining) = quarantine::admit(&node, contents).await {
         lease.end(LeaseOutcome::Unused);
-        withhold(&node, &held, &item, remaining).await;
+        withhold(&held, &item, remaining).await;
+        node.jobs.wake();
         return;
     }
     let mut times = EventTimes::default();
@@ -188,9 +192,9 @@
             if outcome == LeaseOutcome::Interrupted {
                 let broken = BrokenRequest {
                     id: item.id.clone(),
-                    fingerprint,
-                    parts: shared_parts(&item),
+                    contents: Contents { request: fingerprint, parts: shared_parts(&item) },
                     has_event: times.count > 0,
+                    is_item: false,
                 };
                 crash::on_interrupted(&node, &lease.grant, broken);
             }
@@ -204,24 +208,23 @@
         }
     }
     held.mark_dirty();
-    tokio::time::sleep(delay).await;
+    if !delay.is_zero() {
+        withhold(&held, &item, delay).await;
+    }
     node.jobs.wake();
 }
 
-/// Delays an item that is quarantined.
-async fn withhold(node: &Rc<Node>, held: &HeldJob, item: &Item, remaining: Duration) {
-    slog::info!(node.log, "item withheld"; "item" => &item.id,
-        "job" => &held.state.borrow().job().id, "for_ms" => remaining.as_millis() as u64);
-    let give_up = held.state.borrow().job().expires;
+/// Delays the next run of an item, to the end of its job at most.
+async fn withhold(held: &HeldJob, item: &Item, delay: Duration) {
+    let expires = held.state.borrow().job().expires;
     held.state.borrow_mut().withhold(&item.id);
-    let remaining = remaining.min(Duration::from_millis(give_up.saturating_sub(unix_millis())));
+    let delay = delay.min(Duration::from_millis(expires.saturating_sub(unix_millis())));
     tokio::select! {
-        () = tokio::time::sleep(remaining) => {}
+        () = tokio::time::sleep(delay) => {}
         () = held.released.cancelled() => {}
         () = held.ended.cancelled() => {}
     }
     held.state.borrow_mut().on_released(&item.id);
-    node.jobs.wake();
 }
 
 /// Fingerprint of the equivalent online request.
@@ -233,10 +236,7 @@
 
 /// Parts of an item's prompt that other requests may have too.
 fn shared_parts(item: &Item) -> Vec<PartFingerprint> {
-    let is_prefix =
-        |(name, _): &&(String, String)| name.eq_ignore_ascii_case(header::PROMPT_PREFIX);
-    let value = item.headers.iter().find(is_prefix).map_or("", |(_, value)| value.as_str());
-    prompt::shared_parts(header::prompt_parts(value))
+    prompt::shared_parts(header::prompt_parts(workload::item_header(item, header::PROMPT_PREFIX)))
 }
 
 async fn attempt(
@@ -286,7 +286,11 @@
         let mut body = TargetBody::of_events(exchange, process).resumed(is_resumed);
         let run_end = read_events(&mut body, partial, times).await;
         if matches!(run_end, RunEnd::Completed) && body.is_framed() {
-            quarantine::on_success(node, || fingerprint_of(held, item));
+            let contents = || Contents { request: fingerprint_of(held, item), parts: Vec::new() };
+            quarantine::on_completed(node, contents);
+        }
+        if times.count > 0 {
+            quarantine::on_answered(node, &shared_parts(item));
         }
         return run_end;
     }
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -14,8 +14,8 @@
 use protocol::routing::{Origin, Version};
 use protocol::secret::Secret;
 use protocol::{
-    AttemptId, DataCentreId, InstanceId, RequestFingerprint, ServiceId, SoftwareVersion, TargetId,
-    WorkspaceId,
+    AttemptId, DataCentreId, InstanceId, PartFingerprint, RequestFingerprint, ServiceId,
+    SoftwareVersion, TargetId, WorkspaceId,
 };
 use serde::{Deserialize, Serialize};
 use state::progress::{Handoff, Holder, ItemId, JobId, Outcome};
@@ -254,6 +254,8 @@
     TakeOver(JobId, Handoff),
     /// Requests a trial of a quarantined request from its owner.
     Trial(RequestFingerprint),
+    /// The same for a part of prompts.
+    PartTrial(PartFingerprint),
     /// Requests the crash reports of requests with several crashes.
     #[serde(rename = "Strikes")]
     CrashReports,
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -9,13 +9,14 @@
 use super::leases::Leases;
 use super::message::{Connectivity, StateDigest, Uptime};
 use super::metrics::Metrics;
+use super::quarantine;
 use super::quota::Quotas;
 use super::store::PlatformStore;
 use crate::clock;
 use coordination::evacuation;
 use coordination::membership::{Member, MemberTable, Policy};
 use coordination::origins;
-use coordination::quarantine;
+use coordination::quarantine::Policy as QuarantinePolicy;
 use coordination::registry::Registry;
 use coordination::slots;
 use protocol::routing;
@@ -120,11 +121,7 @@
     /// Updates to be forwarded by this instance.
     pub outbox: Outbox,
     /// Crash reports, and the requests that are quarantined for them.
-    pub quarantine: RefCell<quarantine::Table>,
-    /// Notified when the crash reports have changed.
-    pub crash_reports_changed: Notify,
-    /// Whether crash reports were received since the start.
-    pub has_crash_reports: Cell<bool>,
+    pub quarantine: quarantine::State,
     /// Checks of targets whose responses were interrupted.
     pub crash_checks: CrashChecks,
     /// Total time for which the machine was suspended, as detected so far.
@@ -185,12 +182,7 @@
             jobs: JobTable::default(),
             origins: RefCell::default(),
             outbox: Outbox::default(),
-            quarantine: RefCell::new(quarantine::Table::new(
-                quarantine_policy(&settings.policy),
-                now,
-            )),
-            crash_reports_changed: Notify::new(),
-            has_crash_reports: Cell::new(false),
+            quarantine: quarantine::State::new(quarantine_policy(&settings.policy), now),
             crash_checks: CrashChecks::default(),
             suspended_for: Cell::default(),
             resumed: Notify::new(),
@@ -236,7 +228,7 @@
         let knows_targets = self.registry.borrow().revision() > 0;
         self.config.borrow().is_some()
             && knows_targets
-            && self.has_crash_reports.get()
+            && self.quarantine.is_known.get()
             && self.evacuations.borrow().is_known()
     }
 
@@ -257,8 +249,8 @@
     pub fn state_digest(&self) -> StateDigest {
         let config = self.config.borrow().as_ref().map_or(0, |config| config.table.version);
         let jobs = super::job_table::digest(self);
-        let has_crash_reports = self.has_crash_reports.get();
-        let crash_reports = has_crash_reports.then(|| self.quarantine.borrow().digest());
+        let has_crash_reports = self.quarantine.is_known.get();
+        let crash_reports = has_crash_reports.then(|| self.quarantine.table.borrow().digest());
         let evacuations = Some(self.evacuations.borrow().digest());
         let members = Some(self.members.borrow().digest());
         let registry = self.registry.borrow();
@@ -345,8 +337,8 @@
     }
 }
 
-fn quarantine_policy(policy: &settings::Policy) -> quarantine::Policy {
-    quarantine::Policy { max_crashes: policy.max_crashes, ..quarantine::Policy::default() }
+fn quarantine_policy(policy: &settings::Policy) -> QuarantinePolicy {
+    QuarantinePolicy { max_crashes: policy.max_crashes, ..QuarantinePolicy::default() }
 }
 
 /// Milliseconds since the Unix epoch, for timestamps in stored objects.
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -171,11 +171,16 @@
 }
 
 impl ProxiedRequest {
+    /// Clears the parts of the prompt once a target has begun to respond.
+    pub fn on_answered(&self) {
+        quarantine::on_answered(&self.node, &self.call.parts);
+    }
+
     /// Clears the request of crash reports once its response is complete. A response that is
     /// framed by the end of its connection may have been truncated by a crash.
     pub fn on_end(&self, is_framed: bool) {
         if is_framed {
-            quarantine::on_success(&self.node, || self.call.fingerprint());
+            quarantine::on_completed(&self.node, || self.call.contents());
         }
     }
 
@@ -185,9 +190,9 @@
         let call = &self.call;
         let broken = BrokenRequest {
             id: call.id.clone(),
-            fingerprint: call.fingerprint(),
-            parts: call.parts.clone(),
+            contents: call.contents(),
             has_event,
+            is_item: false,
         };
         crash::on_interrupted(&self.node, grant, broken);
     }
--- a/crates/daemon/src/gateway/online/acquire.rs
+++ b/crates/daemon/src/gateway/online/acquire.rs
@@ -67,18 +67,19 @@
     /// Acquires a lease, unless the request is quarantined.
     async fn acquire_admitted(&mut self, last_event: Option<u64>) -> Result<Lease, AcquireError> {
         let call = self.call.clone();
-        let fingerprint = || call.fingerprint();
-        let admission = quarantine::admit(&self.node, fingerprint).await;
-        if let Admission::Quarantined(remaining) = admission {
-            return Err(AcquireError::Quarantined(remaining));
-        }
-        let lease = self.acquire_lease(last_event).await?;
-        // Equal requests may have crashed further targets during the wait.
-        match quarantine::remaining_quarantine(&self.node, fingerprint) {
-            Some(remaining) if admission == Admission::Allowed => {
-                Err(AcquireError::Quarantined(remaining))
-            }
-            _ => Ok(lease),
+        let contents = || call.contents();
+        let node = self.node.clone();
+        match quarantine::admit(&node, contents).await {
+            Admission::Quarantined(remaining) => Err(AcquireError::Quarantined(remaining)),
+            Admission::Trial => self.acquire_lease(last_event).await,
+            // Similar requests may crash further targets during the wait.
+            Admission::Allowed => tokio::select! {
+                biased;
+                remaining = quarantine::quarantined(&node, contents) => {
+                    Err(AcquireError::Quarantined(remaining))
+                }
+                lease = self.acquire_lease(last_event) => lease,
+            },
         }
     }
 
--- a/crates/daemon/src/gateway/online/buffered.rs
+++ b/crates/daemon/src/gateway/online/buffered.rs
@@ -26,6 +26,9 @@
         let truncation = match read {
             Ok(Ok(body)) => {
                 response.lease.end(completion_outcome(head.status()));
+                if head.status().is_success() {
+                    request.on_answered();
+                }
                 request.on_end(response.body.is_framed());
                 request.record_buffered();
                 let is_framed = response.body.is_framed();
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -13,6 +13,7 @@
 };
 use crate::clock;
 use coordination::membership::{Member, MemberTable, State, Update};
+use coordination::quarantine::Suspect;
 use protocol::InstanceId;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -144,7 +145,10 @@
         PeerRequest::End(job) => jobs::on_end(node, &job).await,
         PeerRequest::TakeOver(job, handoff) => takeover::on_request(node, job, handoff),
         PeerRequest::Trial(fingerprint) => {
-            PeerReply::Trial(quarantine::on_trial(node, fingerprint))
+            PeerReply::Trial(quarantine::on_trial(node, Suspect::Request(fingerprint)))
+        }
+        PeerRequest::PartTrial(fingerprint) => {
+            PeerReply::Trial(quarantine::on_trial(node, Suspect::Part(fingerprint)))
         }
         PeerRequest::CrashReports => PeerReply::CrashReports(quarantine::crash_reports(node)),
         PeerRequest::Members(digests) => {
--- a/crates/daemon/src/gateway/streaming.rs
+++ b/crates/daemon/src/gateway/streaming.rs
@@ -46,6 +46,7 @@
             framing: None,
             is_inside_event: false,
             has_sent_other: false,
+            is_answered: false,
         };
         let result = stream.run(response).await;
         stream.log_end(&result);
@@ -75,6 +76,8 @@
     is_inside_event: bool,
     /// Whether something else than events was sent, after which the stream can't be resumed.
     has_sent_other: bool,
+    /// Whether a target has sent an event.
+    is_answered: bool,
 }
 
 /// Why the response to a caller is incomplete.
--- a/crates/daemon/src/gateway/streaming/response.rs
+++ b/crates/daemon/src/gateway/streaming/response.rs
@@ -85,6 +85,10 @@
                 Ok(chunk) => chunk,
                 Err(end) => return end,
             };
+            if !self.is_answered && response.body.has_event() {
+                self.is_answered = true;
+                self.request.on_answered();
+            }
             if let Err(end) = self.forward_chunk(chunk, &mut splitter, &mut response.lease).await {
                 return end;
             }
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -319,7 +319,7 @@
         Topic::Evacuations => evacuation::on_list(node, &listing),
         Topic::Quarantine => {
             quarantine::on_objects(node, objects);
-            node.has_crash_reports.set(true);
+            node.quarantine.is_known.set(true);
         }
     }
     Ok(())
--- a/crates/daemon/src/gateway/workload.rs
+++ b/crates/daemon/src/gateway/workload.rs
@@ -32,10 +32,7 @@
 
 /// The workload of a job's item.
 pub fn of_item(item: &Item, workspace: Option<&Workspace>) -> Workload {
-    let text = |name: &str| {
-        let header = item.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
-        header.map_or("", |(_, value)| value.as_str())
-    };
+    let text = |name| item_header(item, name);
     Workload {
         prompt: prompt(text(header::MODEL), text(header::PROMPT_PREFIX)),
         workspace: workspace.map(weight),
@@ -44,6 +41,12 @@
     }
 }
 
+/// Value of a header of an item; empty if it has none.
+pub fn item_header<'a>(item: &'a Item, name: &str) -> &'a str {
+    let header = item.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+    header.map_or("", |(_, value)| value.as_str())
+}
+
 fn prompt(model: &str, parts: &str) -> Prompt {
     Prompt::new(model, header::prompt_parts(parts))
 }
--- a/crates/daemon/tests/gateway_crashing_part.rs
+++ b/crates/daemon/tests/gateway_crashing_part.rs
@@ -127,22 +127,24 @@
                 }
             });
         }
-        reregister_until(fleet, Instant::now() + CALM);
+        let calm_end = Instant::now() + CALM;
+        reregister_while(fleet, || Instant::now() < calm_end);
         is_begun.store(true, Ordering::Relaxed);
         began = Instant::now();
-        reregister_until(fleet, began + Duration::from_secs(2));
-        let end = last_known_crash(&crashing_runs(fleet, &crashing_path)) + 2 * PROPAGATION_TIME;
-        reregister_until(fleet, end + RECOVERED);
+        reregister_while(fleet, || {
+            let last_crash = last_known_crash(&crashing_runs(fleet, &crashing_path));
+            Instant::now() < last_crash.unwrap_or(began) + 2 * PROPAGATION_TIME + RECOVERED
+        });
         is_over.store(true, Ordering::Relaxed);
     });
     let served = served.into_inner().expect("a list");
     Outcome { runs: crashing_runs(fleet, &crashing_path), served, began }
 }
 
-/// Writes the entries of runners that have started again, until a time.
-fn reregister_until(fleet: &Fleet, end: Instant) {
+/// Writes the entries of runners that have started again, as long as the play `goes_on`.
+fn reregister_while(fleet: &Fleet, goes_on: impl Fn() -> bool) {
     let mut starts = [1; RUNNERS];
-    while Instant::now() < end {
+    while goes_on() {
         for (n, known) in starts.iter_mut().enumerate() {
             let now = fleet.runners[n].process().starts.load(Ordering::Relaxed);
             if now != *known {
@@ -162,9 +164,9 @@
 }
 
 /// The fifth crash, or the last if there are fewer.
-fn last_known_crash(runs: &[Run]) -> Instant {
-    let run = runs.get(KNOWN_CRASHES - 1).or(runs.last()).expect("a crash");
-    run.ended.unwrap_or(run.started)
+fn last_known_crash(runs: &[Run]) -> Option<Instant> {
+    let run = runs.get(KNOWN_CRASHES - 1).or(runs.last())?;
+    Some(run.ended.unwrap_or(run.started))
 }
 
 fn share(served: &[Served], is_counted: impl Fn(Instant) -> bool) -> f64 {
@@ -189,7 +191,7 @@
 ) {
     let fleet = fleet(Duration::from_millis(first_event_ms));
     let Outcome { runs, served, began } = play(&fleet, prefix, prompt);
-    let known = last_known_crash(&runs) + PROPAGATION_TIME;
+    let known = last_known_crash(&runs).expect("a crash") + PROPAGATION_TIME;
     let later = runs.iter().filter(|run| run.arrived > known).count();
     let before = share(&served, |sent| sent < began);
     let after = share(&served, |sent| sent > known + PROPAGATION_TIME);
--- a/crates/daemon/tests/message_versions.rs
+++ b/crates/daemon/tests/message_versions.rs
@@ -1,6 +1,7 @@
 //! Messages and stored jobs of the version before workspaces are understood, and the other way
 //! round.
 
+use coordination::quarantine::{CrashReport, Suspect};
 use coordination::registry::{Change, Registry};
 use coordination::slots::LeaseOutcome;
 use daemon::gateway::message::{
@@ -176,3 +177,13 @@
     let written: Value = serde_json::from_slice(&encode(&request)).expect("JSON");
     assert_eq!(written, serde_json::from_str::<Value>(RELEASE).expect("JSON"));
 }
+
+#[test]
+fn crash_report_of_a_request_is_encoded_as_in_the_earlier_version() {
+    let text = r#"{"content":7,"boot":{"target":"t","born":1},"age_ms":2,"is_acquitted":false}"#;
+    let report: CrashReport = decode(text.as_bytes()).expect("a report");
+    assert_eq!(report.suspect, Suspect::Request(7));
+    assert_eq!(encode(&report), text.as_bytes());
+    let report = CrashReport { suspect: Suspect::Part(7), ..report };
+    assert_eq!(decode(&encode(&report)), Some(report));
+}
