Run items again whose targets crashed

What callers saw: an item under which three targets had crashed was withheld for 12 s, after a fourth for 10 min, though all was calm.

Cause: items counted as requests that crash their targets. The users say that items handed in for later never do, and are owed.

Change: items have no crash reports. After an interrupted run an item itself waits, 0.2 s at first and twice as long each time, up to 3 s; before, only the wake-up of the scheduler waited, for 100 ms.

--- a/crates/daemon/src/gateway/items/run.rs
+++ b/crates/daemon/src/gateway/items/run.rs
@@ -6,7 +6,7 @@
 use crate::gateway::leases::Lease;
 use crate::gateway::node::{Node, unix_millis};
 use crate::gateway::online::{belongs_to_request, is_not_run, rejection_outcome};
-use crate::gateway::quarantine::{self, Admission};
+use crate::gateway::quarantine;
 use crate::gateway::target_body::TargetBody;
 use crate::gateway::target_process::TargetProcess;
 use crate::gateway::workload;
@@ -29,8 +29,6 @@
 /// Time without data after which a target counts as unresponsive. Leaves room for targets
 /// that run several times slower than normal.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Delay before an item whose run was interrupted or rejected may run again.
-const ITEM_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Largest error body that is read to keep the connection reusable.
 const MAX_BODY_BYTES: usize = 1 << 20;
 
@@ -108,7 +106,7 @@
     Origin { service, software: continuation::version_of_run(lease.software.as_ref(), target) }
 }
 
-/// Runs an item of `service` unless it is quarantined.
+/// Runs an item of `service`. Items never crash targets, so they are not subject to the quarantine.
 pub(super) async fn run_item(
     node: Rc<Node>,
     held: Rc<HeldJob>,
@@ -125,13 +123,6 @@
     held.first_started.borrow_mut().entry(item.id.clone()).or_insert(started);
     let target = lease.grant.target.clone();
     let fingerprint = fingerprint_of(&held, &item);
-    let contents = || Contents { request: fingerprint, parts: shared_parts(&item) };
-    if let Admission::Quarantined(remaining) = quarantine::admit(&node, contents).await {
-        lease.end(LeaseOutcome::Unused);
-        withhold(&held, &item, remaining).await;
-        node.jobs.wake();
-        return;
-    }
     let mut times = EventTimes::default();
     let run_end = tokio::select! {
         biased;
@@ -194,7 +185,7 @@
                     id: item.id.clone(),
                     contents: Contents { request: fingerprint, parts: shared_parts(&item) },
                     has_event: times.count > 0,
-                    is_item: false,
+                    is_item: true,
                 };
                 crash::on_interrupted(&node, &lease.grant, broken);
             }
@@ -202,7 +193,7 @@
             lease.report.silence = silence;
             lease.end(outcome);
             if outcome != LeaseOutcome::Unused {
-                delay = ITEM_RETRY_DELAY;
+                delay = held.next_retry_delay(&item.id, outcome);
             }
             held.state.borrow_mut().on_stopped(&item.id, partial);
         }
@@ -285,10 +276,6 @@
         let process = TargetProcess::of(&exchange, node, service, &lease.grant);
         let mut body = TargetBody::of_events(exchange, process).resumed(is_resumed);
         let run_end = read_events(&mut body, partial, times).await;
-        if matches!(run_end, RunEnd::Completed) && body.is_framed() {
-            let contents = || Contents { request: fingerprint_of(held, item), parts: Vec::new() };
-            quarantine::on_completed(node, contents);
-        }
         if times.count > 0 {
             quarantine::on_answered(node, &shared_parts(item));
         }
--- a/crates/daemon/src/gateway/job_table.rs
+++ b/crates/daemon/src/gateway/job_table.rs
@@ -6,9 +6,10 @@
 use super::node::Node;
 use super::{broadcast, job_writer, peers};
 use crate::clock;
-use coordination::hash;
 use coordination::membership::Member;
 use coordination::run_time::Estimate;
+use coordination::slots::LeaseOutcome;
+use coordination::{hash, retry};
 use protocol::routing::Route;
 use protocol::{ServiceId, WorkspaceId};
 use state::progress::{Handoff, ItemId, Job, JobId, JobState};
@@ -27,6 +28,13 @@
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(60);
 /// Attempts per item when the job's route is no longer configured.
 const DEFAULT_MAX_ATTEMPTS: u32 = 3;
+/// Delay before an item that was rejected may run again.
+const REJECTED_ITEM_DELAY: Duration = Duration::from_millis(100);
+/// Delay after the first interrupted run of an item, and the longest one after several.
+const INTERRUPTED_ITEM_DELAY: Duration = Duration::from_millis(200);
+const MAX_ITEM_DELAY: Duration = Duration::from_secs(3);
+/// Items of crashed targets wait for slots anyway, so their delays need no random part.
+const MAX_JITTER: f64 = 1.0;
 const FETCH_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// A job in this instance's memory.
@@ -39,6 +47,8 @@
     pub overflow: RefCell<Overflow>,
     /// When each unfinished item was first started here.
     pub(super) first_started: RefCell<HashMap<ItemId, Instant>>,
+    /// How often the runs of each unfinished item were interrupted here.
+    pub(super) interruptions: RefCell<HashMap<ItemId, u32>>,
     /// Notified when results or the end of the job have become durable.
     pub changed: Notify,
     /// Notified when there is something to write.
@@ -73,6 +83,18 @@
         self.dirty.notify_one();
     }
 
+    /// How long an item waits before its next run, after one that was interrupted or rejected.
+    /// Each interruption makes the wait longer, since the item may be what crashes targets.
+    pub(super) fn next_retry_delay(&self, item: &str, outcome: LeaseOutcome) -> Duration {
+        if outcome != LeaseOutcome::Interrupted {
+            return REJECTED_ITEM_DELAY;
+        }
+        let mut interruptions = self.interruptions.borrow_mut();
+        let count = interruptions.entry(item.to_owned()).or_default();
+        *count += 1;
+        retry::backoff(*count, INTERRUPTED_ITEM_DELAY, MAX_ITEM_DELAY, MAX_JITTER)
+    }
+
     /// The platform has just confirmed the holder.
     pub(super) fn on_confirmed(&self, now: Instant) {
         self.confirmed_at.set(now);
@@ -195,6 +217,7 @@
         revision: Cell::new(revision),
         overflow: RefCell::new(overflow),
         first_started: RefCell::default(),
+        interruptions: RefCell::default(),
         changed: Notify::new(),
         dirty: Notify::new(),
         oldest_unwritten: Cell::new(None),
