--- a/crates/daemon/benches/slopes.rs
+++ b/crates/daemon/benches/slopes.rs
@@ -5,7 +5,7 @@
 
 use coordination::membership::{Member, MemberTable, Policy as MemberPolicy, State, Update};
 use coordination::origins;
-use coordination::quarantine;
+use coordination::quarantine::{self, Suspect};
 use coordination::quota::{Attempt, Ledger, Policy as QuotaPolicy, Report};
 use coordination::route::{self, Candidate, Policy as RoutePolicy};
 use daemon::fleet::{Fleet, ViewContext};
@@ -295,7 +295,10 @@
         let mut table = quarantine::Table::new(quarantine::Policy::default(), now);
         for n in 0..targets * 8 {
             let start = quarantine::TargetStart { target: format!("t{}", n / 8), started_at: 1 };
-            black_box(table.on_crash_report(quarantine::CrashReport::new(n, start), now));
+            black_box(
+                table
+                    .on_crash_report(quarantine::CrashReport::new(Suspect::Request(n), start), now),
+            );
         }
         let each = now.elapsed().as_secs_f64() * 1e6 / (targets * 8) as f64;
         println!("{targets:>10} {each:>16.2}");
