Let the soak crash targets by a part that requests share

From seed 6000 on, the scenario with a crashing request sends requests that are never alike, with a part that crashes targets and one that sound requests have too, beside kills, stops, freezes, cuts and outages of the store. Bound: at most three runs later than 3 s after the fifth crash. Seeds below 6000 are as before.

--- a/crates/daemon/tests/soak/crashing_request.rs
+++ b/crates/daemon/tests/soak/crashing_request.rs
@@ -1,10 +1,10 @@
-//! A scenario with a request that crashes its targets. Several callers repeat it at all
-//! gateways, while gateways are killed, stopped, frozen and partitioned and the platform fails.
-//! Crashed targets restart under their ids.
+//! A scenario with a request that crashes its targets, or with requests that share a part that
+//! does. Several callers send them to all gateways, while gateways are killed, stopped, frozen and
+//! partitioned and the platform fails. Crashed targets restart under their ids.
 
-use super::FIRST_SUSPENSION_SEED;
 use super::faults::Fault;
 use super::util::gateway::{Fleet, Plan, send_to};
+use super::{FIRST_PART_SEED, FIRST_SUSPENSION_SEED};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use standin::objects;
@@ -15,7 +15,7 @@
 /// How long faults are injected; exceeds the first quarantine period, so that a trial happens.
 const FAULT_PERIOD: Duration = Duration::from_secs(17);
 /// Time in which reachable instances must learn of a quarantine. Runs count as violations from
-/// this time after the third crash on, and from this time after a restart of their sender.
+/// this time after the crash of [`Cause::known_crashes`] on, and from this time after a restart of their sender.
 const PROPAGATION_TIME: Duration = Duration::from_secs(3);
 /// Runs allowed after [`PROPAGATION_TIME`].
 const MAX_LATER_RUNS: usize = 3;
@@ -23,10 +23,46 @@
 /// Numbers of callers of the crashing request and of other requests.
 const CALLERS: [usize; 2] = [3, 4];
 const CRASHING_PATH: &str = "/ask/deadly";
+const CRASHING_PART: &str = "bad";
 /// How often restarts of targets are checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
-fn fleet() -> Fleet {
+/// What crashes targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cause {
+    /// One request, repeated.
+    Request,
+    /// A part that requests share which aren't alike otherwise.
+    Part,
+}
+
+impl Cause {
+    fn of(seed: u64) -> Cause {
+        if seed >= FIRST_PART_SEED { Cause::Part } else { Cause::Request }
+    }
+
+    /// Number of crashes after which the cause must become known.
+    fn known_crashes(self) -> usize {
+        match self {
+            Cause::Request => 3,
+            Cause::Part => 5,
+        }
+    }
+
+    /// Path and prompt of a request.
+    fn request(self, id: &str, is_crashing: bool) -> (String, String) {
+        match (self, is_crashing) {
+            (_, false) => (String::from("/ask/sound"), format!("manual:200,{id}:100")),
+            (Cause::Request, true) => (String::from(CRASHING_PATH), String::new()),
+            (Cause::Part, true) => {
+                let prompt = format!("manual:200,{CRASHING_PART}:50,{id}:100");
+                (format!("{CRASHING_PATH}/{id}"), prompt)
+            }
+        }
+    }
+}
+
+fn fleet(cause: Cause) -> Fleet {
     let config = |n: usize| Config {
         id: format!("r{n}"),
         first_event_delay: Duration::from_millis(20),
@@ -37,7 +73,10 @@
     let data_centre = |n: usize| if n.is_multiple_of(2) { "east" } else { "west" };
     let runners = (0..RUNNERS).map(|n| (data_centre(n), config(n))).collect();
     let fleet = Fleet::start(Plan { runners, ..Plan::default() });
-    fleet.runners.iter().for_each(|runner| runner.crash_on_path(CRASHING_PATH));
+    fleet.runners.iter().for_each(|runner| match cause {
+        Cause::Request => runner.crash_on_path(CRASHING_PATH),
+        Cause::Part => runner.crash_on_part(CRASHING_PART),
+    });
     fleet
 }
 
@@ -53,7 +92,8 @@
 
 /// Runs the scenario of a seed and returns the violated guarantees.
 pub fn run(seed: u64) -> Vec<String> {
-    let mut fleet = fleet();
+    let cause = Cause::of(seed);
+    let mut fleet = fleet(cause);
     let fronts: Vec<_> = fleet.gateways.iter().map(|gateway| gateway.front_address).collect();
     let is_over = AtomicBool::new(false);
     let mut restarts = Vec::new();
@@ -65,16 +105,19 @@
                 let mut count = n;
                 while !is_over.load(Ordering::Relaxed) {
                     count += 1;
-                    let path = if n < CALLERS[0] { CRASHING_PATH } else { "/ask/sound" };
+                    let is_crashing = n < CALLERS[0];
+                    let id = format!("{}-{n}-{count}", if is_crashing { "bad" } else { "sound" });
+                    let (path, prompt) = cause.request(&id, is_crashing);
                     let front = fronts[count % fronts.len()];
-                    send_to(front, path, &format!("{path}-{n}-{count}"), &[]);
+                    let headers = [("x-gatespool-prompt-prefix", prompt.as_str())];
+                    send_to(front, &path, &id, &headers);
                     std::thread::sleep(Duration::from_millis(60));
                 }
             });
         }
         restarts.extend(inject_faults(&mut fleet, seed));
     });
-    find_violations(&fleet, &restarts)
+    find_violations(&fleet, cause, &restarts)
 }
 
 /// A gateway and when it was restarted.
@@ -182,7 +225,7 @@
     count % gateways
 }
 
-fn find_violations(fleet: &Fleet, restarts: &[Restart]) -> Vec<String> {
+fn find_violations(fleet: &Fleet, cause: Cause, restarts: &[Restart]) -> Vec<String> {
     let is_new = |run: &Run| {
         let of_sender = restarts.iter().filter(|(n, _)| *n == sender(run, fleet.gateways.len()));
         of_sender
@@ -200,13 +243,13 @@
     let mut violations = Vec::new();
     if runs.len() < 3 {
         violations.push(format!("only {} runs", runs.len()));
-    } else {
+    } else if let Some(last) = runs.get(cause.known_crashes() - 1) {
         // Each run crashes its target about 20 ms after it started.
-        let known = runs[2].started + PROPAGATION_TIME;
+        let known = last.started + PROPAGATION_TIME;
         let later: Vec<Duration> = runs
             .iter()
             .filter(|run| run.arrived > known && !is_new(run))
-            .map(|run| run.arrived - runs[2].started)
+            .map(|run| run.arrived - last.started)
             .collect();
         if later.len() > MAX_LATER_RUNS {
             violations
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -50,6 +50,9 @@
 /// From this seed on the same, but sound runners fall silent beside planned work, and unplanned
 /// faults overlap them in the middle only.
 const FIRST_SILENCE_SEED: u64 = 5_000;
+/// From this seed on, the scenario with a crashing request has requests that share a crashing part
+/// instead.
+const FIRST_PART_SEED: u64 = 6_000;
 
 /// Seeds that have failed, each with its cause.
 const REGRESSION_SEEDS: [(u64, &str); 3] = [
@@ -59,11 +62,13 @@
 ];
 
 /// Seeds of the scenario with a crashing request, each with the reason why it is listed.
-const CRASH_SEEDS: [(u64, &str); 4] = [
+const CRASH_SEEDS: [(u64, &str); 6] = [
     (1, "default"),
     (427, "all gateways were killed before the quarantine was written to the recovered platform"),
     (FIRST_SUSPENSION_SEED, "default with suspensions"),
     (3, "all gateways were killed at once, and the quarantine had never been written"),
+    (FIRST_PART_SEED, "default with a crashing part"),
+    (FIRST_PART_SEED + 1, "the same"),
 ];
 
 fn seeds() -> Vec<u64> {
