Use a target that has responded after a silence before its next load report

Cause: a response ended what was known against the target's health but left it marked unresponsive until its next load report was answered. With the first silence no longer on record it wasn't a common silence either, so the service had no target for that time: 503.

Change: a response ends the silence, as an answered load report does.

target_that_responds_after_a_silence_is_used_before_its_next_load_report failed before (one run) and passes now (one run).

--- a/crates/daemon/src/fleet/selection.rs
+++ b/crates/daemon/src/fleet/selection.rs
@@ -58,8 +58,9 @@
 }
 
 impl TargetGuard {
-    /// Records a success of the target.
+    /// Records a success of the target, which also ends a silence.
     pub fn on_success(&self) {
+        self.target.on_response();
         let mut state = lock(&self.target.state);
         state.concurrency.on_success();
         state.health.on_success();
