--- a/crates/daemon/tests/util/daemon.rs
+++ b/crates/daemon/tests/util/daemon.rs
@@ -2,7 +2,7 @@
 
 use super::client::{self, Response};
 use super::wait_until;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -112,6 +112,13 @@
         drop(self.child.wait());
     }
 
+    /// Limits the number of files and sockets that the process may have open.
+    pub fn limit_open_files(&self, limit: u64) {
+        let limit = Rlimit { current: Some(limit), maximum: Some(limit) };
+        prlimit(Some(Pid::from_child(&self.child)), Resource::Nofile, limit)
+            .expect("the limit is set");
+    }
+
     /// Sends SIGSTOP.
     pub fn freeze(&self) {
         self.signal(Signal::STOP);
