Let idle connections of callers give way to new ones

Cause: nothing bounded the connections that callers keep after their responses, so they took all descriptors of the process; accepting and connecting to targets both failed from then on.

Evidence: instance_that_all_new_connections_come_to_serves_requests (200 new connections a second to one of three gateways with 160 descriptors).

Change: callers may have half of instance.open_files, which the deploy file sets to the platform's limit. For a new connection beyond it, the one that has been idle for longest is closed; if none is idle, the new one is closed unread, so that its caller tries another instance at once. Connections in a request, or whose response isn't written, are never closed. Without the setting nothing is bounded, as before.

Why it works: a caller whose kept connection was closed opens another.

--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -23,7 +23,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
+use transport::connections::Connections;
 use transport::partition::SimulatedPartition;
 use transport::peer::{Pool, Traffic, serve};
 use transport::{http, server};
@@ -80,10 +80,12 @@
     spawn_local(job_scan::run(node.clone(), stop.clone()));
     for listener in ready.into_iter().chain(metrics) {
         let handler = Rc::new(StatusHandler { node: node.clone() });
-        spawn_local(server::serve(listener, handler, TaskTracker::new(), stop.clone()));
+        spawn_local(server::serve(listener, handler, Connections::new(usize::MAX), stop.clone()));
     }
     let handler = Rc::new(HttpHandler { node: node.clone() });
-    let callers = Callers { stop: CancellationToken::new(), connections: TaskTracker::new() };
+    let max_connections = max_caller_connections(node.settings.max_open_files);
+    let callers =
+        Callers { stop: CancellationToken::new(), connections: Connections::new(max_connections) };
     spawn_local(server::serve(front, handler, callers.connections.clone(), callers.stop.clone()));
     loop {
         tokio::select! {
@@ -117,7 +119,13 @@
     /// Cancelled to accept no more requests.
     stop: CancellationToken,
     /// Open connections.
-    connections: TaskTracker,
+    connections: Rc<Connections>,
+}
+
+/// Number of connections that callers may have open. The other files and sockets are for targets,
+/// other instances and the platform.
+fn max_caller_connections(max_open_files: Option<usize>) -> usize {
+    max_open_files.map_or(usize::MAX, |files| files / 2)
 }
 
 /// Stops gracefully: reports not ready, hands off jobs, and completes requests in flight, within
@@ -134,7 +142,7 @@
     spawn_local(handoff::hand_off_jobs(node.clone(), stop.clone()));
     loop {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
-        let connections = callers.connections.len();
+        let connections = callers.connections.count();
         let remaining = node.in_flight.get() + node.jobs.open_jobs().len() + connections;
         let is_closed = callers.stop.is_cancelled();
         match drain::phase(plan, since, remaining, is_closed, clock::now()) {
--- a/crates/daemon/tests/gateway_connections.rs
+++ b/crates/daemon/tests/gateway_connections.rs
@@ -24,7 +24,8 @@
 fn fleet() -> Fleet {
     let config = |n: u32| Config { id: format!("r{n}"), slots: 16, ..Config::default() };
     let runners = (0..6).map(|n| ("east", config(n))).collect();
-    Fleet::start(Plan { runners, ..Plan::default() })
+    let settings = vec![format!("instance.open_files = {OPEN_FILES}")];
+    Fleet::start(Plan { runners, settings, ..Plan::default() })
 }
 
 /// Sends a request on a new connection; the connection, and whether it was served.
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -57,6 +57,9 @@
     pub regions: Vec<Location>,
     /// `[instance] processor`: CPU cores available to this instance; may be a fraction.
     pub cpu_cores: f64,
+    /// `[instance] open_files`: maximum number of files and sockets that the process may have open;
+    /// `None` if it isn't limited.
+    pub max_open_files: Option<usize>,
     /// `[instance] data_centre`: data centre in which this instance runs.
     pub data_centre: DataCentreId,
     /// `[instance] data`: directory on a local disk, if there is one.
@@ -159,6 +162,7 @@
             name: String::from("local"),
             role: Role::default(),
             regions: Vec::new(),
+            max_open_files: None,
             cpu_cores: 1.0,
             data_centre: String::from("local"),
             data_dir: None,
@@ -256,6 +260,12 @@
             &mut self.regions,
         )?;
         source.read_value("instance", "processor", "a number of cores", &mut self.cpu_cores)?;
+        source.read_option(
+            "instance",
+            "open_files",
+            "a number of files and sockets",
+            &mut self.max_open_files,
+        )?;
         source.read_option("instance", "data", "a path", &mut self.data_dir)?;
         source.read_value("front", "listen", "an IP address and port", &mut self.front_address)?;
         source.read_option("front", "ready", "an IP address and port", &mut self.ready_address)?;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod body;
 pub mod channel;
 pub mod clock;
+pub mod connections;
 pub mod event;
 pub mod http;
 pub mod partition;
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -6,6 +6,7 @@
 //! body channel is dropped.
 
 use crate::body::{self, Aborted};
+use crate::connections::{Connection, Connections};
 use crate::socket::{OpenResponse, Socket};
 use bytes::Bytes;
 use futures_util::Stream as _;
@@ -21,7 +22,6 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
 
 /// Avoids a busy loop while the process is out of file descriptors.
 pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -91,12 +91,12 @@
     fn max_head_bytes(&self) -> usize;
 }
 
-/// Serves until `stop` is cancelled; open connections complete their request in progress.
-/// `connections` counts those that are open: a response is written once its connection has ended.
+/// Serves until `stop` is cancelled; open connections complete their request in progress. New ones
+/// that `connections` doesn't admit are closed at once.
 pub async fn serve<H: Handler>(
     listener: TcpListener,
     handler: Rc<H>,
-    connections: TaskTracker,
+    connections: Rc<Connections>,
     stop: CancellationToken,
 ) {
     let mut closed = std::pin::pin!(closed(&stop));
@@ -108,8 +108,10 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let connection = serve_connection(stream, handler.clone(), stop.clone());
-                connections.spawn_local(connection);
+                if let Some(connection) = connections.open() {
+                    let task = serve_connection(stream, connection, handler.clone(), stop.clone());
+                    connections.spawn(task);
+                }
             }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
@@ -122,30 +124,41 @@
     tokio::time::sleep(ARRIVAL_DELAY).await;
 }
 
-async fn serve_connection<H: Handler>(stream: TcpStream, handler: Rc<H>, stop: CancellationToken) {
+async fn serve_connection<H: Handler>(
+    stream: TcpStream,
+    connection: Connection,
+    handler: Rc<H>,
+    stop: CancellationToken,
+) {
     if stream.set_nodelay(true).is_err() {
         return; // The caller has disconnected already.
     }
     let max_head_bytes = handler.max_head_bytes();
     let open = OpenResponse::default();
     let socket = Socket::new(stream, open.clone());
+    let requests = connection.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let (handler, open) = (handler.clone(), open.clone());
+        let busy = requests.start_request();
         let version = request.version();
-        async move { Ok::<_, Aborted>(open.track(version, handler.handle(request).await?)) }
+        async move {
+            let response = open.track(version, handler.handle(request).await?);
+            Ok::<_, Aborted>(response.map(|body| busy.until_end_of(body)))
+        }
     });
-    let connection = http1::Builder::new()
+    let serving = http1::Builder::new()
         .max_buf_size(max_head_bytes.max(16 << 10))
         .serve_connection(TokioIo::new(socket), service);
-    let mut connection = std::pin::pin!(connection);
+    let mut serving = std::pin::pin!(serving);
     // Errors are ignored: the handler notices that its future or body is dropped.
     tokio::select! {
         biased; // A request that has arrived is read.
-        _result = connection.as_mut() => return,
+        _result = serving.as_mut() => return,
         () = closed(&stop) => {}
+        () = connection.closing() => {}
     }
-    connection.as_mut().graceful_shutdown();
-    let _result = connection.await;
+    serving.as_mut().graceful_shutdown();
+    let _result = serving.await;
 }
 
 /// Reads a complete body; `None` if it exceeds `max_bytes`.
