--- a/crates/daemon/tests/gateway_truncation.rs
+++ b/crates/daemon/tests/gateway_truncation.rs
@@ -439,6 +439,37 @@
     assert!(!broken.requests().is_empty());
 }
 
+#[test]
+fn item_of_a_target_that_closes_inside_an_event_is_completed_elsewhere() {
+    let pieces = [&event(1), &event(2), "id: 3\ndata: pa"];
+    let broken = target_with_body(UNFRAMED, &pieces, End::Close);
+    let sound = sound_target();
+    let fleet = fleet_of(&[&broken, &sound]);
+    let items = ["item-1", "item-2", "item-3", "item-4"];
+    assert_eq!(fleet.submit(0, "job", &items).status, 202);
+    let text: Vec<String> = (1..=6).map(|n| format!("part-{n}")).collect();
+    for result in fleet.wait_results(0, "job") {
+        assert_eq!(result["message"], text.join("\n"), "{result}");
+    }
+    assert!(!broken.requests().is_empty());
+}
+
+#[test]
+fn resumed_stream_closed_inside_an_event_does_not_look_complete() {
+    let broken = target_with_body(UNFRAMED, &[&events(1, 2), "id: 3\nda"], End::Close);
+    let resumed = target(|request| {
+        let from = request.last_event_id.unwrap_or(0) + 1;
+        let pieces = [&event(from), "id: 9\ndata: pa"];
+        Answer::new(&request.id, UNFRAMED, &pieces, End::Close)
+    });
+    let fleet = fleet_of(&[&broken, &resumed]);
+    for n in 0..4 {
+        let response = call(&fleet, Version::Http11, "/talk/half", &format!("half-{n}"));
+        assert!(!response.looks_complete(), "{response:?}");
+    }
+    assert!(resumed.requests().iter().any(|request| request.last_event_id.is_some()));
+}
+
 /// Guards against a loop of resumptions after the last event.
 #[test]
 fn resumed_stream_without_further_events_is_complete() {
