Try a silent target again if its replacement's process has ended

What callers saw: a stream was broken off whose silent target would have gone on: it had been dropped for a replacement that had sent nothing, and when that one's process ended the attempts were used up.

Cause: the end of a process counted as an attempt, and the silent target stayed excluded for the request.

Change: a replacement that failed, and whose address refuses connections, is no attempt, and targets that were only silent may be granted again. The users' rule on attempts leaves out targets that ended meanwhile.

--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -28,7 +28,7 @@
 use platform::header;
 use platform::store::Revision;
 use protocol::routing::{Class, Origin, Route};
-use protocol::{Error, Kind};
+use protocol::{Error, Kind, TargetId};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -64,8 +64,10 @@
     pub unreachable: u32,
     /// Whether the caller has the head of the response, which only success can complete.
     pub has_begun: bool,
-    /// Targets of failed attempts, and silent ones.
-    pub excluded: Vec<String>,
+    /// Targets of failed attempts.
+    pub excluded: Vec<TargetId>,
+    /// Targets that were silent.
+    pub silent: Vec<TargetId>,
     /// What began the stream that the request goes on with; `None` before its first event.
     pub origin: Option<Origin>,
     /// Charge to the quota of the caller's workspace.
@@ -127,6 +129,7 @@
         unreachable: 0,
         has_begun: false,
         excluded: Vec::new(),
+        silent: Vec::new(),
         origin: None,
         charge,
         workload,
@@ -251,6 +254,10 @@
         match self.response(pending, last_event).await {
             Ok(response) => Ok(response),
             Err(failed) => {
+                if self.is_lost(&failed).await {
+                    self.attempts -= 1;
+                    self.silent.clear();
+                }
                 self.on_failed(failed)?;
                 let lease = self.acquire_patiently(last_event).await;
                 self.forward_on(lease, last_event).await
@@ -264,7 +271,7 @@
     ///
     /// Fails if there may be no other one.
     fn on_failed(&mut self, failed: FailedAttempt) -> Result<(), ForwardError> {
-        let FailedAttempt { target, reason } = failed;
+        let FailedAttempt { target, reason, .. } = failed;
         slog::info!(self.node.log, "try failed"; "request" => &self.call.id,
             "content" => hex(self.call.fingerprint()),
             "target" => &target, "how" => reason.name(), "text" => reason.text(),
--- a/crates/daemon/src/gateway/online/acquire.rs
+++ b/crates/daemon/src/gateway/online/acquire.rs
@@ -91,7 +91,7 @@
                 service: self.service.clone(),
                 latest_start,
                 expires,
-                excluded: self.excluded.clone(),
+                excluded: [&self.excluded[..], &self.silent].concat(),
                 software,
                 residency: residency::of_request(&self.route, self.call.workspace.as_deref()),
                 workload: self.workload.clone(),
--- a/crates/daemon/src/gateway/online/attempt.rs
+++ b/crates/daemon/src/gateway/online/attempt.rs
@@ -7,7 +7,7 @@
 use crate::gateway::target_body::TargetBody;
 use crate::gateway::target_process::TargetProcess;
 use bytes::Bytes;
-use coordination::slots::LeaseOutcome;
+use coordination::slots::{Grant, LeaseOutcome};
 use http_body_util::Full;
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Request, StatusCode};
@@ -15,6 +15,7 @@
 use protocol::TargetId;
 use protocol::routing::{Class, Route};
 use protocol::settings::Policy;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::task::{JoinError, spawn_local};
 use tokio_util::task::AbortOnDropHandle;
@@ -45,9 +46,16 @@
 /// An attempt that failed.
 pub(super) struct FailedAttempt {
     pub(super) target: TargetId,
+    pub(super) address: SocketAddr,
     pub(super) reason: RetryReason,
 }
 
+impl FailedAttempt {
+    pub(super) fn new(grant: &Grant, reason: RetryReason) -> FailedAttempt {
+        FailedAttempt { target: grant.target.clone(), address: grant.address, reason }
+    }
+}
+
 /// Why there is no head of a response yet.
 enum NoHead {
     /// The target has sent nothing for so long that another one may be faster.
@@ -64,7 +72,7 @@
         last_event: Option<u64>,
     ) -> Result<Pending, FailedAttempt> {
         let now = clock::now();
-        let failed = |reason| FailedAttempt { target: lease.grant.target.clone(), reason };
+        let failed = |reason| FailedAttempt::new(&lease.grant, reason);
         let remaining = self.call.remaining(now);
         if remaining.is_zero() {
             return Err(failed(RetryReason::DeadlineExceeded));
@@ -90,8 +98,8 @@
     ) -> Result<TargetResponse, FailedAttempt> {
         let mut pending = pending;
         loop {
-            let target = pending.lease.grant.target.clone();
-            let failed = |reason| FailedAttempt { target, reason };
+            let grant = pending.lease.grant.clone();
+            let failed = |reason| FailedAttempt::new(&grant, reason);
             match self.head_or_replacement(&mut pending, last_event).await {
                 Replaced::Kept(result) => {
                     let is_resumed = last_event.is_some();
--- a/crates/daemon/src/gateway/online/failure.rs
+++ b/crates/daemon/src/gateway/online/failure.rs
@@ -41,7 +41,7 @@
             "content" => hex(call.fingerprint()),
             "status" => status, "route" => &self.route.name, "service" => &self.service,
             "config" => self.version, "registry" => self.registry, "sent" => self.attempts,
-            "avoided" => ?self.excluded,
+            "avoided" => ?self.excluded, "silent" => ?self.silent,
             "slot_ms" => self.slot_wait.get().as_millis() as u64,
             "quota_ms" => self.charge.waited().as_millis() as u64, "again" => call.is_retry,
             "age_ms" => age.as_millis() as u64, "repeatable" => is_repeatable);
--- a/crates/daemon/src/gateway/online/replacement.rs
+++ b/crates/daemon/src/gateway/online/replacement.rs
@@ -6,7 +6,7 @@
 use crate::clock;
 use crate::gateway::crash::hex;
 use crate::gateway::leases::Lease;
-use coordination::presence::Presence;
+use coordination::presence::{CLOSE_WINDOW, Presence};
 use coordination::slots::LeaseOutcome;
 use std::future::Future;
 use std::time::Duration;
@@ -84,8 +84,8 @@
         lease: Lease,
         last_event: Option<u64>,
     ) -> Result<Replacement, FailedAttempt> {
-        let target = lease.grant.target.clone();
-        let failed = |reason| FailedAttempt { target: target.clone(), reason };
+        let grant = lease.grant.clone();
+        let failed = |reason| FailedAttempt::new(&grant, reason);
         // The connection is kept for the request, so that the overlap begins with its run.
         if self.node.targets.probe(lease.grant.address).await != Presence::Listening {
             lease.end(LeaseOutcome::Unresponsive);
@@ -106,9 +106,19 @@
         Ok(Replacement::Response(Box::new(response)))
     }
 
+    /// Whether a replacement failed because its process has ended. That was no attempt at a target
+    /// that could complete the request, so another one may follow, also at a silent target.
+    pub(super) async fn is_lost(&self, failed: &FailedAttempt) -> bool {
+        if !matches!(failed.reason, RetryReason::MayHaveRun(_)) {
+            return false;
+        }
+        tokio::time::sleep(CLOSE_WINDOW).await;
+        self.node.targets.probe(failed.address).await == Presence::Refused
+    }
+
     fn on_silent(&mut self, lease: &Lease, last_event: Option<u64>) {
         self.may_have_run = true;
-        self.excluded.push(lease.grant.target.clone());
+        self.silent.push(lease.grant.target.clone());
         slog::info!(self.node.log, "target is silent"; "request" => &self.call.id,
             "content" => hex(self.call.fingerprint()), "target" => &lease.grant.target,
             "software" => &lease.software, "silent_ms" => lease.silence().as_millis() as u64,
