--- a/crates/daemon/tests/util/raw_streams.rs
+++ b/crates/daemon/tests/util/raw_streams.rs
@@ -1,6 +1,7 @@
 //! Event streams of raw targets, and a fleet in front of such targets.
 
-use super::gateway::{Fleet, Plan};
+use super::gateway::{Fleet, HOST, Plan};
+use super::raw_caller::{self, RawResponse, Version};
 use super::raw_target::{Answer, End, RawTarget, Request};
 
 /// Headers of a stream that ends with its connection.
@@ -77,3 +78,19 @@
     fleet.wait_ready();
     fleet
 }
+
+/// Sends a request to the first gateway and reads the response.
+pub fn call(fleet: &Fleet, version: Version, path: &str, id: &str) -> RawResponse {
+    let headers = headers(id);
+    raw_caller::call(fleet.gateways[0].front_address, version, path, &headers, "a prompt")
+}
+
+/// Headers of a request with a deadline of 4 s.
+pub fn headers(id: &str) -> String {
+    format!("Host: {HOST}\nX-Gatespool-Request-Id: {id}\nX-Gatespool-Deadline-Ms: 4000")
+}
+
+/// Headers of a stream with the length of this body.
+pub fn with_length(body: &str) -> String {
+    format!("{UNFRAMED}\nContent-Length: {}", body.len())
+}
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -4,6 +4,7 @@
 
 mod batch_order;
 mod cold;
+mod error;
 mod location;
 mod policy;
 mod quota;
@@ -12,6 +13,7 @@
 
 pub use batch_order::BatchOrder;
 pub use cold::Cold;
+pub use error::SettingsError;
 pub use location::Location;
 pub use policy::Policy;
 pub use quota::Quota;
@@ -19,33 +21,10 @@
 
 use crate::DataCentreId;
 use source::Source;
-use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-/// Why a settings file is invalid.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SettingsError {
-    /// Path of the file.
-    pub file: String,
-    /// Section of the invalid key; empty if the file can't be read or parsed.
-    pub section: String,
-    /// Invalid key; empty if the file can't be read, `line N` if it can't be parsed.
-    pub key: String,
-    /// Description of a valid value.
-    pub expected: String,
-}
-
-impl fmt::Display for SettingsError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let SettingsError { file, section, key, expected } = self;
-        write!(f, "{file}: section [{section}], key `{key}`: expected {expected}")
-    }
-}
-
-impl std::error::Error for SettingsError {}
-
 /// Settings of one instance; each field names its section and key.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
