Close an idle connection also when a new one can't be accepted; count both

Cause: when other sockets have used the descriptors up, accept fails before the limit on callers' connections is looked at, and nothing was closed.

Change: a failed accept closes the longest idle connection of a caller. Metrics: open connections, idle ones that gave way, new ones closed unread.

The bound is as it was.

--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -205,6 +205,9 @@
         ("gatespool.jobs.held", node.jobs.held_count() as u64),
         ("gatespool.held_requests", node.quarantine.table.borrow().quarantined() as u64),
         ("gatespool.held_parts", node.quarantine.table.borrow().quarantined_parts() as u64),
+        ("gatespool.callers.connections", node.callers.count() as u64),
+        ("gatespool.callers.closed_idle", node.callers.closed_idle()),
+        ("gatespool.callers.closed_unread", node.callers.closed_unread()),
         ("gatespool.running", node.in_flight.get() as u64),
     ];
     for (cause, calls) in node.store.calls() {
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -32,6 +32,7 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
+use transport::connections::Connections;
 use transport::peer::Pool as Peers;
 use transport::upstream;
 
@@ -137,6 +138,8 @@
     /// Data centres that have had a reachable member; `Some` is the time since which they have
     /// none.
     unreachable_since: RefCell<HashMap<DataCentreId, Option<Instant>>>,
+    /// Open connections of callers.
+    pub callers: Rc<Connections>,
     /// Calls and tasks that a stop waits for.
     pub in_flight: in_flight::Counter,
     /// Cancelled when a stop is requested.
@@ -192,6 +195,7 @@
             unreachable_since: RefCell::default(),
             metrics: Metrics::default(),
             started: now,
+            callers: Connections::new(max_caller_connections(settings.max_open_files)),
             in_flight: in_flight::Counter::default(),
             stopping: CancellationToken::new(),
             ending: CancellationToken::new(),
@@ -337,6 +341,12 @@
     }
 }
 
+/// Number of connections that callers may have open. The other files and sockets are for targets,
+/// other instances and the platform.
+fn max_caller_connections(max_open_files: Option<usize>) -> usize {
+    max_open_files.map_or(usize::MAX, |files| files / 2)
+}
+
 fn quarantine_policy(policy: &settings::Policy) -> QuarantinePolicy {
     QuarantinePolicy { max_crashes: policy.max_crashes, ..QuarantinePolicy::default() }
 }
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -83,17 +83,15 @@
         spawn_local(server::serve(listener, handler, Connections::new(usize::MAX), stop.clone()));
     }
     let handler = Rc::new(HttpHandler { node: node.clone() });
-    let max_connections = max_caller_connections(node.settings.max_open_files);
-    let callers =
-        Callers { stop: CancellationToken::new(), connections: Connections::new(max_connections) };
-    spawn_local(server::serve(front, handler, callers.connections.clone(), callers.stop.clone()));
+    let callers_stop = CancellationToken::new();
+    spawn_local(server::serve(front, handler, node.callers.clone(), callers_stop.clone()));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = reload.recv() => reload_settings(&node, file),
         }
     }
-    drain(&node, &callers, &stop).await;
+    drain(&node, &callers_stop, &stop).await;
     slog::info!(node.log, "stopped"; "running" => node.in_flight.get());
     stop.cancel();
     Ok(())
@@ -114,23 +112,10 @@
     }
 }
 
-/// The server of callers.
-struct Callers {
-    /// Cancelled to accept no more requests.
-    stop: CancellationToken,
-    /// Open connections.
-    connections: Rc<Connections>,
-}
-
-/// Number of connections that callers may have open. The other files and sockets are for targets,
-/// other instances and the platform.
-fn max_caller_connections(max_open_files: Option<usize>) -> usize {
-    max_open_files.map_or(usize::MAX, |files| files / 2)
-}
-
 /// Stops gracefully: reports not ready, hands off jobs, and completes requests in flight, within
-/// the time limit of the settings. `stop` ends the hand-off of jobs.
-async fn drain(node: &Rc<Node>, callers: &Callers, stop: &CancellationToken) {
+/// the time limit of the settings. `callers_stop` ends the server of callers, and `stop` the hand-off
+/// of jobs.
+async fn drain(node: &Rc<Node>, callers_stop: &CancellationToken, stop: &CancellationToken) {
     let since = clock::now();
     slog::info!(node.log, "stop ordered"; "running" => node.in_flight.get(),
         "jobs" => node.jobs.held_count());
@@ -142,16 +127,16 @@
     spawn_local(handoff::hand_off_jobs(node.clone(), stop.clone()));
     loop {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
-        let connections = callers.connections.count();
+        let connections = node.callers.count();
         let remaining = node.in_flight.get() + node.jobs.open_jobs().len() + connections;
-        let is_closed = callers.stop.is_cancelled();
+        let is_closed = callers_stop.is_cancelled();
         match drain::phase(plan, since, remaining, is_closed, clock::now()) {
             Phase::Exit => break,
             Phase::Grace => {}
-            Phase::Draining => callers.stop.cancel(),
+            Phase::Draining => callers_stop.cancel(),
         }
     }
-    callers.stop.cancel();
+    callers_stop.cancel();
     node.ending.cancel();
     tokio::time::sleep(STOP_POLL_INTERVAL).await;
 }
--- a/crates/transport/src/connections.rs
+++ b/crates/transport/src/connections.rs
@@ -24,6 +24,8 @@
     /// Idle connections, each with what closes it.
     idle: RefCell<BTreeMap<IdlePosition, CancellationToken>>,
     next_position: Cell<IdlePosition>,
+    closed_idle: Cell<u64>,
+    closed_unread: Cell<u64>,
 }
 
 impl Connections {
@@ -34,6 +36,8 @@
             max,
             idle: RefCell::default(),
             next_position: Cell::new(0),
+            closed_idle: Cell::new(0),
+            closed_unread: Cell::new(0),
         })
     }
 
@@ -42,12 +46,22 @@
         self.tasks.len()
     }
 
+    /// Number of idle connections that gave way to new ones so far.
+    pub fn closed_idle(&self) -> u64 {
+        self.closed_idle.get()
+    }
+
+    /// Number of new connections that weren't admitted so far.
+    pub fn closed_unread(&self) -> u64 {
+        self.closed_unread.get()
+    }
+
     /// Admits a connection that was accepted. With as many open ones as there may be, it closes the
     /// one that has been idle for longest; `None` if none is idle.
     pub fn open(self: &Rc<Connections>) -> Option<Connection> {
-        if self.count() >= self.max {
-            let (_, closing) = self.idle.borrow_mut().pop_first()?;
-            closing.cancel();
+        if self.count() >= self.max && !self.close_idle() {
+            self.closed_unread.set(self.closed_unread.get() + 1);
+            return None;
         }
         let connection = Connection(Rc::new(State {
             connections: self.clone(),
@@ -58,6 +72,16 @@
         Some(connection)
     }
 
+    /// Closes the connection that has been idle for longest; `false` if none is idle.
+    pub fn close_idle(&self) -> bool {
+        let Some((_, closing)) = self.idle.borrow_mut().pop_first() else {
+            return false;
+        };
+        closing.cancel();
+        self.closed_idle.set(self.closed_idle.get() + 1);
+        true
+    }
+
     /// Runs the task of a connection.
     pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
         self.tasks.spawn_local(task);
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -113,7 +113,13 @@
                     connections.spawn(task);
                 }
             }
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+            // Probably out of file descriptors.
+            Err(_) => {
+                if !connections.close_idle() {
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+                tokio::task::yield_now().await;
+            }
         }
     }
 }
