--- a/crates/coordination/src/quarantine/explanation.rs
+++ b/crates/coordination/src/quarantine/explanation.rs
@@ -41,7 +41,7 @@
         if max_count < policy.max_crashes {
             break;
         }
-        // Suspects with equal counts can't be told apart: quarantine all of them.
+        // Nothing distinguishes suspects with equal counts: quarantine all of them.
         for (suspect, crashes) in counts.into_iter().filter(|(_, count)| *count == max_count) {
             quarantined.insert(suspect, Quarantine { crashes, ..Quarantine::default() });
             if let Some(history) = histories.get(&suspect) {
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -220,7 +220,7 @@
     assert_eq!(table.decide(HARMFUL, now), Decision::Allowed, "a request is no part");
 }
 
-/// Parts that always come together can't be told apart, so each of them alone is allowed.
+/// Nothing distinguishes parts that always come together, so each of them alone is allowed.
 #[test]
 fn part_beside_the_harmful_one_is_allowed_without_it() {
     let (mut table, now) = (table(), Instant::now());
