--- /dev/null
+++ b/crates/daemon/tests/gateway_large_config.rs
@@ -0,0 +1,91 @@
+//! A configuration of many routes is in force at all instances soon after the first one, although
+//! the links between instances are slow.
+
+mod util;
+
+use rstest::rstest;
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
+use util::gateway::{Fleet, HOST, Plan};
+
+/// Instances of the data centre.
+const GATEWAYS: usize = 16;
+/// Rate of an instance's link, in bytes a second: 22 Mbit/s.
+const LINK_RATE: u64 = 2_750_000;
+/// Maximum time from the first instance that has a version to the last one, and the routes of that
+/// version.
+const MAX_SPANS: [(usize, Duration); 2] =
+    [(1_446, Duration::from_millis(1_500)), (4_246, Duration::from_millis(2_500))];
+/// Longest wait for a version.
+const TIMEOUT: Duration = Duration::from_secs(15);
+
+fn plan() -> Plan {
+    Plan {
+        gateways: vec!["east"; GATEWAYS],
+        settings: vec![format!("faults.link_bytes_per_s = {LINK_RATE}")],
+        ..Plan::default()
+    }
+}
+
+/// Writes a version with this number of routes, each with a name and a path of its own.
+fn configure(fleet: &Fleet, version: u64, routes: usize) {
+    let mut config = fleet.config(version);
+    let template = config["routes"][0].clone();
+    let list = config["routes"].as_array_mut().expect("routes");
+    for n in list.len()..routes {
+        // The names are spread, so that they can't be compressed to nothing.
+        let name = format!("{:08x}", (n as u32).wrapping_mul(2_654_435_761));
+        let mut route = template.clone();
+        route["name"] = json!(name);
+        route["host"] = json!(format!("{name}.example"));
+        route["path_prefix"] = json!(format!("/{name}/"));
+        list.push(route);
+    }
+    fleet.objects.put("config", "main", config);
+}
+
+/// Number of instances at which `version` is in force.
+fn count_in_force(fleet: &Fleet, version: u64) -> usize {
+    let is_applied =
+        |line: &Value| line["msg"] == "configuration in force" && line["version"] == version;
+    (0..fleet.gateways.len()).filter(|n| fleet.log(*n).iter().any(is_applied)).count()
+}
+
+/// Waits until `version` is in force everywhere; returns the time since the first instance had it.
+#[track_caller]
+fn span(fleet: &Fleet, version: u64) -> Duration {
+    let started = Instant::now();
+    let mut first = None;
+    loop {
+        let found = count_in_force(fleet, version);
+        if found > 0 {
+            first.get_or_insert_with(Instant::now);
+        }
+        if found == fleet.gateways.len() {
+            return first.expect("an instance has it").elapsed();
+        }
+        assert!(started.elapsed() < TIMEOUT, "{found} instances have version {version}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Regression: all instances of a data centre fetched the whole text from one of them at once, and
+/// gave up before its link had carried it.
+#[rstest]
+#[case::fleet_at_rest(false)]
+#[case::instances_start(true)]
+fn large_configuration_is_in_force_in_time_over_slow_links(#[case] has_starts: bool) {
+    let mut fleet = Fleet::start(plan());
+    for (version, (routes, max_span)) in (8..).zip(MAX_SPANS) {
+        if has_starts {
+            (GATEWAYS / 2..GATEWAYS).for_each(|n| fleet.gateways[n].kill());
+            configure(&fleet, version, routes);
+            (GATEWAYS / 2..GATEWAYS).for_each(|n| fleet.restart(n));
+        } else {
+            configure(&fleet, version, routes);
+        }
+        let span = span(&fleet, version);
+        eprintln!("{routes} routes: {span:?}");
+        assert!(span <= max_span, "{routes} routes are in force after {span:?}, not {max_span:?}");
+    }
+}
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -130,6 +130,9 @@
     /// `[faults] suspended`: file with the total time in milliseconds for which the machine
     /// is taken to have been suspended, for tests.
     pub suspension_file: Option<PathBuf>,
+    /// `[faults] link_bytes_per_s`: rate in bytes a second at which this instance sends to others,
+    /// for tests.
+    pub simulated_link_rate: Option<u64>,
     /// `[faults] unguarded`: names of safeguards to disable, for tests.
     pub disabled_guards: Vec<String>,
 }
@@ -187,6 +190,7 @@
             cold: Cold::default(),
             partition_file: None,
             suspension_file: None,
+            simulated_link_rate: None,
             disabled_guards: Vec::new(),
         }
     }
@@ -297,6 +301,8 @@
         source.read_text("log_lines", "level", &mut self.log_level);
         source.read_option("faults", "cut", "a path", &mut self.partition_file)?;
         source.read_option("faults", "suspended", "a path", &mut self.suspension_file)?;
+        let rate = &mut self.simulated_link_rate;
+        source.read_option("faults", "link_bytes_per_s", "a number", rate)?;
         source.read_list(
             "faults",
             "unguarded",
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -10,9 +10,9 @@
 pub mod connections;
 pub mod event;
 pub mod http;
+pub mod link;
 pub mod partition;
 pub mod peer;
-
 pub mod server;
 pub mod socket;
 pub mod sse;
--- a/crates/transport/src/peer/connection.rs
+++ b/crates/transport/src/peer/connection.rs
@@ -1,10 +1,16 @@
 //! A capnp-rpc connection between two instances that counts its bytes.
 
+use crate::link::{CHUNK_BYTES, SimulatedLink};
 use capnp_rpc::{rpc_twoparty_capnp, twoparty};
 use futures_util::AsyncReadExt;
+use std::future::Future;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll, ready};
+use std::time::Instant;
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
 /// Size of the buffers of a connection, of which an instance has hundreds; larger messages bypass
@@ -18,6 +24,8 @@
     pub sent: AtomicU64,
     /// Bytes received since the start of the process.
     pub received: AtomicU64,
+    /// The link over which bytes are sent, if a test simulates one.
+    pub link: Option<SimulatedLink>,
 }
 
 /// One end of a capnp-rpc connection.
@@ -38,20 +46,43 @@
 
 /// A TCP stream that counts its bytes.
 pub struct CountedStream {
-    /// The underlying stream.
-    pub stream: TcpStream,
-    /// Counters, shared by all connections.
-    pub traffic: Arc<Traffic>,
+    stream: TcpStream,
+    traffic: Arc<Traffic>,
+    /// Bytes that the simulated link has accepted, and the wait until they are sent.
+    accepted: Option<(usize, Pin<Box<Sleep>>)>,
+}
+
+impl CountedStream {
+    /// Wraps a stream. `traffic` is shared by all connections.
+    pub fn new(stream: TcpStream, traffic: Arc<Traffic>) -> CountedStream {
+        CountedStream { stream, traffic, accepted: None }
+    }
+
+    /// Returns the number of bytes, at most `wanted`, that may be written now.
+    fn poll_capacity(&mut self, cx: &mut Context<'_>, wanted: usize) -> Poll<usize> {
+        let Some(link) = &self.traffic.link else {
+            return Poll::Ready(wanted);
+        };
+        let (bytes, sent) = self.accepted.get_or_insert_with(|| {
+            let bytes = wanted.min(CHUNK_BYTES);
+            let sent_at = link.accept(bytes, Instant::now());
+            (bytes, Box::pin(tokio::time::sleep_until(sent_at.into())))
+        });
+        ready!(sent.as_mut().poll(cx));
+        let bytes = wanted.min(*bytes);
+        self.accepted = None;
+        Poll::Ready(bytes)
+    }
 }
 
 impl tokio::io::AsyncRead for CountedStream {
     fn poll_read(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
         buffer: &mut tokio::io::ReadBuf<'_>,
-    ) -> std::task::Poll<std::io::Result<()>> {
+    ) -> Poll<std::io::Result<()>> {
         let before = buffer.filled().len();
-        let polled = std::pin::Pin::new(&mut self.stream).poll_read(cx, buffer);
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
         let read = buffer.filled().len() - before;
         self.traffic.received.fetch_add(read as u64, Ordering::Relaxed);
         polled
@@ -60,28 +91,23 @@
 
 impl tokio::io::AsyncWrite for CountedStream {
     fn poll_write(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
         bytes: &[u8],
-    ) -> std::task::Poll<std::io::Result<usize>> {
-        let polled = std::pin::Pin::new(&mut self.stream).poll_write(cx, bytes);
-        if let std::task::Poll::Ready(Ok(written)) = &polled {
+    ) -> Poll<std::io::Result<usize>> {
+        let capacity = ready!(self.poll_capacity(cx, bytes.len()));
+        let polled = Pin::new(&mut self.stream).poll_write(cx, &bytes[..capacity]);
+        if let Poll::Ready(Ok(written)) = &polled {
             self.traffic.sent.fetch_add(*written as u64, Ordering::Relaxed);
         }
         polled
     }
 
-    fn poll_flush(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<std::io::Result<()>> {
-        std::pin::Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
-    fn poll_shutdown(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<std::io::Result<()>> {
-        std::pin::Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/crates/transport/src/peer/pool.rs
+++ b/crates/transport/src/peer/pool.rs
@@ -214,7 +214,7 @@
         let stream = tokio::time::timeout(self.timeout, TcpStream::connect(to)).await;
         let stream = stream.map_err(|_| PeerError::NotSent("connection timed out".into()))?;
         let stream = stream.map_err(|error| PeerError::NotSent(error.to_string()))?;
-        let counted = CountedStream { stream, traffic: self.traffic.clone() };
+        let counted = CountedStream::new(stream, self.traffic.clone());
         let network = network(counted, rpc_twoparty_capnp::Side::Client)
             .ok_or_else(|| PeerError::NotSent("connection closed".into()))?;
         let mut system = RpcSystem::new(Box::new(network), None);
--- a/crates/transport/src/peer/serve.rs
+++ b/crates/transport/src/peer/serve.rs
@@ -112,7 +112,7 @@
         };
         let server = Server { handler: handler.clone() };
         let client: peer::Client = capnp_rpc::new_client(server);
-        let counted = CountedStream { stream, traffic: traffic.clone() };
+        let counted = CountedStream::new(stream, traffic.clone());
         if let Some(network) = network(counted, rpc_twoparty_capnp::Side::Server) {
             let system = RpcSystem::new(Box::new(network), Some(client.client));
             tokio::task::spawn_local(run_until(system, stop.clone()));
