Keep a connection to another instance when one call on it is late

Class of the late configurations: a call that timed out closed the pooled connection, although replies to other calls were arriving on it, and everybody connected anew to a peer that was only busy. Now a timeout closes the connection only if nothing has arrived on it since the call was sent (so a connection that has fallen silent is still replaced), and a late call doesn't remove the connection that has replaced its own.

--- a/crates/transport/src/peer/connection.rs
+++ b/crates/transport/src/peer/connection.rs
@@ -48,6 +48,8 @@
 pub struct CountedStream {
     stream: TcpStream,
     traffic: Arc<Traffic>,
+    /// Bytes received on this connection.
+    received: Arc<AtomicU64>,
     /// Bytes that the simulated link has accepted, and the wait until they are sent.
     accepted: Option<(usize, Pin<Box<Sleep>>)>,
 }
@@ -55,7 +57,12 @@
 impl CountedStream {
     /// Wraps a stream. `traffic` is shared by all connections.
     pub fn new(stream: TcpStream, traffic: Arc<Traffic>) -> CountedStream {
-        CountedStream { stream, traffic, accepted: None }
+        CountedStream { stream, traffic, received: Arc::default(), accepted: None }
+    }
+
+    /// The number of bytes received on this connection, which grows while it is open.
+    pub fn received(&self) -> Arc<AtomicU64> {
+        self.received.clone()
     }
 
     /// Returns the number of bytes, at most `wanted`, that may be written now.
@@ -85,6 +92,7 @@
         let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
         let read = buffer.filled().len() - before;
         self.traffic.received.fetch_add(read as u64, Ordering::Relaxed);
+        self.received.fetch_add(read as u64, Ordering::Relaxed);
         polled
     }
 }
--- a/crates/transport/src/peer/pool.rs
+++ b/crates/transport/src/peer/pool.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio_util::sync::{CancellationToken, DropGuard};
@@ -36,7 +37,15 @@
 #[derive(Clone)]
 struct OpenConnection {
     client: peer::Client,
-    _closes: Rc<DropGuard>,
+    /// Bytes received on it.
+    received: Arc<AtomicU64>,
+    closes: Rc<DropGuard>,
+}
+
+impl OpenConnection {
+    fn received(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
 }
 
 struct Connection {
@@ -76,7 +85,7 @@
         let mut request = connection.client.ping_request();
         write_member(request.get().init_from(), local);
         write_updates(request.get().init_notes(updates.len() as u32), updates);
-        self.finish(to, self.timeout, async {
+        self.finish(to, &connection, self.timeout, async {
             let response = request.send().promise.await?;
             let reply = response.get()?;
             Ok((read_member(reply.get_self()?)?, read_updates(reply.get_notes()?)?))
@@ -100,7 +109,7 @@
         let mut request = connection.client.command_request();
         request.get().set_shard(shard);
         request.get().set_body(body);
-        self.finish(to, timeout, async {
+        self.finish(to, &connection, timeout, async {
             let response = request.send().promise.await?;
             Ok(response.get()?.get_body()?.to_vec())
         })
@@ -116,7 +125,7 @@
         let connection = self.connect(to).await?;
         let mut request = connection.client.entries_request();
         request.get().set_after(after);
-        self.finish(to, self.timeout, async {
+        self.finish(to, &connection, self.timeout, async {
             let response = request.send().promise.await?;
             let reply = response.get()?;
             let entries: Result<Vec<Vec<u8>>, capnp::Error> =
@@ -144,7 +153,10 @@
         request.get().set_from(from);
         request.get().set_target(target);
         request.get().set_online(online);
-        self.finish(to, self.timeout, async { request.send().promise.await.map(|_| ()) }).await
+        self.finish(to, &connection, self.timeout, async {
+            request.send().promise.await.map(|_| ())
+        })
+        .await
     }
 
     /// Sends an encoded gateway request; returns the encoded reply.
@@ -161,7 +173,7 @@
         let connection = self.connect(to).await?;
         let mut request = connection.client.ask_request();
         request.get().set_body(body);
-        self.finish(to, timeout, async {
+        self.finish(to, &connection, timeout, async {
             let response = request.send().promise.await?;
             Ok(response.get()?.get_body()?.to_vec())
         })
@@ -176,28 +188,48 @@
     pub async fn members(&self, to: SocketAddr) -> Result<Vec<Member>, PeerError> {
         let connection = self.connect(to).await?;
         let request = connection.client.members_request();
-        self.finish(to, self.timeout, async {
+        self.finish(to, &connection, self.timeout, async {
             let response = request.send().promise.await?;
             response.get()?.get_members()?.iter().map(read_member).collect()
         })
         .await
     }
 
+    /// Waits for a reply. A connection on which something has arrived meanwhile is kept after a
+    /// timeout: the peer is alive, and other calls wait for their replies on it.
     async fn finish<T>(
         &self,
         to: SocketAddr,
+        connection: &OpenConnection,
         timeout: Duration,
         call: impl Future<Output = Result<T, capnp::Error>>,
     ) -> Result<T, PeerError> {
+        let received = connection.received();
         let error = match tokio::time::timeout(timeout, call).await {
             Ok(Ok(reply)) => return Ok(reply),
-            Ok(Err(error)) => error.to_string(),
-            Err(_) => format!("no reply within {timeout:?}"),
+            Ok(Err(error)) => {
+                self.remove(to, connection);
+                error.to_string()
+            }
+            Err(_) => {
+                if connection.received() == received {
+                    self.remove(to, connection);
+                }
+                format!("no reply within {timeout:?}")
+            }
         };
-        self.connections.borrow_mut().remove(&to);
         Err(PeerError::OutcomeUnknown(error))
     }
 
+    /// Removes a connection from the pool, unless another has taken its place.
+    fn remove(&self, to: SocketAddr, connection: &OpenConnection) {
+        let mut connections = self.connections.borrow_mut();
+        let is_pooled = |pooled: &Connection| Rc::ptr_eq(&pooled.open.closes, &connection.closes);
+        if connections.get(&to).is_some_and(is_pooled) {
+            connections.remove(&to);
+        }
+    }
+
     async fn connect(&self, to: SocketAddr) -> Result<OpenConnection, PeerError> {
         if self.partition.is_unreachable(to, Instant::now()) {
             self.connections.borrow_mut().remove(&to);
@@ -215,12 +247,13 @@
         let stream = stream.map_err(|_| PeerError::NotSent("connection timed out".into()))?;
         let stream = stream.map_err(|error| PeerError::NotSent(error.to_string()))?;
         let counted = CountedStream::new(stream, self.traffic.clone());
+        let received = counted.received();
         let network = network(counted, rpc_twoparty_capnp::Side::Client)
             .ok_or_else(|| PeerError::NotSent("connection closed".into()))?;
         let mut system = RpcSystem::new(Box::new(network), None);
         let client: peer::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
         let close = CancellationToken::new();
-        let open = OpenConnection { client, _closes: Rc::new(close.clone().drop_guard()) };
+        let open = OpenConnection { client, received, closes: Rc::new(close.clone().drop_guard()) };
         tokio::task::spawn_local(async move {
             tokio::select! {
                 _ = system => {}
