Show that items and identity checks wait without bound for endless bytes

Red: items whose target sends chunks or comments without events, or a failure with an endless body (a run has no bound while bytes come), and a health check whose body never ends (the identity told in its head is dropped).

--- a/crates/daemon/tests/util/daemon.rs
+++ b/crates/daemon/tests/util/daemon.rs
@@ -112,6 +112,11 @@
         drop(self.child.wait());
     }
 
+    /// Id of the process.
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Limits the number of files and sockets that the process may have open.
     pub fn limit_open_files(&self, limit: u64) {
         let limit = Rlimit { current: Some(limit), maximum: Some(limit) };
--- a/crates/daemon/tests/util/raw_streams.rs
+++ b/crates/daemon/tests/util/raw_streams.rs
@@ -57,10 +57,15 @@
 
 /// A fleet of one gateway in front of these targets.
 pub fn fleet_of(targets: &[&RawTarget]) -> Fleet {
+    fleet_with_slots(targets, standin::runner::Config::default().slots)
+}
+
+/// As [`fleet_of`], with this number of slots for each target.
+pub fn fleet_with_slots(targets: &[&RawTarget], slots: usize) -> Fleet {
     let runner = |n: usize| {
         let id = format!("r{n}");
         targets[n].set_id(Some(&id));
-        ("east", standin::runner::Config { id, ..Default::default() })
+        ("east", standin::runner::Config { id, slots, ..Default::default() })
     };
     let plan = Plan {
         gateways: vec!["east"],
--- a/crates/daemon/tests/util/raw_target.rs
+++ b/crates/daemon/tests/util/raw_target.rs
@@ -25,6 +25,8 @@
     CloseThenCrash,
     /// The process ends and another one, with another id, listens on its port at once.
     Restart,
+    /// These bytes follow again and again, each after the pause, until the connection is closed.
+    Endless(&'static [u8]),
 }
 
 /// Path of the health check, which tells the id of the process.
@@ -77,6 +79,10 @@
     /// Id of the running process; `None` if its health check doesn't tell it.
     id: Arc<Mutex<Option<String>>>,
     connections: Arc<AtomicUsize>,
+    /// Connections on which bytes follow without end.
+    endless: Arc<AtomicUsize>,
+    /// What follows the head of the health check again and again.
+    health_filler: Arc<Mutex<Option<&'static [u8]>>>,
 }
 
 impl RawTarget {
@@ -90,6 +96,8 @@
             requests: Arc::default(),
             id: Arc::default(),
             connections: Arc::default(),
+            endless: Arc::default(),
+            health_filler: Arc::default(),
         };
         let served = target.clone();
         std::thread::spawn(move || {
@@ -113,6 +121,16 @@
         self.connections.load(Ordering::Relaxed)
     }
 
+    /// Number of open connections on which bytes follow without end.
+    pub fn endless_connections(&self) -> usize {
+        self.endless.load(Ordering::Relaxed)
+    }
+
+    /// Lets the body of its health check never end.
+    pub fn set_endless_health(&self, filler: &'static [u8]) {
+        *self.health_filler.lock().unwrap_or_else(PoisonError::into_inner) = Some(filler);
+    }
+
     /// Requests received so far.
     pub fn requests(&self) -> Vec<Request> {
         self.lock().clone()
@@ -125,7 +143,12 @@
     fn health(&self) -> Answer {
         let id = self.lock_id().clone();
         let id = id.map(|id| format!("X-Gatespool-Instance-Id: {id}\n")).unwrap_or_default();
-        Answer::new("", &format!("{id}Content-Length: 0"), &[], End::KeepAlive)
+        match *self.health_filler.lock().unwrap_or_else(PoisonError::into_inner) {
+            Some(filler) => {
+                Answer::new("", &format!("{id}Content-Length: 9999"), &[], { End::Endless(filler) })
+            }
+            None => Answer::new("", &format!("{id}Content-Length: 0"), &[], End::KeepAlive),
+        }
     }
 
     /// Serves until a crash.
@@ -185,6 +208,14 @@
             match answer.end {
                 End::KeepAlive => {}
                 End::Close => return false,
+                End::Endless(bytes) => {
+                    self.endless.fetch_add(1, Ordering::Relaxed);
+                    while stream.write_all(bytes).await.is_ok() {
+                        tokio::time::sleep(answer.pause).await;
+                    }
+                    self.endless.fetch_sub(1, Ordering::Relaxed);
+                    return false;
+                }
                 End::Restart => {
                     self.lock_id().iter_mut().for_each(|id| id.push('x'));
                     return true;
