Bound an item's run by its events, and keep an identity that was told

Callers saw jobs stand still: an item whose target sends chunks or comments that are no events, or status 500 with a body that never ends, held its slot for as long as bytes came. A run now ends after 10 s without an event, comments aren't events, and the body of a failure is read for 500 ms at most. The identity that a target tells in the head of its health check counts although the body never ends (a whole response was reset).

--- a/crates/daemon/src/gateway/items/run.rs
+++ b/crates/daemon/src/gateway/items/run.rs
@@ -29,8 +29,12 @@
 /// Time without data after which a target counts as unresponsive. Leaves room for targets
 /// that run several times slower than normal.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Largest error body that is read to keep the connection reusable.
+/// Time without an event after which a target counts as unresponsive although it sends something,
+/// such as comments.
+const MAX_EVENT_WAIT: Duration = Duration::from_secs(10);
+/// Largest error body that is read to keep the connection reusable, and the longest time for it.
 const MAX_BODY_BYTES: usize = 1 << 20;
+const BODY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How a run ended.
 enum RunEnd {
@@ -50,11 +54,11 @@
         RunEnd::Stopped { outcome, silence: None, error: error.into() }
     }
 
-    /// The target has sent nothing for [`IDLE_TIMEOUT`].
-    fn silent() -> RunEnd {
+    /// The target has sent nothing of use for this long.
+    fn silent(silence: Duration) -> RunEnd {
         RunEnd::Stopped {
             outcome: LeaseOutcome::Unresponsive,
-            silence: Some(IDLE_TIMEOUT),
+            silence: Some(silence),
             error: String::from("idle"),
         }
     }
@@ -257,7 +261,7 @@
             return RunEnd::stopped(LeaseOutcome::Interrupted, error);
         }
         Err(_) => {
-            return RunEnd::silent();
+            return RunEnd::silent(IDLE_TIMEOUT);
         }
     };
     let head = exchange.head();
@@ -282,9 +286,9 @@
         return run_end;
     }
     // Reading the rest keeps the connection reusable.
-    let rest = exchange.read_to_end(MAX_BODY_BYTES).await;
+    let rest = tokio::time::timeout(BODY_TIMEOUT, exchange.read_to_end(MAX_BODY_BYTES)).await;
     slog::info!(node.log, "item failed"; "item" => &item.id, "status" => status.as_u16(),
-        "target" => &lease.grant.target, "whole" => rest.is_ok());
+        "target" => &lease.grant.target, "whole" => matches!(rest, Ok(Ok(_))));
     match status {
         StatusCode::UNPROCESSABLE_ENTITY => RunEnd::Failed(Failure::Permanent),
         StatusCode::INTERNAL_SERVER_ERROR => RunEnd::Failed(Failure::Retryable),
@@ -299,9 +303,13 @@
 ) -> RunEnd {
     let interrupted = |error: String| RunEnd::stopped(LeaseOutcome::Interrupted, error);
     let mut splitter = EventSplitter::default();
+    let mut progress_at = clock::now();
     loop {
+        if clock::since(progress_at) >= MAX_EVENT_WAIT {
+            return RunEnd::silent(MAX_EVENT_WAIT);
+        }
         let chunk = match tokio::time::timeout(IDLE_TIMEOUT, body.next_chunk()).await {
-            Err(_) => return RunEnd::silent(),
+            Err(_) => return RunEnd::silent(IDLE_TIMEOUT),
             Ok(Err(truncation)) => return interrupted(truncation.to_string()),
             Ok(Ok(None)) => return RunEnd::Completed,
             Ok(Ok(Some(chunk))) => chunk,
@@ -310,7 +318,11 @@
             return interrupted(String::from("event exceeds the size limit"));
         }
         while let Some(event) = splitter.next_event() {
-            times.on_event(clock::now());
+            if event.is_comment() {
+                continue;
+            }
+            progress_at = clock::now();
+            times.on_event(progress_at);
             let is_duplicate = match (event.id, partial.last_event_id) {
                 (Some(id), Some(last)) => id <= last,
                 _ => false,
--- a/crates/daemon/src/gateway/target_process.rs
+++ b/crates/daemon/src/gateway/target_process.rs
@@ -12,10 +12,13 @@
 use protocol::{ServiceId, TargetId};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use transport::upstream::{Exchange, Framing, SendError};
 
 /// Maximum size of the body of a health check, which is discarded.
 const MAX_BODY_BYTES: usize = 64 << 10;
+/// Longest time to read it.
+const BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// A process to which a request was sent.
 pub struct TargetProcess {
@@ -91,7 +94,8 @@
             _ => Presence::Replaced,
         };
         // Reading the rest keeps the connection reusable.
-        drop(exchange.read_to_end(MAX_BODY_BYTES).await);
+        let rest = exchange.read_to_end(MAX_BODY_BYTES);
+        drop(tokio::time::timeout(BODY_TIMEOUT, rest).await);
         presence
     }
 }
--- a/crates/daemon/tests/util/raw_target.rs
+++ b/crates/daemon/tests/util/raw_target.rs
@@ -145,7 +145,7 @@
         let id = id.map(|id| format!("X-Gatespool-Instance-Id: {id}\n")).unwrap_or_default();
         match *self.health_filler.lock().unwrap_or_else(PoisonError::into_inner) {
             Some(filler) => {
-                Answer::new("", &format!("{id}Content-Length: 9999"), &[], { End::Endless(filler) })
+                Answer::new("", &format!("{id}Content-Length: 9999"), &[], End::Endless(filler))
             }
             None => Answer::new("", &format!("{id}Content-Length: 0"), &[], End::KeepAlive),
         }
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -31,6 +31,12 @@
 }
 
 impl Event {
+    /// Whether it has nothing but comments.
+    pub fn is_comment(&self) -> bool {
+        let text = String::from_utf8_lossy(&self.raw);
+        lines(&text).all(|line| line.is_empty() || line.starts_with(':'))
+    }
+
     /// Values of the `data` fields, joined by line feeds; `None` if there are none.
     pub fn data(&self) -> Option<String> {
         let text = String::from_utf8_lossy(&self.raw);
