--- a/crates/daemon/tests/gateway_large_config.rs
+++ b/crates/daemon/tests/gateway_large_config.rs
@@ -7,6 +7,7 @@
 use serde_json::{Value, json};
 use std::time::{Duration, Instant};
 use util::gateway::{Fleet, Plan};
+use util::proxy::Mode;
 
 /// Instances of the data centre.
 const GATEWAYS: usize = 16;
@@ -16,6 +17,8 @@
 /// version.
 const MAX_SPANS: [(usize, Duration); 2] =
     [(1_446, Duration::from_millis(1_500)), (4_246, Duration::from_millis(2_500))];
+/// Longest wait for a version that takes some 1.5 s to arrive from the platform.
+const MAX_READ_TIME: Duration = Duration::from_secs(4);
 /// Longest wait for a version.
 const TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -89,3 +92,24 @@
         assert!(span <= max_span, "{routes} routes are in force after {span:?}, not {max_span:?}");
     }
 }
+
+/// Regression: at a start, a configuration that takes longer to arrive than the platform's time
+/// limit was read anew again and again.
+#[test]
+fn large_configuration_is_read_over_a_slow_link_to_the_platform() {
+    let plan = Plan { gateways: vec!["east"], ..Plan::default() };
+    let (mut fleet, proxies) = Fleet::start_with_platform_proxies(plan);
+    let (routes, _) = MAX_SPANS[1];
+    configure(&fleet, 8, routes);
+    span(&fleet, 8);
+    // 0.8 MB/s; the time limit of the platform's answers is 400 ms.
+    proxies[0].set_mode(Mode::Delay(Duration::from_millis(20)));
+    fleet.restart(0);
+    let started_at = Instant::now();
+    let is_in_force =
+        |line: &&Value| line["msg"] == "configuration in force" && line["version"] == 8;
+    while fleet.log(0).iter().filter(is_in_force).count() < 2 {
+        assert!(started_at.elapsed() < MAX_READ_TIME, "version 8 isn't in force");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
