Bound the responses that the product's own interface reads of targets

A target that sends bytes without end filled the memory until the time limit of the call: the body of a load report and of a plain service was read whatever its size.

--- a/crates/daemon/src/batch/item.rs
+++ b/crates/daemon/src/batch/item.rs
@@ -31,6 +31,11 @@
 
 /// Runs an item until it ends or is preempted.
 pub async fn run(run: Run, pending: PendingItem) -> RunOutcome {
+    let time = tokio::time::timeout(MAX_RUN_TIME, run_to_end(run, pending)).await;
+    time.unwrap_or_else(|_| RunOutcome::Failed(String::from("the run takes too long")))
+}
+
+async fn run_to_end(run: Run, pending: PendingItem) -> RunOutcome {
     let mut partial = pending.partial.clone();
     let request = request(&run, &pending);
     let meta = AttemptMeta {
--- a/crates/transport/src/target.rs
+++ b/crates/transport/src/target.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use coordination::presence::{CLOSE_WINDOW, Presence};
 use coordination::retry::Failure;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::{Client as Http, connect::HttpConnector};
@@ -24,6 +24,11 @@
 /// Response header set by a target that rejects a request because it is leaving.
 pub const LEAVING: &str = "gatespool-leaving";
 
+/// Largest body of a plain service's response.
+const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// Largest load report.
+const MAX_REPORT_BYTES: usize = 1 << 20;
+
 /// Why an attempt gave no complete response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AttemptError {
@@ -162,11 +167,7 @@
         let (head, body) = response.into_parts();
         let framing = Framing::of(&head, &body);
         let content_type = header_text(&head.headers, "content-type");
-        let body = tokio::time::timeout(meta.timeout, body.collect()).await;
-        let body =
-            body.map_err(|_| AttemptError::new(Failure::Unknown, "response body timed out"))?;
-        let body = body.map_err(|error| AttemptError::new(Failure::Unknown, error.to_string()))?;
-        let body = body.to_bytes();
+        let body = read_to_end(body, MAX_RESPONSE_BYTES, meta.timeout).await?;
         if event::are_events(&head.headers) == Some(true) && ends_inside_event(&body) {
             return Err(AttemptError::new(Failure::Unknown, "ended inside an event"));
         }
@@ -198,10 +199,8 @@
         let meta = AttemptMeta { timeout, ..AttemptMeta::default() };
         let builder = self.builder(to, Method::GET, "/load", &meta);
         let response = self.send(to, builder.body(Full::default()), timeout).await?;
-        let body = tokio::time::timeout(timeout, response.into_body().collect()).await;
-        let body = body.map_err(|_| AttemptError::timeout(timeout))?;
-        let body = body.map_err(|error| AttemptError::new(Failure::Unknown, error.to_string()))?;
-        serde_json::from_slice(&body.to_bytes())
+        let body = read_to_end(response.into_body(), MAX_REPORT_BYTES, timeout).await?;
+        serde_json::from_slice(&body)
             .map_err(|error| AttemptError::new(Failure::Unknown, error.to_string()))
     }
 
@@ -288,6 +287,18 @@
     pub framing: Framing,
 }
 
+/// Reads a body of at most `max_bytes`.
+async fn read_to_end(
+    body: Incoming,
+    max_bytes: usize,
+    timeout: Duration,
+) -> Result<Bytes, AttemptError> {
+    let read = tokio::time::timeout(timeout, Limited::new(body, max_bytes).collect()).await;
+    let body = read.map_err(|_| AttemptError::timeout(timeout))?;
+    let body = body.map_err(|error| AttemptError::new(Failure::Unknown, error.to_string()))?;
+    Ok(body.to_bytes())
+}
+
 fn ends_inside_event(body: &[u8]) -> bool {
     let mut events = EventTracker::default();
     events.push(body);
