--- a/crates/daemon/tests/gateway_large_config.rs
+++ b/crates/daemon/tests/gateway_large_config.rs
@@ -4,8 +4,9 @@
 mod util;
 
 use rstest::rstest;
-use serde_json::{Value, json};
+use serde_json::Value;
 use std::time::{Duration, Instant};
+use util::gateway::routes::add_routes;
 use util::gateway::{Fleet, Plan};
 use util::proxy::Mode;
 
@@ -33,17 +34,7 @@
 /// Writes a version with this number of routes, each with a name and a path of its own.
 fn configure(fleet: &Fleet, version: u64, routes: usize) {
     let mut config = fleet.config(version);
-    let template = config["routes"][0].clone();
-    let list = config["routes"].as_array_mut().expect("routes");
-    for n in list.len()..routes {
-        // The names are spread, so that they can't be compressed to nothing.
-        let name = format!("{:08x}", (n as u32).wrapping_mul(2_654_435_761));
-        let mut route = template.clone();
-        route["name"] = json!(name);
-        route["host"] = json!(format!("{name}.example"));
-        route["path_prefix"] = json!(format!("/{name}/"));
-        list.push(route);
-    }
+    add_routes(&mut config, routes);
     fleet.objects.put("config", "main", config);
 }
 
--- a/crates/daemon/tests/soak/scenario.rs
+++ b/crates/daemon/tests/soak/scenario.rs
@@ -6,11 +6,12 @@
 use super::faults;
 use super::inject::Undo;
 use super::planned::{self, Phase};
+use super::util::gateway::routes::add_routes;
 use super::util::gateway::{Fleet, Plan};
 use super::util::proxy::Proxy;
 use super::{
-    FIRST_FRAMED_VERSIONS_SEED, FIRST_SILENCE_SEED, FIRST_SUSPENSION_SEED, FIRST_UNFRAMED_SEED,
-    FIRST_VERSIONS_SEED,
+    FIRST_FRAMED_VERSIONS_SEED, FIRST_LARGE_CONFIG_SEED, FIRST_SILENCE_SEED, FIRST_SUSPENSION_SEED,
+    FIRST_UNFRAMED_SEED, FIRST_VERSIONS_SEED,
 };
 use hyper::Version;
 use serde_json::json;
@@ -45,6 +46,10 @@
 pub(super) const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Tokens that a runner keeps: not all shared parts.
 const MEMORY_TOKENS: u64 = 9_000;
+/// Routes of a large configuration.
+const MANY_ROUTES: usize = 1_446;
+/// Rate of a gateway's link to the others where configurations are large, in bytes a second.
+const LINK_RATE: u64 = 2_750_000;
 
 /// What the seeds of a class have in common.
 #[derive(Clone, Copy)]
@@ -53,6 +58,7 @@
     has_versions: bool,
     has_silences: bool,
     has_suspensions: bool,
+    has_large_configs: bool,
 }
 
 impl Class {
@@ -62,9 +68,16 @@
             has_versions: seed >= FIRST_VERSIONS_SEED,
             has_silences: seed >= FIRST_SILENCE_SEED,
             has_suspensions: seed >= FIRST_SUSPENSION_SEED,
+            has_large_configs: seed >= FIRST_LARGE_CONFIG_SEED,
         }
     }
 
+    /// Additional settings of the gateways.
+    fn settings(self) -> Vec<String> {
+        let link = format!("faults.link_bytes_per_s = {LINK_RATE}");
+        self.has_large_configs.then_some(link).into_iter().collect()
+    }
+
     fn phases(self, seed: u64, gateways: usize, runners: usize) -> Vec<Phase> {
         if self.has_silences {
             return planned::phases(seed, gateways, runners);
@@ -173,6 +186,7 @@
             workspaces,
             earlier_build,
             memory_tokens: MEMORY_TOKENS,
+            settings: class.settings(),
             ..Plan::default()
         };
         let mut proxies = Vec::new();
@@ -267,6 +281,9 @@
         if let Some(routes) = config["routes"].as_array_mut() {
             routes.push(marker);
         }
+        if self.class.has_large_configs {
+            add_routes(&mut config, MANY_ROUTES);
+        }
         self.fleet.objects.put("config", "main", config);
         self.version.store(version, Ordering::Relaxed);
     }
--- a/crates/daemon/tests/util/gateway.rs
+++ b/crates/daemon/tests/util/gateway.rs
@@ -1,6 +1,7 @@
 //! A fleet of gateway processes with stand-ins for the platform and the targets.
 
 mod entries;
+pub mod routes;
 
 use super::client::{self, Response};
 use super::daemon::Daemon;
