--- a/crates/daemon/src/gateway/config_fetch.rs
+++ b/crates/daemon/src/gateway/config_fetch.rs
@@ -45,7 +45,7 @@
     pub from: SocketAddr,
     /// Bytes of the parts that were sent.
     pub bytes: usize,
-    /// Time since this instance learnt of a newer version.
+    /// Time for which this instance has known of a newer version.
     pub waited: Duration,
     /// Whether it came in one piece, from an instance of an earlier build.
     is_whole: bool,
--- a/crates/daemon/src/gateway/discovery.rs
+++ b/crates/daemon/src/gateway/discovery.rs
@@ -48,7 +48,7 @@
 pub struct Transmission {
     /// Bytes of the parts that were sent.
     pub bytes: usize,
-    /// Time since this instance learnt of the version.
+    /// Time for which this instance had known of the version.
     pub waited: Duration,
 }
 
--- a/crates/daemon/src/gateway/peers/join.rs
+++ b/crates/daemon/src/gateway/peers/join.rs
@@ -61,7 +61,7 @@
         let own = node.as_holder().address;
         let seeds = seeds.into_iter().filter(|seed| *seed != own);
         // In tasks, so that an unreachable seed delays no other, and that a list which takes long
-        // isn't requested anew.
+        // isn't requested twice.
         fetches.retain(|_, fetch| !fetch.is_finished());
         for seed in seeds {
             let start = || {
--- a/crates/daemon/tests/gateway_endless.rs
+++ b/crates/daemon/tests/gateway_endless.rs
@@ -6,10 +6,13 @@
 use rstest::rstest;
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use util::gateway::Fleet;
-use util::raw_streams::{CHUNKED, UNFRAMED, event, events, fleet_with_slots, headers, target};
-use util::raw_target::{Answer, End, RawTarget};
+use util::raw_streams::{
+    CHUNKED, UNFRAMED, event, events, fleet_with_slots, headers, target, with_length,
+};
+use util::raw_target::{Answer, End, RawTarget, Request};
 use util::wait_until;
 
 /// Time by which a request ends whose deadline is 4 s.
@@ -141,12 +144,16 @@
         if request.path.contains("endless") {
             return form.answer(&request.id, pause);
         }
-        let body = events(1, 3);
-        let head = format!("{UNFRAMED}\nContent-Length: {}", body.len());
-        Answer::new(&request.id, &head, &[&body], End::KeepAlive)
+        sound_answer(request)
     })
 }
 
+/// A complete stream, from its first event or from the one after the last that was received.
+fn sound_answer(request: &Request) -> Answer {
+    let body = events(request.last_event_id.map_or(1, |id| id + 1), 3);
+    Answer::new(&request.id, &with_length(&body), &[&body], End::KeepAlive)
+}
+
 #[track_caller]
 fn check_recovered(fleet: &Fleet, target: &RawTarget) {
     wait_until("the connection is closed", || target.endless_connections() == 0);
@@ -198,15 +205,13 @@
     form: Form,
     #[values(FAST, SLOW)] pause: Duration,
 ) {
-    let runs = std::sync::atomic::AtomicUsize::new(0);
+    let runs = AtomicUsize::new(0);
     let target = target(move |request| {
         let is_item = request.path.starts_with("/batch/");
-        if is_item && runs.fetch_add(1, std::sync::atomic::Ordering::Relaxed) == 0 {
+        if is_item && runs.fetch_add(1, Ordering::Relaxed) == 0 {
             return form.answer(&request.id, pause);
         }
-        let body = events(request.last_event_id.map_or(1, |id| id + 1), 3);
-        let head = format!("{UNFRAMED}\nContent-Length: {}", body.len());
-        Answer::new(&request.id, &head, &[&body], End::KeepAlive)
+        sound_answer(request)
     });
     let fleet = fleet_with_slots(&[&target], 1);
     assert_eq!(fleet.submit(0, "job", &["item"]).status, 202);
@@ -219,7 +224,7 @@
     check_recovered(&fleet, &target);
 }
 
-/// Regression: the identity that a target had told in the head of its health check was lost
+/// Regression: the identity that a target had sent in the head of its health check was lost
 /// because the body never ended, so a whole response counted as cut off.
 #[rstest]
 fn endless_health_check_still_identifies_its_target(
--- a/crates/daemon/tests/gateway_large_config.rs
+++ b/crates/daemon/tests/gateway_large_config.rs
@@ -107,7 +107,7 @@
 }
 
 /// Regression: at a start, a configuration that takes longer to arrive than the platform's time
-/// limit was read anew again and again.
+/// limit was dropped and read from its beginning, again and again.
 #[test]
 fn large_configuration_is_read_over_a_slow_link_to_the_platform() {
     let plan = Plan { gateways: vec!["east"], ..Plan::default() };
