Tell the holder of every job that is found stored, and count it meanwhile

What callers saw: a batch job was acknowledged with 202 and never ran, while all targets were idle (LOST); and jobs were accepted beyond a route's limit (QUOTA).

Cause: of a write whose response is lost nobody kept account. The instance that wrote named itself as the holder and, after an unknown outcome, forgot the job; its tokens counted nowhere, so others were accepted in its place. A submission over the limit then found the job stored and acknowledged it, but only the other way to find a stored job (a conflict) told the holder.

Change: what is found stored goes through one function, which tells the holder whoever asks, also where the caller may not see the job, and answers 502 for what can't be decoded. A job that is being written reserves its tokens, here at once and at the other instances after 100 ms or a lost response; when the submission ends without a known outcome, a task looks until the job is found or 3 s have passed, and gives it to its holder. Second line: an instance that scans tells a live holder of a job that nobody reported, and a holder that hears of a job of its own which it doesn't know takes it up. Two takeovers at one instance hold a job once.

Why it works: from the first write on, somebody owes the job something until its fate is known: tokens, then a holder that knows it.

--- a/crates/daemon/src/gateway/handoff.rs
+++ b/crates/daemon/src/gateway/handoff.rs
@@ -1,18 +1,24 @@
-//! Hand-off of batch jobs by instances that stop, and of progress to the holder of a job.
+//! Hand-off of batch jobs by instances that stop, of progress to the holder of a job, and of jobs
+//! that were found stored to their holder.
 //!
-//! What a holder knows and has not written would be lost with it, and its items would run again.
+//! What a holder knows and has not written would be lost with it, and its items would run again. A
+//! holder named by a write whose response was lost doesn't know that it has the job.
 
+use super::call_reason::CallReason;
+use super::job_store;
 use super::job_table::HeldJob;
 use super::job_writer;
-use super::message::{PeerReply, PeerRequest};
+use super::message::{PeerReply, PeerRequest, Update};
 use super::node::Node;
-use super::{peers, residency, takeover};
+use super::{broadcast, peers, residency, takeover};
+use crate::clock;
 use coordination::hash;
 use coordination::membership::Member;
 use coordination::residency::Residency;
+use platform::job;
 use state::progress::{Handoff, Holder, JobId};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::task::spawn_local;
 use tokio_util::sync::CancellationToken;
 
@@ -22,6 +28,16 @@
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Longest wait for the reply to a hand-off.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest wait for a holder's reply.
+const NOTIFY_HOLDER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Minimum delay before the holder is notified again.
+const NOTIFY_HOLDER_RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Maximum delay between two looks whether a job is stored.
+const MAX_SETTLE_DELAY: Duration = Duration::from_secs(2);
+/// Time after which a write whose response was lost isn't done any more.
+const WRITE_SETTLING_PERIOD: Duration = Duration::from_secs(3);
+/// How long a reservation counts at the other instances, unless it is repeated.
+const RESERVATION_LIFETIME: Duration = Duration::from_secs(15);
 
 /// Hands off all jobs to other instances until `stop`, including partial output of their runs.
 /// A takeover in progress may still bring jobs after the first ones are handed off.
@@ -177,3 +193,121 @@
     let holder = directory.get(id).map(|status| status.holder);
     holder.filter(|holder| holder.instance != node.id())
 }
+
+/// What the platform has of a job.
+enum Fate {
+    /// It is stored, and its holder knows it if it is open.
+    Stored,
+    Missing,
+}
+
+/// Notifies the holder of a job stored earlier. Retried until the holder has the job, since
+/// the response to the submitter says that the job is stored and no other instance may know it.
+///
+/// Guards against a job that has no results because its holder couldn't read it at that moment;
+/// with a platform that was three hundred times slower, one had none for 41 s.
+pub async fn notify_holder(node: Rc<Node>, id: JobId) {
+    let _in_flight = node.in_flight.start();
+    while let Err(error) = try_notify_holder(&node, &id).await {
+        slog::info!(node.log, "holder not notified of its job"; "job" => &id, "fault" => error,
+            "again" => !node.is_stopping());
+        if node.is_stopping() {
+            return hand_off_with_retry(&node, &id, &Handoff::default()).await;
+        }
+        wait_to_retry(&node, NOTIFY_HOLDER_RETRY_DELAY).await;
+    }
+}
+
+/// Finds out whether a job is stored whose write wasn't confirmed, and notifies its holder. Its
+/// tokens count as waiting until then.
+pub async fn settle(node: Rc<Node>, id: JobId) {
+    let _in_flight = node.in_flight.start();
+    let since = clock::now();
+    let mut announced: Option<Instant> = None;
+    let mut delay = NOTIFY_HOLDER_RETRY_DELAY;
+    let is_stored = loop {
+        if node.is_stopping() {
+            hand_off_with_retry(&node, &id, &Handoff::default()).await;
+            break None;
+        }
+        if announced.is_none_or(|at| clock::since(at) >= RESERVATION_LIFETIME / 3) {
+            announced = Some(clock::now());
+            announce_reservation(&node, &id);
+        }
+        match try_notify_holder(&node, &id).await {
+            Ok(Fate::Stored) => break Some(true),
+            Ok(Fate::Missing) if clock::since(since) >= WRITE_SETTLING_PERIOD => break Some(false),
+            Ok(Fate::Missing) => {}
+            Err(error) => slog::info!(node.log, "holder not notified of its job"; "job" => &id,
+                "fault" => error, "again" => true),
+        }
+        wait_to_retry(&node, delay).await;
+        delay = (delay * 2).min(MAX_SETTLE_DELAY);
+    };
+    slog::info!(node.log, "fate of a submission known"; "job" => &id, "is_stored" => is_stored,
+        "after_ms" => clock::since(since).as_millis() as u64);
+    release_reservation(&node, &id);
+}
+
+/// Waits for the platform's back-off and at least `delay`, but not for a stop.
+async fn wait_to_retry(node: &Node, delay: Duration) {
+    let delay = node.store.backoff_remaining(clock::now()).max(delay);
+    tokio::select! {
+        () = tokio::time::sleep(delay) => {}
+        () = node.stopping.cancelled() => {}
+    }
+}
+
+/// A single attempt of [`notify_holder`]; the error says what failed.
+async fn try_notify_holder(node: &Rc<Node>, id: &str) -> Result<Fate, String> {
+    let found = node
+        .store
+        .get(CallReason::Submission, job::KIND, id)
+        .await
+        .map_err(|error| error.to_string())?;
+    let Some(object) = found else {
+        return Ok(Fate::Missing);
+    };
+    let Ok(summary) = job_store::summary(&object) else {
+        slog::error!(node.log, "malformed job object"; "job" => id);
+        return Ok(Fate::Stored);
+    };
+    if !summary.is_open {
+        return Ok(Fate::Stored);
+    }
+    if node.is_stopping() && summary.holder.instance == node.id() {
+        let is_taken = hand_off(node, id, &Handoff::default()).await;
+        return is_taken
+            .then_some(Fate::Stored)
+            .ok_or_else(|| String::from("nobody took the job over"));
+    }
+    let member = node.members.borrow().get(summary.holder.instance).cloned();
+    let Some(member) = member else {
+        // Held by this instance, or by one that is gone.
+        takeover::take_over_with_retry(node, id, Handoff::default()).await;
+        return Ok(Fate::Stored);
+    };
+    let request = PeerRequest::TakeOver(id.to_owned(), Handoff::default());
+    match node.request(member.peer, &request, NOTIFY_HOLDER_TIMEOUT).await {
+        Ok(PeerReply::Acknowledged) => Ok(Fate::Stored),
+        other => Err(format!("{other:?}")),
+    }
+}
+
+/// Tells the other instances of a reservation made here.
+pub fn announce_reservation(node: &Rc<Node>, id: &str) {
+    let reservation = node.jobs.reservations.borrow().get(id).cloned();
+    if let Some(reservation) = reservation {
+        let lifetime_ms = RESERVATION_LIFETIME.as_millis() as u64;
+        broadcast::send(node, Update::Reservation(reservation, lifetime_ms));
+    }
+}
+
+/// Ends a reservation made here, also at the other instances.
+pub fn release_reservation(node: &Rc<Node>, id: &str) {
+    let reservation = node.jobs.reservations.borrow().get(id).cloned();
+    if let Some(reservation) = reservation {
+        node.jobs.reservations.borrow_mut().remove(id);
+        broadcast::send(node, Update::Reservation(reservation, 0));
+    }
+}
--- a/crates/daemon/src/gateway/job_scan.rs
+++ b/crates/daemon/src/gateway/job_scan.rs
@@ -8,7 +8,7 @@
 use super::call_reason::CallReason;
 use super::job_store::{self, JobSummary};
 use super::job_table::{self, HeldJob};
-use super::message::{JobStatus, Update};
+use super::message::{JobStatus, PeerRequest, Update};
 use super::node::{Node, unix_millis};
 use super::takeover::{self, MEMBERSHIP_WARM_UP};
 use crate::clock;
@@ -17,6 +17,8 @@
 use platform::job;
 use platform::store::Object;
 use state::progress::Handoff;
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -69,7 +71,7 @@
 async fn scan(node: &Rc<Node>, range: Range, is_warmed_up: bool) -> bool {
     let mut after = range.after.map(str::to_owned);
     let mut is_done = true;
-    let (mut jobs, mut orphans) = (0, 0);
+    let (mut jobs, mut orphans, mut unreported) = (0, 0, 0);
     loop {
         let page = match node.store.list(CallReason::Scan, job::KIND, after.as_deref()).await {
             Ok(page) => page,
@@ -82,10 +84,15 @@
             || !page.last_name.as_ref().is_some_and(|last| range.is_before_end(last));
         after.clone_from(&page.last_name);
         let mut page_orphans: Vec<JobStatus> = Vec::new();
+        let mut page_unreported: HashMap<SocketAddr, Vec<JobStatus>> = HashMap::new();
         for object in page.objects.iter().filter(|object| range.is_before_end(&object.name)) {
             jobs += 1;
             match classify(node, object, is_warmed_up) {
                 ScanResult::Orphan(status) => page_orphans.push(*status),
+                ScanResult::Unreported(holder, status) => {
+                    unreported += 1;
+                    page_unreported.entry(holder).or_default().push(*status);
+                }
                 ScanResult::Own => {
                     is_done &=
                         takeover::take_over(node, &object.name, Handoff::default()).await.is_some();
@@ -97,11 +104,15 @@
         }
         orphans += page_orphans.len();
         report_orphans(node, page_orphans);
+        for (holder, statuses) in page_unreported {
+            node.notify(holder, PeerRequest::Statuses(statuses));
+        }
         if is_last {
             break;
         }
     }
     slog::info!(node.log, "job scan finished"; "jobs" => jobs, "without_holder" => orphans,
+        "unreported" => unreported,
         "after" => range.after, "before" => range.before, "acquainted" => is_warmed_up);
     // Before the warm-up ends, unknown holders may still appear.
     is_done && is_warmed_up
@@ -116,6 +127,8 @@
     Leaving,
     /// The holder is gone.
     Orphan(Box<JobStatus>),
+    /// The holder, a member, hasn't reported the job and may not know it.
+    Unreported(SocketAddr, Box<JobStatus>),
 }
 
 fn classify(node: &Node, object: &Object, is_warmed_up: bool) -> ScanResult {
@@ -130,12 +143,7 @@
     if holder.instance == node.id() {
         return ScanResult::Own;
     }
-    if !takeover::is_gone(node, holder, is_warmed_up) {
-        let members = node.members.borrow();
-        let is_leaving = members.get(holder.instance).is_some_and(|m| m.state == State::Leaving);
-        return if is_leaving { ScanResult::Leaving } else { ScanResult::Nothing };
-    }
-    ScanResult::Orphan(Box::new(JobStatus {
+    let status = Box::new(JobStatus {
         job: object.name.clone(),
         holder,
         data_centre: String::new(),
@@ -144,7 +152,16 @@
         workspace: job.workspace.clone(),
         waiting_tokens: tokens,
         is_finished: false,
-    }))
+    });
+    if takeover::is_gone(node, holder, is_warmed_up) {
+        return ScanResult::Orphan(status);
+    }
+    let is_reported = node.jobs.directory.borrow().contains_key(&object.name);
+    match node.members.borrow().get(holder.instance) {
+        Some(member) if member.state == State::Leaving => ScanResult::Leaving,
+        Some(member) if !is_reported => ScanResult::Unreported(member.peer, status),
+        _ => ScanResult::Nothing,
+    }
 }
 
 /// Reports orphaned jobs to all instances; each is taken over by the instance chosen for
--- a/crates/daemon/src/gateway/job_table.rs
+++ b/crates/daemon/src/gateway/job_table.rs
@@ -4,12 +4,13 @@
 use super::job_store::{Overflow, StoredJob};
 use super::message::{JobFilter, JobStatus, PeerReply, PeerRequest, Update};
 use super::node::Node;
-use super::{broadcast, job_writer, peers};
+use super::{broadcast, job_writer, peers, takeover};
 use crate::clock;
 use coordination::membership::Member;
+use coordination::reservations::Reservation;
 use coordination::run_time::Estimate;
 use coordination::slots::LeaseOutcome;
-use coordination::{hash, retry};
+use coordination::{hash, reservations, retry};
 use protocol::routing::Route;
 use protocol::{ServiceId, WorkspaceId};
 use state::progress::{Handoff, ItemId, Job, JobId, JobState};
@@ -120,6 +121,8 @@
     /// Hand-offs received for jobs whose takeover is in progress.
     pub(super) pending_takeovers: RefCell<HashMap<JobId, Vec<Handoff>>>,
     pub(super) acquiring: RefCell<HashSet<(String, ServiceId)>>,
+    /// Tokens of submissions whose outcome isn't known.
+    pub(super) reservations: RefCell<reservations::Table>,
 }
 
 impl JobTable {
@@ -164,8 +167,26 @@
         self.directory.borrow().get(job).map(|status| status.workspace.clone())
     }
 
-    /// Tokens of a workspace's unfinished items on a route, over all instances.
-    pub fn waiting_tokens(&self, node: &Node, route: &str, workspace: Option<&str>) -> u64 {
+    /// Handles a reservation of another instance, which ends it with a lifetime of zero.
+    pub fn on_reservation(&self, reservation: Reservation, lifetime: Duration, now: Instant) {
+        let mut reservations = self.reservations.borrow_mut();
+        reservations.remove_expired(now);
+        if lifetime.is_zero() {
+            reservations.remove_expiring(&reservation.job);
+        } else {
+            reservations.insert(reservation, Some(now + lifetime));
+        }
+    }
+
+    /// Tokens of a workspace's unfinished items on a route over all instances, and of the jobs that
+    /// may be stored, without those of the job `except`.
+    pub fn waiting_tokens(
+        &self,
+        node: &Node,
+        route: &str,
+        workspace: Option<&str>,
+        except: &str,
+    ) -> u64 {
         let held_jobs = self.held.borrow();
         let held = held_jobs.values().filter(|held| !held.is_read_only);
         let local: u64 = held
@@ -181,20 +202,29 @@
                 && !status.is_finished
                 && !held_jobs.contains_key(&status.job)
         });
-        local + others.map(|status| status.waiting_tokens).sum::<u64>()
+        let others: u64 = others.map(|status| status.waiting_tokens).sum();
+        let is_unknown = |job: &str| {
+            job != except && !held_jobs.contains_key(job) && !directory.contains_key(job)
+        };
+        let reservations = self.reservations.borrow();
+        local + others + reservations.tokens(route, workspace, is_unknown, clock::now())
     }
 }
 
 /// Handles a reported status. If another instance claims a later revision of a job held
-/// here, the holder is verified on the platform.
+/// here, the holder is verified on the platform; so is a job that others take for held here.
 pub fn on_status(node: &Rc<Node>, status: JobStatus) {
-    let held = node.jobs.held_job(&status.job).filter(|held| !held.is_read_only);
-    if let Some(held) = held
-        && status.holder.instance != node.id()
-        && status.revision > held.revision.get()
-    {
-        let node = node.clone();
-        spawn_local(async move { job_writer::verify(&node, &held).await });
+    let is_mine = status.holder.instance == node.id();
+    match node.jobs.held_job(&status.job) {
+        Some(held) if !held.is_read_only && !is_mine && status.revision > held.revision.get() => {
+            let node = node.clone();
+            spawn_local(async move { job_writer::verify(&node, &held).await });
+        }
+        None if is_mine && !status.is_finished && !node.is_stopping() => {
+            slog::info!(node.log, "unknown job reported as held here"; "job" => &status.job);
+            takeover::on_request(node, status.job.clone(), Handoff::default());
+        }
+        _ => {}
     }
     node.jobs.on_status(status);
 }
@@ -205,10 +235,15 @@
     config.table.route_for(&job.host, &job.path).cloned()
 }
 
-/// Loads a job into memory and starts it unless it is finished.
+/// Loads a job into memory and starts it unless it is finished. One that is held already stays as
+/// it is.
 pub fn hold(node: &Rc<Node>, stored_job: StoredJob) -> Rc<HeldJob> {
     let StoredJob { job, progress, overflow, revision } = stored_job;
     let id = job.id.clone();
+    let is_active = |held: &Rc<HeldJob>| !held.is_read_only && !held.released.is_cancelled();
+    if let Some(held) = node.jobs.held_job(&id).filter(is_active) {
+        return held;
+    }
     let attempts = route_of(node, &job).map_or(DEFAULT_MAX_ATTEMPTS, |route| route.max_attempts);
     let state = JobState::new(job, progress, attempts);
     let is_read_only = state.is_finished();
--- a/crates/daemon/src/gateway/submit.rs
+++ b/crates/daemon/src/gateway/submit.rs
@@ -3,20 +3,22 @@
 
 use super::call_reason::CallReason;
 use super::front::{CallerRequest, error_response, text_response};
-use super::job_store::{self, StoredJob};
+use super::job_store::{self, Overflow, StoredJob};
 use super::message::{PeerReply, PeerRequest, SubmitOutcome};
 use super::node::{Node, unix_millis};
-use super::{access, handoff, job_table, platform_health, residency, takeover};
+use super::{access, handoff, job_table, platform_health, residency};
 use crate::clock;
 use bytes::Bytes;
 use coordination::membership::Member;
+use coordination::reservations::Reservation;
 use hyper::{HeaderMap, Response};
 use platform::job;
 use platform::store::{Object, StoreError};
 use protocol::routing::Route;
 use protocol::workspace::Workspace;
 use protocol::{Error, Kind, WorkspaceId};
-use state::progress::{Handoff, Job, JobId, Progress};
+use state::progress::{Job, JobId, Progress};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::task::spawn_local;
@@ -31,10 +33,8 @@
 const CONFIRM_TIME_RATIO: f64 = 0.4;
 /// Delay before a job is created again after the response was lost.
 const CREATE_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Longest wait for a holder's reply.
-const NOTIFY_HOLDER_TIMEOUT: Duration = Duration::from_millis(400);
-/// Minimum delay before the holder is notified again.
-const NOTIFY_HOLDER_RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Time after which the other instances are told that a job is being stored.
+const RESERVATION_DELAY: Duration = Duration::from_millis(100);
 /// When a caller should retry whose job exceeds the route's limit, or while the platform is
 /// unavailable.
 pub const RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -200,14 +200,72 @@
         workspace: caller.map(str::to_owned),
         items,
     };
-    let waiting = node.jobs.waiting_tokens(node, &route.name, caller);
+    let waiting = node.jobs.waiting_tokens(node, &route.name, caller, id);
     if terms.max_queued_tokens > 0 && waiting + job.tokens() > terms.max_queued_tokens {
         slog::info!(node.log, "submission exceeds the token limit";
             "job" => id, "workspace" => caller, "waiting" => waiting,
             "tokens" => job.tokens(), "most" => terms.max_queued_tokens);
         return check_stored(node, id, caller).await;
     }
-    create(node, job, until).await
+    let unconfirmed = Unconfirmed::new(node, &job, &route.name);
+    let outcome = create(node, job, until, &unconfirmed).await;
+    if outcome != SubmitOutcome::Unknown {
+        unconfirmed.on_known(outcome);
+    }
+    outcome
+}
+
+/// A job that is being stored. Its tokens count as waiting. If it is dropped before the outcome is
+/// known, because that can't be found out in time or the caller has left, a task finds it out.
+struct Unconfirmed {
+    node: Rc<Node>,
+    job: JobId,
+    is_announced: Cell<bool>,
+    is_known: Cell<bool>,
+}
+
+impl Unconfirmed {
+    fn new(node: &Rc<Node>, job: &Job, route: &str) -> Unconfirmed {
+        let reservation = Reservation {
+            job: job.id.clone(),
+            route: route.to_owned(),
+            workspace: job.workspace.clone(),
+            tokens: job.tokens(),
+        };
+        node.jobs.reservations.borrow_mut().insert(reservation, None);
+        Unconfirmed {
+            node: node.clone(),
+            job: job.id.clone(),
+            is_announced: Cell::new(false),
+            is_known: Cell::new(false),
+        }
+    }
+
+    /// Tells the other instances, once.
+    fn announce(&self) {
+        if !self.is_announced.replace(true) {
+            handoff::announce_reservation(&self.node, &self.job);
+        }
+    }
+
+    /// The outcome of the submission is known.
+    fn on_known(&self, outcome: SubmitOutcome) {
+        self.is_known.set(true);
+        // Of a job that is accepted, the others know its status.
+        if outcome == SubmitOutcome::Accepted || !self.is_announced.get() {
+            self.node.jobs.reservations.borrow_mut().remove(&self.job);
+        } else {
+            handoff::release_reservation(&self.node, &self.job);
+        }
+    }
+}
+
+impl Drop for Unconfirmed {
+    fn drop(&mut self) {
+        if !self.is_known.get() && !self.node.ending.is_cancelled() {
+            spawn_local(handoff::settle(self.node.clone(), self.job.clone()));
+        }
+    }
 }
 
 /// The outcome of a submission whose id belongs to a job of the workspace `owner`.
@@ -218,15 +276,30 @@
     }
 }
 
-/// Workspace of a stored job; `None` if it has none or can't be decoded.
-fn owner_of(object: &Object) -> Option<WorkspaceId> {
-    job_store::summary(object).ok()?.job.workspace
+/// Handles a job that was found stored: it is acknowledged to its own workspace only, and its holder
+/// learns that it has it in any case.
+fn on_found_stored(node: &Rc<Node>, object: &Object, caller: Option<&str>) -> SubmitOutcome {
+    let summary = match job_store::summary(object) {
+        Ok(summary) => summary,
+        Err(error) => {
+            slog::error!(node.log, "malformed job object"; "job" => &object.name,
+                "revision" => object.revision, "fault" => %error);
+            return SubmitOutcome::Unknown;
+        }
+    };
+    slog::info!(node.log, "job found stored"; "job" => &object.name,
+        "revision" => object.revision, "is_open" => summary.is_open,
+        "holder" => format!("{:x}", summary.holder.instance));
+    if summary.is_open {
+        spawn_local(handoff::notify_holder(node.clone(), object.name.clone()));
+    }
+    repeated(summary.job.workspace.as_deref(), caller)
 }
 
-/// A job that exceeds the limit now may have been accepted earlier.
+/// Looks for a job that may have been stored earlier.
 async fn check_stored(node: &Rc<Node>, id: &str, caller: Option<&str>) -> SubmitOutcome {
     match node.store.get(CallReason::Submission, job::KIND, id).await {
-        Ok(Some(object)) => repeated(owner_of(&object).as_deref(), caller),
+        Ok(Some(object)) => on_found_stored(node, &object, caller),
         Ok(None) => SubmitOutcome::Full,
         Err(error) => {
             slog::info!(node.log, "job load failed"; "job" => id, "fault" => %error);
@@ -235,11 +308,16 @@
     }
 }
 
-async fn create(node: &Rc<Node>, job: Job, until: Instant) -> SubmitOutcome {
+async fn create(
+    node: &Rc<Node>,
+    job: Job,
+    until: Instant,
+    unconfirmed: &Unconfirmed,
+) -> SubmitOutcome {
     // Once a response was lost the job may be stored, so it can't be reported as rejected.
     let mut is_outcome_unknown = false;
     loop {
-        match job_store::create(node, &job).await {
+        match create_once(node, &job, unconfirmed).await {
             Ok((object, overflow)) => {
                 let progress = Progress::default();
                 let stored_job = StoredJob { job, progress, overflow, revision: object.revision };
@@ -252,12 +330,11 @@
                 return SubmitOutcome::Accepted;
             }
             Err(StoreError::Conflict(found)) => {
-                let owner = found.and_then(|object| owner_of(&object));
-                let outcome = repeated(owner.as_deref(), job.workspace.as_deref());
-                if outcome == SubmitOutcome::Accepted {
-                    spawn_local(notify_holder(node.clone(), job.id));
-                }
-                return outcome;
+                let caller = job.workspace.as_deref();
+                return match found {
+                    Some(object) => on_found_stored(node, &object, caller),
+                    None => check_stored(node, &job.id, caller).await,
+                };
             }
             Err(StoreError::OutcomeUnknown(error)) => {
                 slog::info!(node.log, "submission outcome unknown";
@@ -285,57 +362,23 @@
     }
 }
 
-/// Notifies the holder of a job stored earlier. Retried until the holder has the job, since
-/// the response to the submitter says that the job is stored and no other instance may know it.
-///
-/// Guards against a job that has no results because its holder couldn't read it at that moment;
-/// with a platform that was three hundred times slower, one had none for 41 s.
-async fn notify_holder(node: Rc<Node>, id: JobId) {
-    let _in_flight = node.in_flight.start();
-    while let Err(error) = try_notify_holder(&node, &id).await {
-        slog::info!(node.log, "holder not notified of its job"; "job" => &id, "fault" => error,
-            "again" => !node.is_stopping());
-        if node.is_stopping() {
-            return handoff::hand_off_with_retry(&node, &id, &Handoff::default()).await;
-        }
-        let delay = node.store.backoff_remaining(clock::now()).max(NOTIFY_HOLDER_RETRY_DELAY);
-        tokio::select! {
-            () = tokio::time::sleep(delay) => {}
-            () = node.stopping.cancelled() => {}
+/// Creates a job. The other instances are told if that takes long, or its outcome is unknown.
+async fn create_once(
+    node: &Rc<Node>,
+    job: &Job,
+    unconfirmed: &Unconfirmed,
+) -> Result<(Object, Overflow), StoreError> {
+    let creation = job_store::create(node, job);
+    tokio::pin!(creation);
+    let result = tokio::select! {
+        result = &mut creation => result,
+        () = tokio::time::sleep(RESERVATION_DELAY) => {
+            unconfirmed.announce();
+            creation.await
         }
-    }
-}
-
-/// A single attempt of [`notify_holder`]; the error says what failed.
-async fn try_notify_holder(node: &Rc<Node>, id: &str) -> Result<(), String> {
-    let found = node
-        .store
-        .get(CallReason::Submission, job::KIND, id)
-        .await
-        .map_err(|error| error.to_string())?;
-    let Some(object) = found else {
-        return Ok(());
-    };
-    let Ok(summary) = job_store::summary(&object) else {
-        slog::error!(node.log, "malformed job object"; "job" => id);
-        return Ok(());
     };
-    if !summary.is_open {
-        return Ok(());
-    }
-    if node.is_stopping() && summary.holder.instance == node.id() {
-        let is_taken = handoff::hand_off(node, id, &Handoff::default()).await;
-        return is_taken.then_some(()).ok_or_else(|| String::from("nobody took the job over"));
-    }
-    let member = node.members.borrow().get(summary.holder.instance).cloned();
-    let Some(member) = member else {
-        // Held by this instance, or by one that is gone.
-        takeover::take_over_with_retry(node, id, Handoff::default()).await;
-        return Ok(());
-    };
-    let request = PeerRequest::TakeOver(id.to_owned(), Handoff::default());
-    match node.request(member.peer, &request, NOTIFY_HOLDER_TIMEOUT).await {
-        Ok(PeerReply::Acknowledged) => Ok(()),
-        other => Err(format!("{other:?}")),
+    if matches!(result, Err(StoreError::OutcomeUnknown(_))) {
+        unconfirmed.announce();
     }
+    result
 }
