Serve and finish jobs whose route was removed

What callers saw: after the operator removed the route of open jobs, their items were neither run nor listed, for a minute and more (LOST); calls about jobs of a host that had no route left got 404, also for results read before; a job handed in again got 404 at every instance, and its body went to a target where the path had become a route for streams.

Cause: a job was looked at through the configuration in force. The front passed calls about jobs on only for hosts with a route, and JobState::on_route_removed had no caller; the items had no service, so they waited until the job expired.

Change: calls about jobs don't depend on routes. A caller of a host without batch routes needs no key, but sees without one only the jobs that have no owner. A submission without a batch route that is known, or found stored, is acknowledged; if that can't be looked up it gets 503. A job keeps the version of the configuration under which it was accepted. A path that belongs to another kind of route now has no batch route.

Why it works: what was accepted is served by what is stored with it, and only a configuration that is certainly later than the acceptance ends it.

One read of the platform more for each POST with an id to a path without a route whose body is a submission; none for others.

Jobs stored by earlier builds name no version; they wait until they expire, as before, unless their holder has seen the route itself.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod route;
+pub mod route_watch;
 pub mod run_time;
 pub mod slots;
 pub mod sources;
--- a/crates/daemon/src/gateway/access.rs
+++ b/crates/daemon/src/gateway/access.rs
@@ -30,11 +30,25 @@
     Ok(found.cloned())
 }
 
-/// Whether calls about jobs need no API key on a host: all its batch routes are public.
-pub fn has_public_jobs(table: &Table, host: &str) -> bool {
+/// As [`authenticate`], for a call about a job that names a host. It needs no key if all batch routes
+/// of the host are public. A job may outlive them: of a host that has none, a caller without a key
+/// sees the jobs without an owner.
+///
+/// # Errors
+///
+/// As [`authenticate`].
+pub fn authenticate_job_call(
+    table: &Table,
+    host: &str,
+    headers: &HeaderMap,
+) -> Result<Option<Rc<Workspace>>, Unauthorized> {
     let routes = table.routes.iter().filter(|route| route.host.eq_ignore_ascii_case(host));
     let mut batch = routes.filter(|route| route.class == Class::Batch).peekable();
-    batch.peek().is_some() && batch.all(|route| route.is_public)
+    let is_public = match batch.peek() {
+        Some(_) => batch.all(|route| route.is_public),
+        None => header::api_key(headers).is_none(),
+    };
+    authenticate(table, is_public, headers)
 }
 
 /// Whether a caller of the workspace `caller` may see a job of the workspace `owner`. A job
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -135,48 +135,42 @@
     let host = host(&parts.headers).to_owned();
     let path = parts.uri.path();
     let id = header::text(&parts.headers, header::REQUEST_ID).to_owned();
-    let Some(route) = config.table.route_for(&host, path) else {
-        let query = parts.uri.query().unwrap_or_default();
-        let call = job::Request::parse(parts.method.as_str(), path, query);
-        return match call {
-            Some(call) if config.table.routes.iter().any(|route| route.host == host) => {
-                let is_public = access::has_public_jobs(&config.table, &host);
-                match access::authenticate(&config.table, is_public, &parts.headers) {
-                    Ok(workspace) => {
-                        let _in_flight = node.in_flight.start();
-                        Ok(jobs::call(node, call, &parts.headers, workspace.as_deref()).await)
-                    }
-                    Err(access::Unauthorized) => Ok(unauthorized(node, &id, &config)),
-                }
-            }
-            _ => {
-                slog::info!(node.log, "no route"; "request" => &id, "host" => &host,
-                    "path" => path, "config" => config.table.version);
-                Ok(error_response(node, &id, &Error::new(Kind::UnknownPath, "no such route")))
+    let route = config.table.route_for(&host, path).cloned();
+    let query = parts.uri.query().unwrap_or_default();
+    let job_call = job::Request::parse(parts.method.as_str(), path, query)
+        .filter(|call| route.is_none() || node.jobs.known_owner(call.job()).is_some());
+    if let Some(call) = job_call {
+        return Ok(call_job(node, &config, call, &host, &parts.headers).await);
+    }
+    let limit = config.table.limits.body_bytes;
+    let timeout = header::millis(&parts.headers, header::DEADLINE_MS);
+    let Some(route) = route else {
+        slog::info!(node.log, "no route"; "request" => &id, "host" => &host,
+            "path" => path, "config" => config.table.version);
+        // A job outlives its route, so a submission may come again without one.
+        let caller = access::authenticate_job_call(&config.table, &host, &parts.headers);
+        if parts.method == Method::POST
+            && !id.is_empty()
+            && let Ok(workspace) = caller
+        {
+            let body = match read_body(node, &id, &mut body, limit, timeout).await? {
+                Ok(body) => body,
+                Err(response) => return Ok(response),
+            };
+            let caller = workspace.as_ref().map(|workspace| workspace.name.as_str());
+            if let Some(response) = submit::resubmit(node, &id, caller, &body).await {
+                return Ok(response);
             }
-        };
+        }
+        return Ok(error_response(node, &id, &Error::new(Kind::UnknownPath, "no such route")));
     };
     let Ok(workspace) = access::authenticate(&config.table, route.is_public, &parts.headers) else {
         return Ok(unauthorized(node, &id, &config));
     };
-    let route = route.clone();
-    let timeout = header::millis(&parts.headers, header::DEADLINE_MS);
     let deadline = started + timeout.unwrap_or(route.timeout).min(route.timeout);
-    let limit = config.table.limits.body_bytes;
-    let body_timeout = timeout.unwrap_or(MAX_BODY_TIMEOUT).min(MAX_BODY_TIMEOUT);
-    let body = match tokio::time::timeout(body_timeout, server::read_body(&mut body, limit)).await {
-        Ok(read) => read?,
-        Err(_) => {
-            return Ok(error_response(
-                node,
-                &id,
-                &Error::new(Kind::SlowCaller, "the body is late"),
-            ));
-        }
-    };
-    let Some(body) = body else {
-        let error = Error::new(Kind::TooLarge, format!("the body is over {limit} bytes"));
-        return Ok(error_response(node, &id, &error));
+    let body = match read_body(node, &id, &mut body, limit, timeout).await? {
+        Ok(body) => body,
+        Err(response) => return Ok(response),
     };
     let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     let mut headers = header::end_to_end(&parts.headers);
@@ -210,6 +204,44 @@
     node.config()
 }
 
+/// Serves a call about a job, whose route may be gone.
+async fn call_job(
+    node: &Rc<Node>,
+    config: &Config,
+    call: job::Request,
+    host: &str,
+    headers: &HeaderMap,
+) -> Response<Body> {
+    match access::authenticate_job_call(&config.table, host, headers) {
+        Ok(workspace) => {
+            let _in_flight = node.in_flight.start();
+            jobs::call(node, call, headers, workspace.as_deref()).await
+        }
+        Err(access::Unauthorized) => {
+            unauthorized(node, header::text(headers, header::REQUEST_ID), config)
+        }
+    }
+}
+
+/// Reads the body of request `id`, or returns the response to one that is late or too large.
+async fn read_body(
+    node: &Node,
+    id: &str,
+    body: &mut Incoming,
+    max_bytes: usize,
+    timeout: Option<Duration>,
+) -> Result<Result<Bytes, Response<Body>>, Aborted> {
+    let timeout = timeout.unwrap_or(MAX_BODY_TIMEOUT).min(MAX_BODY_TIMEOUT);
+    let error = match tokio::time::timeout(timeout, server::read_body(body, max_bytes)).await {
+        Ok(read) => match read? {
+            Some(body) => return Ok(Ok(body)),
+            None => Error::new(Kind::TooLarge, format!("the body is over {max_bytes} bytes")),
+        },
+        Err(_) => Error::new(Kind::SlowCaller, "the body is late"),
+    };
+    Ok(Err(error_response(node, id, &error)))
+}
+
 async fn serve(
     node: &Rc<Node>,
     config: &Config,
@@ -219,6 +251,13 @@
     if route.class == Class::Batch {
         return Ok(submit::submit(node, &route, &call).await);
     }
+    // The path may have belonged to a batch route before.
+    if call.method == Method::POST && node.jobs.known_owner(&call.id).is_some() {
+        let repeated = submit::resubmit(node, &call.id, call.workspace_name(), &call.body).await;
+        if let Some(response) = repeated {
+            return Ok(response);
+        }
+    }
     online::serve(node, config, Rc::new(route), Rc::new(call)).await
 }
 
--- a/crates/daemon/src/gateway/job_table.rs
+++ b/crates/daemon/src/gateway/job_table.rs
@@ -8,10 +8,11 @@
 use crate::clock;
 use coordination::membership::Member;
 use coordination::reservations::Reservation;
+use coordination::route_watch::Watch;
 use coordination::run_time::Estimate;
 use coordination::slots::LeaseOutcome;
 use coordination::{hash, reservations, retry};
-use protocol::routing::Route;
+use protocol::routing::{Class, Route};
 use protocol::{ServiceId, WorkspaceId};
 use state::progress::{Handoff, ItemId, Job, JobId, JobState};
 use std::cell::{Cell, RefCell};
@@ -60,6 +61,8 @@
     pub(super) oldest_failure: Cell<Option<Instant>>,
     /// When the platform last confirmed that this instance holds the job.
     pub(super) confirmed_at: Cell<Instant>,
+    /// Whether the job's route was removed.
+    pub(super) route: RefCell<Watch>,
     /// Cancelled when the submitter ends the job; stops its runs.
     pub(super) ended: CancellationToken,
     /// Cancelled when this instance stops holding the job; stops its runs.
@@ -229,10 +232,34 @@
     node.jobs.on_status(status);
 }
 
-/// Route of a job in the current configuration.
+/// Batch route of a job in the current configuration; `None` if there is none any more.
 pub fn route_of(node: &Node, job: &Job) -> Option<Route> {
     let config = node.config()?;
-    config.table.route_for(&job.host, &job.path).cloned()
+    let route = config.table.route_for(&job.host, &job.path);
+    route.filter(|route| route.class == Class::Batch).cloned()
+}
+
+/// Fails the waiting items of a job whose route was removed; those that run may complete.
+pub(super) fn check_route(node: &Node, held: &HeldJob, now: Instant) {
+    let Some(config) = node.config() else {
+        return;
+    };
+    let job = held.state.borrow().job().clone();
+    let has_route = route_of(node, &job).is_some();
+    if !held.route.borrow_mut().is_removed(config.table.version, has_route, now) {
+        return;
+    }
+    let mut state = held.state.borrow_mut();
+    let before = state.unwritten();
+    state.on_route_removed();
+    let failed = state.unwritten() - before;
+    drop(state);
+    if failed > 0 {
+        slog::info!(node.log, "route of a job removed"; "job" => &job.id, "host" => &job.host,
+            "path" => &job.path, "failed" => failed, "accepted_at" => job.config,
+            "config" => config.table.version);
+        held.mark_dirty();
+    }
 }
 
 /// Loads a job into memory and starts it unless it is finished. One that is held already stays as
@@ -245,6 +272,7 @@
         return held;
     }
     let attempts = route_of(node, &job).map_or(DEFAULT_MAX_ATTEMPTS, |route| route.max_attempts);
+    let accepted_at = Some(job.config).filter(|version| *version > 0);
     let state = JobState::new(job, progress, attempts);
     let is_read_only = state.is_finished();
     let held = Rc::new(HeldJob {
@@ -258,6 +286,7 @@
         oldest_unwritten: Cell::new(None),
         oldest_failure: Cell::new(None),
         confirmed_at: Cell::new(clock::now()),
+        route: RefCell::new(Watch::new(accepted_at)),
         ended: CancellationToken::new(),
         released: CancellationToken::new(),
         is_read_only,
--- a/crates/daemon/src/gateway/job_writer.rs
+++ b/crates/daemon/src/gateway/job_writer.rs
@@ -66,6 +66,7 @@
         }
         last_poll = clock::now();
         held.state.borrow_mut().expire(unix_millis());
+        job_table::check_route(&node, &held, last_poll);
         if node.is_isolated() {
             last_isolated = Some(last_poll);
         }
--- a/crates/daemon/src/gateway/submit.rs
+++ b/crates/daemon/src/gateway/submit.rs
@@ -198,6 +198,7 @@
         expires: now + terms.expire_after.as_millis() as u64,
         accepted_by: node.as_holder(),
         workspace: caller.map(str::to_owned),
+        config: node.config().map_or(0, |config| config.table.version),
         items,
     };
     let waiting = node.jobs.waiting_tokens(node, &route.name, caller, id);
@@ -205,7 +206,7 @@
         slog::info!(node.log, "submission exceeds the token limit";
             "job" => id, "workspace" => caller, "waiting" => waiting,
             "tokens" => job.tokens(), "most" => terms.max_queued_tokens);
-        return check_stored(node, id, caller).await;
+        return check_stored(node, id, caller).await.unwrap_or(SubmitOutcome::Full);
     }
     let unconfirmed = Unconfirmed::new(node, &job, &route.name);
     let outcome = create(node, job, until, &unconfirmed).await;
@@ -296,18 +297,42 @@
     repeated(summary.job.workspace.as_deref(), caller)
 }
 
-/// Looks for a job that may have been stored earlier.
-async fn check_stored(node: &Rc<Node>, id: &str, caller: Option<&str>) -> SubmitOutcome {
+/// Looks for a job that may have been stored earlier; `None` if it wasn't.
+async fn check_stored(node: &Rc<Node>, id: &str, caller: Option<&str>) -> Option<SubmitOutcome> {
     match node.store.get(CallReason::Submission, job::KIND, id).await {
-        Ok(Some(object)) => on_found_stored(node, &object, caller),
-        Ok(None) => SubmitOutcome::Full,
+        Ok(Some(object)) => Some(on_found_stored(node, &object, caller)),
+        Ok(None) => None,
         Err(error) => {
             slog::info!(node.log, "job load failed"; "job" => id, "fault" => %error);
-            SubmitOutcome::Unknown
+            Some(SubmitOutcome::Unknown)
         }
     }
 }
 
+/// Serves a submission to a path without a batch route, which may repeat one that was accepted when
+/// there was a route; `None` if it is no submission, or of a job that was never accepted.
+pub async fn resubmit(
+    node: &Rc<Node>,
+    id: &str,
+    caller: Option<&str>,
+    body: &[u8],
+) -> Option<Response<Body>> {
+    let _in_flight = node.in_flight.start();
+    if id.is_empty() || job::decode(body).is_err() {
+        return None;
+    }
+    let outcome = match node.jobs.known_owner(id) {
+        Some(owner) => repeated(owner.as_deref(), caller),
+        None => check_stored(node, id, caller).await?,
+    };
+    slog::info!(node.log, "submission without a route handled"; "job" => id,
+        "workspace" => caller, "acceptance" => ?outcome);
+    // Nothing was written, so it is only unknown whether the job was accepted before.
+    let is_unknown = outcome == SubmitOutcome::Unknown;
+    let outcome = if is_unknown { SubmitOutcome::Rejected } else { outcome };
+    Some(response(node, id, outcome))
+}
+
 async fn create(
     node: &Rc<Node>,
     job: Job,
@@ -333,7 +358,9 @@
                 let caller = job.workspace.as_deref();
                 return match found {
                     Some(object) => on_found_stored(node, &object, caller),
-                    None => check_stored(node, &job.id, caller).await,
+                    None => {
+                        check_stored(node, &job.id, caller).await.unwrap_or(SubmitOutcome::Unknown)
+                    }
                 };
             }
             Err(StoreError::OutcomeUnknown(error)) => {
--- /dev/null
+++ b/crates/daemon/tests/gateway_routes.rs
@@ -0,0 +1,210 @@
+//! Jobs whose route is removed or changed after they were accepted.
+
+mod util;
+
+use rstest::rstest;
+use serde_json::{Value, json};
+use standin::objects::Faults;
+use std::time::{Duration, Instant};
+use util::batch::{LogLines, slow_runner};
+use util::gateway::{Fleet, HOST, Plan};
+use util::{client, wait_until};
+
+/// Time from a change of the configuration until the items that wait are listed as failed.
+const LISTING_TIME: Duration = Duration::from_secs(4);
+const ITEMS: usize = 12;
+/// Key of the workspace that submits the jobs in tests with workspaces, and one of another.
+const KEY: (&str, &str) = ("authorization", "Bearer key-one");
+const OTHER_KEY: (&str, &str) = ("authorization", "Bearer key-two");
+
+/// What a change leaves of the batch route.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Change {
+    /// The host has other routes.
+    RouteRemoved,
+    /// The host has none.
+    HostRemoved,
+    /// The path belongs to a route for streams.
+    MadeOnline,
+}
+
+/// The configuration with version `version` after a change.
+fn changed(fleet: &Fleet, version: u64, change: Change) -> Value {
+    let mut config = fleet.config(version);
+    let routes = config["routes"].as_array_mut().expect("routes");
+    match change {
+        Change::RouteRemoved => routes.retain(|route| route["kind"] != "batch"),
+        Change::HostRemoved => {
+            routes.iter_mut().for_each(|route| route["host"] = json!("b.example"))
+        }
+        Change::MadeOnline => {
+            let batch = routes.iter_mut().find(|route| route["kind"] == "batch");
+            batch.expect("the batch route")["kind"] = json!("stream");
+        }
+    }
+    config
+}
+
+fn item_ids() -> Vec<String> {
+    (10..10 + ITEMS).map(|n| format!("item-{n}")).collect()
+}
+
+/// A fleet with a job at instance 0 of which two items can run at a time, and some results are
+/// listed.
+fn fleet_with_job(workspaces: Value) -> Fleet {
+    let runner = |id: &str| standin::runner::Config { slots: 1, ..slow_runner(id) };
+    let runners = vec![("east", runner("r0")), ("west", runner("r1"))];
+    let fleet = Fleet::start(Plan { runners, workspaces, ..Plan::default() });
+    assert_eq!(submit(&fleet, 0, &[KEY]), 202);
+    wait_until("some results are listed", || listed(&fleet, 1).is_some_and(|l| !l.is_empty()));
+    fleet
+}
+
+fn submit(fleet: &Fleet, n: usize, headers: &[(&str, &str)]) -> u16 {
+    let ids = item_ids();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    util::gateway::submit_to(fleet.gateways[n].front_address, "job", &ids, headers).status
+}
+
+/// Results of the job; `None` if it can't be read.
+fn listed(fleet: &Fleet, n: usize) -> Option<Vec<Value>> {
+    let response = fleet.call_job(n, "GET", "/lots/job?since_rev=0", &[KEY]);
+    (response.status == 200).then(|| response.json()["results"].as_array().expect("a list").clone())
+}
+
+#[track_caller]
+fn apply(fleet: &Fleet, config: Value) {
+    let version = config["version"].clone();
+    fleet.objects.put("config", "main", config);
+    wait_in_force(fleet, &version);
+}
+
+#[track_caller]
+fn wait_in_force(fleet: &Fleet, version: &Value) {
+    for n in 0..fleet.gateways.len() {
+        wait_until("the configuration is in force", || {
+            let line = fleet.log(n).last_message("configuration in force");
+            line.is_some_and(|line| line["version"] == *version)
+        });
+    }
+}
+
+/// Waits until every item is listed at every instance, and returns the states.
+#[track_caller]
+fn wait_listed(fleet: &Fleet, within: Duration) -> Vec<Value> {
+    let since = Instant::now();
+    for n in 0..fleet.gateways.len() {
+        wait_until("all items are listed", || {
+            listed(fleet, n).is_some_and(|results| results.len() == ITEMS)
+        });
+    }
+    assert!(since.elapsed() < within, "{:?}", since.elapsed());
+    let results = listed(fleet, 0).expect("results");
+    results.iter().map(|result| result["state"].clone()).collect()
+}
+
+/// Regression: items of a removed route were neither run nor listed, and calls about a job whose
+/// host had no route left got 404.
+#[rstest]
+fn items_of_a_removed_route_are_listed_as_failed(
+    #[values(Change::RouteRemoved, Change::HostRemoved, Change::MadeOnline)] change: Change,
+) {
+    let fleet = fleet_with_job(Value::Null);
+    let before = listed(&fleet, 1).expect("results");
+    apply(&fleet, changed(&fleet, 8, change));
+    let states = wait_listed(&fleet, LISTING_TIME);
+    assert!(
+        states.iter().any(|state| state == "complete") && states.iter().any(|s| s == "errored")
+    );
+    for n in 0..3 {
+        assert_eq!(listed(&fleet, n).expect("results")[..before.len()], before[..]);
+        let body = fleet.call_job(n, "GET", "/items/job?id=item-21", &[]);
+        assert_eq!((body.status, &body.body[..]), (200, &b"prompt"[..]));
+        let unknown = fleet.call_job(n, "GET", "/lots/unknown", &[]);
+        assert_eq!(unknown.status, 404);
+        assert_eq!(submit(&fleet, n, &[]), 202, "the job comes again");
+    }
+    assert_eq!(fleet.end_job(2, "job").status, 200);
+    let online = fleet.runs("/batch/").into_iter().filter(|run| run.id == "job");
+    assert_eq!(online.count(), 0, "a submission was sent to a target");
+}
+
+/// Regression: as above, for instances that start after the removal.
+#[rstest]
+#[case::of_the_holder(&[0])]
+#[case::of_all(&[0, 1, 2])]
+fn job_outlives_its_route_and_its_holder(#[case] killed: &[usize]) {
+    let mut fleet = fleet_with_job(Value::Null);
+    fleet.objects.put("config", "main", changed(&fleet, 8, Change::HostRemoved));
+    killed.iter().for_each(|n| fleet.gateways[*n].kill());
+    killed.iter().for_each(|n| fleet.restart(*n));
+    wait_in_force(&fleet, &json!(8));
+    // A holder is given some time to come back.
+    let states = wait_listed(&fleet, LISTING_TIME + Duration::from_secs(4));
+    assert!(states.iter().any(|state| state == "errored"));
+    assert_eq!(submit(&fleet, 1, &[]), 202);
+}
+
+#[test]
+fn items_of_a_route_that_is_back_at_once_complete() {
+    let fleet = fleet_with_job(Value::Null);
+    fleet.objects.put("config", "main", changed(&fleet, 8, Change::RouteRemoved));
+    std::thread::sleep(Duration::from_millis(800));
+    fleet.configure(9);
+    let states = wait_listed(&fleet, Duration::from_secs(25));
+    assert!(states.iter().all(|state| state == "complete"), "{states:?}");
+}
+
+#[test]
+fn configuration_from_before_the_job_fails_no_item() {
+    let mut fleet = fleet_with_job(Value::Null);
+    (0..3).for_each(|n| fleet.gateways[n].kill());
+    fleet.objects.put("config", "main", changed(&fleet, 6, Change::HostRemoved));
+    (0..3).for_each(|n| fleet.restart(n));
+    wait_in_force(&fleet, &json!(6));
+    std::thread::sleep(LISTING_TIME);
+    let is_failed = |result: &Value| result["state"] == "errored";
+    assert!(!listed(&fleet, 0).expect("results").iter().any(is_failed));
+    fleet.configure(9);
+    let states = wait_listed(&fleet, Duration::from_secs(30));
+    assert!(states.iter().all(|state| state == "complete"), "{states:?}");
+}
+
+#[test]
+fn nobody_is_told_that_a_job_is_unknown_while_the_platform_is_away() {
+    let fleet = fleet_with_job(Value::Null);
+    apply(&fleet, changed(&fleet, 8, Change::HostRemoved));
+    fleet.objects.set_faults(Faults { unavailable: true, ..Faults::default() });
+    assert_eq!(fleet.call_job(1, "GET", "/lots/unknown", &[]).status, 503);
+    assert_eq!(fleet.submit(1, "unknown", &["x"]).status, 503);
+    let plain = client::post(
+        fleet.gateways[1].front_address,
+        "/batch/unknown",
+        &[("host", HOST), ("x-gatespool-request-id", "no-job")],
+        &json!({ "prompt": "none" }),
+    );
+    assert_eq!(plain.status, 404);
+}
+
+#[test]
+fn job_without_a_route_is_hidden_from_other_workspaces() {
+    let workspaces = json!([
+        { "name": "one", "api_keys": ["key-one"] }, { "name": "two", "api_keys": ["key-two"] },
+    ]);
+    let fleet = fleet_with_job(workspaces);
+    apply(&fleet, changed(&fleet, 8, Change::HostRemoved));
+    for n in 0..3 {
+        assert_eq!(fleet.call_job(n, "GET", "/lots/job", &[KEY]).status, 200);
+        assert_eq!(submit(&fleet, n, &[KEY]), 202);
+        for headers in [&[OTHER_KEY][..], &[]] {
+            for (method, path) in
+                [("GET", "/lots/job"), ("GET", "/items/job?id=item-21"), ("DELETE", "/lots/job")]
+            {
+                assert_eq!(fleet.call_job(n, method, path, headers).status, 404, "{method} {path}");
+            }
+            assert_eq!(submit(&fleet, n, headers), 404);
+        }
+        let wrong_key = ("authorization", "Bearer key-none");
+        assert_eq!(fleet.call_job(n, "GET", "/lots/job", &[wrong_key]).status, 401);
+    }
+}
--- a/crates/state/src/progress/job.rs
+++ b/crates/state/src/progress/job.rs
@@ -1,6 +1,7 @@
 //! A job as it was accepted, and its progress, in their stored form.
 
 use protocol::WorkspaceId;
+use protocol::routing::Version;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -70,6 +71,10 @@
     /// version that kept no workspace.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub workspace: Option<WorkspaceId>,
+    /// Version of the configuration under which it was accepted; 0 if it was stored by a version
+    /// that kept none.
+    #[serde(default)]
+    pub config: Version,
     /// Items in the order of submission.
     pub items: Vec<Item>,
 }
@@ -93,6 +98,7 @@
             expires: 60_000,
             accepted_by: Holder { instance: 1, address: SocketAddr::from(([127, 0, 0, 1], 1)) },
             workspace: None,
+            config: 1,
             items: items.iter().map(item).collect(),
         }
     }
