Remember on the platform which software versions have served

It happens here: 12 of 12 streams, named or not, at once or 1.2 s later, also when the earlier version left while all gateways were down.

Cause: forgotten was taken for never seen. What began a stream is kept in the memory of a few instances; when none knows it, the version is derived if the registry shows only one. After all were killed nobody knew the stream, nor that another version had left a moment ago: both are kept in memory only.

Change: a version of a service is listed on the platform, one object each, before the first resumable stream is sent to a target of it. A version is derived only if the list, read since the start, has no other one of the service. A version is removed from the list after it has been absent for the 602 s in which callers may return.

Why it works: the list outlives the instances and covers the longest time of return; a lost answer to its write is found out by the next, which conflicts. If the platform is away when a new version comes, its first streams wait 250 ms and begin unlisted (counted as release.unlisted): the text could be joined then only if the version were withdrawn and all instances killed before the platform is back.

Cost: a write a release, one list an instance and start at its first resumable stream, one a minute for the fleet. The idle fleet makes as many calls as before.

A service none of whose targets states a version any more is served as before.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod quota;
 pub mod range_scan;
 pub mod registry;
+pub mod releases;
 pub mod reservations;
 pub mod residency;
 pub mod retry;
--- a/crates/coordination/src/registry.rs
+++ b/crates/coordination/src/registry.rs
@@ -12,6 +12,7 @@
 pub use change::{Change, Delta, Page};
 
 use crate::TargetId;
+use crate::releases::Release;
 use digest::{bucket, digest_of, digest_of_target};
 use ended::Ended;
 use entry::{Entry, Removal};
@@ -94,6 +95,15 @@
         versions.all(|version| version == Some(first)).then_some(first)
     }
 
+    /// The versions that targets state.
+    pub fn releases(&self) -> BTreeSet<Release> {
+        let targets = self.entries.values().map(|entry| &entry.target);
+        let stated = targets.filter_map(|target| {
+            Some(Release { service: target.service.clone(), software: target.software.clone()? })
+        });
+        stated.collect()
+    }
+
     /// What a known target runs.
     fn ran(&self, id: &str) -> Option<Origin> {
         self.entries.get(id).map(Entry::ran)
--- a/crates/daemon/src/gateway/broadcast.rs
+++ b/crates/daemon/src/gateway/broadcast.rs
@@ -148,6 +148,10 @@
             !quarantine::on_crash_reports(node, reports, "peer").is_empty()
         }
         Update::Evacuations(changes) => evacuation::on_changes(node, changes, "peer"),
+        Update::Release(release) => {
+            node.releases.borrow_mut().on_recorded(release);
+            true
+        }
         Update::Reservation(reservation, lifetime_ms) => {
             let lifetime = Duration::from_millis(lifetime_ms);
             node.jobs.on_reservation(reservation, lifetime, clock::now());
--- a/crates/daemon/src/gateway/call_reason.rs
+++ b/crates/daemon/src/gateway/call_reason.rs
@@ -29,6 +29,8 @@
     Decommission,
     /// Reads or writes quarantined requests.
     Quarantine,
+    /// Reads or writes the list of software versions.
+    Release,
 }
 
 impl CallReason {
@@ -48,6 +50,7 @@
             CallReason::Expiry => "expiry",
             CallReason::Decommission => "retirement",
             CallReason::Quarantine => "quarantine",
+            CallReason::Release => "release",
         }
     }
 }
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -10,6 +10,7 @@
 use coordination::quarantine::CrashReport;
 use coordination::quota::{Report, Snapshot};
 use coordination::registry::Change;
+use coordination::releases::Release;
 use coordination::reservations::Reservation;
 use coordination::run_time::Estimate;
 use coordination::slots::{Grant, HeldLease, Knowledge, LeaseId, LeaseReport, Purpose, Workload};
@@ -168,6 +169,8 @@
     CrashReports(Vec<CrashReport>),
     /// Evacuations were ordered or withdrawn.
     Evacuations(Vec<evacuation::Change>),
+    /// A software version is listed on the platform.
+    Release(Release),
     /// A job may be stored, and counts for this many milliseconds; zero if it isn't stored.
     Reservation(Reservation, u64),
 }
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -18,6 +18,7 @@
 use coordination::origins;
 use coordination::quarantine::Policy as QuarantinePolicy;
 use coordination::registry::Registry;
+use coordination::releases;
 use coordination::slots;
 use protocol::routing;
 use protocol::settings::{self, Settings};
@@ -114,6 +115,10 @@
     pub leases: Leases,
     /// What began the streams that callers may take up here, beside those forwarded here.
     pub origins: RefCell<origins::Table>,
+    /// Software versions that have served.
+    pub releases: RefCell<releases::Log>,
+    /// Held during a call about the list of software versions.
+    pub release_calls: tokio::sync::Mutex<()>,
     /// Batch jobs known to this instance.
     pub jobs: JobTable,
     /// Updates to be forwarded by this instance.
@@ -181,6 +186,8 @@
             starts: RefCell::default(),
             jobs: JobTable::default(),
             origins: RefCell::default(),
+            releases: RefCell::default(),
+            release_calls: tokio::sync::Mutex::default(),
             outbox: Outbox::default(),
             quarantine: quarantine::State::new(quarantine_policy(&settings.policy), now),
             crash_checks: CrashChecks::default(),
--- a/crates/daemon/src/gateway/online/origin.rs
+++ b/crates/daemon/src/gateway/online/origin.rs
@@ -30,7 +30,7 @@
             None => Err(AcquireError::UnknownVersion),
         };
         let origin = match found {
-            Err(AcquireError::UnknownVersion) => self.only_origin()?,
+            Err(AcquireError::UnknownVersion) => self.only_origin().await?,
             found => found?,
         };
         // The route was moved to another service, whose targets run other software.
@@ -43,9 +43,9 @@
     }
 
     /// What began a stream of the route that isn't known, if that leaves no choice.
-    fn only_origin(&self) -> Result<Origin, AcquireError> {
+    async fn only_origin(&self) -> Result<Origin, AcquireError> {
         match &self.route.services[..] {
-            [(service, _)] => origins::only(&self.node, service),
+            [(service, _)] => origins::only(&self.node, service).await,
             _ => Err(AcquireError::UnknownVersion),
         }
     }
@@ -61,7 +61,12 @@
         self.find_origin().await?;
         let required = self.required_software()?;
         let fits = required.is_none() || required == lease.software;
-        Ok(fits && self.service == leased_service)
+        let is_confirmed = fits && self.service == leased_service;
+        if is_confirmed && self.route.class == Class::Stream && self.route.resumable {
+            let software = lease.software.as_ref();
+            origins::ensure_recorded(&self.node, &self.service, software).await;
+        }
+        Ok(is_confirmed)
     }
 
     /// Records what began the stream, for resumptions here and at other instances.
--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -1,19 +1,32 @@
 //! Tells other instances what began the streams forwarded here, and asks them about streams that
 //! callers take up again.
+//!
+//! All instances that know a stream may be gone. What it began at is then clear only where a single
+//! software version has served, so the versions are listed on the platform: each before its first
+//! stream begins, until callers of its streams can't return any more.
 
+use super::broadcast;
+use super::call_reason::CallReason;
 use super::leases::AcquireError;
-use super::message::{PeerReply, PeerRequest};
+use super::message::{PeerReply, PeerRequest, Update};
 use super::node::Node;
 use crate::clock;
+use coordination::hash;
 use coordination::membership::{Member, MemberTable};
 use coordination::origins::{self, Place};
+use coordination::releases::Release;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use protocol::InstanceId;
+use platform::release;
+use platform::store::StoreError;
 use protocol::routing::Origin;
+use protocol::{InstanceId, SoftwareVersion};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio_util::sync::CancellationToken;
 
 /// Longest wait for the instances that may know a stream: much longer than a round trip between
 /// data centres, and short beside what a caller waits for the next event.
@@ -22,6 +35,14 @@
 const JOIN_PERIOD: Duration = Duration::from_secs(2);
 /// How long callers who state no deadline may return.
 const DEFAULT_LIFETIME: Duration = Duration::from_secs(60);
+/// Longest wait of a stream for the listing of its version.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest wait for another call about the list of versions.
+const LIST_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval between checks for new versions.
+const RELEASE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between removals of versions from the list.
+const CLEANUP_INTERVAL: Duration = Duration::from_secs(60);
 /// Longest time for which an origin is kept, whatever deadline a caller states.
 const MAX_LIFETIME: Duration = Duration::from_secs(600);
 /// Time that is added to a caller's deadline, for requests on their way and clocks that differ.
@@ -90,13 +111,145 @@
 ///
 /// Returns [`AcquireError::UnknownVersion`] if there are several versions or an unstated one, and
 /// [`AcquireError::NoReply`] if there may be some that this instance doesn't know.
-pub fn only(node: &Node, service: &str) -> Result<Origin, AcquireError> {
+pub async fn only(node: &Rc<Node>, service: &str) -> Result<Origin, AcquireError> {
     let software = node.registry.borrow().only_software(service).cloned();
     let software = software.ok_or(AcquireError::UnknownVersion)?;
     if may_be_outdated(node) {
         return Err(AcquireError::NoReply);
     }
-    Ok(Origin { service: service.to_owned(), software: Some(software) })
+    let release = Release { service: service.to_owned(), software };
+    let needs_list = || node.releases.borrow().needs_list(&release, clock::now());
+    if needs_list() {
+        let turn = tokio::time::timeout(LIST_TIMEOUT, node.release_calls.lock()).await;
+        let _turn = turn.map_err(|_elapsed| AcquireError::NoReply)?;
+        if needs_list() && list_releases(node).await.is_err() {
+            return Err(AcquireError::NoReply);
+        }
+    }
+    if node.releases.borrow().has_others(&release) {
+        return Err(AcquireError::UnknownVersion);
+    }
+    Ok(Origin { service: release.service, software: Some(release.software) })
+}
+
+/// Waits until a version is listed at whose target a stream is about to begin, but not for long: if
+/// the platform is unavailable, the stream begins all the same.
+pub async fn ensure_recorded(node: &Rc<Node>, service: &str, software: Option<&SoftwareVersion>) {
+    let Some(software) = software else {
+        return;
+    };
+    let release = Release { service: service.to_owned(), software: software.clone() };
+    if node.releases.borrow().is_recorded(&release) {
+        return;
+    }
+    let recording = spawn_local(record(node.clone(), release.clone()));
+    let result = tokio::time::timeout(RECORD_TIMEOUT, recording).await;
+    if !matches!(result, Ok(Ok(true))) {
+        node.metrics.count("release.unlisted");
+        slog::info!(node.log, "stream begins at an unlisted version"; "service" => service,
+            "software" => software);
+    }
+}
+
+/// Lists a version on the platform unless it is listed; `false` if that failed.
+async fn record(node: Rc<Node>, release: Release) -> bool {
+    let _turn = node.release_calls.lock().await;
+    let is_listed = node.releases.borrow().is_listed();
+    if !is_listed && list_releases(&node).await.is_err() {
+        return false;
+    }
+    if node.releases.borrow().is_recorded(&release) {
+        return true;
+    }
+    let name = object_name(&release);
+    match node.store.create(CallReason::Release, release::KIND, &name, &release).await {
+        Ok(_) | Err(StoreError::Conflict(_)) => {
+            slog::info!(node.log, "software version listed"; "service" => &release.service,
+                "software" => &release.software);
+            node.releases.borrow_mut().on_recorded(release.clone());
+            broadcast::send(&node, Update::Release(release));
+            true
+        }
+        Err(error) => {
+            slog::info!(node.log, "software version not listed"; "service" => &release.service,
+                "software" => &release.software, "fault" => %error);
+            false
+        }
+    }
+}
+
+/// Reads the list of versions.
+///
+/// # Errors
+///
+/// The failed call of the platform.
+async fn list_releases(node: &Rc<Node>) -> Result<BTreeSet<Release>, StoreError> {
+    // Stamped with the time before the call, since the list is no newer than that.
+    let now = clock::now();
+    let objects = node.store.list_all(CallReason::Release, release::KIND).await?;
+    let releases = objects.iter().filter_map(|object| serde_json::from_str(object.spec.get()).ok());
+    let list: BTreeSet<Release> = releases.collect();
+    node.releases.borrow_mut().on_list(list.clone(), now);
+    Ok(list)
+}
+
+/// Name of a version's object on the platform.
+fn object_name(release: &Release) -> String {
+    let service = hash::bytes(release.service.as_bytes());
+    format!("{service:016x}.{:016x}", hash::bytes(release.software.as_bytes()))
+}
+
+/// Keeps track of the versions that serve, and removes others from the list, until `stop`.
+pub async fn run(node: Rc<Node>, stop: CancellationToken) {
+    let mut registry_version = None;
+    let mut cleaned_at = clock::now();
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(RELEASE_CHECK_INTERVAL) => {}
+            () = stop.cancelled() => return,
+        }
+        let version = node.registry.borrow().version();
+        if registry_version.replace(version) != Some(version) {
+            let present = node.registry.borrow().releases();
+            node.releases.borrow_mut().set_present(present);
+        }
+        if clock::since(cleaned_at) >= CLEANUP_INTERVAL {
+            cleaned_at = clock::now();
+            if is_cleaner(&node) {
+                remove_expired(&node).await;
+            }
+        }
+    }
+}
+
+/// Whether this instance is the one that removes versions from the list.
+fn is_cleaner(node: &Node) -> bool {
+    let members = node.members.borrow();
+    let ids = members.workers().map(|member| member.id);
+    hash::owner(release::KIND.as_bytes(), ids) == Some(members.me().id)
+}
+
+/// Removes versions from the list that have been absent for as long as callers may return.
+async fn remove_expired(node: &Rc<Node>) {
+    let _turn = node.release_calls.lock().await;
+    if list_releases(node).await.is_err() {
+        return;
+    }
+    let retention = MAX_LIFETIME + LIFETIME_MARGIN;
+    let expired = node.releases.borrow_mut().expired(retention, clock::now());
+    for release in expired {
+        let name = object_name(&release);
+        let result = node.store.delete(CallReason::Release, release::KIND, &name, None).await;
+        slog::info!(node.log, "software version removed from the list";
+            "service" => &release.service, "software" => &release.software,
+            "is_removed" => result.is_ok());
+        // It may have come back during the call.
+        let is_back = node.registry.borrow().releases().contains(&release);
+        if is_back {
+            let spec = node.store.create(CallReason::Release, release::KIND, &name, &release).await;
+            slog::info!(node.log, "software version listed again"; "is_listed" => spec.is_ok());
+        }
+    }
 }
 
 /// Whether this instance may lack members or targets that others know.
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -5,8 +5,8 @@
 use super::node::Node;
 use super::peers::{HEARTBEAT_TIMEOUT, PeerHandler};
 use super::{
-    anti_entropy, discovery, handoff, items, job_scan, leases, peers, platform_health, quarantine,
-    quota, suspension, takeover, watch,
+    anti_entropy, discovery, handoff, items, job_scan, leases, origins, peers, platform_health,
+    quarantine, quota, suspension, takeover, watch,
 };
 use crate::clock;
 use crate::start;
@@ -73,6 +73,7 @@
     spawn_local(platform_health::run(node.clone(), stop.clone()));
     spawn_local(suspension::run(node.clone(), stop.clone()));
     spawn_local(discovery::run(node.clone(), stop.clone()));
+    spawn_local(origins::run(node.clone(), stop.clone()));
     spawn_local(anti_entropy::run(node.clone(), stop.clone()));
     spawn_local(leases::report(node.clone(), stop.clone()));
     spawn_local(quota::run(node.clone(), stop.clone()));
--- a/crates/daemon/tests/util/stream_caller.rs
+++ b/crates/daemon/tests/util/stream_caller.rs
@@ -11,6 +11,8 @@
 pub struct Caller {
     pub id: String,
     attempts: u32,
+    /// Whether further attempts name the first one.
+    pub names_attempt: bool,
     /// Whole events of all attempts.
     pub body: String,
 }
@@ -18,7 +20,8 @@
 impl Caller {
     /// Reads a new stream up to event `count`; dropping the connection leaves it.
     pub fn begin(front: SocketAddr, id: &str, count: u64) -> (Caller, TcpStream) {
-        let mut caller = Caller { id: id.to_owned(), attempts: 0, body: String::new() };
+        let mut caller =
+            Caller { id: id.to_owned(), attempts: 0, names_attempt: true, body: String::new() };
         let stream = caller.read_to(front, count);
         (caller, stream)
     }
@@ -34,7 +37,10 @@
         let (id, attempts) = (&self.id, self.attempts);
         let mut headers = headers(&format!("{id}~{attempts}"));
         if let Some(last) = self.last_event_id() {
-            headers.push_str(&format!("\nResumes: {id}~1\nLast-Event-Id: {last}"));
+            headers.push_str(&format!("\nLast-Event-Id: {last}"));
+            if self.names_attempt {
+                headers.push_str(&format!("\nResumes: {id}~1"));
+            }
         }
         (format!("/talk/{id}"), headers)
     }
