Ask whose a target's response is before believing what it says

Change: target_head::classify is the only reader of such a head, in the order whose, then what; a response to another request says nothing of this one. It also decides the race with a replacement, where a foreign 200 kept the silent target.

Why it works: a promise that a request did not run is taken only from a response that bears its id, or none. One without an id counts as before: targets echo ids, so a surplus one has one.

What remains: the own response that follows a surplus one on the same connection is lost, so such a request gets 502.

--- a/crates/daemon/src/gateway/items/run.rs
+++ b/crates/daemon/src/gateway/items/run.rs
@@ -5,9 +5,9 @@
 use crate::gateway::job_table::HeldJob;
 use crate::gateway::leases::Lease;
 use crate::gateway::node::{Node, unix_millis};
-use crate::gateway::online::{belongs_to_request, is_not_run, rejection_outcome};
 use crate::gateway::quarantine;
 use crate::gateway::target_body::TargetBody;
+use crate::gateway::target_head::{self, Verdict};
 use crate::gateway::target_process::TargetProcess;
 use crate::gateway::workload;
 use bytes::Bytes;
@@ -265,14 +265,14 @@
         }
     };
     let head = exchange.head();
-    if is_not_run(head) {
-        return RunEnd::stopped(
-            rejection_outcome(head),
-            format!("rejected with status {}", head.status),
-        );
-    }
-    if !belongs_to_request(&head.headers, &item.id) {
-        return RunEnd::stopped(LeaseOutcome::Interrupted, "response to a different request");
+    match target_head::classify(head, &item.id) {
+        Verdict::Foreign => {
+            return RunEnd::stopped(LeaseOutcome::Interrupted, "response to a different request");
+        }
+        Verdict::NotRun(outcome) => {
+            return RunEnd::stopped(outcome, format!("rejected with status {}", head.status));
+        }
+        Verdict::Run => {}
     }
     let status = head.status;
     if status.is_success() {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -25,7 +25,7 @@
 //! | [`residency`] | regions in which requests and jobs may be |
 //! | [`evacuation`] | data centres whose targets receive nothing |
 //! | [`peers`], [`message`] | membership; messages between instances |
-//! | `target_body` | bodies of targets' responses, and whether they are complete |
+//! | `target_head`, `target_body` | whose a target's response is and what it says; bodies, and whether they are complete |
 //! | [`target_page`] | compact form of many registry entries |
 //! | [`broadcast`], [`anti_entropy`] | updates to all instances; repair of lost ones |
 //! | [`store`], [`job_store`] | the platform's store behind a circuit breaker; stored jobs |
@@ -71,6 +71,7 @@
 pub mod suspension;
 pub mod takeover;
 mod target_body;
+mod target_head;
 pub mod target_page;
 mod target_process;
 pub mod watch;
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -9,7 +9,6 @@
 mod replacement;
 
 pub use attempt::Pending;
-pub use attempt::{belongs_to_request, is_not_run, rejection_outcome};
 pub use replacement::{Replaced, Replacement};
 
 use super::crash::{self, BrokenRequest, hex};
--- a/crates/daemon/src/gateway/online/attempt.rs
+++ b/crates/daemon/src/gateway/online/attempt.rs
@@ -5,12 +5,12 @@
 use crate::clock;
 use crate::gateway::leases::Lease;
 use crate::gateway::target_body::TargetBody;
+use crate::gateway::target_head::{self, Verdict};
 use crate::gateway::target_process::TargetProcess;
 use bytes::Bytes;
 use coordination::slots::{Grant, LeaseOutcome};
 use http_body_util::Full;
-use hyper::http::response::Parts;
-use hyper::{HeaderMap, Request, StatusCode};
+use hyper::{Request, StatusCode};
 use platform::header;
 use protocol::TargetId;
 use protocol::routing::{Class, Route};
@@ -130,6 +130,8 @@
             Err(NoHead::Expired) => Replaced::Expired,
             Err(NoHead::Silent) => {
                 let Pending { sending, lease } = pending;
+                let call = self.call.clone();
+                let has_failed = |result: &SendingResult| has_failed(result, &call.id);
                 self.replace(sending, has_failed, lease, last_event).await
             }
         }
@@ -229,15 +231,17 @@
         is_resumed: bool,
     ) -> Result<TargetResponse, RetryReason> {
         let head = exchange.head();
-        if is_not_run(head) {
-            lease.end(rejection_outcome(head));
-            return Err(RetryReason::NotRun);
-        }
-        if !belongs_to_request(&head.headers, &self.call.id) {
-            lease.end(LeaseOutcome::Interrupted);
-            return Err(RetryReason::MayHaveRun(String::from(
-                "response belongs to another request",
-            )));
+        match target_head::classify(head, &self.call.id) {
+            Verdict::Foreign => {
+                lease.end(LeaseOutcome::Interrupted);
+                let text = String::from("response belongs to another request");
+                return Err(RetryReason::MayHaveRun(text));
+            }
+            Verdict::NotRun(outcome) => {
+                lease.end(outcome);
+                return Err(RetryReason::NotRun);
+            }
+            Verdict::Run => {}
         }
         let status = head.status;
         let must_succeed = self.has_begun || (status.is_server_error() && self.may_retry());
@@ -257,23 +261,13 @@
     result.unwrap_or_else(|error| Err(SendError::OutcomeUnknown(error.to_string())))
 }
 
-/// Whether an exchange brought no response that could be passed on.
-fn has_failed(result: &SendingResult) -> bool {
-    match result {
-        Ok(Ok(exchange)) => is_not_run(exchange.head()) || exchange.head().status.is_server_error(),
-        _ => true,
-    }
-}
-
-/// Whether a response says that the target did not run the request.
-pub fn is_not_run(head: &Parts) -> bool {
-    head.headers.contains_key(header::NOT_RUN) || head.status == StatusCode::MISDIRECTED_REQUEST
-}
-
-/// The lease outcome of a response that says that the request was not run.
-pub fn rejection_outcome(head: &Parts) -> LeaseOutcome {
-    let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
-    if is_misdirected { LeaseOutcome::Misdirected } else { LeaseOutcome::Rejected }
+/// Whether an exchange brought no response to the request `id` that could be passed on.
+fn has_failed(result: &SendingResult, id: &str) -> bool {
+    let Ok(Ok(exchange)) = result else {
+        return true;
+    };
+    let head = exchange.head();
+    target_head::classify(head, id) != Verdict::Run || head.status.is_server_error()
 }
 
 /// The lease outcome of a complete response.
@@ -281,12 +275,6 @@
     if status.is_server_error() { LeaseOutcome::Failed } else { LeaseOutcome::Completed }
 }
 
-/// Whether a response belongs to the request `id`; one without an id is taken to.
-pub fn belongs_to_request(headers: &HeaderMap, id: &str) -> bool {
-    let response_id = header::text(headers, header::REQUEST_ID);
-    response_id.is_empty() || response_id == id
-}
-
 /// Why an attempt failed; another one may follow.
 pub(super) enum RetryReason {
     NotSent(String),
