Go on past targets that refuse connections

Cause: three unreachable targets ended a request, whatever they had cost. A refused connection costs a fraction of a millisecond, one that isn't answered 120 ms.

Change: what counts is the time spent on targets that can't be reached, 300 ms; refused connections don't count, so transport tells them apart.

--- a/crates/daemon/src/gateway/items/run.rs
+++ b/crates/daemon/src/gateway/items/run.rs
@@ -254,7 +254,7 @@
     let sent = node.targets.send(lease.grant.address, request);
     let mut exchange = match tokio::time::timeout(IDLE_TIMEOUT, sent).await {
         Ok(Ok(exchange)) => exchange,
-        Ok(Err(SendError::NotSent(error))) => {
+        Ok(Err(SendError::NotSent(error) | SendError::Refused(error))) => {
             return RunEnd::stopped(LeaseOutcome::Unresponsive, error);
         }
         Ok(Err(SendError::OutcomeUnknown(error))) => {
--- a/crates/daemon/src/gateway/online.rs
+++ b/crates/daemon/src/gateway/online.rs
@@ -34,7 +34,11 @@
 use transport::body::Aborted;
 use transport::server::Body;
 
-/// Number of unreachable targets after which a request is rejected.
+/// Time that a request may spend on targets that can't be reached before it is rejected. Connections
+/// that are refused don't count.
+const MAX_CONNECTING_TIME: Duration = Duration::from_millis(300);
+/// Number of unreachable targets after which waiting for a slot counts towards that time, since the
+/// others may be unreachable too.
 const MAX_UNREACHABLE_TARGETS: u32 = 3;
 /// Retry delay sent to the caller when none is known from an allocator.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -61,6 +65,8 @@
     pub registry: Revision,
     /// Number of targets that couldn't be reached since the last start of [`ProxiedRequest::forward`].
     pub unreachable: u32,
+    /// Time spent on them.
+    pub connecting: Duration,
     /// Whether the caller has the head of the response, which only success can complete.
     pub has_begun: bool,
     /// Targets of failed attempts.
@@ -126,6 +132,7 @@
         slot_wait: Cell::default(),
         registry: 0,
         unreachable: 0,
+        connecting: Duration::ZERO,
         has_begun: false,
         excluded: Vec::new(),
         silent: Vec::new(),
@@ -215,6 +222,7 @@
         last_event: Option<u64>,
     ) -> Result<TargetResponse, ForwardError> {
         self.unreachable = 0;
+        self.connecting = Duration::ZERO;
         let lease = self.acquire_next(last_event).await;
         self.forward_on(lease, last_event).await
     }
@@ -235,10 +243,20 @@
                 Ok(response) => return Ok(response),
                 Err(failed) => self.on_failed(failed)?,
             }
-            lease = self.acquire_next(last_event).await;
+            lease = self.acquire_again(last_event).await;
         }
     }
 
+    /// Acquires a lease after a failed attempt.
+    async fn acquire_again(&mut self, last_event: Option<u64>) -> Result<Lease, AcquireError> {
+        if self.unreachable < MAX_UNREACHABLE_TARGETS {
+            return self.acquire_next(last_event).await;
+        }
+        let remaining = MAX_CONNECTING_TIME.saturating_sub(self.connecting);
+        let lease = tokio::time::timeout(remaining, self.acquire_next(last_event)).await;
+        lease.unwrap_or(Err(AcquireError::Full(RETRY_AFTER)))
+    }
+
     /// As [`ProxiedRequest::forward`], for a request that was sent to the replacement of a silent
     /// target.
     ///
@@ -283,7 +301,7 @@
         match reason {
             RetryReason::NotSent(_) => {
                 self.unreachable += 1;
-                if self.unreachable >= MAX_UNREACHABLE_TARGETS {
+                if self.connecting >= MAX_CONNECTING_TIME {
                     return Err(self.reject(AcquireError::Full(RETRY_AFTER)));
                 }
             }
--- a/crates/daemon/src/gateway/online/attempt.rs
+++ b/crates/daemon/src/gateway/online/attempt.rs
@@ -210,10 +210,14 @@
         is_resumed: bool,
     ) -> Result<TargetResponse, RetryReason> {
         match result {
-            Err(SendError::NotSent(text)) => {
+            Err(error @ (SendError::NotSent(_) | SendError::Refused(_))) => {
                 self.attempts -= 1;
+                // A refusal comes at once, unless this instance is slow.
+                if matches!(error, SendError::NotSent(_)) {
+                    self.connecting += lease.silence();
+                }
                 lease.end(LeaseOutcome::Unresponsive);
-                Err(RetryReason::NotSent(text))
+                Err(RetryReason::NotSent(error.to_string()))
             }
             Err(SendError::OutcomeUnknown(text)) => {
                 self.on_interrupted(&lease.grant, false);
--- a/crates/daemon/src/gateway/online/replacement.rs
+++ b/crates/daemon/src/gateway/online/replacement.rs
@@ -70,6 +70,7 @@
     /// other attempt.
     async fn find_replacement(&mut self, last_event: Option<u64>) -> Option<Replacement> {
         self.unreachable = 0;
+        self.connecting = Duration::ZERO;
         loop {
             let lease = self.acquire_patiently(last_event).await.ok()?;
             match self.try_replacement(lease, last_event).await {
@@ -86,8 +87,13 @@
     ) -> Result<Replacement, FailedAttempt> {
         let grant = lease.grant.clone();
         let failed = |reason| FailedAttempt::new(&grant, reason);
+        let since = clock::now();
         // The connection is kept for the request, so that the overlap begins with its run.
-        if self.node.targets.probe(lease.grant.address).await != Presence::Listening {
+        let presence = self.node.targets.probe(lease.grant.address).await;
+        if presence != Presence::Listening {
+            if presence != Presence::Refused {
+                self.connecting += clock::since(since);
+            }
             lease.end(LeaseOutcome::Unresponsive);
             return Err(failed(RetryReason::NotSent(String::from("can't be reached"))));
         }
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -77,6 +77,8 @@
 pub enum SendError {
     /// No byte of the request was sent.
     NotSent(String),
+    /// The same, because nobody listens at the address.
+    Refused(String),
     /// The request was sent at least in part, but there is no response.
     OutcomeUnknown(String),
 }
@@ -84,7 +86,7 @@
 impl std::fmt::Display for SendError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            SendError::NotSent(text) => write!(f, "not sent: {text}"),
+            SendError::NotSent(text) | SendError::Refused(text) => write!(f, "not sent: {text}"),
             SendError::OutcomeUnknown(text) => write!(f, "sent, no response: {text}"),
         }
     }
@@ -258,6 +260,9 @@
     async fn open(&self, to: SocketAddr) -> Result<Connection, SendError> {
         match connect(to, self.settings.connect_timeout).await {
             Ok(stream) => self.handshake(stream).await,
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+                Err(SendError::Refused(format!("{to}: {error}")))
+            }
             Err(error) => Err(SendError::NotSent(format!("{to}: {error}"))),
         }
     }
