Accept no job at a limit before the jobs that wait are known

What callers saw: nothing at once; after all gateways were killed and came back, jobs were accepted beyond their route's limit (QUOTA), in the first second or so.

An instance that has just started knows no job, and counted no waiting tokens.

Change: an instance knows which ranges of job names were read from the platform since it started, by itself or by an instance whose statuses it has fetched; the states that instances compare tell that. Until it knows all of them it rejects submissions on routes with a limit with 503 and a delay of 0.5 s, after asking others as for any submission that it can't keep; for 5 s at most. Jobs stored without a version of the configuration keep the form that earlier builds read.

--- a/crates/daemon/src/gateway/job_table.rs
+++ b/crates/daemon/src/gateway/job_table.rs
@@ -7,6 +7,7 @@
 use super::{broadcast, job_writer, peers, takeover};
 use crate::clock;
 use coordination::membership::Member;
+use coordination::range_scan::{ALL_RANGES, RangeSet};
 use coordination::reservations::Reservation;
 use coordination::route_watch::Watch;
 use coordination::run_time::Estimate;
@@ -37,6 +38,8 @@
 const MAX_ITEM_DELAY: Duration = Duration::from_secs(3);
 /// Items of crashed targets wait for slots anyway, so their delays need no random part.
 const MAX_JITTER: f64 = 1.0;
+/// Time after the start in which it matters that the jobs aren't known.
+const MAX_UNKNOWN_TIME: Duration = Duration::from_secs(5);
 const FETCH_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// A job in this instance's memory.
@@ -124,6 +127,9 @@
     /// Hand-offs received for jobs whose takeover is in progress.
     pub(super) pending_takeovers: RefCell<HashMap<JobId, Vec<Handoff>>>,
     pub(super) acquiring: RefCell<HashSet<(String, ServiceId)>>,
+    /// Names of jobs that were read from the platform since the start, here or by an instance whose
+    /// statuses were fetched.
+    pub(super) scanned: Cell<RangeSet>,
     /// Tokens of submissions whose outcome isn't known.
     pub(super) reservations: RefCell<reservations::Table>,
 }
@@ -170,6 +176,12 @@
         self.directory.borrow().get(job).map(|status| status.workspace.clone())
     }
 
+    /// Whether the jobs are known that were accepted before the start. Before, that none waits says
+    /// nothing. If nobody can tell for long, the jobs that are known count.
+    pub fn is_known(&self, uptime: Duration) -> bool {
+        self.scanned.get() == ALL_RANGES || uptime >= MAX_UNKNOWN_TIME
+    }
+
     /// Handles a reservation of another instance, which ends it with a lifetime of zero.
     pub fn on_reservation(&self, reservation: Reservation, lifetime: Duration, now: Instant) {
         let mut reservations = self.reservations.borrow_mut();
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -9,6 +9,7 @@
 use coordination::parts::{Manifest, PartDigest};
 use coordination::quarantine::CrashReport;
 use coordination::quota::{Report, Snapshot};
+use coordination::range_scan::RangeSet;
 use coordination::registry::Change;
 use coordination::releases::Release;
 use coordination::reservations::Reservation;
@@ -130,6 +131,10 @@
     /// Digest of the evacuations; `None` from a version of the program without evacuations.
     #[serde(default)]
     pub evacuations: Option<EvacuationDigest>,
+    /// Names of jobs that were read since the start; `None` from a version of the program that
+    /// doesn't tell.
+    #[serde(default)]
+    pub scanned_jobs: Option<RangeSet>,
 }
 
 /// Whether an instance can reach the platform.
--- a/crates/daemon/src/gateway/submit.rs
+++ b/crates/daemon/src/gateway/submit.rs
@@ -66,7 +66,9 @@
     match outcome {
         SubmitOutcome::Accepted => text_response(202, "accepted"),
         SubmitOutcome::Full => retry_later(Kind::CallerLimit, "too many tokens wait on the route"),
-        SubmitOutcome::Rejected => retry_later(Kind::PlatformUnavailable, "the platform is away"),
+        SubmitOutcome::Rejected => {
+            retry_later(Kind::PlatformUnavailable, "the job can't be kept now")
+        }
         SubmitOutcome::Unknown => text_response(502, "nobody can say whether the job is kept"),
         SubmitOutcome::Malformed => text_response(400, "the submission can't be understood"),
         SubmitOutcome::NotFound => text_response(404, "no such job"),
@@ -201,6 +203,10 @@
         config: node.config().map_or(0, |config| config.table.version),
         items,
     };
+    if terms.max_queued_tokens > 0 && !node.knows_jobs() {
+        slog::info!(node.log, "submission before the jobs are known"; "job" => id);
+        return SubmitOutcome::Rejected;
+    }
     let waiting = node.jobs.waiting_tokens(node, &route.name, caller, id);
     if terms.max_queued_tokens > 0 && waiting + job.tokens() > terms.max_queued_tokens {
         slog::info!(node.log, "submission exceeds the token limit";
--- a/crates/daemon/tests/gateway_acceptance.rs
+++ b/crates/daemon/tests/gateway_acceptance.rs
@@ -154,3 +154,22 @@
     fleet.restart(2);
     wait_until("its item has run", || !fleet.runs("/batch/x").is_empty());
 }
+
+/// An instance that has just started knows of no job, which doesn't mean that none waits.
+#[test]
+fn tokens_are_counted_though_all_instances_were_killed() {
+    let plan = Plan { max_queued_tokens: MAX_QUEUED_TOKENS, ..slow_plan() };
+    let mut fleet = Fleet::start(plan);
+    fleet.runners.iter().for_each(|runner| runner.set_event_count(ENDLESS));
+    assert_eq!(fleet.submit(1, "first", &FIRST).status, 202);
+    fleet.gateways.iter_mut().for_each(|gateway| gateway.kill());
+    (0..3).for_each(|n| fleet.restart(n));
+    for n in 0..3 {
+        let job = format!("early-{n}");
+        wait_until("there is an answer", || {
+            let status = fleet.submit(n, &job, &["x", "y", "z"]).status;
+            assert_ne!(status, 202, "instance {n}");
+            status == 429
+        });
+    }
+}
--- a/crates/state/src/progress/job.rs
+++ b/crates/state/src/progress/job.rs
@@ -73,12 +73,16 @@
     pub workspace: Option<WorkspaceId>,
     /// Version of the configuration under which it was accepted; 0 if it was stored by a version
     /// that kept none.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_unknown")]
     pub config: Version,
     /// Items in the order of submission.
     pub items: Vec<Item>,
 }
 
+fn is_unknown(version: &Version) -> bool {
+    *version == 0
+}
+
 impl Job {
     /// A job with the given item ids, for examples and tests.
     pub fn example(id: &str, items: &[&str]) -> Job {
