--- a/crates/daemon/src/gateway/anti_entropy.rs
+++ b/crates/daemon/src/gateway/anti_entropy.rs
@@ -1,10 +1,11 @@
 //! Periodic state comparison with a random other instance, which repairs lost updates.
 
 use super::broadcast;
+use super::digest::StateDigest;
 use super::discovery;
 use super::evacuation;
 use super::job_table;
-use super::message::{JobFilter, PeerReply, PeerRequest, StateDigest};
+use super::message::{JobFilter, PeerReply, PeerRequest};
 use super::node::Node;
 use super::peers;
 use super::platform_health;
--- a/crates/daemon/src/gateway/handoff.rs
+++ b/crates/daemon/src/gateway/handoff.rs
@@ -5,8 +5,8 @@
 //! holder named by a write whose response was lost doesn't know that it has the job.
 
 use super::call_reason::CallReason;
+use super::held_job::HeldJob;
 use super::job_store;
-use super::job_table::HeldJob;
 use super::job_writer;
 use super::message::{PeerReply, PeerRequest, Update};
 use super::node::Node;
--- a/crates/daemon/src/gateway/items.rs
+++ b/crates/daemon/src/gateway/items.rs
@@ -2,7 +2,8 @@
 
 mod run;
 
-use super::job_table::{HeldJob, route_of};
+use super::held_job::HeldJob;
+use super::job_table::route_of;
 use super::leases::{self, Lease};
 use super::node::{Node, slot_policy, unix_millis};
 use super::{residency, workload};
--- a/crates/daemon/src/gateway/items/run.rs
+++ b/crates/daemon/src/gateway/items/run.rs
@@ -2,7 +2,7 @@
 
 use crate::clock;
 use crate::gateway::crash::{self, BrokenRequest, hex};
-use crate::gateway::job_table::HeldJob;
+use crate::gateway::held_job::HeldJob;
 use crate::gateway::leases::Lease;
 use crate::gateway::node::{Node, unix_millis};
 use crate::gateway::quarantine;
--- a/crates/daemon/src/gateway/job_scan.rs
+++ b/crates/daemon/src/gateway/job_scan.rs
@@ -6,10 +6,12 @@
 
 use super::broadcast;
 use super::call_reason::CallReason;
-use super::job_store::{self, JobSummary};
-use super::job_table::{self, HeldJob};
+use super::held_job::HeldJob;
+use super::job_store;
+use super::job_table;
 use super::message::{JobStatus, PeerRequest, Update};
 use super::node::{Node, unix_millis};
+use super::stored_job::JobSummary;
 use super::takeover::{self, MEMBERSHIP_WARM_UP};
 use crate::clock;
 use coordination::membership::State;
--- a/crates/daemon/src/gateway/job_table.rs
+++ b/crates/daemon/src/gateway/job_table.rs
@@ -1,21 +1,20 @@
 //! Batch jobs known to this instance: those it holds, and the reported status of all
 //! others.
 
-use super::job_store::{Overflow, StoredJob};
+use super::held_job::HeldJob;
 use super::message::{JobFilter, JobStatus, PeerReply, PeerRequest, Update};
 use super::node::Node;
+use super::stored_job::StoredJob;
 use super::{broadcast, job_writer, peers, takeover};
 use crate::clock;
 use coordination::membership::Member;
 use coordination::range_scan::{ALL_RANGES, RangeSet};
 use coordination::reservations::Reservation;
-use coordination::route_watch::Watch;
 use coordination::run_time::Estimate;
-use coordination::slots::LeaseOutcome;
-use coordination::{hash, reservations, retry};
+use coordination::{hash, reservations};
 use protocol::routing::{Class, Route};
 use protocol::{ServiceId, WorkspaceId};
-use state::progress::{Handoff, ItemId, Job, JobId, JobState};
+use state::progress::{Handoff, Job, JobId};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -23,7 +22,6 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio_util::sync::CancellationToken;
 
 /// Statuses that change within this window are broadcast in one message.
 const STATUS_BATCH_WINDOW: Duration = Duration::from_millis(60);
@@ -31,83 +29,10 @@
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(60);
 /// Attempts per item when the job's route is no longer configured.
 const DEFAULT_MAX_ATTEMPTS: u32 = 3;
-/// Delay before an item that was rejected may run again.
-const REJECTED_ITEM_DELAY: Duration = Duration::from_millis(100);
-/// Delay after the first interrupted run of an item, and the longest one after several.
-const INTERRUPTED_ITEM_DELAY: Duration = Duration::from_millis(200);
-const MAX_ITEM_DELAY: Duration = Duration::from_secs(3);
-/// Items of crashed targets wait for slots anyway, so their delays need no random part.
-const MAX_JITTER: f64 = 1.0;
 /// Time after the start in which it matters that the jobs aren't known.
 const MAX_UNKNOWN_TIME: Duration = Duration::from_secs(5);
 const FETCH_RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// A job in this instance's memory.
-pub struct HeldJob {
-    /// Items, results and progress.
-    pub state: RefCell<JobState>,
-    /// Revision of the job's object that this instance last read or wrote.
-    pub revision: Cell<u64>,
-    /// Parts of the job stored in overflow objects.
-    pub overflow: RefCell<Overflow>,
-    /// When each unfinished item was first started here.
-    pub(super) first_started: RefCell<HashMap<ItemId, Instant>>,
-    /// How often the runs of each unfinished item were interrupted here.
-    pub(super) interruptions: RefCell<HashMap<ItemId, u32>>,
-    /// Notified when results or the end of the job have become durable.
-    pub changed: Notify,
-    /// Notified when there is something to write.
-    pub(super) dirty: Notify,
-    /// Arrival of the oldest unwritten result; `None` if all are written.
-    pub(super) oldest_unwritten: Cell<Option<Instant>>,
-    /// Arrival of the oldest unwritten result that is a failure.
-    pub(super) oldest_failure: Cell<Option<Instant>>,
-    /// When the platform last confirmed that this instance holds the job.
-    pub(super) confirmed_at: Cell<Instant>,
-    /// Whether the job's route was removed.
-    pub(super) route: RefCell<Watch>,
-    /// Cancelled when the submitter ends the job; stops its runs.
-    pub(super) ended: CancellationToken,
-    /// Cancelled when this instance stops holding the job; stops its runs.
-    pub released: CancellationToken,
-    /// Whether the job is finished and held only to serve reads.
-    pub is_read_only: bool,
-}
-
-impl HeldJob {
-    /// Stops all runs because the job has ended.
-    pub fn stop_runs(&self) {
-        self.ended.cancel();
-    }
-
-    /// Schedules a write of what has changed.
-    pub fn mark_dirty(&self) {
-        let now = clock::now();
-        let state = self.state.borrow();
-        let since = |is_any: bool, current: Option<Instant>| is_any.then(|| current.unwrap_or(now));
-        self.oldest_unwritten.set(since(state.unwritten() > 0, self.oldest_unwritten.get()));
-        self.oldest_failure.set(since(state.has_unwritten_failure(), self.oldest_failure.get()));
-        self.dirty.notify_one();
-    }
-
-    /// How long an item waits before its next run, after one that was interrupted or rejected.
-    /// Each interruption makes the wait longer, since the item may be what crashes targets.
-    pub(super) fn next_retry_delay(&self, item: &str, outcome: LeaseOutcome) -> Duration {
-        if outcome != LeaseOutcome::Interrupted {
-            return REJECTED_ITEM_DELAY;
-        }
-        let mut interruptions = self.interruptions.borrow_mut();
-        let count = interruptions.entry(item.to_owned()).or_default();
-        *count += 1;
-        retry::backoff(*count, INTERRUPTED_ITEM_DELAY, MAX_ITEM_DELAY, MAX_JITTER)
-    }
-
-    /// The platform has just confirmed the holder.
-    pub(super) fn on_confirmed(&self, now: Instant) {
-        self.confirmed_at.set(now);
-    }
-}
-
 /// All jobs known to this instance.
 #[derive(Default)]
 pub struct JobTable {
@@ -277,34 +202,16 @@
 /// Loads a job into memory and starts it unless it is finished. One that is held already stays as
 /// it is.
 pub fn hold(node: &Rc<Node>, stored_job: StoredJob) -> Rc<HeldJob> {
-    let StoredJob { job, progress, overflow, revision } = stored_job;
-    let id = job.id.clone();
+    let id = stored_job.job.id.clone();
     let is_active = |held: &Rc<HeldJob>| !held.is_read_only && !held.released.is_cancelled();
     if let Some(held) = node.jobs.held_job(&id).filter(is_active) {
         return held;
     }
-    let attempts = route_of(node, &job).map_or(DEFAULT_MAX_ATTEMPTS, |route| route.max_attempts);
-    let accepted_at = Some(job.config).filter(|version| *version > 0);
-    let state = JobState::new(job, progress, attempts);
-    let is_read_only = state.is_finished();
-    let held = Rc::new(HeldJob {
-        state: RefCell::new(state),
-        revision: Cell::new(revision),
-        overflow: RefCell::new(overflow),
-        first_started: RefCell::default(),
-        interruptions: RefCell::default(),
-        changed: Notify::new(),
-        dirty: Notify::new(),
-        oldest_unwritten: Cell::new(None),
-        oldest_failure: Cell::new(None),
-        confirmed_at: Cell::new(clock::now()),
-        route: RefCell::new(Watch::new(accepted_at)),
-        ended: CancellationToken::new(),
-        released: CancellationToken::new(),
-        is_read_only,
-    });
+    let attempts =
+        route_of(node, &stored_job.job).map_or(DEFAULT_MAX_ATTEMPTS, |route| route.max_attempts);
+    let held = Rc::new(HeldJob::new(stored_job, attempts, clock::now()));
     node.jobs.held.borrow_mut().insert(id, held.clone());
-    if !is_read_only {
+    if !held.is_read_only {
         spawn_local(job_writer::write_loop(node.clone(), held.clone()));
         announce(node, &held);
         node.jobs.wake();
--- a/crates/daemon/src/gateway/job_writer.rs
+++ b/crates/daemon/src/gateway/job_writer.rs
@@ -3,9 +3,11 @@
 
 use super::call_reason::CallReason;
 use super::handoff;
-use super::job_store::{self, LoadError, StoredJob};
-use super::job_table::{self, HeldJob};
+use super::held_job::HeldJob;
+use super::job_store;
+use super::job_table;
 use super::node::{Node, unix_millis};
+use super::stored_job::{LoadError, StoredJob};
 use crate::clock;
 use coordination::flush;
 use platform::job;
--- a/crates/daemon/src/gateway/jobs.rs
+++ b/crates/daemon/src/gateway/jobs.rs
@@ -4,10 +4,11 @@
 
 use super::call_reason::CallReason;
 use super::front::{error_response, set_header, text_response};
-use super::job_store::{self, StoredJob};
-use super::job_table::HeldJob;
+use super::held_job::HeldJob;
+use super::job_store;
 use super::message::{PeerReply, PeerRequest, Update};
 use super::node::Node;
+use super::stored_job::StoredJob;
 use super::{broadcast, submit};
 use crate::clock;
 use hyper::{HeaderMap, Response};
--- a/crates/daemon/src/gateway/jobs/lookup.rs
+++ b/crates/daemon/src/gateway/jobs/lookup.rs
@@ -2,10 +2,12 @@
 
 use crate::clock;
 use crate::gateway::call_reason::CallReason;
-use crate::gateway::job_store::{self, LoadError, StoredJob};
-use crate::gateway::job_table::{self, HeldJob};
+use crate::gateway::held_job::HeldJob;
+use crate::gateway::job_store;
+use crate::gateway::job_table;
 use crate::gateway::message::{PeerReply, PeerRequest};
 use crate::gateway::node::Node;
+use crate::gateway::stored_job::{LoadError, StoredJob};
 use crate::gateway::{access, takeover};
 use state::progress::{Handoff, Job, Progress};
 use std::rc::Rc;
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -4,10 +4,10 @@
 
 use super::broadcast::Outbox;
 use super::crash::CrashChecks;
+use super::digest::{Connectivity, StateDigest, Uptime};
 use super::in_flight;
 use super::job_table::JobTable;
 use super::leases::Leases;
-use super::message::{Connectivity, StateDigest, Uptime};
 use super::metrics::Metrics;
 use super::quarantine;
 use super::quota::Quotas;
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -4,7 +4,8 @@
 
 pub(super) use join::compare_members;
 
-use super::message::{Connectivity, PeerReply, PeerRequest, StateDigest, decode, encode};
+use super::digest::{Connectivity, StateDigest};
+use super::message::{PeerReply, PeerRequest, decode, encode};
 use super::node::Node;
 use super::target_page::TargetPage;
 use super::{
--- a/crates/daemon/src/gateway/platform_health.rs
+++ b/crates/daemon/src/gateway/platform_health.rs
@@ -9,7 +9,7 @@
 //! call.
 
 use super::call_reason::CallReason;
-use super::message::Connectivity;
+use super::digest::Connectivity;
 use super::node::Node;
 use crate::clock;
 use coordination::connectivity::Uptime;
--- a/crates/daemon/src/gateway/submit.rs
+++ b/crates/daemon/src/gateway/submit.rs
@@ -3,9 +3,10 @@
 
 use super::call_reason::CallReason;
 use super::front::{CallerRequest, error_response, text_response};
-use super::job_store::{self, Overflow, StoredJob};
+use super::job_store;
 use super::message::{PeerReply, PeerRequest, SubmitOutcome};
 use super::node::{Node, unix_millis};
+use super::stored_job::{Overflow, StoredJob};
 use super::{access, handoff, job_table, platform_health, residency};
 use crate::clock;
 use bytes::Bytes;
--- a/crates/daemon/src/gateway/takeover.rs
+++ b/crates/daemon/src/gateway/takeover.rs
@@ -6,12 +6,14 @@
 
 use super::call_reason::CallReason;
 use super::handoff;
-use super::job_store::{self, LoadError, StoredJob};
-use super::job_table::{self, HeldJob};
+use super::held_job::HeldJob;
+use super::job_store;
+use super::job_table;
 use super::job_writer;
 use super::message::{JobStatus, PeerReply, PeerRequest};
 use super::node::Node;
 use super::residency;
+use super::stored_job::{LoadError, StoredJob};
 use crate::clock;
 use coordination::hash;
 use coordination::membership::{Member, MemberTable, State};
