Call unconfirmed submissions pending jobs; count them until they are reported

"Reservation" already names the charge of a quota token that is due shortly. And between the moment at which a pending job was found stored and the report of its holder (60 to 210 ms) its tokens counted nowhere again; a job that is stored now counts until the time limit of the entry, or the report, whichever comes first.

--- a/crates/coordination/src/reservations.rs
+++ b/crates/coordination/src/pending_jobs.rs
@@ -5,13 +5,13 @@
 //! reserved meanwhile, so that no other job is accepted in its place.
 //!
 //! ```
-//! use coordination::reservations::{Reservation, Table};
+//! use coordination::pending_jobs::{Submission, Table};
 //! use std::time::{Duration, Instant};
 //!
 //! let now = Instant::now();
-//! let reservation = Reservation { job: "7c41".into(), route: "night".into(), workspace: None, tokens: 940 };
+//! let submission = Submission { job: "7c41".into(), route: "night".into(), workspace: None, tokens: 940 };
 //! let mut table = Table::default();
-//! table.insert(reservation, Some(now + Duration::from_secs(5)));
+//! table.insert(submission, Some(now + Duration::from_secs(5)));
 //! assert_eq!(table.tokens("night", None, |_| true, now), 940);
 //! assert_eq!(table.tokens("night", None, |_| true, now + Duration::from_secs(6)), 0);
 //! ```
@@ -21,9 +21,9 @@
 use std::collections::HashMap;
 use std::time::Instant;
 
-/// Tokens of a job that may be stored.
+/// A submission whose job may be stored.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Reservation {
+pub struct Submission {
     /// Id of the job.
     pub job: JobId,
     /// Route on which it was submitted.
@@ -34,46 +34,53 @@
     pub tokens: u64,
 }
 
-/// Reservations of this instance and of others, by job.
+/// Submissions that are pending at this instance and at others, by job.
 #[derive(Clone, Debug, Default)]
 pub struct Table(HashMap<JobId, Stored>);
 
 #[derive(Clone, Debug)]
 struct Stored {
-    reservation: Reservation,
-    /// `None` until the reservation is removed.
+    submission: Submission,
+    /// `None` until the job is removed.
     expires: Option<Instant>,
 }
 
 impl Table {
-    /// Adds a reservation, which counts until `expires` or, with `None`, until it is removed. One
+    /// Adds a job, which counts until `expires` or, with `None`, until it is removed. One
     /// that expires doesn't replace one that doesn't.
-    pub fn insert(&mut self, reservation: Reservation, expires: Option<Instant>) {
+    pub fn insert(&mut self, submission: Submission, expires: Option<Instant>) {
         let is_permanent = |stored: &Stored| stored.expires.is_none();
-        if expires.is_some() && self.0.get(&reservation.job).is_some_and(is_permanent) {
+        if expires.is_some() && self.0.get(&submission.job).is_some_and(is_permanent) {
             return;
         }
-        self.0.insert(reservation.job.clone(), Stored { reservation, expires });
+        self.0.insert(submission.job.clone(), Stored { submission, expires });
     }
 
-    /// The reservation of a job; `None` if there is none.
-    pub fn get(&self, job: &str) -> Option<&Reservation> {
-        self.0.get(job).map(|stored| &stored.reservation)
+    /// The submission of a job; `None` if none is pending.
+    pub fn get(&self, job: &str) -> Option<&Submission> {
+        self.0.get(job).map(|stored| &stored.submission)
     }
 
-    /// Removes the reservation of a job.
+    /// Lets a job that doesn't expire count until `expires`.
+    pub fn expire(&mut self, job: &str, expires: Instant) {
+        if let Some(stored) = self.0.get_mut(job) {
+            stored.expires.get_or_insert(expires);
+        }
+    }
+
+    /// Removes a job.
     pub fn remove(&mut self, job: &str) {
         self.0.remove(job);
     }
 
-    /// Removes the reservation of a job that another instance has made.
+    /// Removes a job that another instance has announced.
     pub fn remove_expiring(&mut self, job: &str) {
         if self.0.get(job).is_some_and(|stored| stored.expires.is_some()) {
             self.0.remove(job);
         }
     }
 
-    /// Removes the reservations that have expired.
+    /// Removes the jobs that have expired.
     pub fn remove_expired(&mut self, now: Instant) {
         self.0.retain(|_, stored| stored.expires.is_none_or(|expires| now < expires));
     }
@@ -87,12 +94,12 @@
         now: Instant,
     ) -> u64 {
         let current = self.0.values().filter(|stored| stored.expires.is_none_or(|at| now < at));
-        let reservations = current.map(|stored| &stored.reservation);
-        let matching = reservations.filter(|reservation| {
-            reservation.route == route
-                && reservation.workspace.as_deref() == workspace
-                && is_counted(&reservation.job)
+        let pending_jobs = current.map(|stored| &stored.submission);
+        let matching = pending_jobs.filter(|submission| {
+            submission.route == route
+                && submission.workspace.as_deref() == workspace
+                && is_counted(&submission.job)
         });
-        matching.map(|reservation| reservation.tokens).sum()
+        matching.map(|submission| submission.tokens).sum()
     }
 }
--- a/crates/daemon/src/gateway/broadcast.rs
+++ b/crates/daemon/src/gateway/broadcast.rs
@@ -152,9 +152,9 @@
             node.releases.borrow_mut().on_recorded(release);
             true
         }
-        Update::Reservation(reservation, lifetime_ms) => {
+        Update::PendingJob(pending, lifetime_ms) => {
             let lifetime = Duration::from_millis(lifetime_ms);
-            node.jobs.on_reservation(reservation, lifetime, clock::now());
+            node.jobs.on_pending(pending, lifetime, clock::now());
             true
         }
     }
--- a/crates/daemon/src/gateway/handoff.rs
+++ b/crates/daemon/src/gateway/handoff.rs
@@ -36,8 +36,8 @@
 const MAX_SETTLE_DELAY: Duration = Duration::from_secs(2);
 /// Time after which a write whose response was lost isn't done any more.
 const WRITE_SETTLING_PERIOD: Duration = Duration::from_secs(3);
-/// How long a reservation counts at the other instances, unless it is repeated.
-const RESERVATION_LIFETIME: Duration = Duration::from_secs(15);
+/// How long a pending job counts at the other instances, unless it is repeated.
+const PENDING_LIFETIME: Duration = Duration::from_secs(15);
 
 /// Hands off all jobs to other instances until `stop`, including partial output of their runs.
 /// A takeover in progress may still bring jobs after the first ones are handed off.
@@ -230,9 +230,9 @@
             hand_off_with_retry(&node, &id, &Handoff::default()).await;
             break None;
         }
-        if announced.is_none_or(|at| clock::since(at) >= RESERVATION_LIFETIME / 3) {
+        if announced.is_none_or(|at| clock::since(at) >= PENDING_LIFETIME / 3) {
             announced = Some(clock::now());
-            announce_reservation(&node, &id);
+            announce_pending(&node, &id);
         }
         match try_notify_holder(&node, &id).await {
             Ok(Fate::Stored) => break Some(true),
@@ -246,7 +246,11 @@
     };
     slog::info!(node.log, "fate of a submission known"; "job" => &id, "is_stored" => is_stored,
         "after_ms" => clock::since(since).as_millis() as u64);
-    release_reservation(&node, &id);
+    match is_stored {
+        Some(false) => release_pending(&node, &id),
+        // Until its holder has reported it.
+        _ => keep_pending(&node, &id),
+    }
 }
 
 /// Waits for the platform's back-off and at least `delay`, but not for a stop.
@@ -294,20 +298,25 @@
     }
 }
 
-/// Tells the other instances of a reservation made here.
-pub fn announce_reservation(node: &Rc<Node>, id: &str) {
-    let reservation = node.jobs.reservations.borrow().get(id).cloned();
-    if let Some(reservation) = reservation {
-        let lifetime_ms = RESERVATION_LIFETIME.as_millis() as u64;
-        broadcast::send(node, Update::Reservation(reservation, lifetime_ms));
+/// Tells the other instances of a job that is pending here.
+pub fn announce_pending(node: &Rc<Node>, id: &str) {
+    let pending = node.jobs.pending.borrow().get(id).cloned();
+    if let Some(pending) = pending {
+        let lifetime_ms = PENDING_LIFETIME.as_millis() as u64;
+        broadcast::send(node, Update::PendingJob(pending, lifetime_ms));
     }
 }
 
-/// Ends a reservation made here, also at the other instances.
-pub fn release_reservation(node: &Rc<Node>, id: &str) {
-    let reservation = node.jobs.reservations.borrow().get(id).cloned();
-    if let Some(reservation) = reservation {
-        node.jobs.reservations.borrow_mut().remove(id);
-        broadcast::send(node, Update::Reservation(reservation, 0));
+/// Lets a job that was pending here count until its holder must have reported it.
+pub fn keep_pending(node: &Node, id: &str) {
+    node.jobs.pending.borrow_mut().expire(id, clock::now() + PENDING_LIFETIME);
+}
+
+/// Ends the count of a job that was pending here and isn't stored, also at the other instances.
+pub fn release_pending(node: &Rc<Node>, id: &str) {
+    let pending = node.jobs.pending.borrow().get(id).cloned();
+    if let Some(pending) = pending {
+        node.jobs.pending.borrow_mut().remove(id);
+        broadcast::send(node, Update::PendingJob(pending, 0));
     }
 }
--- a/crates/daemon/src/gateway/job_table.rs
+++ b/crates/daemon/src/gateway/job_table.rs
@@ -8,10 +8,10 @@
 use super::{broadcast, job_writer, peers, takeover};
 use crate::clock;
 use coordination::membership::Member;
+use coordination::pending_jobs::Submission;
 use coordination::range_scan::{ALL_RANGES, RangeSet};
-use coordination::reservations::Reservation;
 use coordination::run_time::Estimate;
-use coordination::{hash, reservations};
+use coordination::{hash, pending_jobs};
 use protocol::routing::{Class, Route};
 use protocol::{ServiceId, WorkspaceId};
 use state::progress::{Handoff, Job, JobId};
@@ -56,7 +56,7 @@
     /// statuses were fetched.
     pub(super) scanned: Cell<RangeSet>,
     /// Tokens of submissions whose outcome isn't known.
-    pub(super) reservations: RefCell<reservations::Table>,
+    pub(super) pending: RefCell<pending_jobs::Table>,
 }
 
 impl JobTable {
@@ -107,14 +107,14 @@
         self.scanned.get() == ALL_RANGES || uptime >= MAX_UNKNOWN_TIME
     }
 
-    /// Handles a reservation of another instance, which ends it with a lifetime of zero.
-    pub fn on_reservation(&self, reservation: Reservation, lifetime: Duration, now: Instant) {
-        let mut reservations = self.reservations.borrow_mut();
-        reservations.remove_expired(now);
+    /// Handles a job that is pending at another instance; a lifetime of zero ends that.
+    pub fn on_pending(&self, pending: Submission, lifetime: Duration, now: Instant) {
+        let mut all = self.pending.borrow_mut();
+        all.remove_expired(now);
         if lifetime.is_zero() {
-            reservations.remove_expiring(&reservation.job);
+            all.remove_expiring(&pending.job);
         } else {
-            reservations.insert(reservation, Some(now + lifetime));
+            all.insert(pending, Some(now + lifetime));
         }
     }
 
@@ -146,8 +146,8 @@
         let is_unknown = |job: &str| {
             job != except && !held_jobs.contains_key(job) && !directory.contains_key(job)
         };
-        let reservations = self.reservations.borrow();
-        local + others + reservations.tokens(route, workspace, is_unknown, clock::now())
+        let pending = self.pending.borrow();
+        local + others + pending.tokens(route, workspace, is_unknown, clock::now())
     }
 }
 
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -8,11 +8,11 @@
 use coordination::evacuation;
 use coordination::membership::Member;
 use coordination::parts::{Manifest, PartDigest};
+use coordination::pending_jobs::Submission;
 use coordination::quarantine::CrashReport;
 use coordination::quota::{Report, Snapshot};
 use coordination::registry::Change;
 use coordination::releases::Release;
-use coordination::reservations::Reservation;
 use coordination::run_time::Estimate;
 use coordination::slots::{Grant, HeldLease, Knowledge, LeaseId, LeaseReport, Purpose, Workload};
 use protocol::routing::{Origin, Version};
@@ -128,7 +128,7 @@
     /// A software version is listed on the platform.
     Release(Release),
     /// A job may be stored, and counts for this many milliseconds; zero if it isn't stored.
-    Reservation(Reservation, u64),
+    PendingJob(Submission, u64),
 }
 
 /// Selects the jobs to list.
--- a/crates/daemon/src/gateway/submit.rs
+++ b/crates/daemon/src/gateway/submit.rs
@@ -11,7 +11,7 @@
 use crate::clock;
 use bytes::Bytes;
 use coordination::membership::Member;
-use coordination::reservations::Reservation;
+use coordination::pending_jobs::Submission;
 use hyper::{HeaderMap, Response};
 use platform::job;
 use platform::store::{Object, StoreError};
@@ -35,7 +35,7 @@
 /// Delay before a job is created again after the response was lost.
 const CREATE_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Time after which the other instances are told that a job is being stored.
-const RESERVATION_DELAY: Duration = Duration::from_millis(100);
+const ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(100);
 /// When a caller should retry whose job exceeds the route's limit, or while the platform is
 /// unavailable.
 pub const RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -234,13 +234,14 @@
 
 impl Unconfirmed {
     fn new(node: &Rc<Node>, job: &Job, route: &str) -> Unconfirmed {
-        let reservation = Reservation {
+        let pending = Submission {
             job: job.id.clone(),
             route: route.to_owned(),
             workspace: job.workspace.clone(),
             tokens: job.tokens(),
         };
-        node.jobs.reservations.borrow_mut().insert(reservation, None);
+        node.jobs.pending.borrow_mut().remove_expired(clock::now());
+        node.jobs.pending.borrow_mut().insert(pending, None);
         Unconfirmed {
             node: node.clone(),
             job: job.id.clone(),
@@ -252,18 +253,19 @@
     /// Tells the other instances, once.
     fn announce(&self) {
         if !self.is_announced.replace(true) {
-            handoff::announce_reservation(&self.node, &self.job);
+            handoff::announce_pending(&self.node, &self.job);
         }
     }
 
     /// The outcome of the submission is known.
     fn on_known(&self, outcome: SubmitOutcome) {
         self.is_known.set(true);
-        // Of a job that is accepted, the others know its status.
-        if outcome == SubmitOutcome::Accepted || !self.is_announced.get() {
-            self.node.jobs.reservations.borrow_mut().remove(&self.job);
+        if outcome == SubmitOutcome::Accepted {
+            handoff::keep_pending(&self.node, &self.job);
+        } else if self.is_announced.get() {
+            handoff::release_pending(&self.node, &self.job);
         } else {
-            handoff::release_reservation(&self.node, &self.job);
+            self.node.jobs.pending.borrow_mut().remove(&self.job);
         }
     }
 }
@@ -406,7 +408,7 @@
     tokio::pin!(creation);
     let result = tokio::select! {
         result = &mut creation => result,
-        () = tokio::time::sleep(RESERVATION_DELAY) => {
+        () = tokio::time::sleep(ANNOUNCEMENT_DELAY) => {
             unconfirmed.announce();
             creation.await
         }
