--- a/crates/daemon/tests/soak/check.rs
+++ b/crates/daemon/tests/soak/check.rs
@@ -36,6 +36,8 @@
     stream_counts: [u64; 3],
     /// Numbers of attempts to take a stream up, by status.
     taken_up: BTreeMap<u16, u64>,
+    /// Whether the route of the jobs is removed and added again.
+    has_removals: bool,
 }
 
 /// Records observations and finds violations of the guarantees.
@@ -47,6 +49,11 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// From now on the route of the jobs may be missing, so that items of accepted jobs may fail.
+    pub fn expect_removals(&self) {
+        self.lock().has_removals = true;
+    }
+
     /// Records the status of an attempt to take a stream up.
     pub fn on_taken_up(&self, status: u16) {
         *self.lock().taken_up.entry(status).or_default() += 1;
@@ -224,7 +231,7 @@
         violations.extend(rejected_runs.map(|id| format!("{id}: rejected as not run, but it ran")));
         violations.extend(check_items(runs));
         for (id, job) in &observed.jobs {
-            violations.extend(check_job(id, job, runs));
+            violations.extend(check_job(id, job, runs, observed.has_removals));
         }
         violations
     }
@@ -253,7 +260,7 @@
     violations
 }
 
-fn check_job(id: &str, job: &Job, runs: &[Run]) -> Vec<String> {
+fn check_job(id: &str, job: &Job, runs: &[Run], has_removals: bool) -> Vec<String> {
     let mut violations = Vec::new();
     let prefix = format!("{id}-");
     let mut own_runs = runs.iter().filter(|run| run.id.starts_with(&prefix));
@@ -282,7 +289,7 @@
             Some("complete") => {
                 !is_failing && result["message"].as_str().is_some_and(|text| is_text_of(item, text))
             }
-            Some("errored") => is_failing || job.is_end_requested,
+            Some("errored") => is_failing || job.is_end_requested || has_removals,
             _ => false,
         };
         if !is_valid {
--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -130,6 +130,15 @@
     with_faults(steps, seed, runners, Fault::RunnerReplacement)
 }
 
+/// Adds losses of all gateways, and changes of the configuration.
+pub fn with_removals(steps: Vec<Step>, seed: u64, runners: usize) -> Vec<Step> {
+    let steps = with_faults(steps, seed, runners, |_, _| Fault::Configure);
+    with_faults(steps, seed ^ 1, runners, |runner, period| match runner % 3 {
+        0 => Fault::KillAll(period),
+        _ => Fault::Configure,
+    })
+}
+
 fn with_faults(
     steps: Vec<Step>,
     seed: u64,
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -29,7 +29,7 @@
 mod scenario;
 
 /// Seeds of a run without `GATESPOOL_SOAK`, besides [`REGRESSION_SEEDS`].
-const SEEDS: [u64; 8] = [
+const SEEDS: [u64; 9] = [
     1,
     2,
     FIRST_SUSPENSION_SEED,
@@ -38,9 +38,13 @@
     FIRST_SILENCE_SEED + 1,
     FIRST_SILENCE_SEED + 2,
     FIRST_LARGE_CONFIG_SEED,
+    FIRST_REMOVAL_SEED,
 ];
 /// From this seed on, configurations have many routes, and the links between gateways are slow.
 const FIRST_LARGE_CONFIG_SEED: u64 = 8_000;
+/// From this seed on, the route of the jobs has a limit and is removed and added again, and all
+/// gateways are killed more often, beside runners of two software versions.
+const FIRST_REMOVAL_SEED: u64 = 9_000;
 /// From this seed on, freezes are suspensions, during which the monotonic clock stops.
 const FIRST_SUSPENSION_SEED: u64 = 1_000;
 /// From this seed on, runners respond without a length and crash, and some callers use HTTP/1.0.
--- a/crates/daemon/tests/soak/scenario.rs
+++ b/crates/daemon/tests/soak/scenario.rs
@@ -10,8 +10,8 @@
 use super::util::gateway::{Fleet, Plan};
 use super::util::proxy::Proxy;
 use super::{
-    FIRST_FRAMED_VERSIONS_SEED, FIRST_LARGE_CONFIG_SEED, FIRST_SILENCE_SEED, FIRST_SUSPENSION_SEED,
-    FIRST_UNFRAMED_SEED, FIRST_VERSIONS_SEED,
+    FIRST_FRAMED_VERSIONS_SEED, FIRST_LARGE_CONFIG_SEED, FIRST_REMOVAL_SEED, FIRST_SILENCE_SEED,
+    FIRST_SUSPENSION_SEED, FIRST_UNFRAMED_SEED, FIRST_VERSIONS_SEED,
 };
 use hyper::Version;
 use serde_json::json;
@@ -48,6 +48,10 @@
 const MEMORY_TOKENS: u64 = 9_000;
 /// Routes of a large configuration.
 const MANY_ROUTES: usize = 1_446;
+/// Tokens that may wait on the route of the jobs where it has a limit: those of a few jobs.
+const MAX_QUEUED_TOKENS: u64 = 120;
+/// Every configuration with such a version lacks the route of the jobs where it is removed.
+const REMOVAL_INTERVAL: u64 = 2;
 /// Rate of a gateway's link to the others where configurations are large, in bytes a second.
 const LINK_RATE: u64 = 2_750_000;
 
@@ -59,6 +63,9 @@
     has_silences: bool,
     has_suspensions: bool,
     has_large_configs: bool,
+    /// The route of the jobs has a limit and is removed at times, and all gateways are killed more
+    /// often.
+    has_removals: bool,
 }
 
 impl Class {
@@ -66,9 +73,10 @@
         Class {
             is_unframed: (FIRST_UNFRAMED_SEED..FIRST_FRAMED_VERSIONS_SEED).contains(&seed),
             has_versions: seed >= FIRST_VERSIONS_SEED,
-            has_silences: seed >= FIRST_SILENCE_SEED,
+            has_silences: (FIRST_SILENCE_SEED..FIRST_REMOVAL_SEED).contains(&seed),
             has_suspensions: seed >= FIRST_SUSPENSION_SEED,
-            has_large_configs: seed >= FIRST_LARGE_CONFIG_SEED,
+            has_large_configs: (FIRST_LARGE_CONFIG_SEED..FIRST_REMOVAL_SEED).contains(&seed),
+            has_removals: seed >= FIRST_REMOVAL_SEED,
         }
     }
 
@@ -89,6 +97,9 @@
         if self.has_versions {
             steps = faults::with_replacements(steps, seed, runners);
         }
+        if self.has_removals {
+            steps = faults::with_removals(steps, seed, runners);
+        }
         vec![Phase { is_planned: false, steps }]
     }
 
@@ -187,6 +198,7 @@
             earlier_build,
             memory_tokens: MEMORY_TOKENS,
             settings: class.settings(),
+            max_queued_tokens: if class.has_removals { MAX_QUEUED_TOKENS } else { 0 },
             ..Plan::default()
         };
         let mut proxies = Vec::new();
@@ -213,6 +225,9 @@
             version: Arc::new(AtomicU64::new(10)),
             next_id: 0,
         };
+        if class.has_removals {
+            scenario.record.expect_removals();
+        }
         scenario.configure();
         scenario.fleet.wait_ready();
         scenario
@@ -281,6 +296,10 @@
         if let Some(routes) = config["routes"].as_array_mut() {
             routes.push(marker);
         }
+        if self.class.has_removals && version.is_multiple_of(REMOVAL_INTERVAL) {
+            let routes = config["routes"].as_array_mut().expect("routes");
+            routes.retain(|route| route["kind"] != "batch");
+        }
         if self.class.has_large_configs {
             add_routes(&mut config, MANY_ROUTES);
         }
