--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -9,6 +9,7 @@
 use coordination::{hash, prompt};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use platform::{header, job};
 use protocol::routing::{Class, Route};
@@ -142,23 +143,12 @@
     if let Some(call) = job_call {
         return Ok(call_job(node, &config, call, &host, &parts.headers).await);
     }
-    let limit = config.table.limits.body_bytes;
-    let timeout = header::millis(&parts.headers, header::DEADLINE_MS);
     let Some(route) = route else {
         slog::info!(node.log, "no route"; "request" => &id, "host" => &host,
             "path" => path, "config" => config.table.version);
-        // A job outlives its route, so a submission may come again without one.
-        let caller = access::authenticate_job_call(&config.table, &host, &parts.headers);
-        if parts.method == Method::POST
-            && !id.is_empty()
-            && let Ok(workspace) = caller
-        {
-            let body = match read_body(node, &id, &mut body, limit, timeout).await? {
-                Ok(body) => body,
-                Err(response) => return Ok(response),
-            };
-            let caller = workspace.as_ref().map(|workspace| workspace.name.as_str());
-            if let Some(response) = submit::resubmit(node, &id, caller, &body).await {
+        if parts.method == Method::POST && !id.is_empty() {
+            let repeated = repeated_submission(node, &config, &parts, &host, &mut body).await?;
+            if let Some(response) = repeated {
                 return Ok(response);
             }
         }
@@ -167,8 +157,10 @@
     let Ok(workspace) = access::authenticate(&config.table, route.is_public, &parts.headers) else {
         return Ok(unauthorized(node, &id, &config));
     };
+    let timeout = header::millis(&parts.headers, header::DEADLINE_MS);
     let deadline = started + timeout.unwrap_or(route.timeout).min(route.timeout);
-    let body = match read_body(node, &id, &mut body, limit, timeout).await? {
+    let max_bytes = config.table.limits.body_bytes;
+    let body = match read_body(node, &id, &mut body, max_bytes, timeout).await? {
         Ok(body) => body,
         Err(response) => return Ok(response),
     };
@@ -204,6 +196,29 @@
     node.config()
 }
 
+/// Serves a request without a route if it repeats the submission of a job, which may outlive its
+/// route.
+async fn repeated_submission(
+    node: &Rc<Node>,
+    config: &Config,
+    parts: &Parts,
+    host: &str,
+    body: &mut Incoming,
+) -> Result<Option<Response<Body>>, Aborted> {
+    let Ok(workspace) = access::authenticate_job_call(&config.table, host, &parts.headers) else {
+        return Ok(None);
+    };
+    let id = header::text(&parts.headers, header::REQUEST_ID);
+    let timeout = header::millis(&parts.headers, header::DEADLINE_MS);
+    let max_bytes = config.table.limits.body_bytes;
+    let body = match read_body(node, id, body, max_bytes, timeout).await? {
+        Ok(body) => body,
+        Err(response) => return Ok(Some(response)),
+    };
+    let caller = workspace.as_ref().map(|workspace| workspace.name.as_str());
+    Ok(submit::resubmit(node, id, caller, &body).await)
+}
+
 /// Serves a call about a job, whose route may be gone.
 async fn call_job(
     node: &Rc<Node>,
