Wait for the list of versions once an instance, not for each stream

Cause: an instance that has just started doesn't know that the versions are listed, and each of its resumable streams waited for the platform, one after the other.

Change: the list is read as soon as the registry is known, and streams wait until 250 ms after the first one that needed a version; while a call is in progress or the platform is backing off, later ones begin at once.

gateway_releases 12 of 12 (now with a bound on the time in which 12 streams begin while the platform is away), gateway_versions 23 of 23, coordination/tests/releases 4 of 4, idle_gateways_make_few_platform_calls green.

--- a/crates/coordination/src/releases.rs
+++ b/crates/coordination/src/releases.rs
@@ -47,6 +47,8 @@
     listed: BTreeSet<Release>,
     /// When the list was last read; `None` if it wasn't since the start.
     listed_at: Option<Instant>,
+    /// When each present version was first needed.
+    needed_since: HashMap<Release, Instant>,
     /// Since when listed versions have been absent.
     absent_since: HashMap<Release, Instant>,
 }
@@ -56,6 +58,7 @@
     /// it may have been removed from the list meanwhile.
     pub fn set_present(&mut self, present: BTreeSet<Release>) {
         self.recorded.retain(|release| present.contains(release));
+        self.needed_since.retain(|release, _| present.contains(release));
         self.present = present;
     }
 
@@ -64,6 +67,18 @@
         self.recorded.contains(release)
     }
 
+    /// How long a stream that needs a version to be listed may still wait for that: `patience` from
+    /// the first such stream on, since the platform may be away.
+    pub fn remaining_wait(
+        &mut self,
+        release: &Release,
+        patience: Duration,
+        now: Instant,
+    ) -> Duration {
+        let since = *self.needed_since.entry(release.clone()).or_insert(now);
+        (since + patience).saturating_duration_since(now)
+    }
+
     /// A version was listed.
     pub fn on_recorded(&mut self, release: Release) {
         self.listed.insert(release.clone());
@@ -82,6 +97,11 @@
         self.listed_at.is_some()
     }
 
+    /// Whether versions are present, and the list wasn't read since the start.
+    pub fn has_unlisted(&self) -> bool {
+        self.listed_at.is_none() && !self.present.is_empty()
+    }
+
     /// Whether the list must be read to tell if `release` has been the only version of its service.
     pub fn needs_list(&self, release: &Release, now: Instant) -> bool {
         match self.listed_at {
--- a/crates/coordination/tests/releases.rs
+++ b/crates/coordination/tests/releases.rs
@@ -54,3 +54,18 @@
     assert!(log.expired(RETENTION, at(1_319)).is_empty());
     assert_eq!(log.expired(RETENTION, at(1_320)), [release("v1")]);
 }
+
+#[test]
+fn streams_wait_once_for_a_version_that_cannot_be_listed() {
+    let patience = Duration::from_millis(250);
+    let start = Instant::now();
+    let mut log = Log::default();
+    log.set_present([release("v1")].into());
+    assert_eq!(log.remaining_wait(&release("v1"), patience, start), patience);
+    let later = start + Duration::from_millis(200);
+    assert_eq!(log.remaining_wait(&release("v1"), patience, later), patience / 5);
+    assert_eq!(log.remaining_wait(&release("v1"), patience, start + patience), Duration::ZERO);
+    log.set_present([release("v2")].into());
+    log.set_present([release("v1")].into());
+    assert_eq!(log.remaining_wait(&release("v1"), patience, start + patience), patience);
+}
--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -142,9 +142,16 @@
     if node.releases.borrow().is_recorded(&release) {
         return;
     }
-    let recording = spawn_local(record(node.clone(), release.clone()));
-    let result = tokio::time::timeout(RECORD_TIMEOUT, recording).await;
-    if !matches!(result, Ok(Ok(true))) {
+    let now = clock::now();
+    let wait = node.releases.borrow_mut().remaining_wait(&release, RECORD_TIMEOUT, now);
+    // A call in progress is about the same list.
+    let is_recording = node.release_calls.try_lock().is_err();
+    if wait.is_zero() && (is_recording || node.store.is_backing_off(now)) {
+        node.metrics.count("release.unlisted");
+        return;
+    }
+    let recording = spawn_local(record(node.clone(), release));
+    if !matches!(tokio::time::timeout(wait, recording).await, Ok(Ok(true))) {
         node.metrics.count("release.unlisted");
         slog::info!(node.log, "stream begins at an unlisted version"; "service" => service,
             "software" => software);
@@ -213,6 +220,11 @@
             let present = node.registry.borrow().releases();
             node.releases.borrow_mut().set_present(present);
         }
+        // Streams that begin soon needn't wait for the list then.
+        if node.releases.borrow().has_unlisted() && !node.store.is_backing_off(clock::now()) {
+            let _turn = node.release_calls.lock().await;
+            drop(list_releases(&node).await);
+        }
         if clock::since(cleaned_at) >= CLEANUP_INTERVAL {
             cleaned_at = clock::now();
             if is_cleaner(&node) {
--- a/crates/daemon/tests/gateway_releases.rs
+++ b/crates/daemon/tests/gateway_releases.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use standin::objects::Faults;
 use standin::runner::Config;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use util::gateway::{Fleet, Plan};
 use util::raw_caller::RawResponse;
 use util::stream_caller::{Caller, versions};
@@ -188,7 +188,10 @@
     release(&fleet, RUNNERS - 1, "v2");
     std::thread::sleep(REGISTRY_DELAY);
     fleet.objects.set_faults(Faults { unresponsive: true, ..Faults::default() });
+    let since = Instant::now();
     let mut callers = begin_named(&fleet, "away");
+    // Each instance waits for the platform once, and not for each stream.
+    assert!(since.elapsed() < Duration::from_millis(2_500), "{:?}", since.elapsed());
     assert_go_on(&take_up(&fleet, &mut callers));
 }
 
