Let no stream wait for the list of versions that were there at the start

Cause: the first streams of each instance that had just started waited up to 250 ms for the list, whose reading begins up to 100 ms after the registry is known.

Change: versions that are present when the registry becomes known are listed in the background; only those that come later are waited for, once an instance. Until the background write is done, some tens of ms after the first stream, a version that came while all instances were down is unlisted.

--- a/crates/coordination/src/releases.rs
+++ b/crates/coordination/src/releases.rs
@@ -47,6 +47,8 @@
     listed: BTreeSet<Release>,
     /// When the list was last read; `None` if it wasn't since the start.
     listed_at: Option<Instant>,
+    /// Versions that were present when the targets were first known.
+    initial: BTreeSet<Release>,
     /// When each present version was first needed.
     needed_since: HashMap<Release, Instant>,
     /// Since when listed versions have been absent.
@@ -59,6 +61,10 @@
     pub fn set_present(&mut self, present: BTreeSet<Release>) {
         self.recorded.retain(|release| present.contains(release));
         self.needed_since.retain(|release, _| present.contains(release));
+        if self.initial.is_empty() {
+            self.initial.clone_from(&present);
+        }
+        self.initial.retain(|release| present.contains(release));
         self.present = present;
     }
 
@@ -68,13 +74,18 @@
     }
 
     /// How long a stream that needs a version to be listed may still wait for that: `patience` from
-    /// the first such stream on, since the platform may be away.
+    /// the first such stream on, since the platform may be away. There is no wait for a version that
+    /// was there at the start: others have probably listed it, and all streams of an instance that has
+    /// just started would wait.
     pub fn remaining_wait(
         &mut self,
         release: &Release,
         patience: Duration,
         now: Instant,
     ) -> Duration {
+        if self.initial.is_empty() || self.initial.contains(release) {
+            return Duration::ZERO;
+        }
         let since = *self.needed_since.entry(release.clone()).or_insert(now);
         (since + patience).saturating_duration_since(now)
     }
--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -151,6 +151,9 @@
         return;
     }
     let recording = spawn_local(record(node.clone(), release));
+    if wait.is_zero() {
+        return;
+    }
     if !matches!(tokio::time::timeout(wait, recording).await, Ok(Ok(true))) {
         node.metrics.count("release.unlisted");
         slog::info!(node.log, "stream begins at an unlisted version"; "service" => service,
