--- a/crates/coordination/src/range_scan.rs
+++ b/crates/coordination/src/range_scan.rs
@@ -24,23 +24,7 @@
     pub before: Option<&'static str>,
 }
 
-/// A set of the ranges into which names are split, one bit each.
-pub type RangeSet = u16;
-
-/// All ranges, that is, every name.
-pub const ALL_RANGES: RangeSet = RangeSet::MAX;
-
 impl Range {
-    /// The ranges that this run consists of.
-    pub fn ranges(&self) -> RangeSet {
-        let is_inside = |start: &str| {
-            self.after.is_none_or(|after| start >= after)
-                && self.before.is_none_or(|before| start < before)
-        };
-        let bits = RANGE_STARTS.iter().enumerate().filter(|(_, start)| is_inside(start));
-        bits.map(|(index, _)| 1 << index).sum()
-    }
-
     /// Whether `name` is below the upper bound.
     pub fn is_before_end(&self, name: &str) -> bool {
         self.before.is_none_or(|before| name < before)
--- a/crates/daemon/src/gateway/anti_entropy.rs
+++ b/crates/daemon/src/gateway/anti_entropy.rs
@@ -5,14 +5,13 @@
 use super::discovery;
 use super::evacuation;
 use super::job_table;
-use super::message::{JobFilter, PeerReply, PeerRequest};
+use super::message::{PeerReply, PeerRequest};
 use super::node::Node;
 use super::peers;
 use super::platform_health;
 use super::quarantine;
 use crate::clock;
 use coordination::membership::Member;
-use coordination::range_scan::ALL_RANGES;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -47,10 +46,10 @@
 }
 
 /// Delay before the next comparison. Without a configuration and targets an instance serves
-/// nothing, and without the jobs it accepts none, so it compares more often.
+/// nothing, so it compares more often.
 fn next_delay(node: &Node) -> Duration {
     let is_new = clock::since(node.started) < STARTUP_PERIOD;
-    if node.is_initialized() && node.knows_jobs() || !is_new {
+    if node.is_initialized() || !is_new {
         return SYNC_INTERVAL;
     }
     // A comparison costs in proportion to the members.
@@ -71,12 +70,6 @@
     if let Ok(PeerReply::Sync { config, digest, connectivity }) = reply {
         platform_health::on_peer_report(&node, other.id, connectivity);
         broadcast::on_config_version(&node, digest.config, other.peer);
-        let scanned = digest.scanned_jobs.unwrap_or(ALL_RANGES);
-        if scanned & !node.jobs.scanned.get() != 0
-            && job_table::fetch_statuses_from(&node, other.peer, JobFilter::All).await
-        {
-            node.jobs.scanned.set(node.jobs.scanned.get() | scanned);
-        }
         let is_due =
             node.jobs.last_fetch.get().is_none_or(|at| clock::since(at) >= MIN_JOB_SYNC_INTERVAL);
         if digest.jobs != node.state_digest().jobs && is_due {
--- a/crates/daemon/src/gateway/digest.rs
+++ b/crates/daemon/src/gateway/digest.rs
@@ -1,7 +1,6 @@
 //! What two instances tell each other when they compare their states.
 
 use coordination::evacuation::Digest as EvacuationDigest;
-use coordination::range_scan::RangeSet;
 use protocol::routing::Version;
 use serde::{Deserialize, Serialize};
 
@@ -27,10 +26,6 @@
     /// Digest of the evacuations; `None` from a version of the program without evacuations.
     #[serde(default)]
     pub evacuations: Option<EvacuationDigest>,
-    /// Names of jobs that were read since the start; `None` from a version of the program that
-    /// doesn't tell.
-    #[serde(default)]
-    pub scanned_jobs: Option<RangeSet>,
 }
 
 /// Whether an instance can reach the platform.
--- a/crates/daemon/src/gateway/job_scan.rs
+++ b/crates/daemon/src/gateway/job_scan.rs
@@ -113,7 +113,6 @@
             break;
         }
     }
-    node.jobs.scanned.set(node.jobs.scanned.get() | range.ranges());
     slog::info!(node.log, "job scan finished"; "jobs" => jobs, "without_holder" => orphans,
         "unreported" => unreported,
         "after" => range.after, "before" => range.before, "acquainted" => is_warmed_up);
@@ -163,11 +162,6 @@
     match node.members.borrow().get(holder.instance) {
         Some(member) if member.state == State::Leaving => ScanResult::Leaving,
         Some(member) if !is_reported => ScanResult::Unreported(member.peer, status),
-        None if !is_reported => {
-            // The holder may still appear, but the tokens count.
-            node.jobs.on_status(*status);
-            ScanResult::Nothing
-        }
         _ => ScanResult::Nothing,
     }
 }
--- a/crates/daemon/src/gateway/job_table.rs
+++ b/crates/daemon/src/gateway/job_table.rs
@@ -9,7 +9,6 @@
 use crate::clock;
 use coordination::membership::Member;
 use coordination::pending_jobs::Submission;
-use coordination::range_scan::{ALL_RANGES, RangeSet};
 use coordination::run_time::Estimate;
 use coordination::{hash, pending_jobs};
 use protocol::routing::{Class, Route};
@@ -29,8 +28,6 @@
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(60);
 /// Attempts per item when the job's route is no longer configured.
 const DEFAULT_MAX_ATTEMPTS: u32 = 3;
-/// Time after the start in which it matters that the jobs aren't known.
-const MAX_UNKNOWN_TIME: Duration = Duration::from_secs(5);
 const FETCH_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// All jobs known to this instance.
@@ -52,9 +49,6 @@
     /// Hand-offs received for jobs whose takeover is in progress.
     pub(super) pending_takeovers: RefCell<HashMap<JobId, Vec<Handoff>>>,
     pub(super) acquiring: RefCell<HashSet<(String, ServiceId)>>,
-    /// Names of jobs that were read from the platform since the start, here or by an instance whose
-    /// statuses were fetched.
-    pub(super) scanned: Cell<RangeSet>,
     /// Tokens of submissions whose outcome isn't known.
     pub(super) pending: RefCell<pending_jobs::Table>,
 }
@@ -101,12 +95,6 @@
         self.directory.borrow().get(job).map(|status| status.workspace.clone())
     }
 
-    /// Whether the jobs are known that were accepted before the start. Before, that none waits says
-    /// nothing. If nobody can tell for long, the jobs that are known count.
-    pub fn is_known(&self, uptime: Duration) -> bool {
-        self.scanned.get() == ALL_RANGES || uptime >= MAX_UNKNOWN_TIME
-    }
-
     /// Handles a job that is pending at another instance; a lifetime of zero ends that.
     pub fn on_pending(&self, pending: Submission, lifetime: Duration, now: Instant) {
         let mut all = self.pending.borrow_mut();
--- a/crates/daemon/src/gateway/node.rs
+++ b/crates/daemon/src/gateway/node.rs
@@ -270,7 +270,6 @@
             crash_reports,
             members,
             evacuations,
-            scanned_jobs: Some(self.jobs.scanned.get()),
         }
     }
 
@@ -285,11 +284,6 @@
         Connectivity { is_disconnected, uptime }
     }
 
-    /// Whether the batch jobs are known that were accepted before the start.
-    pub fn knows_jobs(&self) -> bool {
-        self.jobs.is_known(clock::since(self.started))
-    }
-
     /// The other members, without those known to be dead.
     pub fn others(&self) -> Vec<Member> {
         self.members.borrow().others().cloned().collect()
--- a/crates/daemon/src/gateway/submit.rs
+++ b/crates/daemon/src/gateway/submit.rs
@@ -204,10 +204,6 @@
         config: node.config().map_or(0, |config| config.table.version),
         items,
     };
-    if terms.max_queued_tokens > 0 && !node.knows_jobs() {
-        slog::info!(node.log, "submission before the jobs are known"; "job" => id);
-        return SubmitOutcome::Rejected;
-    }
     let waiting = node.jobs.waiting_tokens(node, &route.name, caller, id);
     if terms.max_queued_tokens > 0 && waiting + job.tokens() > terms.max_queued_tokens {
         slog::info!(node.log, "submission exceeds the token limit";
