--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -140,6 +140,22 @@
     Open(Vec<JobId>),
 }
 
+/// A submission forwarded by an instance that can't reach the platform.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ForwardedSubmission {
+    /// Host of the submission's route.
+    pub host: String,
+    /// Path of the submission.
+    pub path: String,
+    /// Id of the job.
+    pub job: JobId,
+    /// Body of the submission as received.
+    pub body: String,
+    /// Workspace of the submitter, as authenticated by the instance that received it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<WorkspaceId>,
+}
+
 /// A request to another instance.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerRequest {
@@ -200,19 +216,7 @@
     #[serde(rename = "Directory")]
     ListJobs(JobFilter),
     /// Forwards a submission that the sender can't write to the platform.
-    Submit {
-        /// Host of the submission's route.
-        host: String,
-        /// Path of the submission.
-        path: String,
-        /// Id of the job.
-        job: JobId,
-        /// Body of the submission as received.
-        body: String,
-        /// Workspace of the submitter.
-        #[serde(default, skip_serializing_if = "Option::is_none")]
-        workspace: Option<WorkspaceId>,
-    },
+    Submit(ForwardedSubmission),
     /// Requests the results of a job from a position on, and waits up to the given milliseconds
     /// if there are none yet.
     Results(JobId, usize, u64),
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -145,8 +145,7 @@
         PeerRequest::ListJobs(filter) => {
             PeerReply::Statuses(job_table::statuses_for(node, &filter))
         }
-        PeerRequest::Submit { host, path, job, body, workspace } => {
-            let submission = submit::Forwarded { host, path, job, body, workspace };
+        PeerRequest::Submit(submission) => {
             PeerReply::Submitted(submit::on_submit(node, submission).await)
         }
         PeerRequest::Results(job, from, wait) => {
--- a/crates/daemon/src/gateway/submit.rs
+++ b/crates/daemon/src/gateway/submit.rs
@@ -4,7 +4,7 @@
 use super::call_reason::CallReason;
 use super::front::{CallerRequest, error_response, text_response};
 use super::job_store;
-use super::message::{PeerReply, PeerRequest, SubmitOutcome};
+use super::message::{ForwardedSubmission, PeerReply, PeerRequest, SubmitOutcome};
 use super::node::{Node, unix_millis};
 use super::stored_job::{Overflow, StoredJob};
 use super::{access, handoff, job_table, platform_health, residency};
@@ -17,7 +17,7 @@
 use platform::store::{Object, StoreError};
 use protocol::routing::Route;
 use protocol::workspace::Workspace;
-use protocol::{Error, Kind, WorkspaceId};
+use protocol::{Error, Kind};
 use state::progress::{Job, JobId, Progress};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -34,7 +34,7 @@
 const CONFIRM_TIME_RATIO: f64 = 0.4;
 /// Delay before a job is created again after the response was lost.
 const CREATE_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Time after which the other instances are told that a job is being stored.
+/// Duration of a write after which the job is announced to the other instances.
 const ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(100);
 /// When a caller should retry whose job exceeds the route's limit, or while the platform is
 /// unavailable.
@@ -45,11 +45,10 @@
     let _in_flight = node.in_flight.start();
     let until = call.started + call.remaining(call.started).mul_f64(CONFIRM_TIME_RATIO);
     let mut outcome = accept(node, route, call, until).await;
-    if outcome == SubmitOutcome::Rejected && !node.is_stopping() || node.store.last_call_failed() {
-        let is_undecided = matches!(outcome, SubmitOutcome::Rejected | SubmitOutcome::Unknown);
-        if is_undecided {
-            outcome = forward(node, route, call, outcome).await;
-        }
+    let is_undecided = matches!(outcome, SubmitOutcome::Rejected | SubmitOutcome::Unknown);
+    let is_rejected = outcome == SubmitOutcome::Rejected && !node.is_stopping();
+    if is_undecided && (is_rejected || node.store.last_call_failed()) {
+        outcome = forward(node, route, call, outcome).await;
     }
     slog::info!(node.log, "submission handled"; "job" => &call.id, "route" => &route.name,
         "workspace" => call.workspace_name(),
@@ -77,23 +76,9 @@
     }
 }
 
-/// A submission forwarded by an instance that can't reach the platform.
-pub struct Forwarded {
-    /// Host of the submission's route.
-    pub host: String,
-    /// Path of the submission.
-    pub path: String,
-    /// Id of the job.
-    pub job: JobId,
-    /// Body of the submission as received.
-    pub body: String,
-    /// Workspace of the submitter, as authenticated by the instance that received it.
-    pub workspace: Option<WorkspaceId>,
-}
-
 /// Handles a submission forwarded by another instance.
-pub async fn on_submit(node: &Rc<Node>, submission: Forwarded) -> SubmitOutcome {
-    let Forwarded { host, path, job, body, workspace } = submission;
+pub async fn on_submit(node: &Rc<Node>, submission: ForwardedSubmission) -> SubmitOutcome {
+    let ForwardedSubmission { host, path, job, body, workspace } = submission;
     let Some(config) = node.config() else {
         return SubmitOutcome::Rejected;
     };
@@ -135,13 +120,13 @@
         return SubmitOutcome::Malformed;
     };
     let path = call.target.split('?').next().unwrap_or_default().to_owned();
-    let request = PeerRequest::Submit {
+    let request = PeerRequest::Submit(ForwardedSubmission {
         host: call.host.clone(),
         path,
         job: call.id.clone(),
         body: body.to_owned(),
         workspace: call.workspace_name().map(str::to_owned),
-    };
+    });
     let now = clock::now();
     let mut members = node.others();
     members.retain(|member| !node.is_unresponsive(member.peer, now));
@@ -238,15 +223,11 @@
         };
         node.jobs.pending.borrow_mut().remove_expired(clock::now());
         node.jobs.pending.borrow_mut().insert(pending, None);
-        Unconfirmed {
-            node: node.clone(),
-            job: job.id.clone(),
-            is_announced: Cell::new(false),
-            is_known: Cell::new(false),
-        }
+        let (is_announced, is_known) = (Cell::new(false), Cell::new(false));
+        Unconfirmed { node: node.clone(), job: job.id.clone(), is_announced, is_known }
     }
 
-    /// Tells the other instances, once.
+    /// Announces the job to the other instances, once.
     fn announce(&self) {
         if !self.is_announced.replace(true) {
             handoff::announce_pending(&self.node, &self.job);
@@ -332,10 +313,9 @@
     };
     slog::info!(node.log, "submission without a route handled"; "job" => id,
         "workspace" => caller, "acceptance" => ?outcome);
-    // Nothing was written, so it is only unknown whether the job was accepted before.
+    // Nothing was written by this call, so the caller may safely retry.
     let is_unknown = outcome == SubmitOutcome::Unknown;
-    let outcome = if is_unknown { SubmitOutcome::Rejected } else { outcome };
-    Some(response(node, id, outcome))
+    Some(response(node, id, if is_unknown { SubmitOutcome::Rejected } else { outcome }))
 }
 
 async fn create(
@@ -394,7 +374,8 @@
     }
 }
 
-/// Creates a job. The other instances are told if that takes long, or its outcome is unknown.
+/// Creates a job, and announces it to the other instances if that takes long or its outcome is
+/// unknown.
 async fn create_once(
     node: &Rc<Node>,
     job: &Job,
--- a/crates/daemon/tests/gateway_acceptance.rs
+++ b/crates/daemon/tests/gateway_acceptance.rs
@@ -1,5 +1,5 @@
-//! Jobs whose storage wasn't confirmed: each one that is acknowledged has a holder that knows it,
-//! and its tokens count as waiting from the first write on.
+//! Jobs whose write got no response: each acknowledged job has a holder that has loaded it, and its
+//! tokens count towards the limit of its route from the first write on.
 
 mod util;
 
@@ -30,8 +30,8 @@
     Lost,
 }
 
-/// A fleet that runs the job `first`, with another job handed in at instance 0 by a write that
-/// nobody could confirm.
+/// A fleet that runs the job `first`, with another job submitted at instance 0 whose write got no
+/// response.
 fn fleet_with_unconfirmed_job(write: Write, event_count: u64) -> Fleet {
     let fleet = Fleet::start(Plan { max_queued_tokens: MAX_QUEUED_TOKENS, ..slow_plan() });
     fleet.runners.iter().for_each(|runner| runner.set_event_count(event_count));
@@ -83,8 +83,8 @@
     assert_eq!(fleet.submit(1, "second", &["x", "y"]).status, 202);
 }
 
-/// Regression: a stored job whose submitter was told that nobody knew its outcome, and didn't
-/// return, lay until somebody read it.
+/// Regression: a job was stored, its submitter got 502 and did not retry, and the job did not run
+/// until a caller read it.
 #[test]
 fn unconfirmed_job_runs_though_its_submitter_does_not_return() {
     let fleet = fleet_with_unconfirmed_job(Write::Done, EVENTS);
@@ -134,8 +134,8 @@
     assert_eq!(fleet.results(1, "second", 0).status, 404);
 }
 
-/// Regression: as the first one, for a holder that nobody has told of its job: an instance that
-/// scans the jobs finds it.
+/// Regression: the holder of a stored job was not notified of it, and scans by other instances
+/// ignored jobs with a live holder.
 #[test]
 fn holder_learns_of_its_job_from_an_instance_that_scans() {
     let mut fleet = Fleet::start(slow_plan());
--- a/crates/daemon/tests/message_versions.rs
+++ b/crates/daemon/tests/message_versions.rs
@@ -5,7 +5,7 @@
 use coordination::registry::{Change, Registry};
 use coordination::slots::LeaseOutcome;
 use daemon::gateway::message::{
-    JobStatus, PeerReply, PeerRequest, SlotRequest, Update, decode, encode,
+    ForwardedSubmission, JobStatus, PeerReply, PeerRequest, SlotRequest, Update, decode, encode,
 };
 use protocol::routing::Target;
 use serde::Deserialize;
@@ -35,7 +35,9 @@
         panic!("statuses");
     };
     assert_eq!(statuses[0].workspace, None);
-    let Some(PeerRequest::Submit { workspace, .. }) = decode(SUBMIT.as_bytes()) else {
+    let Some(PeerRequest::Submit(ForwardedSubmission { workspace, .. })) =
+        decode(SUBMIT.as_bytes())
+    else {
         panic!("a submission");
     };
     assert_eq!(workspace, None);
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -77,7 +77,7 @@
 pub enum SendError {
     /// No byte of the request was sent.
     NotSent(String),
-    /// The same, because nobody listens at the address.
+    /// The connection was refused, so no byte of the request was sent.
     Refused(String),
     /// The request was sent at least in part, but there is no response.
     OutcomeUnknown(String),
