Let one instance read the list of versions for the others

Cause: each instance read the list once after its start. After a kill of all, at 3, 12, 24 and 40 gateways, the platform had 16, 29, 45 and 69 lists: 1.43 an instance, of which one was this; at 985 instances some 985 lists beside some 430.

Change: an instance that has just started asks the one that keeps the list, and reads the platform itself only if that one can't tell, or when the list is out of date. What a keeper tells has every version that it has seen since its list, so a lost update hides none.

--- a/crates/coordination/src/releases.rs
+++ b/crates/coordination/src/releases.rs
@@ -43,7 +43,7 @@
     present: BTreeSet<Release>,
     /// Present versions that are known to be listed.
     recorded: BTreeSet<Release>,
-    /// Versions that were listed at any time since the last list was read.
+    /// Versions that were listed, or present here, at any time since the last list was read.
     listed: BTreeSet<Release>,
     /// When the list was last read; `None` if it wasn't since the start.
     listed_at: Option<Instant>,
@@ -65,6 +65,7 @@
             self.initial.clone_from(&present);
         }
         self.initial.retain(|release| present.contains(release));
+        self.listed.extend(present.iter().cloned());
         self.present = present;
     }
 
@@ -108,6 +109,12 @@
         self.listed_at.is_some()
     }
 
+    /// All versions that may have served, for an instance that has just started; `None` until the
+    /// list was read.
+    pub fn known(&self) -> Option<Vec<Release>> {
+        self.listed_at.map(|_| self.listed.iter().cloned().collect())
+    }
+
     /// Whether versions are present, and the list wasn't read since the start.
     pub fn has_unlisted(&self) -> bool {
         self.listed_at.is_none() && !self.present.is_empty()
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -259,6 +259,8 @@
     Origin(AttemptId),
     /// Requests that the receiver list a software version on the platform.
     ListRelease(Release),
+    /// Requests the software versions that may have served.
+    Releases,
     /// Tells an allocator that has just started what the sender knows of its targets.
     Knowledge(Vec<Knowledge>),
 }
@@ -326,6 +328,8 @@
     Evacuations(Vec<evacuation::Change>),
     /// What began the stream of an attempt; `None` if the receiver doesn't know.
     Origin(Option<Origin>),
+    /// The software versions that may have served.
+    Releases(Vec<Release>),
     /// The receiver is unable to serve the request now.
     #[serde(rename = "Away")]
     Unavailable,
--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -124,7 +124,7 @@
     if needs_list() {
         let turn = tokio::time::timeout(LIST_TIMEOUT, node.release_calls.lock()).await;
         let _turn = turn.map_err(|_elapsed| AcquireError::NoReply)?;
-        if needs_list() && list_releases(node).await.is_err() {
+        if needs_list() && !learn_releases(node).await {
             return Err(AcquireError::NoReply);
         }
     }
@@ -166,8 +166,7 @@
 /// Has a version listed by the instance that is responsible for it, so that one of them writes it
 /// when all need it at once; if that fails, lists it here. `false` if that failed too.
 async fn request_record(node: Rc<Node>, release: Release) -> bool {
-    let writer = writer(&node, &release);
-    if let Some(address) = writer {
+    if let Some(address) = responsible(&node, &object_name(&release)) {
         let request = PeerRequest::ListRelease(release.clone());
         let reply = node.try_request(address, &request, WRITER_TIMEOUT).await;
         if matches!(reply, Ok(PeerReply::Acknowledged)) {
@@ -178,11 +177,11 @@
     record(node, release).await
 }
 
-/// Address of the instance that lists a version; `None` for this one.
-fn writer(node: &Node, release: &Release) -> Option<SocketAddr> {
+/// Address of the instance that makes calls about an object; `None` for this one.
+fn responsible(node: &Node, name: &str) -> Option<SocketAddr> {
     let members = node.members.borrow();
     let alive = members.workers().filter(|member| member.state == State::Alive);
-    let owner = hash::owner(object_name(release).as_bytes(), alive.map(|member| member.id))?;
+    let owner = hash::owner(name.as_bytes(), alive.map(|member| member.id))?;
     let owner = members.others().find(|member| member.id == owner);
     owner.map(|member| member.peer)
 }
@@ -191,7 +190,7 @@
 pub async fn record(node: Rc<Node>, release: Release) -> bool {
     let _turn = node.release_calls.lock().await;
     let is_listed = node.releases.borrow().is_listed();
-    if !is_listed && list_releases(&node).await.is_err() {
+    if !is_listed && !learn_releases(&node).await {
         return false;
     }
     if node.releases.borrow().is_recorded(&release) {
@@ -214,6 +213,23 @@
     }
 }
 
+/// Learns after the start which versions may have served: from the instance that keeps the list, or
+/// from the platform. `false` if that failed.
+async fn learn_releases(node: &Rc<Node>) -> bool {
+    let is_listed = node.releases.borrow().is_listed();
+    // A list that is out of date is read again from the platform.
+    let keeper = if is_listed { None } else { list_keeper(node) };
+    if let Some(address) = keeper {
+        let now = clock::now();
+        let reply = node.try_request(address, &PeerRequest::Releases, WRITER_TIMEOUT).await;
+        if let Ok(PeerReply::Releases(known)) = reply {
+            node.releases.borrow_mut().on_list(known.into_iter().collect(), now);
+            return true;
+        }
+    }
+    list_releases(node).await.is_ok()
+}
+
 /// Reads the list of versions.
 ///
 /// # Errors
@@ -249,25 +265,26 @@
             let present = node.registry.borrow().releases();
             node.releases.borrow_mut().set_present(present);
         }
-        // Streams that begin soon needn't wait for the list then.
-        if node.releases.borrow().has_unlisted() && !node.store.is_backing_off(clock::now()) {
+        // The keeper of the list reads it first, and the others ask it.
+        let is_turn = list_keeper(&node).is_none() || clock::since(node.started) >= JOIN_PERIOD / 2;
+        let has_unlisted = node.releases.borrow().has_unlisted();
+        if is_turn && has_unlisted && !node.store.is_backing_off(clock::now()) {
             let _turn = node.release_calls.lock().await;
-            drop(list_releases(&node).await);
+            learn_releases(&node).await;
         }
         if clock::since(cleaned_at) >= CLEANUP_INTERVAL {
             cleaned_at = clock::now();
-            if is_cleaner(&node) {
+            if list_keeper(&node).is_none() {
                 remove_expired(&node).await;
             }
         }
     }
 }
 
-/// Whether this instance is the one that removes versions from the list.
-fn is_cleaner(node: &Node) -> bool {
-    let members = node.members.borrow();
-    let ids = members.workers().map(|member| member.id);
-    hash::owner(release::KIND.as_bytes(), ids) == Some(members.me().id)
+/// Address of the instance that reads the list for the others and removes versions from it; `None`
+/// for this one.
+fn list_keeper(node: &Node) -> Option<SocketAddr> {
+    responsible(node, release::KIND)
 }
 
 /// Removes versions from the list that have been absent for as long as callers may return.
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -184,6 +184,10 @@
             origins::on_store(node, &attempt, origin, Duration::from_millis(lifetime_ms));
             PeerReply::Acknowledged
         }
+        PeerRequest::Releases => {
+            let known = node.releases.borrow().known();
+            known.map_or(PeerReply::Unavailable, PeerReply::Releases)
+        }
         PeerRequest::ListRelease(release) => {
             let is_listed = run_to_completion(origins::record(node.clone(), release)).await;
             if is_listed == Some(true) { PeerReply::Acknowledged } else { PeerReply::Unavailable }
