End the daemons of a test with its process; name late requests of an evacuation

Cause: daemons of a test run that is killed went on for good. Shown: gateway_evacuation was killed by its process id; its three gateways lived on, and 30 s later one of them sent an item of its open job (item-83, expecting target r2) to a listener that had taken the port of its former target. All tests and the soak call their targets r0, r1, r2, so the stand-ins of another test would have counted it as a run of theirs.

It now names target, path, id and time of each. The check is the same. By reading there is no other way to a late request: each lease is checked against the evacuations right before its request is sent.

--- a/crates/daemon/tests/gateway_evacuation.rs
+++ b/crates/daemon/tests/gateway_evacuation.rs
@@ -44,10 +44,17 @@
     }
 }
 
-/// Requests that reached runners 0 and 1, which are in the east, later than allowed.
-fn late_runs(fleet: &Fleet, notice: Instant) -> Vec<Run> {
-    let runs = fleet.runners[..2].iter().flat_map(|runner| runner.runs());
-    runs.filter(|run| run.arrived > notice + MAX_NOTICE_TIME).collect()
+/// Requests that reached runners 0 and 1, which are in the east, later than allowed: runner, path
+/// and id of each, and when it arrived.
+fn late_runs(fleet: &Fleet, notice: Instant) -> Vec<String> {
+    let of_runner = |n: usize| fleet.runners[n].runs().into_iter().map(move |run| (n, run));
+    let runs = (0..2).flat_map(of_runner);
+    let late = runs.filter(|(_, run)| run.arrived > notice + MAX_NOTICE_TIME);
+    late.map(|(n, run)| {
+        let Run { path, id, arrived, .. } = &run;
+        format!("runner {n}, {path}, {id}, {:?} after the order", arrived.duration_since(notice))
+    })
+    .collect()
 }
 
 #[test]
@@ -60,7 +67,7 @@
     keep_sending(&fleet, notice + MAX_NOTICE_TIME + OBSERVATION_TIME);
     assert_eq!(fleet.wait_results(0, "job").len(), items.len());
     let late = late_runs(&fleet, notice);
-    assert!(late.is_empty(), "{} late requests", late.len());
+    assert_eq!(late, Vec::<String>::new(), "late requests");
     let before = fleet.runners[0].runs().len();
     fleet.objects.remove("evacuations", "east");
     wait_until("the targets are used again", || {
@@ -93,7 +100,7 @@
     let notice = evacuate(&fleet, "east");
     keep_sending(&fleet, notice + MAX_NOTICE_TIME + OBSERVATION_TIME);
     let late = late_runs(&fleet, notice);
-    assert!(late.is_empty(), "{} late requests", late.len());
+    assert_eq!(late, Vec::<String>::new(), "late requests");
 }
 
 #[test]
@@ -110,7 +117,7 @@
     keep_sending(&fleet, Instant::now() + OBSERVATION_TIME);
     let after: usize = fleet.runners[..2].iter().map(|runner| runner.runs().len()).sum();
     assert_eq!(before, after, "requests reached evacuated targets");
-    assert!(late_runs(&fleet, notice).is_empty());
+    assert_eq!(late_runs(&fleet, notice), Vec::<String>::new(), "late requests");
 }
 
 /// All instances start while the evacuation is in force.
@@ -123,7 +130,7 @@
     std::thread::sleep(MAX_NOTICE_TIME);
     let notice = Instant::now() - MAX_NOTICE_TIME;
     keep_sending(&fleet, Instant::now() + OBSERVATION_TIME);
-    assert!(late_runs(&fleet, notice).is_empty());
+    assert_eq!(late_runs(&fleet, notice), Vec::<String>::new(), "late requests");
 }
 
 /// A watch of the evacuations that the platform never answers delays none.
@@ -136,5 +143,5 @@
     let notice = evacuate(&fleet, "east");
     keep_sending(&fleet, notice + MAX_NOTICE_TIME + OBSERVATION_TIME);
     let late = late_runs(&fleet, notice);
-    assert!(late.is_empty(), "{} late requests", late.len());
+    assert_eq!(late, Vec::<String>::new(), "late requests");
 }
--- a/crates/daemon/tests/util/daemon.rs
+++ b/crates/daemon/tests/util/daemon.rs
@@ -1,12 +1,12 @@
 //! A daemon as a child process.
 
 use super::client::{self, Response};
-use super::wait_until;
+use super::{spawn, wait_until};
 use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
@@ -53,13 +53,9 @@
         std::fs::write(&settings, text).expect("the settings file is written");
         let stderr =
             std::fs::File::create(dir.join(format!("{name}.err"))).expect("a file for stderr");
-        let mut child = Command::new(program)
-            .arg("--settings")
-            .arg(&settings)
-            .stdout(Stdio::piped())
-            .stderr(stderr)
-            .spawn()
-            .expect("the daemon starts");
+        let mut command = spawn::bound_command(program);
+        command.arg("--settings").arg(&settings).stdout(Stdio::piped()).stderr(stderr);
+        let mut child = spawn::spawn(command).expect("the daemon starts");
         let log_path = dir.join(format!("{name}.log"));
         let log =
             std::fs::File::options().append(true).create(true).open(log_path).expect("a log file");
--- a/crates/daemon/tests/util/mod.rs
+++ b/crates/daemon/tests/util/mod.rs
@@ -14,6 +14,7 @@
 pub mod raw_caller;
 pub mod raw_streams;
 pub mod raw_target;
+pub mod spawn;
 pub mod stream_caller;
 
 use std::time::{Duration, Instant};
