Ask a source of a configuration again before the others if its call was lost

Hypotheses refuted: the word came late (it came after 0.4 s, to all), the sources had no version yet (instance 1 had it from the first moment).

Change: after a call without any reply, whose connection the pool closes, the same source is asked once more at once, by a new connection. A source that can't be connected to isn't.

Why it works: one wait of 400 ms finds out that the connection is dead, whatever the others are. A frozen source costs 400 ms more than before.

--- a/crates/daemon/src/gateway/config_fetch.rs
+++ b/crates/daemon/src/gateway/config_fetch.rs
@@ -142,7 +142,13 @@
 
     async fn ask<I: Instance>(&self, instance: &I, source: SocketAddr) {
         let wanted = self.wanted.get();
-        let fetched = match self.fetch_from(instance, source).await {
+        let mut fetched = self.fetch_from(instance, source).await;
+        if matches!(fetched, Err(FetchError::Call(PeerError::OutcomeUnknown(_)))) {
+            // A connection on which nothing arrives is closed, so another one is opened. Those to
+            // the other sources may be dead as well.
+            fetched = self.fetch_from(instance, source).await;
+        }
+        let fetched = match fetched {
             Err(FetchError::Unsupported) => self.fetch_whole(instance, source).await,
             fetched => fetched,
         };
