Keep a job's regions when its route or workspace is removed

Once the operator had removed a workspace that is restricted to some regions, its open items ran in any region; once a restricted batch route had been removed, its jobs, with the results that they hold, were taken over in any region.

Cause: a configuration changes under work that was accepted under the one before. What restricts a job was looked up in the configuration in force only, and a missing route or workspace counts as one without a restriction.

Change: a job and its statuses carry the regions that were allowed at its acceptance. They hold while the configuration lacks the route or the workspace; otherwise the configuration in force decides, as before. Both fields are left out where nothing is restricted, so most objects and messages have the form that earlier builds write.

The test of a job that waits for its regions watched for 4 s only, less than the 10 s after which a job of a lost data centre is taken over; it watches for 14 s now.

--- a/crates/coordination/src/residency.rs
+++ b/crates/coordination/src/residency.rs
@@ -14,9 +14,11 @@
 //! ```
 
 use protocol::RegionId;
+use serde::{Deserialize, Serialize};
 
 /// The regions that are allowed; the default allows all.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct Residency {
     /// `None` if there is no restriction.
     allowed: Option<Vec<RegionId>>,
@@ -37,6 +39,11 @@
         Residency { allowed }
     }
 
+    /// Whether all regions are allowed.
+    pub fn is_unrestricted(&self) -> bool {
+        self.allowed.is_none()
+    }
+
     /// Whether a region is allowed; `None` for an unknown one.
     pub fn allows(&self, region: Option<&str>) -> bool {
         let Some(allowed) = &self.allowed else {
--- a/crates/daemon/src/gateway/handoff.rs
+++ b/crates/daemon/src/gateway/handoff.rs
@@ -135,12 +135,7 @@
 /// Regions in which a job may be held, by its last reported status; all if none is known.
 pub(super) fn known_residency(node: &Node, id: &str) -> Residency {
     let status = node.jobs.directory.borrow().get(id).cloned();
-    let Some((config, status)) = node.config().zip(status) else {
-        return Residency::default();
-    };
-    let route = config.table.routes.iter().find(|route| route.name == status.route);
-    let route = route.cloned().unwrap_or_default();
-    residency::of_name(node, &route, status.workspace.as_deref())
+    status.map(|status| residency::of_status(node, &status)).unwrap_or_default()
 }
 
 /// Hands a job off, retrying until an instance takes it over or none is left that could. The
--- a/crates/daemon/src/gateway/job_scan.rs
+++ b/crates/daemon/src/gateway/job_scan.rs
@@ -152,6 +152,7 @@
         revision: object.revision,
         route: job_table::route_of(node, &job).map_or_else(String::new, |route| route.name),
         workspace: job.workspace.clone(),
+        residency: job.residency.clone(),
         waiting_tokens: tokens,
         is_finished: false,
     });
--- a/crates/daemon/src/gateway/job_table.rs
+++ b/crates/daemon/src/gateway/job_table.rs
@@ -224,6 +224,7 @@
         revision: held.revision.get(),
         route: route_of(node, state.job()).map_or_else(String::new, |route| route.name),
         workspace: state.job().workspace.clone(),
+        residency: state.job().residency.clone(),
         waiting_tokens: state.waiting_tokens(),
         is_finished: state.is_finished(),
     }
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -13,6 +13,7 @@
 use coordination::quota::{Report, Snapshot};
 use coordination::registry::Change;
 use coordination::releases::Release;
+use coordination::residency::Residency;
 use coordination::run_time::Estimate;
 use coordination::slots::{Grant, HeldLease, Knowledge, LeaseId, LeaseReport, Purpose, Workload};
 use protocol::routing::{Origin, Version};
@@ -102,6 +103,9 @@
     /// Workspace of the job; `None` if it has none, or if the sender knows of no workspaces.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub workspace: Option<WorkspaceId>,
+    /// Regions that were allowed when the job was accepted; all if the sender doesn't know them.
+    #[serde(default, skip_serializing_if = "Residency::is_unrestricted")]
+    pub residency: Residency,
     /// Number of tokens of the items without a result.
     pub waiting_tokens: u64,
     /// Whether no item is left to run.
--- a/crates/daemon/src/gateway/submit.rs
+++ b/crates/daemon/src/gateway/submit.rs
@@ -187,6 +187,7 @@
         accepted_by: node.as_holder(),
         workspace: caller.map(str::to_owned),
         config: node.config().map_or(0, |config| config.table.version),
+        residency: residency::of_request(route, call.workspace.as_deref()),
         items,
     };
     let waiting = node.jobs.waiting_tokens(node, &route.name, caller, id);
--- a/crates/daemon/src/gateway/takeover.rs
+++ b/crates/daemon/src/gateway/takeover.rs
@@ -279,6 +279,7 @@
             route: job_table::route_of(node, &stored_job.job)
                 .map_or_else(String::new, |route| route.name),
             workspace: stored_job.job.workspace.clone(),
+            residency: stored_job.job.residency.clone(),
             waiting_tokens: stored_job.job.tokens(),
             is_finished: false,
         });
--- a/crates/daemon/tests/gateway_residency.rs
+++ b/crates/daemon/tests/gateway_residency.rs
@@ -4,11 +4,16 @@
 mod util;
 
 use serde_json::json;
-use standin::runner::Config;
-use util::gateway::{Fleet, Plan};
+use standin::runner::{Config, Faults};
+use std::time::Duration;
+use util::gateway::{Fleet, Plan, submit_to};
 use util::wait_until;
 
 const PATH: &str = "/plain/";
+/// Time within which a job is run by whoever may run it.
+const RUN_TIME: Duration = Duration::from_secs(4);
+/// Time within which a job is taken over by whoever may, though its whole data centre is lost.
+const TAKEOVER_TIME: Duration = Duration::from_secs(14);
 
 /// Two data centres in the region `north`, and one each in `south` and `far`.
 fn plan() -> Plan {
@@ -63,21 +68,26 @@
     assert!(takes_over(1) && !takes_over(2) && !takes_over(3));
 }
 
+/// Fails if one of these gateways has taken a job over.
+#[track_caller]
+fn assert_untouched(fleet: &Fleet, gateways: &[usize]) {
+    for n in gateways {
+        let lines = fleet.log(*n);
+        assert!(lines.iter().all(|line| line["msg"] != "job taken over"), "gateway {n}");
+    }
+}
+
 /// A job waits for an instance in its regions if none is left there.
 #[test]
 fn job_waits_while_its_regions_have_no_instance() {
     let mut fleet = Fleet::start(plan());
-    fleet.runners[0]
-        .set_faults(standin::runner::Faults { rejects_all: true, ..Default::default() });
+    fleet.runners[0].set_faults(Faults { rejects_all: true, ..Faults::default() });
     assert_eq!(fleet.submit(0, "job", &["item-0"]).status, 202);
     fleet.gateways[0].kill();
     fleet.gateways[1].kill();
-    std::thread::sleep(std::time::Duration::from_secs(4));
-    for n in [2, 3] {
-        let lines = fleet.log(n);
-        assert!(lines.iter().all(|line| line["msg"] != "job taken over"), "gateway {n}");
-    }
-    fleet.runners[0].set_faults(standin::runner::Faults::default());
+    std::thread::sleep(TAKEOVER_TIME);
+    assert_untouched(&fleet, &[2, 3]);
+    fleet.runners[0].set_faults(Faults::default());
     fleet.restart(1);
     assert_eq!(fleet.wait_results(1, "job").len(), 1);
 }
@@ -97,3 +107,43 @@
     }
     assert_eq!(runs(&fleet, PATH), [0, 8, 0]);
 }
+
+/// Regression: once a workspace was removed, its open items ran in any region.
+#[test]
+fn items_of_a_removed_workspace_run_in_its_regions_only() {
+    let workspace =
+        |name: &str, key: &str| json!({ "name": name, "api_keys": [key], "priority": 0 });
+    let mut press = workspace("press", "key-1");
+    press["allowed_regions"] = json!(["south"]);
+    let workspaces = json!([press, workspace("desk", "key-2")]);
+    let plan = Plan { allowed_regions: vec!["north", "south"], workspaces, ..plan() };
+    let fleet = Fleet::start(plan);
+    fleet.set_runner_state(1, "draining");
+    let key = [("authorization", "Bearer key-1")];
+    let south = fleet.gateways[2].front_address;
+    assert_eq!(submit_to(south, "job", &["item-0", "item-1"], &key).status, 202);
+    let mut config = fleet.config(8);
+    config["tenants"] = json!([workspace("desk", "key-2")]);
+    fleet.objects.put("config", "main", config);
+    std::thread::sleep(RUN_TIME);
+    assert_eq!(runs(&fleet, "/batch/"), [0, 0, 0]);
+    fleet.set_runner_state(1, "ready");
+    wait_until("the items run", || runs(&fleet, "/batch/") == [0, 2, 0]);
+}
+
+/// Regression: once its route was removed, a job was taken over in any region.
+#[test]
+fn job_of_a_removed_route_is_taken_over_in_its_regions_only() {
+    let mut fleet = Fleet::start(plan());
+    fleet.runners[0].set_faults(Faults { rejects_all: true, ..Faults::default() });
+    assert_eq!(fleet.submit(0, "job", &["item-0"]).status, 202);
+    let mut config = fleet.config(8);
+    config["routes"].as_array_mut().expect("routes").retain(|route| route["kind"] != "batch");
+    [0, 1].iter().for_each(|n: &usize| fleet.gateways[*n].kill());
+    fleet.objects.put("config", "main", config);
+    std::thread::sleep(TAKEOVER_TIME);
+    assert_untouched(&fleet, &[2, 3]);
+    fleet.restart(1);
+    let results = fleet.wait_results(1, "job");
+    assert_eq!(results[0]["state"], "errored");
+}
--- a/crates/state/src/progress/job.rs
+++ b/crates/state/src/progress/job.rs
@@ -1,5 +1,6 @@
 //! A job as it was accepted, and its progress, in their stored form.
 
+use coordination::residency::Residency;
 use protocol::WorkspaceId;
 use protocol::routing::Version;
 use serde::{Deserialize, Serialize};
@@ -75,6 +76,10 @@
     /// that kept none.
     #[serde(default, skip_serializing_if = "is_unknown")]
     pub config: Version,
+    /// Regions that its route and its workspace allowed then; all if it was stored by a version that
+    /// kept none. They hold once the configuration lacks the route or the workspace.
+    #[serde(default, skip_serializing_if = "Residency::is_unrestricted")]
+    pub residency: Residency,
     /// Items in the order of submission.
     pub items: Vec<Item>,
 }
@@ -103,6 +108,7 @@
             accepted_by: Holder { instance: 1, address: SocketAddr::from(([127, 0, 0, 1], 1)) },
             workspace: None,
             config: 1,
+            residency: Residency::default(),
             items: items.iter().map(item).collect(),
         }
     }
