--- a/crates/daemon/src/gateway/job_scan.rs
+++ b/crates/daemon/src/gateway/job_scan.rs
@@ -146,15 +146,8 @@
         return ScanResult::Own;
     }
     let status = Box::new(JobStatus {
-        job: object.name.clone(),
-        holder,
-        data_centre: String::new(),
-        revision: object.revision,
-        route: job_table::route_of(node, &job).map_or_else(String::new, |route| route.name),
-        workspace: job.workspace.clone(),
-        residency: job.residency.clone(),
         waiting_tokens: tokens,
-        is_finished: false,
+        ..job_table::open_status(node, &job, holder, object.revision)
     });
     if takeover::is_gone(node, holder, is_warmed_up) {
         return ScanResult::Orphan(status);
--- a/crates/daemon/src/gateway/job_table.rs
+++ b/crates/daemon/src/gateway/job_table.rs
@@ -12,8 +12,8 @@
 use coordination::run_time::Estimate;
 use coordination::{hash, pending_jobs};
 use protocol::routing::{Class, Route};
-use protocol::{ServiceId, WorkspaceId};
-use state::progress::{Handoff, Job, JobId};
+use protocol::{DataCentreId, ServiceId, WorkspaceId};
+use state::progress::{Handoff, Holder, Job, JobId};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -218,15 +218,25 @@
 fn status(node: &Node, held: &HeldJob) -> JobStatus {
     let state = held.state.borrow();
     JobStatus {
-        job: state.job().id.clone(),
-        holder: node.as_holder(),
         data_centre: node.data_centre().clone(),
-        revision: held.revision.get(),
-        route: route_of(node, state.job()).map_or_else(String::new, |route| route.name),
-        workspace: state.job().workspace.clone(),
-        residency: state.job().residency.clone(),
         waiting_tokens: state.waiting_tokens(),
         is_finished: state.is_finished(),
+        ..open_status(node, state.job(), node.as_holder(), held.revision.get())
+    }
+}
+
+/// Status of an open job as stored, none of whose items is known to be done.
+pub(super) fn open_status(node: &Node, job: &Job, holder: Holder, revision: u64) -> JobStatus {
+    JobStatus {
+        job: job.id.clone(),
+        holder,
+        data_centre: DataCentreId::new(),
+        revision,
+        route: route_of(node, job).map_or_else(String::new, |route| route.name),
+        workspace: job.workspace.clone(),
+        residency: job.residency.clone(),
+        waiting_tokens: job.tokens(),
+        is_finished: false,
     }
 }
 
--- a/crates/daemon/src/gateway/takeover.rs
+++ b/crates/daemon/src/gateway/takeover.rs
@@ -271,17 +271,10 @@
         slog::info!(node.log, "job has a live holder"; "job" => &object.name,
             "holder" => %holder.peer);
         spawn_local(notify_holder(node.clone(), object.name.clone(), holder.peer));
+        let job = &stored_job.job;
         node.jobs.on_status(JobStatus {
-            job: object.name.clone(),
-            holder: previous_holder,
             data_centre: holder.data_centre,
-            revision: object.revision,
-            route: job_table::route_of(node, &stored_job.job)
-                .map_or_else(String::new, |route| route.name),
-            workspace: stored_job.job.workspace.clone(),
-            residency: stored_job.job.residency.clone(),
-            waiting_tokens: stored_job.job.tokens(),
-            is_finished: false,
+            ..job_table::open_status(node, job, previous_holder, object.revision)
         });
         return Ok(None);
     }
