--- a/crates/daemon/tests/gateway_residency.rs
+++ b/crates/daemon/tests/gateway_residency.rs
@@ -10,9 +10,9 @@
 use util::wait_until;
 
 const PATH: &str = "/plain/";
-/// Time within which a job is run by whoever may run it.
+/// Longest time until an item with a free slot in its allowed regions runs.
 const RUN_TIME: Duration = Duration::from_secs(4);
-/// Time within which a job is taken over by whoever may, though its whole data centre is lost.
+/// Longest time until a job is taken over, also if its whole data centre is lost.
 const TAKEOVER_TIME: Duration = Duration::from_secs(14);
 
 /// Two data centres in the region `north`, and one each in `south` and `far`.
