Know which versions served though the platform was away before a loss of all

Cause: a version was listed on the platform when its first stream began, by a write that a stream waited 250 ms for at most, and an instance that starts took the list for complete. Whatever kept that write away made the version *forgotten*, and forgotten was taken for *never seen*.

Change: the platform's own history of the targets' entries shows every version that has served. One instance lists all versions that it sees there and writes, every 4 s while something changes, up to which revision they are listed. An instance that starts reads the list and the changes after that revision. If the platform has dropped these changes, the checkpoint says since when all versions are known, and streams that nobody knows are refused (410) at once until none from before can return. No stream waits for a write any more: the wait, its request between instances and the exception for versions of the start are gone.

Why it works: a target serves only once its entry is on the platform, so a version can't have begun a stream without being in the list, in the history or behind a gap that is known as such.

--- a/crates/coordination/src/watch.rs
+++ b/crates/coordination/src/watch.rs
@@ -63,6 +63,17 @@
     }
 }
 
+/// The instance that ranks first for `topic`; `None` without candidates.
+pub fn first(topic: &str, candidates: impl IntoIterator<Item = Candidate>) -> Option<InstanceId> {
+    candidates.into_iter().min_by_key(|candidate| rank(topic, *candidate)).map(|first| first.id)
+}
+
+/// Rank of an instance for `topic`: the lowest watches.
+fn rank(topic: &str, candidate: Candidate) -> (bool, u64, InstanceId) {
+    let Candidate { id, is_disconnected } = candidate;
+    (is_disconnected, hash::weight(topic.as_bytes(), id), id)
+}
+
 /// Whether `me` is among the `watcher_count` instances that watch `topic`.
 pub fn is_watcher(
     topic: &str,
@@ -70,10 +81,8 @@
     candidates: impl IntoIterator<Item = Candidate>,
     watcher_count: usize,
 ) -> bool {
-    let mut ranked: Vec<(bool, u64, InstanceId)> = candidates
-        .into_iter()
-        .map(|c| (c.is_disconnected, hash::weight(topic.as_bytes(), c.id), c.id))
-        .collect();
+    let mut ranked: Vec<(bool, u64, InstanceId)> =
+        candidates.into_iter().map(|candidate| rank(topic, candidate)).collect();
     ranked.sort_unstable();
     ranked.iter().take(watcher_count).any(|(.., id)| *id == me)
 }
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -12,7 +12,7 @@
 use coordination::quarantine::CrashReport;
 use coordination::quota::{Report, Snapshot};
 use coordination::registry::Change;
-use coordination::releases::Release;
+use coordination::releases::{History, Release};
 use coordination::residency::Residency;
 use coordination::run_time::Estimate;
 use coordination::slots::{Grant, HeldLease, Knowledge, LeaseId, LeaseReport, Purpose, Workload};
@@ -261,10 +261,13 @@
     },
     /// Requests what began the stream of an attempt.
     Origin(AttemptId),
-    /// Requests that the receiver list a software version on the platform.
+    /// Requests that the receiver list a software version on the platform. Only earlier builds send
+    /// it.
     ListRelease(Release),
-    /// Requests the software versions that may have served.
+    /// Requests the software versions that may have served. Only earlier builds send it.
     Releases,
+    /// Requests the software versions that may have served, and since when all are known.
+    ReleaseHistory,
     /// Tells an allocator that has just started what the sender knows of its targets.
     Knowledge(Vec<Knowledge>),
 }
@@ -334,6 +337,8 @@
     Origin(Option<Origin>),
     /// The software versions that may have served.
     Releases(Vec<Release>),
+    /// The same, and since when all are known.
+    ReleaseHistory(History),
     /// The receiver is unable to serve the request now.
     #[serde(rename = "Away")]
     Unavailable,
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -65,6 +65,7 @@
 pub mod platform_health;
 pub mod quarantine;
 pub mod quota;
+pub mod releases;
 pub mod residency;
 pub mod run;
 pub mod slot_metrics;
--- a/crates/daemon/src/gateway/online/origin.rs
+++ b/crates/daemon/src/gateway/online/origin.rs
@@ -61,12 +61,7 @@
         self.find_origin().await?;
         let required = self.required_software()?;
         let fits = required.is_none() || required == lease.software;
-        let is_confirmed = fits && self.service == leased_service;
-        if is_confirmed && self.route.class == Class::Stream && self.route.resumable {
-            let software = lease.software.as_ref();
-            origins::ensure_recorded(&self.node, &self.service, software).await;
-        }
-        Ok(is_confirmed)
+        Ok(fits && self.service == leased_service)
     }
 
     /// Records what began the stream, for resumptions here and at other instances.
--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -2,30 +2,26 @@
 //! callers take up again.
 //!
 //! All instances that know a stream may be gone. What it began at is then clear only where a single
-//! software version has served, so the versions are listed on the platform: each before its first
-//! stream begins, until callers of its streams can't return any more.
+//! software version has served, so the versions are listed on the platform until callers of their
+//! streams can't return any more.
 
-use super::broadcast;
-use super::call_reason::CallReason;
 use super::leases::AcquireError;
 use super::message::{PeerReply, PeerRequest, Update};
 use super::node::Node;
+use super::releases::List;
+use super::{broadcast, watch};
 use crate::clock;
-use coordination::hash;
-use coordination::membership::{Member, MemberTable, State};
+use coordination::membership::{Member, MemberTable};
 use coordination::origins::{self, Place};
-use coordination::releases::Release;
+use coordination::releases::{Release, Stored};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use platform::release;
 use platform::store::StoreError;
+use protocol::InstanceId;
 use protocol::routing::Origin;
-use protocol::{InstanceId, SoftwareVersion};
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::task::spawn_local;
+use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
 
 /// Longest wait for the instances that may know a stream: much longer than a round trip between
@@ -35,14 +31,17 @@
 const JOIN_PERIOD: Duration = Duration::from_secs(2);
 /// How long callers who state no deadline may return.
 const DEFAULT_LIFETIME: Duration = Duration::from_secs(60);
-/// Longest wait of a stream for the listing of its version.
-const RECORD_TIMEOUT: Duration = Duration::from_millis(250);
-/// Longest wait for the instance that lists a version.
-const WRITER_TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest wait for the instance that keeps the list of versions.
+const KEEPER_TIMEOUT: Duration = Duration::from_millis(150);
 /// Longest wait for another call about the list of versions.
 const LIST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval between checks for new versions.
 const RELEASE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after a failed call about the list until the next one.
+const RECORD_RETRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval between writes of the checkpoint, while the registry may have changed. The platform keeps
+/// some 20 s of history, and a loss of all instances may last a few of them.
+const CHECKPOINT_INTERVAL: Duration = Duration::from_secs(4);
 /// Interval between removals of versions from the list.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(60);
 /// Longest time for which an origin is kept, whatever deadline a caller states.
@@ -128,133 +127,59 @@
             return Err(AcquireError::NoReply);
         }
     }
-    if node.releases.borrow().has_others(&release) {
+    let releases = node.releases.borrow();
+    if releases.has_others(&release) {
+        return Err(AcquireError::UnknownVersion);
+    }
+    if !releases.is_complete(MAX_LIFETIME + LIFETIME_MARGIN, clock::millis()) {
+        node.metrics.count("release.forgotten");
         return Err(AcquireError::UnknownVersion);
     }
     Ok(Origin { service: release.service, software: Some(release.software) })
 }
 
-/// Waits until a version is listed at whose target a stream is about to begin, but not for long: if
-/// the platform is unavailable, the stream begins all the same.
-pub async fn ensure_recorded(node: &Rc<Node>, service: &str, software: Option<&SoftwareVersion>) {
-    let Some(software) = software else {
-        return;
-    };
-    let release = Release { service: service.to_owned(), software: software.clone() };
-    if node.releases.borrow().is_recorded(&release) {
-        return;
-    }
-    let now = clock::now();
-    let wait = node.releases.borrow_mut().remaining_wait(&release, RECORD_TIMEOUT, now);
-    // A call in progress is about the same list.
-    let is_recording = node.release_calls.try_lock().is_err();
-    if wait.is_zero() && (is_recording || node.store.is_backing_off(now)) {
-        node.metrics.count("release.unlisted");
-        return;
-    }
-    let recording = spawn_local(request_record(node.clone(), release));
-    if wait.is_zero() {
-        return;
-    }
-    if !matches!(tokio::time::timeout(wait, recording).await, Ok(Ok(true))) {
-        node.metrics.count("release.unlisted");
-        slog::info!(node.log, "stream begins at an unlisted version"; "service" => service,
-            "software" => software);
+/// The list of versions on the platform.
+fn list(node: &Node) -> List<'_> {
+    List {
+        store: &node.store,
+        releases: &node.releases,
+        log: &node.log,
+        is_first_start: node.settings.is_first_start,
     }
 }
 
-/// Has a version listed by the instance that is responsible for it, so that one of them writes it
-/// when all need it at once; if that fails, lists it here. `false` if that failed too.
-async fn request_record(node: Rc<Node>, release: Release) -> bool {
-    if let Some(address) = responsible(&node, &object_name(&release)) {
-        let request = PeerRequest::ListRelease(release.clone());
-        let reply = node.try_request(address, &request, WRITER_TIMEOUT).await;
-        if matches!(reply, Ok(PeerReply::Acknowledged)) {
-            node.releases.borrow_mut().on_recorded(release);
-            return true;
-        }
-    }
-    record(node, release).await
-}
-
-/// Address of the instance that makes calls about an object; `None` for this one.
-fn responsible(node: &Node, name: &str) -> Option<SocketAddr> {
-    let members = node.members.borrow();
-    let alive = members.workers().filter(|member| member.state == State::Alive);
-    let owner = hash::owner(name.as_bytes(), alive.map(|member| member.id))?;
-    let owner = members.others().find(|member| member.id == owner);
-    owner.map(|member| member.peer)
-}
-
 /// Lists a version on the platform unless it is listed; `false` if that failed.
 pub async fn record(node: Rc<Node>, release: Release) -> bool {
     let _turn = node.release_calls.lock().await;
-    let is_listed = node.releases.borrow().is_listed();
-    if !is_listed && !learn_releases(&node).await {
-        return false;
-    }
-    if node.releases.borrow().is_recorded(&release) {
-        return true;
-    }
-    let name = object_name(&release);
-    match node.store.create(CallReason::Release, release::KIND, &name, &release).await {
-        Ok(_) | Err(StoreError::Conflict(_)) => {
-            slog::info!(node.log, "software version listed"; "service" => &release.service,
-                "software" => &release.software);
-            node.releases.borrow_mut().on_recorded(release.clone());
-            broadcast::send(&node, Update::Release(release));
-            true
-        }
-        Err(error) => {
-            slog::info!(node.log, "software version not listed"; "service" => &release.service,
-                "software" => &release.software, "fault" => %error);
-            false
-        }
-    }
+    let is_recorded = node.releases.borrow().is_recorded(&release);
+    is_recorded || list(&node).record(&release).await.is_ok()
 }
 
-/// Learns after the start which versions may have served: from the instance that keeps the list, or
+/// Learns which versions may have served: after the start from the instance that keeps the list, or
 /// from the platform. `false` if that failed.
 async fn learn_releases(node: &Rc<Node>) -> bool {
     let is_listed = node.releases.borrow().is_listed();
     // A list that is out of date is read again from the platform.
-    let keeper = if is_listed { None } else { list_keeper(node) };
+    let keeper = if is_listed { None } else { watch::global_watcher(node) };
     if let Some(address) = keeper {
         let now = clock::now();
-        let reply = node.try_request(address, &PeerRequest::Releases, WRITER_TIMEOUT).await;
-        if let Ok(PeerReply::Releases(known)) = reply {
-            node.releases.borrow_mut().on_list(known.into_iter().collect(), now);
+        let reply = node.try_request(address, &PeerRequest::ReleaseHistory, KEEPER_TIMEOUT).await;
+        if let Ok(PeerReply::ReleaseHistory(history)) = reply {
+            slog::info!(node.log, "earlier software versions known"; "from" => %address,
+                "complete_since" => history.complete_since);
+            node.releases.borrow_mut().on_history(history, now);
             return true;
         }
     }
-    list_releases(node).await.is_ok()
+    list(node).read().await.is_ok()
 }
 
-/// Reads the list of versions.
-///
-/// # Errors
-///
-/// The failed call of the platform.
-async fn list_releases(node: &Rc<Node>) -> Result<BTreeSet<Release>, StoreError> {
-    // Stamped with the time before the call, since the list is no newer than that.
-    let now = clock::now();
-    let objects = node.store.list_all(CallReason::Release, release::KIND).await?;
-    let releases = objects.iter().filter_map(|object| serde_json::from_str(object.spec.get()).ok());
-    let list: BTreeSet<Release> = releases.collect();
-    node.releases.borrow_mut().on_list(list.clone(), now);
-    Ok(list)
-}
-
-/// Name of a version's object on the platform.
-fn object_name(release: &Release) -> String {
-    let service = hash::bytes(release.service.as_bytes());
-    format!("{service:016x}.{:016x}", hash::bytes(release.software.as_bytes()))
-}
-
-/// Keeps track of the versions that serve, and removes others from the list, until `stop`.
+/// Keeps track of the versions that serve, until `stop`. One instance extends the list for all,
+/// advances its checkpoint, and removes versions from it.
 pub async fn run(node: Rc<Node>, stop: CancellationToken) {
     let mut registry_version = None;
-    let mut cleaned_at = clock::now();
+    let mut upkeep = None;
+    let mut forgotten_at = clock::now();
     loop {
         tokio::select! {
             () = tokio::time::sleep(RELEASE_CHECK_INTERVAL) => {}
@@ -265,48 +190,92 @@
             let present = node.registry.borrow().releases();
             node.releases.borrow_mut().set_present(present);
         }
+        let is_keeper = watch::global_watcher(&node).is_none() && !node.is_stopping();
         // The keeper of the list reads it first, and the others ask it.
-        let is_turn = list_keeper(&node).is_none() || clock::since(node.started) >= JOIN_PERIOD / 2;
+        let is_turn = is_keeper || clock::since(node.started) >= JOIN_PERIOD / 2;
         let has_unlisted = node.releases.borrow().has_unlisted();
         if is_turn && has_unlisted && !node.store.is_backing_off(clock::now()) {
             let _turn = node.release_calls.lock().await;
             learn_releases(&node).await;
         }
-        if clock::since(cleaned_at) >= CLEANUP_INTERVAL {
-            cleaned_at = clock::now();
-            if list_keeper(&node).is_none() {
-                remove_expired(&node).await;
+        if is_keeper && node.releases.borrow().watched().is_some() {
+            let upkeep = upkeep.get_or_insert_with(|| Upkeep::new(clock::now()));
+            upkeep.run(&node).await;
+        } else {
+            upkeep = None;
+            if clock::since(forgotten_at) >= CLEANUP_INTERVAL {
+                forgotten_at = clock::now();
+                let expired = expired(&node);
+                expired.iter().for_each(|release| node.releases.borrow_mut().on_removed(release));
             }
         }
     }
 }
 
-/// Address of the instance that reads the list for the others and removes versions from it; `None`
-/// for this one.
-fn list_keeper(node: &Node) -> Option<SocketAddr> {
-    responsible(node, release::KIND)
+/// Versions whose streams can't be taken up any more.
+fn expired(node: &Node) -> Vec<Release> {
+    node.releases.borrow_mut().expired(MAX_LIFETIME + LIFETIME_MARGIN, clock::now())
 }
 
-/// Removes versions from the list that have been absent for as long as callers may return.
-async fn remove_expired(node: &Rc<Node>) {
-    let _turn = node.release_calls.lock().await;
-    if list_releases(node).await.is_err() {
-        return;
+/// The work of the instance that keeps the list.
+struct Upkeep {
+    /// The checkpoint; `None` until it was read.
+    stored: Option<Stored>,
+    /// Whether the list was read since this instance has kept it.
+    is_read: bool,
+    /// When the checkpoint is advanced next.
+    advances_at: Instant,
+    /// When versions are removed next.
+    cleans_at: Instant,
+    /// No calls are made until then, after one has failed.
+    retries_at: Instant,
+}
+
+impl Upkeep {
+    fn new(now: Instant) -> Upkeep {
+        Upkeep {
+            stored: None,
+            is_read: false,
+            advances_at: now,
+            cleans_at: now + CLEANUP_INTERVAL,
+            retries_at: now,
+        }
+    }
+
+    /// Makes the calls that are due.
+    async fn run(&mut self, node: &Rc<Node>) {
+        let now = clock::now();
+        let has_unrecorded = !node.releases.borrow().unrecorded().is_empty();
+        let is_due = has_unrecorded || now >= self.advances_at || now >= self.cleans_at;
+        if !is_due || now < self.retries_at || node.store.is_backing_off(now) {
+            return;
+        }
+        let _turn = node.release_calls.lock().await;
+        if self.make_calls(node, now).await.is_err() {
+            self.retries_at = clock::now() + RECORD_RETRY_INTERVAL;
+        }
     }
-    let retention = MAX_LIFETIME + LIFETIME_MARGIN;
-    let expired = node.releases.borrow_mut().expired(retention, clock::now());
-    for release in expired {
-        let name = object_name(&release);
-        let result = node.store.delete(CallReason::Release, release::KIND, &name, None).await;
-        slog::info!(node.log, "software version removed from the list";
-            "service" => &release.service, "software" => &release.software,
-            "is_removed" => result.is_ok());
-        // It may have come back during the call.
-        let is_back = node.registry.borrow().releases().contains(&release);
-        if is_back {
-            let spec = node.store.create(CallReason::Release, release::KIND, &name, &release).await;
-            slog::info!(node.log, "software version listed again"; "is_listed" => spec.is_ok());
+
+    async fn make_calls(&mut self, node: &Rc<Node>, now: Instant) -> Result<(), StoreError> {
+        let list = list(node);
+        if !self.is_read || now >= self.cleans_at {
+            self.stored = list.read().await?;
+            self.is_read = true;
+        }
+        for release in list.record_all().await? {
+            broadcast::send(node, Update::Release(release));
+        }
+        if now >= self.advances_at {
+            self.stored = list.advance(self.stored).await?;
+            self.advances_at = now + CHECKPOINT_INTERVAL;
+        }
+        if now >= self.cleans_at {
+            self.cleans_at = now + CLEANUP_INTERVAL;
+            for release in expired(node) {
+                list.remove(&release).await;
+            }
         }
+        Ok(())
     }
 }
 
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -185,8 +185,12 @@
             PeerReply::Acknowledged
         }
         PeerRequest::Releases => {
-            let known = node.releases.borrow().known();
-            known.map_or(PeerReply::Unavailable, PeerReply::Releases)
+            let known = node.releases.borrow().history();
+            known.map_or(PeerReply::Unavailable, |known| PeerReply::Releases(known.releases))
+        }
+        PeerRequest::ReleaseHistory => {
+            let known = node.releases.borrow().history();
+            known.map_or(PeerReply::Unavailable, PeerReply::ReleaseHistory)
         }
         PeerRequest::ListRelease(release) => {
             let is_listed = run_to_completion(origins::record(node.clone(), release)).await;
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -7,7 +7,7 @@
 use crate::clock;
 use coordination::connectivity::{Policy, Tracker, Uptime};
 use coordination::retry;
-use platform::store::{Object, Page, Revision, Store, StoreError, Undecodable};
+use platform::store::{Changes, Object, Page, Revision, Store, StoreError, Undecodable};
 use protocol::settings::Settings;
 use serde::Serialize;
 use slog::Logger;
@@ -323,6 +323,42 @@
         self.record_result(self.store.replace(kind, name, None, spec).await)
     }
 
+    /// As [`Store::replace`], if `revision` is the current one.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::replace`], and [`StoreError::Unavailable`] during a back-off.
+    pub async fn replace_at<T: Serialize>(
+        &self,
+        reason: CallReason,
+        kind: &str,
+        name: &str,
+        revision: Revision,
+        spec: &T,
+    ) -> Result<Object, StoreError> {
+        self.check_breaker(reason)?;
+        self.record_result(self.store.replace(kind, name, Some(revision), spec).await)
+    }
+
+    /// The changes of a kind after `revision`, without a wait for more.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::watch`], and [`StoreError::Unavailable`] during a back-off.
+    pub async fn changes(
+        &self,
+        reason: CallReason,
+        kind: &str,
+        revision: Revision,
+    ) -> Result<Changes, StoreError> {
+        self.check_breaker(reason)?;
+        let result = self.record_result(self.store.watch(kind, revision, Duration::ZERO).await);
+        if let Ok(changes) = &result {
+            self.log_undecodable(kind, &changes.undecodable);
+        }
+        result
+    }
+
     /// As [`Store::set_status`].
     ///
     /// # Errors
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -10,7 +10,7 @@
 use super::node::Node;
 use super::platform_health::{PROBE_TIMEOUT, is_disconnected};
 use super::quarantine;
-use super::{discovery, evacuation};
+use super::{discovery, evacuation, releases};
 use crate::clock;
 use coordination::membership::{Member, State};
 use coordination::watch::{self, Candidate};
@@ -83,17 +83,30 @@
 }
 
 fn is_watcher(node: &Node, topic: Topic) -> bool {
-    let now = clock::now();
     let members = node.members.borrow();
-    let candidates = members.workers().filter(|member| {
-        let is_candidate = topic.is_global() || member.data_centre == *node.data_centre();
-        is_candidate && member.state != State::Suspect
-    });
-    let candidate = |member: &Member| {
+    let is_near = |member: &&Member| member.data_centre == *node.data_centre();
+    let members_of_topic = members.workers().filter(|m| topic.is_global() || is_near(m));
+    let candidates = candidates(node, members_of_topic);
+    watch::is_watcher(RANK_KEY, members.me().id, candidates, WATCHER_COUNT)
+}
+
+/// Address of the instance that watches the global topics, and so the targets too; `None` for this
+/// one.
+pub fn global_watcher(node: &Node) -> Option<SocketAddr> {
+    let members = node.members.borrow();
+    let first = watch::first(RANK_KEY, candidates(node, members.workers()))?;
+    members.others().find(|member| member.id == first).map(|member| member.peer)
+}
+
+fn candidates<'a>(
+    node: &'a Node,
+    members: impl Iterator<Item = &'a Member>,
+) -> impl Iterator<Item = Candidate> {
+    let now = clock::now();
+    members.filter(|member| member.state != State::Suspect).map(move |member| {
         let is_disconnected = is_disconnected(node, member.id, now);
         Candidate { id: member.id, is_disconnected }
-    };
-    watch::is_watcher(RANK_KEY, members.me().id, candidates.map(candidate), WATCHER_COUNT)
+    })
 }
 
 async fn watch_topic(node: Rc<Node>, topic: Topic, stop: CancellationToken) {
@@ -259,19 +272,22 @@
     revision: Option<Revision>,
 ) -> Result<Revision, StoreError> {
     let store = node.store.without_breaker();
-    let Some(revision) = revision else {
+    let Some(since) = revision else {
         node.store.count_call(CallReason::Watch);
         let listing = store.list_all(topic.kind()).await?;
         node.store.on_response(clock::now());
         node.store.log_undecodable(topic.kind(), &listing.undecodable);
         let revision = listing.revision;
         node.store.on_revision(revision);
+        if topic == Topic::Targets {
+            releases::on_registry(&node.releases, &listing);
+        }
         on_list(node, topic, listing).await?;
         return Ok(revision);
     };
-    let wait = topic.watch_timeouts().timeout(revision, node.store.latest_revision());
+    let wait = topic.watch_timeouts().timeout(since, node.store.latest_revision());
     node.store.count_call(CallReason::Watch);
-    let watch = store.watch(topic.kind(), revision, wait);
+    let watch = store.watch(topic.kind(), since, wait);
     let changes = tokio::time::timeout(wait + PROBE_TIMEOUT, watch).await.unwrap_or_else(|_| {
         Err(StoreError::OutcomeUnknown(String::from("the watch is overdue")))
     })?;
@@ -290,7 +306,10 @@
             let present = changes.changes.into_iter().filter(|change| !change.removed);
             present.for_each(|change| discovery::on_config_object(node, &change.object));
         }
-        Topic::Targets => discovery::on_changes(node, changes),
+        Topic::Targets => {
+            releases::on_changes(&node.releases, &changes, since);
+            discovery::on_changes(node, changes);
+        }
         Topic::Evacuations => evacuation::on_watched(node, &changes),
         Topic::Quarantine => {
             let present = changes.changes.into_iter().filter(|change| !change.removed);
--- a/crates/daemon/tests/gateway_releases.rs
+++ b/crates/daemon/tests/gateway_releases.rs
@@ -236,14 +236,17 @@
     let gateways =
         std::env::var("GATESPOOL_GATEWAYS").map_or(gateways, |n| n.parse().expect("a number"));
     let mut fleet = fleet_of(gateways, Faults::default());
-    let recorded = || fleet.objects.objects_of_kind(platform::release::KIND).len();
+    let recorded = || {
+        let objects = fleet.objects.objects_of_kind(platform::release::KIND);
+        objects.iter().filter(|o| o["meta"]["name"] != platform::release::CHECKPOINT).count()
+    };
     let before = fleet.objects.counts();
     drop(begin_all(&fleet, "first"));
     wait_until("the version is listed", || recorded() == 1);
     std::thread::sleep(REGISTRY_DELAY);
     let first = fleet.objects.counts();
-    release_all(&fleet, "v2");
     let released = fleet.objects.counts();
+    release_all(&fleet, "v2");
     drop(begin_all(&fleet, "second"));
     wait_until("the second version is listed", || recorded() == 2);
     std::thread::sleep(REGISTRY_DELAY);
--- a/crates/daemon/tests/util/gateway.rs
+++ b/crates/daemon/tests/util/gateway.rs
@@ -192,10 +192,15 @@
             ini.push_str(&format!("[{section}]\n{setting}\n"));
         }
         let name = format!("gateway-{n}");
-        let is_even_start = self.starts[n].fetch_add(1, Ordering::Relaxed).is_multiple_of(2);
+        let starts = self.starts[n].fetch_add(1, Ordering::Relaxed);
         match &self.plan.earlier_build {
-            Some(program) if is_even_start => Daemon::start_build(program, &self.dir, &name, &ini),
-            _ => Daemon::start(&self.dir, &name, &ini),
+            Some(program) if starts.is_multiple_of(2) => {
+                Daemon::start_build(program, &self.dir, &name, &ini)
+            }
+            _ => {
+                ini.push_str(&format!("[platform]\nfirst_start = {}\n", starts == 0));
+                Daemon::start(&self.dir, &name, &ini)
+            }
         }
     }
 
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -72,6 +72,9 @@
     pub entry_heartbeat_interval: Duration,
     /// `[platform] value_bytes`: maximum size in bytes of an object on the platform.
     pub max_value_bytes: usize,
+    /// `[platform] first_start`: whether the whole system starts for the first time, so that the
+    /// platform holds nothing of it.
+    pub is_first_start: bool,
     /// `[platform] calls_per_second`: rate limit of this instance's calls to the platform.
     pub platform_calls_per_second: f64,
     /// `[platform] poll_ms`: time between reads of the configuration head.
@@ -162,6 +165,7 @@
             platform_timeout: Duration::from_secs(2),
             entry_heartbeat_interval: Duration::from_millis(1_200),
             max_value_bytes: 1 << 20,
+            is_first_start: false,
             platform_calls_per_second: 100.0,
             platform_poll_interval: Duration::from_secs(2),
             shards: 8,
@@ -272,6 +276,7 @@
             &mut self.platform_address,
         )?;
         source.read_millis("platform", "timeout_ms", &mut self.platform_timeout)?;
+        source.read_value("platform", "first_start", "true or false", &mut self.is_first_start)?;
         source.read_millis("platform", "entry_heartbeat_ms", &mut self.entry_heartbeat_interval)?;
         source.read_value(
             "platform",
