Give a list of the platform longer to begin after each failure

A platform, or a machine, that needs longer than the limit for a large object could never be read.

Change: the limit of the list that a watch starts from doubles with each failed one, up to eightfold. Watches, probes and all other calls keep theirs, so an outage is noticed as before.

--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -51,6 +51,10 @@
 const RETRY_DELAY_BOUNDS: [Duration; 2] =
     [Duration::from_millis(250), Duration::from_millis(1_500)];
 
+/// Most by which the timeout of a list grows while lists fail. The platform may need longer for the
+/// first byte of a large object than for a small one.
+const MAX_LIST_TIMEOUT_FACTOR: u32 = 8;
+
 /// Starts watching all topics, until `stop`.
 pub fn start(node: &Rc<Node>, stop: &CancellationToken) {
     let topics = [
@@ -127,7 +131,7 @@
         }
         let started_at = clock::now();
         let result = tokio::select! {
-            result = list_or_watch(&node, topic, revision) => result,
+            result = list_or_watch(&node, topic, revision, failures) => result,
             () = node.store.disconnected() =>
                 Err(StoreError::OutcomeUnknown(String::from("probe failed"))),
             () = renewal_due(&node, topic, revision) => {
@@ -265,15 +269,18 @@
     node.store.idle_time(clock::now()).map(|time| time.as_millis() as u64)
 }
 
-/// Lists or watches once and returns the revision to continue from.
+/// Lists or watches once, after a number of failures, and returns the revision to continue from.
 async fn list_or_watch(
     node: &Rc<Node>,
     topic: Topic,
     revision: Option<Revision>,
+    failures: u32,
 ) -> Result<Revision, StoreError> {
     let store = node.store.without_breaker();
     let Some(since) = revision else {
         node.store.count_call(CallReason::Watch);
+        let factor = 2_u32.saturating_pow(failures).min(MAX_LIST_TIMEOUT_FACTOR);
+        let store = store.with_timeout(store.timeout() * factor);
         let listing = store.list_all(topic.kind()).await?;
         node.store.on_response(clock::now());
         node.store.log_undecodable(topic.kind(), &listing.undecodable);
--- a/crates/daemon/tests/gateway_large_config.rs
+++ b/crates/daemon/tests/gateway_large_config.rs
@@ -5,6 +5,7 @@
 
 use rstest::rstest;
 use serde_json::Value;
+use standin::objects::Faults;
 use std::time::{Duration, Instant};
 use util::gateway::routes::add_routes;
 use util::gateway::{Fleet, Plan};
@@ -124,3 +125,19 @@
         std::thread::sleep(Duration::from_millis(20));
     }
 }
+
+/// Regression: a list whose first byte came later than the time limit was given up and begun anew,
+/// always with the same limit.
+#[test]
+fn configuration_is_read_though_its_first_byte_is_late() {
+    let mut fleet = Fleet::start(Plan { gateways: vec!["east"], ..Plan::default() });
+    let kind = Some(String::from(platform::config::KIND));
+    let latency = Duration::from_millis(600);
+    fleet.objects.set_faults(Faults { latency, latency_kind: kind, ..Faults::default() });
+    fleet.restart(0);
+    let started_at = Instant::now();
+    while count_lines(&fleet, 0, 7) < 2 {
+        assert!(started_at.elapsed() < MAX_READ_TIME, "version 7 isn't in force");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
--- a/crates/standin/src/objects.rs
+++ b/crates/standin/src/objects.rs
@@ -325,9 +325,11 @@
         if faults.unavailable {
             return http::json(503, &json!({}));
         }
-        tokio::time::sleep(faults.latency).await;
         let is_read = head.method == Method::GET;
         let kind = head.segments().get(1).copied().unwrap_or_default().to_owned();
+        if faults.latency_kind.as_ref().is_none_or(|delayed| *delayed == kind) {
+            tokio::time::sleep(faults.latency).await;
+        }
         let write_fault = if is_read { WriteFault::None } else { self.next_write_fault(&kind) };
         match write_fault {
             WriteFault::None => self.handle(&head, &body).await,
--- a/crates/standin/src/objects/faults.rs
+++ b/crates/standin/src/objects/faults.rs
@@ -25,6 +25,8 @@
     pub write_delay: Duration,
     /// Delay of every call before it takes effect.
     pub latency: Duration,
+    /// Restricts `latency` to calls about this kind.
+    pub latency_kind: Option<String>,
 }
 
 /// Calls counted since the start.
