--- a/crates/coordination/src/origins.rs
+++ b/crates/coordination/src/origins.rs
@@ -40,6 +40,7 @@
 pub struct Table {
     origins: HashMap<AttemptId, Stored>,
     by_expiry: BTreeSet<(Instant, AttemptId)>,
+    longest_lifetime: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -52,6 +53,7 @@
     /// Stores an origin for `lifetime`; one known for the attempt is replaced.
     pub fn store(&mut self, attempt: AttemptId, origin: Origin, lifetime: Duration, now: Instant) {
         self.remove_expired(now);
+        self.longest_lifetime = self.longest_lifetime.max(lifetime);
         let expires = now + lifetime;
         let stored = Stored { origin, expires };
         if let Some(before) = self.origins.insert(attempt.clone(), stored) {
@@ -69,6 +71,11 @@
         stored.map(|stored| &stored.origin)
     }
 
+    /// Longest lifetime of any origin so far.
+    pub fn longest_lifetime(&self) -> Duration {
+        self.longest_lifetime
+    }
+
     /// Number of origins that are stored.
     pub fn len(&self) -> usize {
         self.origins.len()
--- a/crates/coordination/src/registry.rs
+++ b/crates/coordination/src/registry.rs
@@ -97,11 +97,12 @@
 
     /// The versions that targets state.
     pub fn releases(&self) -> BTreeSet<Release> {
-        let targets = self.entries.values().map(|entry| &entry.target);
-        let stated = targets.filter_map(|target| {
-            Some(Release { service: target.service.clone(), software: target.software.clone()? })
-        });
-        stated.collect()
+        self.entries.values().map(|entry| Release::of_target(&entry.target)).collect()
+    }
+
+    /// The versions of targets that ended within the last minute.
+    pub fn ended_releases(&self) -> Vec<Release> {
+        self.ended.releases().collect()
     }
 
     /// What a known target runs.
--- a/crates/coordination/src/registry/ended.rs
+++ b/crates/coordination/src/registry/ended.rs
@@ -1,5 +1,6 @@
 //! What targets ran that have been removed or have started again as another version.
 
+use crate::releases::Release;
 use protocol::SoftwareVersion;
 use protocol::routing::Origin;
 use std::collections::HashMap;
@@ -34,4 +35,10 @@
             move |ran: &&Option<Origin>| ran.as_ref().is_none_or(|ran| ran.service == service);
         self.0.keys().filter(may_serve).map(|ran| ran.as_ref()?.software.as_ref())
     }
+
+    /// Versions that have ended, as far as they are known.
+    pub(super) fn releases(&self) -> impl Iterator<Item = Release> {
+        let known = self.0.keys().flatten();
+        known.map(|ran| Release::new(ran.service.clone(), ran.software.clone()))
+    }
 }
--- a/crates/coordination/src/releases.rs
+++ b/crates/coordination/src/releases.rs
@@ -15,7 +15,7 @@
 //! let mut log = Log::default();
 //! log.set_present([release("v2")].into());
 //! assert!(log.needs_list(&release("v2"), now), "nothing is known of the time before");
-//! log.on_list([release("v1")].into(), now);
+//! log.on_list([release("v1")].into(), &[].into(), now);
 //! assert!(log.has_others(&release("v2")), "streams may have begun at v1");
 //! assert_eq!(log.unrecorded(), [release("v2")], "it must be listed");
 //! ```
@@ -24,6 +24,7 @@
 
 pub use checkpoint::{Checkpoint, Step, Stored, Watched};
 
+use protocol::routing::Target;
 use protocol::{Millis, ServiceId, SoftwareVersion};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeSet, HashMap};
@@ -37,10 +38,22 @@
 pub struct Release {
     /// The service.
     pub service: ServiceId,
-    /// The version of its targets' software.
+    /// The version of its targets' software; empty if they state none.
     pub software: SoftwareVersion,
 }
 
+impl Release {
+    /// A version of a service; `None` if its targets state none.
+    pub fn new(service: ServiceId, software: Option<SoftwareVersion>) -> Release {
+        Release { service, software: software.unwrap_or_default() }
+    }
+
+    /// The version that a target states.
+    pub fn of_target(target: &Target) -> Release {
+        Release::new(target.service.clone(), target.software.clone())
+    }
+}
+
 /// The versions that may have served, as one instance tells another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct History {
@@ -48,6 +61,9 @@
     pub releases: Vec<Release>,
     /// As [`Checkpoint::complete_since`].
     pub complete_since: Millis,
+    /// As [`Checkpoint::lifetime_ms`].
+    #[serde(default)]
+    pub lifetime_ms: Millis,
 }
 
 /// What one instance knows of the versions.
@@ -63,8 +79,12 @@
     known: BTreeSet<Release>,
     /// When the list was last read; `None` if it wasn't since the start.
     listed_at: Option<Instant>,
-    /// As [`Checkpoint::complete_since`], at the start of this instance; `None` until it is known.
+    /// As [`Checkpoint::complete_since`]; `None` until it is known.
     complete_since: Option<Millis>,
+    /// As [`Checkpoint::lifetime_ms`].
+    lifetime_ms: Millis,
+    /// Whether this instance may have missed versions since.
+    is_outdated: bool,
     /// Changes of the registry that this instance has watched.
     watched: Option<Watched>,
     /// Since when known versions have been absent.
@@ -75,18 +95,28 @@
     /// Sets the versions that targets state now. One that comes back must be listed again, as it may
     /// have been removed from the list meanwhile.
     pub fn set_present(&mut self, present: BTreeSet<Release>) {
-        for release in present.iter().filter(|release| self.departed.remove(release)) {
-            self.recorded.remove(release);
-        }
         let departed = self.present.difference(&present).cloned();
         self.departed.extend(departed);
-        self.known.extend(present.iter().cloned());
+        self.on_seen(present.iter().cloned());
         self.present = present;
     }
 
-    /// Adds versions that targets stated in changes of the registry.
+    /// Adds versions that targets state, by changes of the registry.
     pub fn on_seen(&mut self, releases: impl IntoIterator<Item = Release>) {
-        self.known.extend(releases);
+        for release in releases {
+            if self.departed.remove(&release) {
+                self.recorded.remove(&release);
+            }
+            self.on_ended([release]);
+        }
+    }
+
+    /// Adds versions that targets stated until they ended.
+    pub fn on_ended(&mut self, releases: impl IntoIterator<Item = Release>) {
+        for release in releases {
+            self.absent_since.remove(&release);
+            self.known.insert(release);
+        }
     }
 
     /// The registry was watched up to revision `through`, without a gap since revision `since`; `None`
@@ -94,6 +124,10 @@
     pub fn on_watched(&mut self, since: Option<u64>, through: u64) {
         let before = self.watched.filter(|watched| Some(watched.through) == since);
         let from = before.map_or(since.unwrap_or(through), |watched| watched.from);
+        if before.is_none() {
+            // Any version may have served meanwhile.
+            self.absent_since.clear();
+        }
         self.watched = Some(Watched { from, through });
     }
 
@@ -114,6 +148,11 @@
         self.recorded.contains(release)
     }
 
+    /// Versions that are known to be listed.
+    pub fn recorded(&self) -> &BTreeSet<Release> {
+        &self.recorded
+    }
+
     /// Known versions that aren't known to be listed.
     pub fn unrecorded(&self) -> Vec<Release> {
         self.known.difference(&self.recorded).cloned().collect()
@@ -121,6 +160,7 @@
 
     /// A version was listed.
     pub fn on_recorded(&mut self, release: Release) {
+        self.absent_since.remove(&release);
         self.known.insert(release.clone());
         self.recorded.insert(release);
     }
@@ -135,50 +175,76 @@
         }
     }
 
-    /// The list was read at `now`. Versions that aren't in it any more were removed from it.
-    pub fn on_list(&mut self, list: BTreeSet<Release>, now: Instant) {
-        let unrecorded = self.unrecorded();
-        self.known = list.union(&self.present).cloned().collect();
-        self.known.extend(unrecorded);
-        self.recorded = list;
-        self.departed.clear();
+    /// The list was read at `now`. Versions that were `recorded` then and aren't in it were removed.
+    pub fn on_list(&mut self, list: BTreeSet<Release>, recorded: &BTreeSet<Release>, now: Instant) {
+        for removed in recorded.difference(&list) {
+            // One that has come back meanwhile isn't recorded any more.
+            if self.recorded.contains(removed) {
+                self.on_removed(removed);
+            }
+        }
+        self.known.extend(list.iter().cloned());
+        self.recorded.extend(list);
         self.listed_at = Some(now);
     }
 
-    /// The versions that served before the start of this instance are known; all from the Unix time
-    /// `complete_since` on.
-    pub fn on_complete(&mut self, complete_since: Millis) {
-        self.complete_since.get_or_insert(complete_since);
+    /// The versions that served before now are known; all from the Unix time `complete_since` on.
+    pub fn on_complete(&mut self, complete_since: Millis, lifetime_ms: Millis) {
+        let before = self.complete_since.unwrap_or_default();
+        self.complete_since = Some(before.max(complete_since));
+        self.lifetime_ms = self.lifetime_ms.max(lifetime_ms);
+        self.is_outdated = false;
+    }
+
+    /// This instance was cut off or suspended, and may have missed versions that served.
+    pub fn on_missed(&mut self) {
+        self.is_outdated = true;
     }
 
     /// Another instance told at `now` which versions may have served.
     pub fn on_history(&mut self, history: History, now: Instant) {
-        self.known.extend(history.releases);
+        self.on_ended(history.releases);
         self.listed_at = Some(now);
-        self.on_complete(history.complete_since);
+        self.on_complete(history.complete_since, history.lifetime_ms);
     }
 
-    /// Whether it is known since the start which versions had served before.
+    /// Whether it is known which versions had served before the start, and none was missed since.
     pub fn is_listed(&self) -> bool {
+        self.complete_since.is_some() && !self.is_outdated
+    }
+
+    /// Whether it was known once after the start which versions had served before.
+    pub fn was_listed(&self) -> bool {
         self.complete_since.is_some()
     }
 
-    /// Whether all versions are known that have served in the `period` before the Unix time `now`.
-    pub fn is_complete(&self, period: Duration, now: Millis) -> bool {
-        let period = period.as_millis() as Millis;
-        self.complete_since.is_some_and(|since| now >= since.saturating_add(period) || since == 0)
+    /// As [`Checkpoint::complete_since`]; `None` until it is known.
+    pub fn complete_since(&self) -> Option<Millis> {
+        self.complete_since
+    }
+
+    /// Whether all versions are known whose streams callers may take up at the Unix time `now`. They
+    /// return for the longest known lifetime, or `lifetime` if none is known.
+    pub fn is_complete(&self, lifetime: Duration, now: Millis) -> bool {
+        let lifetime_ms = match self.lifetime_ms {
+            0 => lifetime.as_millis() as Millis,
+            known => known,
+        };
+        self.complete_since
+            .is_some_and(|since| since == 0 || now >= since.saturating_add(lifetime_ms))
     }
 
-    /// All versions that may have served, for an instance that has just started; `None` until they
+    /// All versions that may have served, for an instance that has just started; `None` unless they
     /// are known here.
     pub fn history(&self) -> Option<History> {
         let releases = self.known.iter().cloned().collect();
-        self.complete_since.map(|complete_since| History { releases, complete_since })
+        let complete_since = self.complete_since.filter(|_| !self.is_outdated)?;
+        Some(History { releases, complete_since, lifetime_ms: self.lifetime_ms })
     }
 
-    /// Whether versions are present, and those before aren't known since the start.
+    /// Whether versions are present, and those before the start aren't known.
     pub fn has_unlisted(&self) -> bool {
-        !self.is_listed() && !self.present.is_empty()
+        !self.was_listed() && !self.present.is_empty()
     }
 
     /// Whether the list must be read to tell if `release` has been the only version of its service.
@@ -195,7 +261,7 @@
         of_service.any(|other| other.software != release.software)
     }
 
-    /// Known versions that have been absent for `retention`, by all calls of this.
+    /// Known versions that have been absent for `retention`, since a call of this at least.
     pub fn expired(&mut self, retention: Duration, now: Instant) -> Vec<Release> {
         let absent = self.known.difference(&self.present);
         let absent_since: HashMap<Release, Instant> = absent
--- a/crates/coordination/src/releases/checkpoint.rs
+++ b/crates/coordination/src/releases/checkpoint.rs
@@ -8,9 +8,10 @@
 //! ```
 //! use coordination::releases::{Checkpoint, Step, Stored, Watched};
 //!
-//! let stored = Stored { checkpoint: Checkpoint { complete_since: 0, through: 10 }, revision: 14 };
-//! assert_eq!(stored.next(Some(Watched { from: 8, through: 14 })), Step::Wait, "nothing has changed");
-//! let later = Checkpoint { complete_since: 0, through: 20 };
+//! let checkpoint = Checkpoint { through: 10, ..Checkpoint::default() };
+//! let stored = Stored { checkpoint, revision: 14 };
+//! assert_eq!(stored.next(Some(Watched { from: 8, through: 10 })), Step::Wait, "nothing has changed");
+//! let later = Checkpoint { through: 20, ..checkpoint };
 //! assert_eq!(stored.next(Some(Watched { from: 8, through: 20 })), Step::Write(later));
 //! let after_gap = Watched { from: 18, through: 20 };
 //! assert_eq!(stored.next(Some(after_gap)), Step::ReadChanges { after: 10 });
@@ -20,13 +21,16 @@
 use serde::{Deserialize, Serialize};
 
 /// How far the list of versions covers the registry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Checkpoint {
     /// Unix time in milliseconds from which on every version that served is listed, as long as its
     /// streams may be taken up; 0 if that holds for all time.
     pub complete_since: Millis,
     /// Revision of the platform up to which all registered versions are listed.
     pub through: u64,
+    /// Longest time in milliseconds for which the callers of a stream may return; 0 if unknown.
+    #[serde(default)]
+    pub lifetime_ms: Millis,
 }
 
 /// A checkpoint as it is stored on the platform.
@@ -72,7 +76,7 @@
 
     /// The next step of an instance that has seen the changes of `watched`.
     pub fn next(&self, watched: Option<Watched>) -> Step {
-        let Some(watched) = watched.filter(|watched| watched.through > self.revision) else {
+        let Some(watched) = watched.filter(|watched| watched.through > self.resume_after()) else {
             return Step::Wait;
         };
         if watched.from > self.resume_after() {
--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -8,20 +8,20 @@
 use super::leases::AcquireError;
 use super::message::{PeerReply, PeerRequest, Update};
 use super::node::Node;
-use super::releases::List;
+use super::releases::{CLEANUP_INTERVAL, Keeper, List};
 use super::{broadcast, watch};
 use crate::clock;
-use coordination::membership::{Member, MemberTable};
+use coordination::membership::{Member, MemberTable, State};
 use coordination::origins::{self, Place};
-use coordination::releases::{Release, Stored};
+use coordination::releases::{History, Release};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use platform::store::StoreError;
 use protocol::InstanceId;
 use protocol::routing::Origin;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use tokio::task::spawn_local;
 use tokio_util::sync::CancellationToken;
 
 /// Longest wait for the instances that may know a stream: much longer than a round trip between
@@ -33,17 +33,12 @@
 const DEFAULT_LIFETIME: Duration = Duration::from_secs(60);
 /// Longest wait for the instance that keeps the list of versions.
 const KEEPER_TIMEOUT: Duration = Duration::from_millis(150);
-/// Longest wait for another call about the list of versions.
-const LIST_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait of a caller for the list of versions, which is read on meanwhile.
+const LIST_TIMEOUT: Duration = Duration::from_millis(200);
 /// Interval between checks for new versions.
 const RELEASE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Time after a failed call about the list until the next one.
-const RECORD_RETRY_INTERVAL: Duration = Duration::from_secs(1);
-/// Interval between writes of the checkpoint, while the registry may have changed. The platform keeps
-/// some 20 s of history, and a loss of all instances may last a few of them.
-const CHECKPOINT_INTERVAL: Duration = Duration::from_secs(4);
-/// Interval between removals of versions from the list.
-const CLEANUP_INTERVAL: Duration = Duration::from_secs(60);
+/// Time without a check after which this instance may have missed changes.
+const MIN_SUSPENSION: Duration = Duration::from_secs(1);
 /// Longest time for which an origin is kept, whatever deadline a caller states.
 const MAX_LIFETIME: Duration = Duration::from_secs(600);
 /// Time that is added to a caller's deadline, for requests on their way and clocks that differ.
@@ -119,11 +114,10 @@
         return Err(AcquireError::NoReply);
     }
     let release = Release { service: service.to_owned(), software };
-    let needs_list = || node.releases.borrow().needs_list(&release, clock::now());
-    if needs_list() {
-        let turn = tokio::time::timeout(LIST_TIMEOUT, node.release_calls.lock()).await;
-        let _turn = turn.map_err(|_elapsed| AcquireError::NoReply)?;
-        if needs_list() && !learn_releases(node).await {
+    if node.releases.borrow().needs_list(&release, clock::now()) {
+        let learning = spawn_local(learn_in_turn(node.clone(), release.clone()));
+        let has_learnt = tokio::time::timeout(LIST_TIMEOUT, learning).await;
+        if !matches!(has_learnt, Ok(Ok(true))) {
             return Err(AcquireError::NoReply);
         }
     }
@@ -145,6 +139,7 @@
         releases: &node.releases,
         log: &node.log,
         is_first_start: node.settings.is_first_start,
+        lifetime: node.origins.borrow().longest_lifetime(),
     }
 }
 
@@ -155,31 +150,56 @@
     is_recorded || list(&node).record(&release).await.is_ok()
 }
 
-/// Learns which versions may have served: after the start from the instance that keeps the list, or
+/// Learns which versions may have served, unless another call does so first; `false` if that failed.
+async fn learn_in_turn(node: Rc<Node>, release: Release) -> bool {
+    let _turn = node.release_calls.lock().await;
+    let needs_list = node.releases.borrow().needs_list(&release, clock::now());
+    !needs_list || learn_releases(&node).await
+}
+
+/// Learns which versions may have served: after the start from the instance that keeps the list, else
 /// from the platform. `false` if that failed.
 async fn learn_releases(node: &Rc<Node>) -> bool {
-    let is_listed = node.releases.borrow().is_listed();
-    // A list that is out of date is read again from the platform.
-    let keeper = if is_listed { None } else { watch::global_watcher(node) };
+    let was_listed = node.releases.borrow().was_listed();
+    let keeper = if was_listed { None } else { watch::global_watcher(node) };
     if let Some(address) = keeper {
-        let now = clock::now();
-        let reply = node.try_request(address, &PeerRequest::ReleaseHistory, KEEPER_TIMEOUT).await;
-        if let Ok(PeerReply::ReleaseHistory(history)) = reply {
+        if let Some(history) = ask_history(node, address).await {
             slog::info!(node.log, "earlier software versions known"; "from" => %address,
                 "complete_since" => history.complete_since);
-            node.releases.borrow_mut().on_history(history, now);
+            node.releases.borrow_mut().on_history(history, clock::now());
             return true;
         }
+        // It may know them soon.
+        if clock::since(node.started) < JOIN_PERIOD {
+            return false;
+        }
     }
     list(node).read().await.is_ok()
 }
 
-/// Keeps track of the versions that serve, until `stop`. One instance extends the list for all,
-/// advances its checkpoint, and removes versions from it.
+/// The versions that another instance knows; `None` if it doesn't reply or doesn't know them.
+async fn ask_history(node: &Rc<Node>, address: SocketAddr) -> Option<History> {
+    let ask =
+        async |request: PeerRequest| node.try_request(address, &request, KEEPER_TIMEOUT).await.ok();
+    if let PeerReply::ReleaseHistory(history) = ask(PeerRequest::ReleaseHistory).await? {
+        return Some(history);
+    }
+    // An earlier build knows no history, and only its list can be had.
+    match ask(PeerRequest::Releases).await? {
+        PeerReply::Releases(releases) => {
+            Some(History { releases, complete_since: 0, lifetime_ms: 0 })
+        }
+        _ => None,
+    }
+}
+
+/// Learns which versions serve, and which served before the start, until `stop`.
 pub async fn run(node: Rc<Node>, stop: CancellationToken) {
+    spawn_local(keep_list(node.clone(), stop.clone()));
     let mut registry_version = None;
-    let mut upkeep = None;
+    let mut members_version = None;
     let mut forgotten_at = clock::now();
+    let mut checked_at = clock::now();
     loop {
         tokio::select! {
             () = tokio::time::sleep(RELEASE_CHECK_INTERVAL) => {}
@@ -187,95 +207,80 @@
         }
         let version = node.registry.borrow().version();
         if registry_version.replace(version) != Some(version) {
-            let present = node.registry.borrow().releases();
-            node.releases.borrow_mut().set_present(present);
+            let registry = node.registry.borrow();
+            let mut releases = node.releases.borrow_mut();
+            releases.set_present(registry.releases());
+            releases.on_ended(registry.ended_releases());
+        }
+        let now = clock::now();
+        let was_suspended = now.saturating_duration_since(checked_at) >= MIN_SUSPENSION;
+        checked_at = now;
+        let has_joined = clock::since(node.started) >= JOIN_PERIOD;
+        let version = has_joined.then(|| node.members.borrow().version());
+        let has_new_members = std::mem::replace(&mut members_version, version) != version;
+        if was_suspended || (has_new_members && is_alone(&node)) {
+            node.releases.borrow_mut().on_missed();
         }
-        let is_keeper = watch::global_watcher(&node).is_none() && !node.is_stopping();
         // The keeper of the list reads it first, and the others ask it.
+        let is_keeper = watch::global_watcher(&node).is_none();
         let is_turn = is_keeper || clock::since(node.started) >= JOIN_PERIOD / 2;
-        let has_unlisted = node.releases.borrow().has_unlisted();
-        if is_turn && has_unlisted && !node.store.is_backing_off(clock::now()) {
+        let must_learn = {
+            let releases = node.releases.borrow();
+            releases.has_unlisted() || (is_keeper && releases.was_listed() && !releases.is_listed())
+        };
+        if is_turn && must_learn && !node.store.is_backing_off(now) {
             let _turn = node.release_calls.lock().await;
             learn_releases(&node).await;
         }
-        if is_keeper && node.releases.borrow().watched().is_some() {
-            let upkeep = upkeep.get_or_insert_with(|| Upkeep::new(clock::now()));
-            upkeep.run(&node).await;
-        } else {
-            upkeep = None;
-            if clock::since(forgotten_at) >= CLEANUP_INTERVAL {
-                forgotten_at = clock::now();
-                let expired = expired(&node);
-                expired.iter().for_each(|release| node.releases.borrow_mut().on_removed(release));
+        if clock::since(forgotten_at) >= CLEANUP_INTERVAL && !is_keeper {
+            forgotten_at = clock::now();
+            let mut releases = node.releases.borrow_mut();
+            for release in releases.expired(MAX_LIFETIME + LIFETIME_MARGIN, forgotten_at) {
+                releases.on_removed(&release);
             }
         }
     }
 }
 
-/// Versions whose streams can't be taken up any more.
-fn expired(node: &Node) -> Vec<Release> {
-    node.releases.borrow_mut().expired(MAX_LIFETIME + LIFETIME_MARGIN, clock::now())
-}
-
-/// The work of the instance that keeps the list.
-struct Upkeep {
-    /// The checkpoint; `None` until it was read.
-    stored: Option<Stored>,
-    /// Whether the list was read since this instance has kept it.
-    is_read: bool,
-    /// When the checkpoint is advanced next.
-    advances_at: Instant,
-    /// When versions are removed next.
-    cleans_at: Instant,
-    /// No calls are made until then, after one has failed.
-    retries_at: Instant,
+/// Whether this instance reaches no other one, or none of a data centre with targets.
+fn is_alone(node: &Node) -> bool {
+    let members = node.members.borrow();
+    let is_lone = members.losses() > 0 && members.others().all(|other| other.state != State::Alive);
+    drop(members);
+    is_lone || node.is_isolated()
 }
 
-impl Upkeep {
-    fn new(now: Instant) -> Upkeep {
-        Upkeep {
-            stored: None,
-            is_read: false,
-            advances_at: now,
-            cleans_at: now + CLEANUP_INTERVAL,
-            retries_at: now,
-        }
-    }
-
-    /// Makes the calls that are due.
-    async fn run(&mut self, node: &Rc<Node>) {
-        let now = clock::now();
-        let has_unrecorded = !node.releases.borrow().unrecorded().is_empty();
-        let is_due = has_unrecorded || now >= self.advances_at || now >= self.cleans_at;
-        if !is_due || now < self.retries_at || node.store.is_backing_off(now) {
-            return;
-        }
-        let _turn = node.release_calls.lock().await;
-        if self.make_calls(node, now).await.is_err() {
-            self.retries_at = clock::now() + RECORD_RETRY_INTERVAL;
+/// Keeps the list of versions for all instances, or stands by, while this one watches the registry.
+async fn keep_list(node: Rc<Node>, stop: CancellationToken) {
+    let mut keeper: Option<Keeper> = None;
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(RELEASE_CHECK_INTERVAL) => {}
+            () = stop.cancelled() => return,
         }
-    }
-
-    async fn make_calls(&mut self, node: &Rc<Node>, now: Instant) -> Result<(), StoreError> {
-        let list = list(node);
-        if !self.is_read || now >= self.cleans_at {
-            self.stored = list.read().await?;
-            self.is_read = true;
+        let is_watching = node.releases.borrow().watched().is_some()
+            && watch::watches_targets(&node)
+            && !node.is_stopping()
+            && !node.store.is_disconnected();
+        if !is_watching {
+            keeper = None;
+            continue;
         }
-        for release in list.record_all().await? {
-            broadcast::send(node, Update::Release(release));
+        let now = clock::now();
+        let is_first = watch::global_watcher(&node).is_none();
+        if keeper.as_ref().is_some_and(|keeper| keeper.is_first() != is_first) {
+            keeper = None;
         }
-        if now >= self.advances_at {
-            self.stored = list.advance(self.stored).await?;
-            self.advances_at = now + CHECKPOINT_INTERVAL;
+        let keeper = keeper.get_or_insert_with(|| Keeper::new(is_first, now));
+        if !keeper.is_due(&list(&node), now) {
+            continue;
         }
-        if now >= self.cleans_at {
-            self.cleans_at = now + CLEANUP_INTERVAL;
-            for release in expired(node) {
-                list.remove(&release).await;
-            }
+        let _turn = node.release_calls.lock().await;
+        let present = || node.registry.borrow().releases();
+        let retention = MAX_LIFETIME + LIFETIME_MARGIN;
+        for release in keeper.run(&list(&node), retention, present, now).await {
+            broadcast::send(&node, Update::Release(release));
         }
-        Ok(())
     }
 }
 
--- a/crates/daemon/src/gateway/releases.rs
+++ b/crates/daemon/src/gateway/releases.rs
@@ -1,5 +1,9 @@
 //! The list of software versions on the platform, with its checkpoint.
 
+mod keeper;
+
+pub use keeper::{CLEANUP_INTERVAL, Keeper};
+
 use super::call_reason::CallReason;
 use super::store::PlatformStore;
 use crate::clock;
@@ -7,34 +11,39 @@
 use coordination::releases::{Checkpoint, Log, Release, Step, Stored, Watched};
 use platform::store::{Changes, Listing, Object, Revision, StoreError};
 use platform::{release, target};
+use protocol::Millis;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 /// Handles the whole registry, from which a watch starts.
 pub fn on_registry(releases: &RefCell<Log>, listing: &Listing) {
     let mut releases = releases.borrow_mut();
-    releases.on_seen(stated(&listing.objects));
+    releases.on_seen(listing.objects.iter().filter_map(stated));
     releases.on_watched(None, listing.revision);
 }
 
 /// Handles changes of the registry that were watched since a revision.
 pub fn on_changes(releases: &RefCell<Log>, changes: &Changes, since: Revision) {
     let mut releases = releases.borrow_mut();
-    releases.on_seen(stated(changes.changes.iter().map(|change| &change.object)));
+    add(&mut releases, changes);
     releases.on_watched(Some(since), changes.revision);
 }
 
-/// The versions that entries of the registry state, also those that were removed.
-fn stated<'a>(objects: impl IntoIterator<Item = &'a Object>) -> Vec<Release> {
-    let targets = objects
-        .into_iter()
-        .filter_map(|object| target::decode(&object.name, object.revision, object.spec.get()).ok());
-    let releases = targets
-        .filter_map(|target| Some(Release { service: target.service, software: target.software? }));
-    releases.collect()
+fn add(releases: &mut Log, changes: &Changes) {
+    let (removed, present): (Vec<_>, Vec<_>) =
+        changes.changes.iter().partition(|change| change.removed);
+    releases.on_seen(present.iter().filter_map(|change| stated(&change.object)));
+    releases.on_ended(removed.iter().filter_map(|change| stated(&change.object)));
+}
+
+/// The version that an entry of the registry states; `None` if it names no target.
+fn stated(object: &Object) -> Option<Release> {
+    let target = target::decode(&object.name, object.revision, object.spec.get()).ok()?;
+    Some(Release::of_target(&target))
 }
 
-/// Calls of the platform about the list; only one instance extends it at a time.
+/// Calls of the platform about the list.
 pub struct List<'a> {
     /// The platform.
     pub store: &'a PlatformStore,
@@ -44,32 +53,53 @@
     pub log: &'a slog::Logger,
     /// Whether the whole system starts for the first time, so that nothing served before.
     pub is_first_start: bool,
+    /// Longest time for which the callers of a stream may return, as far as this instance knows.
+    pub lifetime: Duration,
 }
 
 impl List<'_> {
-    /// Reads the list, and once after a start the changes of the registry that it doesn't cover yet.
-    /// Returns the checkpoint; `None` if there is none.
+    /// Reads the list, and unless it is known here which versions have served, the changes of the
+    /// registry that it doesn't cover yet. Returns the checkpoint; `None` if there is none.
     ///
     /// # Errors
     ///
     /// The failed call of the platform.
     pub async fn read(&self) -> Result<Option<Stored>, StoreError> {
-        // Stamped with the time before the call, since the list is no newer than that.
+        // Taken before the call, since the list is no newer than that.
         let asked_at = clock::now();
+        let recorded = self.releases.borrow().recorded().clone();
         let objects = self.store.list_all(CallReason::Release, release::KIND).await?;
         let stored = objects.iter().find_map(to_stored);
-        if !self.releases.borrow().is_listed() {
-            self.read_uncovered(stored).await?;
+        let complete = self.complete_since(stored).await?;
+        let listed = objects.iter().filter(|object| object.name != release::CHECKPOINT);
+        let listed = listed.filter_map(|object| serde_json::from_str(object.spec.get()).ok());
+        let listed: BTreeSet<Release> = listed.collect();
+        let mut releases = self.releases.borrow_mut();
+        releases.on_list(listed, &recorded, asked_at);
+        if let Some(complete_since) = complete {
+            let lifetime_ms = stored.map_or(0, |stored| stored.checkpoint.lifetime_ms);
+            releases.on_complete(complete_since, lifetime_ms);
         }
-        let releases = objects.iter().filter(|object| object.name != release::CHECKPOINT);
-        let releases = releases.filter_map(|object| serde_json::from_str(object.spec.get()).ok());
-        let releases: BTreeSet<Release> = releases.collect();
-        self.releases.borrow_mut().on_list(releases, asked_at);
         Ok(stored)
     }
 
-    /// Learns after a start which versions have served that the list may lack.
-    async fn read_uncovered(&self, stored: Option<Stored>) -> Result<(), StoreError> {
+    /// Reads the checkpoint; `None` if there is none.
+    ///
+    /// # Errors
+    ///
+    /// The failed call of the platform.
+    pub async fn read_checkpoint(&self) -> Result<Option<Stored>, StoreError> {
+        let name = release::CHECKPOINT;
+        let object = self.store.get(CallReason::Release, release::KIND, name).await?;
+        Ok(object.and_then(|object| to_stored(&object)))
+    }
+
+    /// Since when all versions are known that have served, after the changes of the registry were
+    /// read; `None` if that is known already.
+    async fn complete_since(&self, stored: Option<Stored>) -> Result<Option<Millis>, StoreError> {
+        if self.releases.borrow().is_listed() {
+            return Ok(None);
+        }
         let is_covered = match stored {
             Some(stored) => self.read_changes(stored.resume_after()).await?,
             None => self.is_first_start,
@@ -82,8 +112,7 @@
         slog::info!(self.log, "earlier software versions known"; "is_covered" => is_covered,
             "through" => stored.map(|stored| stored.checkpoint.through),
             "complete_since" => complete_since);
-        self.releases.borrow_mut().on_complete(complete_since);
-        Ok(())
+        Ok(Some(complete_since))
     }
 
     /// Reads the changes of the registry after a revision; `false` if the platform has dropped them.
@@ -93,8 +122,9 @@
             match self.store.changes(CallReason::Release, target::KIND, next).await {
                 Ok(changes) => {
                     let mut releases = self.releases.borrow_mut();
-                    releases.on_seen(stated(changes.changes.iter().map(|change| &change.object)));
-                    if changes.revision <= next || changes.changes.is_empty() {
+                    add(&mut releases, &changes);
+                    let is_empty = changes.changes.is_empty() && changes.undecodable.is_empty();
+                    if changes.revision <= next || is_empty {
                         releases.on_changes_read(after, changes.revision.max(next));
                         return Ok(true);
                     }
@@ -106,13 +136,14 @@
         }
     }
 
-    /// Lists the known versions that aren't listed; returns them.
+    /// Lists the known versions that aren't listed, at most `limit` of them; returns those listed.
     ///
     /// # Errors
     ///
     /// The failed call of the platform.
-    pub async fn record_all(&self) -> Result<Vec<Release>, StoreError> {
-        let unrecorded = self.releases.borrow().unrecorded();
+    pub async fn record_some(&self, limit: usize) -> Result<Vec<Release>, StoreError> {
+        let mut unrecorded = self.releases.borrow().unrecorded();
+        unrecorded.truncate(limit);
         for release in &unrecorded {
             self.record(release).await?;
         }
@@ -126,22 +157,24 @@
     /// The failed call of the platform.
     pub async fn record(&self, release: &Release) -> Result<(), StoreError> {
         let name = object_name(release);
-        match self.store.create(CallReason::Release, release::KIND, &name, release).await {
-            Ok(_) | Err(StoreError::Conflict(_)) => {}
+        let result = self.store.create(CallReason::Release, release::KIND, &name, release).await;
+        let is_new = match result {
+            Ok(_) => true,
+            Err(StoreError::Conflict(_)) => false,
             Err(error) => {
                 slog::info!(self.log, "software version not listed"; "service" => &release.service,
                     "software" => &release.software, "fault" => %error);
                 return Err(error);
             }
-        }
+        };
         slog::info!(self.log, "software version listed"; "service" => &release.service,
-            "software" => &release.software);
+            "software" => &release.software, "is_new" => is_new);
         self.releases.borrow_mut().on_recorded(release.clone());
         Ok(())
     }
 
-    /// Advances the checkpoint as far as the registry was watched here. Returns the stored one; `None`
-    /// if it must be read.
+    /// Advances the checkpoint as far as the registry was watched here, if all versions seen there are
+    /// listed. Returns the stored one; `None` if it must be read.
     ///
     /// # Errors
     ///
@@ -158,17 +191,22 @@
                 Step::Write(self.after_gap(&stored))
             };
         }
-        let Step::Write(checkpoint) = step else {
-            return Ok(Some(stored));
-        };
-        self.record_all().await?;
-        self.write(stored.revision, checkpoint).await
+        match step {
+            Step::Write(checkpoint) if self.has_listed_all() => {
+                self.write(stored.revision, checkpoint).await
+            }
+            _ => Ok(Some(stored)),
+        }
     }
 
     fn watched(&self) -> Option<Watched> {
         self.releases.borrow().watched()
     }
 
+    fn has_listed_all(&self) -> bool {
+        self.releases.borrow().unrecorded().is_empty()
+    }
+
     /// The checkpoint after changes of the registry that this instance hasn't seen, and that can't be
     /// read any more.
     fn after_gap(&self, stored: &Stored) -> Checkpoint {
@@ -177,16 +215,20 @@
         slog::warn!(self.log, "changes of the targets are no longer known";
             "after" => stored.checkpoint.through, "through" => through,
             "complete_since" => complete_since);
-        Checkpoint { complete_since, through }
+        Checkpoint { complete_since, through, ..stored.checkpoint }
     }
 
     async fn create_checkpoint(&self) -> Result<Option<Stored>, StoreError> {
-        let Some(watched) = self.watched() else {
+        let complete_since = self.releases.borrow().complete_since();
+        let (Some(watched), Some(complete_since)) = (self.watched(), complete_since) else {
             return Ok(None);
         };
-        self.record_all().await?;
-        let complete_since = if self.is_first_start { 0 } else { clock::millis() };
-        let checkpoint = Checkpoint { complete_since, through: watched.through };
+        if !self.has_listed_all() {
+            return Ok(None);
+        }
+        let through = watched.through;
+        let checkpoint =
+            self.with_lifetime(Checkpoint { complete_since, through, ..Checkpoint::default() });
         let name = release::CHECKPOINT;
         let result = self.store.create(CallReason::Release, release::KIND, name, &checkpoint).await;
         match result {
@@ -203,20 +245,30 @@
         revision: Revision,
         checkpoint: Checkpoint,
     ) -> Result<Option<Stored>, StoreError> {
+        let checkpoint = self.with_lifetime(checkpoint);
         let (reason, name) = (CallReason::Release, release::CHECKPOINT);
         let write = self.store.replace_at(reason, release::KIND, name, revision, &checkpoint);
         on_written(write.await, checkpoint)
     }
 
-    /// Removes a version from the list.
-    pub async fn remove(&self, release: &Release) {
+    fn with_lifetime(&self, checkpoint: Checkpoint) -> Checkpoint {
+        let lifetime_ms = checkpoint.lifetime_ms.max(self.lifetime.as_millis() as Millis);
+        Checkpoint { lifetime_ms, ..checkpoint }
+    }
+
+    /// Removes a version from the list. It stays known here if that may have failed.
+    ///
+    /// # Errors
+    ///
+    /// The failed call of the platform.
+    pub async fn remove(&self, release: &Release) -> Result<(), StoreError> {
         let name = object_name(release);
         let result = self.store.delete(CallReason::Release, release::KIND, &name, None).await;
         slog::info!(self.log, "software version removed from the list";
             "service" => &release.service, "software" => &release.software,
             "is_removed" => result.is_ok());
-        // Listed again by the next call if it has come back meanwhile.
-        self.releases.borrow_mut().on_removed(release);
+        // Listed again by the next round if it has come back meanwhile.
+        result.map(|()| self.releases.borrow_mut().on_removed(release))
     }
 }
 
@@ -240,9 +292,8 @@
     let spec: Checkpoint =
         is_checkpoint.then(|| serde_json::from_str(object.spec.get()).ok())??;
     // The clock of the writer may be ahead.
-    let checkpoint =
-        Checkpoint { complete_since: spec.complete_since.min(clock::millis()), ..spec };
-    Some(Stored { checkpoint, revision: object.revision })
+    let complete_since = spec.complete_since.min(clock::millis());
+    Some(Stored { checkpoint: Checkpoint { complete_since, ..spec }, revision: object.revision })
 }
 
 /// Name of a version's object on the platform.
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -94,8 +94,13 @@
     watch::is_watcher(RANK_KEY, members.me().id, candidates, WATCHER_COUNT)
 }
 
+/// Whether this instance watches the targets for its data centre.
+pub fn watches_targets(node: &Node) -> bool {
+    is_watcher(node, Topic::Targets)
+}
+
 /// Address of the instance that watches the global topics, and so the targets too; `None` for this
-/// one.
+/// one, or if there is none.
 pub fn global_watcher(node: &Node) -> Option<SocketAddr> {
     let members = node.members.borrow();
     let first = watch::first(RANK_KEY, candidates(node, members.workers()))?;
--- a/crates/daemon/tests/gateway_release_outages.rs
+++ b/crates/daemon/tests/gateway_release_outages.rs
@@ -6,6 +6,7 @@
 
 use rstest::rstest;
 use standin::runner::Config;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 use util::gateway::{Fleet, Plan};
 use util::proxy::{Mode, Proxy};
@@ -28,6 +29,9 @@
 const UNLIMITED: f64 = 1e9;
 const NO_WRITES: f64 = 0.001;
 
+/// Time after which members that don't reply count as lost.
+const LOSS_DELAY: Duration = Duration::from_millis(1_500);
+
 /// What the platform does to the gateways.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outage {
@@ -35,6 +39,8 @@
     Silent,
     Resets,
     Slow,
+    /// Slow, but in time for all calls.
+    Delayed,
     RejectsWrites,
     /// Only the gateway of another data centre is served.
     SilentToOneDataCentre,
@@ -50,10 +56,15 @@
 impl Deployment {
     /// Three gateways, and runners of v1.
     fn start() -> Deployment {
+        Deployment::start_with("v1")
+    }
+
+    /// Three gateways, and runners of this version.
+    fn start_with(software: &str) -> Deployment {
         let runner = |n: usize| {
             let config = Config {
                 id: format!("r{n}"),
-                software: String::from("v1"),
+                software: software.to_owned(),
                 slots: 16,
                 event_count: EVENTS,
                 event_interval: Duration::from_millis(20),
@@ -75,6 +86,7 @@
             Outage::Silent => Mode::Stall,
             Outage::Resets => Mode::Reset,
             Outage::Slow => Mode::Delay(Duration::from_millis(300)),
+            Outage::Delayed => Mode::Delay(Duration::from_millis(120)),
             Outage::None | Outage::RejectsWrites => Mode::Pass,
             Outage::SilentToOneDataCentre => Mode::Stall,
         };
@@ -95,11 +107,19 @@
 
     /// Streams that were broken off by their callers, at all instances in turn.
     fn begin(&mut self) -> Vec<Caller> {
+        self.begin_at(0..self.fleet.gateways.len())
+    }
+
+    /// As above, at some instances. Every second caller doesn't name its attempt when it returns.
+    fn begin_at(&mut self, gateways: Range<usize>) -> Vec<Caller> {
         self.callers += 1;
-        let fronts: Vec<_> = self.fleet.gateways.iter().map(|g| g.front_address).collect();
+        let gateways = &self.fleet.gateways[gateways];
+        let fronts: Vec<_> = gateways.iter().map(|g| g.front_address).collect();
         let begin = |n: usize| {
             let name = format!("left-{}-{n}", self.callers);
-            Caller::begin(fronts[n % fronts.len()], &name, 2).0
+            let (mut caller, _) = Caller::begin(fronts[n % fronts.len()], &name, 2);
+            caller.names_attempt = n.is_multiple_of(2);
+            caller
         };
         (0..STREAMS).map(begin).collect()
     }
@@ -108,6 +128,17 @@
         self.fleet.gateways.iter_mut().for_each(|gateway| gateway.kill());
     }
 
+    /// Cuts a gateway off from the platform and all other gateways, or reconnects it.
+    fn set_cut_off(&self, n: usize, is_cut_off: bool) {
+        self.platform[n].set_mode(if is_cut_off { Mode::Stall } else { Mode::Pass });
+        let peers: Vec<_> = self.fleet.gateways.iter().map(|g| g.peer_address).collect();
+        for (other, gateway) in self.fleet.gateways.iter().enumerate() {
+            let mut cut: Vec<_> = if other == n { peers.clone() } else { vec![peers[n]] };
+            cut.retain(|peer| is_cut_off && *peer != gateway.peer_address);
+            gateway.set_unreachable(&cut);
+        }
+    }
+
     fn restart_all(&mut self) {
         (0..self.fleet.gateways.len()).for_each(|n| self.fleet.restart(n));
         self.fleet.wait_ready();
@@ -180,6 +211,56 @@
     assert_cannot_go_on(&deployment.take_up(&mut callers));
 }
 
+/// The platform is still slow when the instances come back.
+#[test]
+fn streams_of_a_version_that_came_during_an_outage_end_though_the_platform_stays_slow() {
+    let mut deployment = Deployment::start();
+    deployment.release("v2");
+    std::thread::sleep(REGISTRY_DELAY / 2);
+    deployment.set_outage(Outage::RejectsWrites);
+    let mut callers = deployment.begin();
+    deployment.kill_all();
+    deployment.release("v1");
+    deployment.set_outage(Outage::Delayed);
+    deployment.restart_all();
+    assert_cannot_go_on(&deployment.take_up(&mut callers));
+}
+
+/// An instance that was cut off survives all those that knew the version.
+#[test]
+fn streams_of_a_version_that_a_survivor_has_not_seen_end() {
+    let mut deployment = Deployment::start();
+    let survivor = deployment.fleet.gateways.len() - 1;
+    let front = deployment.fleet.gateways[survivor].front_address;
+    std::thread::sleep(JOIN_DELAY);
+    deployment.set_cut_off(survivor, true);
+    std::thread::sleep(LOSS_DELAY);
+    deployment.release("v2");
+    std::thread::sleep(REGISTRY_DELAY);
+    let mut callers = deployment.begin_at(0..survivor);
+    (0..survivor).for_each(|n| deployment.fleet.gateways[n].kill());
+    deployment.release("v1");
+    deployment.set_cut_off(survivor, false);
+    (0..survivor).for_each(|n| deployment.fleet.restart(n));
+    deployment.fleet.wait_ready();
+    std::thread::sleep(JOIN_DELAY);
+    let responses: Vec<_> =
+        callers.iter_mut().map(|caller| caller.finish_patiently(front)).collect();
+    assert_cannot_go_on(&responses);
+}
+
+/// Targets that state no version are replaced by others that do.
+#[test]
+fn streams_of_targets_without_a_version_end_at_targets_with_one() {
+    let mut deployment = Deployment::start_with("");
+    let mut callers = deployment.begin();
+    deployment.kill_all();
+    deployment.release("v1");
+    deployment.restart_all();
+    std::thread::sleep(JOIN_DELAY);
+    assert_cannot_go_on(&deployment.take_up(&mut callers));
+}
+
 /// As above, where the version came while all gateways were down, and no stream was refused.
 #[test]
 fn streams_of_a_version_that_came_while_all_instances_were_down_end() {
@@ -254,13 +335,22 @@
     assert_go_on(&deployment.take_up(&mut callers));
 }
 
-/// The instance that keeps the list has seen the changes that the platform has dropped.
-#[test]
-fn streams_of_a_single_version_go_on_after_the_history_was_dropped_before_the_loss() {
+/// The history lapses on an idle platform, or beside changes that the gateways have seen.
+#[rstest]
+#[case::idle(true)]
+#[case::busy(false)]
+fn streams_of_a_single_version_go_on_after_the_history_was_dropped_before_the_loss(
+    #[case] is_idle: bool,
+) {
     let mut deployment = Deployment::start();
-    deployment.fleet.objects.compact_history();
-    deployment.fleet.configure(8);
-    std::thread::sleep(CHECKPOINT_DELAY);
+    if is_idle {
+        std::thread::sleep(CHECKPOINT_DELAY);
+        deployment.fleet.objects.compact_history();
+    } else {
+        deployment.fleet.objects.compact_history();
+        deployment.fleet.configure(8);
+        std::thread::sleep(CHECKPOINT_DELAY);
+    }
     let mut callers = deployment.begin();
     deployment.kill_all();
     deployment.restart_all();
@@ -277,5 +367,7 @@
     let since = Instant::now();
     let mut callers = deployment.begin();
     assert!(since.elapsed() < Duration::from_millis(2_500), "{:?}", since.elapsed());
+    // Two versions have served, so an attempt must be named.
+    callers.iter_mut().for_each(|caller| caller.names_attempt = true);
     assert_go_on(&deployment.take_up(&mut callers));
 }
--- a/crates/daemon/tests/util/gateway/entries.rs
+++ b/crates/daemon/tests/util/gateway/entries.rs
@@ -78,8 +78,13 @@
     slots: usize,
     state: &str,
 ) -> Value {
-    json!({
+    let software = runner.identity().software;
+    let mut entry = json!({
         "service": "llm", "addr": address.to_string(), "zone": data_centre,
-        "version": runner.identity().software, "slots": slots, "state": state, "cold_left_ms": 0, "seq": 1,
-    })
+        "slots": slots, "state": state, "cold_left_ms": 0, "seq": 1,
+    });
+    if !software.is_empty() {
+        entry["version"] = json!(software);
+    }
+    entry
 }
