Remember that a service has had versions once no target states one

Callers saw (in tests): streams and items joined of two versions, where the targets had stated versions and no longer did: 200 and the rest of another version's text, at the same instance, or after all instances were lost.

Cause: the class of the incident, forgotten taken for never seen. Whether the service has versions was asked of the registry as it is now. With no version stated there, a stream that was taken up went on anywhere without a look at what began it, though the origin was stored, and an item whose version had become unknown went on after a hand-off.

Change: a service has versions if its targets state some, or did as long as the versions are kept (list on the platform, history from the keeper). An instance that knows of none since its start learns the list before a stream is taken up, and asks the caller to return if it can't; in the background it reads the list also if no target states a version. Nothing changes for what began at a target that states none. Services that never state versions cost one more question an instance and start.

--- a/crates/coordination/src/continuation.rs
+++ b/crates/coordination/src/continuation.rs
@@ -1,21 +1,20 @@
 //! Where a stream that has begun may go on.
 //!
 //! Targets of several software versions may serve side by side, and what two versions generate
-//! doesn't fit together. A stream whose version is unknown goes on only where no target of its
-//! service states a version, or where all that it may have begun at state the same one; see
-//! [`Registry::only_software`].
+//! doesn't fit together. A stream whose version is unknown goes on only where its service has no
+//! versions, or where all that it may have begun at state the same one; see
+//! [`Registry::only_software`](crate::registry::Registry::only_software).
 //!
 //! ```
 //! use coordination::continuation::{Continuation, of_stream};
-//! use coordination::registry::Registry;
 //! use protocol::routing::Origin;
 //!
-//! let origin = Origin { service: "llm".into(), software: Some("v1".into()) };
-//! let continuation = of_stream(&origin, &Registry::default());
-//! assert_eq!(continuation, Continuation::AtVersion("v1".into()));
+//! let mut origin = Origin { service: "llm".into(), software: Some("v1".into()) };
+//! assert_eq!(of_stream(&origin, false), Continuation::AtVersion("v1".into()));
+//! origin.software = None;
+//! assert_eq!(of_stream(&origin, true), Continuation::Nowhere);
 //! ```
 
-use crate::registry::Registry;
 use protocol::SoftwareVersion;
 use protocol::routing::{Origin, Target};
 
@@ -41,11 +40,12 @@
     }
 }
 
-/// Where a stream may go on by what is known of its beginning and of the targets.
-pub fn of_stream(origin: &Origin, registry: &Registry) -> Continuation {
+/// Where a stream may go on by what is known of its beginning, and by whether its service has
+/// versions.
+pub fn of_stream(origin: &Origin, has_versions: bool) -> Continuation {
     match &origin.software {
         Some(version) => Continuation::AtVersion(version.clone()),
-        None if registry.states_software(&origin.service) => Continuation::Nowhere,
+        None if has_versions => Continuation::Nowhere,
         None => Continuation::Anywhere,
     }
 }
@@ -56,12 +56,14 @@
     origin: Option<&Origin>,
     service: &str,
     software: Option<&str>,
-    registry: &Registry,
+    has_versions: bool,
 ) -> bool {
     match origin {
-        Some(origin) if origin.service == service => of_stream(origin, registry).allows(software),
+        Some(origin) if origin.service == service => {
+            of_stream(origin, has_versions).allows(software)
+        }
         Some(_) => false,
-        None => !registry.states_software(service),
+        None => !has_versions,
     }
 }
 
--- a/crates/coordination/src/releases.rs
+++ b/crates/coordination/src/releases.rs
@@ -195,6 +195,11 @@
         of_service.any(|other| other.software != release.software)
     }
 
+    /// Whether a version of the service is present or may have served.
+    pub fn has_versions(&self, service: &str) -> bool {
+        self.known.iter().any(|release| release.service == service)
+    }
+
     /// Known versions that have been absent for `retention`, by all calls of this.
     pub fn expired(&mut self, retention: Duration, now: Instant) -> Vec<Release> {
         let absent = self.known.difference(&self.present);
--- a/crates/daemon/src/gateway/items/run.rs
+++ b/crates/daemon/src/gateway/items/run.rs
@@ -5,6 +5,7 @@
 use crate::gateway::held_job::HeldJob;
 use crate::gateway::leases::Lease;
 use crate::gateway::node::{Node, unix_millis};
+use crate::gateway::origins;
 use crate::gateway::quarantine;
 use crate::gateway::target_body::TargetBody;
 use crate::gateway::target_head::{self, Verdict};
@@ -98,9 +99,9 @@
     lease: &Lease,
     partial: &PartialOutput,
 ) -> bool {
-    let registry = node.registry.borrow();
     let software = lease.software.as_deref();
-    continuation::allows(partial.origin.as_ref(), service, software, &registry)
+    let has_versions = origins::has_versions(node, service);
+    continuation::allows(partial.origin.as_ref(), service, software, has_versions)
 }
 
 /// What generated the output of a run that has ended.
--- a/crates/daemon/src/gateway/online/origin.rs
+++ b/crates/daemon/src/gateway/online/origin.rs
@@ -18,11 +18,8 @@
         if !takes_up_stream || self.origin.is_some() {
             return Ok(());
         }
-        let states_software = {
-            let registry = self.node.registry.borrow();
-            self.route.services.iter().any(|(service, _)| registry.states_software(service))
-        };
-        if !states_software {
+        let services = self.route.services.iter().map(|(service, _)| service);
+        if !origins::any_has_versions(&self.node, services).await? {
             return Ok(());
         }
         let found = match self.call.resumes() {
@@ -66,7 +63,7 @@
 
     /// Records what began the stream, for resumptions here and at other instances.
     pub fn set_origin(&mut self, origin: Origin) {
-        if self.node.registry.borrow().states_software(&origin.service) {
+        if origins::has_versions(&self.node, &origin.service) {
             let resumed = self.call.resumes().filter(|_| self.call.takes_up_stream());
             let attempt = resumed.unwrap_or(&self.call.id);
             origins::store(&self.node, attempt, &origin, self.call.timeout());
@@ -83,7 +80,9 @@
         let Some(origin) = &self.origin else {
             return Ok(None);
         };
-        match continuation::of_stream(origin, &self.node.registry.borrow()) {
+        // A stream that began at a target without a version may go on at others without one.
+        let states_software = self.node.registry.borrow().states_software(&origin.service);
+        match continuation::of_stream(origin, states_software) {
             Continuation::Anywhere => Ok(None),
             Continuation::AtVersion(version) => Ok(Some(version)),
             Continuation::Nowhere => Err(AcquireError::UnknownVersion),
--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -17,8 +17,8 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use platform::store::StoreError;
-use protocol::InstanceId;
 use protocol::routing::Origin;
+use protocol::{InstanceId, ServiceId};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -105,6 +105,42 @@
     Err(AcquireError::UnknownVersion)
 }
 
+/// Whether targets of a service state versions, or did so lately, as far as this instance knows.
+pub fn has_versions(node: &Node, service: &str) -> bool {
+    node.registry.borrow().states_software(service) || node.releases.borrow().has_versions(service)
+}
+
+/// Whether one of some services has versions, or may have had some before the start of this
+/// instance.
+///
+/// # Errors
+///
+/// Returns [`AcquireError::NoReply`] if the versions before the start can't be learned.
+pub async fn any_has_versions(
+    node: &Rc<Node>,
+    services: impl Iterator<Item = &ServiceId> + Clone,
+) -> Result<bool, AcquireError> {
+    let is_known = || services.clone().any(|service| has_versions(node, service));
+    if is_known() {
+        return Ok(true);
+    }
+    ensure_listed(node, || !node.releases.borrow().is_listed()).await?;
+    Ok(is_known())
+}
+
+/// Learns which versions may have served, if `needs_list`.
+async fn ensure_listed(node: &Rc<Node>, needs_list: impl Fn() -> bool) -> Result<(), AcquireError> {
+    if !needs_list() {
+        return Ok(());
+    }
+    let turn = tokio::time::timeout(LIST_TIMEOUT, node.release_calls.lock()).await;
+    let _turn = turn.map_err(|_elapsed| AcquireError::NoReply)?;
+    if needs_list() && !learn_releases(node).await {
+        return Err(AcquireError::NoReply);
+    }
+    Ok(())
+}
+
 /// What began each stream of a service, as far as it may be taken up: all its targets are of one
 /// version, also those that are gone since.
 ///
@@ -120,13 +156,7 @@
     }
     let release = Release { service: service.to_owned(), software };
     let needs_list = || node.releases.borrow().needs_list(&release, clock::now());
-    if needs_list() {
-        let turn = tokio::time::timeout(LIST_TIMEOUT, node.release_calls.lock()).await;
-        let _turn = turn.map_err(|_elapsed| AcquireError::NoReply)?;
-        if needs_list() && !learn_releases(node).await {
-            return Err(AcquireError::NoReply);
-        }
-    }
+    ensure_listed(node, needs_list).await?;
     let releases = node.releases.borrow();
     if releases.has_others(&release) {
         return Err(AcquireError::UnknownVersion);
@@ -193,8 +223,13 @@
         let is_keeper = watch::global_watcher(&node).is_none() && !node.is_stopping();
         // The keeper of the list reads it first, and the others ask it.
         let is_turn = is_keeper || clock::since(node.started) >= JOIN_PERIOD / 2;
-        let has_unlisted = node.releases.borrow().has_unlisted();
-        if is_turn && has_unlisted && !node.store.is_backing_off(clock::now()) {
+        // Versions that no target states any more are in the list, too.
+        let is_overdue = clock::since(node.started) >= JOIN_PERIOD;
+        let needs_list = {
+            let releases = node.releases.borrow();
+            releases.has_unlisted() || (is_overdue && !releases.is_listed())
+        };
+        if is_turn && needs_list && !node.store.is_backing_off(clock::now()) {
             let _turn = node.release_calls.lock().await;
             learn_releases(&node).await;
         }
--- a/crates/daemon/tests/gateway_versions.rs
+++ b/crates/daemon/tests/gateway_versions.rs
@@ -201,6 +201,56 @@
     }
 }
 
+/// Guards against versions that no target states any more being taken for versions that never were.
+#[rstest]
+fn stream_of_a_version_is_not_taken_up_once_no_target_states_one(
+    #[values(false, true)] are_instances_lost: bool,
+) {
+    let mut fleet = fleet(&["east", "east"], &["v1", "v1", "v2"]);
+    let mut callers =
+        at_once(6, |n| Caller::begin(fleet.gateways[0].front_address, &format!("left-{n}"), 2).0);
+    // Two versions and the checkpoint.
+    wait_until("the versions are listed", || {
+        fleet.objects.objects_of_kind(platform::release::KIND).len() == 3
+    });
+    if are_instances_lost {
+        (0..2).for_each(|n| fleet.gateways[n].kill());
+    }
+    (0..3).for_each(|n| fleet.set_software(n, Value::Null));
+    if are_instances_lost {
+        (0..2).for_each(|n| fleet.restart(n));
+        fleet.wait_ready();
+        std::thread::sleep(JOIN_PERIOD);
+    }
+    std::thread::sleep(REGISTRY_DELAY);
+    let front = fleet.gateways[1].front_address;
+    let responses: Vec<_> = callers.iter_mut().map(|caller| caller.finish(front)).collect();
+    complete(&responses);
+    assert!(responses.iter().all(|response| response.status == 410), "{responses:?}");
+}
+
+/// As above, for items whose version isn't known either.
+#[test]
+fn item_handed_off_is_not_continued_once_no_target_states_a_version() {
+    let config = Config { event_count: 40, names_software: true, ..Config::default() };
+    let fleet = fleet_of(&["east", "east"], &["v1", "v2", "v1", "v2"], &config);
+    let items: Vec<String> = (0..20).map(|n| format!("item-{n}")).collect();
+    let items: Vec<&str> = items.iter().map(String::as_str).collect();
+    assert_eq!(fleet.submit(0, "job", &items).status, 202);
+    wait_until("items have generated events", || {
+        let runs = fleet.runs("/batch/");
+        runs.iter().filter(|run| run.started.elapsed() > EVENT_INTERVAL * 5).count() >= 8
+    });
+    (0..4).for_each(|n| fleet.set_software(n, Value::Null));
+    std::thread::sleep(REGISTRY_DELAY);
+    fleet.gateways[0].terminate();
+    for result in &fleet.wait_results(1, "job") {
+        let id = result["id"].as_str().expect("an id");
+        let is_by = |software: &str| result["message"] == Runner::text_by(software, id, 40);
+        assert!(is_by("v1") || is_by("v2"), "{result}");
+    }
+}
+
 #[test]
 fn stream_without_a_version_does_not_go_on_once_a_target_states_one() {
     let config = Config { slots: 1, ..Config::default() };
