Hold streams that are taken up twice with a loss between

Callers that return twice with the same event, after the instance that began their streams and the one of their second attempt were killed: what two versions generate isn't joined, and half or more go on.

--- a/crates/daemon/tests/gateway_versions.rs
+++ b/crates/daemon/tests/gateway_versions.rs
@@ -126,6 +126,22 @@
     assert!(complete(&responses) >= 8, "{responses:?}");
 }
 
+/// The callers return twice with the same event, after the instance of their second attempt is lost.
+#[test]
+fn stream_taken_up_again_after_a_second_loss_goes_on_at_the_same_version() {
+    let mut fleet = fleet(&["east", "east", "east"], &["v1", "v2", "v1", "v2", "v1", "v2"]);
+    let fronts = [0, 1, 2].map(|n| fleet.gateways[n].front_address);
+    let callers = at_once(16, |n| Mutex::new(Caller::begin(fronts[0], &format!("left-{n}"), 2).0));
+    fleet.gateways[0].kill();
+    std::thread::sleep(JOIN_PERIOD / 2);
+    at_once(16, |n| drop(callers[n].lock().expect("no panic").read_to(fronts[1], 4)));
+    fleet.gateways[1].kill();
+    let finish = |n: usize| callers[n].lock().expect("no panic").finish_patiently(fronts[2]);
+    for responses in [at_once(16, finish), at_once(16, finish)] {
+        assert!(complete(&responses) >= 8, "{responses:?}");
+    }
+}
+
 /// Cuts a gateway off from the others, in both directions.
 fn cut_off(fleet: &Fleet, n: usize) {
     let peers: Vec<SocketAddr> = fleet.gateways.iter().map(|g| g.peer_address).collect();
