--- a/crates/coordination/src/releases.rs
+++ b/crates/coordination/src/releases.rs
@@ -261,6 +261,12 @@
         of_service.any(|other| other.software != release.software)
     }
 
+    /// Whether targets of the service state versions, or may have.
+    pub fn has_versions(&self, service: &str) -> bool {
+        let mut of_service = self.known.iter().filter(|release| release.service == service);
+        of_service.any(|release| !release.software.is_empty())
+    }
+
     /// Known versions that have been absent for `retention`, since a call of this at least.
     pub fn expired(&mut self, retention: Duration, now: Instant) -> Vec<Release> {
         let absent = self.known.difference(&self.present);
--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -16,8 +16,8 @@
 use coordination::releases::{History, Release};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use protocol::InstanceId;
 use protocol::routing::Origin;
+use protocol::{InstanceId, ServiceId};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -100,6 +100,47 @@
     Err(AcquireError::UnknownVersion)
 }
 
+/// Whether targets of a service state versions, or did so lately, as far as this instance knows.
+pub fn has_versions(node: &Node, service: &str) -> bool {
+    node.registry.borrow().states_software(service) || node.releases.borrow().has_versions(service)
+}
+
+/// Whether one of some services has versions, or may have had some before the start of this
+/// instance.
+///
+/// # Errors
+///
+/// Returns [`AcquireError::NoReply`] if the versions before the start can't be learned.
+pub async fn any_has_versions(
+    node: &Rc<Node>,
+    services: impl Iterator<Item = &ServiceId> + Clone,
+) -> Result<bool, AcquireError> {
+    let is_known = || services.clone().any(|service| has_versions(node, service));
+    if is_known() {
+        return Ok(true);
+    }
+    ensure_listed(node, None).await?;
+    Ok(is_known())
+}
+
+/// Learns which versions may have served, if that is needed to tell whether one has been the only one of
+/// its service, or whether there has been any.
+async fn ensure_listed(node: &Rc<Node>, only: Option<&Release>) -> Result<(), AcquireError> {
+    if !needs_list(node, only) {
+        return Ok(());
+    }
+    let learning = spawn_local(learn_in_turn(node.clone(), only.cloned()));
+    match tokio::time::timeout(LIST_TIMEOUT, learning).await {
+        Ok(Ok(true)) => Ok(()),
+        _ => Err(AcquireError::NoReply),
+    }
+}
+
+fn needs_list(node: &Node, only: Option<&Release>) -> bool {
+    let releases = node.releases.borrow();
+    only.map_or(!releases.is_listed(), |release| releases.needs_list(release, clock::now()))
+}
+
 /// What began each stream of a service, as far as it may be taken up: all its targets are of one
 /// version, also those that are gone since.
 ///
@@ -114,13 +155,7 @@
         return Err(AcquireError::NoReply);
     }
     let release = Release { service: service.to_owned(), software };
-    if node.releases.borrow().needs_list(&release, clock::now()) {
-        let learning = spawn_local(learn_in_turn(node.clone(), release.clone()));
-        let has_learnt = tokio::time::timeout(LIST_TIMEOUT, learning).await;
-        if !matches!(has_learnt, Ok(Ok(true))) {
-            return Err(AcquireError::NoReply);
-        }
-    }
+    ensure_listed(node, Some(&release)).await?;
     let releases = node.releases.borrow();
     if releases.has_others(&release) {
         return Err(AcquireError::UnknownVersion);
@@ -151,10 +186,9 @@
 }
 
 /// Learns which versions may have served, unless another call does so first; `false` if that failed.
-async fn learn_in_turn(node: Rc<Node>, release: Release) -> bool {
+async fn learn_in_turn(node: Rc<Node>, only: Option<Release>) -> bool {
     let _turn = node.release_calls.lock().await;
-    let needs_list = node.releases.borrow().needs_list(&release, clock::now());
-    !needs_list || learn_releases(&node).await
+    !needs_list(&node, only.as_ref()) || learn_releases(&node).await
 }
 
 /// Learns which versions may have served: after the start from the instance that keeps the list, else
@@ -224,9 +258,12 @@
         // The keeper of the list reads it first, and the others ask it.
         let is_keeper = watch::global_watcher(&node).is_none();
         let is_turn = is_keeper || clock::since(node.started) >= JOIN_PERIOD / 2;
+        // Versions that no target states any more are in the list, too.
         let must_learn = {
             let releases = node.releases.borrow();
-            releases.has_unlisted() || (is_keeper && releases.was_listed() && !releases.is_listed())
+            let is_outdated = releases.was_listed() && !releases.is_listed();
+            let is_overdue = has_joined && !releases.was_listed();
+            releases.has_unlisted() || is_overdue || (is_keeper && is_outdated)
         };
         if is_turn && must_learn && !node.store.is_backing_off(now) {
             let _turn = node.release_calls.lock().await;
