Test that a head cut by a target is no response, on each path of a gateway

One service with fresh targets for each of 48 cuts (6 shapes of heads, 8 positions; closed, reset or open in silence), so that each call meets its cut, which is checked by what the targets received. Paths: streams, resumable ones, repeatable and unrepeatable requests; the second response of a kept connection; the replacement of a silent target; the rest of a stream within a response and taken up by its caller; items; the health check that tells a target's id; callers of HTTP/1.0 and HTTP/1.1. No call may look complete or promise that the request did not run; items end whole.

No fault found; the code is unchanged.

--- a/crates/daemon/tests/util/raw_target.rs
+++ b/crates/daemon/tests/util/raw_target.rs
@@ -69,6 +69,8 @@
     pub path: String,
     /// Event after which a stream is to continue; `None` for a new stream.
     pub last_event_id: Option<u64>,
+    /// Number of its connection, from 1.
+    pub connection: usize,
 }
 
 /// A target that runs until the test process exits, unless it crashes.
@@ -83,6 +85,8 @@
     endless: Arc<AtomicUsize>,
     /// What follows the head of the health check again and again.
     health_filler: Arc<Mutex<Option<&'static [u8]>>>,
+    /// What it responds to health checks instead; `None` for the usual response.
+    health: Arc<Mutex<Option<Answer>>>,
 }
 
 impl RawTarget {
@@ -98,6 +102,7 @@
             connections: Arc::default(),
             endless: Arc::default(),
             health_filler: Arc::default(),
+            health: Arc::default(),
         };
         let served = target.clone();
         std::thread::spawn(move || {
@@ -131,6 +136,11 @@
         *self.health_filler.lock().unwrap_or_else(PoisonError::into_inner) = Some(filler);
     }
 
+    /// Sets the response to health checks.
+    pub fn set_health(&self, answer: Answer) {
+        *self.health.lock().unwrap_or_else(PoisonError::into_inner) = Some(answer);
+    }
+
     /// Requests received so far.
     pub fn requests(&self) -> Vec<Request> {
         self.lock().clone()
@@ -141,6 +151,9 @@
     }
 
     fn health(&self) -> Answer {
+        if let Some(answer) = self.health.lock().unwrap_or_else(PoisonError::into_inner).clone() {
+            return answer;
+        }
         let id = self.lock_id().clone();
         let id = id.map(|id| format!("X-Gatespool-Instance-Id: {id}\n")).unwrap_or_default();
         match *self.health_filler.lock().unwrap_or_else(PoisonError::into_inner) {
@@ -166,13 +179,13 @@
                 () = crash.notified() => return,
             };
             let (stream, _) = accepted.expect("a connection");
-            self.connections.fetch_add(1, Ordering::Relaxed);
+            let connection = self.connections.fetch_add(1, Ordering::Relaxed) + 1;
             stream.set_nodelay(true).expect("a socket");
             let (target, answer, crash) = (self.clone(), answer.clone(), crash.clone());
             let restart = restart.clone();
             spawn_local(async move {
                 tokio::select! {
-                    has_crashed = target.serve_connection(stream, &*answer, &crash) => {
+                    has_crashed = target.serve_connection(connection, stream, &*answer, &crash) => {
                         if has_crashed {
                             restart.notify_waiters();
                         }
@@ -186,12 +199,13 @@
     /// Serves a connection; `true` if all others of the process end with it.
     async fn serve_connection(
         &self,
+        connection: usize,
         stream: TcpStream,
         answer: &impl Fn(&Request) -> Answer,
         crash: &Notify,
     ) -> bool {
         let mut stream = BufReader::new(stream);
-        while let Some(request) = read_request(&mut stream).await {
+        while let Some(request) = read_request(connection, &mut stream).await {
             self.lock().push(request.clone());
             let answer = match request.path.as_str() {
                 HEALTH_PATH => self.health(),
@@ -242,8 +256,9 @@
 }
 
 /// Reads the head and the body of a request; `None` at the end of the connection.
-async fn read_request(stream: &mut BufReader<TcpStream>) -> Option<Request> {
-    let mut request = Request { id: String::new(), path: String::new(), last_event_id: None };
+async fn read_request(connection: usize, stream: &mut BufReader<TcpStream>) -> Option<Request> {
+    let mut request =
+        Request { id: String::new(), path: String::new(), last_event_id: None, connection };
     let mut length = 0;
     for n in 0.. {
         let mut line = String::new();
