--- a/crates/transport/tests/cut_heads.rs
+++ b/crates/transport/tests/cut_heads.rs
@@ -121,16 +121,17 @@
     LocalSet::new().block_on(&runtime.expect("create runtime"), client);
 }
 
-/// Calls a server for each part of a head, from none of it to all but its last byte.
+/// Calls a server for each part of a response, from its first `first` bytes to all but the last.
 async fn for_each_cut<F: Future<Output = ()> + 'static>(
-    head: &'static str,
+    response: &'static str,
+    first: usize,
     end: End,
     before: usize,
     call: impl Fn(Server) -> F,
 ) {
     let mut calls = JoinSet::new();
-    for length in 0..head.len() {
-        let server = Server::start(&head.as_bytes()[..length], end, before).await;
+    for length in first..response.len() {
+        let server = Server::start(&response.as_bytes()[..length], end, before).await;
         let (cuts, call) = (server.cuts.clone(), call(server));
         calls.spawn_local(async move {
             call.await;
@@ -193,7 +194,27 @@
     #[values(End::Close, End::Reset, End::Silence)] end: End,
     #[values(0, 1)] before: usize,
 ) {
-    block_on(for_each_cut(head, end, before, check_pool));
+    block_on(for_each_cut(head, 0, end, before, check_pool));
+}
+
+/// As for heads: the part of a body, of the size of a chunk, or of the last chunk's line end.
+#[rstest]
+#[case::length("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n", "data: part\n\n")]
+#[case::chunks(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "00c\r\ndata: part\n\n\r\n10;x=y\r\n0123456789abcdef\r\n0\r\nX-Trailer: a\r\n\r\n"
+)]
+fn cut_body_is_not_whole(
+    #[case] head: &'static str,
+    #[case] body: &'static str,
+    #[values(End::Close, End::Reset)] end: End,
+) {
+    let response: &'static str = format!("{head}{body}").leak();
+    block_on(for_each_cut(response, head.len(), end, 0, |server: Server| async move {
+        let pool = Pool::new(Settings { connect_timeout: TIMEOUT, ..Settings::default() });
+        let result = read_all(pool.send(server.address, get()).await).await;
+        assert!(result.is_err(), "{result:?}");
+    }));
 }
 
 /// A call of the client of the product's own interface.
@@ -247,7 +268,7 @@
     #[values(End::Close, End::Reset, End::Silence)] end: End,
     #[values(0, 1)] before: usize,
 ) {
-    block_on(for_each_cut(head, end, before, move |server| check_client(server, call)));
+    block_on(for_each_cut(head, 0, end, before, move |server| check_client(server, call)));
 }
 
 /// Parts of heads that would make a whole head together with the response that follows them.
