Take a head with a second status line in it for no response

What callers saw: a 200 with an empty body, framed as whole, from a target that stopped inside the head of its response and then sent the head of another, such as that of its failure, and closed. Streams, resumable ones, repeatable and unrepeatable requests, HTTP/1.0 and HTTP/1.1 alike; an order counted as taken.

Cause: cut inside a reason or a header's value, a head goes on with whatever follows. The HTTP library reads both heads as one: the status of the first, the length of the second, and the second status line as text of the value. The target's own id in the head makes it look like the request's response. The same bytes may come up on a kept connection, as a surplus response that was cut.

Change: whoever reads heads of targets or of the platform (upstream::Pool, and target::Client for the own interface) takes a head whose reason or header holds a status line for no response: the request was sent, its outcome is unknown. The pool closes its connection.

A head that quotes a status line in a header on purpose is refused, too.

--- a/crates/daemon/tests/gateway_cut_heads.rs
+++ b/crates/daemon/tests/gateway_cut_heads.rs
@@ -217,6 +217,25 @@
     }
 }
 
+/// Regression: a part of a head, and the whole one of a failure behind it, were taken for one head.
+#[rstest]
+fn head_behind_a_part_of_another_does_not_complete_it(
+    #[values("ask", "talk", "plain", "once")] kind: &str,
+    #[values(Version::Http10, Version::Http11)] version: Version,
+) {
+    let services = Services::start(1, |n, _, request| {
+        let head = HEADS[n / CUTS].replace("ID", &request.id);
+        let part = &head[..1 + (head.len() - 1) * (n % CUTS) / CUTS];
+        let behind = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
+        let pieces = vec![format!("{part}{behind}").into_bytes()];
+        Answer { pieces, pause: Duration::ZERO, end: end(n) }
+    });
+    for (n, responses) in services.call(version, kind, &[""]).iter().enumerate() {
+        assert_eq!(services.requests(n).len(), 1, "cut {n}");
+        check(n, &responses[0]);
+    }
+}
+
 #[rstest]
 fn cut_head_on_a_kept_connection_is_no_response(
     #[values("ask", "talk", "plain", "once")] kind: &str,
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod connections;
 pub mod event;
+mod head;
 pub mod http;
 pub mod link;
 pub mod partition;
--- a/crates/transport/src/target.rs
+++ b/crates/transport/src/target.rs
@@ -5,6 +5,7 @@
 pub use stream::{Stream, StreamItem};
 
 use crate::event::{self, EventTracker};
+use crate::head;
 use crate::partition::SimulatedPartition;
 use crate::upstream::{self, Framing};
 use bytes::Bytes;
@@ -251,6 +252,9 @@
             return Err(AttemptError::new(Failure::NotSent, "unreachable (simulated partition)"));
         }
         match tokio::time::timeout(timeout, self.http.request(request)).await {
+            Ok(Ok(response)) if head::is_joined(&response) => {
+                Err(AttemptError::new(Failure::Unknown, "a second status line within a head"))
+            }
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) if error.is_connect() => {
                 Err(AttemptError::new(Failure::NotSent, error.to_string()))
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -28,7 +28,7 @@
 pub use monitor::Monitor;
 use monitor::Monitors;
 
-use crate::clock;
+use crate::{clock, head};
 use bytes::Bytes;
 use coordination::presence::Presence;
 use http_body_util::Full;
@@ -180,6 +180,10 @@
                 monitor = None;
             }
             match connection.sender.try_send_request(request).await {
+                Ok(response) if head::is_joined(&response) => {
+                    let text = String::from("a second status line within a head");
+                    return Err(SendError::OutcomeUnknown(text));
+                }
                 Ok(response) => {
                     let (head, body) = response.into_parts();
                     let framing = Framing::of(&head, &body);
--- a/crates/transport/tests/cut_heads.rs
+++ b/crates/transport/tests/cut_heads.rs
@@ -217,6 +217,39 @@
     }));
 }
 
+/// Regression: a part of a head, and the whole one of a failure behind it, were taken for one head,
+/// with the status of the first and the body of the second.
+#[rstest]
+fn head_behind_a_part_of_another_does_not_complete_it(
+    #[values(
+        "HTTP/1.1 200 OK\r\nServer: s/1.1\r\nContent-Type: text/event-stream\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Gatespool-Request-Id: r\r\n\r\n",
+        "HTTP/1.0 200 Fine\nX-Gatespool-Request-Id: r\nContent-Length: 0\nServer: s\n\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nServer: s\r\n\r\n"
+    )]
+    head: &'static str,
+    #[values("HTTP/1.1 500 Internal Server Error", "HTTP/1.0 500")] status: &'static str,
+    #[values(false, true)] is_own_interface: bool,
+) {
+    let behind = format!("{status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    block_on(async move {
+        for length in 1..head.len() {
+            let part = format!("{}{behind}", &head[..length]).into_bytes().leak();
+            let server = Server::start(part, End::Close, 0).await;
+            let is_success = if is_own_interface {
+                let client = Client::new(TIMEOUT, TIMEOUT, SimulatedPartition::new(None));
+                send(&client, server.address, Call::Order).await.is_ok()
+            } else {
+                let pool = Pool::new(Settings::default());
+                let response = pool.send(server.address, get()).await;
+                response.is_ok_and(|exchange| exchange.head().status.is_success())
+            };
+            assert!(!is_success, "{length} bytes of the first head");
+            assert_eq!(server.cuts.get(), 1);
+        }
+    });
+}
+
 /// A call of the client of the product's own interface.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Call {
