Bound the numbers of stored jobs and submissions, whose sums overflowed

Cause: the scan of all jobs adds the tokens of a job's items, the counts of its overflow objects and their tokens as they stand in the object. With one odd job of another writer the sum overflows. A caller's submission does the same: two items of 1e19 tokens each.

What callers saw: a debug build's scan ends with the first such job (job_store.rs:69, "attempt to add with overflow"), so that this instance finds no job without a holder any more. A submission of too many tokens gets no response in a debug build, and its sum wraps in a release build, where it passes the route's limit of queued tokens.

Change: an item has at most 2^32 tokens, a time in a job ends with the year 9999, counts are u32; what exceeds that is malformed where it is decoded, a submission is answered with 400. Sums of what other instances report saturate. The stand-in of the store can hold texts that a JSON library can't write.

--- a/crates/coordination/src/pending_jobs.rs
+++ b/crates/coordination/src/pending_jobs.rs
@@ -100,6 +100,6 @@
                 && submission.workspace.as_deref() == workspace
                 && is_counted(&submission.job)
         });
-        matching.map(|submission| submission.tokens).sum()
+        matching.map(|submission| submission.tokens).fold(0, u64::saturating_add)
     }
 }
--- a/crates/daemon/src/gateway/job_store.rs
+++ b/crates/daemon/src/gateway/job_store.rs
@@ -13,13 +13,15 @@
 use platform::job;
 use platform::store::{Object, StoreError};
 use serde::{Deserialize, Serialize};
-use state::progress::{Item, Job, Outcome, Progress};
+use state::progress::{Item, Job, MAX_ITEM_TOKENS, Outcome, Progress, at_most};
 
 /// Maximum share of an object's bytes for its spec. Spec, status and metadata must fit
 /// together.
 const SPEC_BYTES_RATIO: f64 = 0.5;
 /// Maximum share of an object's bytes for its status.
 const STATUS_BYTES_RATIO: f64 = 0.35;
+/// Maximum of the tokens in a job's overflow objects.
+const MAX_JOB_TOKENS: u64 = MAX_ITEM_TOKENS << 16;
 
 #[derive(Serialize, Deserialize)]
 struct Spec {
@@ -30,7 +32,7 @@
     #[serde(rename = "pieces")]
     overflow: Vec<OverflowObject>,
     #[serde(default)]
-    #[serde(rename = "piece_tokens")]
+    #[serde(rename = "piece_tokens", deserialize_with = "at_most::<MAX_JOB_TOKENS, _>")]
     overflow_tokens: u64,
 }
 
@@ -45,7 +47,7 @@
 }
 
 fn count(overflow: &[OverflowObject]) -> usize {
-    overflow.iter().map(|object| object.count).sum()
+    overflow.iter().map(|object| object.count as usize).sum()
 }
 
 fn decode(object: &Object) -> Result<(Spec, Status), serde_json::Error> {
@@ -248,7 +250,9 @@
         serde_json::to_vec(run).map_err(|error| StoreError::Unavailable(error.to_string()))?;
     let name = format!("{id}.{:016x}", hash::bytes(&text));
     match node.store.create(reason, job::OVERFLOW_KIND, &name, &run).await {
-        Ok(_) | Err(StoreError::Conflict(_)) => Ok(OverflowObject { name, count: run.len() }),
+        Ok(_) | Err(StoreError::Conflict(_)) => {
+            Ok(OverflowObject { name, count: run.len() as u32 })
+        }
         Err(error) => Err(error),
     }
 }
--- a/crates/daemon/src/gateway/job_table.rs
+++ b/crates/daemon/src/gateway/job_table.rs
@@ -130,12 +130,13 @@
                 && !status.is_finished
                 && !held_jobs.contains_key(&status.job)
         });
-        let others: u64 = others.map(|status| status.waiting_tokens).sum();
+        let others = others.map(|status| status.waiting_tokens).fold(0, u64::saturating_add);
         let is_unknown = |job: &str| {
             job != except && !held_jobs.contains_key(job) && !directory.contains_key(job)
         };
         let pending = self.pending.borrow();
-        local + others + pending.tokens(route, workspace, is_unknown, clock::now())
+        let pending = pending.tokens(route, workspace, is_unknown, clock::now());
+        local.saturating_add(others).saturating_add(pending)
     }
 }
 
--- a/crates/daemon/src/gateway/stored_job.rs
+++ b/crates/daemon/src/gateway/stored_job.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct OverflowObject {
     pub(super) name: String,
-    pub(super) count: usize,
+    pub(super) count: u32,
 }
 
 /// Overflow objects of a job.
--- a/crates/daemon/src/gateway/submit.rs
+++ b/crates/daemon/src/gateway/submit.rs
@@ -191,7 +191,8 @@
         items,
     };
     let waiting = node.jobs.waiting_tokens(node, &route.name, caller, id);
-    if terms.max_queued_tokens > 0 && waiting + job.tokens() > terms.max_queued_tokens {
+    if terms.max_queued_tokens > 0 && waiting.saturating_add(job.tokens()) > terms.max_queued_tokens
+    {
         slog::info!(node.log, "submission exceeds the token limit";
             "job" => id, "workspace" => caller, "waiting" => waiting,
             "tokens" => job.tokens(), "most" => terms.max_queued_tokens);
--- /dev/null
+++ b/crates/daemon/tests/gateway_odd_entries.rs
@@ -0,0 +1,234 @@
+//! Odd objects that another writer has left on the platform: nothing that they hold may end a
+//! gateway, or keep it from following sound ones.
+
+mod util;
+
+use platform::{config, evacuation, instance, job, quarantine, release, target};
+use rstest::rstest;
+use serde_json::{Value, json};
+use standin::runner::Config;
+use std::time::Duration;
+use util::client;
+use util::gateway::{Fleet, HOST, Plan};
+use util::wait_until;
+
+/// Time in which gateways have read what was written.
+const READ_DELAY: Duration = Duration::from_millis(1_500);
+const MARKER: &str = "@odd@";
+const NAME: &str = "@name@";
+
+/// Three gateways and two runners whose requests are short.
+fn plan() -> Plan {
+    let config = |n: usize| Config {
+        id: format!("r{n}"),
+        slots: 32,
+        event_count: 2,
+        event_interval: Duration::from_millis(5),
+        ..Config::default()
+    };
+    Plan { runners: vec![("east", config(0)), ("west", config(1))], ..Plan::default() }
+}
+
+/// Texts in place of a value; some can't be written by a JSON library.
+fn odd_texts() -> Vec<Vec<u8>> {
+    let nested = |open: &str, close: &str, depth| {
+        format!("{}0{}", open.repeat(depth), close.repeat(depth)).into_bytes()
+    };
+    let mut texts: Vec<Vec<u8>> = [
+        "1e999",
+        "-1e999",
+        "1e308",
+        "1e22",
+        "1e18",
+        "1e-300",
+        "-1",
+        "0",
+        "4294967295",
+        "4294967296",
+        "9223372036854775807",
+        "18446744073709551615",
+        "18446744073709551616",
+        r#""\ud800""#,
+        "\"a\u{1}b\"",
+        r#""127.0.0.1:70000""#,
+        r#""127.0.0.1:0""#,
+        r#""[::]:1""#,
+        r#""""#,
+        "null",
+        "[]",
+        "{}",
+        r#"{"a":1,"a":2}"#,
+    ]
+    .map(|text| text.as_bytes().to_vec())
+    .into();
+    texts.push(b"\"\xff\xfe\"".to_vec());
+    texts.push("9".repeat(100_000).into_bytes());
+    texts.push(format!("\"{}\"", "x".repeat(20_000)).into_bytes());
+    texts.extend([nested("[", "]", 200), nested("[", "]", 20_000), nested("{\"a\":", "}", 20_000)]);
+    texts
+}
+
+/// Copies of a value in which one place each is marked.
+fn marked(value: &Value) -> Vec<Value> {
+    let mut copies = vec![json!(MARKER)];
+    let keys: Vec<String> = match value {
+        Value::Object(fields) => fields.keys().map(|key| format!("/{key}")).collect(),
+        Value::Array(items) => (0..items.len()).map(|index| format!("/{index}")).collect(),
+        _ => Vec::new(),
+    };
+    for key in keys {
+        for inner in value.pointer(&key).map(marked).unwrap_or_default() {
+            let mut copy = value.clone();
+            *copy.pointer_mut(&key).expect("a place") = inner;
+            copies.push(copy);
+        }
+    }
+    copies
+}
+
+/// A sound value with each odd text in each of its places.
+fn odd_copies(sound: &Value) -> Vec<Vec<u8>> {
+    let marker = json!(MARKER).to_string();
+    let copies = marked(sound).into_iter().flat_map(|copy| {
+        let text = copy.to_string();
+        let (before, after) = text.split_once(&marker).expect("a marker");
+        let join = |odd: Vec<u8>| [before.as_bytes(), &odd, after.as_bytes()].concat();
+        odd_texts().into_iter().map(join).collect::<Vec<_>>()
+    });
+    copies.collect()
+}
+
+/// Asserts that changes of sound objects take effect, that jobs complete, and that nothing has
+/// panicked.
+#[track_caller]
+fn assert_followed(fleet: &mut Fleet, version: u64) {
+    fleet.configure(version);
+    fleet.set_runner_state(0, "draining");
+    for n in 0..fleet.gateways.len() {
+        wait_until("the configuration is in force", || {
+            let mut lines = fleet.log(n).into_iter().rev();
+            let last = lines.find(|line| line["msg"] == "configuration in force");
+            last.is_some_and(|line| line["version"] == version)
+        });
+        wait_until("the change of a target is known", || {
+            let mut lines = fleet.log(n).into_iter().rev();
+            let last = lines.find(|line| line["msg"] == "target" && line["target"] == "r0");
+            last.is_some_and(|line| line["leaving"] == true)
+        });
+        let path = format!("/ask/after-{version}-{n}");
+        let response = fleet.send(n, &path, &format!("after-{version}-{n}"));
+        assert_eq!((response.status, response.is_complete), (200, true), "{response:?}");
+    }
+    fleet.set_runner_state(0, "ready");
+    let job = format!("sound-{version}");
+    let items = ["1", "2", "3"].map(|item| format!("{job}-{item}"));
+    let items: Vec<&str> = items.iter().map(String::as_str).collect();
+    assert_eq!(fleet.submit(1, &job, &items).status, 202);
+    assert_eq!(fleet.wait_results(1, &job).len(), items.len());
+    assert_sound(fleet);
+}
+
+/// Asserts that every gateway runs and that none of its tasks has panicked.
+#[track_caller]
+fn assert_sound(fleet: &mut Fleet) {
+    for n in 0..fleet.gateways.len() {
+        let path = fleet.dir.join(format!("gateway-{n}.err"));
+        let errors = std::fs::read_to_string(path).unwrap_or_default();
+        assert!(!errors.contains("panicked"), "{errors}");
+        assert!(fleet.gateways[n].is_running(), "gateway {n} has ended: {errors}");
+    }
+}
+
+/// A sound spec and status of each kind.
+fn sound_objects(kind: &str, name: &str) -> (Value, Value) {
+    let holder = json!({ "instance": 7, "address": "127.0.0.1:9" });
+    let spec = match kind {
+        target::KIND => json!({
+            "service": "other", "addr": "127.0.0.1:9", "zone": "east", "version": "v1", "slots": 4,
+            "state": "ready", "cold_left_ms": 5, "seq": 1, "born": 5,
+        }),
+        instance::KIND => json!({ "peer": "127.0.0.1:9", "data_centre": "east" }),
+        job::KIND => json!({
+            "id": name, "host": "a.example", "path": format!("/batch/{name}"), "accepted": 5,
+            "due": 10, "give_up": 5_000_000_000_000_u64, "acceptor": holder, "config": 7,
+            "piece_tokens": 0, "pieces": [],
+            "items": [{
+                "id": format!("{name}-1"), "path": "/batch/odd", "headers": [["a", "b"]],
+                "body": "", "tokens": 10,
+            }],
+        }),
+        quarantine::KIND => json!({
+            "written": 5, "strikes": [{
+                "content": 7, "boot": { "target": "t", "born": 1 }, "age_ms": 5,
+                "is_acquitted": false,
+            }],
+        }),
+        release::KIND => json!({ "service": "other", "software": "v1" }),
+        _ => json!({ "over_s": 5 }),
+    };
+    let status = match kind {
+        job::KIND => json!({
+            "holder": holder, "ended": false, "pieces": [],
+            "outcomes": [{ "item": format!("{name}-1"), "is_complete": true, "text": "" }],
+            "failures": { format!("{name}-1"): { "runs": 1, "is_impossible": false } },
+        }),
+        _ => json!({ "state": "running" }),
+    };
+    (spec, status)
+}
+
+/// A text with the name of its object.
+fn named(text: &[u8], name: &str) -> Vec<u8> {
+    let mut parts = Vec::new();
+    let mut rest = text;
+    while let Some(at) = rest.windows(NAME.len()).position(|part| part == NAME.as_bytes()) {
+        parts.extend_from_slice(&rest[..at]);
+        parts.extend_from_slice(name.as_bytes());
+        rest = &rest[at + NAME.len()..];
+    }
+    [&parts, rest].concat()
+}
+
+/// Writes sound objects of a kind with each odd text in each place of their spec or status.
+fn write_odd_objects(fleet: &Fleet, kind: &str) {
+    let (spec, status) = sound_objects(kind, NAME);
+    let [sound, null] = [&spec, &Value::Null].map(|value| value.to_string().into_bytes());
+    let odd_specs = odd_copies(&spec).into_iter().map(|odd| (odd, null.clone()));
+    let odd_statuses = odd_copies(&status).into_iter().map(|odd| (sound.clone(), odd));
+    for (n, (spec, status)) in odd_specs.chain(odd_statuses).enumerate() {
+        let name = format!("0dd{n:05}");
+        fleet.objects.put_raw(kind, &name, &named(&spec, &name), &named(&status, &name));
+    }
+}
+
+#[rstest]
+#[case::targets(target::KIND)]
+#[case::instances(instance::KIND)]
+#[case::jobs(job::KIND)]
+#[case::quarantines(quarantine::KIND)]
+#[case::releases(release::KIND)]
+#[case::evacuations(evacuation::KIND)]
+#[case::decommissions(platform::decommission::KIND)]
+#[case::other_configurations(config::KIND)]
+fn odd_objects_end_no_gateway_and_sound_ones_are_followed(#[case] kind: &str) {
+    let mut fleet = Fleet::start(plan());
+    write_odd_objects(&fleet, kind);
+    std::thread::sleep(READ_DELAY);
+    assert_followed(&mut fleet, 8);
+    // One that starts reads them, and so do all others once it is the only one that is left.
+    (0..fleet.gateways.len()).for_each(|n| fleet.restart(n));
+    fleet.wait_ready();
+    assert_followed(&mut fleet, 9);
+}
+
+/// A submission whose items claim so many tokens that their sum overflows.
+#[test]
+fn submission_of_too_many_tokens_is_rejected() {
+    let mut fleet = Fleet::start(plan());
+    let item = |id: &str| json!({ "id": id, "path": "/batch/odd", "tokens": 1e19 });
+    let body = json!({ "items": [item("a"), item("b")] });
+    let headers = [("host", HOST), ("x-gatespool-request-id", "odd")];
+    let response = client::post(fleet.gateways[0].front_address, "/batch/odd", &headers, &body);
+    assert_eq!(response.status, 400);
+    assert_followed(&mut fleet, 8);
+}
--- a/crates/standin/src/objects.rs
+++ b/crates/standin/src/objects.rs
@@ -1,12 +1,14 @@
 //! Stand-in for the platform's object store: revisions, conditional writes and watches.
 
 mod faults;
+mod raw;
 
 pub use faults::{Counts, Faults};
 
 use bytes::Bytes;
 use coordination::limit::TokenBucket;
 use hyper::Method;
+use raw::RawTexts;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -52,6 +54,7 @@
     watch_epoch: u64,
     /// The same, by kind of the watched objects.
     kind_watch_epochs: BTreeMap<String, u64>,
+    raw_texts: RawTexts,
 }
 
 impl State {
@@ -105,6 +108,15 @@
         self.changed.notify_waiters();
     }
 
+    /// Creates an object or replaces it, with a spec and a status that needn't be JSON.
+    pub fn put_raw(&self, kind: &str, name: &str, spec: &[u8], status: &[u8]) {
+        let mut state = self.lock();
+        let [spec, status] = [spec, status].map(|text| state.raw_texts.insert(text));
+        write_object(&mut state, (kind.to_owned(), name.to_owned()), spec, status);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     /// Deletes an object if it exists, without conditions or faults.
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = self.lock();
@@ -126,7 +138,7 @@
             if of != kind || after.is_some_and(|after| name.as_str() <= after) {
                 continue;
             }
-            bytes += object.to_string().len();
+            bytes += state.raw_texts.encode(object).len();
             if items.len() >= max_objects || (bytes > MAX_PAGE_BYTES && !items.is_empty()) {
                 has_more = true;
                 break;
@@ -134,7 +146,7 @@
             items.push(object.clone());
         }
         let as_of = state.revision;
-        http::json(200, &json!({ "items": items, "has_more": has_more, "as_of": as_of }))
+        state.raw_texts.response(&json!({ "items": items, "has_more": has_more, "as_of": as_of }))
     }
 
     async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Response {
@@ -166,7 +178,7 @@
                 if !events.is_empty() || tokio::time::Instant::now() >= until {
                     // Without events the watch must not advance.
                     let as_of = if has_no_events { from } else { state.revision };
-                    return http::json(200, &json!({ "events": events, "as_of": as_of }));
+                    return state.raw_texts.response(&json!({ "events": events, "as_of": as_of }));
                 }
             }
             tokio::select! {
@@ -181,7 +193,7 @@
         let counts = &mut state.counts;
         *(if is_stale_ok { &mut counts.stale_reads } else { &mut counts.reads }) += 1;
         match state.visible_objects().get(&(kind.to_owned(), name.to_owned())) {
-            Some(object) => http::json(200, object),
+            Some(object) => state.raw_texts.response(object),
             None => http::json(404, &json!({})),
         }
     }
--- a/crates/state/src/progress.rs
+++ b/crates/state/src/progress.rs
@@ -25,7 +25,10 @@
 mod job;
 
 pub use handoff::{Failure, Handoff, PartialOutput};
-pub use job::{FailureCount, Holder, Item, ItemId, Job, JobId, Millis, Outcome, Progress};
+pub use job::{
+    FailureCount, Holder, Item, ItemId, Job, JobId, MAX_ITEM_TOKENS, MAX_TIME, Millis, Outcome,
+    Progress, at_most,
+};
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -240,7 +243,7 @@
         self.partials.remove(item);
         let count = self.failures.entry(item.to_owned()).or_default();
         match failure {
-            Failure::Retryable => count.runs += 1,
+            Failure::Retryable => count.runs = count.runs.saturating_add(1),
             Failure::Permanent => count.is_permanent = true,
         }
         self.fail_if_exhausted(item);
--- a/crates/state/src/progress/job.rs
+++ b/crates/state/src/progress/job.rs
@@ -3,7 +3,7 @@
 use coordination::residency::Residency;
 use protocol::WorkspaceId;
 use protocol::routing::Version;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, de};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -14,6 +14,11 @@
 /// Milliseconds since the Unix epoch.
 pub type Millis = u64;
 
+/// Maximum of an item's tokens; sums over all jobs can't overflow.
+pub const MAX_ITEM_TOKENS: u64 = 1 << 32;
+/// Maximum of a time in a job: the end of the year 9999.
+pub const MAX_TIME: Millis = 253_402_300_799_999;
+
 /// One item of a job, as it was submitted.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
@@ -25,7 +30,8 @@
     pub headers: Vec<(String, String)>,
     /// Body of the request, in base64.
     pub body: String,
-    /// Prompt tokens plus the maximum of output tokens.
+    /// Prompt tokens plus the maximum of output tokens; at most [`MAX_ITEM_TOKENS`].
+    #[serde(deserialize_with = "at_most::<MAX_ITEM_TOKENS, _>")]
     pub tokens: u64,
 }
 
@@ -59,11 +65,13 @@
     /// Path of the submission; selects the route together with the host.
     pub path: String,
     /// When it was accepted.
+    #[serde(deserialize_with = "at_most::<MAX_TIME, _>")]
     pub accepted: Millis,
     /// When its results are due.
+    #[serde(deserialize_with = "at_most::<MAX_TIME, _>")]
     pub due: Millis,
     /// When items without a result fail.
-    #[serde(rename = "give_up")]
+    #[serde(rename = "give_up", deserialize_with = "at_most::<MAX_TIME, _>")]
     pub expires: Millis,
     /// The instance that accepted it, and holds it until another takes it over.
     #[serde(rename = "acceptor")]
@@ -84,6 +92,19 @@
     pub items: Vec<Item>,
 }
 
+/// Decodes a number that another writer may have left, and rejects one above `MAX`.
+///
+/// # Errors
+///
+/// The number is higher, or isn't an unsigned integer.
+pub fn at_most<'de, const MAX: u64, D: Deserializer<'de>>(from: D) -> Result<u64, D::Error> {
+    let number = u64::deserialize(from)?;
+    if number > MAX {
+        return Err(de::Error::custom(format_args!("{number} is above {MAX}")));
+    }
+    Ok(number)
+}
+
 fn is_unknown(version: &Version) -> bool {
     *version == 0
 }
