Bound what an entry of a target may say, since sums of slots overflowed

Cause: slots of all targets are added as u32 where an allocator decides whether batch may take one more, and where requests queue. Two entries near 2^32 are enough.

What callers saw: a debug build closes the connection of a request, or of a job, as the sum panics. By reading, in a release build the sum wraps to a few slots or none, and batch waits for headroom that is never there.

Change: more than 65,536 slots, more than 30 days of a cold start, and texts of more than 1 KiB (name, service, zone, version) make an entry invalid, as an unknown state does. Entries that other instances pass on are held to the same bounds, as those may be of an earlier build.

--- a/crates/daemon/src/gateway/discovery.rs
+++ b/crates/daemon/src/gateway/discovery.rs
@@ -112,16 +112,25 @@
     spawn_local(async move { node.outbox.configs.parts.publish(version, text.expose()) });
 }
 
-/// Applies changes of the registry; returns whether any was new.
+/// Applies changes of the registry that another instance sent; returns whether any was new. An
+/// earlier build passes on entries that are out of bounds.
 pub fn on_targets(node: &Rc<Node>, changes: Vec<Change>, from: &str) -> bool {
     let applied: Vec<Change> = {
         let mut registry = node.registry.borrow_mut();
-        changes.into_iter().filter(|change| registry.on_change(change.clone())).collect()
+        let changes = changes.into_iter().filter(is_within_bounds);
+        changes.filter(|change| registry.on_change(change.clone())).collect()
     };
     on_changed(node, &applied, from);
     !applied.is_empty()
 }
 
+fn is_within_bounds(change: &Change) -> bool {
+    match change {
+        Change::Present(target) => target.is_within_bounds(),
+        Change::Gone { .. } => true,
+    }
+}
+
 /// Logs applied changes and wakes those that wait for slots.
 fn on_changed(node: &Rc<Node>, applied: &[Change], from: &str) {
     if applied.is_empty() {
--- a/crates/daemon/tests/gateway_odd_entries.rs
+++ b/crates/daemon/tests/gateway_odd_entries.rs
@@ -221,6 +221,23 @@
     assert_followed(&mut fleet, 9);
 }
 
+/// Entries of sound form that claim absurdly many slots, at an address where nothing listens.
+#[rstest]
+#[case::sum_wraps_to_few(u64::from(u32::MAX))]
+#[case::sum_wraps_to_none(1 << 31)]
+fn slots_of_odd_targets_keep_no_request_and_no_job_waiting(#[case] slots: u64) {
+    let mut fleet = Fleet::start(plan());
+    for n in 0..2 {
+        let entry = json!({
+            "service": "llm", "addr": "127.0.0.1:9", "zone": "east", "version": "v1",
+            "slots": slots, "state": "ready", "cold_left_ms": 0, "seq": 1,
+        });
+        fleet.objects.put(target::KIND, &format!("odd-{n}"), entry);
+    }
+    std::thread::sleep(READ_DELAY);
+    assert_followed(&mut fleet, 8);
+}
+
 /// A submission whose items claim so many tokens that their sum overflows.
 #[test]
 fn submission_of_too_many_tokens_is_rejected() {
--- a/crates/protocol/src/routing.rs
+++ b/crates/protocol/src/routing.rs
@@ -279,7 +279,23 @@
     pub software: Option<SoftwareVersion>,
 }
 
+/// Maximum of [`Target::slots`]; sums over all targets can't overflow.
+pub const MAX_SLOTS: u32 = 1 << 16;
+/// Maximum of [`Target::cold_left_ms`]: 30 days.
+pub const MAX_COLD_LEFT_MS: Millis = 30 * 86_400_000;
+/// Maximum bytes of each text of a target, so that many fit in a message.
+pub const MAX_TARGET_TEXT_BYTES: usize = 1 << 10;
+
 impl Target {
+    /// Whether all numbers and texts are within their bounds.
+    pub fn is_within_bounds(&self) -> bool {
+        let texts = [&self.id, &self.service, &self.data_centre];
+        let mut texts = texts.into_iter().chain(&self.software);
+        self.slots <= MAX_SLOTS
+            && self.cold_left_ms <= MAX_COLD_LEFT_MS
+            && texts.all(|text| text.len() <= MAX_TARGET_TEXT_BYTES)
+    }
+
     /// Whether another entry under the same id is of the same start of the target, as far as they
     /// tell: a process keeps its software version.
     pub fn is_same_start(&self, other: &Target) -> bool {
