--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -363,8 +363,10 @@
     slog::info!(node.log, "machine reported as empty"; "machine" => &object.name,
         "revision" => object.revision, "written" => result.is_ok());
     match result {
-        // Another instance was faster, or the order was withdrawn.
-        Ok(_) | Err(StoreError::Conflict(_) | StoreError::NotFound) => Ok(()),
+        // Another instance was faster, the order was withdrawn, or a repetition fails too.
+        Ok(_) | Err(StoreError::Conflict(_) | StoreError::NotFound | StoreError::Rejected(_)) => {
+            Ok(())
+        }
         Err(error) => Err(error),
     }
 }
--- a/crates/daemon/tests/gateway_odd_entries.rs
+++ b/crates/daemon/tests/gateway_odd_entries.rs
@@ -238,6 +238,35 @@
     assert_followed(&mut fleet, 8);
 }
 
+/// Each is the last one of a page, and sound objects follow.
+#[test]
+fn objects_with_odd_names_end_no_list() {
+    let mut fleet = Fleet::start(plan());
+    fleet.objects.set_page_size(1);
+    let kinds = [
+        target::KIND,
+        instance::KIND,
+        job::KIND,
+        quarantine::KIND,
+        release::KIND,
+        evacuation::KIND,
+        platform::decommission::KIND,
+        config::KIND,
+    ];
+    for kind in kinds {
+        for name in ["0 odd", "0#odd", "0?odd=1", "0%zz", "0&odd", "0\u{e9}", "0\"odd\\", "0\u{1}"]
+        {
+            let (spec, _) = sound_objects(kind, name);
+            fleet.objects.put(kind, name, spec);
+        }
+    }
+    std::thread::sleep(READ_DELAY);
+    assert_followed(&mut fleet, 8);
+    (0..fleet.gateways.len()).for_each(|n| fleet.restart(n));
+    fleet.wait_ready();
+    assert_followed(&mut fleet, 9);
+}
+
 /// A submission whose items claim so many tokens that their sum overflows.
 #[test]
 fn submission_of_too_many_tokens_is_rejected() {
--- a/crates/standin/src/objects.rs
+++ b/crates/standin/src/objects.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use coordination::limit::TokenBucket;
 use hyper::Method;
+use percent_encoding::percent_decode_str;
 use raw::RawTexts;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, VecDeque};
@@ -268,7 +269,8 @@
     }
 
     async fn handle(&self, head: &RequestHead, body: &[u8]) -> Response {
-        let segments = head.segments();
+        let segments: Vec<String> = head.segments().into_iter().map(unescape).collect();
+        let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
         let Some(("objects", path)) = segments.split_first().map(|(first, path)| (*first, path))
         else {
             return http::json(404, &json!({}));
@@ -280,7 +282,7 @@
                     let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
                     self.watch(kind, from, wait).await
                 }
-                None => self.list(kind, head.value("since_rev")),
+                None => self.list(kind, head.value("since_rev").map(unescape).as_deref()),
             },
             (&Method::GET, [kind, name]) => self.read(kind, name, head.value("stale_ok").is_some()),
             (method, path) => self.write(method, path, number("rev"), body),
@@ -288,6 +290,10 @@
     }
 }
 
+fn unescape(text: &str) -> String {
+    percent_decode_str(text).decode_utf8_lossy().into_owned()
+}
+
 fn write_object(state: &mut State, key: Key, spec: Value, status: Value) -> Value {
     if let Some(existing) = state.objects.get(&key)
         && existing["spec"] == spec
