--- a/crates/daemon/tests/gateway_odd_entries.rs
+++ b/crates/daemon/tests/gateway_odd_entries.rs
@@ -267,6 +267,22 @@
     assert_followed(&mut fleet, 9);
 }
 
+/// Texts as long as the platform accepts them: instances still tell each other of other targets.
+#[test]
+fn targets_with_long_texts_keep_no_other_from_being_known() {
+    let mut fleet = Fleet::start(plan());
+    for n in 0..12 {
+        let mut entry = sound_objects(target::KIND, "").0;
+        entry["version"] = json!("v".repeat(900_000));
+        fleet.objects.put(target::KIND, &format!("0dd{n}"), entry);
+    }
+    std::thread::sleep(READ_DELAY);
+    assert_followed(&mut fleet, 8);
+    (0..fleet.gateways.len()).for_each(|n| fleet.restart(n));
+    fleet.wait_ready();
+    assert_followed(&mut fleet, 9);
+}
+
 /// A submission whose items claim so many tokens that their sum overflows.
 #[test]
 fn submission_of_too_many_tokens_is_rejected() {
--- a/crates/daemon/tests/gateway_release_outages.rs
+++ b/crates/daemon/tests/gateway_release_outages.rs
@@ -239,6 +239,21 @@
     assert_cannot_go_on(&deployment.take_up(&mut callers));
 }
 
+/// Guards against entries of another writer that make the changes too large to be read.
+#[test]
+fn streams_of_a_single_version_go_on_beside_entries_with_long_texts() {
+    let mut deployment = Deployment::start();
+    for n in 0..12 {
+        let entry = serde_json::json!({ "version": "v".repeat(900_000) });
+        deployment.fleet.objects.put(platform::target::KIND, &format!("odd-{n}"), entry);
+    }
+    let mut callers = deployment.begin();
+    deployment.kill_all();
+    deployment.restart_all();
+    std::thread::sleep(JOIN_DELAY);
+    assert_go_on(&deployment.take_up(&mut callers));
+}
+
 /// Guards against a refusal of all streams once the platform was away.
 #[rstest]
 fn streams_of_a_single_version_go_on_after_an_outage_and_a_loss_of_all_instances(
