Ignore a checkpoint of the software versions that claims to cover later changes

Cause: an instance that starts reads the changes after the checkpoint's revision. If another writer has left a huge one, there are none, and the list counts as complete though a version is missing.

What callers saw: streams of two versions joined to one answer, after a loss of all gateways.

Change: a checkpoint is written after all that it covers, so its object's revision is higher. One that says otherwise is no checkpoint; the instance that keeps the list replaces it.

Measured, debug build: streams_of_an_unlisted_version_end_beside_an_odd_checkpoint red in 2 of 2 cases on the code before (12 of 12 streams mixed), green since (0 of 12, all 410).

--- a/crates/daemon/src/gateway/releases.rs
+++ b/crates/daemon/src/gateway/releases.rs
@@ -234,11 +234,15 @@
     }
 }
 
-/// The checkpoint that an object holds; `None` for another object.
+/// The checkpoint that an object holds; `None` for another object, and for one that claims to cover
+/// changes after its own write, which no instance says.
 fn to_stored(object: &Object) -> Option<Stored> {
     let is_checkpoint = object.name == release::CHECKPOINT;
     let spec: Checkpoint =
         is_checkpoint.then(|| serde_json::from_str(object.spec.get()).ok())??;
+    if spec.through >= object.revision {
+        return None;
+    }
     // The clock of the writer may be ahead.
     let checkpoint =
         Checkpoint { complete_since: spec.complete_since.min(clock::millis()), ..spec };
--- a/crates/daemon/tests/gateway_release_outages.rs
+++ b/crates/daemon/tests/gateway_release_outages.rs
@@ -239,6 +239,28 @@
     assert_cannot_go_on(&deployment.take_up(&mut callers));
 }
 
+/// Guards against a checkpoint of another writer that claims to cover all changes to come.
+#[rstest]
+fn streams_of_an_unlisted_version_end_beside_an_odd_checkpoint(
+    #[values(u64::MAX, 1 << 53)] through: u64,
+) {
+    let mut deployment = Deployment::start();
+    deployment.kill_all();
+    deployment.release("v2");
+    deployment.set_outage(Outage::RejectsWrites);
+    deployment.restart_all();
+    let mut callers = deployment.begin();
+    deployment.kill_all();
+    deployment.release("v1");
+    let checkpoint = serde_json::json!({ "complete_since": 0, "through": through });
+    let (kind, name) = (platform::release::KIND, platform::release::CHECKPOINT);
+    deployment.fleet.objects.put(kind, name, checkpoint);
+    deployment.set_outage(Outage::None);
+    deployment.restart_all();
+    std::thread::sleep(JOIN_DELAY);
+    assert_cannot_go_on(&deployment.take_up(&mut callers));
+}
+
 /// Guards against entries of another writer that make the changes too large to be read.
 #[test]
 fn streams_of_a_single_version_go_on_beside_entries_with_long_texts() {
