--- a/crates/daemon/tests/gateway_odd_entries.rs
+++ b/crates/daemon/tests/gateway_odd_entries.rs
@@ -294,3 +294,86 @@
     assert_eq!(response.status, 400);
     assert_followed(&mut fleet, 8);
 }
+
+/// A sound configuration with a route of each class, and a workspace.
+fn config_of_all_classes() -> Value {
+    let route = |kind: &str| {
+        json!({
+            "name": kind, "host": HOST, "path_prefix": format!("/odd-{kind}/"), "kind": kind,
+            "timeout_ms": 500, "slo_ms": 300, "gap_slo_ms": 200, "priority": 1, "max_attempts": 2,
+            "due_ms": 5000, "max_wait_s": 60, "queue_max": 1000,
+            "split": [{ "service": "llm", "weight": 1 }],
+        })
+    };
+    let routes = ["safe", "stream", "batch"].map(route);
+    json!({
+        "routes": routes,
+        "services": [{
+            "name": "llm", "health_path": "/healthz", "max_conns": 200, "cold_s": 1.0,
+            "cold_per_s": 100.0, "engine": {
+                "slots": 4, "kv_capacity": 1000, "kv_token_bytes": 10, "link_mbps": 10,
+                "moves": true,
+            },
+        }],
+        "limits": {
+            "max_header_bytes": 16000, "max_body_bytes": 4000000, "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [{
+            "name": "odd", "api_keys": ["k"], "priority": 1, "rate_per_s": 5, "burst": 5,
+        }],
+    })
+}
+
+/// Paths of the numbers in a value.
+fn number_paths(value: &Value) -> Vec<String> {
+    let inner = |key: String, value: &Value| {
+        number_paths(value).into_iter().map(|path| format!("/{key}{path}")).collect::<Vec<_>>()
+    };
+    match value {
+        Value::Object(fields) => {
+            fields.iter().flat_map(|(key, field)| inner(key.clone(), field)).collect()
+        }
+        Value::Array(items) => {
+            items.iter().enumerate().flat_map(|(n, item)| inner(n.to_string(), item)).collect()
+        }
+        Value::Number(_) => vec![String::new()],
+        _ => Vec::new(),
+    }
+}
+
+/// Makes requests of all classes at one gateway.
+fn use_all_classes(fleet: &Fleet, n: usize, version: u64) {
+    let key = ("authorization", "Bearer k");
+    for kind in ["safe", "stream"] {
+        let id = format!("{kind}-{version}");
+        fleet.send_with(n, &format!("/odd-{kind}/{id}"), &id, &[key]);
+    }
+    let (job, item) = (format!("job-{version}"), format!("item-{version}"));
+    let headers = [("host", HOST), ("x-gatespool-request-id", &*job), key];
+    let item = json!({ "id": item, "path": "/odd-batch/x", "tokens": 10 });
+    let front = fleet.gateways[n].front_address;
+    client::post(front, "/odd-batch/x", &headers, &json!({ "items": [item] }));
+}
+
+/// Each number of a configuration is replaced by odd ones, and requests are made under it.
+#[rstest]
+fn odd_numbers_of_a_configuration_end_no_gateway(
+    #[values("1e22", "1e308", "1e-300", "4294967295", "18446744073709551615")] number: &str,
+) {
+    let mut fleet = Fleet::start(plan());
+    let sound = config_of_all_classes();
+    let mut version = 7;
+    for path in number_paths(&sound) {
+        version += 1;
+        let mut config = sound.clone();
+        config["version"] = json!(version);
+        *config.pointer_mut(&path).expect("a number") = json!(MARKER);
+        let text = config.to_string().replace(&json!(MARKER).to_string(), number);
+        fleet.objects.put_raw(config::KIND, config::NAME, text.as_bytes(), b"null");
+        std::thread::sleep(Duration::from_millis(30));
+        use_all_classes(&fleet, version as usize % fleet.gateways.len(), version);
+        assert_sound(&mut fleet);
+    }
+    assert_followed(&mut fleet, version + 1);
+}
