Test targets out of bounds that another instance passes on

An earlier build sends such entries in its updates; they are left out since the entries are bounded.

--- a/crates/daemon/tests/gateway_odd_entries.rs
+++ b/crates/daemon/tests/gateway_odd_entries.rs
@@ -3,13 +3,18 @@
 
 mod util;
 
+use coordination::registry::Change;
+use daemon::gateway::message::{PeerRequest, Update};
 use platform::{config, evacuation, instance, job, quarantine, release, target};
+use protocol::routing::Target;
 use rstest::rstest;
 use serde_json::{Value, json};
 use standin::runner::Config;
+use std::net::SocketAddr;
 use std::time::Duration;
 use util::client;
 use util::gateway::{Fleet, HOST, Plan};
+use util::peer::request;
 use util::wait_until;
 
 /// Time in which gateways have read what was written.
@@ -238,6 +243,30 @@
     assert_followed(&mut fleet, 8);
 }
 
+/// As above, where another instance has passed the entries on: an earlier build does.
+#[test]
+fn slots_of_odd_targets_from_another_instance_keep_nothing_waiting() {
+    let mut fleet = Fleet::start(plan());
+    let target = |n: u64| Target {
+        id: format!("odd-{n}"),
+        started_at: 0,
+        service: String::from("llm"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        data_centre: String::from("east"),
+        slots: u32::MAX,
+        leaving: false,
+        revision: 1,
+        cold_left_ms: u64::MAX,
+        software: Some(String::from("v1")),
+    };
+    let update = Update::Targets((0..2).map(target).map(Change::Present).collect());
+    for gateway in &fleet.gateways {
+        let sent = PeerRequest::Update(gateway.peer_address, update.clone());
+        request(gateway.peer_address, &sent).expect("a reply");
+    }
+    assert_followed(&mut fleet, 8);
+}
+
 /// Each is the last one of a page, and sound objects follow.
 #[test]
 fn objects_with_odd_names_end_no_list() {
