Refuse at once where a workspace's rate is too low for a time until its next token

What callers saw: the gateway that keeps the quota panics at each such request of the workspace once its burst is used ("cannot convert float seconds to Duration").

Change: such a request is rejected as one whose token is too far off.

--- a/crates/coordination/src/quota/account.rs
+++ b/crates/coordination/src/quota/account.rs
@@ -152,7 +152,8 @@
     /// Takes the next token if it is due within `max_wait`; the time until then.
     fn reserve(&mut self, max_wait: Duration) -> Option<Duration> {
         let missing = (1.0 - self.tokens).max(0.0);
-        let wait = Duration::from_secs_f64(missing / self.rate());
+        // A tiny rate makes the time longer than any duration.
+        let wait = Duration::try_from_secs_f64(missing / self.rate()).ok()?;
         if wait > max_wait || missing > self.max_reserved {
             return None;
         }
