Bound the wait that a token bucket of a tiny rate reports

Cause: as for a workspace's quota, whose time until the next token was longer than any duration.

What callers would see, by reading: a gateway that reaches no allocator takes tokens from such a bucket, and would panic.

Change: the wait is `Duration::MAX`, which the gateway cuts already.

Measured: bucket_of_a_tiny_rate_rejects red before ("cannot convert float seconds to Duration"), green since; the gateways weren't run on this change.

--- a/crates/coordination/src/limit.rs
+++ b/crates/coordination/src/limit.rs
@@ -28,14 +28,15 @@
     ///
     /// # Errors
     ///
-    /// Time until the next token if there is none.
+    /// Time until the next token if there is none; [`Duration::MAX`] if it is longer.
     pub fn try_take(&mut self, now: Instant) -> Result<(), Duration> {
         self.refill(now);
         if self.level >= 1.0 {
             self.level -= 1.0;
             return Ok(());
         }
-        Err(Duration::from_secs_f64((1.0 - self.level) / self.rate))
+        let wait = Duration::try_from_secs_f64((1.0 - self.level) / self.rate);
+        Err(wait.unwrap_or(Duration::MAX))
     }
 
     fn refill(&mut self, now: Instant) {
--- a/crates/coordination/tests/decisions.rs
+++ b/crates/coordination/tests/decisions.rs
@@ -286,3 +286,12 @@
     assert_eq!(presence.confirms_end(), confirms_end);
     assert_eq!(presence.is_crash(is_leaving), is_crash);
 }
+
+/// The time until the next token of a tiny rate is longer than any duration.
+#[test]
+fn bucket_of_a_tiny_rate_rejects() {
+    let now = Instant::now();
+    let mut bucket = TokenBucket::new(1e-300, 1.0, now);
+    assert_eq!(bucket.try_take(now), Ok(()));
+    assert_eq!(bucket.try_take(now), Err(Duration::MAX));
+}
