--- a/crates/daemon/tests/gateway_release_outages.rs
+++ b/crates/daemon/tests/gateway_release_outages.rs
@@ -320,6 +320,43 @@
     assert_cannot_go_on(&deployment.take_up(&mut callers));
 }
 
+/// Guards against a checkpoint of another writer that claims to cover all changes to come.
+#[rstest]
+fn streams_of_an_unlisted_version_end_beside_an_odd_checkpoint(
+    #[values(u64::MAX, 1 << 53)] through: u64,
+) {
+    let mut deployment = Deployment::start();
+    deployment.kill_all();
+    deployment.release("v2");
+    deployment.set_outage(Outage::RejectsWrites);
+    deployment.restart_all();
+    let mut callers = deployment.begin();
+    deployment.kill_all();
+    deployment.release("v1");
+    let checkpoint = serde_json::json!({ "complete_since": 0, "through": through });
+    let (kind, name) = (platform::release::KIND, platform::release::CHECKPOINT);
+    deployment.fleet.objects.put(kind, name, checkpoint);
+    deployment.set_outage(Outage::None);
+    deployment.restart_all();
+    std::thread::sleep(JOIN_DELAY);
+    assert_cannot_go_on(&deployment.take_up(&mut callers));
+}
+
+/// Guards against entries of another writer that make the changes too large to be read.
+#[test]
+fn streams_of_a_single_version_go_on_beside_entries_with_long_texts() {
+    let mut deployment = Deployment::start();
+    for n in 0..12 {
+        let entry = serde_json::json!({ "version": "v".repeat(900_000) });
+        deployment.fleet.objects.put(platform::target::KIND, &format!("odd-{n}"), entry);
+    }
+    let mut callers = deployment.begin();
+    deployment.kill_all();
+    deployment.restart_all();
+    std::thread::sleep(JOIN_DELAY);
+    assert_go_on(&deployment.take_up(&mut callers));
+}
+
 /// Guards against a refusal of all streams once the platform was away.
 #[rstest]
 fn streams_of_a_single_version_go_on_after_an_outage_and_a_loss_of_all_instances(
