Play releases beside outages of the platform and losses of all gateways in the soak

From FIRST_OUTAGE_SEED on, series of these events are drawn from the seed: all runners are released, one at a time or at once; the platform fails for all, some or one data centre's gateways, rejects writes, loses answers or drops its history; all gateways are killed; the runners are rolled back or released again meanwhile; the platform comes back before, during or after the restart. Every other seed overlaps them with the faults of the general schedule. Callers take their streams up beside new ones, two of three by name, until they are complete or refused for good.

Checks: those of the seeds with versions; no stream is neither complete nor refused 10 s after the last fault; in every fifth seed all releases are of one version, the platform keeps its history and nothing is refused with 410.

The runners have four versions to choose from instead of two.

--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -1,6 +1,6 @@
 //! Callers that keep sending requests on persistent connections, whatever fails.
 
-use super::check::Recorder;
+use super::check::{Recorder, STREAM_GONE};
 use super::util::gateway::HOST;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Version};
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
 
 /// API key of the callers of jobs.
 pub const KEY: &str = "key-soak";
@@ -37,8 +38,15 @@
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(6);
 const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
 const READ_INTERVAL: Duration = Duration::from_millis(80);
-/// Attempts of a caller to take up one stream.
+/// Attempts of a patient caller to take up one stream.
 const MAX_TAKE_UPS: usize = 3;
+/// How long a persistent caller returns after the last fault.
+const PERSISTENCE: Duration = Duration::from_secs(10);
+/// Time after which a persistent caller returns, by the length of the stream's id.
+const RETURN_DELAYS: [Duration; 3] =
+    [Duration::ZERO, Duration::from_millis(700), Duration::from_secs(2)];
+/// Of the streams of a persistent caller, each so-many-th is taken up without its name.
+const UNNAMED_EVERY: usize = 3;
 /// Of the streams of a caller that takes them up, each so-many-th is left halfway.
 const LEAVING_EVERY: usize = 5;
 /// Time after which a stream is left halfway.
@@ -141,45 +149,98 @@
     call(http, "GET", front, &path, "", String::new()).await
 }
 
-/// Takes a stream up at other gateways until it is complete, and returns what arrived in all.
-async fn take_up(
-    http: &HttpClient,
-    fronts: &[SocketAddr],
-    id: &str,
-    headers: &[(&str, &str)],
-    begun: Response,
-    record: &Recorder,
-) -> Response {
-    let mut whole = begun;
-    for attempt in 1..=MAX_TAKE_UPS {
-        // What is after the last whole event was cut off.
-        let text = String::from_utf8_lossy(&whole.body);
+/// A stream that broke off, as its caller takes it up at other gateways.
+struct BrokenStream {
+    id: String,
+    /// Headers of its first attempt.
+    headers: Vec<(&'static str, String)>,
+    /// Whether further attempts name the first one.
+    is_named: bool,
+    /// What arrived in all attempts.
+    whole: Response,
+    /// Number of attempts to take it up.
+    attempts: usize,
+}
+
+impl BrokenStream {
+    /// Drops what was cut off and returns the id of the last whole event; `None` if nothing is to be
+    /// taken up.
+    fn last_event_id(&mut self) -> Option<String> {
+        let text = String::from_utf8_lossy(&self.whole.body);
         let end = text.rfind("\n\n").map_or(0, |end| end + 2);
-        whole.body.truncate(end);
-        let text = String::from_utf8_lossy(&whole.body);
+        self.whole.body.truncate(end);
+        let text = String::from_utf8_lossy(&self.whole.body);
         let last = text.lines().filter_map(|line| line.strip_prefix("id: ")).next_back();
-        let Some(last) = last.map(str::to_owned) else {
-            break;
-        };
-        if whole.is_complete {
-            break;
+        last.filter(|_| !self.whole.is_complete).map(str::to_owned)
+    }
+
+    /// Takes the stream up at another gateway, and waits before the next attempt. Returns the status;
+    /// `None` if nothing is to be taken up.
+    async fn take_up(
+        &mut self,
+        http: &HttpClient,
+        fronts: &[SocketAddr],
+        record: &Recorder,
+    ) -> Option<u16> {
+        let last = self.last_event_id()?;
+        self.attempts += 1;
+        let (id, attempt) = (&self.id, self.attempts);
+        let mut headers: Vec<(&str, &str)> =
+            self.headers.iter().map(|(name, value)| (*name, &**value)).collect();
+        headers.push(("last-event-id", &last));
+        if self.is_named {
+            headers.push(("resumes", id));
         }
-        let mut headers = headers.to_vec();
-        headers.extend([("resumes", id), ("last-event-id", &*last)]);
         let front = fronts[(attempt + last.len() + id.len()) % fronts.len()];
         let path = format!("/talk/{id}");
         let attempt_id = format!("{id}~{attempt}");
         let next = call_with(http, "POST", front, &path, &attempt_id, "x".into(), &headers).await;
         record.on_answer(&attempt_id, &next);
-        record.on_taken_up(next.status);
+        record.on_taken_up(&attempt_id, next.status);
         if next.status == 200 {
-            whole.body.extend(next.body);
-            whole.is_complete = next.is_complete;
+            self.whole.body.extend(next.body);
+            self.whole.is_complete = next.is_complete;
         } else {
             tokio::time::sleep(REQUEST_INTERVAL * 10).await;
         }
+        Some(next.status)
     }
-    whole
+
+    /// Takes the stream up until it is complete or can't go on, or until long after the last fault.
+    async fn take_up_persistently(
+        mut self,
+        http: HttpClient,
+        fronts: Vec<SocketAddr>,
+        record: Arc<Recorder>,
+        is_over: Arc<AtomicBool>,
+    ) {
+        tokio::time::sleep(RETURN_DELAYS[self.id.len() % RETURN_DELAYS.len()]).await;
+        let mut deadline = None;
+        while let Some(status) = self.take_up(&http, &fronts, &record).await {
+            let now = Instant::now();
+            if deadline.is_none() && is_over.load(Ordering::Relaxed) {
+                deadline = Some(now + PERSISTENCE);
+            }
+            if status == STREAM_GONE {
+                break;
+            }
+            if deadline.is_some_and(|deadline| now >= deadline) {
+                record.on_given_up(&self.id, status);
+                break;
+            }
+        }
+        record.on_joined(&self.id, &self.whole);
+    }
+}
+
+/// Which streams that broke off a caller takes up.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Patience {
+    None,
+    /// All, with a few attempts each.
+    Some,
+    /// All, until they are complete or can't go on, beside new streams.
+    Persistent,
 }
 
 /// A caller of streams.
@@ -188,47 +249,74 @@
     pub n: usize,
     /// HTTP version of its requests.
     pub version: Version,
-    /// Whether it takes up streams that broke off.
-    pub is_patient: bool,
+    pub patience: Patience,
     /// Kinds of its requests in turn.
     pub kinds: &'static [&'static str],
     /// Addresses of the gateways.
     pub fronts: Vec<SocketAddr>,
+    /// While set, it begins no streams.
+    pub is_quiet: Arc<AtomicBool>,
 }
 
 /// Requests streams until `is_over` is set.
 pub async fn send_streams(caller: StreamCaller, record: Arc<Recorder>, is_over: Arc<AtomicBool>) {
-    let StreamCaller { n, version, is_patient, kinds, fronts } = caller;
+    let StreamCaller { n, version, patience, kinds, fronts, is_quiet } = caller;
     let workspace = n % STREAM_KEYS.len();
     let http = client(version);
+    let mut returns = JoinSet::new();
     let mut count = 0;
     while !is_over.load(Ordering::Relaxed) {
+        if is_quiet.load(Ordering::Relaxed) {
+            tokio::time::sleep(REQUEST_INTERVAL).await;
+            continue;
+        }
         count += 1;
         let kind = kinds[count % kinds.len()];
         let id = format!("{kind}-{n}-{count}");
         // Three consecutive requests go to the same gateway, so that connections are reused.
         let front = fronts[(n + count / 3) % fronts.len()];
         let (part, tokens) = PARTS[(n + count / 2) % PARTS.len()];
-        let headers = [
-            ("authorization", &*format!("Bearer {}", STREAM_KEYS[workspace])),
-            ("x-gatespool-model", "m"),
-            ("x-gatespool-prompt-prefix", &*format!("{part}:{tokens},{n}{count:x}:20")),
+        let headers = vec![
+            ("authorization", format!("Bearer {}", STREAM_KEYS[workspace])),
+            ("x-gatespool-model", String::from("m")),
+            ("x-gatespool-prompt-prefix", format!("{part}:{tokens},{n}{count:x}:20")),
         ];
+        let first_headers: Vec<(&str, &str)> =
+            headers.iter().map(|(name, value)| (*name, &**value)).collect();
         let path = format!("/{kind}/{id}");
-        let leaves = is_patient && count % LEAVING_EVERY == 0;
+        let leaves = patience != Patience::None && count % LEAVING_EVERY == 0;
         let timeout = if leaves { LEAVES_AFTER } else { CALL_TIMEOUT };
-        let http = HttpClient { timeout, ..http.clone() };
-        let response = call_with(&http, "POST", front, &path, &id, "x".into(), &headers).await;
+        let first = HttpClient { timeout, ..http.clone() };
+        let response =
+            call_with(&first, "POST", front, &path, &id, "x".into(), &first_headers).await;
         record.on_answer(&id, &response);
         record.on_stream(kind, &id, &response);
-        if is_patient && kind == "talk" && response.status == 200 && !response.is_complete {
-            let http = HttpClient { timeout: CALL_TIMEOUT, ..http };
-            let whole = take_up(&http, &fronts, &id, &headers, response, &record).await;
-            record.on_joined(&id, &whole);
+        if kind == "talk" && response.status == 200 && !response.is_complete {
+            let is_named = patience != Patience::Persistent || count % UNNAMED_EVERY != 0;
+            let mut broken = BrokenStream { id, headers, is_named, whole: response, attempts: 0 };
+            match patience {
+                Patience::None => {}
+                Patience::Some => {
+                    while broken.attempts < MAX_TAKE_UPS
+                        && broken.take_up(&http, &fronts, &record).await.is_some()
+                    {
+                    }
+                    record.on_joined(&broken.id, &broken.whole);
+                }
+                Patience::Persistent => {
+                    let (fronts, record) = (fronts.clone(), record.clone());
+                    let is_over = is_over.clone();
+                    let http = http.clone();
+                    returns.spawn(broken.take_up_persistently(http, fronts, record, is_over));
+                }
+            }
         }
         let pause = if workspace < FIRST_QUIET { 1 } else { HOT_RATIO };
         tokio::time::sleep(REQUEST_INTERVAL * pause).await;
     }
+    while let Some(result) = returns.join_next().await {
+        result.expect("a caller that returns");
+    }
 }
 
 /// Submits jobs until `is_over` is set, reads each and ends every fourth.
--- a/crates/daemon/tests/soak/check.rs
+++ b/crates/daemon/tests/soak/check.rs
@@ -10,6 +10,8 @@
 use std::time::{Duration, Instant};
 
 pub const EVENTS_PER_RESPONSE: u64 = 12;
+/// Status of an attempt to take a stream up that can't go on.
+pub const STREAM_GONE: u16 = 410;
 /// How long after the end of its job an item may still start: 3 s if the holder is reachable,
 /// longer since several faults in a row may have frozen or isolated it.
 const MAX_CANCEL_DELAY: Duration = Duration::from_secs(8);
@@ -38,6 +40,8 @@
     taken_up: BTreeMap<u16, u64>,
     /// Whether the route of the jobs is removed and added again.
     has_removals: bool,
+    /// Whether each stream that broke off can go on.
+    has_one_version: bool,
 }
 
 /// Records observations and finds violations of the guarantees.
@@ -54,9 +58,24 @@
         self.lock().has_removals = true;
     }
 
+    /// From now on each stream that broke off can go on: only one software version has ever served,
+    /// and the platform shows that.
+    pub fn expect_one_version(&self) {
+        self.lock().has_one_version = true;
+    }
+
     /// Records the status of an attempt to take a stream up.
-    pub fn on_taken_up(&self, status: u16) {
-        *self.lock().taken_up.entry(status).or_default() += 1;
+    pub fn on_taken_up(&self, id: &str, status: u16) {
+        let mut observed = self.lock();
+        *observed.taken_up.entry(status).or_default() += 1;
+        if observed.has_one_version && status == STREAM_GONE {
+            observed.violations.push(format!("{id}: refused for good, beside a single version"));
+        }
+    }
+
+    /// Records a stream that is neither taken up nor refused for good long after the last fault.
+    pub fn on_given_up(&self, id: &str, status: u16) {
+        self.lock().violations.push(format!("{id}: still not taken up, but status {status}"));
     }
 
     /// Records the events of a stream over all attempts of its caller.
--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -26,6 +26,8 @@
     PeerPartition(usize, Duration),
     /// Faults of the platform itself.
     PlatformFaults(objects::Faults, Duration),
+    /// The platform rejects almost all writes.
+    RejectedWrites(Duration),
     /// The platform compacts its change history.
     CompactHistory,
     /// The end of a runner's process, and a start at the same address, with another id, after the
@@ -34,6 +36,10 @@
     /// The end of a runner's process, and after the duration a start of another one at its address,
     /// with another id and the other of two software versions.
     RunnerReplacement(usize, Duration),
+    /// The same, with a start at this software version.
+    Release(usize, &'static str, Duration),
+    /// Callers begin no streams.
+    Quiet(Duration),
     /// Faults of a runner itself.
     RunnerFaults(usize, runner::Faults, Duration),
     /// A runner reports that it is draining, and is ready again after the duration.
--- a/crates/daemon/tests/soak/inject.rs
+++ b/crates/daemon/tests/soak/inject.rs
@@ -5,6 +5,7 @@
 use super::util::proxy::Mode;
 use standin::objects;
 use standin::runner;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// How to undo a fault.
@@ -15,6 +16,8 @@
     RunnerConnection(usize),
     PeerPartition,
     PlatformFaults,
+    RejectedWrites,
+    Quiet,
     RunnerFaults(usize),
     /// The end of a silence of these runners.
     Silence(Vec<usize>),
@@ -31,6 +34,10 @@
 /// have yet to learn of, and its replacement; also how often it is checked.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Writes a second that the platform accepts.
+const UNLIMITED: f64 = 1e9;
+const NO_WRITES: f64 = 0.001;
+
 impl Scenario {
     pub(super) fn inject(&mut self, fault: Fault) {
         match fault {
@@ -74,6 +81,7 @@
                 self.restart_runner(n, &software, down);
             }
             Fault::RunnerReplacement(n, down) => self.replace_runner(n, down),
+            Fault::Release(n, software, down) => self.restart_runner(n, software, down),
             Fault::PeerPartition(n, period) => {
                 let own = self.fleet.gateways[n].peer_address;
                 let gateways = self.fleet.gateways.iter();
@@ -91,6 +99,14 @@
                 self.fleet.objects.set_faults(faults);
                 self.undo_after(period, Undo::PlatformFaults);
             }
+            Fault::RejectedWrites(period) => {
+                self.fleet.objects.set_write_rate(NO_WRITES);
+                self.undo_after(period, Undo::RejectedWrites);
+            }
+            Fault::Quiet(period) => {
+                self.is_quiet.store(true, Ordering::Relaxed);
+                self.undo_after(period, Undo::Quiet);
+            }
             Fault::CompactHistory => self.fleet.objects.compact_history(),
             Fault::RunnerFaults(n, faults, period) => {
                 self.fleet.runners[n].set_faults(faults);
@@ -160,6 +176,8 @@
             Undo::RunnerConnection(n) => self.runner_proxies[n].set_mode(Mode::Pass),
             Undo::PeerPartition => self.fleet.gateways.iter().for_each(|g| g.set_unreachable(&[])),
             Undo::PlatformFaults => self.fleet.objects.set_faults(objects::Faults::default()),
+            Undo::RejectedWrites => self.fleet.objects.set_write_rate(UNLIMITED),
+            Undo::Quiet => self.is_quiet.store(false, Ordering::Relaxed),
             Undo::RunnerFaults(n) => self.fleet.runners[n].set_faults(runner::Faults::default()),
             Undo::Silence(silent) => {
                 silent.iter().for_each(|n| self.fleet.runners[*n].set_silence(None));
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -25,11 +25,12 @@
 mod crashing_request;
 mod faults;
 mod inject;
+mod outages;
 mod planned;
 mod scenario;
 
 /// Seeds of a run without `GATESPOOL_SOAK`, besides [`REGRESSION_SEEDS`].
-const SEEDS: [u64; 9] = [
+const SEEDS: [u64; 10] = [
     1,
     2,
     FIRST_SUSPENSION_SEED,
@@ -39,12 +40,17 @@
     FIRST_SILENCE_SEED + 2,
     FIRST_LARGE_CONFIG_SEED,
     FIRST_REMOVAL_SEED,
+    FIRST_OUTAGE_SEED,
 ];
 /// From this seed on, configurations have many routes, and the links between gateways are slow.
 const FIRST_LARGE_CONFIG_SEED: u64 = 8_000;
 /// From this seed on, the route of the jobs has a limit and is removed and added again, and all
 /// gateways are killed more often, beside runners of two software versions.
 const FIRST_REMOVAL_SEED: u64 = 9_000;
+/// From this seed on, all runners are released beside an outage of the platform and before a loss of
+/// all gateways, then rolled back or released again, and callers return until their streams are
+/// complete. In some seeds all releases are of one software version.
+const FIRST_OUTAGE_SEED: u64 = 10_000;
 /// From this seed on, freezes are suspensions, during which the monotonic clock stops.
 const FIRST_SUSPENSION_SEED: u64 = 1_000;
 /// From this seed on, runners respond without a length and crash, and some callers use HTTP/1.0.
--- a/crates/daemon/tests/soak/planned.rs
+++ b/crates/daemon/tests/soak/planned.rs
@@ -84,7 +84,7 @@
 }
 
 /// Steps of two sequences that begin at once.
-fn merge(one: Vec<Step>, other: Vec<Step>) -> Vec<Step> {
+pub fn merge(one: Vec<Step>, other: Vec<Step>) -> Vec<Step> {
     let mut timed = Vec::new();
     for steps in [one, other] {
         let mut at = Duration::ZERO;
@@ -93,10 +93,15 @@
             timed.push((at, fault));
         }
     }
+    relative(timed)
+}
+
+/// Steps of faults that happen at these times.
+pub fn relative(mut timed: Vec<(Duration, Fault)>) -> Vec<Step> {
     timed.sort_by_key(|(at, _)| *at);
     let mut last = Duration::ZERO;
-    let relative = |(at, fault)| (at - std::mem::replace(&mut last, at), fault);
-    timed.into_iter().map(relative).collect()
+    let step = |(at, fault)| (at - std::mem::replace(&mut last, at), fault);
+    timed.into_iter().map(step).collect()
 }
 
 /// Changes times of a configuration, as its version determines.
--- a/crates/daemon/tests/soak/scenario.rs
+++ b/crates/daemon/tests/soak/scenario.rs
@@ -1,19 +1,22 @@
 //! A scenario of the soak test: a fleet, its callers and the faults of a seed.
 
-use super::callers;
+use super::callers::{self, Patience};
 use super::calm::{Disturbances, PlacedRun};
 use super::check::{EVENTS_PER_RESPONSE, Recorder};
 use super::faults;
 use super::inject::Undo;
+use super::outages;
 use super::planned::{self, Phase};
 use super::util::gateway::routes::add_routes;
 use super::util::gateway::{Fleet, Plan};
 use super::util::proxy::Proxy;
+use super::util::wait_until;
 use super::{
-    FIRST_FRAMED_VERSIONS_SEED, FIRST_LARGE_CONFIG_SEED, FIRST_REMOVAL_SEED, FIRST_SILENCE_SEED,
-    FIRST_SUSPENSION_SEED, FIRST_UNFRAMED_SEED, FIRST_VERSIONS_SEED,
+    FIRST_FRAMED_VERSIONS_SEED, FIRST_LARGE_CONFIG_SEED, FIRST_OUTAGE_SEED, FIRST_REMOVAL_SEED,
+    FIRST_SILENCE_SEED, FIRST_SUSPENSION_SEED, FIRST_UNFRAMED_SEED, FIRST_VERSIONS_SEED,
 };
 use hyper::Version;
+use platform::release;
 use serde_json::json;
 use standin::prompt_memory::Tokens;
 use standin::runner::{Config, Runner};
@@ -40,10 +43,10 @@
 /// Time between events where runners fall silent, which they then do in the middle of responses.
 const LONG_EVENT_INTERVAL: Duration = Duration::from_millis(40);
 /// Data centres of gateways and of runners, in turn.
-const DATA_CENTRES: [&str; 3] = ["east", "east", "west"];
+pub(super) const DATA_CENTRES: [&str; 3] = ["east", "east", "west"];
 const RUNNER_DATA_CENTRES: [&str; 6] = ["east", "west", "east", "west", "east", "east"];
 /// Software versions of the runners.
-pub(super) const VERSIONS: [&str; 2] = ["v1", "v2"];
+pub(super) const VERSIONS: [&str; 4] = ["v1", "v2", "v3", "v4"];
 /// Tokens that a runner keeps: not all shared parts.
 const MEMORY_TOKENS: u64 = 9_000;
 /// Routes of a large configuration.
@@ -66,6 +69,12 @@
     /// The route of the jobs has a limit and is removed at times, and all gateways are killed more
     /// often.
     has_removals: bool,
+    /// Releases beside an outage of the platform and before a loss of all gateways.
+    has_outages: bool,
+    /// All these releases are of one software version, and the platform keeps its history.
+    has_one_version: bool,
+    /// Other faults overlap them.
+    has_other_faults: bool,
 }
 
 impl Class {
@@ -76,7 +85,10 @@
             has_silences: (FIRST_SILENCE_SEED..FIRST_REMOVAL_SEED).contains(&seed),
             has_suspensions: seed >= FIRST_SUSPENSION_SEED,
             has_large_configs: (FIRST_LARGE_CONFIG_SEED..FIRST_REMOVAL_SEED).contains(&seed),
-            has_removals: seed >= FIRST_REMOVAL_SEED,
+            has_removals: (FIRST_REMOVAL_SEED..FIRST_OUTAGE_SEED).contains(&seed),
+            has_outages: seed >= FIRST_OUTAGE_SEED,
+            has_one_version: seed >= FIRST_OUTAGE_SEED && seed % 5 == 4,
+            has_other_faults: seed % 2 == 1,
         }
     }
 
@@ -90,6 +102,12 @@
         if self.has_silences {
             return planned::phases(seed, gateways, runners);
         }
+        if self.has_outages {
+            let Class { has_one_version, has_other_faults, .. } = self;
+            let scope = outages::Scope { gateways, runners, has_one_version, has_other_faults };
+            let steps = outages::steps(seed, scope, FAULT_PERIOD);
+            return vec![Phase { is_planned: false, steps }];
+        }
         let mut steps = faults::schedule(seed, gateways, runners, FAULT_PERIOD);
         if self.is_unframed {
             steps = faults::with_crashes(steps, seed, runners);
@@ -104,10 +122,12 @@
     }
 
     fn runner_config(self, n: usize) -> Config {
-        let interval = if self.has_silences { LONG_EVENT_INTERVAL } else { EVENT_INTERVAL };
+        let has_two_versions = self.has_versions && !self.has_outages;
+        let is_long = self.has_silences || self.has_outages;
+        let interval = if is_long { LONG_EVENT_INTERVAL } else { EVENT_INTERVAL };
         Config {
             id: format!("r{n}"),
-            software: String::from(if self.has_versions { VERSIONS[n % 2] } else { VERSIONS[0] }),
+            software: String::from(if has_two_versions { VERSIONS[n % 2] } else { VERSIONS[0] }),
             event_count: EVENTS_PER_RESPONSE,
             event_interval: interval,
             token_time: Duration::from_micros(20),
@@ -129,6 +149,8 @@
     pub(super) suspended_for: Option<Vec<Duration>>,
     pub(super) disturbances: Disturbances,
     pub(super) scheduled: BTreeMap<(Instant, usize), Undo>,
+    /// Whether callers begin no streams.
+    pub(super) is_quiet: Arc<AtomicBool>,
     class: Class,
     version: Arc<AtomicU64>,
     next_id: usize,
@@ -173,6 +195,11 @@
     violations
 }
 
+/// Program of an earlier build, which doesn't keep track of how far the list of versions reaches.
+fn earlier_build() -> Option<PathBuf> {
+    std::env::var_os("GATESPOOL_EARLIER_BUILD").map(PathBuf::from)
+}
+
 /// Number of gateways: 3 unless the environment says otherwise.
 fn gateway_count() -> usize {
     let count = std::env::var("GATESPOOL_SOAK_GATEWAYS");
@@ -190,12 +217,11 @@
         keys.push(callers::KEY);
         keys.dedup();
         let workspaces = json!(keys.iter().map(workspace).collect::<Vec<_>>());
-        let earlier_build = std::env::var_os("GATESPOOL_EARLIER_BUILD").map(PathBuf::from);
         let plan = Plan {
             gateways: DATA_CENTRES.into_iter().cycle().take(gateways).collect(),
             runners: runners.collect(),
             workspaces,
-            earlier_build,
+            earlier_build: earlier_build(),
             memory_tokens: MEMORY_TOKENS,
             settings: class.settings(),
             max_queued_tokens: if class.has_removals { MAX_QUEUED_TOKENS } else { 0 },
@@ -221,6 +247,7 @@
             suspended_for: class.has_suspensions.then(|| vec![Duration::ZERO; gateways]),
             disturbances: Disturbances::default(),
             scheduled: BTreeMap::new(),
+            is_quiet: Arc::default(),
             class,
             version: Arc::new(AtomicU64::new(10)),
             next_id: 0,
@@ -230,26 +257,46 @@
         }
         scenario.configure();
         scenario.fleet.wait_ready();
+        if class.has_outages && earlier_build().is_none() {
+            scenario.wait_for_checkpoint();
+            if class.has_one_version {
+                scenario.record.expect_one_version();
+            }
+        }
         scenario
     }
 
+    /// Waits until the platform shows that nothing served before.
+    fn wait_for_checkpoint(&self) {
+        let objects = &self.fleet.objects;
+        wait_until("the checkpoint is written", || {
+            objects.get(release::KIND, release::CHECKPOINT).is_some()
+        });
+    }
+
     fn spawn_callers(
         &self,
         runtime: &Runtime,
         fronts: &[SocketAddr],
         is_over: &Arc<AtomicBool>,
     ) -> Vec<JoinHandle<()>> {
-        let Class { is_unframed, has_versions, has_silences, .. } = self.class;
+        let Class { is_unframed, has_versions, has_silences, has_outages, .. } = self.class;
+        let patience = match (has_outages, has_versions) {
+            (true, _) => Patience::Persistent,
+            (false, true) => Patience::Some,
+            (false, false) => Patience::None,
+        };
         let mut tasks = Vec::new();
-        let callers = if has_silences { MANY_CALLERS } else { CALLERS[0] };
+        let callers = if has_silences || has_outages { MANY_CALLERS } else { CALLERS[0] };
         for n in 0..callers.max(fronts.len()) {
             let is_old = is_unframed && n % 2 == 0;
             let caller = callers::StreamCaller {
                 n,
                 version: if is_old { Version::HTTP_10 } else { Version::HTTP_11 },
-                is_patient: has_versions,
+                patience,
                 kinds: if has_silences { &["ask", "talk", "plain"] } else { &["ask", "talk"] },
                 fronts: fronts.to_vec(),
+                is_quiet: self.is_quiet.clone(),
             };
             let task = callers::send_streams(caller, self.record.clone(), is_over.clone());
             tasks.push(runtime.spawn(task));
