--- a/crates/daemon/tests/soak/outages.rs
+++ b/crates/daemon/tests/soak/outages.rs
@@ -56,10 +56,11 @@
     /// Adds a series that begins at `start`; returns when the next one does.
     fn add(&mut self, start: Duration) -> Duration {
         let before = self.version;
-        let released = self.release((before + 1) % VERSIONS.len(), start);
+        let begins_in_outage = self.rng.random_bool(0.85);
+        let release = start + self.millis(0, 600);
+        let released = self.release((before + 1) % VERSIONS.len(), release);
         let outage = released + self.millis(0, MAX_OUTAGE_DELAY_MS);
-        // The first stream of the version often begins after that only.
-        if self.rng.random_bool(0.85) {
+        if begins_in_outage {
             let period = outage - start + self.millis(0, 100);
             self.timed.push((start, Fault::Quiet(period)));
         }
@@ -103,24 +104,24 @@
     /// The platform fails for all, for some or for one data centre's gateways, or for writes.
     fn strike(&mut self, at: Duration, period: Duration) {
         let none = objects::Faults::default();
-        let fault = match self.rng.random_range(0..8) {
-            0 | 1 => Fault::RejectedWrites(period),
-            2 => {
+        let fault = match self.rng.random_range(0..10) {
+            0..3 => Fault::RejectedWrites(period),
+            3 => {
                 let lost_replies = self.rng.random_range(1..20);
                 Fault::PlatformFaults(objects::Faults { lost_replies, ..none }, period)
             }
-            3 if !self.scope.has_one_version => Fault::CompactHistory,
+            4 if !self.scope.has_one_version => Fault::CompactHistory,
             _ => return self.strike_connections(at, period),
         };
         self.timed.push((at, fault));
     }
 
     fn strike_connections(&mut self, at: Duration, period: Duration) {
-        let mode = match self.rng.random_range(0..5) {
-            0 => Mode::Stall,
-            1 => Mode::Reset,
-            2 => Mode::Refuse,
-            3 => Mode::Delay(self.millis(100, 400)),
+        let mode = match self.rng.random_range(0..6) {
+            0 | 1 => Mode::Stall,
+            2 => Mode::Reset,
+            3 => Mode::Refuse,
+            4 => Mode::Delay(self.millis(100, 400)),
             _ => Mode::StallResponses,
         };
         let all = 0..self.scope.gateways;
