--- a/crates/daemon/tests/soak/outages.rs
+++ b/crates/daemon/tests/soak/outages.rs
@@ -101,19 +101,22 @@
         start + interval * self.scope.runners as u32 + down
     }
 
-    /// The platform fails for all, for some or for one data centre's gateways, or for writes.
+    /// The platform fails for all, for some or for one data centre's gateways, or for writes, and
+    /// sometimes loses answers or its history beside that.
     fn strike(&mut self, at: Duration, period: Duration) {
-        let none = objects::Faults::default();
-        let fault = match self.rng.random_range(0..10) {
-            0..3 => Fault::RejectedWrites(period),
-            3 => {
-                let lost_replies = self.rng.random_range(1..20);
-                Fault::PlatformFaults(objects::Faults { lost_replies, ..none }, period)
-            }
-            4 if !self.scope.has_one_version => Fault::CompactHistory,
-            _ => return self.strike_connections(at, period),
-        };
-        self.timed.push((at, fault));
+        if self.rng.random_bool(0.4) {
+            self.timed.push((at, Fault::RejectedWrites(period)));
+        } else {
+            self.strike_connections(at, period);
+        }
+        if self.rng.random_bool(0.1) {
+            let lost_replies = self.rng.random_range(1..20);
+            let faults = objects::Faults { lost_replies, ..objects::Faults::default() };
+            self.timed.push((at, Fault::PlatformFaults(faults, period)));
+        }
+        if self.rng.random_bool(0.1) && !self.scope.has_one_version {
+            self.timed.push((at, Fault::CompactHistory));
+        }
     }
 
     fn strike_connections(&mut self, at: Duration, period: Duration) {
