--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -40,7 +40,7 @@
     FIRST_SILENCE_SEED + 2,
     FIRST_LARGE_CONFIG_SEED,
     FIRST_REMOVAL_SEED,
-    FIRST_OUTAGE_SEED,
+    FIRST_OUTAGE_SEED + 12,
 ];
 /// From this seed on, configurations have many routes, and the links between gateways are slow.
 const FIRST_LARGE_CONFIG_SEED: u64 = 8_000;
