--- a/crates/coordination/src/continuation.rs
+++ b/crates/coordination/src/continuation.rs
@@ -67,9 +67,9 @@
     }
 }
 
-/// Version of a run on `target`, which stated `at_grant` when the run was granted; that is `None` if
-/// the target wasn't known then. Returns `None` if it states another version now: the process that runs
-/// may be of either. A target that is gone can't have started again.
+/// Version of a run on `target`, which stated `at_grant` when the run was granted; that is `None`
+/// if the target wasn't known then. Returns `None` if it states another version now: the process
+/// that runs may be of either. A target that is gone can't have started again.
 pub fn version_of_run(
     at_grant: Option<Option<&SoftwareVersion>>,
     target: Option<&Target>,
--- a/crates/coordination/src/releases.rs
+++ b/crates/coordination/src/releases.rs
@@ -1,8 +1,8 @@
 //! Which software versions have served, as far as the platform tells.
 //!
 //! An instance that has just started knows only the versions that it finds. Whether there was
-//! another one shortly before, at which a stream may have begun, it learns from the platform: from a
-//! list of versions, and from the changes of the registry that the list doesn't cover yet (see
+//! another one shortly before, at which a stream may have begun, it learns from the platform: from
+//! a list of versions, and from the changes of the registry that the list doesn't cover yet (see
 //! [`Checkpoint`]). A version is removed from the list once callers of its streams can't return any
 //! more.
 //!
@@ -92,8 +92,8 @@
 }
 
 impl Log {
-    /// Sets the versions that targets state now. One that comes back must be listed again, as it may
-    /// have been removed from the list meanwhile.
+    /// Sets the versions that targets state now. One that comes back must be listed again, as it
+    /// may have been removed from the list meanwhile.
     pub fn set_present(&mut self, present: BTreeSet<Release>) {
         let departed = self.present.difference(&present).cloned();
         self.departed.extend(departed);
@@ -119,8 +119,8 @@
         }
     }
 
-    /// The registry was watched up to revision `through`, without a gap since revision `since`; `None`
-    /// if it was read as a whole.
+    /// The registry was watched up to revision `through`, without a gap since revision `since`;
+    /// `None` if it was read as a whole.
     pub fn on_watched(&mut self, since: Option<u64>, through: u64) {
         let before = self.watched.filter(|watched| Some(watched.through) == since);
         let from = before.map_or(since.unwrap_or(through), |watched| watched.from);
@@ -175,7 +175,8 @@
         }
     }
 
-    /// The list was read at `now`. Versions that were `recorded` then and aren't in it were removed.
+    /// The list was read at `now`. Versions that were `recorded` then and aren't in it were
+    /// removed.
     pub fn on_list(&mut self, list: BTreeSet<Release>, recorded: &BTreeSet<Release>, now: Instant) {
         for removed in recorded.difference(&list) {
             // One that has come back meanwhile isn't recorded any more.
@@ -201,7 +202,7 @@
         self.is_outdated = true;
     }
 
-    /// Another instance told at `now` which versions may have served.
+    /// Another instance reported at `now` which versions may have served.
     pub fn on_history(&mut self, history: History, now: Instant) {
         self.on_ended(history.releases);
         self.listed_at = Some(now);
@@ -223,8 +224,8 @@
         self.complete_since
     }
 
-    /// Whether all versions are known whose streams callers may take up at the Unix time `now`. They
-    /// return for the longest known lifetime, or `lifetime` if none is known.
+    /// Whether all versions are known whose streams callers may take up at the Unix time `now`.
+    /// They return for the longest known lifetime, or `lifetime` if none is known.
     pub fn is_complete(&self, lifetime: Duration, now: Millis) -> bool {
         let lifetime_ms = match self.lifetime_ms {
             0 => lifetime.as_millis() as Millis,
--- a/crates/coordination/src/releases/checkpoint.rs
+++ b/crates/coordination/src/releases/checkpoint.rs
@@ -1,16 +1,16 @@
 //! How far the list of versions covers the platform's registry of targets.
 //!
 //! A checkpoint says that every version which was registered up to a revision is listed. What was
-//! registered after that revision is in the platform's history of changes, so an instance that starts
-//! reads the list and then these changes. If the platform has dropped them, versions may have been
-//! missed, and the new checkpoint says from which time on that can't have happened.
+//! registered after that revision is in the platform's history of changes, so an instance that
+//! starts reads the list and then these changes. If the platform has dropped them, versions may
+//! have been missed, and the new checkpoint says from which time on that can't have happened.
 //!
 //! ```
 //! use coordination::releases::{Checkpoint, Step, Stored, Watched};
 //!
 //! let checkpoint = Checkpoint { through: 10, ..Checkpoint::default() };
 //! let stored = Stored { checkpoint, revision: 14 };
-//! assert_eq!(stored.next(Some(Watched { from: 8, through: 10 })), Step::Wait, "nothing has changed");
+//! assert_eq!(stored.next(Some(Watched { from: 8, through: 10 })), Step::Wait, "no change");
 //! let later = Checkpoint { through: 20, ..checkpoint };
 //! assert_eq!(stored.next(Some(Watched { from: 8, through: 20 })), Step::Write(later));
 //! let after_gap = Watched { from: 18, through: 20 };
@@ -66,9 +66,9 @@
 }
 
 impl Stored {
-    /// Revision after which changes of the registry must be read. If nothing else was written between
-    /// the checkpoint's revision and its own write, that is its write, which is in the history for
-    /// longer.
+    /// Revision after which changes of the registry must be read. If nothing else was written
+    /// between the checkpoint's revision and its own write, that is its write, which is in the
+    /// history for longer.
     pub fn resume_after(&self) -> u64 {
         let through = self.checkpoint.through;
         if self.revision == through.saturating_add(1) { self.revision } else { through }
--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -123,8 +123,8 @@
     Ok(is_known())
 }
 
-/// Learns which versions may have served, if that is needed to tell whether one has been the only one of
-/// its service, or whether there has been any.
+/// Learns which versions may have served, if that is needed to tell whether one has been the only
+/// one of its service, or whether there has been any.
 async fn ensure_listed(node: &Rc<Node>, only: Option<&Release>) -> Result<(), AcquireError> {
     if !needs_list(node, only) {
         return Ok(());
@@ -185,14 +185,15 @@
     is_recorded || list(&node).record(&release).await.is_ok()
 }
 
-/// Learns which versions may have served, unless another call does so first; `false` if that failed.
+/// Learns which versions may have served, unless another call does so first; `false` if that
+/// failed.
 async fn learn_in_turn(node: Rc<Node>, only: Option<Release>) -> bool {
     let _turn = node.release_calls.lock().await;
     !needs_list(&node, only.as_ref()) || learn_releases(&node).await
 }
 
-/// Learns which versions may have served: after the start from the instance that keeps the list, else
-/// from the platform. `false` if that failed.
+/// Learns which versions may have served: after the start from the instance that keeps the list,
+/// else from the platform. `false` if that failed.
 async fn learn_releases(node: &Rc<Node>) -> bool {
     let was_listed = node.releases.borrow().was_listed();
     let keeper = if was_listed { None } else { watch::global_watcher(node) };
--- a/crates/daemon/src/gateway/releases.rs
+++ b/crates/daemon/src/gateway/releases.rs
@@ -115,7 +115,8 @@
         Ok(Some(complete_since))
     }
 
-    /// Reads the changes of the registry after a revision; `false` if the platform has dropped them.
+    /// Reads the changes of the registry after a revision; `false` if the platform has dropped
+    /// them.
     async fn read_changes(&self, after: Revision) -> Result<bool, StoreError> {
         let mut next = after;
         loop {
@@ -173,8 +174,8 @@
         Ok(())
     }
 
-    /// Advances the checkpoint as far as the registry was watched here, if all versions seen there are
-    /// listed. Returns the stored one; `None` if it must be read.
+    /// Advances the checkpoint as far as the registry was watched here, if all versions seen there
+    /// are listed. Returns the stored one; `None` if it must be read.
     ///
     /// # Errors
     ///
@@ -207,8 +208,8 @@
         self.releases.borrow().unrecorded().is_empty()
     }
 
-    /// The checkpoint after changes of the registry that this instance hasn't seen, and that can't be
-    /// read any more.
+    /// The checkpoint after changes of the registry that this instance hasn't seen, and that can't
+    /// be read any more.
     fn after_gap(&self, stored: &Stored) -> Checkpoint {
         let complete_since = clock::millis();
         let through = self.watched().map_or(stored.checkpoint.through, |watched| watched.through);
--- a/crates/daemon/src/gateway/releases/keeper.rs
+++ b/crates/daemon/src/gateway/releases/keeper.rs
@@ -7,8 +7,8 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-/// Interval between writes of the checkpoint, while the registry may have changed. The platform keeps
-/// some 20 s of history, and a loss of all instances may last a few of them.
+/// Interval between writes of the checkpoint, while the registry may have changed. The platform
+/// keeps some 20 s of history, and a loss of all instances may last a few of them.
 const CHECKPOINT_INTERVAL: Duration = Duration::from_secs(4);
 /// Time after which another watcher advances a checkpoint that stays as it is.
 const STANDBY_INTERVAL: Duration = Duration::from_secs(6);
@@ -19,8 +19,8 @@
 /// Most versions that are listed at once.
 const MAX_RECORDS: usize = 16;
 
-/// The work of an instance that watches the registry: the first of them keeps the list, and the others
-/// stand by, as the first may have lost the platform.
+/// The work of an instance that watches the registry: the first of them keeps the list, and the
+/// others stand by, as the first may have lost the platform.
 pub struct Keeper {
     is_first: bool,
     /// The checkpoint; `None` until it was read.
@@ -63,8 +63,8 @@
         is_due && now >= self.retries_at && !list.store.is_backing_off(now)
     }
 
-    /// Makes the calls that are due; returns the versions that were listed. `present` tells the versions
-    /// that targets state at the time of the call.
+    /// Makes the calls that are due; returns the versions that were listed. `present` tells the
+    /// versions that targets state at the time of the call.
     pub async fn run(
         &mut self,
         list: &List<'_>,
@@ -117,7 +117,7 @@
         Ok(listed)
     }
 
-    /// Advances the checkpoint if nobody has for an interval.
+    /// Advances the checkpoint if no other instance has for an interval.
     async fn stand_by(
         &mut self,
         list: &List<'_>,
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -4,30 +4,27 @@
 //! once and watches from that revision; after a failed watch it lists again.
 //! [`super::discovery`] applies what it receives.
 
+mod role;
 mod topic;
 
+pub use role::{global_watcher, watches_targets};
+
 use super::call_reason::CallReason;
 use super::node::Node;
-use super::platform_health::{PROBE_TIMEOUT, is_disconnected};
+use super::platform_health::PROBE_TIMEOUT;
 use super::quarantine;
 use super::{discovery, evacuation, releases};
 use crate::clock;
-use coordination::membership::{Member, State};
-use coordination::watch::{self, Candidate};
 use platform::store::{Listing, Object, Revision, StoreError};
 use platform::{decommission, instance};
+use role::Role;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::task::spawn_local;
 use tokio_util::sync::CancellationToken;
 use topic::Topic;
 
-/// Key by which instances are ranked. One key for all topics, so that a single instance per
-/// data centre watches all of them and sends probes.
-const RANK_KEY: &str = "watch";
-/// Watchers per data centre, or in total for global topics.
-const WATCHER_COUNT: usize = 1;
 /// Delay after a change, so that a series of changes costs few calls.
 const CHANGE_BATCH_WINDOW: Duration = Duration::from_millis(200);
 /// Interval between checks whether this instance should watch.
@@ -44,9 +41,6 @@
 const MAX_LONE_JOIN_DELAY: Duration = Duration::from_millis(600);
 /// The same for global topics, which nothing waits for.
 const GLOBAL_JOIN_DELAY: Duration = Duration::from_secs(2);
-/// How long others must be ranked first before a watch is abandoned. Members come and go in
-/// a network partition, and a new watcher costs a list and a watch.
-const ROLE_LOSS_DELAY: Duration = Duration::from_millis(500);
 /// Minimum and maximum delay between attempts while the platform is unreachable.
 const RETRY_DELAY_BOUNDS: [Duration; 2] =
     [Duration::from_millis(250), Duration::from_millis(1_500)];
@@ -86,40 +80,8 @@
     }
 }
 
-fn is_watcher(node: &Node, topic: Topic) -> bool {
-    let members = node.members.borrow();
-    let is_near = |member: &&Member| member.data_centre == *node.data_centre();
-    let members_of_topic = members.workers().filter(|m| topic.is_global() || is_near(m));
-    let candidates = candidates(node, members_of_topic);
-    watch::is_watcher(RANK_KEY, members.me().id, candidates, WATCHER_COUNT)
-}
-
-/// Whether this instance watches the targets for its data centre.
-pub fn watches_targets(node: &Node) -> bool {
-    is_watcher(node, Topic::Targets)
-}
-
-/// Address of the instance that watches the global topics, and so the targets too; `None` for this
-/// one, or if there is none.
-pub fn global_watcher(node: &Node) -> Option<SocketAddr> {
-    let members = node.members.borrow();
-    let first = watch::first(RANK_KEY, candidates(node, members.workers()))?;
-    members.others().find(|member| member.id == first).map(|member| member.peer)
-}
-
-fn candidates<'a>(
-    node: &'a Node,
-    members: impl Iterator<Item = &'a Member>,
-) -> impl Iterator<Item = Candidate> {
-    let now = clock::now();
-    members.filter(|member| member.state != State::Suspect).map(move |member| {
-        let is_disconnected = is_disconnected(node, member.id, now);
-        Candidate { id: member.id, is_disconnected }
-    })
-}
-
 async fn watch_topic(node: Rc<Node>, topic: Topic, stop: CancellationToken) {
-    let mut role = WatcherRole { node: node.clone(), topic, is_held: false };
+    let mut role = Role::new(node.clone(), topic);
     let mut is_registered = topic != Topic::Config;
     let mut revision: Option<Revision> = None;
     let mut failures = 0_u32;
@@ -227,48 +189,6 @@
     tokio::time::sleep(delay).await;
 }
 
-/// Whether this instance watches a topic on behalf of others.
-struct WatcherRole {
-    node: Rc<Node>,
-    topic: Topic,
-    is_held: bool,
-}
-
-impl WatcherRole {
-    /// Returns once other instances have been ranked first for a while. Continuing the
-    /// watch would cost probes.
-    async fn lost(&self) {
-        let mut last_held = clock::now();
-        while clock::since(last_held) < ROLE_LOSS_DELAY {
-            tokio::time::sleep(POLL_INTERVAL).await;
-            if is_watcher(&self.node, self.topic) && !self.node.is_stopping() {
-                last_held = clock::now();
-            }
-        }
-    }
-
-    /// Updates and returns whether the role is held.
-    fn refresh(&mut self) -> bool {
-        let node = &self.node;
-        let is_held = !node.is_stopping() && is_watcher(node, self.topic);
-        if is_held != self.is_held {
-            slog::info!(node.log, "{}", if is_held { "watch started" } else { "watch stopped" };
-                "kind" => self.topic.kind(), "lost" => ?disconnected_members(node, clock::now()));
-            let watched = node.watched.get();
-            node.watched.set(if is_held { watched + 1 } else { watched.saturating_sub(1) });
-        }
-        self.is_held = is_held;
-        is_held
-    }
-}
-
-/// Ids of members that are currently disconnected from the platform.
-fn disconnected_members(node: &Node, now: Instant) -> Vec<String> {
-    let disconnected = node.disconnected.borrow();
-    let recent = disconnected.iter().filter(|(_, until)| now < **until);
-    recent.map(|(id, _)| format!("{id:x}")).collect()
-}
-
 /// Milliseconds since the platform last responded to this instance.
 fn ms_since_response(node: &Node) -> Option<u64> {
     node.store.idle_time(clock::now()).map(|time| time.as_millis() as u64)
--- a/crates/daemon/tests/gateway_cut_heads.rs
+++ b/crates/daemon/tests/gateway_cut_heads.rs
@@ -289,7 +289,7 @@
     check_count(services.count(|requests| requests.len() == 2));
 }
 
-/// The stream is broken off after two events; whoever goes on with it cuts its head.
+/// The stream is broken off after two events; the target that goes on with it cuts its head.
 #[rstest]
 #[case::within_a_response("rest", &[""])]
 #[case::taken_up_by_the_caller("take", &["", "\nLast-Event-Id: 2"])]
--- a/crates/daemon/tests/gateway_large_config.rs
+++ b/crates/daemon/tests/gateway_large_config.rs
@@ -126,7 +126,7 @@
     }
 }
 
-/// Regression: a list whose first byte came later than the time limit was given up and begun anew,
+/// Regression: a list whose first byte came later than the time limit was given up and repeated,
 /// always with the same limit.
 #[test]
 fn configuration_is_read_though_its_first_byte_is_late() {
--- a/crates/daemon/tests/gateway_versions.rs
+++ b/crates/daemon/tests/gateway_versions.rs
@@ -126,7 +126,8 @@
     assert!(complete(&responses) >= 8, "{responses:?}");
 }
 
-/// The callers return twice with the same event, after the instance of their second attempt is lost.
+/// The callers return twice with the same event, after the instance of their second attempt is
+/// lost.
 #[test]
 fn stream_taken_up_again_after_a_second_loss_goes_on_at_the_same_version() {
     let mut fleet = fleet(&["east", "east", "east"], &["v1", "v2", "v1", "v2", "v1", "v2"]);
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -47,8 +47,8 @@
 /// From this seed on, the route of the jobs has a limit and is removed and added again, and all
 /// gateways are killed more often, beside runners of two software versions.
 const FIRST_REMOVAL_SEED: u64 = 9_000;
-/// From this seed on, all runners are released beside an outage of the platform and before a loss of
-/// all gateways, then rolled back or released again, and callers return until their streams are
+/// From this seed on, all runners are released beside an outage of the platform and before a loss
+/// of all gateways, then rolled back or released again, and callers return until their streams are
 /// complete. In some seeds all releases are of one software version.
 const FIRST_OUTAGE_SEED: u64 = 10_000;
 /// From this seed on, freezes are suspensions, during which the monotonic clock stops.
--- a/crates/daemon/tests/util/mod.rs
+++ b/crates/daemon/tests/util/mod.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod cluster;
 pub mod daemon;
+pub mod deployment;
 pub mod gateway;
 pub mod peer;
 pub mod port;
