--- a/crates/daemon/src/gateway/items/run.rs
+++ b/crates/daemon/src/gateway/items/run.rs
@@ -5,6 +5,7 @@
 use crate::gateway::held_job::HeldJob;
 use crate::gateway::leases::Lease;
 use crate::gateway::node::{Node, unix_millis};
+use crate::gateway::origins;
 use crate::gateway::quarantine;
 use crate::gateway::target_body::TargetBody;
 use crate::gateway::target_head::{self, Verdict};
@@ -98,16 +99,14 @@
     lease: &Lease,
     partial: &PartialOutput,
 ) -> bool {
-    let registry = node.registry.borrow();
     let software = lease.software.as_deref();
-    continuation::allows(partial.origin.as_ref(), service, software, &registry)
+    let has_versions = origins::has_versions(node, service);
+    continuation::allows(partial.origin.as_ref(), service, software, has_versions)
 }
 
 /// What generated the output of a run that has ended.
-fn origin(node: &Node, service: ServiceId, lease: &Lease) -> Origin {
-    let registry = node.registry.borrow();
-    let target = registry.get(&lease.grant.target);
-    Origin { service, software: continuation::version_of_run(lease.software.as_ref(), target) }
+fn origin(service: ServiceId, lease: &Lease) -> Origin {
+    Origin { service, software: lease.version_of_run() }
 }
 
 /// Runs an item of `service`. Items never crash targets, so they are not subject to the quarantine.
@@ -193,7 +192,7 @@
                 };
                 crash::on_interrupted(&node, &lease.grant, broken);
             }
-            partial.origin = Some(origin(&node, service, &lease));
+            partial.origin = Some(origin(service, &lease));
             lease.report.silence = silence;
             lease.end(outcome);
             if outcome != LeaseOutcome::Unused {
