Write the checkpoint once the listing before it was seen, so an idle fleet needs one

Cause: the checkpoint was written right after the versions had been listed, at a revision that the watch hadn't reached yet, and so once more 4 s later. A write makes all other watches of the idle platform renew.

Change: the instance that keeps the list advances the checkpoint when its watch has shown the version that it listed last. The second write isn't needed then.

--- a/crates/daemon/src/gateway/releases.rs
+++ b/crates/daemon/src/gateway/releases.rs
@@ -137,31 +137,35 @@
         }
     }
 
-    /// Lists the known versions that aren't listed, at most `limit` of them; returns those listed.
+    /// Lists the known versions that aren't listed, at most `limit` of them; returns those listed and
+    /// the revision of the last one.
     ///
     /// # Errors
     ///
     /// The failed call of the platform.
-    pub async fn record_some(&self, limit: usize) -> Result<Vec<Release>, StoreError> {
+    pub async fn record_some(&self, limit: usize) -> Result<(Vec<Release>, Revision), StoreError> {
         let mut unrecorded = self.releases.borrow().unrecorded();
         unrecorded.truncate(limit);
+        let mut last = 0;
         for release in &unrecorded {
-            self.record(release).await?;
+            last = self.record(release).await?;
         }
-        Ok(unrecorded)
+        Ok((unrecorded, last))
     }
 
-    /// Lists a version.
+    /// Lists a version; returns the revision of its object, 0 if that isn't known.
     ///
     /// # Errors
     ///
     /// The failed call of the platform.
-    pub async fn record(&self, release: &Release) -> Result<(), StoreError> {
+    pub async fn record(&self, release: &Release) -> Result<Revision, StoreError> {
         let name = object_name(release);
         let result = self.store.create(CallReason::Release, release::KIND, &name, release).await;
-        let is_new = match result {
-            Ok(_) => true,
-            Err(StoreError::Conflict(_)) => false,
+        let (is_new, revision) = match result {
+            Ok(object) => (true, object.revision),
+            Err(StoreError::Conflict(object)) => {
+                (false, object.map_or(0, |object| object.revision))
+            }
             Err(error) => {
                 slog::info!(self.log, "software version not listed"; "service" => &release.service,
                     "software" => &release.software, "fault" => %error);
@@ -171,7 +175,7 @@
         slog::info!(self.log, "software version listed"; "service" => &release.service,
             "software" => &release.software, "is_new" => is_new);
         self.releases.borrow_mut().on_recorded(release.clone());
-        Ok(())
+        Ok(revision)
     }
 
     /// Advances the checkpoint as far as the registry was watched here, if all versions seen there
--- a/crates/daemon/src/gateway/releases/keeper.rs
+++ b/crates/daemon/src/gateway/releases/keeper.rs
@@ -3,7 +3,7 @@
 use super::List;
 use crate::clock;
 use coordination::releases::{Release, Step, Stored};
-use platform::store::StoreError;
+use platform::store::{Revision, StoreError};
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
@@ -27,6 +27,8 @@
     stored: Option<Stored>,
     /// Whether the list was read since this instance has kept it.
     is_read: bool,
+    /// Revision of the version that was listed last.
+    listed_through: Revision,
     advances_at: Instant,
     cleans_at: Instant,
     /// No calls are made until then, after one has failed.
@@ -40,6 +42,7 @@
             is_first,
             stored: None,
             is_read: false,
+            listed_through: 0,
             advances_at: if is_first { now } else { now + STANDBY_INTERVAL },
             cleans_at: now + CLEANUP_INTERVAL,
             retries_at: now,
@@ -98,8 +101,11 @@
                 self.advances_at = now + CHECKPOINT_INTERVAL;
             }
         }
-        let listed = list.record_some(MAX_RECORDS).await?;
-        if now >= self.advances_at {
+        let (listed, last) = list.record_some(MAX_RECORDS).await?;
+        self.listed_through = self.listed_through.max(last);
+        // The changes of this list are seen first, so that an idle platform needs one write.
+        let has_seen_list = list.watched().is_some_and(|w| w.through >= self.listed_through);
+        if now >= self.advances_at && has_seen_list {
             self.advance(list).await?;
             if list.has_listed_all() {
                 self.advances_at = now + CHECKPOINT_INTERVAL;
@@ -130,7 +136,7 @@
             return Ok(Vec::new());
         }
         self.stored = list.read().await?;
-        let listed = list.record_some(MAX_RECORDS).await?;
+        let (listed, _) = list.record_some(MAX_RECORDS).await?;
         self.advance(list).await?;
         Ok(listed)
     }
