Take no slow call about the list of versions for a suspension

By reading: the check for a suspension compares two rounds of one loop, and the loop waits for the reads of the list. On a platform that takes over a third of a second a call, each read looked like a suspension and was followed by the next; an instance that started then had to read for itself. The time after the reads counts now.

--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -269,6 +269,8 @@
         if is_turn && must_learn && !node.store.is_backing_off(now) {
             let _turn = node.release_calls.lock().await;
             learn_releases(&node).await;
+            // Calls of a slow platform are no suspension.
+            checked_at = clock::now();
         }
         if clock::since(forgotten_at) >= CLEANUP_INTERVAL && !is_keeper {
             forgotten_at = clock::now();
