--- a/review/tools-2/src/catch_all.rs
+++ b/review/tools-2/src/catch_all.rs
@@ -1,24 +1,44 @@
 //! A host with a batch route and a catch-all route (`/`). All gateways are killed and started again
 //! after a job is finished; its results must come again.
 
-use crate::fleet::{Fleet, batch_route, config, item, route, wait_until};
+use crate::fleet::{Fleet, Standins, ZONES, batch_route, config, item, route, wait_until};
+use crate::sized_runner::{Output, SizedRunner};
 use crate::{Setup, Verdict};
-use serde_json::Value;
-use standin::runner;
+use serde_json::{Value, json};
+use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 const JOB: &str = "7c41e09b52d6a3f8";
 const ITEMS: [&str; 3] = ["e5b2907c14da6f38", "e5b2907c14da6f39", "e5b2907c14da6f3a"];
+const SLOTS: usize = 8;
 /// `recovery_s` of the site.
 const RECOVERY: Duration = Duration::from_secs(12);
 
 pub fn run(setup: &Setup) -> Verdict {
     let record = &setup.record;
-    let runners: Vec<runner::Config> = (0..3)
-        .map(|n| runner::Config { id: format!("i-{n}"), slots: 8, ..runner::Config::default() })
-        .collect();
+    let output = Output {
+        events: 20,
+        event_interval: Duration::from_millis(5),
+        text: String::from("text "),
+    };
+    let outputs: HashMap<String, Output> =
+        ITEMS.iter().map(|id| ((*id).to_owned(), output.clone())).collect();
+    let outputs = Arc::new(outputs);
+    let mut runners = Vec::new();
+    let mut entries = Vec::new();
+    for (n, zone) in ZONES.iter().enumerate() {
+        let runner = SizedRunner::start(&format!("i-{n}"), SLOTS, outputs.clone(), Arc::default())?;
+        let entry = json!({
+            "service": "llm", "addr": runner.address.to_string(), "zone": zone, "version": "v1",
+            "slots": SLOTS, "state": "ready", "cold_left_ms": 0, "seq": 1,
+        });
+        entries.push((runner.id.clone(), entry));
+        runners.push(runner);
+    }
+    let standins = Standins { entries, limits_objects: true };
     let routes = vec![batch_route("lots", "/pule252/"), route("pages", "/", "safe")];
-    let mut fleet = Fleet::start(&setup.program, &setup.dir, &runners, config(7, routes))?;
+    let mut fleet = Fleet::start_with(&setup.program, &setup.dir, standins, config(7, routes))?;
     let items: Vec<Value> = ITEMS.iter().map(|id| item(id, &format!("/pule252/{id}"))).collect();
     let accepted = fleet.submit(0, &format!("/pule252/{JOB}"), JOB, &items);
     record.line(format!("job {JOB} submitted at gateway 0: {}", accepted.summary()));
@@ -62,7 +82,11 @@
             ));
         }
     }
-    fleet.record_runs(record);
+    for runner in &runners {
+        for (request, status) in runner.rejected() {
+            record.line(format!("runner {} answered {request} with {status}", runner.id));
+        }
+    }
     fleet.stop();
     Ok(broken)
 }
--- a/review/tools-2/src/fleet.rs
+++ b/review/tools-2/src/fleet.rs
@@ -2,7 +2,6 @@
 //! of runners in this one.
 
 use crate::http::{self, Response};
-use crate::record::Record;
 use crate::store_limit::LimitedStore;
 use serde_json::{Value, json};
 use standin::objects::Objects;
@@ -279,18 +278,6 @@
         self.gateways.iter_mut().for_each(Gateway::kill);
         self.servers.clear();
     }
-
-    /// Records how often each item ran, as the runners saw it.
-    pub fn record_runs(&self, record: &Record) {
-        for runner in &self.runners {
-            for run in runner.runs() {
-                record.line(format!(
-                    "runner {} ran {} ({}), whole: {}",
-                    runner.identity().id, run.id, run.path, run.is_complete
-                ));
-            }
-        }
-    }
 }
 
 /// Waits until a condition holds.
--- a/review/tools-2/src/sized_runner.rs
+++ b/review/tools-2/src/sized_runner.rs
@@ -31,6 +31,7 @@
 struct State {
     runs: Vec<Run>,
     running: usize,
+    rejected: Vec<(String, &'static str)>,
 }
 
 /// A runner; clones share its state.
@@ -73,6 +74,11 @@
         self.lock().runs.clone()
     }
 
+    /// Requests that were not run for want of a known id, each with its status.
+    pub fn rejected(&self) -> Vec<(String, &'static str)> {
+        self.lock().rejected.clone()
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -96,6 +102,8 @@
             return self.short(stream, "200 OK", &id, "");
         }
         let Some(output) = self.outputs.get(&id) else {
+            let (method, path) = request.first_words();
+            self.lock().rejected.push((format!("{method} {path} (id `{id}`)"), "400, not run"));
             return self.short(stream, "400 Bad Request", &id, "X-Gatespool-Not-Run: 1\r\n");
         };
         {
