--- a/review/tools-2/src/catch_all.rs
+++ b/review/tools-2/src/catch_all.rs
@@ -45,9 +45,8 @@
     if accepted.status != 202 {
         return Err("the job was not accepted".into());
     }
-    let count = |answer: &crate::http::Response| {
-        answer.json()["results"].as_array().map_or(0, Vec::len)
-    };
+    let count =
+        |answer: &crate::http::Response| answer.json()["results"].as_array().map_or(0, Vec::len);
     wait_until("all results are listed at every gateway", Duration::from_secs(15), || {
         (0..3).all(|n| count(&fleet.results(n, JOB)) == ITEMS.len())
     })?;
--- a/review/tools-2/src/fleet.rs
+++ b/review/tools-2/src/fleet.rs
@@ -38,7 +38,7 @@
     fn start(&mut self, program: &Path, dir: &Path) -> io::Result<()> {
         let path = dir.join(format!("{}.log", self.name));
         let log = File::options().create(true).append(true).open(path)?;
-        let child = Command::new(program)
+        let child = bound_command(program)
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
@@ -58,24 +58,24 @@
         }
     }
 
-    /// Process id; `None` if it doesn't run.
-    pub fn process_id(&self) -> Option<u32> {
-        self.child.as_ref().map(Child::id)
-    }
-
-    /// Sends a signal by its name, such as `TERM`.
-    pub fn signal(&self, name: &str) {
-        if let Some(id) = self.process_id() {
-            let _sent = Command::new("kill").arg(format!("-{name}")).arg(id.to_string()).status();
-        }
-    }
-
     /// Whether the platform would give the gateway new channels.
     pub fn is_ready(&self) -> bool {
         http::call(self.ready, "GET", "/readyz", &[("Host", "ready")], b"").status == 200
     }
 }
 
+/// A command that runs a program and, where `setpriv` is there, has it killed when this process is
+/// gone, however it ends.
+fn bound_command(program: &Path) -> Command {
+    let probe = Command::new("setpriv").arg("--version").stdout(Stdio::null()).status();
+    if !probe.is_ok_and(|status| status.success()) {
+        return Command::new(program);
+    }
+    let mut command = Command::new("setpriv");
+    command.args(["--pdeathsig", "KILL"]).arg(program);
+    command
+}
+
 impl Drop for Gateway {
     fn drop(&mut self) {
         self.kill();
--- a/review/tools-2/src/store_limit.rs
+++ b/review/tools-2/src/store_limit.rs
@@ -78,7 +78,8 @@
         if method != "PUT" || parts.next() != Some("status") {
             return method == "PUT" && request.body.len() > VALUE_BYTES;
         }
-        let spec = self.objects.get(kind, name).map_or(0, |object| object["spec"].to_string().len());
+        let spec =
+            self.objects.get(kind, name).map_or(0, |object| object["spec"].to_string().len());
         spec + request.body.len() > VALUE_BYTES
     }
 }
