--- a/review/tools-2/src/catch_all.rs
+++ b/review/tools-2/src/catch_all.rs
@@ -12,8 +12,8 @@
 const JOB: &str = "7c41e09b52d6a3f8";
 const ITEMS: [&str; 3] = ["e5b2907c14da6f38", "e5b2907c14da6f39", "e5b2907c14da6f3a"];
 const SLOTS: usize = 8;
-/// `recovery_s` of the site.
-const RECOVERY: Duration = Duration::from_secs(12);
+/// `finish_s` of the site, after which the rule reads jobs from the start; more than `recovery_s`.
+const FINISH: Duration = Duration::from_secs(18);
 
 pub fn run(setup: &Setup) -> Verdict {
     let record = &setup.record;
@@ -62,7 +62,7 @@
         record.line("all gateways started again");
     }
     fleet.wait_ready()?;
-    std::thread::sleep(RECOVERY);
+    std::thread::sleep(FINISH);
     let mut broken = Vec::new();
     for n in 0..fleet.gateways.len() {
         // Again after a failure, as the clients of the pages do.
--- a/review/tools-2/src/large_result.rs
+++ b/review/tools-2/src/large_result.rs
@@ -18,6 +18,8 @@
 const RUNNER_COUNT: usize = 6;
 /// `finish_s` of the site, after which no more results are waited for.
 const FINISH: Duration = Duration::from_secs(18);
+/// The rule asks that no runner had an unlisted item in this time.
+const CALM: Duration = Duration::from_secs(5);
 /// Longest wait for all items to complete at the runners.
 const RUN_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -121,6 +123,9 @@
         fleet.rejected_writes()
     ));
     let mut broken = Vec::new();
+    if in_time.is_err() && !runners.iter().all(|runner| runner.is_calm(CALM)) {
+        return Err("an item has run within the last 5 s, which the rule excuses".into());
+    }
     if in_time.is_err() {
         let unlisted = ITEM_COUNT - results.len();
         broken.push(format!(
--- a/review/tools-2/src/new_route.rs
+++ b/review/tools-2/src/new_route.rs
@@ -9,6 +9,8 @@
 
 const JOB: &str = "7c41e09b52d6a3f8";
 const ITEM_COUNT: usize = 12;
+/// Ends before `max_wait_s` (60 s), when an item may be given up.
+const LIST_TIMEOUT: Duration = Duration::from_secs(50);
 
 pub fn run(setup: &Setup) -> Verdict {
     let record = &setup.record;
@@ -40,7 +42,7 @@
         if setup.has_trouble { ", and adds `asan-questions` at /pule252/asan/" } else { "" }
     ));
     let mut last = fleet.results(0, JOB);
-    wait_until("all items are listed", Duration::from_secs(60), || {
+    wait_until("all items are listed", LIST_TIMEOUT, || {
         last = fleet.results(0, JOB);
         last.json()["results"].as_array().is_some_and(|results| results.len() == ITEM_COUNT)
     })?;
--- a/review/tools-2/src/sized_runner.rs
+++ b/review/tools-2/src/sized_runner.rs
@@ -74,6 +74,12 @@
         self.lock().runs.clone()
     }
 
+    /// Whether nothing runs, and no run began within `period`.
+    pub fn is_calm(&self, period: Duration) -> bool {
+        let state = self.lock();
+        state.running == 0 && state.runs.iter().all(|run| run.at.elapsed() >= period)
+    }
+
     /// Requests that were not run for want of a known id, each with its status.
     pub fn rejected(&self) -> Vec<(String, &'static str)> {
         self.lock().rejected.clone()
