Keep a job on the batch route that it was accepted on

A batch route added there took the items to its own service.

Cause: the route of a job was looked up anew by path and longest prefix, and counted as removed if that found a route of another kind. Whose route it is was decided by the configuration in force alone.

Change: a job keeps the name of its route (empty in jobs of earlier builds). Its route is the batch route of that name among those that begin its path, else the longest of these; routes of other kinds don't take part. For the same reason a submission that comes again at such a path is looked up on the platform before it counts as an online request.

--- a/crates/daemon/src/gateway/access.rs
+++ b/crates/daemon/src/gateway/access.rs
@@ -2,7 +2,7 @@
 
 use hyper::HeaderMap;
 use platform::header;
-use protocol::routing::{Class, Table};
+use protocol::routing::Table;
 use protocol::workspace::Workspace;
 use std::rc::Rc;
 
@@ -42,8 +42,7 @@
     host: &str,
     headers: &HeaderMap,
 ) -> Result<Option<Rc<Workspace>>, Unauthorized> {
-    let routes = table.routes.iter().filter(|route| route.host.eq_ignore_ascii_case(host));
-    let mut batch = routes.filter(|route| route.class == Class::Batch).peekable();
+    let mut batch = table.batch_routes(host).peekable();
     let is_public = match batch.peek() {
         Some(_) => batch.all(|route| route.is_public),
         None => header::api_key(headers).is_none(),
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -66,6 +66,11 @@
         hash::request_fingerprint(self.method.as_str(), &self.host, &self.target, &self.body)
     }
 
+    /// Path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
     /// What of the request may crash its targets.
     pub fn contents(&self) -> Contents {
         Contents { request: self.fingerprint(), parts: self.parts.clone() }
@@ -280,8 +285,7 @@
     if route.class == Class::Batch {
         return Ok(submit::submit(node, &route, &call).await);
     }
-    // The path may have belonged to a batch route before.
-    if call.method == Method::POST && node.jobs.known_owner(&call.id).is_some() {
+    if call.method == Method::POST && may_be_submission(node, config, &call) {
         let repeated = submit::resubmit(node, &call.id, call.workspace_name(), &call.body).await;
         if let Some(response) = repeated {
             return Ok(response);
@@ -290,6 +294,13 @@
     online::serve(node, config, Rc::new(route), Rc::new(call)).await
 }
 
+/// Whether a request on another route may repeat the submission of a job: the route may be new, and
+/// the path may belong to a batch route as well, or may have belonged to one before.
+fn may_be_submission(node: &Node, config: &Config, call: &CallerRequest) -> bool {
+    node.jobs.known_owner(&call.id).is_some()
+        || config.table.batch_route_for(&call.host, call.path(), "").is_some()
+}
+
 fn host(headers: &HeaderMap) -> &str {
     let host = header::text(headers, "host");
     host.split_once(':').map_or(host, |(name, _)| name)
--- a/crates/daemon/src/gateway/job_table.rs
+++ b/crates/daemon/src/gateway/job_table.rs
@@ -11,7 +11,7 @@
 use coordination::pending_jobs::Submission;
 use coordination::run_time::Estimate;
 use coordination::{hash, pending_jobs};
-use protocol::routing::{Class, Route};
+use protocol::routing::Route;
 use protocol::{DataCentreId, ServiceId, WorkspaceId};
 use state::progress::{Handoff, Holder, Job, JobId};
 use std::cell::{Cell, RefCell};
@@ -160,9 +160,7 @@
 
 /// Batch route of a job in the current configuration; `None` if there is none any more.
 pub fn route_of(node: &Node, job: &Job) -> Option<Route> {
-    let config = node.config()?;
-    let route = config.table.route_for(&job.host, &job.path);
-    route.filter(|route| route.class == Class::Batch).cloned()
+    node.config()?.table.batch_route_for(&job.host, &job.path, &job.route).cloned()
 }
 
 /// Fails the waiting items of a job whose route was removed; those that run may complete.
--- a/crates/daemon/src/gateway/submit.rs
+++ b/crates/daemon/src/gateway/submit.rs
@@ -119,10 +119,9 @@
     let Ok(body) = std::str::from_utf8(&call.body) else {
         return SubmitOutcome::Malformed;
     };
-    let path = call.target.split('?').next().unwrap_or_default().to_owned();
     let request = PeerRequest::Submit(ForwardedSubmission {
         host: call.host.clone(),
-        path,
+        path: call.path().to_owned(),
         job: call.id.clone(),
         body: body.to_owned(),
         workspace: call.workspace_name().map(str::to_owned),
@@ -180,7 +179,8 @@
     let job = Job {
         id: id.clone(),
         host: call.host.clone(),
-        path: call.target.split('?').next().unwrap_or_default().to_owned(),
+        path: call.path().to_owned(),
+        route: route.name.clone(),
         accepted: now,
         due: now + terms.due.as_millis() as u64,
         expires: now + terms.expire_after.as_millis() as u64,
--- a/crates/daemon/tests/gateway_routes.rs
+++ b/crates/daemon/tests/gateway_routes.rs
@@ -49,21 +49,42 @@
     (10..10 + ITEMS).map(|n| format!("item-{n}")).collect()
 }
 
+/// A fleet in which two items can run at a time.
+fn fleet_with(workspaces: Value) -> Fleet {
+    let runner = |id: &str| standin::runner::Config { slots: 1, ..slow_runner(id) };
+    let runners = vec![("east", runner("r0")), ("west", runner("r1"))];
+    Fleet::start(Plan { runners, workspaces, ..Plan::default() })
+}
+
+fn fleet() -> Fleet {
+    fleet_with(Value::Null)
+}
+
+/// Kills all instances at once, starts them again, and waits until they have the configuration.
+#[track_caller]
+fn restart_all(fleet: &mut Fleet) {
+    (0..3).for_each(|n| fleet.gateways[n].kill());
+    (0..3).for_each(|n| fleet.restart(n));
+    fleet.wait_ready();
+}
+
 /// A fleet with a job at instance 0 of which two items can run at a time, and some results are
 /// listed.
 fn fleet_with_job(workspaces: Value) -> Fleet {
-    let runner = |id: &str| standin::runner::Config { slots: 1, ..slow_runner(id) };
-    let runners = vec![("east", runner("r0")), ("west", runner("r1"))];
-    let fleet = Fleet::start(Plan { runners, workspaces, ..Plan::default() });
+    let fleet = fleet_with(workspaces);
     assert_eq!(submit(&fleet, 0, &[KEY]), 202);
     wait_until("some results are listed", || listed(&fleet, 1).is_some_and(|l| !l.is_empty()));
     fleet
 }
 
 fn submit(fleet: &Fleet, n: usize, headers: &[(&str, &str)]) -> u16 {
+    submit_at(fleet, n, "/batch/job", headers)
+}
+
+fn submit_at(fleet: &Fleet, n: usize, path: &str, headers: &[(&str, &str)]) -> u16 {
     let ids = item_ids();
     let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
-    util::gateway::submit_to(fleet.gateways[n].front_address, "job", &ids, headers).status
+    util::gateway::submit_at(fleet.gateways[n].front_address, path, "job", &ids, headers).status
 }
 
 /// Results of the job; `None` if it can't be read.
@@ -191,6 +212,61 @@
     assert_eq!(submit(&fleet, 2, &[]), 202, "the job comes again");
 }
 
+/// A route that is added below the batch route and begins the path of the job.
+#[derive(Clone, Copy, Debug)]
+enum Addition {
+    Online,
+    /// A batch route to a service without targets.
+    Batch,
+}
+
+/// The configuration with version `version` and a route more.
+fn with_route_below(fleet: &Fleet, version: u64, addition: Addition) -> Value {
+    let mut config = fleet.config(version);
+    let routes = config["routes"].as_array_mut().expect("routes");
+    let kind = if matches!(addition, Addition::Online) { "stream" } else { "batch" };
+    let mut below = routes.iter().find(|route| route["kind"] == kind).expect("a route").clone();
+    below["name"] = json!("below");
+    below["path_prefix"] = json!("/batch/shop/");
+    if matches!(addition, Addition::Batch) {
+        below["service"] = json!("other");
+        let other = json!({ "name": "other", "health_path": "/healthz", "max_conns": 200 });
+        config["services"].as_array_mut().expect("services").push(other);
+    }
+    config["routes"].as_array_mut().expect("routes").push(below);
+    config
+}
+
+/// Regression: the items of a job failed, or waited at another service, once a route below theirs
+/// began the path of their job.
+#[rstest]
+fn items_stay_on_their_route_when_one_is_added_below_it(
+    #[values(Addition::Online, Addition::Batch)] addition: Addition,
+) {
+    let fleet = fleet();
+    assert_eq!(submit_at(&fleet, 0, "/batch/shop/job", &[]), 202);
+    wait_until("some results are listed", || listed(&fleet, 1).is_some_and(|l| !l.is_empty()));
+    apply(&fleet, with_route_below(&fleet, 8, addition));
+    let states = wait_listed(&fleet, Duration::from_secs(30));
+    assert!(states.iter().all(|state| state == "complete"), "{states:?}");
+    assert_eq!(submit_at(&fleet, 2, "/batch/shop/job", &[]), 202, "the job comes again");
+}
+
+/// Regression: it ran as an online request.
+#[test]
+fn submission_that_comes_again_below_a_new_route_is_recognized_after_a_restart_of_all() {
+    let mut fleet = Fleet::start(Plan::default());
+    assert_eq!(submit_at(&fleet, 0, "/batch/shop/job", &[]), 202);
+    wait_listed(&fleet, Duration::from_secs(20));
+    apply(&fleet, with_route_below(&fleet, 8, Addition::Online));
+    restart_all(&mut fleet);
+    for n in 0..3 {
+        assert_eq!(submit_at(&fleet, n, "/batch/shop/job", &[]), 202, "the job comes again");
+    }
+    assert!(fleet.runs("/batch/shop/").is_empty(), "{:?}", fleet.runs("/batch/shop/"));
+    assert_eq!(fleet.send(0, "/batch/shop/a", "online").status, 200);
+}
+
 /// A job whose items have failed stays as it was read, and others are accepted.
 #[test]
 fn route_that_is_added_again_later_takes_new_jobs() {
--- a/crates/daemon/tests/util/gateway.rs
+++ b/crates/daemon/tests/util/gateway.rs
@@ -375,6 +375,17 @@
     job: &str,
     items: &[&str],
     extra_headers: &[(&str, &str)],
+) -> Response {
+    submit_at(to, &format!("/batch/{job}"), job, items, extra_headers)
+}
+
+/// As [`submit_to`], at this path.
+pub fn submit_at(
+    to: SocketAddr,
+    path: &str,
+    job: &str,
+    items: &[&str],
+    extra_headers: &[(&str, &str)],
 ) -> Response {
     let item = |id: &&str| {
         json!({
@@ -385,7 +396,7 @@
     let items: Vec<Value> = items.iter().map(item).collect();
     let mut headers = vec![("host", HOST), ("x-gatespool-request-id", job)];
     headers.extend(extra_headers);
-    client::post(to, &format!("/batch/{job}"), &headers, &json!({ "items": items }))
+    client::post(to, path, &headers, &json!({ "items": items }))
 }
 
 /// Data of all events of a stream, joined by newlines.
--- a/crates/protocol/src/routing.rs
+++ b/crates/protocol/src/routing.rs
@@ -244,6 +244,21 @@
         matching.max_by_key(|route| route.prefix.len())
     }
 
+    /// Finds the batch route of a job that was submitted at `path` of `host`, where other routes may
+    /// have been added since: the one with the `name` that it had then, else the one with the longest
+    /// prefix that matches.
+    pub fn batch_route_for(&self, host: &str, path: &str, name: &str) -> Option<&Route> {
+        let of_host = self.batch_routes(host);
+        let matching = of_host.filter(|route| path.starts_with(&route.prefix));
+        matching.max_by_key(|route| (route.name == name, route.prefix.len()))
+    }
+
+    /// Batch routes of a host.
+    pub fn batch_routes(&self, host: &str) -> impl Iterator<Item = &Route> {
+        let of_host = |route: &&Route| route.host.eq_ignore_ascii_case(host);
+        self.routes.iter().filter(move |route| route.class == Class::Batch).filter(of_host)
+    }
+
     /// Finds the configuration of a service.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|service| service.name == name)
--- a/crates/state/src/progress/job.rs
+++ b/crates/state/src/progress/job.rs
@@ -62,8 +62,11 @@
     pub id: JobId,
     /// Host of the submission, for the route and for the items' requests.
     pub host: String,
-    /// Path of the submission; selects the route together with the host.
+    /// Path of the submission.
     pub path: String,
+    /// Name of its route when it was accepted; empty if it was stored by a version that kept none.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub route: String,
     /// When it was accepted.
     #[serde(deserialize_with = "at_most::<MAX_TIME, _>")]
     pub accepted: Millis,
@@ -123,6 +126,7 @@
             id: id.to_owned(),
             host: String::from("a.example"),
             path: String::from("/batch/job"),
+            route: String::from("batch"),
             accepted: 0,
             due: 18_000,
             expires: 60_000,
