Look a job up before its call goes to an online route

Cause: a call about a job counted as one only if no route matched, or if this process knew the job. Open jobs become known again by the scan, finished ones never. What one process remembers decided what a path means.

Change: on a host with batch routes, a path of that form which matches another route too is a job's if the platform has that job. If it can't be read now, the answer is 503. A page at such a path costs one read of the platform.

--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -147,10 +147,12 @@
     let id = header::text(&parts.headers, header::REQUEST_ID).to_owned();
     let route = config.table.route_for(&host, path).cloned();
     let query = parts.uri.query().unwrap_or_default();
-    let job_call = job::Request::parse(parts.method.as_str(), path, query)
-        .filter(|call| route.is_none() || node.jobs.known_owner(call.job()).is_some());
-    if let Some(call) = job_call {
-        return Ok(call_job(node, &config, call, &host, &parts.headers).await);
+    if let Some(call) = job::Request::parse(parts.method.as_str(), path, query) {
+        match is_about_job(node, &config, &host, route.is_some(), &call).await {
+            Some(true) => return Ok(call_job(node, &config, call, &host, &parts.headers).await),
+            Some(false) => {}
+            None => return Ok(jobs::unavailable(node, call.job())),
+        }
     }
     let Some(route) = route else {
         slog::info!(node.log, "no route"; "request" => &id, "host" => &host,
@@ -205,6 +207,24 @@
     node.config()
 }
 
+/// Whether what looks like a call about a job is one; `None` if nobody can say now. On a host with
+/// batch routes, a path that belongs to another route as well is a job's if there is such a job.
+async fn is_about_job(
+    node: &Node,
+    config: &Config,
+    host: &str,
+    has_route: bool,
+    call: &job::Request,
+) -> Option<bool> {
+    if !has_route || node.jobs.known_owner(call.job()).is_some() {
+        return Some(true);
+    }
+    match config.table.batch_routes(host).next() {
+        Some(_) => jobs::exists(node, call.job()).await,
+        None => Some(false),
+    }
+}
+
 /// Serves a request without a route if it repeats the submission of a job, which may outlive its
 /// route.
 async fn repeated_submission(
--- a/crates/daemon/src/gateway/jobs.rs
+++ b/crates/daemon/src/gateway/jobs.rs
@@ -12,6 +12,7 @@
 use super::{broadcast, submit};
 use crate::clock;
 use hyper::{HeaderMap, Response};
+pub use lookup::exists;
 use lookup::{Location, find};
 use platform::store::StoreError;
 use platform::{header, job};
@@ -115,7 +116,8 @@
     response
 }
 
-fn unavailable(node: &Node, id: &str) -> Response<Body> {
+/// The response to a call about a job that can't be read now.
+pub fn unavailable(node: &Node, id: &str) -> Response<Body> {
     slog::info!(node.log, "job unavailable"; "job" => id,
         "platform_away" => node.store.is_backing_off(clock::now()));
     let mut error = Error::new(Kind::PlatformUnavailable, "the job can't be read now");
--- a/crates/daemon/src/gateway/jobs/lookup.rs
+++ b/crates/daemon/src/gateway/jobs/lookup.rs
@@ -96,6 +96,17 @@
     as_stored(stored_job)
 }
 
+/// Whether the platform has a job; `None` if it can't be read now.
+pub async fn exists(node: &Node, id: &str) -> Option<bool> {
+    match load_cached(node, id).await {
+        Ok(stored_job) => Some(stored_job.is_some()),
+        Err(error) => {
+            slog::info!(node.log, "job load failed"; "job" => id, "fault" => %error);
+            None
+        }
+    }
+}
+
 /// Loads a job, serving recent reads from the cache.
 async fn load_cached(node: &Node, id: &str) -> Result<Option<StoredJob>, LoadError> {
     let now = clock::now();
--- a/crates/daemon/tests/gateway_routes.rs
+++ b/crates/daemon/tests/gateway_routes.rs
@@ -267,6 +267,39 @@
     assert_eq!(fleet.send(0, "/batch/shop/a", "online").status, 200);
 }
 
+/// Regression: calls about a finished job were sent to targets.
+#[test]
+fn finished_job_beside_a_catch_all_route_is_readable_after_a_restart_of_all() {
+    let mut fleet = Fleet::start(Plan::default());
+    let mut config = fleet.config(8);
+    let routes = config["routes"].as_array_mut().expect("routes");
+    let plain = routes.iter_mut().find(|route| route["name"] == "plain");
+    plain.expect("the plain route")["path_prefix"] = json!("/");
+    apply(&fleet, config);
+    assert_eq!(submit(&fleet, 0, &[]), 202);
+    wait_listed(&fleet, Duration::from_secs(20));
+    let before = listed(&fleet, 0).expect("results");
+    restart_all(&mut fleet);
+    for n in 0..3 {
+        assert_eq!(listed(&fleet, n), Some(before.clone()));
+        let body = fleet.call_job(n, "GET", "/items/job?id=item-21", &[]);
+        assert_eq!((body.status, &body.body[..]), (200, &b"prompt"[..]));
+        let page = client::call(
+            "GET",
+            fleet.gateways[n].front_address,
+            "/lots/page",
+            &[("host", HOST), ("x-gatespool-request-id", &format!("page-{n}"))],
+            Vec::new(),
+        );
+        assert_eq!(page.status, 200, "a page at a path like that of a job");
+    }
+    let sent: Vec<String> = fleet.runs("/lots/").into_iter().map(|run| run.path).collect();
+    assert_eq!(sent, ["/lots/page"; 3], "a call about the job was sent to a target");
+    assert!(fleet.runs("/items/").is_empty());
+    fleet.objects.set_faults(Faults { unavailable: true, ..Faults::default() });
+    assert_eq!(fleet.call_job(1, "GET", "/lots/other", &[]).status, 503, "nobody can be sure");
+}
+
 /// A job whose items have failed stays as it was read, and others are accepted.
 #[test]
 fn route_that_is_added_again_later_takes_new_jobs() {
