Store results that don't fit beside the items of their job

Cause: the last run of results always stayed in the job's own object, whatever its size, and so did the first run of items. The limits were shares of an object that single elements could exceed.

Change: no run above its share stays in the job's own object. If the platform rejects a write all the same, beside a large item that an earlier build stored, all results go to overflow objects. A result that in its stored form is larger than an object (escapes count) is dropped like one that is too long as such, instead of holding up the results of its whole job. The stand-in of the store limits spec and status together, as the platform's page says; it limited each alone.

--- a/crates/daemon/src/gateway/items/run.rs
+++ b/crates/daemon/src/gateway/items/run.rs
@@ -36,6 +36,9 @@
 const MAX_EVENT_WAIT: Duration = Duration::from_secs(10);
 /// Memory of an event besides its data: its place in the list, and what the allocator adds.
 const EVENT_OVERHEAD_BYTES: usize = 64;
+/// Maximum share of an object's bytes for the text of a result; the rest is for its id, field names,
+/// and what the platform adds.
+const OUTPUT_BYTES_RATIO: f64 = 31.0 / 32.0;
 /// Why a run ends whose output finds no room.
 const NO_ROOM: &str = "no room for the output";
 /// Largest error body that is read to keep the connection reusable, and the longest time for it.
@@ -294,7 +297,7 @@
         let is_resumed = partial.last_event_id.is_some();
         let process = TargetProcess::of(&exchange, node, service, &lease.grant);
         let mut body = TargetBody::of_events(exchange, process).resumed(is_resumed);
-        let max_bytes = node.settings.max_value_bytes;
+        let max_bytes = (node.settings.max_value_bytes as f64 * OUTPUT_BYTES_RATIO) as usize;
         let run_end = read_events(&mut body, partial, times, max_bytes, &node.bodies).await;
         if times.count > 0 {
             quarantine::on_answered(node, &shared_parts(item));
@@ -324,8 +327,9 @@
     let interrupted = |error: String| RunEnd::stopped(LeaseOutcome::Interrupted, error);
     let mut splitter = EventSplitter::default();
     let mut progress_at = clock::now();
-    let mut output_bytes: usize = partial.events.iter().map(|data| data.len() + 1).sum();
-    let mut memory_bytes = output_bytes + partial.events.len() * EVENT_OVERHEAD_BYTES;
+    let mut output_bytes: usize = partial.events.iter().map(|data| encoded_bytes(data)).sum();
+    let data_bytes: usize = partial.events.iter().map(String::len).sum();
+    let mut memory_bytes = data_bytes + partial.events.len() * EVENT_OVERHEAD_BYTES;
     let mut reservation = bodies.reserve();
     loop {
         if clock::since(progress_at) >= MAX_EVENT_WAIT {
@@ -358,7 +362,7 @@
                 continue;
             };
             progress_at = now;
-            output_bytes += data.len() + 1;
+            output_bytes += encoded_bytes(&data);
             memory_bytes += data.len() + EVENT_OVERHEAD_BYTES;
             if output_bytes > max_output_bytes {
                 *partial = PartialOutput::default();
@@ -373,6 +377,17 @@
     }
 }
 
+/// Size of an event's data in a stored result, with the line feed behind it.
+fn encoded_bytes(data: &str) -> usize {
+    // Control characters are encoded as an escape of two bytes or of six.
+    let escape = |byte: u8| match byte {
+        b'"' | b'\\' | b'\n' | b'\r' | b'\t' | 0x08 | 0x0c => 1,
+        0..0x20 => 5,
+        _ => 0,
+    };
+    data.len() + data.bytes().map(escape).sum::<usize>() + r"\n".len()
+}
+
 fn request(
     job: &Job,
     item: &Item,
--- a/crates/daemon/src/gateway/job_store.rs
+++ b/crates/daemon/src/gateway/job_store.rs
@@ -143,17 +143,20 @@
 pub async fn create(node: &Node, job: &Job) -> Result<(Object, Overflow), StoreError> {
     let max_bytes = byte_limit(node, SPEC_BYTES_RATIO);
     let runs = runs(&job.items, max_bytes);
-    let Some((first, rest)) = runs.split_first().filter(|(_, rest)| !rest.is_empty()) else {
+    let kept =
+        runs.first().filter(|run| run.bytes <= max_bytes).map_or(0, |run| run.elements.len());
+    let (kept, rest) = job.items.split_at(kept);
+    if rest.is_empty() {
         let object = node.store.create(CallReason::Submission, job::KIND, &job.id, job).await?;
         return Ok((object, Overflow::default()));
-    };
+    }
     let mut items = Vec::new();
-    for run in rest {
-        items.push(write_overflow(node, CallReason::Submission, &job.id, run).await?);
+    for run in runs.iter().skip(usize::from(!kept.is_empty())) {
+        items.push(write_overflow(node, CallReason::Submission, &job.id, run.elements).await?);
     }
-    let overflow_tokens = rest.iter().flat_map(|run| run.iter()).map(|item| item.tokens).sum();
+    let overflow_tokens = rest.iter().map(|item| item.tokens).sum();
     let spec = Spec {
-        job: Job { items: first.to_vec(), ..job.clone() },
+        job: Job { items: kept.to_vec(), ..job.clone() },
         overflow: items.clone(),
         overflow_tokens,
     };
@@ -176,15 +179,35 @@
     revision: u64,
     progress: &Progress,
     overflow: &Overflow,
+) -> Result<(Object, Overflow), StoreError> {
+    let max_bytes = byte_limit(node, STATUS_BYTES_RATIO);
+    match write_keeping(node, reason, id, revision, progress, overflow, max_bytes).await {
+        // Earlier versions left less room than that beside a large item.
+        Err(StoreError::Rejected(_)) => {
+            write_keeping(node, reason, id, revision, progress, overflow, 0).await
+        }
+        result => result,
+    }
+}
+
+/// As [`write`]; the last results stay in the job's own object if they have at most `max_bytes`.
+async fn write_keeping(
+    node: &Node,
+    reason: CallReason,
+    id: &str,
+    revision: u64,
+    progress: &Progress,
+    overflow: &Overflow,
+    max_bytes: usize,
 ) -> Result<(Object, Overflow), StoreError> {
     let mut overflow = overflow.clone();
     let overflowed = count(&overflow.results).min(progress.outcomes.len());
     let mut remaining = &progress.outcomes[overflowed..];
-    let max_bytes = byte_limit(node, STATUS_BYTES_RATIO);
-    let runs = runs(remaining, max_bytes);
-    for run in runs.split_last().map(|(_, early)| early).unwrap_or_default() {
-        overflow.results.push(write_overflow(node, reason, id, run).await?);
-        remaining = &remaining[run.len()..];
+    let mut runs = runs(remaining, byte_limit(node, STATUS_BYTES_RATIO));
+    runs.pop_if(|last| last.bytes <= max_bytes);
+    for run in runs {
+        overflow.results.push(write_overflow(node, reason, id, run.elements).await?);
+        remaining = &remaining[run.elements.len()..];
     }
     let progress = Progress {
         outcomes: remaining.to_vec(),
@@ -217,9 +240,16 @@
     (node.settings.max_value_bytes as f64 * ratio) as usize
 }
 
+/// Consecutive elements of a list.
+struct Run<'a, T> {
+    elements: &'a [T],
+    /// Size of their encoded form.
+    bytes: usize,
+}
+
 /// Splits a list into runs whose encoded form has at most `max_bytes` bytes each. A larger
 /// element gets a run of its own.
-fn runs<T: Serialize>(all: &[T], max_bytes: usize) -> Vec<&[T]> {
+fn runs<T: Serialize>(all: &[T], max_bytes: usize) -> Vec<Run<'_, T>> {
     let mut runs = Vec::new();
     let mut start = 0;
     let mut bytes = 0;
@@ -227,13 +257,13 @@
         // Strings and numbers only: encoding can't fail.
         let size = serde_json::to_vec(element).map_or(0, |text| text.len() + 1);
         if index > start && bytes + size > max_bytes {
-            runs.push(&all[start..index]);
+            runs.push(Run { elements: &all[start..index], bytes });
             (start, bytes) = (index, 0);
         }
         bytes += size;
     }
     if start < all.len() {
-        runs.push(&all[start..]);
+        runs.push(Run { elements: &all[start..], bytes });
     }
     runs
 }
--- a/crates/daemon/tests/gateway_batch.rs
+++ b/crates/daemon/tests/gateway_batch.rs
@@ -3,6 +3,10 @@
 
 mod util;
 
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD as BASE64;
+use rstest::rstest;
+use serde_json::{Value, json};
 use standin::objects::Faults;
 use std::time::Duration;
 use util::batch::{assert_results, slow_plan};
@@ -138,7 +142,7 @@
     const MAX_VALUE_BYTES: usize = 6_000;
     let settings = vec![format!("platform.value_bytes = {MAX_VALUE_BYTES}")];
     let mut fleet = Fleet::start(Plan { settings, ..Plan::default() });
-    fleet.objects.set_max_half_bytes(MAX_VALUE_BYTES);
+    fleet.objects.set_max_value_bytes(MAX_VALUE_BYTES);
     let ids: Vec<String> = (0..60).map(|n| format!("item-{n:02}")).collect();
     let items: Vec<&str> = ids.iter().map(String::as_str).collect();
     assert_eq!(fleet.submit(0, "long", &items).status, 202);
@@ -168,11 +172,71 @@
     assert_eq!((body.status, &body.body[..]), (200, &b"prompt"[..]));
 }
 
+/// Regression: a job whose last result was large was never listed, since the result and the items
+/// together exceeded the size limit of an object.
+#[rstest]
+#[case::beside_items_of_half_an_object(1, 0.48, 0.6)]
+#[case::beside_an_item_of_most_of_an_object(1, 0.8, 0.3)]
+#[case::of_almost_a_whole_object(1, 0.02, 0.95)]
+#[case::after_others(6, 0.07, 0.6)]
+fn large_last_result_is_listed(#[case] count: usize, #[case] item: f64, #[case] result: f64) {
+    const MAX_VALUE_BYTES: usize = 100_000;
+    const EVENTS: usize = 10;
+    let bytes = |share: f64| (MAX_VALUE_BYTES as f64 * share) as usize;
+    let settings = vec![format!("platform.value_bytes = {MAX_VALUE_BYTES}")];
+    let mut fleet = Fleet::start(Plan { settings, ..Plan::default() });
+    fleet.objects.set_max_value_bytes(MAX_VALUE_BYTES);
+    let ids: Vec<String> = (0..count).map(|n| format!("item-{n}")).collect();
+    let last = ids.last().expect("an item");
+    for runner in &fleet.runners {
+        runner.pad_events(last, &"x".repeat(bytes(result) / EVENTS));
+    }
+    let body = BASE64.encode("x".repeat(bytes(item) * 3 / 4));
+    let items: Vec<Value> = ids
+        .iter()
+        .map(|id| {
+            let path = format!("/batch/{id}");
+            json!({ "id": id, "path": path, "headers": {}, "body": body, "tokens": 100 })
+        })
+        .collect();
+    let headers = [("host", HOST), ("x-gatespool-request-id", "large")];
+    let address = fleet.gateways[0].front_address;
+    let response = client::post(address, "/batch/large", &headers, &json!({ "items": items }));
+    assert_eq!(response.status, 202, "{response:?}");
+    let results = fleet.wait_results(2, "large");
+    let large = results.iter().find(|result| result["id"] == **last).expect("its result");
+    assert_eq!(large["state"], "complete");
+    assert!(large["message"].as_str().expect("a text").len() >= bytes(result));
+    for n in 0..3 {
+        fleet.restart(n);
+    }
+    fleet.wait_ready();
+    assert_eq!(fleet.wait_results(1, "large"), results, "results or their positions changed");
+}
+
+/// Regression: a result that is larger in its stored form than an object held up all results of its
+/// job.
+#[test]
+fn result_that_no_object_can_hold_holds_up_no_others() {
+    const MAX_VALUE_BYTES: usize = 20_000;
+    let settings = vec![format!("platform.value_bytes = {MAX_VALUE_BYTES}")];
+    let fleet = Fleet::start(Plan { settings, ..Plan::default() });
+    fleet.objects.set_max_value_bytes(MAX_VALUE_BYTES);
+    for runner in &fleet.runners {
+        runner.pad_events("escaped", &"\"".repeat(MAX_VALUE_BYTES / 16));
+    }
+    assert_eq!(fleet.submit(0, "job", &["a", "escaped", "b"]).status, 202);
+    wait_until("the other results are listed", || {
+        let page = fleet.results(1, "job", 0);
+        page.status == 200 && page.json()["results"].as_array().is_some_and(|all| all.len() == 2)
+    });
+}
+
 /// A value that exceeds the platform's size limit doesn't count as a failure of the platform.
 #[test]
 fn oversized_item_is_rejected_and_other_jobs_are_accepted() {
     let fleet = Fleet::start(Plan::default());
-    fleet.objects.set_max_half_bytes(2_000);
+    fleet.objects.set_max_value_bytes(2_000);
     let long = "x".repeat(3_000);
     assert_eq!(fleet.submit(0, "too-long", &[long.as_str()]).status, 413);
     assert_eq!(fleet.submit(0, "short", &["a"]).status, 202);
--- a/crates/standin/src/objects.rs
+++ b/crates/standin/src/objects.rs
@@ -22,7 +22,7 @@
 /// Longer than any test runs.
 const HANG_TIME: Duration = Duration::from_secs(3_600);
 const MAX_PAGE_OBJECTS: usize = 500;
-/// Also the limit of each half (spec, status) of an object.
+/// Also the limit of an object: of its spec and its status together.
 const MAX_PAGE_BYTES: usize = 1 << 20;
 
 #[derive(Clone)]
@@ -47,8 +47,8 @@
     stale_objects: Option<BTreeMap<Key, Value>>,
     snapshot: BTreeMap<Key, Value>,
     bucket: Option<TokenBucket>,
-    /// Limit of spec and of status; 0 for [`MAX_PAGE_BYTES`].
-    max_half_bytes: usize,
+    /// Limit of spec and status together; 0 for [`MAX_PAGE_BYTES`].
+    max_value_bytes: usize,
     /// Objects per page; 0 for [`MAX_PAGE_OBJECTS`].
     page_size: usize,
     /// Watches of an earlier epoch hang.
@@ -214,14 +214,6 @@
             state.counts.rate_limited += 1;
             return http::json(429, &json!({}));
         }
-        let max_half_bytes =
-            if state.max_half_bytes == 0 { MAX_PAGE_BYTES } else { state.max_half_bytes };
-        let is_too_long = |half: &str| body[half].to_string().len() > max_half_bytes;
-        if is_too_long("spec") || is_too_long("status") {
-            return http::json(413, &json!({}));
-        }
-        state.counts.written_bytes += size;
-        state.counts.largest_write_bytes = state.counts.largest_write_bytes.max(size);
         let kind = segments.first().copied().unwrap_or_default().to_owned();
         let name = match segments.get(1) {
             Some(name) => (*name).to_owned(),
@@ -229,6 +221,15 @@
         };
         let key = (kind, name);
         let existing = state.objects.get(&key).cloned();
+        let is_status = segments.get(2) == Some(&"status");
+        let max_bytes =
+            if state.max_value_bytes == 0 { MAX_PAGE_BYTES } else { state.max_value_bytes };
+        if *method != Method::DELETE && value_bytes(existing.as_ref(), &body, is_status) > max_bytes
+        {
+            return http::json(413, &json!({}));
+        }
+        state.counts.written_bytes += size;
+        state.counts.largest_write_bytes = state.counts.largest_write_bytes.max(size);
         let expected = query_rev.or(body["meta"]["rev"].as_u64());
         let response = if *method == Method::POST {
             match existing {
@@ -253,7 +254,7 @@
                 state.objects.remove(&key);
                 record_deletion(&mut state, key.0, object, true);
                 http::json(200, &json!({}))
-            } else if segments.get(2) == Some(&"status") {
+            } else if is_status {
                 let object =
                     write_object(&mut state, key, object["spec"].clone(), body["status"].clone());
                 http::json(200, &object)
@@ -294,6 +295,15 @@
     percent_decode_str(text).decode_utf8_lossy().into_owned()
 }
 
+/// Bytes of spec and status of an object after a write of `body`.
+fn value_bytes(existing: Option<&Value>, body: &Value, is_status: bool) -> usize {
+    let of_existing = |half: &str| existing.map_or(0, |object| object[half].to_string().len());
+    match is_status {
+        true => of_existing("spec") + body["status"].to_string().len(),
+        false => body["spec"].to_string().len() + of_existing("status"),
+    }
+}
+
 fn write_object(state: &mut State, key: Key, spec: Value, status: Value) -> Value {
     if let Some(existing) = state.objects.get(&key)
         && existing["spec"] == spec
--- a/crates/standin/src/objects/faults.rs
+++ b/crates/standin/src/objects/faults.rs
@@ -104,9 +104,9 @@
         self.lock().objects.insert((kind.to_owned(), name), object);
     }
 
-    /// Sets the limit of spec and of status, in bytes; larger writes are rejected.
-    pub fn set_max_half_bytes(&self, bytes: usize) {
-        self.lock().max_half_bytes = bytes;
+    /// Sets the limit of spec and status together, in bytes; larger writes are rejected.
+    pub fn set_max_value_bytes(&self, bytes: usize) {
+        self.lock().max_value_bytes = bytes;
     }
 
     /// Sets the number of objects per list page.
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -106,6 +106,8 @@
     crash_path: Option<String>,
     crash_part: Option<String>,
     event_count: Option<u64>,
+    /// What is added to the data of each event, by request id.
+    paddings: HashMap<String, String>,
     memory: PromptMemory,
 }
 
@@ -171,6 +173,11 @@
         self.lock().failing_ids.insert(id.to_owned(), status);
     }
 
+    /// Adds `padding` to the data of each event of the responses to this id.
+    pub fn pad_events(&self, id: &str, padding: &str) {
+        self.lock().paddings.insert(id.to_owned(), padding.to_owned());
+    }
+
     /// Makes requests whose id has this suffix fail with `status`.
     pub fn fail_suffix(&self, suffix: &str, status: u16) {
         self.lock().failing_suffixes.push((suffix.to_owned(), status));
--- a/crates/standin/src/runner/events.rs
+++ b/crates/standin/src/runner/events.rs
@@ -39,6 +39,7 @@
         let EventStream { id, software, last_event_id, is_interrupted } = stream;
         let from = last_event_id.map_or(1, |id| id + 1);
         let event_count = self.lock().event_count.unwrap_or(self.config.event_count);
+        let padding = self.lock().paddings.get(&id).cloned().unwrap_or_default();
         let event_interval = self.config.event_interval.mul_f64(self.config.slowness);
         for n in from..=event_count {
             let data = if self.config.names_software {
@@ -46,7 +47,7 @@
             } else {
                 event_data(&id, n)
             };
-            let event = format!("id: {n}\nevent: {software}\ndata: {data}\n\n");
+            let event = format!("id: {n}\nevent: {software}\ndata: {data}{padding}\n\n");
             if is_interrupted && n >= from + 2 {
                 let half = Bytes::from(event.as_bytes()[..event.len() / 2].to_vec());
                 let _disconnected = tx.send(half).await;
