Follow a route's number of attempts in jobs that are open

A job that was loaded without its route took 3, whatever its route says.

Cause: the number was copied when the job was loaded, and never again.

Change: the holder follows its job's route. While there is none, no number of failures ends an item; the removal of the route does, as before.

--- a/crates/daemon/src/gateway/job_table.rs
+++ b/crates/daemon/src/gateway/job_table.rs
@@ -26,8 +26,6 @@
 const STATUS_BATCH_WINDOW: Duration = Duration::from_millis(60);
 /// Longest wait for a witness to acknowledge a new job.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(60);
-/// Attempts per item when the job's route is no longer configured.
-const DEFAULT_MAX_ATTEMPTS: u32 = 3;
 const FETCH_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// All jobs known to this instance.
@@ -163,14 +161,18 @@
     node.config()?.table.batch_route_for(&job.host, &job.path, &job.route).cloned()
 }
 
-/// Fails the waiting items of a job whose route was removed; those that run may complete.
+/// Follows changes of a job's route. Once it was removed, the waiting items fail; those that run may
+/// complete.
 pub(super) fn check_route(node: &Node, held: &HeldJob, now: Instant) {
     let Some(config) = node.config() else {
         return;
     };
     let job = held.state.borrow().job().clone();
-    let has_route = route_of(node, &job).is_some();
-    if !held.route.borrow_mut().is_removed(config.table.version, has_route, now) {
+    let route = route_of(node, &job);
+    if let Some(route) = &route {
+        held.state.borrow_mut().set_max_attempts(route.max_attempts);
+    }
+    if !held.route.borrow_mut().is_removed(config.table.version, route.is_some(), now) {
         return;
     }
     let mut state = held.state.borrow_mut();
@@ -194,8 +196,8 @@
     if let Some(held) = node.jobs.held_job(&id).filter(is_active) {
         return held;
     }
-    let attempts =
-        route_of(node, &stored_job.job).map_or(DEFAULT_MAX_ATTEMPTS, |route| route.max_attempts);
+    // While there is no route, no number of failures ends an item.
+    let attempts = route_of(node, &stored_job.job).map_or(u32::MAX, |route| route.max_attempts);
     let held = Rc::new(HeldJob::new(stored_job, attempts, clock::now()));
     node.jobs.held.borrow_mut().insert(id, held.clone());
     if !held.is_read_only {
--- a/crates/daemon/tests/gateway_routes.rs
+++ b/crates/daemon/tests/gateway_routes.rs
@@ -300,6 +300,27 @@
     assert_eq!(fleet.call_job(1, "GET", "/lots/other", &[]).status, 503, "nobody can be sure");
 }
 
+/// Regression: a job kept the number of attempts of the configuration under which it was loaded.
+#[rstest]
+#[case::raised(6, 6)]
+#[case::lowered(1, 1)]
+fn changed_number_of_attempts_holds_for_accepted_items(
+    #[case] max_attempts: u32,
+    #[case] expected: usize,
+) {
+    let fleet = fleet();
+    fleet.runners.iter().for_each(|runner| runner.fail_id("item-21", 500));
+    assert_eq!(submit(&fleet, 0, &[]), 202);
+    let mut config = fleet.config(8);
+    let routes = config["routes"].as_array_mut().expect("routes");
+    let batch = routes.iter_mut().find(|route| route["kind"] == "batch");
+    batch.expect("the batch route")["max_attempts"] = json!(max_attempts);
+    apply(&fleet, config);
+    let states = wait_listed(&fleet, Duration::from_secs(30));
+    assert_eq!(states.iter().filter(|state| *state == "errored").count(), 1);
+    assert_eq!(fleet.runs("/batch/item-21").len(), expected);
+}
+
 /// A job whose items have failed stays as it was read, and others are accepted.
 #[test]
 fn route_that_is_added_again_later_takes_new_jobs() {
--- a/crates/state/src/progress.rs
+++ b/crates/state/src/progress.rs
@@ -270,6 +270,12 @@
         expired.iter().for_each(|item| self.fail_item(item));
     }
 
+    /// Sets the number of failed runs after which an item fails permanently (at least one). It holds
+    /// from the next failure on.
+    pub fn set_max_attempts(&mut self, max_attempts: u32) {
+        self.max_attempts = max_attempts.max(1);
+    }
+
     /// Fails the items that aren't running, since the job's route was removed.
     pub fn on_route_removed(&mut self) {
         let remaining: Vec<ItemId> = self.idle_items().map(|item| item.id.clone()).collect();
