Grant the software version of a target along with its slot

The stream was kept without a version, and such a stream goes on nowhere at a service that has versions.

Cause: the version was looked up in the registry of the instance that forwards, though the one that grants is the one that has chosen the target.

Change: a grant states the version of its target, and counts where the instance doesn't know the target itself. Grants of earlier builds state none.

--- a/crates/coordination/src/slots.rs
+++ b/crates/coordination/src/slots.rs
@@ -243,7 +243,7 @@
         let pace = self.pace_for(request);
         let sources = pace.map(|pace| self.sources(request, pace, now)).unwrap_or_default();
         let state = self.targets.get(&target)?;
-        let address = state.target.address;
+        let (address, software) = (state.target.address, state.target.software.clone());
         let source = state.source(&sources).cloned();
         let placed = self.place(request, &target, source.as_ref(), now);
         let forecast = self.forecast(request, placed.as_ref());
@@ -261,7 +261,7 @@
         {
             state.meter.on_grant(now);
         }
-        let grant = Grant { lease, target, address, queued_ms: 0, forecast, copy_from };
+        let grant = Grant { lease, target, address, software, queued_ms: 0, forecast, copy_from };
         Some((grant, revocation))
     }
 
--- a/crates/coordination/src/slots/lease.rs
+++ b/crates/coordination/src/slots/lease.rs
@@ -290,6 +290,10 @@
     pub target: TargetId,
     /// Address of the target.
     pub address: SocketAddr,
+    /// Software version of the target, which its user may not have heard of yet; `None` if it states
+    /// none, or from an earlier build.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
     /// How long the request for the slot was queued at the allocator.
     #[serde(default, rename = "waited_ms")]
     pub queued_ms: Millis,
--- a/crates/daemon/src/gateway/leases.rs
+++ b/crates/daemon/src/gateway/leases.rs
@@ -368,8 +368,15 @@
     if is_rate_limited {
         self_granted_at.insert(target.id.clone(), now);
     }
-    let (target, address) = (target.id.clone(), target.address);
-    let grant = Grant { lease, target, address, queued_ms: 0, forecast: None, copy_from: None };
+    let grant = Grant {
+        lease,
+        target: target.id.clone(),
+        address: target.address,
+        software: target.software.clone(),
+        queued_ms: 0,
+        forecast: None,
+        copy_from: None,
+    };
     drop(active);
     slog::info!(node.log, "slot granted without allocator"; "target" => &grant.target,
         "service" => &query.service);
--- a/crates/daemon/src/gateway/leases/lease.rs
+++ b/crates/daemon/src/gateway/leases/lease.rs
@@ -41,9 +41,10 @@
     pub report: LeaseReport,
     /// Revision of the registry at this instance when the lease was granted.
     pub registry: Revision,
-    /// Software version of the target according to the registry then; `None` if unknown.
+    /// Software version of the target according to the registry then, or to the allocator, which may
+    /// know the target earlier; `None` if unknown.
     pub software: Option<SoftwareVersion>,
-    /// Whether the registry had the target then: the allocator may know it earlier.
+    /// Whether the target was known then, here or by its version.
     pub is_target_known: bool,
     /// When the request was sent; `None` before.
     pub sent_at: Option<Instant>,
@@ -151,8 +152,8 @@
     let (registry, is_target_known, software) = {
         let registry = node.registry.borrow();
         let target = registry.get(&grant.target);
-        let software = target.and_then(|target| target.software.clone());
-        (registry.revision(), target.is_some(), software)
+        let software = target.map_or(&grant.software, |target| &target.software).clone();
+        (registry.revision(), target.is_some() || software.is_some(), software)
     };
     let earliest_grant = requested_at + Duration::from_millis(grant.queued_ms);
     let granted_at = clock::now();
--- a/crates/daemon/src/gateway/online/origin.rs
+++ b/crates/daemon/src/gateway/online/origin.rs
@@ -73,7 +73,7 @@
 
     /// Records what began the stream, for resumptions here and at other instances.
     pub fn set_origin(&mut self, origin: Origin) {
-        if origins::has_versions(&self.node, &origin.service) {
+        if origin.software.is_some() || origins::has_versions(&self.node, &origin.service) {
             let resumed = self.call.resumes().filter(|_| self.call.takes_up_stream());
             let attempt = resumed.unwrap_or(&self.call.id);
             origins::store(&self.node, attempt, &origin, self.call.timeout());
--- a/crates/daemon/tests/gateway_out_of_step.rs
+++ b/crates/daemon/tests/gateway_out_of_step.rs
@@ -5,6 +5,7 @@
 
 use rstest::rstest;
 use standin::runner::Config;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 use util::client;
 use util::deployment::{Deployment, EVENTS};
@@ -71,11 +72,17 @@
 
 /// Streams that began at `software` through all instances but the last one.
 fn begin(deployment: &Deployment, software: &str) -> Vec<Caller> {
-    let fronts: Vec<_> = deployment.fleet.gateways.iter().map(|g| g.front_address).collect();
+    begin_at(deployment, 0..STRUCK, software)
+}
+
+/// Streams that began at `software` through some instances.
+fn begin_at(deployment: &Deployment, gateways: Range<usize>, software: &str) -> Vec<Caller> {
+    let gateways = &deployment.fleet.gateways[gateways];
+    let fronts: Vec<_> = gateways.iter().map(|g| g.front_address).collect();
     let wave = |wave: usize| -> Vec<Caller> {
         std::thread::scope(|scope| {
             let begin = |n: usize| {
-                let (front, name) = (fronts[n % STRUCK], format!("left-{wave}-{n}"));
+                let (front, name) = (fronts[n % fronts.len()], format!("left-{wave}-{n}"));
                 scope.spawn(move || Caller::begin(front, &name, 2).0)
             };
             let threads: Vec<_> = (0..STREAMS).map(begin).collect();
@@ -167,6 +174,31 @@
     assert_eq!(healed, vec![if is_named { 200 } else { 410 }; healed.len()], "in step again");
 }
 
+/// Guards against an end of streams whose target the instance that began them hadn't heard of: an
+/// allocator knew it earlier.
+#[test]
+fn streams_of_a_target_that_their_instance_has_not_seen_go_on() {
+    let deployment = Deployment::start_beside(&["north", "east", "west"], "v1", JOINING_RUNNERS);
+    std::thread::sleep(JOIN_PERIOD + REGISTRY_DELAY);
+    // Instance 0 asks the others for slots, and hears nothing else of the runners.
+    let gateways = &deployment.fleet.gateways;
+    deployment.set_platform(0, Mode::Stall);
+    gateways[1..].iter().for_each(|g| g.set_unreachable(&[gateways[0].peer_address]));
+    std::thread::sleep(Duration::from_millis(100));
+    deployment.join("v2");
+    let mut callers = begin_at(&deployment, 0..1, "v2");
+    let has_seen = deployment
+        .fleet
+        .log(0)
+        .iter()
+        .any(|line| line["software"] == "v2" && line["msg"] == "target");
+    assert!(!has_seen, "instance 0 has heard of the runners");
+    gateways[1..].iter().for_each(|g| g.set_unreachable(&[]));
+    deployment.set_platform(0, Mode::Pass);
+    let responses = statuses(&take_up(&deployment, &mut callers, RETURN_TIMEOUT));
+    assert_eq!(responses, vec![200; responses.len()]);
+}
+
 /// Guards against a refusal of streams of the only version while peers don't reply.
 #[rstest]
 fn streams_of_a_single_version_go_on_at_an_instance_without_peers(
