Look again for jobs of an instance that was given up too early

Cause, three gaps of one class: the others take the loss of a member for the end of its work, though it may reach the platform and callers. - A scan after an earlier loss cancelled the one that was due 2 s after this loss; the next one came after a minute. - The replacement of a member that was lost before, the first proof that it is gone, was followed by no scan. - Whoever read such a job for a caller saw that its holder is gone and told nobody.

Change: each loss is followed by a scan of its own, 2 s later; a replacement counts as a loss; a job without a holder that is read is reported as an orphan, as one that a scan finds.

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -72,7 +72,8 @@
         }
     }
 
-    /// Number of members that were lost without leaving.
+    /// Number of times that a member was lost without leaving, and that a lost one, which may have
+    /// been alive elsewhere, was replaced.
     pub fn losses(&self) -> u64 {
         self.losses
     }
@@ -296,7 +297,7 @@
             return;
         };
         if entry.member.state == State::Dead {
-            entry.loss = None;
+            self.losses += u64::from(entry.loss.take().is_some());
             return;
         }
         self.losses += u64::from(entry.member.state != State::Leaving);
--- a/crates/coordination/src/range_scan.rs
+++ b/crates/coordination/src/range_scan.rs
@@ -66,7 +66,7 @@
 /// A member's view of the others.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct View {
-    /// Number of members lost so far.
+    /// Number of losses of members so far.
     pub losses: u64,
     /// Version of the membership; 0 while no other member was looked for.
     pub version: u64,
@@ -83,6 +83,9 @@
     stable_since: Instant,
     /// When something last happened that may have left names for a scan to find.
     triggered_at: Instant,
+    /// When a scan after a loss is due, however lately another one has run; `None` once one has begun
+    /// that is late enough for all losses.
+    after_loss: Option<Instant>,
     /// The range of the last complete scan, or that there was none to scan; `None` before.
     scanned: Option<Option<Range>>,
 }
@@ -96,6 +99,7 @@
             view: View::default(),
             stable_since: now,
             triggered_at: now,
+            after_loss: None,
             scanned: None,
         }
     }
@@ -107,8 +111,7 @@
         }
         if self.view.losses != view.losses {
             self.triggered_at = now;
-            let after_loss = now + DELAY_AFTER_LOSS;
-            self.next = self.next.map(|next| next.min(after_loss));
+            self.after_loss = self.after_loss.or(Some(now + DELAY_AFTER_LOSS));
         }
         self.view = view;
         let is_stable = view.version > 0 && now >= self.stable_since + MEMBERSHIP_STABLE_PERIOD;
@@ -117,6 +120,11 @@
         };
         let settling = self.triggered_at + DELAY_AFTER_LOSS..self.triggered_at + SETTLING_PERIOD;
         let is_unread = self.scanned.is_some_and(|scanned| scanned != view.range);
+        if self.after_loss.is_some_and(|due| now >= due) {
+            let after_last = self.triggered_at + DELAY_AFTER_LOSS;
+            self.after_loss = Some(after_last).filter(|due| *due > now);
+            return true;
+        }
         now >= next || (settling.contains(&now) && is_stable && is_unread && view.range.is_some())
     }
 
--- a/crates/coordination/tests/range_scan.rs
+++ b/crates/coordination/tests/range_scan.rs
@@ -74,6 +74,25 @@
     assert!(schedule.is_due(view(2, range(3)), start + MS * 3_800));
 }
 
+/// Guards against names that a lost member wrote last: a scan after an earlier loss, a moment too
+/// early for them, stood in for the one after its own.
+#[test]
+fn each_loss_is_followed_by_a_scan_of_its_own() {
+    let start = Instant::now();
+    let mut schedule = Schedule::new(start);
+    let view = |losses| View { losses, version: 1 + losses, range: range(0) };
+    assert!(schedule.is_due(view(0), start + MS * 1_500));
+    schedule.on_scan(range(0), true, start + MS * 1_600);
+    assert!(!schedule.is_due(view(1), start + MS * 20_000));
+    assert!(!schedule.is_due(view(2), start + MS * 21_500));
+    assert!(schedule.is_due(view(2), start + MS * 22_000), "the first loss");
+    schedule.on_scan(range(0), true, start + MS * 22_500);
+    assert!(!schedule.is_due(view(2), start + MS * 23_400));
+    assert!(schedule.is_due(view(2), start + MS * 23_500), "the second loss");
+    schedule.on_scan(range(0), true, start + MS * 23_600);
+    assert!(!schedule.is_due(view(2), start + MS * 60_000));
+}
+
 /// Guards against scans at every change of the members: each costs calls of the platform.
 #[test]
 fn later_change_of_the_range_waits_for_the_next_scan() {
--- a/crates/daemon/src/gateway/job_scan.rs
+++ b/crates/daemon/src/gateway/job_scan.rs
@@ -162,7 +162,7 @@
 
 /// Reports orphaned jobs to all instances; each is taken over by the instance chosen for
 /// it.
-fn report_orphans(node: &Rc<Node>, orphans: Vec<JobStatus>) {
+pub(super) fn report_orphans(node: &Rc<Node>, orphans: Vec<JobStatus>) {
     if orphans.is_empty() {
         return;
     }
--- a/crates/daemon/src/gateway/jobs/lookup.rs
+++ b/crates/daemon/src/gateway/jobs/lookup.rs
@@ -1,14 +1,16 @@
 //! Finds a job here, at its holder or on the platform.
 
 use crate::clock;
+use crate::gateway::access;
 use crate::gateway::call_reason::CallReason;
 use crate::gateway::held_job::HeldJob;
+use crate::gateway::job_scan;
 use crate::gateway::job_store;
 use crate::gateway::job_table;
 use crate::gateway::message::{PeerReply, PeerRequest};
 use crate::gateway::node::Node;
 use crate::gateway::stored_job::{LoadError, StoredJob};
-use crate::gateway::{access, takeover};
+use crate::gateway::takeover::{self, MEMBERSHIP_WARM_UP};
 use state::progress::{Handoff, Job, Progress};
 use std::rc::Rc;
 use std::time::Duration;
@@ -93,9 +95,24 @@
             return Location::Reply(reply);
         }
     }
+    report_if_orphaned(node, &stored_job);
     as_stored(stored_job)
 }
 
+/// Reports a job whose holder is gone, unless that is known. Nobody else may look for it: the holder
+/// may have accepted it when the others had already looked for the jobs that it left.
+fn report_if_orphaned(node: &Rc<Node>, stored_job: &StoredJob) {
+    let StoredJob { job, revision, .. } = stored_job;
+    let holder = stored_job.holder();
+    let is_warmed_up = clock::since(node.started) >= MEMBERSHIP_WARM_UP;
+    let reported = node.jobs.directory.borrow().get(&job.id).map(|status| status.holder);
+    if reported != Some(holder) && takeover::is_gone(node, holder, is_warmed_up) {
+        slog::info!(node.log, "job without a holder was read"; "job" => &job.id);
+        let status = job_table::open_status(node, job, holder, *revision);
+        job_scan::report_orphans(node, vec![status]);
+    }
+}
+
 /// Whether the platform has a job; `None` if it can't be read now.
 pub async fn exists(node: &Node, id: &str) -> Option<bool> {
     match load_cached(node, id).await {
--- a/crates/daemon/tests/gateway_holders.rs
+++ b/crates/daemon/tests/gateway_holders.rs
@@ -28,6 +28,40 @@
     assert_results(&after, &items, 40);
 }
 
+/// Time after which the others have given up an instance that they don't reach, and have looked for
+/// its jobs.
+const GIVEN_UP_AFTER: Duration = Duration::from_secs(5);
+
+/// A fleet whose instance 2, which the others had given up, has accepted a job and was killed.
+fn fleet_with_job_of_a_lost_instance() -> Fleet {
+    let mut fleet = Fleet::start(slow_plan());
+    let peers: Vec<_> = fleet.gateways.iter().map(|gateway| gateway.peer_address).collect();
+    fleet.gateways[2].set_unreachable(&peers[..2]);
+    fleet.gateways[..2].iter().for_each(|gateway| gateway.set_unreachable(&peers[2..]));
+    std::thread::sleep(GIVEN_UP_AFTER);
+    assert_eq!(fleet.submit(2, "last", &["a", "b"]).status, 202);
+    fleet.gateways[2].kill();
+    fleet.gateways.iter().for_each(|gateway| gateway.set_unreachable(&[]));
+    fleet
+}
+
+/// Regression: the others had looked for its jobs before, and did so again after a minute only.
+#[test]
+fn job_accepted_by_a_lost_instance_is_taken_over_once_it_is_read() {
+    let fleet = fleet_with_job_of_a_lost_instance();
+    assert_results(&fleet.wait_results(0, "last"), &["a", "b"], 40);
+}
+
+/// As above, though nobody reads the job.
+#[test]
+fn job_accepted_by_a_lost_instance_is_taken_over_once_that_is_replaced() {
+    let mut fleet = fleet_with_job_of_a_lost_instance();
+    fleet.restart(2);
+    wait_until("both items have run", || {
+        fleet.runs("/batch/").iter().filter(|run| run.is_complete).count() == 2
+    });
+}
+
 #[test]
 fn restart_of_all_instances_loses_no_job() {
     let mut fleet = Fleet::start(slow_plan());
