Give a version that was just reported time for its targets

In its log the instance had heard of v2 less than 0.2 s before, and read the entries of its targets 61 ms later.

Cause: a version that is known and has no target here counts as gone once the members haven't changed for 2 s, also if it was only just reported.

Change: it counts as gone 2 s after this instance first knew it, too; before, 503 with a time to come back. A version whose targets this instance has seen leave is refused at once, as before.

--- a/crates/coordination/src/releases.rs
+++ b/crates/coordination/src/releases.rs
@@ -102,6 +102,8 @@
     watched: Option<Watched>,
     /// Since when known versions have been absent.
     absent_since: HashMap<Release, Instant>,
+    /// Since when versions have been known, as of the last call of [`Log::on_time`].
+    known_since: HashMap<Release, Instant>,
 }
 
 impl Log {
@@ -300,9 +302,19 @@
         of_service.any(|other| other.software != release.software)
     }
 
-    /// Whether a version may have served, as far as it is known here.
-    pub fn is_known(&self, release: &Release) -> bool {
-        self.known.contains(release)
+    /// Notes which versions are known at `now`; to be called regularly.
+    pub fn on_time(&mut self, now: Instant) {
+        self.known_since.retain(|release, _| self.known.contains(release));
+        for release in &self.known {
+            if !self.known_since.contains_key(release) {
+                self.known_since.insert(release.clone(), now);
+            }
+        }
+    }
+
+    /// Whether a version has been known here for some time.
+    pub fn is_known_for(&self, release: &Release, period: Duration, now: Instant) -> bool {
+        self.known_since.get(release).is_some_and(|since| now >= *since + period)
     }
 
     /// Whether targets stated a version here before, and none does now.
--- a/crates/coordination/tests/releases.rs
+++ b/crates/coordination/tests/releases.rs
@@ -170,3 +170,25 @@
     log.on_changes_read(20, 31);
     assert_eq!(log.watched(), Some(Watched { from: 20, through: 30 }));
 }
+
+/// Guards against an end of streams of a version that another instance has just reported: its
+/// targets may not have been heard of yet.
+#[test]
+fn version_counts_as_known_for_a_time_from_its_first_report_on() {
+    const PERIOD: Duration = Duration::from_secs(2);
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut log = Log::default();
+    log.on_time(at(0));
+    assert!(!log.is_known_for(&release("v2"), PERIOD, at(5)));
+    log.on_recorded(release("v2"));
+    log.on_time(at(5));
+    assert!(!log.is_known_for(&release("v2"), PERIOD, at(6)));
+    log.on_time(at(6));
+    assert!(log.is_known_for(&release("v2"), PERIOD, at(7)));
+    log.on_removed(&release("v2"));
+    log.on_time(at(8));
+    log.on_recorded(release("v2"));
+    log.on_time(at(9));
+    assert!(!log.is_known_for(&release("v2"), PERIOD, at(10)), "it was removed meanwhile");
+}
--- a/crates/daemon/src/gateway/leases.rs
+++ b/crates/daemon/src/gateway/leases.rs
@@ -328,11 +328,13 @@
 }
 
 /// Whether a version without targets in the registry probably has none any more: this instance has
-/// seen them leave, or members have had time to report them since the last change of members.
+/// seen them leave, or members have had time to report them since the last change of members and
+/// since it heard of the version.
 fn is_gone(node: &Node, release: &Release) -> bool {
     let releases = node.releases.borrow();
     let is_settled = clock::since(node.members_changed.get()) >= SETTLING_TIME;
-    releases.has_departed(release) || (is_settled && releases.is_known(release))
+    let is_old = releases.is_known_for(release, SETTLING_TIME, clock::now());
+    releases.has_departed(release) || (is_settled && is_old)
 }
 
 /// Orders data centres so that the long parts of a prompt are read in as few of them as possible.
--- a/crates/daemon/src/gateway/origins/versions.rs
+++ b/crates/daemon/src/gateway/origins/versions.rs
@@ -166,6 +166,7 @@
             releases.on_ended(registry.ended_releases());
         }
         let now = clock::now();
+        node.releases.borrow_mut().on_time(now);
         let was_suspended = now.saturating_duration_since(checked_at) >= MIN_SUSPENSION;
         checked_at = now;
         let has_joined = clock::since(node.started) >= JOIN_PERIOD;
