Release a job without dropping the one that was taken up again

A job that this instance lost and has taken up again has two objects in memory for a moment. A late check of the first removed the second from the table by the job's id, and nobody scheduled its items until the job was read or scanned.

--- a/crates/daemon/src/gateway/job_table.rs
+++ b/crates/daemon/src/gateway/job_table.rs
@@ -208,11 +208,15 @@
     held
 }
 
-/// Drops a job that this instance no longer holds and stops its runs.
-pub fn release(node: &Node, held: &HeldJob) {
+/// Drops a job that this instance no longer holds and stops its runs. One that it has taken up again
+/// meanwhile stays.
+pub fn release(node: &Node, held: &Rc<HeldJob>) {
     held.released.cancel();
     let id = held.state.borrow().job().id.clone();
-    node.jobs.held.borrow_mut().remove(&id);
+    let is_current = node.jobs.held_job(&id).is_some_and(|current| Rc::ptr_eq(&current, held));
+    if is_current {
+        node.jobs.held.borrow_mut().remove(&id);
+    }
     held.changed.notify_waiters();
 }
 
