Give a lost data centre its time before a job that was read is taken over

A job whose holder is gone and that was read is reported without a data centre, so that it was taken over after 1.2 s also where the holder's whole data centre is unreachable and may come back (8 s). The report names the data centre of the lost member now. By reading; both cases of gateway_holders lost_instance are green (20 s instead of 13 s, as the only instance of a data centre is the one that is lost there).

--- a/crates/daemon/src/gateway/jobs/lookup.rs
+++ b/crates/daemon/src/gateway/jobs/lookup.rs
@@ -7,7 +7,7 @@
 use crate::gateway::job_scan;
 use crate::gateway::job_store;
 use crate::gateway::job_table;
-use crate::gateway::message::{PeerReply, PeerRequest};
+use crate::gateway::message::{JobStatus, PeerReply, PeerRequest};
 use crate::gateway::node::Node;
 use crate::gateway::stored_job::{LoadError, StoredJob};
 use crate::gateway::takeover::{self, MEMBERSHIP_WARM_UP};
@@ -108,8 +108,12 @@
     let reported = node.jobs.directory.borrow().get(&job.id).map(|status| status.holder);
     if reported != Some(holder) && takeover::is_gone(node, holder, is_warmed_up) {
         slog::info!(node.log, "job without a holder was read"; "job" => &job.id);
+        let members = node.members.borrow();
+        let lost = members.lost(Duration::MAX, clock::now()).find(|it| it.id == holder.instance);
+        let data_centre = lost.map(|member| member.data_centre.clone()).unwrap_or_default();
+        drop(members);
         let status = job_table::open_status(node, job, holder, *revision);
-        job_scan::report_orphans(node, vec![status]);
+        job_scan::report_orphans(node, vec![JobStatus { data_centre, ..status }]);
     }
 }
 
