Look every job up whose path an online route matches

Cause: on a host without a batch route, a path like that of a job's call that another route matches was taken for that route's, unless this process knew the job. The routes in force and the memory of now decided whose the path is; the platform, which has the job, was not asked.

What callers saw (LOST, foreign data): a job is finished, its batch route is removed, moved to another host or made online, all instances are killed and started again. Reads of its results went to targets, whose page came back with 200 as the results; the same for items' bodies and for the end of the job.

Change: the platform is asked on every host, not only on one that has a batch route now. A page at such a path costs one read of the platform and is refused with 503 while it is away, as on hosts with a batch route before. A call that no key allows is rejected before that.

Why it works: the job's object is written before the 202 and outlives routes and processes, so its existence doesn't depend on either.

--- a/crates/daemon/src/gateway/access.rs
+++ b/crates/daemon/src/gateway/access.rs
@@ -2,7 +2,7 @@
 
 use hyper::HeaderMap;
 use platform::header;
-use protocol::routing::Table;
+use protocol::routing::{Route, Table};
 use protocol::workspace::Workspace;
 use std::rc::Rc;
 
@@ -50,6 +50,13 @@
     authenticate(table, is_public, headers)
 }
 
+/// Whether a request that may be a call about a job, or one of a route that matches its path, has a
+/// key that either of them accepts.
+pub fn may_call(table: &Table, host: &str, route: &Route, headers: &HeaderMap) -> bool {
+    authenticate(table, route.is_public, headers).is_ok()
+        || authenticate_job_call(table, host, headers).is_ok()
+}
+
 /// Whether a caller of the workspace `caller` may see a job of the workspace `owner`. A job
 /// without an owner was submitted without a key, or to a version that stored no owner; all callers
 /// that know its id may see it.
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -148,7 +148,12 @@
     let route = config.table.route_for(&host, path).cloned();
     let query = parts.uri.query().unwrap_or_default();
     if let Some(call) = job::Request::parse(parts.method.as_str(), path, query) {
-        match is_about_job(node, &config, &host, route.is_some(), &call).await {
+        if let Some(route) = &route
+            && !access::may_call(&config.table, &host, route, &parts.headers)
+        {
+            return Ok(unauthorized(node, &id, &config));
+        }
+        match is_about_job(node, route.is_some(), &call).await {
             Some(true) => return Ok(call_job(node, &config, call, &host, &parts.headers).await),
             Some(false) => {}
             None => return Ok(jobs::unavailable(node, call.job())),
@@ -207,22 +212,14 @@
     node.config()
 }
 
-/// Whether what looks like a call about a job is one; `None` if nobody can say now. On a host with
-/// batch routes, a path that belongs to another route as well is a job's if there is such a job.
-async fn is_about_job(
-    node: &Node,
-    config: &Config,
-    host: &str,
-    has_route: bool,
-    call: &job::Request,
-) -> Option<bool> {
+/// Whether what looks like a call about a job is one; `None` if nobody can say now. A path that a
+/// route matches, too, is a job's if the platform has the job: it may outlive all batch routes of its
+/// host.
+async fn is_about_job(node: &Node, has_route: bool, call: &job::Request) -> Option<bool> {
     if !has_route || node.jobs.known_owner(call.job()).is_some() {
         return Some(true);
     }
-    match config.table.batch_routes(host).next() {
-        Some(_) => jobs::exists(node, call.job()).await,
-        None => Some(false),
-    }
+    jobs::exists(node, call.job()).await
 }
 
 /// Serves a request without a route if it repeats the submission of a job, which may outlive its
--- /dev/null
+++ b/crates/daemon/tests/gateway_job_paths.rs
@@ -0,0 +1,149 @@
+//! Paths of calls about jobs that match a route for online requests, too: whose they are.
+
+mod util;
+
+use rstest::rstest;
+use serde_json::{Value, json};
+use standin::objects::Faults;
+use std::time::{Duration, Instant};
+use util::batch::LogLines;
+use util::client::{self, Response};
+use util::gateway::{Fleet, HOST, Plan};
+use util::wait_until;
+
+const JOB: &str = "job";
+const ITEMS: [&str; 3] = ["item-1", "item-2", "item-3"];
+/// Limit of a rejection that waits for nobody but the platform, whose timeout is 400 ms.
+const PROMPT: Duration = Duration::from_millis(900);
+
+/// What becomes of the host's only batch route.
+#[derive(Clone, Copy, Debug)]
+enum Change {
+    Removed,
+    OtherHost,
+    MadeOnline,
+}
+
+/// The configuration with a route for plain requests at `/`.
+fn config(fleet: &Fleet, version: u64) -> Value {
+    let mut config = fleet.config(version);
+    *route(&mut config, "plain", "path_prefix") = json!("/");
+    config
+}
+
+/// As [`config`], after a change of the batch route.
+fn changed(fleet: &Fleet, version: u64, change: Change) -> Value {
+    let mut config = config(fleet, version);
+    match change {
+        Change::Removed => {
+            let routes = config["routes"].as_array_mut().expect("routes");
+            routes.retain(|route| route["name"] != "batch");
+        }
+        Change::OtherHost => *route(&mut config, "batch", "host") = json!("b.example"),
+        Change::MadeOnline => *route(&mut config, "batch", "kind") = json!("stream"),
+    }
+    config
+}
+
+fn route<'a>(config: &'a mut Value, name: &str, field: &str) -> &'a mut Value {
+    let routes = config["routes"].as_array_mut().expect("routes");
+    let route = routes.iter_mut().find(|route| route["name"] == name);
+    &mut route.expect("a route")[field]
+}
+
+#[track_caller]
+fn apply(fleet: &Fleet, config: Value) {
+    let version = config["version"].clone();
+    fleet.objects.put("config", "main", config);
+    for n in 0..fleet.gateways.len() {
+        wait_until("the configuration is in force", || {
+            let line = fleet.log(n).last_message("configuration in force");
+            line.is_some_and(|line| line["version"] == version)
+        });
+    }
+}
+
+/// Sends a call that has a request id, so that a target would answer it.
+fn call(fleet: &Fleet, n: usize, method: &str, path: &str) -> Response {
+    let headers = [("host", HOST), ("x-gatespool-request-id", "call")];
+    client::call(method, fleet.gateways[n].front_address, path, &headers, Vec::new())
+}
+
+fn results(fleet: &Fleet, n: usize) -> Response {
+    call(fleet, n, "GET", "/lots/job?since_rev=0")
+}
+
+/// A fleet with a finished job on a host with a route at `/`, and the results.
+fn fleet_with_finished_job() -> (Fleet, Value) {
+    let fleet = Fleet::start(Plan::default());
+    apply(&fleet, config(&fleet, 8));
+    assert_eq!(fleet.submit(0, JOB, &ITEMS).status, 202);
+    fleet.wait_results(1, JOB);
+    let before = results(&fleet, 0).json();
+    (fleet, before)
+}
+
+fn restart(fleet: &mut Fleet, killed: &[usize]) {
+    killed.iter().for_each(|n| fleet.gateways[*n].kill());
+    killed.iter().for_each(|n| fleet.restart(*n));
+    for n in killed {
+        wait_until("a gateway serves again", || call(fleet, *n, "GET", "/page").status == 200);
+    }
+}
+
+/// Regression: calls about a finished job were sent to targets, whose answers came back as those of
+/// the job, once its batch route was gone and its instance had been started again.
+#[rstest]
+fn finished_job_of_a_removed_route_is_not_a_page(
+    #[values(Change::Removed, Change::OtherHost, Change::MadeOnline)] change: Change,
+    #[values(&[1], &[0, 1, 2])] killed: &[usize],
+) {
+    let (mut fleet, before) = fleet_with_finished_job();
+    apply(&fleet, changed(&fleet, 9, change));
+    restart(&mut fleet, killed);
+    for n in 0..3 {
+        let read = results(&fleet, n);
+        assert_eq!((read.status, read.body.first()), (200, Some(&b'{')), "{read:?}");
+        assert_eq!(read.json(), before);
+        let body = call(&fleet, n, "GET", "/items/job?id=item-2");
+        assert_eq!((body.status, &body.body[..]), (200, &b"prompt"[..]));
+        let end = call(&fleet, n, "DELETE", "/lots/job");
+        assert_eq!((end.status, &end.body[..]), (200, &b"ended\n"[..]));
+    }
+    let sent = [fleet.runs("/lots/"), fleet.runs("/items/")].concat();
+    assert!(sent.is_empty(), "a call about the job was sent to a target: {sent:?}");
+}
+
+/// What a page costs at a path like that of a job's call: a read of the platform each.
+#[test]
+fn page_at_the_path_of_a_job_call_is_served_while_the_platform_is_there() {
+    let fleet = Fleet::start(Plan::default());
+    apply(&fleet, changed(&fleet, 8, Change::Removed));
+    for path in ["/lots/page", "/items/page?id=1"] {
+        assert_eq!(call(&fleet, 0, "GET", path).status, 200);
+    }
+    assert_eq!(call(&fleet, 0, "DELETE", "/lots/page").status, 200);
+    fleet.objects.set_faults(Faults { unavailable: true, ..Faults::default() });
+    for (method, path) in
+        [("GET", "/lots/page"), ("GET", "/items/page?id=1"), ("DELETE", "/lots/page")]
+    {
+        let since = Instant::now();
+        assert_eq!(call(&fleet, 1, method, path).status, 503, "nobody can be sure");
+        assert!(since.elapsed() < PROMPT, "{:?}", since.elapsed());
+    }
+    for path in ["/page", "/lots/", "/items/page"] {
+        assert_eq!(call(&fleet, 1, "GET", path).status, 200, "{path} is no path of a job's call");
+    }
+    assert_eq!(fleet.runs("/lots/page").len(), 2);
+}
+
+/// A call that no key allows costs no read of the platform.
+#[test]
+fn call_with_a_wrong_key_is_rejected_without_the_platform() {
+    let workspaces = json!([{ "name": "one", "api_keys": ["key-one"] }]);
+    let fleet = Fleet::start(Plan { workspaces, ..Plan::default() });
+    apply(&fleet, changed(&fleet, 8, Change::Removed));
+    fleet.objects.set_faults(Faults { unavailable: true, ..Faults::default() });
+    let key = [("authorization", "Bearer key-none")];
+    assert_eq!(fleet.call_job(0, "GET", "/lots/none", &key).status, 401);
+}
