Look each submission up whose path has no batch route any more

Cause: a POST on an online route was taken for a repeated submission only where a batch route of now begins its path, or where this process knew the job.

What callers saw: a job's batch route is removed, moved or made online, all instances are started again, and the submission whose 202 was lost comes again. It ran at a target as an online request, whose 200 was no 202.

Change: a POST with an id on an online route whose body is a submission is looked up on the platform, whichever routes the host has. Other bodies don't decode as one and cost no read.

A body like a submission whose id no job has runs as before (same test).

--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -302,7 +302,7 @@
     if route.class == Class::Batch {
         return Ok(submit::submit(node, &route, &call).await);
     }
-    if call.method == Method::POST && may_be_submission(node, config, &call) {
+    if call.method == Method::POST {
         let repeated = submit::resubmit(node, &call.id, call.workspace_name(), &call.body).await;
         if let Some(response) = repeated {
             return Ok(response);
@@ -311,13 +311,6 @@
     online::serve(node, config, Rc::new(route), Rc::new(call)).await
 }
 
-/// Whether a request on another route may repeat the submission of a job: the route may be new, and
-/// the path may belong to a batch route as well, or may have belonged to one before.
-fn may_be_submission(node: &Node, config: &Config, call: &CallerRequest) -> bool {
-    node.jobs.known_owner(&call.id).is_some()
-        || config.table.batch_route_for(&call.host, call.path(), "").is_some()
-}
-
 fn host(headers: &HeaderMap) -> &str {
     let host = header::text(headers, "host");
     host.split_once(':').map_or(host, |(name, _)| name)
--- a/crates/daemon/src/gateway/submit.rs
+++ b/crates/daemon/src/gateway/submit.rs
@@ -297,18 +297,18 @@
     }
 }
 
-/// Serves a submission to a path without a batch route, which may repeat one that was accepted when
-/// there was a route; `None` if it is no submission, or of a job that was never accepted.
+/// Serves a submission to a path whose route, if any, isn't a batch route. It may repeat one that was
+/// accepted when there was one; `None` if it is no submission, or of a job that was never accepted.
 pub async fn resubmit(
     node: &Rc<Node>,
     id: &str,
     caller: Option<&str>,
     body: &[u8],
 ) -> Option<Response<Body>> {
-    let _in_flight = node.in_flight.start();
     if id.is_empty() || job::decode(body).is_err() {
         return None;
     }
+    let _in_flight = node.in_flight.start();
     let outcome = match node.jobs.known_owner(id) {
         Some(owner) => repeated(owner.as_deref(), caller),
         None => check_stored(node, id, caller).await?,
--- a/crates/daemon/tests/gateway_job_paths.rs
+++ b/crates/daemon/tests/gateway_job_paths.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 use util::batch::LogLines;
 use util::client::{self, Response};
-use util::gateway::{Fleet, HOST, Plan};
+use util::gateway::{Fleet, HOST, Plan, submit_to};
 use util::wait_until;
 
 const JOB: &str = "job";
@@ -114,6 +114,22 @@
     assert!(sent.is_empty(), "a call about the job was sent to a target: {sent:?}");
 }
 
+/// Regression: it ran as a request, whose answer was no 202.
+#[rstest]
+fn submission_that_comes_again_after_its_route_was_removed_is_recognized(
+    #[values(Change::Removed, Change::OtherHost, Change::MadeOnline)] change: Change,
+) {
+    let (mut fleet, _) = fleet_with_finished_job();
+    apply(&fleet, changed(&fleet, 9, change));
+    restart(&mut fleet, &[0, 1, 2]);
+    for n in 0..3 {
+        assert_eq!(fleet.submit(n, JOB, &ITEMS).status, 202);
+    }
+    assert!(fleet.runs("/batch/job").is_empty(), "a submission was sent to a target");
+    let request = submit_to(fleet.gateways[0].front_address, "never", &ITEMS, &[]);
+    assert_eq!((request.status, fleet.runs("/batch/never").len()), (200, 1), "no job has its id");
+}
+
 /// What a page costs at a path like that of a job's call: a read of the platform each.
 #[test]
 fn page_at_the_path_of_a_job_call_is_served_while_the_platform_is_there() {
