Say 404 for an unknown job beneath a batch route at the root

Cause: a call about a job that a batch route's prefix matched went on as a submission if the job isn't known, though no submission is a GET or a DELETE.

What callers saw: 400 for an unknown job on a host whose batch route begins the paths of such calls, where the protocol says 404.

Change: such a call is one about a job unless an online route matches it.

Evidence: unknown_job_of_a_batch_route_at_the_root_is_not_found, red before, green since.

--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -153,7 +153,7 @@
         {
             return Ok(unauthorized(node, &id, &config));
         }
-        match is_about_job(node, route.is_some(), &call).await {
+        match is_about_job(node, route.as_ref(), &call).await {
             Some(true) => return Ok(call_job(node, &config, call, &host, &parts.headers).await),
             Some(false) => {}
             None => return Ok(jobs::unavailable(node, call.job())),
@@ -212,11 +212,12 @@
     node.config()
 }
 
-/// Whether what looks like a call about a job is one; `None` if nobody can say now. A path that a
-/// route matches, too, is a job's if the platform has the job: it may outlive all batch routes of its
-/// host.
-async fn is_about_job(node: &Node, has_route: bool, call: &job::Request) -> Option<bool> {
-    if !has_route || node.jobs.known_owner(call.job()).is_some() {
+/// Whether what looks like a call about a job is one; `None` if nobody can say now. A path that an
+/// online route matches, too, is a job's if the platform has the job: it may outlive all batch routes
+/// of its host.
+async fn is_about_job(node: &Node, route: Option<&Route>, call: &job::Request) -> Option<bool> {
+    let is_online = route.is_some_and(|route| route.class != Class::Batch);
+    if !is_online || node.jobs.known_owner(call.job()).is_some() {
         return Some(true);
     }
     jobs::exists(node, call.job()).await
--- a/crates/daemon/tests/gateway_job_paths.rs
+++ b/crates/daemon/tests/gateway_job_paths.rs
@@ -163,3 +163,17 @@
     let key = [("authorization", "Bearer key-none")];
     assert_eq!(fleet.call_job(0, "GET", "/lots/none", &key).status, 401);
 }
+
+/// Regression: on a batch route at `/`, it was taken for a malformed submission.
+#[test]
+fn unknown_job_of_a_batch_route_at_the_root_is_not_found() {
+    let fleet = Fleet::start(Plan::default());
+    let mut config = fleet.config(8);
+    *route(&mut config, "batch", "path_prefix") = json!("/");
+    apply(&fleet, config);
+    for (method, path) in
+        [("GET", "/lots/none"), ("GET", "/items/none?id=1"), ("DELETE", "/lots/none")]
+    {
+        assert_eq!(call(&fleet, 0, method, path).status, 404, "{method} {path}");
+    }
+}
