Count the tokens of open jobs on their route after it was renamed

Cause: an instance counts the jobs of other holders by the route's name in their last status, and a holder reports again only when results are written. After a route was renamed, the jobs of all other holders counted on no route.

What callers saw (QUOTA): with 300 of 400 tokens waiting on a route, a change of its name lets instances other than the holder accept 200 more.

Change: a holder reports its job again when the name of its route has changed; until then a name that the configuration doesn't have counts on each route, as it may be any. The same for submissions whose outcome isn't known.

--- a/crates/coordination/src/pending_jobs.rs
+++ b/crates/coordination/src/pending_jobs.rs
@@ -12,8 +12,9 @@
 //! let submission = Submission { job: "7c41".into(), route: "night".into(), workspace: None, tokens: 940 };
 //! let mut table = Table::default();
 //! table.insert(submission, Some(now + Duration::from_secs(5)));
-//! assert_eq!(table.tokens("night", None, |_| true, now), 940);
-//! assert_eq!(table.tokens("night", None, |_| true, now + Duration::from_secs(6)), 0);
+//! let is_night = |route: &str| route == "night";
+//! assert_eq!(table.tokens(is_night, None, |_| true, now), 940);
+//! assert_eq!(table.tokens(is_night, None, |_| true, now + Duration::from_secs(6)), 0);
 //! ```
 
 use protocol::{JobId, WorkspaceId};
@@ -85,10 +86,11 @@
         self.0.retain(|_, stored| stored.expires.is_none_or(|expires| now < expires));
     }
 
-    /// Tokens that a workspace has reserved on a route for the jobs that `is_counted` accepts.
+    /// Tokens that a workspace has reserved on the routes that `is_route` accepts, by name, for the
+    /// jobs that `is_counted` accepts.
     pub fn tokens(
         &self,
-        route: &str,
+        is_route: impl Fn(&str) -> bool,
         workspace: Option<&str>,
         is_counted: impl Fn(&str) -> bool,
         now: Instant,
@@ -96,7 +98,7 @@
         let current = self.0.values().filter(|stored| stored.expires.is_none_or(|at| now < at));
         let pending_jobs = current.map(|stored| &stored.submission);
         let matching = pending_jobs.filter(|submission| {
-            submission.route == route
+            is_route(&submission.route)
                 && submission.workspace.as_deref() == workspace
                 && is_counted(&submission.job)
         });
--- a/crates/daemon/src/gateway/held_job.rs
+++ b/crates/daemon/src/gateway/held_job.rs
@@ -44,6 +44,8 @@
     pub(super) confirmed_at: Cell<Instant>,
     /// Whether the job's route was removed.
     pub(super) route: RefCell<Watch>,
+    /// Name of the route in the last status that was announced; empty if there was no route.
+    pub(super) announced_route: RefCell<String>,
     /// Cancelled when the submitter ends the job; stops its runs.
     pub(super) ended: CancellationToken,
     /// Cancelled when this instance stops holding the job; stops its runs.
@@ -71,6 +73,7 @@
             oldest_failure: Cell::new(None),
             confirmed_at: Cell::new(now),
             route: RefCell::new(Watch::new(accepted_at)),
+            announced_route: RefCell::default(),
             ended: CancellationToken::new(),
             released: CancellationToken::new(),
             is_read_only,
--- a/crates/daemon/src/gateway/job_table.rs
+++ b/crates/daemon/src/gateway/job_table.rs
@@ -3,7 +3,7 @@
 
 use super::held_job::HeldJob;
 use super::message::{JobFilter, JobStatus, PeerReply, PeerRequest, Update};
-use super::node::Node;
+use super::node::{Config, Node};
 use super::stored_job::StoredJob;
 use super::{broadcast, job_writer, peers, takeover};
 use crate::clock;
@@ -121,9 +121,11 @@
             .filter(|state| route_of(node, state.job()).is_some_and(|found| found.name == route))
             .map(|state| state.waiting_tokens())
             .sum();
+        let config = node.config();
+        let is_route = |reported: &str| may_be_route(config.as_deref(), reported, route);
         let directory = self.directory.borrow();
         let others = directory.values().filter(|status| {
-            status.route == route
+            is_route(&status.route)
                 && status.workspace.as_deref() == workspace
                 && !status.is_finished
                 && !held_jobs.contains_key(&status.job)
@@ -133,11 +135,18 @@
             job != except && !held_jobs.contains_key(job) && !directory.contains_key(job)
         };
         let pending = self.pending.borrow();
-        let pending = pending.tokens(route, workspace, is_unknown, clock::now());
+        let pending = pending.tokens(is_route, workspace, is_unknown, clock::now());
         local.saturating_add(others).saturating_add(pending)
     }
 }
 
+/// Whether a job reported to be on the route `reported` counts on `route`. One that the configuration
+/// doesn't name any more may have been renamed, until the holder reports the new name.
+fn may_be_route(config: Option<&Config>, reported: &str, route: &str) -> bool {
+    let is_named = |config: &Config| config.table.routes.iter().any(|it| it.name == reported);
+    reported == route || (!reported.is_empty() && !config.is_some_and(is_named))
+}
+
 /// Handles a reported status. If another instance claims a later revision of a job held
 /// here, the holder is verified on the platform; so is a job that others take for held here.
 pub fn on_status(node: &Rc<Node>, status: JobStatus) {
@@ -161,9 +170,9 @@
     node.config()?.table.batch_route_for(&job.host, &job.path, &job.route).cloned()
 }
 
-/// Follows changes of a job's route. Once it was removed, the waiting items fail; those that run may
-/// complete.
-pub(super) fn check_route(node: &Node, held: &HeldJob, now: Instant) {
+/// Follows changes of a job's route. The others learn of its name, by which they count tokens. Once it
+/// was removed, the waiting items fail; those that run may complete.
+pub(super) fn check_route(node: &Rc<Node>, held: &HeldJob, now: Instant) {
     let Some(config) = node.config() else {
         return;
     };
@@ -171,6 +180,9 @@
     let route = route_of(node, &job);
     if let Some(route) = &route {
         held.state.borrow_mut().set_max_attempts(route.max_attempts);
+        if *held.announced_route.borrow() != route.name {
+            announce(node, held);
+        }
     }
     if !held.route.borrow_mut().is_removed(config.table.version, route.is_some(), now) {
         return;
@@ -248,6 +260,7 @@
 /// Broadcasts a job's status, batched with others.
 pub fn announce(node: &Rc<Node>, held: &HeldJob) {
     let status = status(node, held);
+    held.announced_route.replace(status.route.clone());
     let is_first = {
         let mut outbox = node.jobs.outbox.borrow_mut();
         outbox.insert(status.job.clone(), status);
--- a/crates/daemon/src/gateway/message.rs
+++ b/crates/daemon/src/gateway/message.rs
@@ -98,7 +98,7 @@
     /// Revision of the job's object; of two statuses of a job, the one with the higher revision
     /// is used.
     pub revision: u64,
-    /// Route on which the job was submitted.
+    /// Name of the job's route when the status was made; empty if there was none any more.
     pub route: String,
     /// Workspace of the job; `None` if it has none, or if the sender knows of no workspaces.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/daemon/tests/gateway_job_paths.rs
+++ b/crates/daemon/tests/gateway_job_paths.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use standin::objects::Faults;
 use std::time::{Duration, Instant};
-use util::batch::LogLines;
+use util::batch::{LogLines, slow_plan};
 use util::client::{self, Response};
 use util::gateway::{Fleet, HOST, Plan, submit_to};
 use util::wait_until;
@@ -177,3 +177,20 @@
         assert_eq!(call(&fleet, 0, method, path).status, 404, "{method} {path}");
     }
 }
+
+/// Regression: tokens that wait were counted by the name that the route had before.
+#[rstest]
+fn tokens_of_open_jobs_count_on_their_renamed_route(#[values(0, 1, 2)] submitter: usize) {
+    let fleet = Fleet::start(Plan { max_queued_tokens: 400, ..slow_plan() });
+    assert_eq!(fleet.submit(0, JOB, &ITEMS).status, 202);
+    wait_until("the others know the job", || (0..3).all(|n| results(&fleet, n).status == 200));
+    let mut renamed = fleet.config(8);
+    *route(&mut renamed, "batch", "name") = json!("lots");
+    apply(&fleet, renamed);
+    let second = fleet.submit(submitter, "second", &["a", "b"]);
+    assert_eq!(second.status, 429, "300 of 400 tokens wait");
+    fleet.wait_results(submitter, JOB);
+    wait_until("the tokens are free again", || {
+        fleet.submit(submitter, "third", &["c", "d"]).status == 202
+    });
+}
