Take a response whose status is beyond HTTP's classes for none

Cause: the check of response heads knew joined heads and changes of protocol, but no range of statuses. The HTTP library rejects what isn't three digits from 100 on, so 000 never was an answer; 600 to 999 were.

Change: such a head belongs to no request (RFC 9110, section 15), in the one place where all heads are checked: targets, items, the platform, health checks and the own interface. The request may have run: another target is tried where that is allowed, else 502.

--- a/crates/transport/src/head.rs
+++ b/crates/transport/src/head.rs
@@ -1,5 +1,5 @@
-//! Heads of no response: those that consist of two, and those of a change of protocol, as no request
-//! asks for one.
+//! Heads of no response: those that consist of two, those whose status belongs to no class of HTTP
+//! (RFC 9110, section 15), and those of a change of protocol, as no request asks for one.
 //!
 //! A server that fails inside a head may go on with another response on the same connection, such
 //! as that of the failure. Both heads then read as one: with the status of the first, and with the
@@ -11,11 +11,17 @@
 /// A status line up to its code; `0` stands for any digit.
 const STATUS_LINE: &[u8] = b"HTTP/1.0 000";
 
+/// The first status beyond the classes of HTTP. Those below 100 don't parse.
+const STATUS_END: u16 = 600;
+
 /// Why a head is that of no response; `None` if it may be that of one.
 pub(crate) fn fault<B>(response: &Response<B>) -> Option<&'static str> {
     if response.status() == StatusCode::SWITCHING_PROTOCOLS {
         return Some("a change of protocol");
     }
+    if response.status().as_u16() >= STATUS_END {
+        return Some("a status of no class");
+    }
     is_joined(response).then_some("a second status line within a head")
 }
 
--- a/crates/transport/tests/cut_heads.rs
+++ b/crates/transport/tests/cut_heads.rs
@@ -1,10 +1,11 @@
 //! Heads of responses that a server cuts at any byte, as each of the clients sees them.
 
+mod util;
+
 use bytes::Bytes;
 use coordination::retry::Failure;
 use http_body_util::Full;
-use hyper::{HeaderMap, Method, Request};
-use protocol::chat;
+use hyper::Request;
 use rstest::rstest;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -12,15 +13,14 @@
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{JoinSet, LocalSet, spawn_local};
+use tokio::task::{JoinSet, spawn_local};
 use transport::partition::SimulatedPartition;
-use transport::target::{AttemptError, AttemptMeta, Client, Order, PlainCall};
+use transport::target::Client;
 use transport::upstream::{Exchange, Pool, SendError, Settings};
+use util::{Call, TIMEOUT, block_on, send};
 
 /// Time for which a client waits on after a part of a head from a server that stays silent.
 const SILENCE: Duration = Duration::from_millis(100);
-/// Time limit of other calls, which none of them reaches.
-const TIMEOUT: Duration = Duration::from_secs(20);
 /// Time between the last byte and a reset, so that the reset doesn't overtake it.
 const RESET_DELAY: Duration = Duration::from_millis(5);
 /// Number of cuts that are tried at a time.
@@ -119,12 +119,6 @@
     stream.read_exact(&mut vec![0; length]).await.ok().map(drop)
 }
 
-/// Runs `client` inside a `LocalSet`, as the pool requires.
-fn block_on(client: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    LocalSet::new().block_on(&runtime.expect("create runtime"), client);
-}
-
 /// Calls a server for each part of a response, from its first `first` bytes to all but the last.
 async fn for_each_cut<F: Future<Output = ()> + 'static>(
     response: &'static str,
@@ -254,32 +248,6 @@
     });
 }
 
-/// A call of the client of the product's own interface.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Call {
-    Plain,
-    Chat,
-    Report,
-    Order,
-}
-
-async fn send(client: &Client, to: SocketAddr, call: Call) -> Result<(), AttemptError> {
-    let meta = AttemptMeta { timeout: TIMEOUT, ..AttemptMeta::default() };
-    match call {
-        Call::Plain => {
-            let (path, body) = (String::from("/"), Bytes::from_static(b"x"));
-            let call = PlainCall { method: Method::POST, path, headers: HeaderMap::new(), body };
-            client.plain(to, call, &meta).await.map(drop)
-        }
-        Call::Chat => client.chat(to, &chat::Request::user("m", "x"), &meta).await.map(drop),
-        Call::Report => client.load_report(to, TIMEOUT).await.map(drop),
-        Call::Order => {
-            let order = Order { version: String::from("v"), adapters: Vec::new() };
-            client.order(to, &order, 1, TIMEOUT).await
-        }
-    }
-}
-
 async fn check_client(server: Server, call: Call) {
     let client = Client::new(TIMEOUT, TIMEOUT, SimulatedPartition::new(None));
     for _ in 0..server.before {
