Believe a load report only if the call that asked for it succeeded

Cause: the status of the answer to GET /load was never read, only its body.

What callers saw: nothing directly; a target that answers 500, 404 or a redirect with a body like a report counts with the load and the model of that body.

Evidence: load_report_of_a_failed_call_is_none, 3 of 3 red before, green since.

--- a/crates/transport/src/target.rs
+++ b/crates/transport/src/target.rs
@@ -201,6 +201,7 @@
         let meta = AttemptMeta { timeout, ..AttemptMeta::default() };
         let builder = self.builder(to, Method::GET, "/load", &meta);
         let response = self.send(to, builder.body(Full::default()), timeout).await?;
+        check_status(&response)?;
         let body = read_to_end(response.into_body(), MAX_REPORT_BYTES, timeout).await?;
         serde_json::from_slice(&body)
             .map_err(|error| AttemptError::new(Failure::Unknown, error.to_string()))
--- a/crates/transport/tests/status_lines.rs
+++ b/crates/transport/tests/status_lines.rs
@@ -88,3 +88,14 @@
         assert!(line.contains(response.head().status.as_str()), "{line}");
     });
 }
+
+/// Regression: the report of a target that failed to make one was believed.
+#[rstest]
+fn load_report_of_a_failed_call_is_none(
+    #[values("HTTP/1.1 500 Internal Server Error", "HTTP/1.1 404 Not Found", "HTTP/1.1 302 Found")]
+    line: &'static str,
+) {
+    block_on(async move {
+        assert!(call(serve(line).await, Call::Report).await.is_err());
+    });
+}
