Answer 500 where a status can't be said, not 200

Cause: three places turned a number that is no status into the default of the library's type, which is 200; from 600 on they passed it on.

What callers saw: nothing known. A stored outcome of a keyed call that an earlier build or a damaged record gives the status 0 would have come back as a success, one of 999 as an answer.

Change: one function says what the status of an own response is; a number outside of 100 to 599 is 500.

Evidence: own_response_without_a_status_of_http_is_a_failure, 5 of 5 red with the earlier mapping, 28 of 28 of the file green since.

--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response};
 use platform::{header, job};
 use protocol::routing::{Class, Route};
 use protocol::workspace::Workspace;
@@ -18,6 +18,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use transport::body::Aborted;
+use transport::http::status_code;
 use transport::server::{self, Body, Handler, Refusal};
 
 /// Limit on request heads until a configuration is in force.
@@ -345,7 +346,7 @@
 /// A plain-text response of the gateway itself.
 pub fn text_response(status: u16, message: &str) -> Response<Body> {
     let mut response = Response::new(Body::Full(Bytes::from(format!("{message}\n"))));
-    *response.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
+    *response.status_mut() = status_code(status);
     response
 }
 
--- a/crates/transport/src/head.rs
+++ b/crates/transport/src/head.rs
@@ -7,19 +7,25 @@
 
 use hyper::ext::ReasonPhrase;
 use hyper::{Response, StatusCode};
+use std::ops::RangeInclusive;
 
 /// A status line up to its code; `0` stands for any digit.
 const STATUS_LINE: &[u8] = b"HTTP/1.0 000";
 
-/// The first status beyond the classes of HTTP. Those below 100 don't parse.
-const STATUS_END: u16 = 600;
+/// Statuses of the classes of HTTP.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
+/// Whether a status belongs to a class of HTTP.
+pub(crate) fn has_class(status: StatusCode) -> bool {
+    STATUSES.contains(&status.as_u16())
+}
 
 /// Why a head is that of no response; `None` if it may be that of one.
 pub(crate) fn fault<B>(response: &Response<B>) -> Option<&'static str> {
     if response.status() == StatusCode::SWITCHING_PROTOCOLS {
         return Some("a change of protocol");
     }
-    if response.status().as_u16() >= STATUS_END {
+    if !has_class(response.status()) {
         return Some("a status of no class");
     }
     is_joined(response).then_some("a second status line within a head")
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP server of the product's own API: bounded request bodies, responses and errors.
 
 use crate::body;
+use crate::head;
 use crate::server::ACCEPT_RETRY_DELAY;
 use crate::socket::{OpenResponse, Socket};
 use bytes::{Buf, Bytes, BytesMut};
@@ -262,10 +263,17 @@
     bytes(status, "application/json", Bytes::from(body))
 }
 
+/// The status code of a response. A number that is none, as a stored outcome may have, is that of a
+/// failure.
+pub fn status_code(status: u16) -> StatusCode {
+    let code = StatusCode::from_u16(status).ok().filter(|code| head::has_class(*code));
+    code.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+}
+
 /// Creates a response with a body of any content type.
 pub fn bytes(status: u16, content_type: &str, body: Bytes) -> Response {
     let mut response = Response::new(body.into());
-    *response.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
+    *response.status_mut() = status_code(status);
     set_header(&mut response, CONTENT_TYPE.as_str(), content_type);
     response
 }
@@ -290,7 +298,7 @@
 /// Creates a response with a streamed body.
 pub fn stream(status: u16, content_type: &str, body: body::Receiver) -> Response {
     let mut response = warp::reply::Reply::into_response(warp::reply::stream(body));
-    *response.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
+    *response.status_mut() = status_code(status);
     set_header(&mut response, CONTENT_TYPE.as_str(), content_type);
     response
 }
--- a/crates/transport/tests/status_lines.rs
+++ b/crates/transport/tests/status_lines.rs
@@ -99,3 +99,13 @@
         assert!(call(serve(line).await, Call::Report).await.is_err());
     });
 }
+
+/// Regression: a response with a status that can't be said was one of success.
+#[rstest]
+fn own_response_without_a_status_of_http_is_a_failure(
+    #[values(0, 99, 600, 999, 1_000)] status: u16,
+) {
+    let body = bytes::Bytes::from_static(b"x");
+    assert_eq!(transport::http::bytes(status, "text/plain", body).status(), 500);
+    assert_eq!(transport::http::json(status, &"x").status(), 500);
+}
