Complete an item only by an answer of 200

Cause: any 2xx passed for the head of an item's whole output.

Change: only 200 begins an output; after another success the item runs again, as after any status that the protocol doesn't name.

Evidence: item_is_complete_only_by_a_whole_output, 4 of 4 red before, green since.

--- a/crates/daemon/src/gateway/items/run.rs
+++ b/crates/daemon/src/gateway/items/run.rs
@@ -293,7 +293,8 @@
         return RunEnd::stopped(outcome, format!("rejected with status {}", head.status));
     }
     let status = head.status;
-    if status.is_success() {
+    // Other successes come without the output, or with a part of it.
+    if status == StatusCode::OK {
         let is_resumed = partial.last_event_id.is_some();
         let process = TargetProcess::of(&exchange, node, service, &lease.grant);
         let mut body = TargetBody::of_events(exchange, process).resumed(is_resumed);
--- a/crates/daemon/tests/gateway_status_lines.rs
+++ b/crates/daemon/tests/gateway_status_lines.rs
@@ -128,3 +128,53 @@
         assert!(!result["message"].as_str().expect("text").contains(ODD_TEXT), "{result}");
     }
 }
+
+/// Successes that aren't those of a whole output, with their bodies.
+#[derive(Clone, Copy, Debug)]
+enum Success {
+    Accepted,
+    NoContent,
+    ResetContent,
+    PartialContent,
+}
+
+impl Success {
+    fn answer(self, request: &Request) -> Answer {
+        let line = match self {
+            Success::Accepted => "HTTP/1.1 202 Accepted",
+            Success::ResetContent => "HTTP/1.1 205 Reset Content",
+            Success::PartialContent => "HTTP/1.1 206 Partial Content",
+            Success::NoContent => {
+                let head = format!(
+                    "HTTP/1.1 204 No Content\r\nX-Gatespool-Request-Id: {}\r\n\r\n",
+                    request.id
+                );
+                return Answer { pieces: vec![head.into()], ..odd(request, "", "") };
+            }
+        };
+        odd(request, line, "")
+    }
+}
+
+/// Regression: an item whose target answered without its output, or with a part of it, was complete.
+#[rstest]
+fn item_is_complete_only_by_a_whole_output(
+    #[values(
+        Success::Accepted,
+        Success::NoContent,
+        Success::ResetContent,
+        Success::PartialContent
+    )]
+    success: Success,
+) {
+    let odd = target(move |request| success.answer(request));
+    let sound = sound_target();
+    let fleet = fleet_of(&[&odd, &sound]);
+    let items = ["item-1", "item-2", "item-3", "item-4", "item-5", "item-6"];
+    assert_eq!(submit_to(fleet.gateways[0].front_address, "job", &items, &[]).status, 202);
+    let expected: Vec<String> = (1..=6).map(|n| format!("part-{n}")).collect();
+    for result in fleet.wait_results(0, "job") {
+        assert_eq!(result["message"], expected.join("\n"), "{result}");
+    }
+    assert!(!ids(&odd).is_empty(), "no item met the odd target");
+}
