Continue a stream only by an answer of 200

Cause: any 2xx passed for the head of the rest of a stream that had begun at another target.

Change: once a stream has begun, only 200 continues it; else another target is tried, or the stream ends truncated.

A first answer still goes back with the status that its target gave, as PROTOCOL.md says.

--- a/crates/daemon/src/gateway/online/attempt.rs
+++ b/crates/daemon/src/gateway/online/attempt.rs
@@ -250,8 +250,9 @@
             return Err(RetryReason::NotRun);
         }
         let status = head.status;
-        let must_succeed = self.has_begun || (status.is_server_error() && self.may_retry());
-        if must_succeed && !status.is_success() {
+        // Other successes than 200 come without the rest of a stream, or with a part of it.
+        let breaks_stream = self.has_begun && status != StatusCode::OK;
+        if breaks_stream || (status.is_server_error() && self.may_retry()) {
             lease.end(completion_outcome(status));
             return Err(RetryReason::MayHaveRun(format!("target responded with {status}")));
         }
--- a/crates/daemon/tests/gateway_status_lines.rs
+++ b/crates/daemon/tests/gateway_status_lines.rs
@@ -8,7 +8,7 @@
 use util::batch::LogLines;
 use util::gateway::{Fleet, submit_to};
 use util::raw_caller::{RawResponse, Version};
-use util::raw_streams::{call, fleet_of, sound_target, target};
+use util::raw_streams::{CHUNKED, call, chunks, events, fleet_of, sound_target, target};
 use util::raw_target::{Answer, End, HEALTH_PATH, RawTarget, Request};
 use util::wait_until;
 
@@ -178,3 +178,26 @@
     }
     assert!(!ids(&odd).is_empty(), "no item met the odd target");
 }
+
+/// Regression: a stream that another target was to continue ended as if complete.
+#[rstest]
+fn stream_goes_on_only_by_a_whole_output(
+    #[values(
+        Success::Accepted,
+        Success::NoContent,
+        Success::ResetContent,
+        Success::PartialContent
+    )]
+    success: Success,
+) {
+    let interrupted = move |request: &Request| match request.last_event_id {
+        None => Answer::new(&request.id, CHUNKED, &[&chunks(&[&events(1, 2)])[0]], End::Reset),
+        Some(_) => success.answer(request),
+    };
+    let targets = [target(interrupted), target(interrupted)];
+    let fleet = fleet_of(&[&targets[0], &targets[1]]);
+    let response = call(&fleet, Version::Http11, "/talk/x", "call");
+    assert!(!response.looks_complete(), "{response:?}");
+    let requests = targets.iter().flat_map(RawTarget::requests);
+    assert!(requests.into_iter().any(|request| request.last_event_id.is_some()));
+}
