Soak: routes of jobs change beside kills of all, and odd status lines

From seed 12,000 on, the batch route is renamed, removed, made online, and added to below by online and batch routes, while online routes begin the paths of all calls about jobs; all gateways are killed beside that, and runners' responses have the status 000, 099, 600, 777 or 999. Reads and ends bear an id, so that a runner would answer them; accepted jobs are submitted again. New checks, in all classes: no answer has a status beyond HTTP's classes, no call about an accepted job runs, an accepted job that comes again is accepted or refused for now.

--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -50,6 +50,8 @@
 /// End of the ids of these requests, and the status of their runners' responses.
 pub const FAILING_SUFFIX: &str = "-failing";
 pub const FAILING_STATUS: u16 = 500;
+/// Of the accepted jobs of a caller, each so-many-th is submitted again.
+const RESUBMITTED_EVERY: usize = 3;
 /// Items per job; one of them always fails.
 pub const ITEMS_PER_JOB: usize = 6;
 
@@ -149,8 +151,9 @@
 }
 
 async fn read_all(http: &HttpClient, front: SocketAddr, job: &str) -> Response {
+    // With an id, as a runner that gets the call by mistake would reject it otherwise.
     let path = format!("/lots/{job}?since_rev=0");
-    call(http, "GET", front, &path, "", String::new()).await
+    call(http, "GET", front, &path, job, String::new()).await
 }
 
 /// Which streams that broke off a caller takes up.
@@ -279,11 +282,11 @@
         };
         let body =
             json!({ "items": (0..ITEMS_PER_JOB).map(item).collect::<Vec<Value>>() }).to_string();
+        let path = format!("/batch/{n}/{job}");
         let mut statuses = Vec::new();
         for attempt in 0..4 {
             let front = fronts[(n + count + attempt) % fronts.len()];
-            let response =
-                call(&http, "POST", front, &format!("/batch/{job}"), &job, body.clone()).await;
+            let response = call(&http, "POST", front, &path, &job, body.clone()).await;
             record.on_answer(&job, &response);
             statuses.push(response.status);
             if response.status == 202 {
@@ -292,6 +295,11 @@
             tokio::time::sleep(REQUEST_INTERVAL * 10).await;
         }
         record.on_submitted(&job, &statuses);
+        if count % RESUBMITTED_EVERY == 0 && statuses.contains(&202) {
+            let front = fronts[(n + count + 1) % fronts.len()];
+            let response = call(&http, "POST", front, &path, &job, body).await;
+            record.on_resubmitted(&job, &response);
+        }
         for read in 0..6 {
             tokio::time::sleep(READ_INTERVAL).await;
             let front = fronts[(n + read) % fronts.len()];
@@ -303,7 +311,7 @@
             let front = fronts[count % fronts.len()];
             record.on_end_requested(&job);
             let path = format!("/lots/{job}");
-            let response = call(&http, "DELETE", front, &path, "", String::new()).await;
+            let response = call(&http, "DELETE", front, &path, &job, String::new()).await;
             if response.status == 200 {
                 record.on_end_acknowledged(&job, Instant::now());
             }
--- a/crates/daemon/tests/soak/check.rs
+++ b/crates/daemon/tests/soak/check.rs
@@ -3,6 +3,7 @@
 use super::callers::{ITEMS_PER_JOB, Response};
 use super::calm::Answer;
 use super::own_text::{is_event_of, is_own, is_text_of};
+use super::route_changes::JOB_CALL_PATHS;
 use serde_json::Value;
 use standin::runner::Run;
 use std::collections::{BTreeMap, HashMap};
@@ -39,6 +40,9 @@
     taken_up: BTreeMap<u16, u64>,
     /// Whether the route of the jobs is removed and added again.
     has_removals: bool,
+    /// Whether online routes begin the paths of submissions and calls about jobs, which then run as
+    /// requests where no job was accepted.
+    has_pages: bool,
     /// Whether each stream that broke off can go on.
     has_one_version: bool,
     /// Whether origins of streams outlive all faults.
@@ -65,6 +69,11 @@
         self.lock().has_removals = true;
     }
 
+    /// From now on online routes may begin the paths of submissions and calls about jobs.
+    pub fn expect_pages(&self) {
+        self.lock().has_pages = true;
+    }
+
     /// From now on each stream that broke off can go on: only one software version has ever served,
     /// and the platform shows that.
     pub fn expect_one_version(&self) {
@@ -177,9 +186,19 @@
         job_record.is_rejected = statuses.iter().all(|status| matches!(status, 429 | 503));
     }
 
+    /// Records that an accepted job is submitted again.
+    pub fn on_resubmitted(&self, job: &str, response: &Response) {
+        // Beside faults it may be refused for now, or get no answer.
+        if !matches!(response.status, 0 | 202 | 429 | 502 | 503 | 504) {
+            let what = format!("{job}: accepted, but {} when it comes again", response.status);
+            self.lock().violations.push(what);
+        }
+    }
+
     /// Records a read of a job from its first result on.
     pub fn on_read(&self, job: &str, response: &Response) {
         let mut observed = self.lock();
+        let has_pages = observed.has_pages;
         let Some(job_record) = observed.jobs.get_mut(job) else {
             return;
         };
@@ -187,7 +206,8 @@
         if response.status == 404 && job_record.is_accepted {
             violations.push(format!("{job}: accepted, but now unknown"));
         }
-        if response.status == 200 && response.is_complete {
+        let is_page = has_pages && !job_record.is_accepted;
+        if response.status == 200 && response.is_complete && !is_page {
             let body: Value = serde_json::from_slice(&response.body).unwrap_or_default();
             let results = body["results"].as_array().cloned().unwrap_or_default();
             if body["total"] != ITEMS_PER_JOB {
@@ -253,6 +273,11 @@
     pub fn on_answer(&self, id: &str, response: &Response) {
         let mut observed = self.lock();
         observed.answers.push(Answer::new(id, response));
+        if response.status != 0 && !(100..600).contains(&response.status) {
+            observed
+                .violations
+                .push(format!("{id}: an answer with the status {}", response.status));
+        }
         if let Some(stamp) = &response.stamp
             && !is_own(id, stamp, response)
         {
@@ -293,7 +318,8 @@
         );
         for Answer { id, status, is_stamped, .. } in &observed.answers {
             let ran = run_counts.contains_key(id.as_str());
-            if ran && matches!(status, 408 | 421 | 429 | 503) {
+            let may_run = observed.has_pages && observed.jobs.contains_key(id);
+            if ran && !may_run && matches!(status, 408 | 421 | 429 | 503) {
                 violations.push(format!("{id}: rejected as not run with {status}, but it ran"));
             }
             if *is_stamped && !ran {
@@ -302,6 +328,7 @@
             }
         }
         violations.extend(check_items(runs));
+        violations.extend(runs.iter().filter_map(|run| observed.wrong_call(run)));
         if observed.keeps_origins {
             violations.extend(observed.gone.iter().filter_map(|gone| observed.wrongly_gone(gone)));
         }
@@ -313,6 +340,14 @@
 }
 
 impl Observations {
+    /// A call about an accepted job that was sent to a runner.
+    fn wrong_call(&self, run: &Run) -> Option<String> {
+        let is_accepted = self.jobs.get(&run.id).is_some_and(|job| job.is_accepted);
+        let is_call = JOB_CALL_PATHS.iter().any(|path| run.path.starts_with(path));
+        let is_wrong = is_accepted && is_call;
+        is_wrong.then(|| format!("{}: a call to {} ran as a request", run.id, run.path))
+    }
+
     /// A stream that was refused for good although a runner of its version served all the while, and
     /// no gateway that knew the version was restarted.
     fn wrongly_gone(&self, gone: &(String, String, Instant, Instant)) -> Option<String> {
--- a/crates/daemon/tests/soak/class.rs
+++ b/crates/daemon/tests/soak/class.rs
@@ -5,10 +5,10 @@
 use super::scenario::{MEMORY_TOKENS, VERSIONS};
 use super::{
     FIRST_FRAMED_VERSIONS_SEED, FIRST_LARGE_CONFIG_SEED, FIRST_OUTAGE_SEED, FIRST_REMOVAL_SEED,
-    FIRST_SILENCE_SEED, FIRST_STUTTER_SEED, FIRST_SUSPENSION_SEED, FIRST_UNFRAMED_SEED,
-    FIRST_VERSIONS_SEED,
+    FIRST_ROUTE_CHANGE_SEED, FIRST_SILENCE_SEED, FIRST_STUTTER_SEED, FIRST_SUSPENSION_SEED,
+    FIRST_UNFRAMED_SEED, FIRST_VERSIONS_SEED,
 };
-use super::{faults, outages, stutters};
+use super::{faults, outages, route_changes, stutters};
 use standin::runner::Config;
 use std::time::Duration;
 
@@ -44,13 +44,15 @@
     pub has_other_faults: bool,
     /// Runners stutter, and gateways are out of step during releases and stop beside that.
     pub has_stutters: bool,
+    /// Routes of jobs change beside losses of all gateways, and runners answer with odd status lines.
+    pub has_route_changes: bool,
 }
 
 impl Class {
     pub fn of(seed: u64) -> Class {
         Class {
             is_unframed: (FIRST_UNFRAMED_SEED..FIRST_FRAMED_VERSIONS_SEED).contains(&seed),
-            has_versions: seed >= FIRST_VERSIONS_SEED,
+            has_versions: (FIRST_VERSIONS_SEED..FIRST_ROUTE_CHANGE_SEED).contains(&seed),
             has_silences: (FIRST_SILENCE_SEED..FIRST_REMOVAL_SEED).contains(&seed),
             has_suspensions: (FIRST_SUSPENSION_SEED..FIRST_STUTTER_SEED).contains(&seed),
             has_large_configs: (FIRST_LARGE_CONFIG_SEED..FIRST_REMOVAL_SEED).contains(&seed),
@@ -59,7 +61,8 @@
             has_one_version: (FIRST_OUTAGE_SEED..FIRST_STUTTER_SEED).contains(&seed)
                 && seed % 5 == 4,
             has_other_faults: seed % 2 == 1,
-            has_stutters: seed >= FIRST_STUTTER_SEED,
+            has_stutters: (FIRST_STUTTER_SEED..FIRST_ROUTE_CHANGE_SEED).contains(&seed),
+            has_route_changes: seed >= FIRST_ROUTE_CHANGE_SEED,
         }
     }
 
@@ -101,6 +104,9 @@
         if self.has_removals {
             steps = faults::with_removals(steps, seed, runners);
         }
+        if self.has_route_changes {
+            steps = route_changes::with_route_changes(steps, seed, runners, FAULT_PERIOD);
+        }
         vec![Phase { is_planned: false, steps }]
     }
 
--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -38,6 +38,8 @@
     OneWayPartition(usize, Direction, Duration),
     /// A runner sends each response twice.
     Stutter(usize, Stutter, Duration),
+    /// A runner's responses have this status code, which is that of no response.
+    OddStatus(usize, [u8; 3], Duration),
     /// Faults of the platform itself.
     PlatformFaults(objects::Faults, Duration),
     /// The platform rejects almost all writes.
--- a/crates/daemon/tests/soak/inject.rs
+++ b/crates/daemon/tests/soak/inject.rs
@@ -16,6 +16,7 @@
     RunnerConnection(usize),
     PeerPartition,
     Stutter(usize),
+    OddStatus(usize),
     PlatformFaults,
     RejectedWrites,
     Quiet,
@@ -96,6 +97,10 @@
                 self.runner_proxies[n].set_stutter(Some(stutter));
                 self.undo_after(period, Undo::Stutter(n));
             }
+            Fault::OddStatus(n, code, period) => {
+                self.runner_proxies[n].set_status(Some(code));
+                self.undo_after(period, Undo::OddStatus(n));
+            }
             Fault::PlatformFaults(faults, period) => {
                 self.fleet.objects.set_faults(faults);
                 self.undo_after(period, Undo::PlatformFaults);
@@ -192,6 +197,7 @@
             Undo::RunnerConnection(n) => self.runner_proxies[n].set_mode(Mode::Pass),
             Undo::PeerPartition => self.fleet.gateways.iter().for_each(|g| g.set_unreachable(&[])),
             Undo::Stutter(n) => self.runner_proxies[n].set_stutter(None),
+            Undo::OddStatus(n) => self.runner_proxies[n].set_status(None),
             Undo::PlatformFaults => self.fleet.objects.set_faults(objects::Faults::default()),
             Undo::RejectedWrites => self.fleet.objects.set_write_rate(UNLIMITED),
             Undo::Quiet => self.is_quiet.store(false, Ordering::Relaxed),
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -30,11 +30,12 @@
 mod own_text;
 mod planned;
 mod returns;
+mod route_changes;
 mod scenario;
 mod stutters;
 
 /// Seeds of a run without `GATESPOOL_SOAK`, besides [`REGRESSION_SEEDS`].
-const SEEDS: [u64; 11] = [
+const SEEDS: [u64; 12] = [
     1,
     2,
     FIRST_SUSPENSION_SEED,
@@ -46,6 +47,7 @@
     FIRST_REMOVAL_SEED,
     FIRST_OUTAGE_SEED + 12,
     FIRST_STUTTER_SEED + 1,
+    FIRST_ROUTE_CHANGE_SEED,
 ];
 /// From this seed on, configurations have many routes, and the links between gateways are slow.
 const FIRST_LARGE_CONFIG_SEED: u64 = 8_000;
@@ -61,6 +63,10 @@
 /// leave resumable streams halfway and return, some requests fail at their runners, and frozen
 /// processes aren't suspended.
 const FIRST_STUTTER_SEED: u64 = 11_000;
+/// From this seed on, the route of the jobs is removed, renamed, made online and added to below, and
+/// other routes begin the paths of calls about jobs; all gateways are killed beside that, and runners
+/// answer with status lines of no response.
+const FIRST_ROUTE_CHANGE_SEED: u64 = 12_000;
 /// From this seed on, freezes are suspensions, during which the monotonic clock stops.
 const FIRST_SUSPENSION_SEED: u64 = 1_000;
 /// From this seed on, runners respond without a length and crash, and some callers use HTTP/1.0.
--- a/crates/daemon/tests/soak/scenario.rs
+++ b/crates/daemon/tests/soak/scenario.rs
@@ -6,6 +6,7 @@
 use super::class::Class;
 use super::inject::Undo;
 use super::planned::{self, Phase};
+use super::route_changes;
 use super::util::gateway::routes::add_routes;
 use super::util::gateway::{Fleet, Plan};
 use super::util::proxy::Proxy;
@@ -157,9 +158,12 @@
             version: Arc::new(AtomicU64::new(10)),
             next_id: 0,
         };
-        if class.has_removals {
+        if class.has_removals || class.has_route_changes {
             scenario.record.expect_removals();
         }
+        if class.has_route_changes {
+            scenario.record.expect_pages();
+        }
         if class.has_stutters && !class.has_other_faults {
             scenario.record.expect_origins();
         }
@@ -263,6 +267,9 @@
             let routes = config["routes"].as_array_mut().expect("routes");
             routes.retain(|route| route["kind"] != "batch");
         }
+        if self.class.has_route_changes {
+            route_changes::vary(&mut config, version);
+        }
         if self.class.has_large_configs {
             add_routes(&mut config, MANY_ROUTES);
         }
--- a/crates/daemon/tests/util/proxy.rs
+++ b/crates/daemon/tests/util/proxy.rs
@@ -29,6 +29,10 @@
     StallResponses,
 }
 
+/// Three characters in the place of a status code.
+pub type StatusCode = [u8; 3];
+/// Bytes of a status line before its code.
+const STATUS_OFFSET: usize = "HTTP/1.1 ".len();
 /// How often a stalled connection checks the mode.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time between two pieces of a response.
@@ -40,6 +44,8 @@
     pub address: SocketAddr,
     mode: Arc<Mutex<Mode>>,
     stutter: Arc<Mutex<Option<Stutter>>>,
+    /// Status code of all responses; `None` for their own.
+    status: Arc<Mutex<Option<StatusCode>>>,
     changed: Arc<Notify>,
     /// How often [`Mode::Refuse`] was set; each time closes all connections, however short.
     refusals: Arc<AtomicU64>,
@@ -58,6 +64,7 @@
             address: port.address,
             mode: Arc::new(Mutex::new(Mode::Pass)),
             stutter: Arc::default(),
+            status: Arc::default(),
             changed: Arc::default(),
             refusals: Arc::default(),
             closed: Arc::default(),
@@ -85,6 +92,22 @@
         *self.stutter.lock().unwrap_or_else(PoisonError::into_inner) = stutter;
     }
 
+    /// Replaces the status codes of responses from now on; `None` to leave them.
+    pub fn set_status(&self, status: Option<StatusCode>) {
+        *self.status.lock().unwrap_or_else(PoisonError::into_inner) = status;
+    }
+
+    /// Replaces the status code of a response that begins here.
+    fn replace_status(&self, bytes: &mut [u8]) {
+        let status = *self.status.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(status) = status.filter(|_| bytes.starts_with(b"HTTP/1.")) else {
+            return;
+        };
+        if let Some(code) = bytes.get_mut(STATUS_OFFSET..STATUS_OFFSET + status.len()) {
+            code.copy_from_slice(&status);
+        }
+    }
+
     fn stutter(&self) -> Option<Stutter> {
         *self.stutter.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -181,6 +204,9 @@
                 return;
             }
             self.hold(is_response).await;
+            if is_response {
+                self.replace_status(&mut buffer[..read]);
+            }
             if to.write_all(&buffer[..read]).await.is_err() {
                 return;
             }
