Tests: share what stood twice, split the soak's checks of jobs off

Fleet::apply and wait_in_force (three files), a route's field, the reader of requests and the clients' calls of the transport's tests (cut_heads, stutter, status_lines); the soak's checks of jobs have a module of their own (check.rs 426 to 346 lines). No check is changed.

--- a/crates/daemon/tests/gateway_job_paths.rs
+++ b/crates/daemon/tests/gateway_job_paths.rs
@@ -6,8 +6,9 @@
 use serde_json::{Value, json};
 use standin::objects::Faults;
 use std::time::{Duration, Instant};
-use util::batch::{LogLines, slow_plan};
+use util::batch::slow_plan;
 use util::client::{self, Response};
+use util::gateway::changes::route_field;
 use util::gateway::{Fleet, HOST, Plan, submit_to};
 use util::wait_until;
 
@@ -27,7 +28,7 @@
 /// The configuration with a route for plain requests at `/`.
 fn config(fleet: &Fleet, version: u64) -> Value {
     let mut config = fleet.config(version);
-    *route(&mut config, "plain", "path_prefix") = json!("/");
+    *route_field(&mut config, "plain", "path_prefix") = json!("/");
     config
 }
 
@@ -39,30 +40,12 @@
             let routes = config["routes"].as_array_mut().expect("routes");
             routes.retain(|route| route["name"] != "batch");
         }
-        Change::OtherHost => *route(&mut config, "batch", "host") = json!("b.example"),
-        Change::MadeOnline => *route(&mut config, "batch", "kind") = json!("stream"),
+        Change::OtherHost => *route_field(&mut config, "batch", "host") = json!("b.example"),
+        Change::MadeOnline => *route_field(&mut config, "batch", "kind") = json!("stream"),
     }
     config
 }
 
-fn route<'a>(config: &'a mut Value, name: &str, field: &str) -> &'a mut Value {
-    let routes = config["routes"].as_array_mut().expect("routes");
-    let route = routes.iter_mut().find(|route| route["name"] == name);
-    &mut route.expect("a route")[field]
-}
-
-#[track_caller]
-fn apply(fleet: &Fleet, config: Value) {
-    let version = config["version"].clone();
-    fleet.objects.put("config", "main", config);
-    for n in 0..fleet.gateways.len() {
-        wait_until("the configuration is in force", || {
-            let line = fleet.log(n).last_message("configuration in force");
-            line.is_some_and(|line| line["version"] == version)
-        });
-    }
-}
-
 /// Sends a call that has a request id, so that a target would answer it.
 fn call(fleet: &Fleet, n: usize, method: &str, path: &str) -> Response {
     let headers = [("host", HOST), ("x-gatespool-request-id", "call")];
@@ -76,7 +59,7 @@
 /// A fleet with a finished job on a host with a route at `/`, and the results.
 fn fleet_with_finished_job() -> (Fleet, Value) {
     let fleet = Fleet::start(Plan::default());
-    apply(&fleet, config(&fleet, 8));
+    fleet.apply(config(&fleet, 8));
     assert_eq!(fleet.submit(0, JOB, &ITEMS).status, 202);
     fleet.wait_results(1, JOB);
     let before = results(&fleet, 0).json();
@@ -99,7 +82,7 @@
     #[values(&[1], &[0, 1, 2])] killed: &[usize],
 ) {
     let (mut fleet, before) = fleet_with_finished_job();
-    apply(&fleet, changed(&fleet, 9, change));
+    fleet.apply(changed(&fleet, 9, change));
     restart(&mut fleet, killed);
     for n in 0..3 {
         let read = results(&fleet, n);
@@ -120,7 +103,7 @@
     #[values(Change::Removed, Change::OtherHost, Change::MadeOnline)] change: Change,
 ) {
     let (mut fleet, _) = fleet_with_finished_job();
-    apply(&fleet, changed(&fleet, 9, change));
+    fleet.apply(changed(&fleet, 9, change));
     restart(&mut fleet, &[0, 1, 2]);
     for n in 0..3 {
         assert_eq!(fleet.submit(n, JOB, &ITEMS).status, 202);
@@ -134,7 +117,7 @@
 #[test]
 fn page_at_the_path_of_a_job_call_is_served_while_the_platform_is_there() {
     let fleet = Fleet::start(Plan::default());
-    apply(&fleet, changed(&fleet, 8, Change::Removed));
+    fleet.apply(changed(&fleet, 8, Change::Removed));
     for path in ["/lots/page", "/items/page?id=1"] {
         assert_eq!(call(&fleet, 0, "GET", path).status, 200);
     }
@@ -158,7 +141,7 @@
 fn call_with_a_wrong_key_is_rejected_without_the_platform() {
     let workspaces = json!([{ "name": "one", "api_keys": ["key-one"] }]);
     let fleet = Fleet::start(Plan { workspaces, ..Plan::default() });
-    apply(&fleet, changed(&fleet, 8, Change::Removed));
+    fleet.apply(changed(&fleet, 8, Change::Removed));
     fleet.objects.set_faults(Faults { unavailable: true, ..Faults::default() });
     let key = [("authorization", "Bearer key-none")];
     assert_eq!(fleet.call_job(0, "GET", "/lots/none", &key).status, 401);
@@ -169,8 +152,8 @@
 fn unknown_job_of_a_batch_route_at_the_root_is_not_found() {
     let fleet = Fleet::start(Plan::default());
     let mut config = fleet.config(8);
-    *route(&mut config, "batch", "path_prefix") = json!("/");
-    apply(&fleet, config);
+    *route_field(&mut config, "batch", "path_prefix") = json!("/");
+    fleet.apply(config);
     for (method, path) in
         [("GET", "/lots/none"), ("GET", "/items/none?id=1"), ("DELETE", "/lots/none")]
     {
@@ -185,8 +168,8 @@
     assert_eq!(fleet.submit(0, JOB, &ITEMS).status, 202);
     wait_until("the others know the job", || (0..3).all(|n| results(&fleet, n).status == 200));
     let mut renamed = fleet.config(8);
-    *route(&mut renamed, "batch", "name") = json!("lots");
-    apply(&fleet, renamed);
+    *route_field(&mut renamed, "batch", "name") = json!("lots");
+    fleet.apply(renamed);
     let second = fleet.submit(submitter, "second", &["a", "b"]);
     assert_eq!(second.status, 429, "300 of 400 tokens wait");
     fleet.wait_results(submitter, JOB);
--- a/crates/daemon/tests/gateway_routes.rs
+++ b/crates/daemon/tests/gateway_routes.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use standin::objects::Faults;
 use std::time::{Duration, Instant};
-use util::batch::{LogLines, slow_runner};
+use util::batch::slow_runner;
 use util::gateway::{Fleet, HOST, Plan};
 use util::{client, wait_until};
 
@@ -93,23 +93,6 @@
     (response.status == 200).then(|| response.json()["results"].as_array().expect("a list").clone())
 }
 
-#[track_caller]
-fn apply(fleet: &Fleet, config: Value) {
-    let version = config["version"].clone();
-    fleet.objects.put("config", "main", config);
-    wait_in_force(fleet, &version);
-}
-
-#[track_caller]
-fn wait_in_force(fleet: &Fleet, version: &Value) {
-    for n in 0..fleet.gateways.len() {
-        wait_until("the configuration is in force", || {
-            let line = fleet.log(n).last_message("configuration in force");
-            line.is_some_and(|line| line["version"] == *version)
-        });
-    }
-}
-
 /// Waits until every item is listed at every instance, and returns the states.
 #[track_caller]
 fn wait_listed(fleet: &Fleet, within: Duration) -> Vec<Value> {
@@ -132,7 +115,7 @@
 ) {
     let fleet = fleet_with_job(Value::Null);
     let before = listed(&fleet, 1).expect("results");
-    apply(&fleet, changed(&fleet, 8, change));
+    fleet.apply(changed(&fleet, 8, change));
     let states = wait_listed(&fleet, LISTING_TIME);
     assert!(
         states.iter().any(|state| state == "complete") && states.iter().any(|s| s == "errored")
@@ -159,7 +142,7 @@
     fleet.objects.put("config", "main", changed(&fleet, 8, Change::HostRemoved));
     killed.iter().for_each(|n| fleet.gateways[*n].kill());
     killed.iter().for_each(|n| fleet.restart(*n));
-    wait_in_force(&fleet, &json!(8));
+    fleet.wait_in_force(&json!(8));
     // A holder is given some time to come back.
     let states = wait_listed(&fleet, LISTING_TIME + Duration::from_secs(4));
     assert!(states.iter().any(|state| state == "errored"));
@@ -199,7 +182,7 @@
     if matches!(replacement, Replacement::OtherService) {
         fleet.set_service(1, "other");
     }
-    apply(&fleet, config);
+    fleet.apply(config);
     std::thread::sleep(LISTING_TIME);
     let began = Instant::now();
     let states = wait_listed(&fleet, Duration::from_secs(30));
@@ -246,7 +229,7 @@
     let fleet = fleet();
     assert_eq!(submit_at(&fleet, 0, "/batch/shop/job", &[]), 202);
     wait_until("some results are listed", || listed(&fleet, 1).is_some_and(|l| !l.is_empty()));
-    apply(&fleet, with_route_below(&fleet, 8, addition));
+    fleet.apply(with_route_below(&fleet, 8, addition));
     let states = wait_listed(&fleet, Duration::from_secs(30));
     assert!(states.iter().all(|state| state == "complete"), "{states:?}");
     assert_eq!(submit_at(&fleet, 2, "/batch/shop/job", &[]), 202, "the job comes again");
@@ -258,7 +241,7 @@
     let mut fleet = Fleet::start(Plan::default());
     assert_eq!(submit_at(&fleet, 0, "/batch/shop/job", &[]), 202);
     wait_listed(&fleet, Duration::from_secs(20));
-    apply(&fleet, with_route_below(&fleet, 8, Addition::Online));
+    fleet.apply(with_route_below(&fleet, 8, Addition::Online));
     restart_all(&mut fleet);
     for n in 0..3 {
         assert_eq!(submit_at(&fleet, n, "/batch/shop/job", &[]), 202, "the job comes again");
@@ -275,7 +258,7 @@
     let routes = config["routes"].as_array_mut().expect("routes");
     let plain = routes.iter_mut().find(|route| route["name"] == "plain");
     plain.expect("the plain route")["path_prefix"] = json!("/");
-    apply(&fleet, config);
+    fleet.apply(config);
     assert_eq!(submit(&fleet, 0, &[]), 202);
     wait_listed(&fleet, Duration::from_secs(20));
     let before = listed(&fleet, 0).expect("results");
@@ -315,7 +298,7 @@
     let routes = config["routes"].as_array_mut().expect("routes");
     let batch = routes.iter_mut().find(|route| route["kind"] == "batch");
     batch.expect("the batch route")["max_attempts"] = json!(max_attempts);
-    apply(&fleet, config);
+    fleet.apply(config);
     let states = wait_listed(&fleet, Duration::from_secs(30));
     assert_eq!(states.iter().filter(|state| *state == "errored").count(), 1);
     assert_eq!(fleet.runs("/batch/item-21").len(), expected);
@@ -325,10 +308,10 @@
 #[test]
 fn route_that_is_added_again_later_takes_new_jobs() {
     let fleet = fleet_with_job(Value::Null);
-    apply(&fleet, changed(&fleet, 8, Change::HostRemoved));
+    fleet.apply(changed(&fleet, 8, Change::HostRemoved));
     wait_listed(&fleet, LISTING_TIME);
     let before = listed(&fleet, 1).expect("results");
-    apply(&fleet, fleet.config(9));
+    fleet.apply(fleet.config(9));
     assert_eq!(submit(&fleet, 2, &[]), 202, "the job comes again");
     assert_eq!(fleet.submit(2, "new", &["x", "y"]).status, 202);
     let results = fleet.wait_results(0, "new");
@@ -352,7 +335,7 @@
     (0..3).for_each(|n| fleet.gateways[n].kill());
     fleet.objects.put("config", "main", changed(&fleet, 6, Change::HostRemoved));
     (0..3).for_each(|n| fleet.restart(n));
-    wait_in_force(&fleet, &json!(6));
+    fleet.wait_in_force(&json!(6));
     std::thread::sleep(LISTING_TIME);
     let is_failed = |result: &Value| result["state"] == "errored";
     assert!(!listed(&fleet, 0).expect("results").iter().any(is_failed));
@@ -364,7 +347,7 @@
 #[test]
 fn nobody_is_told_that_a_job_is_unknown_while_the_platform_is_away() {
     let fleet = fleet_with_job(Value::Null);
-    apply(&fleet, changed(&fleet, 8, Change::HostRemoved));
+    fleet.apply(changed(&fleet, 8, Change::HostRemoved));
     fleet.objects.set_faults(Faults { unavailable: true, ..Faults::default() });
     assert_eq!(fleet.call_job(1, "GET", "/lots/unknown", &[]).status, 503);
     assert_eq!(fleet.submit(1, "unknown", &["x"]).status, 503);
@@ -383,7 +366,7 @@
         { "name": "one", "api_keys": ["key-one"] }, { "name": "two", "api_keys": ["key-two"] },
     ]);
     let fleet = fleet_with_job(workspaces);
-    apply(&fleet, changed(&fleet, 8, Change::HostRemoved));
+    fleet.apply(changed(&fleet, 8, Change::HostRemoved));
     for n in 0..3 {
         assert_eq!(fleet.call_job(n, "GET", "/lots/job", &[KEY]).status, 200);
         assert_eq!(submit(&fleet, n, &[KEY]), 202);
--- a/crates/daemon/tests/gateway_status_lines.rs
+++ b/crates/daemon/tests/gateway_status_lines.rs
@@ -2,15 +2,14 @@
 
 mod util;
 
+use Success::{Accepted, NoContent, PartialContent, ResetContent};
 use rstest::rstest;
 use serde_json::json;
 use std::time::Duration;
-use util::batch::LogLines;
 use util::gateway::{Fleet, submit_to};
 use util::raw_caller::{RawResponse, Version};
 use util::raw_streams::{CHUNKED, call, chunks, events, fleet_of, sound_target, target};
 use util::raw_target::{Answer, End, HEALTH_PATH, RawTarget, Request};
-use util::wait_until;
 
 /// Body of an odd response, whole as a text and as events.
 const ODD_BODY: &str = "id: 1\ndata: odd\n\n";
@@ -47,11 +46,7 @@
     once["path_prefix"] = json!("/once/");
     once["kind"] = json!("unsafe");
     routes.push(once);
-    fleet.objects.put("config", "main", config);
-    wait_until("the configuration is in force", || {
-        let line = fleet.log(0).last_message("configuration in force");
-        line.is_some_and(|line| line["version"] == 8)
-    });
+    fleet.apply(config);
     fleet
 }
 
@@ -141,10 +136,10 @@
 impl Success {
     fn answer(self, request: &Request) -> Answer {
         let line = match self {
-            Success::Accepted => "HTTP/1.1 202 Accepted",
-            Success::ResetContent => "HTTP/1.1 205 Reset Content",
-            Success::PartialContent => "HTTP/1.1 206 Partial Content",
-            Success::NoContent => {
+            Accepted => "HTTP/1.1 202 Accepted",
+            ResetContent => "HTTP/1.1 205 Reset Content",
+            PartialContent => "HTTP/1.1 206 Partial Content",
+            NoContent => {
                 let head = format!(
                     "HTTP/1.1 204 No Content\r\nX-Gatespool-Request-Id: {}\r\n\r\n",
                     request.id
@@ -159,13 +154,7 @@
 /// Regression: an item whose target answered without its output, or with a part of it, was complete.
 #[rstest]
 fn item_is_complete_only_by_a_whole_output(
-    #[values(
-        Success::Accepted,
-        Success::NoContent,
-        Success::ResetContent,
-        Success::PartialContent
-    )]
-    success: Success,
+    #[values(Accepted, NoContent, ResetContent, PartialContent)] success: Success,
 ) {
     let odd = target(move |request| success.answer(request));
     let sound = sound_target();
@@ -182,13 +171,7 @@
 /// Regression: a stream that another target was to continue ended as if complete.
 #[rstest]
 fn stream_goes_on_only_by_a_whole_output(
-    #[values(
-        Success::Accepted,
-        Success::NoContent,
-        Success::ResetContent,
-        Success::PartialContent
-    )]
-    success: Success,
+    #[values(Accepted, NoContent, ResetContent, PartialContent)] success: Success,
 ) {
     let interrupted = move |request: &Request| match request.last_event_id {
         None => Answer::new(&request.id, CHUNKED, &[&chunks(&[&events(1, 2)])[0]], End::Reset),
--- a/crates/daemon/tests/soak/check.rs
+++ b/crates/daemon/tests/soak/check.rs
@@ -2,31 +2,17 @@
 
 use super::callers::{ITEMS_PER_JOB, Response};
 use super::calm::Answer;
+use super::jobs::{Job, check_calls, check_items, check_job};
 use super::own_text::{is_event_of, is_own, is_text_of};
-use super::route_changes::JOB_CALL_PATHS;
 use serde_json::Value;
 use standin::runner::Run;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 pub const EVENTS_PER_RESPONSE: u64 = 12;
 /// Status of an attempt to take a stream up that can't go on.
 pub const STREAM_GONE: u16 = 410;
-/// How long after the end of its job an item may still start: 3 s if the holder is reachable,
-/// longer since several faults in a row may have frozen or isolated it.
-const MAX_CANCEL_DELAY: Duration = Duration::from_secs(8);
-
-#[derive(Default)]
-struct Job {
-    is_accepted: bool,
-    is_rejected: bool,
-    results: Vec<Value>,
-    /// Whether an end was requested; from then on, results may be missing.
-    is_end_requested: bool,
-    ended_at: Option<Instant>,
-}
-
 #[derive(Default)]
 struct Observations {
     violations: Vec<String>,
@@ -328,7 +314,7 @@
             }
         }
         violations.extend(check_items(runs));
-        violations.extend(runs.iter().filter_map(|run| observed.wrong_call(run)));
+        violations.extend(check_calls(&observed.jobs, runs));
         if observed.keeps_origins {
             violations.extend(observed.gone.iter().filter_map(|gone| observed.wrongly_gone(gone)));
         }
@@ -340,14 +326,6 @@
 }
 
 impl Observations {
-    /// A call about an accepted job that was sent to a runner.
-    fn wrong_call(&self, run: &Run) -> Option<String> {
-        let is_accepted = self.jobs.get(&run.id).is_some_and(|job| job.is_accepted);
-        let is_call = JOB_CALL_PATHS.iter().any(|path| run.path.starts_with(path));
-        let is_wrong = is_accepted && is_call;
-        is_wrong.then(|| format!("{}: a call to {} ran as a request", run.id, run.path))
-    }
-
     /// A stream that was refused for good although a runner of its version served all the while, and
     /// no gateway that knew the version was restarted.
     fn wrongly_gone(&self, gone: &(String, String, Instant, Instant)) -> Option<String> {
@@ -366,61 +344,3 @@
         Some(format!("{id}: refused for good, though runner {runner} of {version} served on"))
     }
 }
-
-/// Checks that each run of an item that goes on does so at a version that began the item before.
-fn check_items(runs: &[Run]) -> Vec<String> {
-    let mut runs: Vec<&Run> = runs.iter().filter(|run| run.path.starts_with("/batch/")).collect();
-    runs.sort_by_key(|run| run.started);
-    let mut began: HashMap<&str, Vec<&str>> = HashMap::new();
-    let mut violations = Vec::new();
-    for run in runs {
-        let versions = began.entry(&run.id).or_default();
-        if run.last_event_id.is_none() {
-            versions.push(&run.software);
-        } else if !versions.contains(&run.software.as_str()) {
-            violations.push(format!("{}: goes on at {}, not {versions:?}", run.id, run.software));
-        }
-    }
-    violations
-}
-
-fn check_job(id: &str, job: &Job, runs: &[Run], has_removals: bool) -> Vec<String> {
-    let mut violations = Vec::new();
-    let prefix = format!("{id}-");
-    let mut own_runs = runs.iter().filter(|run| run.id.starts_with(&prefix));
-    if job.is_rejected && own_runs.clone().next().is_some() {
-        violations.push(format!("{id}: rejected by all, but an item ran"));
-    }
-    if let Some(ended_at) = job.ended_at
-        && own_runs.any(|run| run.arrived > ended_at + MAX_CANCEL_DELAY)
-    {
-        violations.push(format!("{id}: an item started too late after the end of its job"));
-    }
-    if job.is_accepted && !job.is_end_requested && job.results.len() < ITEMS_PER_JOB {
-        violations
-            .push(format!("{id}: accepted, {} of {ITEMS_PER_JOB} results", job.results.len()));
-    }
-    let mut items: Vec<&str> = job.results.iter().filter_map(|r| r["id"].as_str()).collect();
-    items.sort_unstable();
-    items.dedup();
-    if items.len() != job.results.len() {
-        violations.push(format!("{id}: a result is listed twice"));
-    }
-    for result in &job.results {
-        let item = result["id"].as_str().unwrap_or_default();
-        let is_failing = item.ends_with("-poison");
-        let is_valid = item.starts_with(&prefix)
-            && match result["state"].as_str() {
-                Some("complete") => {
-                    !is_failing
-                        && result["message"].as_str().is_some_and(|text| is_text_of(item, text))
-                }
-                Some("errored") => is_failing || job.is_end_requested || has_removals,
-                _ => false,
-            };
-        if !is_valid {
-            violations.push(format!("{id}: a wrong result: {result}"));
-        }
-    }
-    violations
-}
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -26,6 +26,7 @@
 mod crashing_request;
 mod faults;
 mod inject;
+mod jobs;
 mod outages;
 mod own_text;
 mod planned;
--- a/crates/daemon/tests/util/gateway.rs
+++ b/crates/daemon/tests/util/gateway.rs
@@ -1,5 +1,6 @@
 //! A fleet of gateway processes with stand-ins for the platform and the targets.
 
+pub mod changes;
 mod entries;
 pub mod routes;
 
--- a/crates/transport/tests/cut_heads.rs
+++ b/crates/transport/tests/cut_heads.rs
@@ -11,13 +11,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinSet, spawn_local};
 use transport::partition::SimulatedPartition;
 use transport::target::Client;
 use transport::upstream::{Exchange, Pool, SendError, Settings};
-use util::{Call, TIMEOUT, block_on, send};
+use util::{Call, TIMEOUT, block_on, read_request, send};
 
 /// Time for which a client waits on after a part of a head from a server that stays silent.
 const SILENCE: Duration = Duration::from_millis(100);
@@ -102,23 +102,6 @@
     }
 }
 
-/// Reads a request with its body; `None` at the end of the connection.
-async fn read_request(stream: &mut BufReader<TcpStream>) -> Option<()> {
-    let mut length = 0;
-    let mut line = String::from("-");
-    while !line.trim_end().is_empty() {
-        line.clear();
-        if stream.read_line(&mut line).await.ok()? == 0 {
-            return None;
-        }
-        let value = line.to_ascii_lowercase();
-        let value =
-            value.strip_prefix("content-length:").and_then(|value| value.trim().parse().ok());
-        length = value.unwrap_or(length);
-    }
-    stream.read_exact(&mut vec![0; length]).await.ok().map(drop)
-}
-
 /// Calls a server for each part of a response, from its first `first` bytes to all but the last.
 async fn for_each_cut<F: Future<Output = ()> + 'static>(
     response: &'static str,
--- a/crates/transport/tests/stutter.rs
+++ b/crates/transport/tests/stutter.rs
@@ -1,6 +1,8 @@
 //! Servers that send each response twice, the second time where the response to the next request on
 //! the connection is expected.
 
+mod util;
+
 use bytes::Bytes;
 use coordination::retry::Failure;
 use http_body_util::Full;
@@ -13,20 +15,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 use std::vec::IntoIter;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::spawn_local;
 use transport::partition::SimulatedPartition;
 use transport::target::{AttemptError, AttemptMeta, Client, Order, PlainCall, StreamItem};
 use transport::upstream::{Pool, SendError, Settings};
-
-const TIMEOUT: Duration = Duration::from_secs(20);
-
-/// Runs a test inside a `LocalSet`.
-fn block_on(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    LocalSet::new().block_on(&runtime.expect("create runtime"), test);
-}
+use util::{TIMEOUT, block_on, read_request};
 
 /// Starts a server whose `n`th request, over all connections, has the `n`th of these responses, after
 /// the one before on the same connection.
@@ -52,23 +47,6 @@
     }
 }
 
-/// Reads a request with its body; `None` at the end of the connection.
-async fn read_request(stream: &mut BufReader<TcpStream>) -> Option<()> {
-    let mut length = 0;
-    let mut line = String::from("-");
-    while !line.trim_end().is_empty() {
-        line.clear();
-        if stream.read_line(&mut line).await.ok()? == 0 {
-            return None;
-        }
-        let value = line.to_ascii_lowercase();
-        let value =
-            value.strip_prefix("content-length:").and_then(|value| value.trim().parse().ok());
-        length = value.unwrap_or(length);
-    }
-    stream.read_exact(&mut vec![0; length]).await.ok().map(drop)
-}
-
 fn response(status: &str, body: &str) -> String {
     format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
 }
--- a/crates/transport/tests/util/mod.rs
+++ b/crates/transport/tests/util/mod.rs
@@ -1,10 +1,14 @@
-//! Calls of the transport's clients against servers that misbehave.
+//! Calls of the transport's clients against servers that misbehave. Each test uses a part of it.
+
+#![allow(dead_code)]
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
 use protocol::chat;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, BufReader};
+use tokio::net::TcpStream;
 use tokio::task::LocalSet;
 use transport::target::{AttemptError, AttemptMeta, Client, Order, PlainCall};
 
@@ -42,3 +46,20 @@
         }
     }
 }
+
+/// Reads a request with its body; `None` at the end of the connection.
+pub async fn read_request(stream: &mut BufReader<TcpStream>) -> Option<()> {
+    let mut length = 0;
+    let mut line = String::from("-");
+    while !line.trim_end().is_empty() {
+        line.clear();
+        if stream.read_line(&mut line).await.ok()? == 0 {
+            return None;
+        }
+        let value = line.to_ascii_lowercase();
+        let value =
+            value.strip_prefix("content-length:").and_then(|value| value.trim().parse().ok());
+        length = value.unwrap_or(length);
+    }
+    stream.read_exact(&mut vec![0; length]).await.ok().map(drop)
+}
