Delete finished jobs whose holder is gone

Cause: a finished job was deleted from the platform by its holder only, so those of holders that were killed stayed for good, and each scan read them again.

What callers saw: nothing; the operator's store grows with each loss.

Change: the scan deletes a finished job whose holder is gone, at the revision that it read, once it is twice as old as jobs are kept.

--- a/crates/daemon/src/gateway/job_scan.rs
+++ b/crates/daemon/src/gateway/job_scan.rs
@@ -11,7 +11,7 @@
 use super::job_table;
 use super::message::{JobStatus, PeerRequest, Update};
 use super::node::{Node, unix_millis};
-use super::stored_job::JobSummary;
+use super::stored_job::{JobSummary, Overflow};
 use super::takeover::{self, MEMBERSHIP_WARM_UP};
 use crate::clock;
 use coordination::membership::State;
@@ -19,7 +19,7 @@
 use coordination::range_scan::{Range, Schedule, View, assigned_range};
 use platform::job;
 use platform::store::{Object, StoreError};
-use state::progress::Handoff;
+use state::progress::{Handoff, Job};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -33,6 +33,9 @@
 const LEARNING_PERIOD: Duration = Duration::from_secs(60);
 /// How long the tokens of a stored job count without a report of its holder: longer than a takeover.
 const COUNT_LIFETIME: Duration = Duration::from_secs(30);
+/// Retentions after which finished jobs of holders that are gone are deleted; their clocks may have
+/// differed.
+const FOREIGN_RETENTION: u32 = 2;
 /// One in this many instances scans. More of them cost more calls; fewer take longer, as
 /// a page of 1 MB takes some 300 ms on the slowest links.
 const INSTANCES_PER_SCANNER: usize = 8;
@@ -106,6 +109,9 @@
                 }
                 // If the hand-off fails, the job has no holder soon.
                 ScanResult::Leaving => is_done = false,
+                ScanResult::Expired(overflow) => {
+                    job_store::delete(node, &object.name, object.revision, &overflow).await;
+                }
                 ScanResult::Nothing => {}
             }
         }
@@ -134,16 +140,25 @@
     Leaving,
     /// The holder is gone.
     Orphan(Box<JobStatus>),
+    /// Finished, past its retention, and its holder, which would delete it, is gone.
+    Expired(Overflow),
     /// The holder, a member, hasn't reported the job and may not know it.
     Unreported(SocketAddr, Box<JobStatus>),
 }
 
 fn classify(node: &Node, object: &Object, is_warmed_up: bool) -> ScanResult {
-    let Ok(JobSummary { holder, is_open, job, waiting_tokens }) = job_store::summary(object) else {
+    let Ok(summary) = job_store::summary(object) else {
         slog::error!(node.log, "malformed job object"; "job" => &object.name,
             "revision" => object.revision);
         return ScanResult::Nothing;
     };
+    let JobSummary { holder, is_open, job, overflow, waiting_tokens } = summary;
+    if !is_open
+        && age(&job) > FOREIGN_RETENTION * node.settings.retention
+        && takeover::is_gone(node, holder, is_warmed_up)
+    {
+        return ScanResult::Expired(overflow);
+    }
     if !is_open || node.jobs.held_job(&object.name).is_some() {
         return ScanResult::Nothing;
     }
@@ -230,16 +245,19 @@
     }
 }
 
+/// Time since a job was accepted.
+fn age(job: &Job) -> Duration {
+    Duration::from_millis(unix_millis().saturating_sub(job.accepted))
+}
+
 /// Deletes finished jobs past their retention from memory and from the platform.
 fn expire(node: &Rc<Node>) {
-    let now = unix_millis();
-    let retention = node.settings.retention.as_millis() as u64;
     let held_jobs: Vec<Rc<HeldJob>> = node.jobs.held.borrow().values().cloned().collect();
     for held in held_jobs {
         let (id, is_expired) = {
             let state = held.state.borrow();
-            let is_old = state.job().accepted + retention < now;
-            (state.job().id.clone(), is_old && state.is_finished())
+            let is_expired = state.is_finished() && age(state.job()) > node.settings.retention;
+            (state.job().id.clone(), is_expired)
         };
         if !is_expired {
             continue;
--- a/crates/daemon/src/gateway/job_store.rs
+++ b/crates/daemon/src/gateway/job_store.rs
@@ -75,6 +75,7 @@
         is_open: !status.progress.ended && results < items,
         waiting_tokens,
         job: spec.job,
+        overflow: Overflow { items: spec.overflow, results: status.overflow },
     })
 }
 
--- a/crates/daemon/src/gateway/stored_job.rs
+++ b/crates/daemon/src/gateway/stored_job.rs
@@ -52,6 +52,8 @@
     pub is_open: bool,
     /// The job with only those items that its own object holds.
     pub job: Job,
+    /// Where the rest of it is stored.
+    pub overflow: Overflow,
     /// Tokens of the items without a result, as far as the job's own object tells: those of its
     /// overflow objects count as having none.
     pub waiting_tokens: u64,
--- a/crates/daemon/tests/gateway_holders.rs
+++ b/crates/daemon/tests/gateway_holders.rs
@@ -5,12 +5,15 @@
 use serde_json::Value;
 use standin::objects::Faults;
 use standin::runner::Config;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use util::batch::{LogLines, assert_results, slow_plan};
 use util::gateway::{Fleet, Plan, submit_to};
 use util::proxy::Mode;
 use util::wait_until;
 
+/// How long the outcome of a job is kept.
+const RETENTION_S: u64 = 3;
+
 #[test]
 fn killed_holder_loses_no_item_and_keeps_result_positions() {
     let mut fleet = Fleet::start(slow_plan());
@@ -321,3 +324,22 @@
     assert_eq!(response.status, 202);
     assert_results(&fleet.wait_results(0, "last"), &["a", "b"], 40);
 }
+
+/// Regression: only its holder deleted a finished job, so those of killed holders stayed for good.
+#[test]
+fn finished_job_of_a_killed_holder_is_deleted_after_its_retention() {
+    let settings = vec![format!("log.retention_s = {RETENTION_S}")];
+    let mut fleet = Fleet::start(Plan { settings, ..Plan::default() });
+    assert_eq!(fleet.submit(0, "done", &["a", "b"]).status, 202);
+    fleet.wait_results(1, "done");
+    fleet.gateways[0].kill();
+    let accepted = Instant::now();
+    // The others scan after a loss.
+    std::thread::sleep(Duration::from_secs(RETENTION_S));
+    assert!(fleet.objects.get(platform::job::KIND, "done").is_some());
+    std::thread::sleep(Duration::from_secs(RETENTION_S));
+    fleet.restart(2);
+    wait_until("the job is deleted", || fleet.objects.get(platform::job::KIND, "done").is_none());
+    assert!(accepted.elapsed() >= Duration::from_secs(2 * RETENTION_S));
+    assert_eq!(fleet.call_job(1, "GET", "/lots/done", &[]).status, 404);
+}
