--- a/crates/daemon/tests/gateway_job_paths.rs
+++ b/crates/daemon/tests/gateway_job_paths.rs
@@ -113,19 +113,35 @@
     assert_eq!((request.status, fleet.runs("/batch/never").len()), (200, 1), "no job has its id");
 }
 
+/// Faults of the platform in which nobody can be sure.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Unavailable,
+    Silent,
+}
+
+impl Fault {
+    fn faults(self) -> Faults {
+        match self {
+            Fault::Unavailable => Faults { unavailable: true, ..Faults::default() },
+            Fault::Silent => Faults { unresponsive: true, ..Faults::default() },
+        }
+    }
+}
+
 /// What a page costs at a path like that of a job's call: a read of the platform each.
-#[test]
-fn page_at_the_path_of_a_job_call_is_served_while_the_platform_is_there() {
+#[rstest]
+fn page_at_the_path_of_a_job_call_is_served_while_the_platform_is_there(
+    #[values(Fault::Unavailable, Fault::Silent)] fault: Fault,
+) {
+    let calls = [("GET", "/lots/page"), ("GET", "/items/page?id=1"), ("DELETE", "/lots/page")];
     let fleet = Fleet::start(Plan::default());
     fleet.apply(changed(&fleet, 8, Change::Removed));
-    for path in ["/lots/page", "/items/page?id=1"] {
-        assert_eq!(call(&fleet, 0, "GET", path).status, 200);
+    for (method, path) in calls {
+        assert_eq!(call(&fleet, 0, method, path).status, 200);
     }
-    assert_eq!(call(&fleet, 0, "DELETE", "/lots/page").status, 200);
-    fleet.objects.set_faults(Faults { unavailable: true, ..Faults::default() });
-    for (method, path) in
-        [("GET", "/lots/page"), ("GET", "/items/page?id=1"), ("DELETE", "/lots/page")]
-    {
+    fleet.objects.set_faults(fault.faults());
+    for (method, path) in calls {
         let since = Instant::now();
         assert_eq!(call(&fleet, 1, method, path).status, 503, "nobody can be sure");
         assert!(since.elapsed() < PROMPT, "{:?}", since.elapsed());
