--- a/crates/daemon/src/gateway/job_scan.rs
+++ b/crates/daemon/src/gateway/job_scan.rs
@@ -15,24 +15,19 @@
 use super::takeover::{self, MEMBERSHIP_WARM_UP};
 use crate::clock;
 use coordination::membership::State;
-use coordination::pending_jobs::Submission;
 use coordination::range_scan::{Range, Schedule, View, assigned_range};
 use platform::job;
-use platform::store::{Object, StoreError};
+use platform::store::Object;
 use state::progress::{Handoff, Job};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::task::spawn_local;
 use tokio_util::sync::CancellationToken;
 
 /// Interval between checks whether a scan is due.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Time after the start within which jobs may wait that nobody has reported here.
-const LEARNING_PERIOD: Duration = Duration::from_secs(60);
-/// How long the tokens of a stored job count without a report of its holder: longer than a takeover.
-const COUNT_LIFETIME: Duration = Duration::from_secs(30);
 /// Retentions after which finished jobs of holders that are gone are deleted; their clocks may have
 /// differed.
 const FOREIGN_RETENTION: u32 = 2;
@@ -152,7 +147,7 @@
             "revision" => object.revision);
         return ScanResult::Nothing;
     };
-    let JobSummary { holder, is_open, job, overflow, waiting_tokens } = summary;
+    let JobSummary { holder, is_open, job, overflow, tokens } = summary;
     if !is_open
         && age(&job) > FOREIGN_RETENTION * node.settings.retention
         && takeover::is_gone(node, holder, is_warmed_up)
@@ -166,7 +161,7 @@
         return ScanResult::Own;
     }
     let status = Box::new(JobStatus {
-        waiting_tokens,
+        waiting_tokens: tokens,
         ..job_table::open_status(node, &job, holder, object.revision)
     });
     if takeover::is_gone(node, holder, is_warmed_up) {
@@ -193,61 +188,6 @@
     broadcast::send(node, Update::Statuses(orphans));
 }
 
-/// Makes sure that the tokens of all open jobs count; `false` if that takes longer than until `until`,
-/// or the jobs can't be listed now.
-///
-/// An instance that has just started knows of no job, and if all were lost, so do the others; the
-/// platform has the jobs. They are counted once after the start, when the first caller needs it.
-pub async fn ensure_counted(node: &Rc<Node>, until: Instant) -> bool {
-    let has_learned = clock::since(node.started) >= LEARNING_PERIOD;
-    if node.settings.is_first_start || has_learned || node.jobs.has_counted.get() {
-        return true;
-    }
-    // Goes on for the next caller if this one can't wait for it.
-    let counting = spawn_local(count_in_turn(node.clone()));
-    let wait = until.saturating_duration_since(clock::now());
-    matches!(tokio::time::timeout(wait, counting).await, Ok(Ok(true)))
-}
-
-/// Counts the open jobs, unless another call does so first; `false` if that failed.
-async fn count_in_turn(node: Rc<Node>) -> bool {
-    let _turn = node.jobs.counting.lock().await;
-    if !node.jobs.has_counted.get() {
-        let counted = count(&node).await;
-        if let Err(error) = &counted {
-            slog::info!(node.log, "stored jobs not counted"; "fault" => %error);
-        }
-        node.jobs.has_counted.set(counted.is_ok());
-    }
-    node.jobs.has_counted.get()
-}
-
-/// Counts the tokens of the open jobs that nobody has reported.
-async fn count(node: &Node) -> Result<(), StoreError> {
-    let (mut after, mut jobs) = (None, 0);
-    loop {
-        let page = node.store.list(CallReason::Submission, job::KIND, after.as_deref()).await?;
-        let expires = clock::now() + COUNT_LIFETIME;
-        let open = page.objects.iter().filter_map(|object| job_store::summary(object).ok());
-        for summary in open.filter(|summary| summary.is_open) {
-            jobs += 1;
-            let stored = Submission {
-                route: job_table::route_of(node, &summary.job)
-                    .map_or_else(String::new, |it| it.name),
-                job: summary.job.id,
-                workspace: summary.job.workspace,
-                tokens: summary.waiting_tokens,
-            };
-            node.jobs.pending.borrow_mut().insert(stored, Some(expires));
-        }
-        after = page.last_name.filter(|_| page.has_more);
-        if after.is_none() {
-            slog::info!(node.log, "stored jobs counted"; "open" => jobs);
-            return Ok(());
-        }
-    }
-}
-
 /// Time since a job was accepted.
 fn age(job: &Job) -> Duration {
     Duration::from_millis(unix_millis().saturating_sub(job.accepted))
--- a/crates/daemon/src/gateway/job_store.rs
+++ b/crates/daemon/src/gateway/job_store.rs
@@ -13,8 +13,7 @@
 use platform::job;
 use platform::store::{Object, StoreError};
 use serde::{Deserialize, Serialize};
-use state::progress::{Item, ItemId, Job, MAX_ITEM_TOKENS, Outcome, Progress, at_most};
-use std::collections::HashSet;
+use state::progress::{Item, Job, MAX_ITEM_TOKENS, Outcome, Progress, at_most};
 
 /// Maximum share of an object's bytes for its spec. Spec, status and metadata must fit
 /// together.
@@ -66,14 +65,10 @@
     let (spec, status) = decode(object)?;
     let items = spec.job.items.len() + count(&spec.overflow);
     let results = status.progress.outcomes.len() + count(&status.overflow);
-    let done: HashSet<&ItemId> = status.progress.outcomes.iter().map(|it| &it.item).collect();
-    let waiting = spec.job.items.iter().filter(|item| !done.contains(&item.id));
-    let waiting_tokens =
-        waiting.map(|item| item.tokens).fold(spec.overflow_tokens, u64::saturating_add);
     Ok(JobSummary {
         holder: status.progress.holder.unwrap_or(spec.job.accepted_by),
         is_open: !status.progress.ended && results < items,
-        waiting_tokens,
+        tokens: spec.job.tokens() + spec.overflow_tokens,
         job: spec.job,
         overflow: Overflow { items: spec.overflow, results: status.overflow },
     })
--- a/crates/daemon/src/gateway/job_table.rs
+++ b/crates/daemon/src/gateway/job_table.rs
@@ -23,7 +23,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::sync::{Mutex, Notify};
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
 /// Statuses that change within this window are broadcast in one message.
@@ -56,12 +56,8 @@
     /// Hand-offs received for jobs whose takeover is in progress.
     pub(super) pending_takeovers: RefCell<HashMap<JobId, Vec<Handoff>>>,
     pub(super) acquiring: RefCell<HashSet<(String, ServiceId)>>,
-    /// Tokens of submissions whose outcome isn't known, and of jobs that no holder has reported.
+    /// Tokens of submissions whose outcome isn't known.
     pub(super) pending: RefCell<pending_jobs::Table>,
-    /// Whether the open jobs on the platform were counted since the start.
-    pub(super) has_counted: Cell<bool>,
-    /// Held while they are counted.
-    pub(super) counting: Mutex<()>,
 }
 
 impl JobTable {
--- a/crates/daemon/src/gateway/stored_job.rs
+++ b/crates/daemon/src/gateway/stored_job.rs
@@ -54,9 +54,8 @@
     pub job: Job,
     /// Where the rest of it is stored.
     pub overflow: Overflow,
-    /// Tokens of the items without a result, as far as the job's own object tells: those of its
-    /// overflow objects count as having none.
-    pub waiting_tokens: u64,
+    /// Tokens of all items, including overflow.
+    pub tokens: u64,
 }
 
 /// Why a job can't be loaded.
--- a/crates/daemon/src/gateway/submit.rs
+++ b/crates/daemon/src/gateway/submit.rs
@@ -7,7 +7,7 @@
 use super::message::{ForwardedSubmission, PeerReply, PeerRequest, SubmitOutcome};
 use super::node::{Node, unix_millis};
 use super::stored_job::{Overflow, StoredJob};
-use super::{access, handoff, job_scan, job_table, platform_health, residency};
+use super::{access, handoff, job_table, platform_health, residency};
 use crate::clock;
 use bytes::Bytes;
 use coordination::membership::Member;
@@ -190,9 +190,6 @@
         residency: residency::of_request(route, call.workspace.as_deref()),
         items,
     };
-    if terms.max_queued_tokens > 0 && !job_scan::ensure_counted(node, until).await {
-        return SubmitOutcome::Rejected;
-    }
     let waiting = node.jobs.waiting_tokens(node, &route.name, caller, id);
     if terms.max_queued_tokens > 0 && waiting.saturating_add(job.tokens()) > terms.max_queued_tokens
     {
--- a/crates/daemon/tests/gateway_acceptance.rs
+++ b/crates/daemon/tests/gateway_acceptance.rs
@@ -176,7 +176,7 @@
     }
 }
 
-/// Regression: an earlier mend of the above held submissions back for seconds.
+/// Guards against a mend of the above that holds submissions back for seconds.
 #[test]
 fn job_with_room_is_accepted_soon_after_all_instances_were_killed() {
     let plan = Plan { max_queued_tokens: 2 * MAX_QUEUED_TOKENS, ..slow_plan() };
