Take back the forgetting of finished jobs

Cause: an instance that missed the end of a job tells one that has forgotten it that the job is open, and the two confirm each other for good. Before, the later revision of the finished job won.

--- a/crates/daemon/src/gateway/handoff.rs
+++ b/crates/daemon/src/gateway/handoff.rs
@@ -184,7 +184,8 @@
 
 /// The other instance that holds a job according to the last reported status.
 fn current_holder(node: &Node, id: &str) -> Option<Holder> {
-    let holder = node.jobs.directory.borrow().holder(id);
+    let directory = node.jobs.directory.borrow();
+    let holder = directory.get(id).map(|status| status.holder);
     holder.filter(|holder| holder.instance != node.id())
 }
 
--- a/crates/daemon/src/gateway/job_scan.rs
+++ b/crates/daemon/src/gateway/job_scan.rs
@@ -167,7 +167,7 @@
     if takeover::is_gone(node, holder, is_warmed_up) {
         return ScanResult::Orphan(status);
     }
-    let is_reported = node.jobs.directory.borrow().get(&object.name).is_some();
+    let is_reported = node.jobs.directory.borrow().contains_key(&object.name);
     match node.members.borrow().get(holder.instance) {
         Some(member) if member.state == State::Leaving => ScanResult::Leaving,
         Some(member) if !is_reported => ScanResult::Unreported(member.peer, status),
@@ -181,10 +181,7 @@
     if orphans.is_empty() {
         return;
     }
-    let now = clock::now();
-    for status in &orphans {
-        node.jobs.directory.borrow_mut().record(status.clone(), now);
-    }
+    orphans.iter().for_each(|status| node.jobs.on_status(status.clone()));
     broadcast::send(node, Update::Statuses(orphans));
 }
 
@@ -193,14 +190,8 @@
     Duration::from_millis(unix_millis().saturating_sub(job.accepted))
 }
 
-/// Deletes finished jobs past their retention from memory and from the platform, and forgets those of
-/// other holders.
+/// Deletes finished jobs past their retention from memory and from the platform.
 fn expire(node: &Rc<Node>) {
-    let kept = job_table::FORGET_AFTER_RETENTIONS * node.settings.retention;
-    if let Some(time) = clock::now().checked_sub(kept) {
-        let forgotten = node.jobs.directory.borrow_mut().remove_finished(time);
-        slog::info!(node.log, "finished jobs forgotten"; "jobs" => forgotten);
-    }
     let held_jobs: Vec<Rc<HeldJob>> = node.jobs.held.borrow().values().cloned().collect();
     for held in held_jobs {
         let (id, is_expired) = {
--- a/crates/daemon/src/gateway/job_table.rs
+++ b/crates/daemon/src/gateway/job_table.rs
@@ -1,10 +1,7 @@
 //! Batch jobs known to this instance: those it holds, and the reported status of all
 //! others.
 
-use super::call_reason::CallReason;
 use super::held_job::HeldJob;
-use super::job_directory::Directory;
-use super::job_store;
 use super::message::{JobFilter, JobStatus, PeerReply, PeerRequest, Update};
 use super::node::{Config, Node};
 use super::stored_job::StoredJob;
@@ -14,7 +11,6 @@
 use coordination::pending_jobs::Submission;
 use coordination::run_time::Estimate;
 use coordination::{hash, pending_jobs};
-use platform::job;
 use protocol::routing::Route;
 use protocol::{DataCentreId, ServiceId, WorkspaceId};
 use state::progress::{Handoff, Holder, Job, JobId};
@@ -30,11 +26,6 @@
 const STATUS_BATCH_WINDOW: Duration = Duration::from_millis(60);
 /// Longest wait for a witness to acknowledge a new job.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(60);
-/// Jobs that are verified on the platform after one comparison with another instance.
-const MAX_VERIFIED: usize = 8;
-/// Retentions after which the end of a job is forgotten: long enough for instances that missed it to
-/// learn of it from others.
-pub(super) const FORGET_AFTER_RETENTIONS: u32 = 4;
 const FETCH_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// All jobs known to this instance.
@@ -43,7 +34,7 @@
     /// Jobs in memory.
     pub held: RefCell<HashMap<JobId, Rc<HeldJob>>>,
     /// Statuses as reported by holders.
-    pub directory: RefCell<Directory>,
+    pub directory: RefCell<HashMap<JobId, JobStatus>>,
     /// Statuses that wait to be broadcast.
     outbox: RefCell<HashMap<JobId, JobStatus>>,
     /// Jobs read from the platform on behalf of callers, with the time of the read.
@@ -75,6 +66,15 @@
         held_jobs.values().filter(is_open).cloned().collect()
     }
 
+    /// Records a reported status unless a later revision is known.
+    pub fn on_status(&self, status: JobStatus) {
+        let mut directory = self.directory.borrow_mut();
+        let current = directory.get(&status.job);
+        if current.is_none_or(|current| current.revision <= status.revision) {
+            directory.insert(status.job.clone(), status);
+        }
+    }
+
     /// Wakes the scheduler of items.
     pub fn wake(&self) {
         self.work.notify_one();
@@ -90,7 +90,7 @@
         if let Some(held) = self.held_job(job) {
             return Some(held.state.borrow().job().workspace.clone());
         }
-        self.directory.borrow().owner(job)
+        self.directory.borrow().get(job).map(|status| status.workspace.clone())
     }
 
     /// Handles a job that is pending at another instance; a lifetime of zero ends that.
@@ -124,7 +124,7 @@
         let config = node.config();
         let is_route = |reported: &str| may_be_route(config.as_deref(), reported, route);
         let directory = self.directory.borrow();
-        let others = directory.statuses().filter(|status| {
+        let others = directory.values().filter(|status| {
             is_route(&status.route)
                 && status.workspace.as_deref() == workspace
                 && !status.is_finished
@@ -132,7 +132,7 @@
         });
         let others = others.map(|status| status.waiting_tokens).fold(0, u64::saturating_add);
         let is_unknown = |job: &str| {
-            job != except && !held_jobs.contains_key(job) && directory.get(job).is_none()
+            job != except && !held_jobs.contains_key(job) && !directory.contains_key(job)
         };
         let pending = self.pending.borrow();
         let pending = pending.tokens(is_route, workspace, is_unknown, clock::now());
@@ -162,7 +162,7 @@
         }
         _ => {}
     }
-    node.jobs.directory.borrow_mut().record(status, clock::now());
+    node.jobs.on_status(status);
 }
 
 /// Batch route of a job in the current configuration; `None` if there is none any more.
@@ -325,7 +325,7 @@
     let held_jobs = node.jobs.held.borrow();
     let own = held_jobs.values().filter(|held| !held.is_read_only).map(|held| status(node, held));
     let directory = node.jobs.directory.borrow();
-    let others = directory.statuses().filter(|status| !held_jobs.contains_key(&status.job));
+    let others = directory.values().filter(|status| !held_jobs.contains_key(&status.job));
     own.chain(others.cloned()).collect()
 }
 
@@ -359,10 +359,6 @@
 
 /// Fetches statuses from one instance; `false` if it didn't reply.
 pub async fn fetch_statuses_from(node: &Rc<Node>, address: SocketAddr, filter: JobFilter) -> bool {
-    let asked = match &filter {
-        JobFilter::Open(ids) => ids.clone(),
-        JobFilter::All => Vec::new(),
-    };
     let is_open_only = matches!(filter, JobFilter::Open(_));
     let request = PeerRequest::ListJobs(filter);
     let reply = node.request(address, &request, peers::HEARTBEAT_TIMEOUT).await;
@@ -371,38 +367,6 @@
     };
     slog::info!(node.log, "job statuses fetched"; "from" => %address, "jobs" => statuses.len(),
         "open_only" => is_open_only);
-    let replied: HashSet<JobId> = statuses.iter().map(|status| status.job.clone()).collect();
     statuses.into_iter().for_each(|status| on_status(node, status));
-    let unknown = asked.into_iter().filter(|job| !replied.contains(job));
-    for job in unknown.filter(|job| is_overdue(node, job)).take(MAX_VERIFIED) {
-        spawn_local(verify_open(node.clone(), job));
-    }
     true
 }
-
-/// Whether a job has been reported open for so long that others may have forgotten its end.
-fn is_overdue(node: &Node, job: &str) -> bool {
-    let time = clock::now().checked_sub(FORGET_AFTER_RETENTIONS / 2 * node.settings.retention);
-    node.jobs.held_job(job).is_none()
-        && time.is_some_and(|at| node.jobs.directory.borrow().is_open_since(job, at))
-}
-
-/// Checks on the platform whether a job is still open that another instance doesn't know.
-async fn verify_open(node: Rc<Node>, id: JobId) {
-    let object = match node.store.get(CallReason::Verify, job::KIND, &id).await {
-        Ok(Some(object)) => object,
-        Ok(None) => return node.jobs.directory.borrow_mut().remove(&id),
-        Err(error) => {
-            slog::info!(node.log, "job load failed"; "job" => &id, "fault" => %error);
-            return;
-        }
-    };
-    let Ok(summary) = job_store::summary(&object) else {
-        return;
-    };
-    if !summary.is_open {
-        let open = open_status(&node, &summary.job, summary.holder, object.revision);
-        let status = JobStatus { waiting_tokens: 0, is_finished: true, ..open };
-        node.jobs.directory.borrow_mut().record(status, clock::now());
-    }
-}
--- a/crates/daemon/src/gateway/jobs.rs
+++ b/crates/daemon/src/gateway/jobs.rs
@@ -93,7 +93,7 @@
 /// Without this wait, a caller polls at once and each poll costs a call of the platform.
 async fn wait_for_holder(node: &Rc<Node>, id: &str, until: Instant) -> bool {
     let holder = |node: &Node| {
-        let status = node.jobs.directory.borrow().holder(id).map(|holder| holder.instance);
+        let status = node.jobs.directory.borrow().get(id).map(|status| status.holder.instance);
         status.filter(|holder| node.members.borrow().get(*holder).is_some())
     };
     let before = holder(node);
--- a/crates/daemon/src/gateway/jobs/lookup.rs
+++ b/crates/daemon/src/gateway/jobs/lookup.rs
@@ -105,7 +105,7 @@
     let StoredJob { job, revision, .. } = stored_job;
     let holder = stored_job.holder();
     let is_warmed_up = clock::since(node.started) >= MEMBERSHIP_WARM_UP;
-    let reported = node.jobs.directory.borrow().holder(&job.id);
+    let reported = node.jobs.directory.borrow().get(&job.id).map(|status| status.holder);
     if reported != Some(holder) && takeover::is_gone(node, holder, is_warmed_up) {
         slog::info!(node.log, "job without a holder was read"; "job" => &job.id);
         let members = node.members.borrow();
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -204,7 +204,6 @@
         ("gatespool.account.online", u64::from(online)),
         ("gatespool.account.batch", u64::from(batch)),
         ("gatespool.jobs.held", node.jobs.held_count() as u64),
-        ("gatespool.jobs.known", node.jobs.directory.borrow().count() as u64),
         ("gatespool.held_requests", node.quarantine.table.borrow().quarantined() as u64),
         ("gatespool.held_parts", node.quarantine.table.borrow().quarantined_parts() as u64),
         ("gatespool.callers.connections", node.callers.count() as u64),
--- a/crates/daemon/src/gateway/takeover.rs
+++ b/crates/daemon/src/gateway/takeover.rs
@@ -110,7 +110,7 @@
 ) -> Vec<JobId> {
     let directory = node.jobs.directory.borrow();
     let held_jobs = node.jobs.held.borrow();
-    let orphans = directory.statuses().filter(|status| {
+    let orphans = directory.values().filter(|status| {
         !status.is_finished
             && !held_jobs.contains_key(&status.job)
             && is_gone(node, status.holder, is_warmed_up)
@@ -272,11 +272,10 @@
             "holder" => %holder.peer);
         spawn_local(notify_holder(node.clone(), object.name.clone(), holder.peer));
         let job = &stored_job.job;
-        let status = JobStatus {
+        node.jobs.on_status(JobStatus {
             data_centre: holder.data_centre,
             ..job_table::open_status(node, job, previous_holder, object.revision)
-        };
-        node.jobs.directory.borrow_mut().record(status, clock::now());
+        });
         return Ok(None);
     }
     stored_job.progress.holder = Some(node.as_holder());
