--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -213,9 +213,9 @@
     node.config()
 }
 
-/// Whether what looks like a call about a job is one; `None` if nobody can say now. A path that an
-/// online route matches, too, is a job's if the platform has the job: it may outlive all batch routes
-/// of its host.
+/// Whether a request with the method and path of a job call is one; `None` if the platform can't be
+/// read. Where an online route matches the path as well, it is a job call only if the job exists, even
+/// if the host has no batch route any more.
 async fn is_about_job(node: &Node, route: Option<&Route>, call: &job::Request) -> Option<bool> {
     let is_online = route.is_some_and(|route| route.class != Class::Batch);
     if !is_online || node.jobs.known_owner(call.job()).is_some() {
--- a/crates/daemon/tests/gateway_job_paths.rs
+++ b/crates/daemon/tests/gateway_job_paths.rs
@@ -1,4 +1,4 @@
-//! Paths of calls about jobs that match a route for online requests, too: whose they are.
+//! Job calls and submissions on hosts where an online route matches their paths as well.
 
 mod util;
 
@@ -14,7 +14,7 @@
 
 const JOB: &str = "job";
 const ITEMS: [&str; 3] = ["item-1", "item-2", "item-3"];
-/// Limit of a rejection that waits for nobody but the platform, whose timeout is 400 ms.
+/// Maximum time to a rejection. It includes one timeout of the platform, 400 ms in these tests.
 const PROMPT: Duration = Duration::from_millis(900);
 
 /// What becomes of the host's only batch route.
@@ -113,7 +113,7 @@
     assert_eq!((request.status, fleet.runs("/batch/never").len()), (200, 1), "no job has its id");
 }
 
-/// Faults of the platform in which nobody can be sure.
+/// Faults of the platform during which it can't be read whether a job exists.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
     Unavailable,
